--- /dev/null
+++ b/crates/apricotfork/src/main.rs
@@ -0,0 +1,3 @@
+//! The shipped binary: command line and logs.
+
+fn main() {}
--- /dev/null
+++ b/crates/experiment/src/main.rs
@@ -0,0 +1,3 @@
+//! Deterministic experiment over the pure modules with a cost model of engines.
+
+fn main() {}
--- /dev/null
+++ b/crates/loadtool/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load and experiments against the stand-ins. Never shipped.
+
+fn main() {}
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats and digests between routers, over tarpc.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: sockets and timers round the core.
