config: document checks, head with sections, changes, settling, audit chain, revisions

One value for the whole document is bounded by 1 MB and makes operators of different sections race on each write. Ruled out: sections named by content digest alone; cleaning up after one change could then delete what another is about to refer to again. A section's key therefore ends in the change that wrote it.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,36 @@
 //! The configuration document, its checks, its changes and its audit trail. Never does I/O.
+//!
+//! The document is kept as one small [`Head`] and a value for each section. A change writes its section and the new
+//! audit log under names that nothing uses yet, and then takes effect by one compare-and-swap of the head.
 
+mod audit;
+mod change;
+mod diff;
 mod document;
+mod head;
+mod parse;
+mod problem;
+mod refused;
+mod revisions;
+mod section;
+mod settle;
+mod strict;
+mod undo;
+mod validate;
 
+pub use audit::{AuditLog, ChainBroken, Checkpoint, RECORDS_KEPT, Record, SectionMove, UnixMillis, verify_chain};
+pub use change::{Change, ChangeId, ChangeRefused, Conflict, OperatorKey, Plan, Value, bootstrap, plan_change};
+pub use diff::{Difference, diff};
 pub use document::{
     Document, EndpointRole, EndpointSpec, ModelSpec, Operation, OperatorSpec, PrioritySpec, Section, ServiceSpec,
     WorkspaceLimits, WorkspaceSpec,
 };
+pub use head::{AUDIT_PREFIX, AssembleError, HEAD_KEY, Head, SECTION_PREFIX, SectionRef, View, assemble};
+pub use parse::{parse, parse_section};
+pub use problem::{Problem, ProblemKind};
+pub use refused::{ATTEMPTS_KEPT, Attempt, REFUSED_KEY, RefusedLog};
+pub use revisions::{Adopt, Revisions, SameRevision};
+pub use section::section_text;
+pub use settle::{Settled, settle};
+pub use undo::{UndoRefused, undo, undo_source};
+pub use validate::validate;
--- /dev/null
+++ b/crates/config/src/undo.rs
@@ -0,0 +1,67 @@
+//! Undoes a change by a new one.
+
+use crate::{Change, ChangeId, SectionRef, View};
+use ids::{Digest, Revision};
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a revision can't be undone.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum UndoRefused {
+        /// The log doesn't have it, or no longer.
+        NotKept(revision: Revision) {
+            display("revision {revision} is not in the log")
+        }
+        /// The first document replaced nothing.
+        First {
+            display("the first document replaced nothing")
+        }
+        /// The section has been changed again since; undoing this one would silently undo those too.
+        ChangedSince(revision: Revision) {
+            display("the section was changed again in revision {revision}")
+        }
+        /// The text that was read is not the one that was in force.
+        Digest {
+            display("the stored section is not the one that was in force")
+        }
+    }
+}
+
+/// What must be read to undo `revision`.
+///
+/// # Errors
+/// It can't be undone.
+pub fn undo_source(view: &View, revision: Revision) -> Result<(crate::Section, SectionRef), UndoRefused> {
+    let record = view.log.records.iter().find(|record| record.revision == revision);
+    let record = record.ok_or(UndoRefused::NotKept(revision))?;
+    let [step] = record.moves.as_slice() else {
+        return Err(UndoRefused::First);
+    };
+    let from = step.from.clone().ok_or(UndoRefused::First)?;
+    let touches = |later: &&crate::Record| {
+        later.revision > revision && later.moves.iter().any(|other| other.section == step.section)
+    };
+    if let Some(later) = view.log.records.iter().find(touches) {
+        return Err(UndoRefused::ChangedSince(later.revision));
+    }
+    Ok((step.section, from))
+}
+
+/// The change that undoes `revision`; `text` is what [`undo_source`] named.
+///
+/// # Errors
+/// It can't be undone, or the text is another.
+pub fn undo(view: &View, revision: Revision, id: ChangeId, operator: &str, text: &str) -> Result<Change, UndoRefused> {
+    let (section, from) = undo_source(view, revision)?;
+    if Digest::of(text.as_bytes()) != from.digest {
+        return Err(UndoRefused::Digest);
+    }
+    let before = view.head.sections[&section].digest;
+    Ok(Change {
+        id,
+        operator: operator.to_owned(),
+        section,
+        before,
+        after: text.to_owned(),
+    })
+}
