--- a/crates/config/src/change/mod.rs
+++ b/crates/config/src/change/mod.rs
@@ -81,6 +81,14 @@
         Accepted(revision: Revision) {
             display("the change was accepted before, as revision {revision}")
         }
+        /// There is no document yet to change.
+        Empty {
+            display("there is no document yet")
+        }
+        /// There is a document already; it is changed, not replaced.
+        NotEmpty {
+            display("there is a document already")
+        }
         /// A value of the platform holds at most 1 MB.
         TooLarge(bytes: usize) {
             display("the section would take {bytes} bytes, of at most {}", plan::MAX_VALUE)
--- a/crates/config/src/head.rs
+++ b/crates/config/src/head.rs
@@ -4,7 +4,7 @@
 //! every write. So each section is a value of its own, written once under a name that contains its change, and one
 //! small head names those in force. A watch on the head costs each router some hundred bytes for each change.
 
-use crate::{ChangeId, Document, Problem, Section, audit::AuditLog, parse_section, validate};
+use crate::{ChainBroken, ChangeId, Document, Problem, Section, audit::AuditLog, parse_section, validate};
 use ids::{Digest, Revision};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -66,9 +66,16 @@
     /// Reads a head.
     ///
     /// # Errors
-    /// The text is no head.
+    /// The text is no head, or does not name every section.
     pub fn read(text: &str) -> Result<Self, AssembleError> {
-        serde_json::from_str(text).map_err(AssembleError::Head)
+        let head: Self = serde_json::from_str(text).map_err(AssembleError::Head)?;
+        match Section::ALL
+            .into_iter()
+            .find(|section| !head.sections.contains_key(section))
+        {
+            Some(section) => Err(AssembleError::Missing(section)),
+            None => Ok(head),
+        }
     }
 }
 
@@ -97,10 +104,24 @@
             display("the head can't be read: {error}")
             source(error)
         }
+        /// The audit log is not one.
+        Log(error: serde_json::Error) {
+            display("the audit log can't be read: {error}")
+            source(error)
+        }
+        /// The audit log does not hold together.
+        Chain(broken: ChainBroken) {
+            display("the audit log is broken: {broken}")
+            source(broken)
+        }
         /// A section is not there.
         Missing(section: Section) {
             display("the section {section} is missing")
         }
+        /// The audit log is not there.
+        MissingLog {
+            display("the audit log is missing")
+        }
         /// A section's text is not the one that the head names.
         Digest(section: Section) {
             display("the section {section} is not the one that the head names")
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod section;
 mod settle;
 mod strict;
+mod submission;
 mod undo;
 mod validate;
 
@@ -32,5 +33,6 @@
 pub use revisions::{Adopt, Revisions, SameRevision};
 pub use section::section_text;
 pub use settle::{Settled, settle};
+pub use submission::{Answer, Call, Intent, Loader, Loading, Next, Outcome, Stored, Submission};
 pub use undo::{UndoRefused, undo, undo_source};
 pub use validate::validate;
--- /dev/null
+++ b/crates/config/src/submission/mod.rs
@@ -0,0 +1,274 @@
+//! Carries a change through the platform's service, in calls that may fail or whose answers may be lost.
+//!
+//! A pure machine: it names one call after the other and is told what came back. A lost answer of the last write is
+//! settled by what is in force, so that a change is neither lost nor applied twice.
+
+mod loader;
+
+pub use loader::{Loader, Loading, Stored};
+
+use crate::{
+    Change, ChangeId, ChangeRefused, HEAD_KEY, Head, OperatorKey, Plan, Settled, UnixMillis, View, bootstrap,
+    plan_change, settle,
+};
+use ids::{Revision, Version};
+
+/// A call to the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Read this key.
+    Read(String),
+    /// Write by compare-and-swap.
+    Write {
+        /// The key.
+        key: String,
+        /// The new text.
+        text: String,
+        /// The version it must have now.
+        expect: Version,
+    },
+}
+
+/// What came back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The key as it is: of a read, or of a write that the version did not allow.
+    Found(Stored),
+    /// The write took effect.
+    Written,
+    /// Nothing came back: it may or may not have taken effect.
+    Failed,
+}
+
+/// What an operator wants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Intent {
+    /// Change one section.
+    Change(Change),
+    /// Write the first document.
+    First {
+        /// Chosen by the command, and kept over its retries.
+        id: ChangeId,
+        /// Who.
+        operator: String,
+        /// The whole document.
+        text: String,
+    },
+}
+
+impl Intent {
+    fn id(&self) -> &ChangeId {
+        match self {
+            Self::Change(change) => &change.id,
+            Self::First { id, .. } => id,
+        }
+    }
+}
+
+/// How it ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// In force as this revision. What nothing needs any more may be deleted.
+    Accepted {
+        /// The revision.
+        revision: Revision,
+        /// Keys to delete, as well as can be.
+        garbage: Vec<String>,
+    },
+    /// Refused; nothing changed.
+    Refused(ChangeRefused),
+    /// What is stored is damaged; nothing was changed.
+    Damaged,
+    /// Given up before the last write was sent; nothing changed.
+    NotSent,
+    /// Given up after the last write was sent without an answer: it may be accepted yet. `history` will tell.
+    Undecided,
+    /// The audit log no longer reaches back to the time in question.
+    Unknown,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Next {
+    /// Make this call, and tell what came back.
+    Call(Call),
+    /// The platform does not answer: wait a little, then make this call.
+    Later(Call),
+    /// It has ended.
+    Done(Outcome),
+}
+
+#[derive(Debug, Clone)]
+enum Stage {
+    Load,
+    Put {
+        plan: Box<Plan>,
+        version: Version,
+        place: usize,
+    },
+    Swap {
+        plan: Box<Plan>,
+        version: Version,
+    },
+}
+
+/// One change on its way.
+#[derive(Clone)]
+pub struct Submission {
+    intent: Intent,
+    key: OperatorKey,
+    at: UnixMillis,
+    loader: Loader,
+    stage: Stage,
+    /// The last write that was sent and not answered.
+    sent: Option<(Box<Plan>, Version)>,
+}
+
+impl Submission {
+    /// A change to carry through; `at` is the time for the audit trail.
+    pub fn new(intent: Intent, key: OperatorKey, at: UnixMillis) -> Self {
+        Self {
+            intent,
+            key,
+            at,
+            loader: Loader::new(),
+            stage: Stage::Load,
+            sent: None,
+        }
+    }
+
+    /// The call under way.
+    pub fn call(&self) -> Call {
+        match &self.stage {
+            Stage::Load => self.loader.call(),
+            Stage::Put { plan, place, .. } => {
+                let put = &plan.puts[*place];
+                Call::Write {
+                    key: put.key.clone(),
+                    text: put.text.clone(),
+                    expect: Version(0),
+                }
+            }
+            Stage::Swap { plan, version } => Call::Write {
+                key: HEAD_KEY.to_owned(),
+                text: plan.head.text(),
+                expect: *version,
+            },
+        }
+    }
+
+    /// Takes what came back from [`call`](Self::call).
+    pub fn on(&mut self, answer: Answer) -> Next {
+        match (&mut self.stage, answer) {
+            (Stage::Swap { plan, version }, Answer::Failed) => {
+                self.sent = Some((plan.clone(), *version));
+                self.stage = Stage::Load;
+                Next::Later(self.call())
+            }
+            (_, Answer::Failed) => Next::Later(self.call()),
+            (Stage::Load, Answer::Found(stored)) => match self.loader.on(stored) {
+                Loading::Read(_) => Next::Call(self.call()),
+                Loading::Empty(version) => self.decide(None, version),
+                Loading::Loaded(view, version) => self.decide(Some(&view), version),
+                Loading::Damaged(_) => Next::Done(Outcome::Damaged),
+            },
+            (Stage::Load, Answer::Written) => Next::Call(self.call()),
+            (Stage::Put { .. }, answer) => self.put(&answer),
+            (Stage::Swap { plan, .. }, Answer::Written) => Next::Done(Outcome::Accepted {
+                revision: plan.head.revision,
+                garbage: plan.garbage.clone(),
+            }),
+            (Stage::Swap { .. }, Answer::Found(_)) => self.load(),
+        }
+    }
+
+    /// What is true if no further call is made.
+    pub fn give_up(&self) -> Outcome {
+        if self.sent.is_some() || matches!(self.stage, Stage::Swap { .. }) {
+            return Outcome::Undecided;
+        }
+        Outcome::NotSent
+    }
+
+    fn load(&mut self) -> Next {
+        self.stage = Stage::Load;
+        Next::Call(self.call())
+    }
+
+    /// A key that is there already was written by an earlier attempt of this same change.
+    fn put(&mut self, answer: &Answer) -> Next {
+        let Stage::Put { plan, version, place } = &mut self.stage else {
+            return self.load();
+        };
+        if let Answer::Found(stored) = answer
+            && stored.text.as_ref() != Some(&plan.puts[*place].text)
+        {
+            return Next::Done(Outcome::Damaged);
+        }
+        *place += 1;
+        if *place == plan.puts.len() {
+            self.stage = Stage::Swap {
+                plan: plan.clone(),
+                version: *version,
+            };
+        }
+        Next::Call(self.call())
+    }
+
+    fn decide(&mut self, view: Option<&View>, version: Version) -> Next {
+        if let Some((plan, sent)) = &self.sent {
+            match settled(self.intent.id(), plan.base, view) {
+                Settled::Accepted(revision) => {
+                    return Next::Done(Outcome::Accepted {
+                        revision,
+                        garbage: plan.garbage.clone(),
+                    });
+                }
+                Settled::NotYet => {
+                    self.stage = Stage::Swap {
+                        plan: plan.clone(),
+                        version: *sent,
+                    };
+                    return Next::Call(self.call());
+                }
+                Settled::Unknown => return Next::Done(Outcome::Unknown),
+                Settled::Lost => self.sent = None,
+            }
+        }
+        match self.plan(view) {
+            Err(ChangeRefused::Accepted(revision)) => Next::Done(Outcome::Accepted {
+                revision,
+                garbage: Vec::new(),
+            }),
+            Err(refused) => Next::Done(Outcome::Refused(refused)),
+            Ok(plan) => {
+                self.stage = Stage::Put {
+                    plan: Box::new(plan),
+                    version,
+                    place: 0,
+                };
+                Next::Call(self.call())
+            }
+        }
+    }
+
+    fn plan(&self, view: Option<&View>) -> Result<Plan, ChangeRefused> {
+        match (&self.intent, view) {
+            (Intent::Change(change), Some(view)) => plan_change(view, change, &self.key, self.at),
+            (Intent::Change(_), None) => Err(ChangeRefused::Empty),
+            (Intent::First { id, operator, text }, None) => bootstrap(id, operator, &self.key, text, self.at),
+            (Intent::First { id, .. }, Some(view)) => Err(match view.log.find(id) {
+                Some(record) => ChangeRefused::Accepted(record.revision),
+                None => ChangeRefused::NotEmpty,
+            }),
+        }
+    }
+}
+
+fn settled(id: &ChangeId, base: Revision, view: Option<&View>) -> Settled {
+    let Some(view) = view else {
+        return Settled::NotYet;
+    };
+    let head: &Head = &view.head;
+    settle(id, base, head, &view.log)
+}
--- /dev/null
+++ b/crates/config/tests/races.rs
@@ -0,0 +1,346 @@
+//! Operators race each other over a store that loses answers, delays writes and goes down.
+
+mod support;
+
+use config::{
+    Answer, AuditLog, Change, ChangeId, ChangeRefused, HEAD_KEY, Head, Intent, Loader, Loading, Next, Outcome, Section,
+    Submission, UnixMillis, View, parse, section_text, verify_chain,
+};
+use ids::{Digest, Revision};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use support::{Store, WRITERS, document, entry, key, name, run, section_of};
+
+const CHANGES_EACH: usize = 2;
+
+struct Writer {
+    number: usize,
+    left: usize,
+    tries: usize,
+    work: Work,
+}
+
+enum Work {
+    Reading(Loader),
+    Submitting(Box<Submission>, ChangeId, String),
+    Done,
+}
+
+/// What operators were told.
+#[derive(Default)]
+struct Told {
+    accepted: BTreeMap<ChangeId, (Revision, Section, String)>,
+    undecided: BTreeSet<ChangeId>,
+}
+
+fn first(store: &mut Store) {
+    let intent = Intent::First {
+        id: ChangeId::from("first"),
+        operator: name(0),
+        text: document(),
+    };
+    let outcome = run(store, Submission::new(intent, key(0), UnixMillis(1)));
+    assert!(
+        matches!(
+            outcome,
+            Outcome::Accepted {
+                revision: Revision(1),
+                ..
+            }
+        ),
+        "{outcome:?}"
+    );
+}
+
+/// The operator reads, adds an entry of their own and submits.
+fn submit(writer: &mut Writer, view: &View) -> Work {
+    let section = section_of(writer.number);
+    let number = writer.number * 1000 + writer.tries;
+    writer.tries += 1;
+    let id = ChangeId::from(format!("{number}"));
+    let before = section_text(&view.document, section);
+    let mut after: serde_json::Value = serde_json::from_str(&before).unwrap();
+    let added = format!("new-{number}");
+    after[&added] = entry(section, number);
+    let change = Change {
+        id: id.clone(),
+        operator: name(writer.number),
+        section,
+        before: Digest::of(before.as_bytes()),
+        after: after.to_string(),
+    };
+    let submission = Submission::new(Intent::Change(change), key(writer.number), UnixMillis(2));
+    Work::Submitting(Box::new(submission), id, added)
+}
+
+fn step(writer: &mut Writer, store: &mut Store, told: &mut Told, random: &mut ChaCha8Rng) {
+    match std::mem::replace(&mut writer.work, Work::Done) {
+        Work::Done => {}
+        Work::Reading(mut loader) => {
+            let Answer::Found(stored) = store.faulty(&loader.call(), random) else {
+                writer.work = Work::Reading(loader);
+                return;
+            };
+            writer.work = match loader.on(stored) {
+                Loading::Read(_) => Work::Reading(loader),
+                Loading::Loaded(view, _) => submit(writer, &view),
+                other => panic!("{other:?}"),
+            };
+        }
+        Work::Submitting(mut submission, id, added) => match submission.on(store.faulty(&submission.call(), random)) {
+            Next::Later(_) if random.random_ratio(1, 40) => {
+                match submission.give_up() {
+                    Outcome::Undecided => assert!(told.undecided.insert(id)),
+                    outcome => assert_eq!(outcome, Outcome::NotSent),
+                }
+                writer.work = Work::Reading(Loader::new());
+            }
+            Next::Call(_) | Next::Later(_) => writer.work = Work::Submitting(submission, id, added),
+            Next::Done(Outcome::Accepted { revision, garbage }) => {
+                for key in garbage {
+                    let version = store.entries[&key].1;
+                    store.entries.insert(key, (None, version + 1));
+                }
+                told.accepted.insert(id, (revision, section_of(writer.number), added));
+                writer.left -= 1;
+                writer.work = if writer.left == 0 {
+                    Work::Done
+                } else {
+                    Work::Reading(Loader::new())
+                };
+            }
+            Next::Done(Outcome::Refused(ChangeRefused::Conflict(conflict))) => {
+                assert!(!conflict.since.is_empty(), "the operator is shown what others changed");
+                writer.work = Work::Reading(Loader::new());
+            }
+            Next::Done(outcome) => panic!("{outcome:?}"),
+        },
+    }
+}
+
+fn race(seed: u64) -> (Store, Told) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut told = Told::default();
+    first(&mut store);
+    let work = || Work::Reading(Loader::new());
+    let mut writers: Vec<Writer> = (0..WRITERS)
+        .map(|number| Writer {
+            number,
+            left: CHANGES_EACH,
+            tries: 0,
+            work: work(),
+        })
+        .collect();
+    for turn in 0..2_000_000 {
+        store.down = turn % 5000 < 1000;
+        let place = random.random_range(0..writers.len());
+        step(&mut writers[place], &mut store, &mut told, &mut random);
+        writers.retain(|writer| !matches!(writer.work, Work::Done));
+        if writers.is_empty() {
+            return (store, told);
+        }
+    }
+    panic!("{} writers have not ended", writers.len());
+}
+
+/// The history as the store saw it, against what the operators were told.
+fn check(store: &Store, told: &Told) {
+    let heads: Vec<Head> = store
+        .history
+        .iter()
+        .filter(|(key, _)| key == HEAD_KEY)
+        .map(|(_, text)| Head::read(text).unwrap())
+        .collect();
+    let mut seen = BTreeMap::new();
+    for (place, head) in heads.iter().enumerate() {
+        assert_eq!(head.revision, Revision(place as u64 + 1), "revisions grow by one");
+        assert_eq!(
+            seen.insert(head.change.clone(), head.revision),
+            None,
+            "{} was applied twice",
+            head.change
+        );
+    }
+    for (id, (revision, _, _)) in &told.accepted {
+        assert_eq!(seen.get(id), Some(revision), "accepted change {id}");
+    }
+    for id in seen.keys().filter(|id| **id != ChangeId::from("first")) {
+        let known = told.accepted.contains_key(id) || told.undecided.contains(id);
+        assert!(known, "{id} is in force, and its operator was told that it is not");
+    }
+    let last = heads.last().unwrap();
+    let log: AuditLog = serde_json::from_str(store.read(&last.audit_key()).text.as_ref().unwrap()).unwrap();
+    assert_eq!(verify_chain(last, &log), Ok(()));
+    for (id, (_, section, added)) in &told.accepted {
+        let text = store.read(&last.sections[section].key(*section)).text.unwrap();
+        let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert!(value.get(added).is_some(), "{id} was accepted and is gone");
+    }
+}
+
+/// Fifty operators edit the five sections at the same time, while one call in five goes wrong and the store is down for
+/// a fifth of the time. Someone would notice an accepted change that is gone, one that stands twice in the history, or
+/// one that is in force although its operator was told that nothing changed.
+#[test]
+fn every_accepted_change_is_in_force_once() {
+    for seed in 0..2 {
+        let (store, told) = race(seed);
+        assert_eq!(told.accepted.len(), WRITERS * CHANGES_EACH);
+        check(&store, &told);
+    }
+}
+
+/// Two operators of different sections read the same revision. The second one's head is refused by the store, and the
+/// change goes through on the new head without being shown to anyone again. Without that, a busy day would refuse
+/// changes that have nothing to do with each other.
+#[test]
+fn changes_of_different_sections_both_win() {
+    let mut store = Store::default();
+    first(&mut store);
+    let view = load(&store);
+    let mut submissions = Vec::new();
+    for number in [1, 2] {
+        let mut writer = Writer {
+            number,
+            left: 1,
+            tries: 0,
+            work: Work::Done,
+        };
+        let Work::Submitting(submission, ..) = submit(&mut writer, &view) else {
+            unreachable!()
+        };
+        submissions.push(*submission);
+    }
+    let outcomes: Vec<Outcome> = submissions
+        .into_iter()
+        .map(|submission| run(&mut store, submission))
+        .collect();
+    for (place, outcome) in outcomes.iter().enumerate() {
+        let expected = Revision(place as u64 + 2);
+        assert!(
+            matches!(outcome, Outcome::Accepted { revision, .. } if *revision == expected),
+            "{outcome:?}"
+        );
+    }
+}
+
+/// A change is refused for good reason, and the document stays as it was.
+#[test]
+fn refusals() {
+    struct Case {
+        operator: usize,
+        proof: usize,
+        section: Section,
+        after: &'static str,
+        reason: fn(&ChangeRefused) -> bool,
+    }
+    let cases = [
+        Case {
+            operator: 3,
+            proof: 4,
+            section: Section::Priorities,
+            after: "{}",
+            reason: |r| *r == ChangeRefused::NotProven,
+        },
+        Case {
+            operator: 3,
+            proof: 3,
+            section: Section::Models,
+            after: "{}",
+            reason: |r| *r == ChangeRefused::NotOwner(Section::Models),
+        },
+        Case {
+            operator: 4,
+            proof: 4,
+            section: Section::Endpoints,
+            after: "{}",
+            reason: |r| matches!(r, ChangeRefused::Invalid(p) if p.len() == 2),
+        },
+        Case {
+            operator: 3,
+            proof: 3,
+            section: Section::Priorities,
+            after: r#"{"advisory":{"rank":0}}"#,
+            reason: |r| *r == ChangeRefused::Unchanged,
+        },
+        Case {
+            operator: 3,
+            proof: 3,
+            section: Section::Priorities,
+            after: "{",
+            reason: |r| matches!(r, ChangeRefused::Invalid(_)),
+        },
+    ];
+    let mut store = Store::default();
+    first(&mut store);
+    let view = load(&store);
+    let head = store.read(HEAD_KEY);
+    for case in cases {
+        let change = Change {
+            id: ChangeId::from("case"),
+            operator: name(case.operator),
+            section: case.section,
+            before: view.head.sections[&case.section].digest,
+            after: case.after.to_owned(),
+        };
+        match run(
+            &mut store,
+            Submission::new(Intent::Change(change), key(case.proof), UnixMillis(3)),
+        ) {
+            Outcome::Refused(refused) => assert!((case.reason)(&refused), "{refused:?}"),
+            outcome => panic!("{outcome:?}"),
+        }
+        assert_eq!(store.read(HEAD_KEY), head);
+    }
+}
+
+/// More changes than the log keeps: the chain stays verifiable, and the store holds a bounded number of values.
+#[test]
+fn a_long_history_stays_bounded() {
+    let mut store = Store::default();
+    first(&mut store);
+    let mut writer = Writer {
+        number: 3,
+        left: 200,
+        tries: 0,
+        work: Work::Reading(Loader::new()),
+    };
+    let mut told = Told::default();
+    for _ in 0..200 {
+        let view = load(&store);
+        assert_eq!(verify_chain(&view.head, &view.log), Ok(()));
+        let Work::Submitting(submission, id, added) = submit(&mut writer, &view) else {
+            unreachable!()
+        };
+        let Outcome::Accepted { revision, garbage } = run(&mut store, *submission) else {
+            panic!("refused")
+        };
+        for key in garbage {
+            store.entries.insert(key, (None, 2));
+        }
+        told.accepted.insert(id, (revision, section_of(3), added));
+    }
+    check(&store, &told);
+    let left = store.entries.values().filter(|(text, _)| text.is_some()).count();
+    assert!(left <= 1 + 6 + config::RECORDS_KEPT + 9, "{left} values are left");
+}
+
+fn load(store: &Store) -> View {
+    let mut loader = Loader::new();
+    let mut call = loader.call();
+    loop {
+        let config::Call::Read(key) = &call else { unreachable!() };
+        match loader.on(store.read(key)) {
+            Loading::Read(next) => call = next,
+            Loading::Loaded(view, _) => return *view,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn the_first_document_is_valid() {
+    assert!(parse(&document()).is_ok());
+}
