Stand-ins for the platform, an engine and a plain service, with their fault switches

Three processes that print their port, served by async-h1 over async-std; async-h1's own accept loop can't leave an answer half sent, so the loop is ours. Not tested yet beyond calls by hand: happy path, resume, cuts at each byte class, crash, orders, watch.

--- /dev/null
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -0,0 +1,6 @@
+//! The engine stand-in as a process.
+
+fn main() -> std::io::Result<()> {
+    let args: standins::engine::Args = argh::from_env();
+    async_std::task::block_on(standins::engine::run(args))
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -0,0 +1,6 @@
+//! The platform stand-in as a process.
+
+fn main() -> std::io::Result<()> {
+    let args: standins::platform::Args = argh::from_env();
+    async_std::task::block_on(standins::platform::run(args))
+}
--- /dev/null
+++ b/crates/standins/src/engine/generate.rs
@@ -0,0 +1,323 @@
+//! One completion: queue, prefill, decode, answer.
+
+use super::answer::{DONE, Form, Shape, piece, text_seed};
+use super::cache::chain;
+use super::slots::{Entered, Permit};
+use super::state::Engine;
+use crate::http::{Call, Cut, Reply};
+use async_channel::{Receiver, Sender};
+use async_std::{io, task};
+use futures::TryStreamExt;
+use http_types::{Body, Response, StatusCode};
+use ids::{Digest, Incarnation};
+use std::sync::Arc;
+use std::time::Duration;
+use wire::caller::Completion;
+use wire::engine::RefusedReason;
+use wire::headers;
+
+const BYTES_PER_TOKEN: usize = 4;
+const DEFAULT_TOKENS: u32 = 16;
+const MOST_TOKENS: u32 = 4096;
+const DEFAULT_RANK: u8 = 5;
+const PREFILL_TICK: Duration = Duration::from_millis(5);
+const PIECES_AHEAD: usize = 256;
+/// Requests in the batch that make each token take twice as long.
+const BATCH_DOUBLES: f64 = 32.0;
+
+/// What goes wrong with an answer on purpose.
+#[derive(Debug, Clone, Copy, Default)]
+struct Planned {
+    break_at: Option<Option<u64>>,
+    crossed: bool,
+    cut: bool,
+}
+
+/// A completion that has been accepted.
+struct Job {
+    engine: Arc<Engine>,
+    life: Incarnation,
+    request: String,
+    weights: String,
+    scope: String,
+    seed: u64,
+    hashes: Vec<Digest>,
+    prompt_tokens: u64,
+    wanted: u64,
+    resume: u64,
+    stream: bool,
+    shape: Shape,
+    planned: Planned,
+    own: Sender<()>,
+    cancel: Receiver<()>,
+}
+
+type Piece = io::Result<Vec<u8>>;
+
+impl Engine {
+    /// Serves a completion.
+    pub async fn complete(self: &Arc<Self>, call: &Call, form: Form) -> Result<Reply, RefusedReason> {
+        let Some(completion) = call.json::<Completion>() else {
+            return Ok(Reply::Answer(Response::new(StatusCode::BadRequest)));
+        };
+        let rank = call
+            .header(headers::PRIORITY)
+            .and_then(|rank| rank.parse().ok())
+            .unwrap_or(DEFAULT_RANK);
+        let (job, slots) = self.accept(call, &completion, form)?;
+        let permit = match slots.enter(rank, &job.cancel).await {
+            Entered::Running(permit) => permit,
+            Entered::Full => return Err(RefusedReason::Full),
+            Entered::Cancelled => return Ok(Reply::Close),
+        };
+        if let Some(None) = job.planned.break_at {
+            return Ok(Reply::Close);
+        }
+        job.run(permit).await
+    }
+
+    fn accept(
+        self: &Arc<Self>,
+        call: &Call,
+        completion: &Completion,
+        form: Form,
+    ) -> Result<(Job, Arc<super::slots::Slots>), RefusedReason> {
+        let prompt = completion.rendered();
+        let scope = call.header(headers::CACHE_SCOPE).unwrap_or_default();
+        let resume = call
+            .header(headers::RESUME_FROM)
+            .and_then(|from| from.parse().ok())
+            .unwrap_or(0);
+        let wanted = u64::from(completion.max_tokens.unwrap_or(DEFAULT_TOKENS).min(MOST_TOKENS));
+        let mut state = self.lock();
+        let weights = state.weights.clone().ok_or(RefusedReason::OtherWeights)?;
+        let other = call
+            .header(headers::WEIGHTS)
+            .is_some_and(|meant| meant != weights.as_str());
+        if other || completion.model != state.model {
+            return Err(RefusedReason::OtherWeights);
+        }
+        if state.fault.leaving == Some(true) {
+            return Err(RefusedReason::Leaving);
+        }
+        if resume > wanted {
+            return Err(RefusedReason::CannotResume);
+        }
+        let request = match call.header(headers::REQUEST_ID) {
+            Some(id) => id.to_owned(),
+            None => format!("anonymous-{}-{}", call.connection, self.now().as_nanos()),
+        };
+        let (own, cancel) = state.register(&request);
+        let planned = plan(&mut state.fault, completion.stream);
+        let id = if planned.crossed {
+            format!("{request}-other")
+        } else {
+            request.clone()
+        };
+        let seed = [scope, state.model.as_str(), weights.as_str()];
+        let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN) as u64;
+        let job = Job {
+            engine: self.clone(),
+            life: state.incarnation,
+            request,
+            weights: weights.to_string(),
+            scope: scope.to_owned(),
+            seed: text_seed(weights.as_str(), &prompt),
+            hashes: chain(seed, prompt.as_bytes(), self.args.block_tokens * BYTES_PER_TOKEN),
+            prompt_tokens,
+            wanted,
+            resume,
+            stream: completion.stream,
+            shape: Shape {
+                form,
+                id,
+                model: state.model.to_string(),
+                tokens: (prompt_tokens, wanted, 0),
+            },
+            planned,
+            own,
+            cancel,
+        };
+        Ok((job, state.slots.clone()))
+    }
+}
+
+/// Takes what the fault switch has in store for one answer.
+fn plan(fault: &mut wire::engine::Fault, stream: bool) -> Planned {
+    let crossed = take_one(&mut fault.cross_answers);
+    let cut = !stream && take_one(&mut fault.cut_answers);
+    let breaks = stream && take_one(&mut fault.break_streams);
+    Planned {
+        break_at: breaks.then_some(fault.break_at),
+        crossed,
+        cut,
+    }
+}
+
+fn take_one(left: &mut Option<u32>) -> bool {
+    let Some(count) = left.filter(|count| *count > 0) else {
+        return false;
+    };
+    *left = Some(count - 1);
+    true
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.engine.lock().unregister(&self.request, &self.own);
+    }
+}
+
+impl Job {
+    async fn run(mut self, permit: Permit) -> Result<Reply, RefusedReason> {
+        let cached = self.cached_tokens();
+        self.shape.tokens.2 = cached;
+        // What was generated before the break is prefilled like the prompt.
+        let uncached = self.prompt_tokens - cached + self.resume;
+        if !self.prefill(uncached).await {
+            return Ok(Reply::Close);
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header(headers::REQUEST_ID, &self.shape.id);
+        response.insert_header(headers::INCARNATION, self.life.to_string());
+        response.insert_header(headers::WEIGHTS, &self.weights);
+        response.insert_header(headers::CACHED_TOKENS, cached.to_string());
+        if self.stream {
+            response.insert_header("content-type", "text/event-stream");
+            let (sender, receiver) = async_channel::bounded(PIECES_AHEAD);
+            task::spawn(self.stream(permit, sender));
+            let reader = Box::pin(receiver).into_async_read();
+            response.set_body(Body::from_reader(io::BufReader::new(reader), None));
+            return Ok(Reply::Answer(response));
+        }
+        let cut = self.planned.cut;
+        let Some(body) = self.whole().await else {
+            return Ok(Reply::Close);
+        };
+        drop(permit);
+        response.set_body(Body::from_bytes(body));
+        response.insert_header("content-type", "application/json");
+        Ok(if cut {
+            Reply::Part(response, Cut::InBody)
+        } else {
+            Reply::Answer(response)
+        })
+    }
+
+    fn cached_tokens(&self) -> u64 {
+        let state = self.engine.lock();
+        let blocks = state.cache.matched(&self.scope, &self.hashes);
+        (blocks * self.engine.args.block_tokens) as u64
+    }
+
+    fn ended(&self) -> bool {
+        self.cancel.is_closed() || self.engine.lock().incarnation != self.life
+    }
+
+    /// Shares the engine's rate with all that is being prefilled; false if the request ended meanwhile.
+    async fn prefill(&self, tokens: u64) -> bool {
+        if self.engine.args.prefill_rate > 0 && tokens > 0 {
+            let mut left = tokens as f64;
+            let mut reported = tokens as i64;
+            self.prefilling(1, reported);
+            while left > 0.0 && !self.ended() {
+                left -= self.prefill_tick(left).await;
+                self.prefilling(0, left as i64 - reported);
+                reported = left as i64;
+            }
+            self.prefilling(-1, -reported);
+        }
+        if self.ended() {
+            return false;
+        }
+        let mut state = self.engine.lock();
+        if state
+            .weights
+            .as_ref()
+            .is_some_and(|weights| weights.as_str() == self.weights)
+        {
+            let changes = state.cache.store(&self.scope, &self.hashes);
+            self.engine.announce(&mut state, changes);
+        }
+        true
+    }
+
+    async fn prefill_tick(&self, left: f64) -> f64 {
+        let (sharing, slow) = {
+            let state = self.engine.lock();
+            (state.prefilling.0.max(1), state.fault.slow_percent.unwrap_or(100))
+        };
+        let rate = self.engine.args.prefill_rate as f64 * 100.0 / f64::from(slow.max(1)) / f64::from(sharing);
+        let tick = PREFILL_TICK.min(Duration::from_secs_f64(left / rate));
+        let from = self.engine.now();
+        task::sleep(tick).await;
+        // The tick as it was: a timer of a busy machine comes late.
+        (rate * (self.engine.now() - from).as_secs_f64()).min(left)
+    }
+
+    fn prefilling(&self, requests: i32, tokens: i64) {
+        let mut state = self.engine.lock();
+        if state.incarnation != self.life {
+            return;
+        }
+        let (count, left) = state.prefilling;
+        state.prefilling = (
+            count.saturating_add_signed(requests),
+            left.saturating_add_signed(tokens),
+        );
+    }
+
+    async fn decode_pause(&self) {
+        let base = self.engine.args.decode_ms;
+        if base == 0.0 {
+            return;
+        }
+        let (running, slow) = {
+            let state = self.engine.lock();
+            (state.slots.counts().0, state.fault.slow_percent.unwrap_or(100))
+        };
+        let grown = base * (1.0 + f64::from(running) / BATCH_DOUBLES) * f64::from(slow) / 100.0;
+        task::sleep(Duration::from_secs_f64(grown / 1000.0)).await;
+    }
+
+    async fn whole(self) -> Option<Vec<u8>> {
+        let mut text = String::new();
+        for number in 0..self.wanted {
+            self.decode_pause().await;
+            if self.ended() {
+                return None;
+            }
+            text.push_str(&piece(self.seed, number));
+        }
+        let body = self.shape.whole(&text);
+        let mut state = self.engine.lock();
+        state.keep_sent(self.request.clone(), body.clone());
+        Some(body)
+    }
+
+    async fn stream(self, permit: Permit, to: Sender<Piece>) {
+        let mut sent = Vec::new();
+        for number in self.resume..=self.wanted {
+            let last = number == self.wanted;
+            if !last {
+                self.decode_pause().await;
+            }
+            if self.ended() || self.planned.break_at == Some(Some(number)) {
+                let _ = to.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
+                break;
+            }
+            let text = if last { String::new() } else { piece(self.seed, number) };
+            let mut event = self.shape.event(number, &text, last);
+            if last {
+                event.extend_from_slice(DONE);
+            }
+            sent.extend_from_slice(&event);
+            if to.send(Ok(event)).await.is_err() {
+                break;
+            }
+        }
+        drop(permit);
+        let mut state = self.engine.lock();
+        state.keep_sent(self.request.clone(), sent);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http/server.rs
@@ -0,0 +1,205 @@
+//! The server: a keep-alive loop over async-h1's decoder and encoder.
+//!
+//! async-h1's own accept loop can't leave an answer half sent, which is what a failing endpoint does; hence the loop here.
+
+use async_std::io;
+use async_std::net::{Shutdown, TcpListener, TcpStream};
+use async_std::prelude::*;
+use async_std::task;
+use futures::future::BoxFuture;
+use http_types::{Body, Method, Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+const MOST_BODY: u64 = 8 << 20;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A request with its body read.
+#[derive(Debug)]
+pub struct Call {
+    /// Number of the connection it came on.
+    pub connection: u64,
+    /// Its head.
+    pub request: Request,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Where an answer is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Inside the head.
+    InHead,
+    /// After the head.
+    AfterHead,
+    /// Inside the body.
+    InBody,
+}
+
+/// What a handler wants to be sent.
+#[derive(Debug)]
+pub enum Reply {
+    /// The whole answer.
+    Answer(Response),
+    /// A part of the answer; then the connection closes.
+    Part(Response, Cut),
+    /// Nothing; the connection closes.
+    Close,
+}
+
+/// Answers calls.
+pub type Handler = Arc<dyn Fn(Call) -> BoxFuture<'static, Reply> + Send + Sync>;
+
+/// Open connections, so that a crash can cut them all.
+#[derive(Debug, Default)]
+pub struct Connections {
+    newest: AtomicU64,
+    open: Mutex<HashMap<u64, TcpStream>>,
+}
+
+impl Call {
+    /// Path of the call.
+    pub fn path(&self) -> &str {
+        self.request.url().path()
+    }
+
+    /// Method and path, for matching.
+    pub fn route(&self) -> (Method, &str) {
+        (self.request.method(), self.path())
+    }
+
+    /// A parameter of the query.
+    pub fn query(&self, name: &str) -> Option<String> {
+        let mut pairs = self.request.url().query_pairs();
+        pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
+    }
+
+    /// A number in the query.
+    pub fn query_number(&self, name: &str) -> Option<u64> {
+        self.query(name)?.parse().ok()
+    }
+
+    /// A header's first value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.request.header(name).map(|values| values.last().as_str())
+    }
+
+    /// The body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+impl Connections {
+    /// Cuts every connection except `spared`.
+    pub fn cut_others(&self, spared: u64) {
+        let open = self.open.lock().expect("no holder panics");
+        for (_, stream) in open.iter().filter(|(number, _)| **number != spared) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn add(&self, stream: &TcpStream) -> u64 {
+        let number = self.newest.fetch_add(1, Ordering::Relaxed);
+        self.open
+            .lock()
+            .expect("no holder panics")
+            .insert(number, stream.clone());
+        number
+    }
+
+    fn remove(&self, number: u64) {
+        self.open.lock().expect("no holder panics").remove(&number);
+    }
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(code: StatusCode, value: &T) -> Response {
+    let mut response = Response::new(code);
+    let text = serde_json::to_vec(value).expect("messages serialize");
+    response.set_body(Body::from_bytes(text));
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// An answer without body.
+pub fn status(code: StatusCode) -> Reply {
+    Reply::Answer(Response::new(code))
+}
+
+/// Listens on `address`.
+pub async fn bind(address: &str) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let local = listener.local_addr()?;
+    Ok((listener, local))
+}
+
+/// Prints the one line from which tests read the port.
+pub fn announce(local: SocketAddr) {
+    println!("listening on {local}");
+}
+
+/// Serves connections until the listener fails.
+pub async fn serve(listener: TcpListener, connections: Arc<Connections>, handler: Handler) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let _ = stream.set_nodelay(true);
+        task::spawn(converse(stream, connections.clone(), handler.clone()));
+    }
+}
+
+async fn converse(stream: TcpStream, connections: Arc<Connections>, handler: Handler) {
+    let number = connections.add(&stream);
+    while let Ok(true) = one_call(&stream, number, &handler).await {}
+    let _ = stream.shutdown(Shutdown::Both);
+    connections.remove(number);
+}
+
+/// Serves one call; tells whether the connection may be kept.
+async fn one_call(stream: &TcpStream, connection: u64, handler: &Handler) -> http_types::Result<bool> {
+    let Some((mut request, _rest)) = async_h1::server::decode(stream.clone()).await? else {
+        return Ok(false);
+    };
+    let method = request.method();
+    let close = request
+        .header("connection")
+        .is_some_and(|v| v.last().as_str().eq_ignore_ascii_case("close"));
+    let mut body = Vec::new();
+    request.take_body().take(MOST_BODY).read_to_end(&mut body).await?;
+    let call = Call {
+        connection,
+        request,
+        body,
+    };
+    let mut writer = stream.clone();
+    match handler(call).await {
+        Reply::Answer(response) => {
+            let encoder = async_h1::server::Encoder::new(response, method);
+            io::copy(encoder, &mut writer).await?;
+            Ok(!close)
+        }
+        Reply::Part(response, cut) => {
+            let mut bytes = Vec::new();
+            async_h1::server::Encoder::new(response, method)
+                .read_to_end(&mut bytes)
+                .await?;
+            writer.write_all(&bytes[..cut_length(&bytes, cut)]).await?;
+            Ok(false)
+        }
+        Reply::Close => Ok(false),
+    }
+}
+
+fn cut_length(bytes: &[u8], cut: Cut) -> usize {
+    let found = bytes.windows(HEAD_END.len()).position(|window| window == HEAD_END);
+    let head = found.map_or(bytes.len(), |at| at + HEAD_END.len());
+    match cut {
+        Cut::InHead => head / 2,
+        Cut::AfterHead => head,
+        Cut::InBody => head + (bytes.len() - head) / 2,
+    }
+}
