--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod events;
 mod generate;
 mod orders;
+mod pace;
 mod slots;
 mod state;
 
--- a/crates/standins/src/http/client.rs
+++ b/crates/standins/src/http/client.rs
@@ -111,10 +111,8 @@
         let mut head = async_h1::client::decode(stream.clone()).await?;
         self.stream = Some(stream);
         let body = head.take_body();
-        let length = body.len();
-        if let Some(length) = length {
-            head.set_body(http_types::Body::from_reader(io::empty(), Some(length)));
-        }
+        // The head keeps the declared length; taking its body would leave 0 there.
+        head.set_body(http_types::Body::from_reader(io::empty(), body.len()));
         Ok((head, BufReader::new(body)))
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 pub mod http;
 pub mod platform;
+pub mod process;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/process.rs
@@ -0,0 +1,58 @@
+//! Starts a stand-in or a router as a process and learns its address from the line it prints.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+const ANNOUNCED: &str = "listening on ";
+
+/// A process that serves; it is killed when dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it serves.
+    pub address: SocketAddr,
+    child: Child,
+}
+
+impl Running {
+    /// Starts `program` and waits for the line that names its address.
+    ///
+    /// # Errors
+    /// If it can't be started or ends without that line.
+    pub fn start(program: &Path, args: &[&str]) -> io::Result<Self> {
+        Self::start_with(Command::new(program).args(args))
+    }
+
+    /// Starts `command` and waits for the line that names its address.
+    ///
+    /// # Errors
+    /// If it can't be started or ends without that line.
+    pub fn start_with(command: &mut Command) -> io::Result<Self> {
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
+        let mut line = String::new();
+        let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let read = BufReader::new(output).read_line(&mut line);
+        let address = line.trim().strip_prefix(ANNOUNCED).and_then(|text| text.parse().ok());
+        match (read, address) {
+            (Ok(_), Some(address)) => Ok(Self { address, child }),
+            _ => {
+                let _ = child.kill();
+                let _ = child.wait();
+                Err(io::ErrorKind::InvalidData.into())
+            }
+        }
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
