--- a/crates/standins/tests/cache.rs
+++ b/crates/standins/tests/cache.rs
@@ -22,6 +22,7 @@
         capacity: 8,
         stored: &[("s", "aaaabbbbcc")],
         found: &[
+            ("s", "aaaabbbbcc", 2),
             ("s", "aaaabbbbcccc", 2),
             ("s", "aaaaxxxx", 1),
             ("s", "xxxxbbbb", 0),
--- a/crates/standins/tests/processes.rs
+++ b/crates/standins/tests/processes.rs
@@ -5,10 +5,12 @@
 use standins::http::{Answer, Client, ClientError};
 use standins::process::Running;
 use std::path::Path;
+use std::time::Duration;
 use wire::headers;
 use wire::platform::{Calls, Entry};
 
 const PIECES: u64 = 6;
+const HALF_A_WATCH: Duration = Duration::from_secs(30);
 
 fn engine() -> Running {
     Running::start(Path::new(env!("CARGO_BIN_EXE_standin-engine")), &["--incarnation", "7"]).expect("starts")
@@ -99,7 +101,7 @@
         let platform = Running::start(Path::new(env!("CARGO_BIN_EXE_standin-platform")), &[]).expect("starts");
         let mut writer = Client::new(platform.address);
         let mut watcher = Client::new(platform.address);
-        let watch = async_std::task::spawn(async move { watcher.get("/v1/watch?key=a&after=0&wait_ms=30000").await });
+        let watch = async_std::task::spawn(async move { watcher.get("/v1/watch?key=a&after=0&wait_ms=60000").await });
         while writer
             .get("/v1/calls")
             .await
@@ -119,7 +121,9 @@
         assert!(writer.send(Method::Put, "/v1/kv", Some(&put)).await.is_err());
         writer.close();
         let again = writer.send(Method::Put, "/v1/kv", Some(&put)).await.expect("answers");
-        let seen: Entry = watch.await.expect("answers").json().expect("an entry");
+        // A watch that isn't woken would still show the entry at its end, a minute later.
+        let woken = async_std::future::timeout(HALF_A_WATCH, watch).await.expect("is woken");
+        let seen: Entry = woken.expect("answers").json().expect("an entry");
         assert_eq!((again.status(), again.json::<Entry>().expect("an entry")), (409, seen));
         let calls: Calls = writer.get("/v1/calls").await.expect("answers").json().expect("counts");
         assert_eq!(
