--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,1 +1,19 @@
 //! Bounded HTTP/1.1 client and server around async-h1.
+//!
+//! async-h1 reads and writes heads and bodies; this crate adds what it leaves open: limits on connections, heads
+//! and bodies, a watch for callers that go away, a pool of connections, and the check that a body is as long as
+//! its head declared.
+
+mod client;
+mod conn;
+mod reply;
+mod server;
+mod sse;
+
+pub use client::{Client, SendError};
+pub use conn::Conn;
+pub use reply::{BodyError, Reply};
+pub use server::{Limits, ReadError, Serving, read_body, serve};
+pub use sse::{Piece, PieceError, Pieces};
+
+pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- /dev/null
+++ b/crates/http/src/reply.rs
@@ -0,0 +1,119 @@
+//! An answer whose body is known to be whole, or else an error.
+
+use crate::client::Client;
+use crate::conn::Conn;
+use crate::sse::Pieces;
+use async_std::io::ReadExt;
+use http_types::{Response, StatusCode, headers};
+use quick_error::quick_error;
+use std::net::SocketAddr;
+
+quick_error! {
+    /// Why a body is not passed on.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// It ended early or the connection failed.
+        Io(err: std::io::Error) {
+            from()
+            display("the body broke off: {err}")
+        }
+        /// Its length differs from the declared one; async-h1 reports such a body as whole.
+        OtherLength(declared: u64, read: u64) {
+            display("{declared} bytes declared, {read} read")
+        }
+        /// The head declares neither a length nor chunks, so that a cut could not be seen.
+        Unframed {
+            display("the answer declares neither length nor chunks")
+        }
+        /// It is longer than the reader allows.
+        TooLarge(limit: u64) {
+            display("the body is longer than {limit} bytes")
+        }
+    }
+}
+
+/// An answer's head, and its body still on the connection.
+#[derive(Debug)]
+pub struct Reply {
+    response: Response,
+    conn: Conn,
+    peer: SocketAddr,
+    client: Client,
+}
+
+impl Reply {
+    pub(crate) fn new(response: Response, conn: Conn, peer: SocketAddr, client: Client) -> Self {
+        Self {
+            response,
+            conn,
+            peer,
+            client,
+        }
+    }
+
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// A header's value, the last one if it stands more than once.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response.header(name).map(|values| values.last().as_str())
+    }
+
+    /// Closes the connection, so that the peer notices that nobody reads on.
+    pub fn close(&self) {
+        self.conn.close();
+    }
+
+    /// Reads the body of at most `limit` bytes and gives the connection back to the pool.
+    pub async fn whole(mut self, limit: u64) -> Result<Vec<u8>, BodyError> {
+        let declared = self.declared()?;
+        let mut body = Vec::new();
+        let mut source = self.response.take_body();
+        (&mut source).take(limit + 1).read_to_end(&mut body).await?;
+        let read = body.len() as u64;
+        if read > limit {
+            self.conn.close();
+            return Err(BodyError::TooLarge(limit));
+        }
+        if let Some(declared) = declared
+            && declared != read
+        {
+            return Err(BodyError::OtherLength(declared, read));
+        }
+        self.recycle();
+        Ok(body)
+    }
+
+    /// Reads the body as server-sent events.
+    pub fn pieces(mut self) -> Result<Pieces, BodyError> {
+        self.declared()?;
+        let body = self.response.take_body();
+        Ok(Pieces::new(body, self.conn))
+    }
+
+    /// The declared length; `None` for a chunked body, which shows a cut by itself.
+    fn declared(&self) -> Result<Option<u64>, BodyError> {
+        if let Some(length) = self.header(headers::CONTENT_LENGTH.as_str()) {
+            return length.parse().map(Some).map_err(|_| BodyError::Unframed);
+        }
+        let chunked = self.header(headers::TRANSFER_ENCODING.as_str()) == Some("chunked");
+        if chunked {
+            return Ok(None);
+        }
+        if self.response.status() == StatusCode::NoContent {
+            return Ok(Some(0));
+        }
+        Err(BodyError::Unframed)
+    }
+
+    fn recycle(self) {
+        let close = self
+            .header(headers::CONNECTION.as_str())
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        if !close {
+            self.client.give_back(self.peer, self.conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,241 @@
+//! Server with limits, a count of what is in flight, and an end that cuts nothing.
+
+use crate::conn::Conn;
+use async_h1::server::{ConnectionStatus, Server};
+use async_std::io::ReadExt;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::future::{Either, select};
+use http_types::{Request, Response, headers};
+use quick_error::quick_error;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Pause after a failed accept: without it, a process out of file descriptors would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often the end of a graceful shutdown is looked for.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Connections open at once; more are closed unanswered.
+    pub connections: usize,
+    /// A connection without a whole head for this long is closed, at the latest after twice as long.
+    pub head: Duration,
+}
+
+/// The state of one server; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Serving {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    connections: AtomicUsize,
+    in_flight: AtomicUsize,
+    draining: AtomicBool,
+}
+
+impl Serving {
+    /// Requests being answered.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Connections open.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+
+    /// Accepts no further connections; each open one closes after the answer it is giving.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether `drain` was called.
+    pub fn draining(&self) -> bool {
+        self.shared.draining.load(Ordering::SeqCst)
+    }
+
+    /// Resolves once no request is in flight.
+    pub async fn idle(&self) {
+        while self.in_flight() > 0 {
+            task::sleep(DRAIN_POLL).await;
+        }
+    }
+}
+
+/// Counts one for as long as it lives.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Answers requests on `listener` until `serving` drains. A request counts as in flight until the last byte of
+/// its answer is written.
+pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, serving: Serving, answer: F)
+where
+    F: Fn(Request, Conn) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    while !serving.draining() {
+        let accept = listener.accept();
+        let poll = task::sleep(DRAIN_POLL * 10);
+        futures::pin_mut!(accept, poll);
+        let stream = match select(accept, poll).await {
+            Either::Left((Ok((stream, _)), _)) => stream,
+            Either::Left((Err(_), _)) => {
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+            Either::Right(_) => continue,
+        };
+        if serving.connections() >= limits.connections {
+            continue;
+        }
+        let serving = serving.clone();
+        let answer = answer.clone();
+        task::spawn(async move { connection(stream, limits, &serving, answer).await });
+    }
+}
+
+async fn connection<F, Fut>(stream: TcpStream, limits: Limits, serving: &Serving, answer: F)
+where
+    F: Fn(Request, Conn) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    let _open = Counted::new(&serving.shared.connections);
+    // A piece of a stream must not wait until the caller has acknowledged the one before.
+    let _ = stream.set_nodelay(true);
+    let conn = Conn::new(stream);
+    let busy = Busy {
+        serving,
+        flag: AtomicBool::new(false),
+        begun: AtomicU64::new(0),
+    };
+    let mut server = Server::new(conn.clone(), |request| {
+        busy.begin();
+        let answering = answer(request, conn.clone());
+        async {
+            let mut response = answering.await;
+            if serving.draining() {
+                response.insert_header(headers::CONNECTION, "close");
+            }
+            Ok(response)
+        }
+    });
+    let requests = async {
+        loop {
+            let status = server.accept_one().await;
+            busy.end();
+            let Ok(ConnectionStatus::KeepAlive) = status else {
+                return;
+            };
+            if serving.draining() {
+                return;
+            }
+        }
+    };
+    let idle = busy.idle(limits.head);
+    futures::pin_mut!(requests, idle);
+    select(requests, idle).await;
+}
+
+/// Counts a connection's request as in flight from its head to the last byte of its answer, also when the
+/// connection's task ends in between.
+struct Busy<'a> {
+    serving: &'a Serving,
+    flag: AtomicBool,
+    begun: AtomicU64,
+}
+
+impl Busy<'_> {
+    /// Resolves once no request has begun for at least `head` and none is running.
+    ///
+    /// A caller that sends its head byte by byte, or none at all, would hold a connection for as long as it
+    /// likes; async-h1's own limit is a fixed minute.
+    async fn idle(&self, head: Duration) {
+        let mut seen = self.begun.load(Ordering::SeqCst);
+        loop {
+            task::sleep(head).await;
+            let begun = self.begun.load(Ordering::SeqCst);
+            if begun == seen && !self.flag.load(Ordering::SeqCst) {
+                return;
+            }
+            seen = begun;
+        }
+    }
+
+    fn begin(&self) {
+        self.begun.fetch_add(1, Ordering::SeqCst);
+        self.flag.store(true, Ordering::SeqCst);
+        self.serving.shared.in_flight.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn end(&self) {
+        if self.flag.swap(false, Ordering::SeqCst) {
+            self.serving.shared.in_flight.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+quick_error! {
+    /// A request's body is longer than allowed, or it cannot be read.
+    #[derive(Debug)]
+    pub enum ReadError {
+        /// Longer than the limit, bytes.
+        TooLarge(limit: u64) {
+            display("the body is longer than {limit} bytes")
+        }
+        /// The caller broke off.
+        Io(err: std::io::Error) {
+            from()
+            display("the body broke off: {err}")
+        }
+        /// Fewer bytes came than were declared.
+        Short {
+            display("the body is shorter than declared")
+        }
+    }
+}
+
+/// Reads a request's body of at most `limit` bytes, whole.
+pub async fn read_body(request: &mut Request, conn: &Conn, limit: u64) -> Result<Vec<u8>, ReadError> {
+    let declared = request.len().map(|length| length as u64);
+    if declared.is_some_and(|length| length > limit) {
+        conn.shut_reads();
+        return Err(ReadError::TooLarge(limit));
+    }
+    let mut body = Vec::with_capacity(declared.unwrap_or(0) as usize);
+    let mut source = request.take_body();
+    (&mut source).take(limit + 1).read_to_end(&mut body).await?;
+    let read = body.len() as u64;
+    if read > limit {
+        conn.shut_reads();
+        return Err(ReadError::TooLarge(limit));
+    }
+    if declared.is_some_and(|length| length != read) {
+        return Err(ReadError::Short);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/platform/src/calls.rs
@@ -0,0 +1,190 @@
+//! The calls.
+
+use crate::error::PlatformError;
+use http::{Client, Method, Reply, Request, SendError, StatusCode, Url};
+use ids::Version;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use wire::platform::{Entries, Entry, Grant, Lease, LeaseRef, Put, VmList};
+
+/// A value holds at most a megabyte; a range may hold several.
+const ANSWER_MAX: u64 = 16 << 20;
+/// How much longer than its own wait a watch may take.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+
+/// A client; clones share connections.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    client: Client,
+    addresses: Arc<[SocketAddr]>,
+    current: Arc<AtomicUsize>,
+    timeout: Duration,
+}
+
+/// What became of a compare-and-swap.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Written {
+    /// The value is in place, under this version.
+    Done(Version),
+    /// The key had another version; this is its entry.
+    Conflict(Entry),
+}
+
+impl Platform {
+    /// A client for the platform's addresses, of which there must be at least one. `timeout` holds for each call.
+    pub fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Self {
+        assert!(!addresses.is_empty(), "settings are checked to name a platform address");
+        Self {
+            client: Client::new(),
+            addresses: addresses.into(),
+            current: Arc::default(),
+            timeout,
+        }
+    }
+
+    /// The entry of `key`, `None` if it never existed.
+    pub async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        let request = self.request(Method::Get, "/v1/kv", &[("key", key)]);
+        let reply = self.send(request, &[], self.timeout).await?;
+        if reply.status() == StatusCode::NotFound {
+            discard(reply).await?;
+            return Ok(None);
+        }
+        parse(reply).await.map(Some)
+    }
+
+    /// All entries below `prefix`.
+    pub async fn range(&self, prefix: &str) -> Result<Vec<Entry>, PlatformError> {
+        let request = self.request(Method::Get, "/v1/range", &[("prefix", prefix)]);
+        let entries: Entries = parse(self.send(request, &[], self.timeout).await?).await?;
+        Ok(entries.entries)
+    }
+
+    /// Compare-and-swap.
+    pub async fn put(&self, put: &Put) -> Result<Written, PlatformError> {
+        let body = serde_json::to_vec(put)?;
+        let request = self.request(Method::Put, "/v1/kv", &[]);
+        let reply = self.send(request, &body, self.timeout).await?;
+        let conflict = reply.status() == StatusCode::Conflict;
+        let bytes = if conflict {
+            lost(reply.whole(ANSWER_MAX).await)?
+        } else {
+            success(reply).await?
+        };
+        let entry: Entry = serde_json::from_slice(&bytes)?;
+        Ok(if conflict {
+            Written::Conflict(entry)
+        } else {
+            Written::Done(entry.version)
+        })
+    }
+
+    /// Waits until the version of `key` passes `after`; `None` if it has not within `wait`.
+    pub async fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Entry>, PlatformError> {
+        let after = after.to_string();
+        let wait_ms = wait.as_millis().to_string();
+        let query = [("key", key), ("after", after.as_str()), ("wait_ms", wait_ms.as_str())];
+        let request = self.request(Method::Get, "/v1/watch", &query);
+        let reply = self.send(request, &[], wait + self.timeout + WATCH_SLACK).await?;
+        if reply.status() == StatusCode::NoContent {
+            discard(reply).await?;
+            return Ok(None);
+        }
+        parse(reply).await.map(Some)
+    }
+
+    /// Asks for a lease.
+    pub async fn grant(&self, ttl: Duration) -> Result<Lease, PlatformError> {
+        self.post(
+            "/v1/leases",
+            &Grant {
+                ttl_ms: ttl.as_millis() as u64,
+            },
+        )
+        .await
+    }
+
+    /// Renews a lease; `None` if it has lapsed.
+    pub async fn renew(&self, id: u64) -> Result<Option<Lease>, PlatformError> {
+        let body = serde_json::to_vec(&LeaseRef { id })?;
+        let request = self.request(Method::Post, "/v1/leases/renew", &[]);
+        let reply = self.send(request, &body, self.timeout).await?;
+        if reply.status() == StatusCode::NotFound {
+            discard(reply).await?;
+            return Ok(None);
+        }
+        parse(reply).await.map(Some)
+    }
+
+    /// The list of VMs.
+    pub async fn vms(&self) -> Result<VmList, PlatformError> {
+        let request = self.request(Method::Get, "/v1/vms", &[]);
+        parse(self.send(request, &[], self.timeout).await?).await
+    }
+
+    async fn post<B: Serialize, A: DeserializeOwned>(&self, path: &str, body: &B) -> Result<A, PlatformError> {
+        let body = serde_json::to_vec(body)?;
+        parse(
+            self.send(self.request(Method::Post, path, &[]), &body, self.timeout)
+                .await?,
+        )
+        .await
+    }
+
+    fn request(&self, method: Method, path: &str, query: &[(&str, &str)]) -> Request {
+        let mut url = Url::parse("http://platform").expect("a constant URL");
+        url.set_path(path);
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        Request::new(method, url)
+    }
+
+    /// Sends once, to the address that answered last; a failure moves on to the next address for later calls.
+    async fn send(&self, request: Request, body: &[u8], within: Duration) -> Result<Reply, PlatformError> {
+        let current = self.current.load(Ordering::Relaxed);
+        let to = self.addresses[current % self.addresses.len()];
+        let sent = if request.method() == Method::Get {
+            self.client.send(to, request, body, within).await
+        } else {
+            self.client.send_once(to, request, body, within).await
+        };
+        sent.map_err(|err| {
+            self.current.store(current + 1, Ordering::Relaxed);
+            not_answered(&err)
+        })
+    }
+}
+
+fn not_answered(err: &SendError) -> PlatformError {
+    if err.not_sent() {
+        PlatformError::NotSent
+    } else {
+        PlatformError::Lost
+    }
+}
+
+fn lost<T>(read: Result<T, http::BodyError>) -> Result<T, PlatformError> {
+    read.map_err(|_| PlatformError::Lost)
+}
+
+async fn success(reply: Reply) -> Result<Vec<u8>, PlatformError> {
+    let status = reply.status();
+    let bytes = lost(reply.whole(ANSWER_MAX).await)?;
+    if !status.is_success() {
+        return Err(PlatformError::Refused(status.into()));
+    }
+    Ok(bytes)
+}
+
+async fn parse<A: DeserializeOwned>(reply: Reply) -> Result<A, PlatformError> {
+    Ok(serde_json::from_slice(&success(reply).await?)?)
+}
+
+async fn discard(reply: Reply) -> Result<(), PlatformError> {
+    lost(reply.whole(ANSWER_MAX).await).map(|_| ())
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,19 @@
 //! The router: sockets and timers round the core.
+//!
+//! Traffic tasks read one immutable [`View`] at a time and share a [`Pool`] for each model and service. One control
+//! thread owns all state that is agreed or believed (revision, membership, endpoint health) and publishes views.
+
+mod caller;
+mod clock;
+mod control;
+mod metrics;
+mod operator;
+mod pool;
+mod run;
+mod settings;
+mod shared;
+mod view;
+
+pub use operator::Status;
+pub use run::{RunError, run};
+pub use settings::{Settings, SettingsProblem, read_settings};
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,74 @@
+//! What all tasks of a router share.
+
+use crate::clock::Clock;
+use crate::control::Event;
+use crate::metrics::Metrics;
+use crate::pool::Pools;
+use crate::settings::Settings;
+use crate::view::View;
+use arc_swap::ArcSwapOption;
+use async_channel::Sender;
+use http::{Client, Serving};
+use ids::RequestId;
+use platform::Platform;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Shared by all tasks; published state is replaced whole, never changed in place.
+pub struct Shared {
+    /// Settings of this router.
+    pub settings: Settings,
+    /// Monotonic time.
+    pub clock: Clock,
+    /// The state in force, absent until a configuration was found.
+    pub view: ArcSwapOption<View>,
+    /// Admission, placement and load of each pool.
+    pub pools: Pools,
+    /// Connections to endpoints.
+    pub client: Client,
+    /// The platform.
+    pub platform: Platform,
+    /// Counters.
+    pub metrics: Metrics,
+    /// State of the callers' server.
+    pub serving: Serving,
+    /// To the control thread.
+    pub events: Sender<Event>,
+    /// Set once shutdown has begun.
+    pub stopping: AtomicBool,
+    started_ms: u128,
+    requests: AtomicU64,
+}
+
+impl Shared {
+    /// The state of a router that has just started.
+    pub fn new(settings: Settings, platform: Platform, events: Sender<Event>) -> Arc<Self> {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Arc::new(Self {
+            settings,
+            clock: Clock::start(),
+            view: ArcSwapOption::empty(),
+            pools: Pools::default(),
+            client: Client::new(),
+            platform,
+            metrics: Metrics::new(),
+            serving: Serving::default(),
+            events,
+            stopping: AtomicBool::new(false),
+            started_ms: started.as_millis(),
+            requests: AtomicU64::new(0),
+        })
+    }
+
+    /// A request id that no other router and no earlier life of this one has given.
+    pub fn next_request(&self) -> RequestId {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        RequestId::from(format!("{}-{:x}-{number:x}", self.settings.vm, self.started_ms))
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        self.view.load().is_some() && !self.stopping.load(Ordering::SeqCst)
+    }
+}
