--- /dev/null
+++ b/crates/lifecycle/src/claims/guard.rs
@@ -0,0 +1,39 @@
+//! Which protection a call needs, and so what can be served while the platform is out.
+
+use crate::request::Repeat;
+
+/// How a call is kept from running twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Guard {
+    /// Not needed: a second execution does no harm. Served while the platform is out.
+    Idempotent,
+    /// The service itself runs a key at most once. Served while the platform is out.
+    Endpoint,
+    /// No key: this router sends it at most once; a retry by the caller is a new call. Served while the
+    /// platform is out.
+    SingleSend,
+    /// A claim comes first. Refused while the platform is out.
+    Claim,
+}
+
+/// The guard of a call, from the operation's configuration and whether the caller gave a key.
+pub fn guard(idempotent: bool, deduplicates: bool, keyed: bool) -> Guard {
+    if idempotent {
+        return Guard::Idempotent;
+    }
+    if !keyed {
+        return Guard::SingleSend;
+    }
+    if deduplicates { Guard::Endpoint } else { Guard::Claim }
+}
+
+impl Guard {
+    /// How often the router may send the call.
+    pub fn repeat(self) -> Repeat {
+        match self {
+            Self::Idempotent | Self::Endpoint => Repeat::Idempotent,
+            Self::SingleSend => Repeat::Once,
+            Self::Claim => Repeat::Claimed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/claims/mod.rs
@@ -0,0 +1,22 @@
+//! At-most-once calls across routers: one claim per idempotency key, by the platform's compare-and-swap.
+//!
+//! What goes wrong without it: a caller whose answer was lost retries at another router, and the fan command or
+//! stock reservation runs twice. [`Claim`] wins the key before the send, [`Held`] says right before the first
+//! byte whether it may still leave, and [`Settle`] keeps the result with the claim, so that a retry at any
+//! router gets the same whole answer. A claim that was won is never run by anybody else: if its holder dies, its
+//! outcome is unknown.
+//!
+//! One key-value entry per claim costs two writes per call: the claim and its result. Claims grouped in shared
+//! entries were measured against it (`examples/claim_writes.rs`) and cost more; see `docs/DECISIONS.md`.
+
+mod acquire;
+mod guard;
+mod lease;
+mod record;
+mod settle;
+
+pub use acquire::{Attempt, Claim, ClaimEvent, ClaimLimits, ClaimRequest, ClaimStep, Held, MaySend};
+pub use guard::{Guard, guard};
+pub use lease::{ClaimLease, LeaseStep, REMEMBERED, TIME_TO_LIVE, USED_FOR};
+pub use record::{Body, ClaimState, KEPT_BYTES, Kept, Nonce, Record, Seen, call_digest, claim_key};
+pub use settle::{Outcome, Settle, SettleStep};
