--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,1 +1,30 @@
 //! Decides who is served, who waits and who is refused. Never does I/O, never reads a clock.
+//!
+//! Time is an argument, `now`: a [`std::time::Duration`] since the process started. Nothing here blocks.
+//!
+//! | type | decides |
+//! | --- | --- |
+//! | [`Admission`] | which jobs of one pool start, wait or are refused |
+//! | [`EndpointLimit`] | how many requests one endpoint may run at once |
+//! | [`ShareLimiter`] | whether a workspace is within its limits over all routers |
+//! | [`RetryBudget`], [`decide`], [`decide_hedge`] | whether a failed or slow attempt is tried elsewhere |
+
+mod answer;
+mod bucket;
+mod endpoint_limit;
+mod job;
+mod pool;
+mod retry;
+mod service_model;
+mod settings;
+mod share_limiter;
+
+pub use answer::{Cancelled, Next, Offer, Outcome, Reason, Refusal, UnknownTicket};
+pub use bucket::Bucket;
+pub use endpoint_limit::{EndpointLimit, Sample};
+pub use job::{Job, Ticket, Tokens};
+pub use pool::{Admission, Counts};
+pub use retry::{Attempt, Failure, HedgeDecision, NoRetry, RetryBudget, RetryDecision, decide, decide_hedge};
+pub use service_model::ServiceModel;
+pub use settings::{Mechanisms, Settings, SettingsBuilder};
+pub use share_limiter::{Limits, ShareLimiter, ShareView, Take};
