Admission: fair queue by cost, reserve for short jobs, refusals from the expected wait

Start-time fair queueing over workspaces with borrowed time for urgent jobs, Little's law for the slots kept for short jobs, a fluid forecast of each job's wait. Admission::offer now borrows the job.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,6 +14,8 @@
 mod endpoint_limit;
 mod job;
 mod pool;
+mod queue;
+mod reserve;
 mod retry;
 mod service_model;
 mod settings;
--- /dev/null
+++ b/crates/admission/src/pool/judge.rs
@@ -0,0 +1,151 @@
+//! Whether a job can be served in time, and when a refused one should come back.
+
+use super::Admission;
+use crate::queue::{Ahead, Key, LaneIndex, Queued, Slots};
+use crate::reserve::Length;
+use crate::{Reason, Refusal};
+use std::time::Duration;
+
+/// Expected wait and service are taken as longer by this factor when a job is admitted, not when it is checked again: a
+/// job that was admitted goes only if things got worse, not for a rounding.
+const ADMIT_MARGIN: f64 = 1.1;
+/// How often waiting jobs are checked. A refusal this late is still useful to a caller with seconds to go, and a check of
+/// a full queue stays below a hundredth of a core.
+pub(super) const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// A pool without slots keeps its queue this long: endpoints that restart are back within about a second.
+const EMPTY_GRACE: Duration = Duration::from_secs(1);
+/// When to come back to a pool without slots.
+pub(super) const EMPTY_RETRY: Duration = Duration::from_secs(2);
+/// Nobody is told to come back later than this; the load changes faster than such a forecast holds.
+const MAX_RETRY: Duration = Duration::from_secs(60);
+/// Nobody is told to come back sooner than this: less is below the time between two checks.
+const MIN_RETRY: Duration = CHECK_PERIOD;
+
+/// Longer forecasts are cut to this, so that sums of times cannot overflow.
+const MAX_SECONDS: f64 = 1e6;
+
+impl Admission {
+    /// Why the job must not be admitted, if so. `idle` says that it can start now.
+    pub(super) fn judge(
+        &mut self,
+        lane: LaneIndex,
+        key: Key,
+        job: &Queued,
+        idle: bool,
+        now: Duration,
+    ) -> Option<Refusal> {
+        if self.places.len() >= self.settings.max_queued {
+            return Some(Refusal {
+                reason: Reason::Overloaded,
+                retry_after: Some(EMPTY_RETRY),
+            });
+        }
+        if !self.settings.mechanisms.refuse {
+            return None;
+        }
+        let service = micros(job.cost as f64 * ADMIT_MARGIN);
+        let slack = job.deadline.map(|deadline| deadline.saturating_sub(now));
+        if slack.is_some_and(|slack| service > slack) {
+            return Some(Refusal {
+                reason: Reason::DeadlineShort,
+                retry_after: None,
+            });
+        }
+        if idle {
+            return None;
+        }
+        let slots = self.slots(now);
+        let ahead = self.queue.ahead(lane, key, job.rank, slots);
+        let wait = self.wait(ahead, job.length, slots).mul_f64(ADMIT_MARGIN);
+        let until_deadline = slack.map_or(Duration::MAX, |slack| slack - service);
+        let allowed = until_deadline.min(self.settings.max_wait);
+        if wait <= allowed {
+            return None;
+        }
+        let at_deadline = until_deadline <= self.settings.max_wait;
+        let reason = if at_deadline {
+            Reason::DeadlineUnreachable
+        } else {
+            Reason::Overloaded
+        };
+        let retry_after = Some(self.come_back(lane, job.cost, wait - allowed, now));
+        Some(Refusal { reason, retry_after })
+    }
+
+    /// Takes jobs that can no longer be served in time out of the queue.
+    pub(super) fn check_waiting(&mut self, now: Duration) {
+        self.check_at = now + CHECK_PERIOD;
+        if !self.settings.mechanisms.refuse {
+            return;
+        }
+        if self.capacity == 0 && now < self.empty_since + EMPTY_GRACE {
+            return;
+        }
+        let slots = self.slots(now);
+        for lane in 0..self.queue.lanes() {
+            let late = self.queue.late(lane, slots, |job, ahead| {
+                let wait = self.wait(ahead, job.length, slots);
+                self.capacity > 0 && self.overrun(job, wait, now).is_zero()
+            });
+            for (key, job, ahead) in late {
+                self.queue.remove(lane, key, job.length);
+                self.places.remove(&key.ticket);
+                let overrun = self.overrun(&job, self.wait(ahead, job.length, slots), now);
+                let refusal = self.expire(lane, job.cost, overrun, now);
+                self.expired.push_back((key.ticket, refusal));
+            }
+        }
+    }
+
+    /// By how much the job would end after its deadline if it started after `wait`.
+    pub(super) fn overrun(&self, job: &Queued, wait: Duration, now: Duration) -> Duration {
+        let Some(deadline) = job.deadline else {
+            return Duration::ZERO;
+        };
+        if !self.settings.mechanisms.refuse {
+            return Duration::ZERO;
+        }
+        (now + wait + micros(job.cost as f64)).saturating_sub(deadline)
+    }
+
+    /// Refusal of a job that has waited.
+    pub(super) fn expire(&mut self, lane: LaneIndex, cost: u64, overrun: Duration, now: Duration) -> Refusal {
+        if self.capacity == 0 {
+            return Refusal {
+                reason: Reason::NoCapacity,
+                retry_after: Some(EMPTY_RETRY),
+            };
+        }
+        let back = self.come_back(lane, cost, overrun, now);
+        Refusal {
+            reason: Reason::DeadlineUnreachable,
+            retry_after: Some(back),
+        }
+    }
+
+    /// Time until the queue has drained far enough for such a job. All refused jobs of a workspace would come back at one
+    /// moment and most be refused again, so each is told to come after the ones before it have been served at the
+    /// workspace's share of the slots.
+    fn come_back(&mut self, lane: LaneIndex, cost: u64, excess: Duration, now: Duration) -> Duration {
+        let own = micros(cost as f64 / self.queue.due_slots(lane, self.slots(now)));
+        let latest = now + MAX_RETRY;
+        let promised = self.queue.promised(lane);
+        let back = (now + excess).max(*promised).min(latest);
+        *promised = (back + own).min(latest);
+        (back - now).max(MIN_RETRY)
+    }
+
+    /// Expected wait of a job behind the slot time ahead of it and the first slot that frees up.
+    fn wait(&self, ahead: Ahead, length: Length, slots: Slots) -> Duration {
+        let running = self.running_work as f64 / self.running.len().max(1) as f64;
+        let wait = micros((ahead.work + running) / f64::from(slots.all.max(1)));
+        if length == Length::Short {
+            return wait;
+        }
+        wait.max(micros((ahead.long + running) / f64::from(slots.long.max(1))))
+    }
+}
+
+fn micros(micros: f64) -> Duration {
+    Duration::from_secs_f64((micros / 1e6).min(MAX_SECONDS))
+}
--- /dev/null
+++ b/crates/admission/src/pool/mod.rs
@@ -0,0 +1,322 @@
+//! Admission to one pool.
+//!
+//! Load pattern: for seconds or hours more is asked than the pool can serve in time.
+//! Without it every job waits, most end after their deadline, and the slots are spent on answers nobody waits for any
+//! more: goodput falls towards zero while the pool is busy. One notices that all are served and few in time.
+//!
+//! A job is admitted only if its expected wait and its own time fit before its deadline. The wait comes from the slot
+//! time queued ahead of it under fair sharing and from the slots, so that the queue's bound follows the load. If that
+//! changes for the worse, jobs that have become hopeless are refused at the next check, not when their time is up.
+
+mod judge;
+
+use crate::queue::{Key, LaneIndex, Queue, Queued, Slots};
+use crate::reserve::{Length, Reserve};
+use crate::{Cancelled, Job, Next, Offer, Outcome, Reason, Refusal, ServiceModel, Settings, Ticket, UnknownTicket};
+use judge::{CHECK_PERIOD, EMPTY_RETRY};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// Jobs counted by what became of them; offered = refused + waiting + running + expired + finished + cancelled.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Offered so far.
+    pub offered: u64,
+    /// Refused when they were offered.
+    pub refused: u64,
+    /// In the queue now.
+    pub waiting: u64,
+    /// Holding a slot now.
+    pub running: u64,
+    /// Refused after they had waited.
+    pub expired: u64,
+    /// Finished after they had started.
+    pub finished: u64,
+    /// Cancelled while they waited or ran.
+    pub cancelled: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    lane: LaneIndex,
+    key: Key,
+    length: Length,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    lane: LaneIndex,
+    cost: u64,
+    length: Length,
+    start: Duration,
+}
+
+/// Decides which jobs of one pool start, wait or are refused. A pool is one model's engines or one service's runners.
+#[derive(Debug)]
+pub struct Admission {
+    settings: Settings,
+    capacity: u32,
+    empty_since: Duration,
+    model: ServiceModel,
+    reserve: Reserve,
+    queue: Queue,
+    counts: Counts,
+    newest: u64,
+    places: HashMap<Ticket, Place>,
+    running: HashMap<Ticket, Running>,
+    running_work: u64,
+    running_long: u32,
+    expired: VecDeque<(Ticket, Refusal)>,
+    check_at: Duration,
+}
+
+impl Admission {
+    /// Admission to a pool without capacity; see [`Admission::set_capacity`].
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            capacity: 0,
+            empty_since: Duration::ZERO,
+            model: ServiceModel::default(),
+            reserve: Reserve::default(),
+            queue: Queue::new(settings.mechanisms),
+            counts: Counts::default(),
+            newest: 0,
+            places: HashMap::new(),
+            running: HashMap::new(),
+            running_work: 0,
+            running_long: 0,
+            expired: VecDeque::new(),
+            check_at: Duration::ZERO,
+        }
+    }
+
+    /// Sets how many jobs may run at once: the sum of the endpoints' limits. Call [`Admission::next`] afterwards.
+    pub fn set_capacity(&mut self, slots: u32, now: Duration) {
+        if slots == 0 && self.capacity > 0 {
+            self.empty_since = now;
+        }
+        if slots < self.capacity {
+            self.check_at = now;
+        }
+        self.capacity = slots;
+    }
+
+    /// Offers a job. After `Wait` its ticket comes out of [`Admission::next`], once, unless it is cancelled before.
+    pub fn offer(&mut self, job: &Job, now: Duration) -> Offer {
+        self.counts.offered += 1;
+        let seconds = self.model.seconds(job.tokens);
+        let length = self.reserve.observe(seconds, now);
+        let queued = Queued {
+            cost: (seconds * 1e6) as u64 + 1,
+            rank: job.priority.0,
+            length,
+            deadline: job.deadline,
+        };
+        let lane = self.queue.lane(&job.workspace, job.weight);
+        self.newest += 1;
+        let ticket = Ticket(self.newest);
+        let key = Key {
+            due: self.queue.due(queued.rank, queued.cost, now),
+            ticket,
+        };
+        let offer = self.place(lane, key, queued, now);
+        self.check_counts();
+        offer
+    }
+
+    /// What to do next: call it until it says `Wait`, whenever capacity grows, a job ends or is cancelled, and at the
+    /// time of [`Admission::next_check`].
+    pub fn next(&mut self, now: Duration) -> Next {
+        if !self.places.is_empty() && now >= self.check_at {
+            self.check_waiting(now);
+        }
+        let next = self.take_next(now);
+        self.check_counts();
+        next
+    }
+
+    /// When [`Admission::next`] wants to be called even if nothing ends; none while nothing waits.
+    pub fn next_check(&self) -> Option<Duration> {
+        if self.places.is_empty() {
+            None
+        } else {
+            Some(self.check_at)
+        }
+    }
+
+    /// Ends a started job and frees its slot.
+    ///
+    /// # Errors
+    ///
+    /// The ticket names no running job; nothing is changed then.
+    pub fn finish(&mut self, ticket: Ticket, outcome: Outcome, now: Duration) -> Result<(), UnknownTicket> {
+        let Some(job) = self.end_running(ticket) else {
+            return Err(UnknownTicket::NotRunning(ticket));
+        };
+        self.counts.finished += 1;
+        if let Outcome::Served { first_token, tokens } = outcome {
+            let true_cost = self.model.seconds(tokens) * 1e6;
+            self.queue.charge(job.lane, true_cost - job.cost as f64);
+            self.model.observe(tokens, first_token, now.saturating_sub(job.start));
+        }
+        self.check_counts();
+        Ok(())
+    }
+
+    /// Ends a job whose caller went away, queued or running; a running one's slot is free afterwards.
+    pub fn cancel(&mut self, ticket: Ticket) -> Cancelled {
+        let cancelled = self.remove(ticket);
+        if cancelled != Cancelled::Ended {
+            self.counts.cancelled += 1;
+        }
+        self.check_counts();
+        cancelled
+    }
+
+    /// Jobs counted by what became of them.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Slots that are free.
+    pub fn free(&self) -> u32 {
+        self.capacity.saturating_sub(self.counts.running as u32)
+    }
+
+    /// How long jobs hold their slots, as learnt from those that ended.
+    pub fn service_model(&self) -> &ServiceModel {
+        &self.model
+    }
+
+    fn place(&mut self, lane: LaneIndex, key: Key, job: Queued, now: Duration) -> Offer {
+        let slots = self.slots(now);
+        if self.capacity == 0 {
+            return self.refuse(Reason::NoCapacity, Some(EMPTY_RETRY));
+        }
+        let idle = self.free() > 0 && !self.queue.can_pick(slots.long_allowed);
+        let may_start = idle && (slots.long_allowed || job.length == Length::Short);
+        if let Some(refusal) = self.judge(lane, key, &job, may_start, now) {
+            return self.refuse(refusal.reason, refusal.retry_after);
+        }
+        if may_start {
+            self.queue.charge_direct(lane, job.cost);
+            self.start(key.ticket, lane, &job, now);
+            return Offer::Start(key.ticket);
+        }
+        if self.places.is_empty() {
+            self.check_at = now + CHECK_PERIOD;
+        }
+        self.queue.insert(lane, key, job);
+        self.places.insert(
+            key.ticket,
+            Place {
+                lane,
+                key,
+                length: job.length,
+            },
+        );
+        self.counts.waiting += 1;
+        Offer::Wait(key.ticket)
+    }
+
+    fn refuse(&mut self, reason: Reason, retry_after: Option<Duration>) -> Offer {
+        self.counts.refused += 1;
+        Offer::Refuse(Refusal { reason, retry_after })
+    }
+
+    fn slots(&self, now: Duration) -> Slots {
+        let long = if self.settings.mechanisms.reserve {
+            self.reserve.long_slots(self.capacity, now)
+        } else {
+            self.capacity
+        };
+        Slots {
+            all: self.capacity,
+            long,
+            long_allowed: self.running_long < long,
+        }
+    }
+
+    fn take_next(&mut self, now: Duration) -> Next {
+        if let Some((ticket, refusal)) = self.expired.pop_front() {
+            self.counts.waiting -= 1;
+            self.counts.expired += 1;
+            return Next::Expired(ticket, refusal);
+        }
+        if self.free() == 0 {
+            return Next::Wait;
+        }
+        let slots = self.slots(now);
+        let Some((lane, key, job)) = self.queue.pick(slots) else {
+            return Next::Wait;
+        };
+        self.queue.remove(lane, key, job.length);
+        self.places.remove(&key.ticket);
+        self.counts.waiting -= 1;
+        if !self.overrun(&job, Duration::ZERO, now).is_zero() {
+            self.counts.expired += 1;
+            return Next::Expired(key.ticket, self.expire(lane, job.cost, Duration::ZERO, now));
+        }
+        self.queue.charge(lane, job.cost as f64);
+        self.start(key.ticket, lane, &job, now);
+        Next::Start(key.ticket)
+    }
+
+    fn start(&mut self, ticket: Ticket, lane: LaneIndex, job: &Queued, now: Duration) {
+        assert!(self.free() > 0, "a job started beyond the pool's slots");
+        let running = Running {
+            lane,
+            cost: job.cost,
+            length: job.length,
+            start: now,
+        };
+        let old = self.running.insert(ticket, running);
+        assert!(old.is_none(), "{ticket} started twice");
+        self.counts.running += 1;
+        self.running_work += job.cost;
+        self.running_long += u32::from(job.length == Length::Long);
+    }
+
+    fn end_running(&mut self, ticket: Ticket) -> Option<Running> {
+        let job = self.running.remove(&ticket)?;
+        self.counts.running -= 1;
+        self.running_work -= job.cost;
+        self.running_long -= u32::from(job.length == Length::Long);
+        Some(job)
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Cancelled {
+        if self.end_running(ticket).is_some() {
+            return Cancelled::Running;
+        }
+        if let Some(place) = self.places.remove(&ticket) {
+            self.queue.remove(place.lane, place.key, place.length);
+            self.counts.waiting -= 1;
+            return Cancelled::Queued;
+        }
+        let Some(index) = self.expired.iter().position(|(expired, _)| *expired == ticket) else {
+            return Cancelled::Ended;
+        };
+        self.expired.remove(index);
+        self.counts.waiting -= 1;
+        Cancelled::Queued
+    }
+
+    /// Every offered job is in exactly one place.
+    fn check_counts(&self) {
+        let counts = self.counts;
+        let ended = counts.refused + counts.expired + counts.finished + counts.cancelled;
+        assert_eq!(
+            counts.offered,
+            counts.waiting + counts.running + ended,
+            "a job was lost or counted twice"
+        );
+        assert_eq!(
+            counts.waiting as usize,
+            self.places.len() + self.expired.len(),
+            "the queue lost a job"
+        );
+        assert_eq!(counts.running as usize, self.running.len(), "a slot was lost");
+    }
+}
--- /dev/null
+++ b/crates/admission/src/reserve.rs
@@ -0,0 +1,68 @@
+//! Which jobs are long, and how many slots they may hold.
+//!
+//! Load pattern: a few jobs that take minutes among many that take a second.
+//! Without it every slot ends up under a long job sooner or later, and all short ones wait for the first of them to end,
+//! whatever the order of the queue. One notices short jobs refused or late while the long ones' workspaces are within
+//! their share.
+//!
+//! Slots are kept for short jobs only as far as short jobs are offered: by Little's law their offered slot time a second
+//! is the number of slots that they need. Nothing is kept when none have come for a while.
+
+use std::time::Duration;
+
+/// A job is long from this multiple of the usual (geometric mean) job's time; waiting behind one costs a usual job
+/// several times its own length. The geometric mean lies between the two when half of the jobs are long.
+const LONG_FACTOR: f64 = 4.0;
+/// Share of a new job in the usual time: some fifty jobs.
+const BLEND: f64 = 0.02;
+/// Short jobs offered in about this time count.
+const RECENT: Duration = Duration::from_secs(10);
+/// Demand below this many slots keeps none.
+const LEAST_DEMAND: f64 = 0.05;
+
+/// Whether a job is long among its like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Length {
+    /// Usual or shorter.
+    Short,
+    /// Several times the usual.
+    Long,
+}
+
+/// Tells long jobs from short ones and says how many slots the long ones may hold.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Reserve {
+    usual_log: Option<f64>,
+    short_work: f64,
+    updated: Duration,
+}
+
+impl Reserve {
+    /// Takes in an offered job by the seconds it is expected to hold a slot, and tells its length.
+    pub fn observe(&mut self, seconds: f64, now: Duration) -> Length {
+        let log = seconds.ln();
+        let usual = self.usual_log.get_or_insert(log);
+        *usual += (log - *usual) * BLEND;
+        if seconds > LONG_FACTOR * usual.exp() {
+            return Length::Long;
+        }
+        self.short_work = self.work(now) + seconds;
+        self.updated = now;
+        Length::Short
+    }
+
+    /// Most slots that long jobs may hold: all but those short jobs need, and at least half.
+    pub fn long_slots(&self, capacity: u32, now: Duration) -> u32 {
+        let demand = self.work(now) / RECENT.as_secs_f64();
+        if demand < LEAST_DEMAND {
+            return capacity;
+        }
+        let kept = demand.ceil().min(f64::from(capacity / 2)) as u32;
+        capacity - kept
+    }
+
+    fn work(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.short_work * (-passed / RECENT.as_secs_f64()).exp()
+    }
+}
