--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,10 @@
         NoAnswer {
             display("the connection closed before an answer")
         }
+        /// The caller of `send_once` no longer wanted it once the connection stood; nothing was sent.
+        Withheld {
+            display("the request was withheld")
+        }
         /// The time was over; `sent` tells whether bytes had left by then.
         Timeout(sent: bool) {
             display("no answer in time")
@@ -38,7 +42,7 @@
 impl SendError {
     /// Whether no byte of the request can have reached the peer.
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Timeout(false))
+        matches!(self, Self::NotSent(_) | Self::Withheld | Self::Timeout(false))
     }
 }
 
@@ -81,26 +85,27 @@
     }
 
     /// Sends a request once, over a connection of its own. A pooled connection may have been closed by the peer
-    /// at any time, which would leave the outcome unknown for no good reason.
+    /// at any time, which would leave the outcome unknown for no good reason. `may_send` is asked once the
+    /// connection stands, right before the first byte leaves.
     pub async fn send_once(
         &self,
         to: SocketAddr,
         request: Request,
         body: &[u8],
         within: Duration,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<Reply, SendError> {
-        self.send_fresh(to, with_body(&request, body), Instant::now() + within)
-            .await
+        let until = Instant::now() + within;
+        let conn = open(to, until).await?;
+        if !may_send() {
+            return Err(SendError::Withheld);
+        }
+        self.exchange(&conn, to, with_body(&request, body), until).await
     }
 
     async fn send_fresh(&self, to: SocketAddr, request: Request, until: Instant) -> Result<Reply, SendError> {
-        let connected = timeout(left(until), TcpStream::connect(to)).await;
-        let stream = connected
-            .map_err(|_| SendError::Timeout(false))?
-            .map_err(SendError::NotSent)?;
-        // A small request must not wait for the answer to the one before it.
-        let _ = stream.set_nodelay(true);
-        self.exchange(&Conn::new(stream), to, request, until).await
+        let conn = open(to, until).await?;
+        self.exchange(&conn, to, request, until).await
     }
 
     async fn exchange(
@@ -144,6 +149,14 @@
     }
 }
 
+async fn open(to: SocketAddr, until: Instant) -> Result<Conn, SendError> {
+    let connected = timeout(left(until), TcpStream::connect(to)).await;
+    let stream = connected.map_err(|_| SendError::Timeout(false))?.map_err(SendError::NotSent)?;
+    // A small request must not wait for the answer to the one before it.
+    let _ = stream.set_nodelay(true);
+    Ok(Conn::new(stream))
+}
+
 /// A copy of `request` with this body; setting a body replaces the content type, so the headers go on last.
 fn with_body(request: &Request, body: &[u8]) -> Request {
     let mut copy = request.clone();
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -151,7 +151,7 @@
         let sent = if request.method() == Method::Get {
             self.client.send(to, request, body, within).await
         } else {
-            self.client.send_once(to, request, body, within).await
+            self.client.send_once(to, request, body, within, || true).await
         };
         sent.map_err(|err| {
             self.current.store(current + 1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/router/src/caller/attempt.rs
@@ -0,0 +1,328 @@
+//! Attempts of one call at endpoints, until one begins to answer or none is left.
+//!
+//! The request's state machine says what may be done next and what a refusal may say; the retry budget says
+//! whether it is worth it.
+
+use super::call::Call;
+use super::refusal::{Cause, Refused};
+use crate::control::{Event, Sighting};
+use crate::pool::{Flight, Permit, Wish};
+use crate::shared::Shared;
+use admission::{Failure, RetryDecision, Sample};
+use async_std::task;
+use futures::future::{Either, select};
+use http::{Client, Method, Reply, Request, SendError, Url};
+use ids::{Incarnation, WeightsVersion};
+use lifecycle::request::{Repeat, Request as Life, RequestEvent, RequestStep};
+use placement::{EndpointKey, PrefixChain};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::headers;
+
+/// Longest body of an endpoint's refusal that is read, bytes.
+const REFUSAL_BYTES: u64 = 64 * 1024;
+/// Longest wait for an engine to take notice of a cancelled request.
+const CANCEL_WAIT: Duration = Duration::from_secs(2);
+
+/// The attempts of one call.
+pub struct Attempts {
+    pub(super) shared: Arc<Shared>,
+    pub(super) call: Call,
+    pub(super) permit: Permit,
+    pub(super) life: Life,
+    pub(super) chain: PrefixChain,
+    pub(super) weights: Option<WeightsVersion>,
+    avoid: Vec<EndpointKey>,
+    count: u32,
+}
+
+/// What came of one send.
+pub enum Sent {
+    /// A head that is this request's.
+    Head(Reply),
+    /// The attempt failed, in this way.
+    Failed(Failure),
+    /// The caller has gone.
+    Gone,
+}
+
+/// An endpoint that has begun to answer.
+pub struct Opened {
+    /// The attempt.
+    pub flight: Flight,
+    /// Its answer.
+    pub reply: Reply,
+}
+
+impl Attempts {
+    /// No attempt so far.
+    pub fn new(shared: &Arc<Shared>, call: Call, permit: Permit, repeat: Repeat) -> Self {
+        Self {
+            shared: shared.clone(),
+            call,
+            permit,
+            life: Life::new(repeat),
+            chain: PrefixChain::from_hashes(0, Vec::new(), &[]),
+            weights: None,
+            avoid: Vec::new(),
+            count: 0,
+        }
+    }
+
+    /// Tries endpoints until one has begun an answer that `judge` accepts.
+    pub async fn open<F, Fut>(&mut self, send: F) -> Result<Opened, Refused>
+    where
+        F: Fn(Arc<Shared>, Request, Vec<u8>, SocketAddr, Duration) -> Fut,
+        Fut: Future<Output = Result<Reply, SendError>>,
+    {
+        loop {
+            let flight = self.place()?;
+            let sent = self.send(&flight, &send).await?;
+            let failure = match sent {
+                Sent::Head(reply) => return Ok(Opened { flight, reply }),
+                Sent::Failed(failure) => failure,
+                Sent::Gone => return Err(self.gone()),
+            };
+            self.failed(&flight, failure);
+            self.pause(failure).await?;
+        }
+    }
+
+    fn place(&mut self) -> Result<Flight, Refused> {
+        let wish = Wish { chain: &self.chain, weights: self.weights.as_ref(), avoid: &self.avoid };
+        let Some(flight) = self.permit.place(&wish) else {
+            return Err(self.give_up(Cause::NoEndpoint));
+        };
+        self.count += 1;
+        self.shared.metrics.placements.with_label_values(&[flight.reason.to_string()]).inc();
+        Ok(flight)
+    }
+
+    async fn send<F, Fut>(&mut self, flight: &Flight, send: &F) -> Result<Sent, Refused>
+    where
+        F: Fn(Arc<Shared>, Request, Vec<u8>, SocketAddr, Duration) -> Fut,
+        Fut: Future<Output = Result<Reply, SendError>>,
+    {
+        let Some(left) = self.call.left(&self.shared) else {
+            return Err(self.give_up(Cause::Deadline));
+        };
+        let request = self.request(flight, left);
+        let step = self.life.on(RequestEvent::SendStarts);
+        assert_eq!(step, RequestStep::Send, "a call is sent only where its state allows it");
+        let sending = send(self.shared.clone(), request, self.call.body.clone(), flight.address, left);
+        let gone = self.call.conn.peer_gone();
+        futures::pin_mut!(sending, gone);
+        let result = match select(sending, gone).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => {
+                self.cancel(flight);
+                return Ok(Sent::Gone);
+            }
+        };
+        match result {
+            Ok(reply) => Ok(self.judge(flight, reply).await),
+            Err(SendError::Timeout(true)) => {
+                self.life.on(RequestEvent::SendFailed);
+                self.cancel(flight);
+                Ok(Sent::Failed(Failure::Timeout))
+            }
+            Err(err) if err.not_sent() => {
+                self.life.on(RequestEvent::EndpointRefused);
+                Ok(Sent::Failed(Failure::NotSent))
+            }
+            Err(_) => {
+                self.life.on(RequestEvent::SendFailed);
+                Ok(Sent::Failed(Failure::Unknown))
+            }
+        }
+    }
+
+    /// Whether a head is the answer to this request. A late answer to another one is never passed on.
+    async fn judge(&mut self, flight: &Flight, reply: Reply) -> Sent {
+        self.sight(flight, &reply);
+        let status = u16::from(reply.status());
+        if status == 409 && self.weights.is_some() {
+            self.life.on(RequestEvent::EndpointRefused);
+            return Sent::Failed(refused(reply).await);
+        }
+        self.life.on(RequestEvent::HeadArrived);
+        let echoed = reply.header(headers::REQUEST_ID);
+        let ours = match echoed {
+            Some(id) => id == self.call.id.as_str(),
+            // A plain service need not know of request ids; an engine does.
+            None => self.weights.is_none(),
+        };
+        let same_weights = self.weights.is_none()
+            || !reply.status().is_success()
+            || reply.header(headers::WEIGHTS) == self.weights.as_ref().map(WeightsVersion::as_str);
+        if ours && same_weights && status < 500 {
+            return Sent::Head(reply);
+        }
+        reply.close();
+        self.life.on(RequestEvent::AnswerBroke);
+        Sent::Failed(Failure::Unknown)
+    }
+
+    /// Tells the control thread of a life or weights that differ from what is believed.
+    fn sight(&self, flight: &Flight, reply: &Reply) {
+        let incarnation = reply.header(headers::INCARNATION).and_then(|text| text.parse().ok()).map(Incarnation);
+        let weights = reply.header(headers::WEIGHTS).map(WeightsVersion::from);
+        let believed = self.call.caller.view.belief(&flight.endpoint);
+        let news = incarnation.is_some_and(|life| life != believed.incarnation)
+            || (weights.is_some() && weights != believed.weights);
+        if news {
+            self.tell(flight, Sighting::Answered { incarnation, weights });
+        }
+    }
+
+    fn failed(&mut self, flight: &Flight, failure: Failure) {
+        let (why, sighting) = match failure {
+            Failure::NotSent => ("not_sent", Some(Sighting::NotReached)),
+            Failure::Declined => ("declined", None),
+            Failure::Full => ("full", None),
+            Failure::Unknown => ("broken", Some(Sighting::Broke)),
+            Failure::Timeout => ("timeout", Some(Sighting::Silent)),
+        };
+        self.shared.metrics.retries.with_label_values(&[why]).inc();
+        match failure {
+            Failure::Full => flight.observe(Sample::Full),
+            Failure::Timeout | Failure::Unknown => flight.observe(Sample::Timeout),
+            Failure::NotSent | Failure::Declined => {}
+        }
+        if let Some(sighting) = sighting {
+            self.tell(flight, sighting);
+        }
+        self.avoid.push(flight.key);
+    }
+
+    async fn pause(&mut self, failure: Failure) -> Result<(), Refused> {
+        if self.life.ended() {
+            return Err(Refused::with(cause(failure), self.life.ran()));
+        }
+        let repeatable = self.life.state() == lifecycle::request::RequestState::Queued;
+        match self.permit.retry(self.count, repeatable, self.call.deadline, failure) {
+            RetryDecision::Retry(pause) if pause.is_zero() => Ok(()),
+            RetryDecision::Retry(pause) => {
+                task::sleep(pause).await;
+                Ok(())
+            }
+            RetryDecision::GiveUp(_) => Err(self.give_up(cause(failure))),
+        }
+    }
+
+    /// The caller has gone: nobody reads this refusal, but the state must be ended.
+    fn gone(&mut self) -> Refused {
+        self.shared.metrics.callers_gone.inc();
+        self.give_up(Cause::Endpoint)
+    }
+
+    /// Ends the request; what the refusal says follows from its state.
+    pub fn give_up(&mut self, cause: Cause) -> Refused {
+        let ran = self.life.ran();
+        self.life.on(RequestEvent::GiveUp);
+        Refused::with(cause, ran)
+    }
+
+    /// An answer broke off after its head: tries elsewhere if the state and the budget allow it.
+    pub async fn again(&mut self, flight: Flight) -> Result<(), Refused> {
+        self.failed(&flight, Failure::Unknown);
+        drop(flight);
+        self.pause(Failure::Unknown).await
+    }
+
+    /// Tells an engine that nobody waits for this request any more.
+    pub fn cancel(&self, flight: &Flight) {
+        if self.weights.is_none() {
+            return;
+        }
+        let client = self.shared.client.clone();
+        let (to, id) = (flight.address, self.call.id.clone());
+        task::spawn(async move {
+            let url = engine_url(to, "/v1/cancel", Some(&format!("request={id}")));
+            // An engine that cannot be reached has nothing left to cancel.
+            if let Ok(reply) = client.send(to, Request::new(Method::Post, url), &[], CANCEL_WAIT).await {
+                let _ = reply.whole(REFUSAL_BYTES).await;
+            }
+        });
+    }
+
+    pub(super) fn tell(&self, flight: &Flight, sighting: Sighting) {
+        let event = Event::Endpoint(flight.endpoint.clone(), sighting);
+        // The control thread is behind by a whole queue: the next sighting will do as well.
+        let _ = self.shared.events.try_send(event);
+    }
+
+    fn request(&self, flight: &Flight, left: Duration) -> Request {
+        let call = &self.call;
+        let url = engine_url(flight.address, &call.path, call.query.as_deref());
+        let mut request = Request::new(call.method, url);
+        request.insert_header(headers::REQUEST_ID, call.id.as_str());
+        request.insert_header(headers::DEADLINE_MS, left.as_millis().to_string());
+        request.insert_header(headers::PRIORITY, call.priority.to_string());
+        for name in ["content-type", headers::IDEMPOTENCY_KEY] {
+            if let Some(value) = super::call::text(&call.head, name) {
+                request.insert_header(name, value);
+            }
+        }
+        if let Some(weights) = &self.weights {
+            request.insert_header(headers::WEIGHTS, weights.as_str());
+            request.insert_header(headers::CACHE_SCOPE, call.caller.workspace.as_str());
+        }
+        request
+    }
+
+    /// The request that asks for the rest of a stream.
+    pub fn resume_request(&self, flight: &Flight, from: u64, left: Duration) -> Request {
+        let mut request = self.request(flight, left);
+        request.insert_header(headers::RESUME_FROM, from.to_string());
+        request
+    }
+
+    /// Another endpoint, for the rest of a stream.
+    pub fn place_again(&mut self, broken: EndpointKey) -> Option<Flight> {
+        self.avoid.push(broken);
+        let wish = Wish { chain: &self.chain, weights: self.weights.as_ref(), avoid: &self.avoid };
+        self.permit.place(&wish).or_else(|| {
+            // With no other endpoint of these weights the one that broke is as good as any.
+            let wish = Wish { avoid: &[], ..wish };
+            self.permit.place(&wish)
+        })
+    }
+}
+
+/// Sends over the pool of connections.
+pub async fn send_pooled(
+    shared: Arc<Shared>,
+    request: Request,
+    body: Vec<u8>,
+    to: SocketAddr,
+    within: Duration,
+) -> Result<Reply, SendError> {
+    let client: &Client = &shared.client;
+    client.send(to, request, &body, within).await
+}
+
+fn cause(failure: Failure) -> Cause {
+    match failure {
+        Failure::Timeout => Cause::Deadline,
+        Failure::NotSent | Failure::Declined | Failure::Full => Cause::NoEndpoint,
+        Failure::Unknown => Cause::Endpoint,
+    }
+}
+
+async fn refused(reply: Reply) -> Failure {
+    let body = reply.whole(REFUSAL_BYTES).await.unwrap_or_default();
+    match serde_json::from_slice::<wire::engine::Refused>(&body) {
+        Ok(refused) if refused.reason == wire::engine::RefusedReason::Full => Failure::Full,
+        _ => Failure::Declined,
+    }
+}
+
+fn engine_url(to: SocketAddr, path: &str, query: Option<&str>) -> Url {
+    let mut url = Url::parse(&format!("http://{to}")).expect("a socket address makes a URL");
+    url.set_path(path);
+    url.set_query(query);
+    url
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod clock;
 mod control;
+mod limits;
 mod metrics;
 mod operator;
 mod pool;
--- /dev/null
+++ b/crates/router/src/pool/member.rs
@@ -0,0 +1,85 @@
+//! One endpoint of a pool.
+
+use super::state::Wish;
+use crate::view::Believed;
+use admission::EndpointLimit;
+use config::EndpointSpec;
+use ids::{DomainId, EndpointId};
+use placement::EndpointKey;
+use std::net::SocketAddr;
+
+/// One endpoint of a pool, as this router sees it.
+#[derive(Debug)]
+pub struct Member {
+    pub(super) key: EndpointKey,
+    pub(super) id: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) near: bool,
+    pub(super) believed: Believed,
+    pub(super) limit: EndpointLimit,
+    slots: u32,
+    beyond: u32,
+}
+
+impl Member {
+    pub(super) fn new(id: &EndpointId, spec: &EndpointSpec) -> Self {
+        Self {
+            key: EndpointKey::from(id),
+            id: id.clone(),
+            address: spec.address,
+            near: false,
+            believed: Believed::default(),
+            limit: EndpointLimit::new(spec.slots),
+            slots: spec.slots,
+            beyond: 0,
+        }
+    }
+
+    /// Takes over configuration and belief; true if this is another life than before.
+    pub(super) fn update(&mut self, spec: &EndpointSpec, believed: Believed, domain: &DomainId) -> bool {
+        let reborn = believed.incarnation != self.believed.incarnation;
+        self.address = spec.address;
+        self.near = spec.domain == *domain;
+        self.believed = believed;
+        self.slots = spec.slots;
+        self.limit.set_slots(spec.slots);
+        reborn
+    }
+
+    /// Whether a request may go here: an endpoint of unknown weights is asked, and refuses if it serves others.
+    pub(super) fn fits(&self, wish: &Wish<'_>) -> bool {
+        if wish.avoid.contains(&self.key) {
+            return false;
+        }
+        match (wish.weights, &self.believed.weights) {
+            (Some(wanted), Some(served)) => wanted == served,
+            _ => true,
+        }
+    }
+
+    /// Requests of this router running here.
+    pub(super) fn running(&self) -> u32 {
+        self.limit.in_flight() + self.beyond
+    }
+
+    pub(super) fn below_ceiling(&self) -> bool {
+        self.running() < self.slots
+    }
+
+    pub(super) fn start(&mut self) {
+        if !self.limit.start() {
+            self.beyond += 1;
+        }
+    }
+
+    pub(super) fn end(&mut self) {
+        if self.beyond > 0 {
+            self.beyond -= 1;
+            return;
+        }
+        // An endpoint that left the configuration and came back in between has forgotten its earlier requests.
+        if self.limit.in_flight() > 0 {
+            self.limit.end();
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/pool/state.rs
@@ -0,0 +1,195 @@
+//! The state of a pool, changed under its lock only.
+
+use super::member::Member;
+use super::permit::{Permit, Turn};
+use super::{Flight, Pool};
+use crate::view::{Standing, Target, View};
+use admission::{Admission, Next, RetryBudget, Settings, Ticket};
+use futures::channel::oneshot;
+use ids::{DomainId, WeightsVersion};
+use placement::{Candidate, Choice, EndpointKey, LoadView, Pick, Placer, PrefixChain, Reason, Report};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Prompt tokens a second that a runner prefills until answers tell: the order of a mid-size model on one card.
+const FIRST_RATE: f64 = 20_000.0;
+/// Tokens of a cache block.
+const BLOCK_TOKENS: u64 = 1024;
+
+/// A pool's members, queue and what was learnt.
+#[derive(Debug)]
+pub struct State {
+    pub(super) admission: Admission,
+    pub(super) placer: Placer,
+    pub(super) loads: LoadView,
+    pub(super) members: Vec<Member>,
+    pub(super) waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
+    pub(super) budget: RetryBudget,
+}
+
+/// A pool as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// Jobs that wait.
+    pub waiting: u64,
+    /// Jobs that hold a slot.
+    pub running: u64,
+    /// Endpoints that get work, and all.
+    pub endpoints: (usize, usize),
+    /// Sum of the endpoints' limits as this router sees them.
+    pub capacity: u32,
+}
+
+/// Where a request may go.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// Its prompt; empty for plain services.
+    pub chain: &'a PrefixChain,
+    /// Weights it needs, absent for plain services.
+    pub weights: Option<&'a WeightsVersion>,
+    /// Endpoints that failed it already.
+    pub avoid: &'a [EndpointKey],
+}
+
+impl State {
+    pub(super) fn new() -> Self {
+        Self {
+            admission: Admission::new(Settings::default()),
+            placer: Placer::builder().build(),
+            loads: LoadView::new(FIRST_RATE),
+            members: Vec::new(),
+            waiters: HashMap::new(),
+            budget: RetryBudget::default(),
+        }
+    }
+
+    /// Takes over members and beliefs of a view.
+    pub(super) fn apply(&mut self, view: &View, target: &Target, domain: &DomainId, now: Duration) {
+        let mut old: HashMap<EndpointKey, Member> = self.members.drain(..).map(|member| (member.key, member)).collect();
+        for (id, spec) in view.members(target) {
+            let known = old.remove(&EndpointKey::from(id));
+            let mut member = known.unwrap_or_else(|| Member::new(id, spec));
+            if member.update(spec, view.belief(id), domain) {
+                // A new life is empty: what was believed of the one before would send requests to a cold cache.
+                self.placer.forget(member.key);
+                self.loads.forget(member.key);
+            }
+            self.members.push(member);
+        }
+        for key in old.into_keys() {
+            self.placer.forget(key);
+            self.loads.forget(key);
+        }
+        self.members.sort_by_key(|member| member.key);
+        self.fit(now);
+    }
+
+    pub(super) fn has(&self, key: EndpointKey) -> bool {
+        self.position(key).is_some()
+    }
+
+    /// An endpoint reported its load.
+    pub fn report(&mut self, key: EndpointKey, report: Report) {
+        self.loads.report(key, report);
+    }
+
+    /// An endpoint's cache events have a gap.
+    pub fn mark_uncertain(&mut self, key: EndpointKey) {
+        self.placer.mark_uncertain(key);
+    }
+
+    pub(super) fn position(&self, key: EndpointKey) -> Option<usize> {
+        self.members.binary_search_by_key(&key, |member| member.key).ok()
+    }
+
+    /// Keeps admission's capacity at the sum of the endpoints' limits.
+    pub(super) fn fit(&mut self, now: Duration) {
+        let live = self.members.iter().filter(|member| member.believed.standing != Standing::Out);
+        let capacity = live.map(|member| member.limit.limit()).sum();
+        self.admission.set_capacity(capacity, now);
+    }
+
+    pub(super) fn expected_blocks(&mut self, chain: &PrefixChain, now: Duration) -> usize {
+        let wish = Wish { chain, weights: None, avoid: &[] };
+        match self.choose(&wish, now) {
+            Some((_, pick)) => pick.cached,
+            None => 0,
+        }
+    }
+
+    /// Chooses an endpoint and counts the request in there.
+    pub(super) fn place(&mut self, pool: &Arc<Pool>, wish: &Wish<'_>, now: Duration) -> Option<Flight> {
+        let (index, pick) = self.choose(wish, now)?;
+        let missing = wish.chain.blocks().len().saturating_sub(pick.cached) as u64 * BLOCK_TOKENS;
+        let member = &mut self.members[index];
+        // A start beyond the limit happens only if the limit shrank since admission; the hard ceiling holds.
+        member.start();
+        let ticket = self.loads.placed(member.key, member.believed.incarnation, missing, now);
+        Some(Flight::new(pool.clone(), member, ticket, pick.reason, now))
+    }
+
+    fn choose(&mut self, wish: &Wish<'_>, now: Duration) -> Option<(usize, Pick)> {
+        let live = self.candidates(wish, Standing::Live, now);
+        self.choose_among(wish, &live, now).or_else(|| {
+            let suspected = self.candidates(wish, Standing::Suspected, now);
+            self.choose_among(wish, &suspected, now)
+        })
+    }
+
+    fn choose_among(&mut self, wish: &Wish<'_>, open: &[(usize, Candidate)], now: Duration) -> Option<(usize, Pick)> {
+        let candidates: Vec<Candidate> = open.iter().map(|(_, candidate)| *candidate).collect();
+        if let Choice::At(pick) = self.placer.choose(wish.chain, &candidates, now, rand::random()) {
+            return Some((open[pick.index].0, pick));
+        }
+        // All limits are reached, which a shrinking limit can cause after admission: the emptiest below its ceiling.
+        let below = open.iter().filter(|(index, _)| self.members[*index].below_ceiling());
+        let emptiest = below.min_by_key(|(_, candidate)| candidate.in_flight)?;
+        Some((emptiest.0, Pick { index: 0, cached: 0, reason: Reason::Drawn }))
+    }
+
+    fn candidates(&self, wish: &Wish<'_>, standing: Standing, now: Duration) -> Vec<(usize, Candidate)> {
+        let members = self.members.iter().enumerate();
+        let open = members.filter(|(_, member)| member.believed.standing == standing && member.fits(wish));
+        open.map(|(index, member)| (index, self.candidate(member, now))).collect()
+    }
+
+    fn candidate(&self, member: &Member, now: Duration) -> Candidate {
+        let estimate = self.loads.estimate(member.key, now);
+        Candidate {
+            endpoint: member.key,
+            incarnation: member.believed.incarnation,
+            near: member.near,
+            in_flight: member.running(),
+            limit: member.limit.limit(),
+            queued: estimate.queued,
+            speed: estimate.speed,
+        }
+    }
+
+    /// Jobs whose turn has come, with the waiters to tell.
+    pub(super) fn turns(&mut self, pool: &Arc<Pool>, now: Duration) -> Vec<(oneshot::Sender<Turn>, Turn)> {
+        let mut turns = Vec::new();
+        loop {
+            let (ticket, turn) = match self.admission.next(now) {
+                Next::Start(ticket) => (ticket, Turn::Start(Permit::new(pool.clone(), ticket))),
+                Next::Expired(ticket, refusal) => (ticket, Turn::Refused(refusal)),
+                Next::Wait => return turns,
+            };
+            let sender = self.waiters.remove(&ticket).expect("each queued ticket has a waiter");
+            turns.push((sender, turn));
+        }
+    }
+
+    pub(super) fn status(&self) -> PoolStatus {
+        let counts = self.admission.counts();
+        let live = self.members.iter().filter(|member| member.believed.standing != Standing::Out);
+        PoolStatus {
+            waiting: counts.waiting,
+            running: counts.running,
+            endpoints: (live.clone().count(), self.members.len()),
+            capacity: live.map(|member| member.limit.limit()).sum(),
+        }
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::control::Event;
+use crate::limits::WorkspaceLimits;
 use crate::metrics::Metrics;
 use crate::pool::Pools;
 use crate::settings::Settings;
@@ -10,9 +11,10 @@
 use async_channel::Sender;
 use http::{Client, Serving};
 use ids::RequestId;
+use lifecycle::claims::ClaimLease;
 use platform::Platform;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Shared by all tasks; published state is replaced whole, never changed in place.
@@ -35,6 +37,12 @@
     pub serving: Serving,
     /// To the control thread.
     pub events: Sender<Event>,
+    /// Limits of workspaces.
+    pub limits: WorkspaceLimits,
+    /// The lease under which claims are written.
+    pub claim_lease: async_std::sync::Mutex<ClaimLease>,
+    /// Results of claimed calls that are still to be written down.
+    pub settling: AtomicUsize,
     /// Set once shutdown has begun.
     pub stopping: AtomicBool,
     started_ms: u128,
@@ -45,9 +53,13 @@
     /// The state of a router that has just started.
     pub fn new(settings: Settings, platform: Platform, events: Sender<Event>) -> Arc<Self> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock::start();
         Arc::new(Self {
             settings,
-            clock: Clock::start(),
+            clock,
+            limits: WorkspaceLimits::new(clock),
+            claim_lease: async_std::sync::Mutex::default(),
+            settling: AtomicUsize::new(0),
             view: ArcSwapOption::empty(),
             pools: Pools::default(),
             client: Client::new(),
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -10,6 +10,8 @@
 pub const PREFIX_LEVELS: &str = "apricotfork-prefix-levels";
 /// Caller and services: the key under which a call runs at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Caller: `first` states that the key was never used before, so that a refusal can say "not run" without a claim.
+pub const ATTEMPT: &str = "apricotfork-attempt";
 /// Engines: name space of the prompt cache, so that workspaces never share entries.
 pub const CACHE_SCOPE: &str = "apricotfork-cache-scope";
 /// Engines: weights version the request is meant for, and in the answer the one that served it.
