--- /dev/null
+++ b/crates/apricotfork/src/check.rs
@@ -0,0 +1,47 @@
+//! `apricotfork check`.
+
+use crate::arguments::Check;
+use crate::exit;
+use config::Section;
+use router::read_settings;
+use serde_json::Value;
+use std::fmt::Display;
+use std::process::ExitCode;
+
+/// Checks a file, and prints every error.
+pub fn run(args: &Check) -> ExitCode {
+    let text = match std::fs::read_to_string(&args.file) {
+        Ok(text) => text,
+        Err(err) => return exit::failed(format_args!("{}: {err}", args.file.display())),
+    };
+    if is_document(&text) {
+        report(config::parse(&text).map(|_| "document"))
+    } else {
+        report(read_settings(&text).map(|_| "settings"))
+    }
+}
+
+/// A document's fields are sections; settings have none of them.
+fn is_document(text: &str) -> bool {
+    let Ok(Value::Object(fields)) = serde_json::from_str(text) else {
+        return false;
+    };
+    Section::ALL
+        .iter()
+        .any(|section| fields.contains_key(&section.to_string()))
+}
+
+fn report<P: Display>(result: Result<&str, Vec<P>>) -> ExitCode {
+    match result {
+        Ok(kind) => {
+            println!("{kind}: no errors");
+            ExitCode::SUCCESS
+        }
+        Err(problems) => {
+            for problem in &problems {
+                println!("{problem}");
+            }
+            exit::refused(format_args!("{} errors", problems.len()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotfork/src/logs.rs
@@ -0,0 +1,49 @@
+//! Logs by log4rs, on standard error; standard output is for what a command answers.
+
+use log::LevelFilter;
+use log4rs::Config;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Root, runtime::ConfigErrors};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+use quick_error::quick_error;
+use router::{LogFormat, LogSettings};
+
+/// Time, level, text and its keys, for people.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m} {K}{n}";
+
+quick_error! {
+    /// Why logs cannot be set up.
+    #[derive(Debug)]
+    pub enum LogError {
+        /// The logging configuration is refused.
+        Config(err: ConfigErrors) {
+            from()
+            display("{err}")
+        }
+        /// Another logger is in place.
+        Taken(err: log::SetLoggerError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// Sets up logs for the process.
+pub fn start(settings: &LogSettings) -> Result<(), LogError> {
+    let encoder: Box<dyn Encode> = match settings.format {
+        LogFormat::Json => Box::new(JsonEncoder::new()),
+        LogFormat::Text => Box::new(PatternEncoder::new(PATTERN)),
+    };
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
+    // The settings' check knows the same levels.
+    let level = settings.level.parse().unwrap_or(LevelFilter::Info);
+    let appender = Appender::builder().build("console", Box::new(console));
+    let root = Root::builder().appender("console").build(level);
+    log4rs::init_config(Config::builder().appender(appender).build(root)?)?;
+    Ok(())
+}
--- a/crates/apricotfork/src/main.rs
+++ b/crates/apricotfork/src/main.rs
@@ -1,3 +1,25 @@
-//! The shipped binary: command line and logs.
+//! The shipped binary: command line, logs, signals.
 
-fn main() {}
+mod arguments;
+mod check;
+mod exit;
+mod logs;
+mod serve;
+mod status;
+
+use arguments::{Arguments, Command};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("apricotfork {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match arguments.command {
+        Some(Command::Serve(serve)) => serve::run(&serve),
+        Some(Command::Check(check)) => check::run(&check),
+        Some(Command::Status(status)) => status::run(&status),
+        None => exit::usage("a command is needed; see `apricotfork --help`"),
+    }
+}
--- /dev/null
+++ b/crates/apricotfork/src/serve.rs
@@ -0,0 +1,56 @@
+//! `apricotfork serve`.
+
+use crate::arguments::Serve;
+use crate::{exit, logs};
+use async_std::task;
+use futures::StreamExt;
+use router::{Addresses, RunError, Settings, read_settings};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Runs a router until it is told to stop.
+pub fn run(args: &Serve) -> ExitCode {
+    let text = match std::fs::read_to_string(&args.settings) {
+        Ok(text) => text,
+        Err(err) => return exit::failed(format_args!("{}: {err}", args.settings.display())),
+    };
+    let settings = match read_settings(&text) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            for problem in &problems {
+                eprintln!("{}: {problem}", args.settings.display());
+            }
+            return exit::refused(format_args!("{} errors in the settings", problems.len()));
+        }
+    };
+    if let Err(err) = logs::start(&settings.log) {
+        return exit::failed(err);
+    }
+    match task::block_on(serve(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err @ RunError::Cut(_)) => exit::cut(err),
+        Err(err) => exit::failed(err),
+    }
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(RunError::Thread)?;
+    let signals = Arc::new(async_std::sync::Mutex::new(signals));
+    let next = move || {
+        let signals = signals.clone();
+        async move {
+            signals.lock().await.next().await;
+        }
+    };
+    router::run(settings, announce, next).await
+}
+
+/// One line for whoever started this process, with the ports the system gave.
+fn announce(addresses: Addresses) {
+    println!(
+        "listening on {} operators {} peers {}",
+        addresses.callers, addresses.operators, addresses.peers
+    );
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -151,7 +151,9 @@
 
 async fn open(to: SocketAddr, until: Instant) -> Result<Conn, SendError> {
     let connected = timeout(left(until), TcpStream::connect(to)).await;
-    let stream = connected.map_err(|_| SendError::Timeout(false))?.map_err(SendError::NotSent)?;
+    let stream = connected
+        .map_err(|_| SendError::Timeout(false))?
+        .map_err(SendError::NotSent)?;
     // A small request must not wait for the answer to the one before it.
     let _ = stream.set_nodelay(true);
     Ok(Conn::new(stream))
--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -11,7 +11,7 @@
 use admission::{Failure, RetryDecision, Sample};
 use async_std::task;
 use futures::future::{Either, select};
-use http::{Client, Method, Reply, Request, SendError, Url};
+use http::{Client, Conn, Method, Reply, Request, SendError, Url};
 use ids::{Incarnation, WeightsVersion};
 use lifecycle::request::{Repeat, Request as Life, RequestEvent, RequestStep};
 use placement::{EndpointKey, PrefixChain};
@@ -41,7 +41,7 @@
 /// What came of one send.
 pub enum Sent {
     /// A head that is this request's.
-    Head(Reply),
+    Head(Box<Reply>),
     /// The attempt failed, in this way.
     Failed(Failure),
     /// The caller has gone.
@@ -81,7 +81,7 @@
             let flight = self.place()?;
             let sent = self.send(&flight, &send).await?;
             let failure = match sent {
-                Sent::Head(reply) => return Ok(Opened { flight, reply }),
+                Sent::Head(reply) => return Ok(Opened { flight, reply: *reply }),
                 Sent::Failed(failure) => failure,
                 Sent::Gone => return Err(self.gone()),
             };
@@ -91,12 +91,20 @@
     }
 
     fn place(&mut self) -> Result<Flight, Refused> {
-        let wish = Wish { chain: &self.chain, weights: self.weights.as_ref(), avoid: &self.avoid };
+        let wish = Wish {
+            chain: &self.chain,
+            weights: self.weights.as_ref(),
+            avoid: &self.avoid,
+        };
         let Some(flight) = self.permit.place(&wish) else {
             return Err(self.give_up(Cause::NoEndpoint));
         };
         self.count += 1;
-        self.shared.metrics.placements.with_label_values(&[flight.reason.to_string()]).inc();
+        self.shared
+            .metrics
+            .placements
+            .with_label_values(&[flight.reason.to_string()])
+            .inc();
         Ok(flight)
     }
 
@@ -111,15 +119,16 @@
         let request = self.request(flight, left);
         let step = self.life.on(RequestEvent::SendStarts);
         assert_eq!(step, RequestStep::Send, "a call is sent only where its state allows it");
-        let sending = send(self.shared.clone(), request, self.call.body.clone(), flight.address, left);
-        let gone = self.call.conn.peer_gone();
-        futures::pin_mut!(sending, gone);
-        let result = match select(sending, gone).await {
-            Either::Left((result, _)) => result,
-            Either::Right(_) => {
-                self.cancel(flight);
-                return Ok(Sent::Gone);
-            }
+        let sending = send(
+            self.shared.clone(),
+            request,
+            self.call.body.clone(),
+            flight.address,
+            left,
+        );
+        let Some(result) = unless_gone(&self.call.conn, sending).await else {
+            self.cancel(flight);
+            return Ok(Sent::Gone);
         };
         match result {
             Ok(reply) => Ok(self.judge(flight, reply).await),
@@ -158,7 +167,7 @@
             || !reply.status().is_success()
             || reply.header(headers::WEIGHTS) == self.weights.as_ref().map(WeightsVersion::as_str);
         if ours && same_weights && status < 500 {
-            return Sent::Head(reply);
+            return Sent::Head(Box::new(reply));
         }
         reply.close();
         self.life.on(RequestEvent::AnswerBroke);
@@ -167,7 +176,10 @@
 
     /// Tells the control thread of a life or weights that differ from what is believed.
     fn sight(&self, flight: &Flight, reply: &Reply) {
-        let incarnation = reply.header(headers::INCARNATION).and_then(|text| text.parse().ok()).map(Incarnation);
+        let incarnation = reply
+            .header(headers::INCARNATION)
+            .and_then(|text| text.parse().ok())
+            .map(Incarnation);
         let weights = reply.header(headers::WEIGHTS).map(WeightsVersion::from);
         let believed = self.call.caller.view.belief(&flight.endpoint);
         let news = incarnation.is_some_and(|life| life != believed.incarnation)
@@ -283,7 +295,11 @@
     /// Another endpoint, for the rest of a stream.
     pub fn place_again(&mut self, broken: EndpointKey) -> Option<Flight> {
         self.avoid.push(broken);
-        let wish = Wish { chain: &self.chain, weights: self.weights.as_ref(), avoid: &self.avoid };
+        let wish = Wish {
+            chain: &self.chain,
+            weights: self.weights.as_ref(),
+            avoid: &self.avoid,
+        };
         self.permit.place(&wish).or_else(|| {
             // With no other endpoint of these weights the one that broke is as good as any.
             let wish = Wish { avoid: &[], ..wish };
@@ -292,6 +308,16 @@
     }
 }
 
+/// The result of `work`, none if the caller goes first.
+async fn unless_gone<T>(conn: &Conn, work: impl Future<Output = T>) -> Option<T> {
+    let gone = conn.peer_gone();
+    futures::pin_mut!(work, gone);
+    match select(work, gone).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
+    }
+}
+
 /// Sends over the pool of connections.
 pub async fn send_pooled(
     shared: Arc<Shared>,
--- a/crates/router/src/caller/auth.rs
+++ b/crates/router/src/caller/auth.rs
@@ -21,7 +21,13 @@
 /// The workspace whose key the request bears.
 pub fn caller(view: &Arc<View>, request: &Request) -> Result<Caller, Refused> {
     let header = request.header("authorization").map(|values| values.last().as_str());
-    let key = header.and_then(|text| text.strip_prefix("Bearer ")).ok_or(Refused::not_run(Cause::Key))?;
+    let key = header
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .ok_or(Refused::not_run(Cause::Key))?;
     let (workspace, spec) = view.workspace(key.trim()).ok_or(Refused::not_run(Cause::Key))?;
-    Ok(Caller { view: view.clone(), workspace: workspace.clone(), spec: spec.clone() })
+    Ok(Caller {
+        view: view.clone(),
+        workspace: workspace.clone(),
+        spec: spec.clone(),
+    })
 }
--- a/crates/router/src/caller/call.rs
+++ b/crates/router/src/caller/call.rs
@@ -92,7 +92,8 @@
         return Ok(ORDINARY);
     };
     let spec = caller.view.document.priorities.get(name);
-    spec.map(|spec| spec.rank).ok_or_else(|| Refused::not_run(Cause::Priority(name.to_owned())))
+    spec.map(|spec| spec.rank)
+        .ok_or_else(|| Refused::not_run(Cause::Priority(name.to_owned())))
 }
 
 /// A header's text.
@@ -105,5 +106,8 @@
     let Some(text) = text(request, name) else {
         return Ok(None);
     };
-    text.trim().parse().map(Some).map_err(|_| Refused::not_run(Cause::Header(name)))
+    text.trim()
+        .parse()
+        .map(Some)
+        .map_err(|_| Refused::not_run(Cause::Header(name)))
 }
--- a/crates/router/src/caller/claim.rs
+++ b/crates/router/src/caller/claim.rs
@@ -58,7 +58,11 @@
         attempt,
     };
     let Some(lease) = lease(shared).await else {
-        let ran = if attempt == Attempt::First { Ran::NotRun } else { Ran::Unknown };
+        let ran = if attempt == Attempt::First {
+            Ran::NotRun
+        } else {
+            Ran::Unknown
+        };
         return Claimed::Refused(Refused::with(Cause::Claim, ran).retry_after(OUTAGE_MS));
     };
     let (mut machine, mut step) = Claim::start(request, limits, shared.clock.now());
@@ -139,7 +143,12 @@
 }
 
 async fn write(shared: &Shared, key: &str, value: Option<String>, expect: Version, lease: u64) -> Happened {
-    let put = Put { key: key.to_owned(), value, expect, lease: Some(lease) };
+    let put = Put {
+        key: key.to_owned(),
+        value,
+        expect,
+        lease: Some(lease),
+    };
     match shared.platform.put(&put).await {
         Ok(Written::Done(version)) => Happened::Written(version),
         Ok(Written::Conflict(entry)) => Happened::Conflict(entry),
@@ -185,8 +194,14 @@
 
 fn seen(entry: Option<&Entry>) -> Seen<'_> {
     match entry {
-        Some(entry) => Seen { version: entry.version, value: entry.value.as_deref() },
-        None => Seen { version: Version(0), value: None },
+        Some(entry) => Seen {
+            version: entry.version,
+            value: entry.value.as_deref(),
+        },
+        None => Seen {
+            version: Version(0),
+            value: None,
+        },
     }
 }
 
@@ -200,7 +215,7 @@
     let content = call::text(&call.head, "content-type").unwrap_or_default();
     let parts: [&[u8]; 5] = [
         call.method.as_ref().as_bytes(),
-        call.path.as_bytes(),
+        call.head.url().path().as_bytes(),
         call.query.as_deref().unwrap_or_default().as_bytes(),
         content.as_bytes(),
         &call.body,
@@ -209,5 +224,8 @@
 }
 
 fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -35,9 +35,14 @@
     }
     let weights = weights(&call.caller, &wanted.model)?;
     let chain = chain(&call, &wanted, &weights)?;
-    let pool = shared.pools.get(&Target::Model(wanted.model.clone())).ok_or(Refused::not_run(Cause::NoEndpoint))?;
+    let pool = shared
+        .pools
+        .get(&Target::Model(wanted.model.clone()))
+        .ok_or(Refused::not_run(Cause::NoEndpoint))?;
     let estimate = estimate(&wanted, &call, &chain, pool.expected_blocks(&chain));
-    let limit = shared.limits.take(&call.caller, estimate.uncached + estimate.output, shared.clock.now())?;
+    let limit = shared
+        .limits
+        .take(&call.caller, estimate.uncached + estimate.output, shared.clock.now())?;
     let permit = pool.enter(job(&call, estimate)).await?;
     let mut attempts = Attempts::new(shared, call, permit, Repeat::Idempotent);
     attempts.chain = chain;
@@ -68,10 +73,17 @@
     }
     attempts.shared.metrics.prompt_tokens.inc_by(prompt);
     attempts.shared.metrics.cached_tokens.inc_by(cached);
-    Seen { uncached: prompt - cached }
+    Seen {
+        uncached: prompt - cached,
+    }
 }
 
-async fn whole(mut attempts: Attempts, opened: Opened, seen: Seen, limit: crate::limits::Taken) -> Result<Response, Refused> {
+async fn whole(
+    mut attempts: Attempts,
+    opened: Opened,
+    seen: Seen,
+    limit: crate::limits::Taken,
+) -> Result<Response, Refused> {
     let status = opened.reply.status();
     let content = opened.reply.header("content-type").map(str::to_owned);
     let first_token = opened.flight.first_token(seen.uncached);
@@ -86,7 +98,10 @@
         return Err(attempts.give_up(Cause::Endpoint));
     };
     attempts.life.on(RequestEvent::AnswerWhole);
-    let tokens = Tokens { uncached: seen.uncached, output: output(&body) };
+    let tokens = Tokens {
+        uncached: seen.uncached,
+        output: output(&body),
+    };
     attempts.permit.served(first_token, tokens);
     limit.settle(tokens.uncached + tokens.output);
     Ok(respond(status, content.as_deref(), body))
@@ -108,7 +123,9 @@
     }
     let spec = caller.view.document.models.get(model).ok_or_else(missing)?;
     let serves = |version: &WeightsVersion| serves(&caller.view, model, version);
-    let wanted = std::iter::once(&spec.wanted).chain(&spec.versions).find(|version| serves(version));
+    let wanted = std::iter::once(&spec.wanted)
+        .chain(&spec.versions)
+        .find(|version| serves(version));
     Ok(wanted.unwrap_or(&spec.wanted).clone())
 }
 
@@ -123,8 +140,17 @@
 
 fn chain(call: &Call, wanted: &Completion, weights: &WeightsVersion) -> Result<PrefixChain, Refused> {
     let ends = levels(call)?;
-    let scope = Scope { workspace: &call.caller.workspace, model: &wanted.model, weights };
-    Ok(PrefixChain::new(scope, wanted.rendered().as_bytes(), BLOCK_BYTES, &ends))
+    let scope = Scope {
+        workspace: &call.caller.workspace,
+        model: &wanted.model,
+        weights,
+    };
+    Ok(PrefixChain::new(
+        scope,
+        wanted.rendered().as_bytes(),
+        BLOCK_BYTES,
+        &ends,
+    ))
 }
 
 fn levels(call: &Call) -> Result<Vec<usize>, Refused> {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -31,9 +31,17 @@
         Ok(_) => "ok".to_owned(),
         Err(refused) => refused.cause.code().to_string(),
     };
-    shared.metrics.requests.with_label_values(&[kind, outcome.as_str()]).inc();
+    shared
+        .metrics
+        .requests
+        .with_label_values(&[kind, outcome.as_str()])
+        .inc();
     let mut response = result.unwrap_or_else(|refused| {
-        shared.metrics.refusals.with_label_values(&[refused.ran.to_string()]).inc();
+        shared
+            .metrics
+            .refusals
+            .with_label_values(&[refused.ran.to_string()])
+            .inc();
         refused.into_response(&id)
     });
     response.insert_header(headers::REQUEST_ID, id.as_str());
--- a/crates/router/src/caller/models.rs
+++ b/crates/router/src/caller/models.rs
@@ -20,7 +20,13 @@
 /// The list.
 pub fn models(caller: &Caller) -> Response {
     let ids = caller.spec.models.iter();
-    let data = ids.map(|id| Model { id: id.as_str(), object: "model", owned_by: "apricotfork" }).collect();
+    let data = ids
+        .map(|id| Model {
+            id: id.as_str(),
+            object: "model",
+            owned_by: "apricotfork",
+        })
+        .collect();
     let body = serde_json::to_vec(&List { object: "list", data }).expect("a list of texts is always JSON");
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(body);
--- a/crates/router/src/caller/refusal.rs
+++ b/crates/router/src/caller/refusal.rs
@@ -89,7 +89,9 @@
     pub fn code(&self) -> Code {
         use admission::Reason;
         match self {
-            Self::Json(_) | Self::NoPrompt | Self::Header(_) | Self::Priority(_) | Self::BodyBroke => Code::InvalidRequest,
+            Self::Json(_) | Self::NoPrompt | Self::Header(_) | Self::Priority(_) | Self::BodyBroke => {
+                Code::InvalidRequest
+            }
             Self::TooLarge(_) => Code::BodyTooLarge,
             Self::Key => Code::Unauthorized,
             Self::Model(_) | Self::Service(_) | Self::Operation | Self::NoPath | Self::Method => Code::NotFound,
@@ -149,12 +151,20 @@
 impl Refused {
     /// A refusal of a request that has not run.
     pub fn not_run(cause: Cause) -> Self {
-        Self { cause, ran: Ran::NotRun, retry_after: None }
+        Self {
+            cause,
+            ran: Ran::NotRun,
+            retry_after: None,
+        }
     }
 
     /// A refusal of a request in a state that says whether it ran.
     pub fn with(cause: Cause, ran: Ran) -> Self {
-        Self { cause, ran, retry_after: None }
+        Self {
+            cause,
+            ran,
+            retry_after: None,
+        }
     }
 
     /// States when to come back, milliseconds.
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -24,12 +24,17 @@
         return Err(Refused::not_run(Cause::Service(service)));
     }
     let view = call.caller.view.clone();
-    let operation = view.operation(&service, &path).ok_or(Refused::not_run(Cause::Operation))?;
+    let operation = view
+        .operation(&service, &path)
+        .ok_or(Refused::not_run(Cause::Operation))?;
     call.path = path;
     let key = call::text(&call.head, headers::IDEMPOTENCY_KEY).map(IdempotencyKey::from);
     let guard = guard(operation.idempotent, operation.deduplicates, key.is_some());
     let attempt = attempt(&call)?;
-    let pool = shared.pools.get(&Target::Service(service)).ok_or(Refused::not_run(Cause::NoEndpoint))?;
+    let pool = shared
+        .pools
+        .get(&Target::Service(service))
+        .ok_or(Refused::not_run(Cause::NoEndpoint))?;
     let limit = shared.limits.take(&call.caller, 0, shared.clock.now())?;
     let entered = pool.enter(job(&call, Tokens::default())).await;
     let permit = entered.map_err(|refusal| before_claim(refusal.into(), guard, attempt))?;
@@ -64,7 +69,10 @@
 fn before_claim(refused: Refused, guard: Guard, attempt: Attempt) -> Refused {
     let keyed = matches!(guard, Guard::Claim | Guard::Endpoint);
     if keyed && attempt == Attempt::Unstated {
-        return Refused { ran: Ran::Unknown, ..refused };
+        return Refused {
+            ran: Ran::Unknown,
+            ..refused
+        };
     }
     refused
 }
@@ -172,7 +180,11 @@
     let left = attempts.call.left(&attempts.shared)?;
     let limit = attempts.shared.settings.limits.answer_bytes;
     let body = async_std::future::timeout(left, reply.whole(limit)).await.ok()?.ok()?;
-    Some(Kept { status, content, body: whole_body(body) })
+    Some(Kept {
+        status,
+        content,
+        body: whole_body(body),
+    })
 }
 
 fn whole_body(body: Vec<u8>) -> lifecycle::claims::Body {
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -9,8 +9,8 @@
 use admission::Tokens;
 use async_channel::Sender;
 use async_std::task;
-use futures::TryStreamExt;
 use futures::future::{Either, select};
+use futures::{StreamExt, TryStreamExt};
 use http::{Body, Piece, Pieces, Reply, Response, StatusCode};
 use lifecycle::request::RequestEvent;
 use lifecycle::stream::{Break, Head, Piece as Verdict, StreamAssembler};
@@ -31,9 +31,20 @@
     let mut assembler = StreamAssembler::new(attempts.call.id.clone());
     let head = on_head(&mut assembler, &opened.reply);
     debug_assert_eq!(head, Head::Accept, "the attempt has judged this head already");
-    let pieces = opened.reply.pieces().map_err(|_| Refused::with(Cause::Endpoint, attempts.life.ran()))?;
+    let pieces = opened
+        .reply
+        .pieces()
+        .map_err(|_| Refused::with(Cause::Endpoint, attempts.life.ran()))?;
     let (sender, receiver) = async_channel::bounded(PIECES_AHEAD);
-    let relay = Relay { attempts, assembler, sender, seen, limit, first_token: None, resumes: 0 };
+    let relay = Relay {
+        attempts,
+        assembler,
+        sender,
+        seen,
+        limit,
+        first_token: None,
+        resumes: 0,
+    };
     task::spawn(relay.run(opened.flight, pieces));
     let mut response = Response::new(StatusCode::Ok);
     let reader = Box::pin(receiver.map(Ok::<Vec<u8>, io::Error>)).into_async_read();
@@ -185,8 +196,13 @@
 
     fn served(mut self) {
         self.attempts.life.on(RequestEvent::AnswerWhole);
-        let tokens = Tokens { uncached: self.seen.uncached, output: self.assembler.resume_from() };
-        self.attempts.permit.served(self.first_token.unwrap_or_default(), tokens);
+        let tokens = Tokens {
+            uncached: self.seen.uncached,
+            output: self.assembler.resume_from(),
+        };
+        self.attempts
+            .permit
+            .served(self.first_token.unwrap_or_default(), tokens);
         self.limit.settle(tokens.uncached + tokens.output);
     }
 
@@ -200,11 +216,19 @@
     async fn fail(mut self, cause: Cause) {
         let refused = self.attempts.give_up(cause);
         let code = refused.cause.code().to_string();
-        self.attempts.shared.metrics.requests.with_label_values(&["stream", code.as_str()]).inc();
+        self.attempts
+            .shared
+            .metrics
+            .requests
+            .with_label_values(&["stream", code.as_str()])
+            .inc();
         let body = refused.body(&self.attempts.call.id);
         let data = serde_json::to_string(&body).expect("a refusal is always JSON");
         // The caller may have gone as well.
-        let _ = self.sender.send(format!("event: error\ndata: {data}\n\n").into_bytes()).await;
+        let _ = self
+            .sender
+            .send(format!("event: error\ndata: {data}\n\n").into_bytes())
+            .await;
     }
 }
 
--- /dev/null
+++ b/crates/router/src/control/config_feed.rs
@@ -0,0 +1,89 @@
+//! Follows the configuration in the platform: one watch on the head, and a read of each section that changed.
+
+use super::Event;
+use crate::shared::Shared;
+use async_std::task;
+use config::{HEAD_KEY, Head, Section, assemble};
+use ids::Version;
+use quick_error::quick_error;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause after a failure, so that an outage is not made worse; spread by the router's own draw against herds.
+const PAUSE: Duration = Duration::from_millis(500);
+
+quick_error! {
+    /// Why a head could not be followed.
+    #[derive(Debug)]
+    enum FeedError {
+        /// The platform did not answer.
+        Platform(err: platform::PlatformError) {
+            from()
+            display("{err}")
+        }
+        /// What was read does not make a document.
+        Assemble(err: config::AssembleError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// Sections read so far, by their key.
+type Texts = BTreeMap<Section, (String, String)>;
+
+/// Runs until the control thread has gone.
+pub async fn run(shared: Arc<Shared>) {
+    let mut version = Version(0);
+    let mut texts = Texts::new();
+    let mut failing = false;
+    loop {
+        match follow(&shared, version, &mut texts).await {
+            Ok(Some((newer, event))) => {
+                version = newer;
+                if shared.events.send(event).await.is_err() {
+                    return;
+                }
+                failing = false;
+            }
+            Ok(None) => failing = false,
+            Err(err) => {
+                if !failing {
+                    log::warn!("configuration cannot be followed: {err}");
+                }
+                failing = true;
+                task::sleep(PAUSE + PAUSE.mul_f64(rand::random())).await;
+            }
+        }
+    }
+}
+
+/// Waits for a head newer than `version`.
+async fn follow(shared: &Shared, version: Version, texts: &mut Texts) -> Result<Option<(Version, Event)>, FeedError> {
+    let wait = Duration::from_millis(shared.settings.platform.watch_ms);
+    let Some(entry) = shared.platform.watch(HEAD_KEY, version, wait).await? else {
+        return Ok(None);
+    };
+    let Some(value) = entry.value else {
+        return Ok(None);
+    };
+    let head = Head::read(&value)?;
+    for (section, named) in &head.sections {
+        let key = named.key(*section);
+        if texts.get(section).is_some_and(|(known, _)| *known == key) {
+            continue;
+        }
+        let read = shared.platform.get(&key).await?;
+        let text = read
+            .and_then(|entry| entry.value)
+            .ok_or(config::AssembleError::Missing(*section))?;
+        texts.insert(*section, (key, text));
+    }
+    let plain = texts
+        .iter()
+        .map(|(section, (_, text))| (*section, text.clone()))
+        .collect();
+    let document = assemble(&head, &plain)?;
+    Ok(Some((entry.version, Event::Config(Box::new(head), Box::new(document)))))
+}
--- /dev/null
+++ b/crates/router/src/control/mod.rs
@@ -0,0 +1,52 @@
+//! The control thread: all state that is agreed or believed changes here, one event at a time.
+
+mod config_feed;
+mod endpoint_feed;
+mod event;
+mod state;
+mod vm_feed;
+
+pub use event::{Event, Sighting};
+
+use crate::shared::Shared;
+use async_channel::Receiver;
+use async_std::task;
+use state::Control;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Events that may wait for the control thread; traffic drops its sightings beyond that.
+pub const EVENTS: usize = 4096;
+/// How often waiting jobs and probes are looked after.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Starts the control thread and the tasks that feed it.
+pub fn start(shared: &Arc<Shared>, events: Receiver<Event>) -> std::io::Result<JoinHandle<()>> {
+    task::spawn(config_feed::run(shared.clone()));
+    task::spawn(vm_feed::run(shared.clone()));
+    task::spawn(tick(shared.clone()));
+    let shared = shared.clone();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || task::block_on(run(shared, events)))
+}
+
+async fn run(shared: Arc<Shared>, events: Receiver<Event>) {
+    let mut control = Control::new(shared);
+    while let Ok(event) = events.recv().await {
+        if control.on(event).is_break() {
+            return;
+        }
+    }
+}
+
+async fn tick(shared: Arc<Shared>) {
+    loop {
+        task::sleep(TICK).await;
+        shared.pools.tick();
+        if shared.events.send(Event::Tick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/state.rs
@@ -0,0 +1,235 @@
+//! The control thread's state and its changes.
+
+use super::endpoint_feed::{self, Feeds};
+use super::event::{Event, LoadSeen, Sighting};
+use crate::shared::Shared;
+use crate::view::{Believed, Standing, View};
+use config::{Adopt, Document, Head, Revisions};
+use control::health::{self, Belief, Change, EndpointHealth, Listing};
+use ids::{EndpointId, WeightsVersion};
+use placement::Report;
+use std::collections::{BTreeMap, HashMap};
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::platform::{VmList, VmState};
+
+/// All state of the control thread.
+pub struct Control {
+    shared: Arc<Shared>,
+    revisions: Revisions,
+    document: Option<Document>,
+    health: EndpointHealth,
+    weights: HashMap<EndpointId, WeightsVersion>,
+    feeds: Feeds,
+}
+
+impl Control {
+    /// Knows nothing yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            revisions: Revisions::default(),
+            document: None,
+            health: EndpointHealth::default(),
+            weights: HashMap::new(),
+            feeds: Feeds::default(),
+        }
+    }
+
+    /// Takes one event; breaks at the end.
+    pub fn on(&mut self, event: Event) -> ControlFlow<()> {
+        match event {
+            Event::Config(head, document) => self.config(&head, *document),
+            Event::Vms(list) => self.listed(&list),
+            Event::Endpoint(id, sighting) => self.sighted(&id, sighting),
+            Event::Tick => self.tick(),
+            Event::Stop => {
+                self.feeds.stop();
+                return ControlFlow::Break(());
+            }
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    fn config(&mut self, head: &Head, document: Document) {
+        match self.revisions.offer(head.revision, head.digest()) {
+            Adopt::Newer => {}
+            Adopt::Same | Adopt::Older => return,
+            Adopt::Conflict(conflict) => {
+                log::error!(revision = head.revision.0; "{conflict}");
+                return;
+            }
+        }
+        log::info!(revision = head.revision.0, change = head.change.to_string().as_str(); "configuration in force");
+        self.shared
+            .metrics
+            .revision
+            .set(i64::try_from(head.revision.0).unwrap_or(i64::MAX));
+        let ids = document.endpoints.keys().cloned().collect();
+        self.feeds.follow(&self.shared, &document);
+        self.weights.retain(|id, _| document.endpoints.contains_key(id));
+        self.document = Some(document);
+        let changes = self.health.on(health::Event::Configured(ids), self.now());
+        self.note(&changes);
+        self.publish();
+    }
+
+    fn listed(&mut self, list: &VmList) {
+        let listing = |state| match state {
+            VmState::Live => Listing::Live,
+            VmState::Leaving => Listing::Leaving,
+        };
+        let listed: BTreeMap<EndpointId, Listing> = list
+            .vms
+            .iter()
+            .map(|vm| (EndpointId::from(vm.id.as_str()), listing(vm.state)))
+            .collect();
+        self.health_event(health::Event::Listed(listed));
+    }
+
+    fn sighted(&mut self, id: &EndpointId, sighting: Sighting) {
+        let endpoint = id.clone();
+        match sighting {
+            Sighting::Answered { incarnation, weights } => {
+                let changed = self.learn_weights(id, weights);
+                self.health_event(health::Event::Replied { endpoint, incarnation });
+                if changed {
+                    self.publish();
+                }
+            }
+            Sighting::Reported(load) => self.reported(id, load),
+            Sighting::NotReached | Sighting::Broke => {
+                self.health_event(health::Event::Failed {
+                    endpoint,
+                    failure: health::Failure::Broken,
+                });
+            }
+            Sighting::Silent => {
+                self.health_event(health::Event::Failed {
+                    endpoint,
+                    failure: health::Failure::Timeout,
+                });
+            }
+        }
+    }
+
+    fn reported(&mut self, id: &EndpointId, load: LoadSeen) {
+        let report = Report {
+            incarnation: load.incarnation,
+            requests: load.requests,
+            prefill: load.prefill,
+            measured: load.asked,
+        };
+        let changed = self.learn_weights(id, load.weights);
+        self.health_event(health::Event::Report(health::Report {
+            endpoint: id.clone(),
+            incarnation: load.incarnation,
+            leaving: load.leaving,
+            own: true,
+            at: load.asked,
+        }));
+        if changed || self.incarnation_is_new(id) {
+            self.publish();
+        }
+        self.shared
+            .pools
+            .with_member(id, |state, key| state.report(key, report));
+    }
+
+    /// Whether traffic does not know the endpoint's life yet; the first life of an endpoint is no change of health.
+    fn incarnation_is_new(&self, id: &EndpointId) -> bool {
+        let view = self.shared.view.load();
+        let known = view.as_ref().map(|view| view.belief(id).incarnation);
+        known != self.health.incarnation(id)
+    }
+
+    fn learn_weights(&mut self, id: &EndpointId, weights: Option<WeightsVersion>) -> bool {
+        let Some(weights) = weights else { return false };
+        self.weights.insert(id.clone(), weights.clone()).as_ref() != Some(&weights)
+    }
+
+    fn health_event(&mut self, event: health::Event) {
+        let changes = self.health.on(event, self.now());
+        if changes.is_empty() {
+            return;
+        }
+        self.note(&changes);
+        self.publish();
+    }
+
+    fn note(&self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Belief { endpoint, belief } => {
+                    let belief = format!("{belief:?}").to_lowercase();
+                    log::info!(endpoint = endpoint.as_str(), belief = belief.as_str(); "endpoint health changed");
+                }
+                Change::NewLife { endpoint, incarnation } => {
+                    log::info!(endpoint = endpoint.as_str(), incarnation = incarnation.0; "endpoint restarted");
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for id in self.health.due_probes(self.now()) {
+            if let Some(spec) = self.document.as_ref().and_then(|document| document.endpoints.get(&id)) {
+                endpoint_feed::probe(&self.shared, &id, spec);
+            }
+        }
+    }
+
+    /// Replaces what traffic reads.
+    fn publish(&self) {
+        let Some(document) = &self.document else { return };
+        let believed = document
+            .endpoints
+            .keys()
+            .map(|id| (id.clone(), self.believed(id)))
+            .collect();
+        let view = Arc::new(View::new(self.revisions.current(), document.clone(), believed));
+        self.count(&view);
+        self.shared
+            .pools
+            .apply(&view, &self.shared.settings.domain, self.shared.clock);
+        self.shared.view.store(Some(view));
+    }
+
+    fn believed(&self, id: &EndpointId) -> Believed {
+        let standing = match self.health.belief(id) {
+            Belief::Live => Standing::Live,
+            Belief::Suspected => Standing::Suspected,
+            Belief::Leaving | Belief::Dead => Standing::Out,
+        };
+        Believed {
+            standing,
+            incarnation: self.health.incarnation(id).unwrap_or_default(),
+            weights: self.weights.get(id).cloned(),
+        }
+    }
+
+    fn count(&self, view: &View) {
+        for (name, standing) in [
+            ("live", Standing::Live),
+            ("suspected", Standing::Suspected),
+            ("out", Standing::Out),
+        ] {
+            let count = view
+                .believed
+                .values()
+                .filter(|believed| believed.standing == standing)
+                .count();
+            self.shared
+                .metrics
+                .endpoints
+                .with_label_values(&[name])
+                .set(count as i64);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.shared.clock.now()
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,5 +16,5 @@
 mod view;
 
 pub use operator::Status;
-pub use run::{RunError, run};
-pub use settings::{Settings, SettingsProblem, read_settings};
+pub use run::{Addresses, RunError, run};
+pub use settings::{LogFormat, LogSettings, Settings, SettingsProblem, read_settings};
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits of workspaces over all routers: this router grants its share of each.
 
-use crate::caller::{Cause, Refused};
 use crate::caller::Caller;
+use crate::caller::{Cause, Refused};
 use crate::clock::Clock;
 use admission::{Limits, ShareLimiter, Take};
 use ids::WorkspaceId;
@@ -34,8 +34,14 @@
 impl WorkspaceLimits {
     /// Limits of which this router grants all, until it hears of others.
     pub fn new(clock: Clock) -> Self {
-        let inner = Inner { share: 1.0, limiters: HashMap::new() };
-        Self { inner: Arc::new(Mutex::new(inner)), clock }
+        let inner = Inner {
+            share: 1.0,
+            limiters: HashMap::new(),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            clock,
+        }
     }
 
     /// This router's share of each limit has changed.
@@ -56,7 +62,10 @@
             clock: self.clock,
         };
         let spec = &caller.spec.limits;
-        let limits = Limits { requests: spec.requests_per_second, tokens: spec.tokens_per_second };
+        let limits = Limits {
+            requests: spec.requests_per_second,
+            tokens: spec.tokens_per_second,
+        };
         if limits == Limits::default() {
             return Ok(taken);
         }
--- a/crates/router/src/metrics/mod.rs
+++ b/crates/router/src/metrics/mod.rs
@@ -51,14 +51,19 @@
             registry.register(Box::new(counter.clone())).expect("a name used once");
             counter
         };
-        let bounds = HistogramOpts::new("first_token_seconds", "Time to first token").buckets(FIRST_TOKEN_BOUNDS.into());
+        let bounds =
+            HistogramOpts::new("first_token_seconds", "Time to first token").buckets(FIRST_TOKEN_BOUNDS.into());
         let first_token = Histogram::with_opts(bounds).expect("a valid histogram");
-        registry.register(Box::new(first_token.clone())).expect("a name used once");
+        registry
+            .register(Box::new(first_token.clone()))
+            .expect("a name used once");
         let revision = IntGauge::new("config_revision", "Configuration revision in force").expect("a valid gauge");
         registry.register(Box::new(revision.clone())).expect("a name used once");
         let endpoints = prometheus::IntGaugeVec::new(Opts::new("endpoints", "Endpoints by standing"), &["standing"])
             .expect("a valid gauge");
-        registry.register(Box::new(endpoints.clone())).expect("a name used once");
+        registry
+            .register(Box::new(endpoints.clone()))
+            .expect("a name used once");
         Self {
             requests: counters("requests_total", "Requests by kind and outcome", &["kind", "outcome"]),
             refusals: counters("refusals_total", "Refusals by whether the request ran", &["ran"]),
--- /dev/null
+++ b/crates/router/src/operator/mod.rs
@@ -0,0 +1,89 @@
+//! What operators meet, on an address of its own: metrics, health, readiness, status.
+
+use crate::pool::PoolStatus;
+use crate::shared::Shared;
+use http::{Conn, Method, Request, Response, StatusCode};
+use ids::{DomainId, Revision, VmId};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// What a running router says of itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether callers should be sent here.
+    pub ready: bool,
+    /// Configuration revision in force, absent before the first.
+    pub revision: Option<Revision>,
+    /// Seconds since it started.
+    pub uptime: u64,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Pools by target.
+    pub pools: Vec<NamedPool>,
+}
+
+/// A pool with its name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NamedPool {
+    /// Its target.
+    pub target: String,
+    /// Its state.
+    pub state: PoolStatus,
+}
+
+/// Answers one request of an operator.
+pub async fn answer(shared: Arc<Shared>, request: Request, _: Conn) -> Response {
+    if request.method() != Method::Get {
+        return Response::new(StatusCode::MethodNotAllowed);
+    }
+    match request.url().path() {
+        "/healthz" => text(StatusCode::Ok, "text/plain", b"ok\n".to_vec()),
+        "/readyz" => ready(&shared),
+        "/metrics" => text(StatusCode::Ok, "text/plain; version=0.0.4", shared.metrics.render()),
+        "/status" => {
+            let body = serde_json::to_vec(&status(&shared)).expect("a status is always JSON");
+            text(StatusCode::Ok, "application/json", body)
+        }
+        _ => Response::new(StatusCode::NotFound),
+    }
+}
+
+fn ready(shared: &Shared) -> Response {
+    if shared.ready() {
+        return text(StatusCode::Ok, "text/plain", b"ready\n".to_vec());
+    }
+    let why: &[u8] = match shared.view.load().is_some() {
+        true => b"shutting down\n",
+        false => b"no configuration yet: neither the platform nor a peer has given one\n",
+    };
+    text(StatusCode::ServiceUnavailable, "text/plain", why.to_vec())
+}
+
+fn status(shared: &Shared) -> Status {
+    let pools = shared.pools.status().into_iter();
+    Status {
+        vm: shared.settings.vm.clone(),
+        domain: shared.settings.domain.clone(),
+        ready: shared.ready(),
+        revision: shared.view.load().as_ref().map(|view| view.revision),
+        uptime: shared.clock.now().as_secs(),
+        in_flight: shared.serving.in_flight(),
+        pools: pools
+            .map(|(target, state)| NamedPool {
+                target: target.to_string(),
+                state,
+            })
+            .collect(),
+    }
+}
+
+fn text(status: StatusCode, content: &str, body: Vec<u8>) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.insert_header("content-type", content);
+    response
+}
--- a/crates/router/src/pool/flight.rs
+++ b/crates/router/src/pool/flight.rs
@@ -19,8 +19,6 @@
     pub endpoint: EndpointId,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its life as believed when it was chosen.
-    pub incarnation: Incarnation,
     /// Why it was chosen.
     pub reason: Reason,
     placed: Duration,
@@ -34,7 +32,6 @@
             key: member.key,
             endpoint: member.id.clone(),
             address: member.address,
-            incarnation: member.believed.incarnation,
             reason,
             placed,
             ticket,
@@ -45,7 +42,8 @@
     pub fn first_token(&self, uncached: u64) -> Duration {
         let now = self.pool.clock.now();
         let after = now.saturating_sub(self.placed);
-        self.pool.change(|state| state.loads.first_token(self.key, self.ticket, uncached, now));
+        self.pool
+            .change(|state| state.loads.first_token(self.key, self.ticket, uncached, now));
         self.observe(Sample::FirstToken { after, uncached });
         after
     }
@@ -64,7 +62,8 @@
     /// The answer showed how much of the prompt was cached, and by which life of the endpoint.
     pub fn learn(&self, incarnation: Incarnation, chain: &PrefixChain, cached: usize) {
         let now = self.pool.clock.now();
-        self.pool.change(|state| state.placer.learn(self.key, incarnation, chain, cached, now));
+        self.pool
+            .change(|state| state.placer.learn(self.key, incarnation, chain, cached, now));
     }
 }
 
--- a/crates/router/src/pool/mod.rs
+++ b/crates/router/src/pool/mod.rs
@@ -19,7 +19,7 @@
 
 pub use flight::Flight;
 pub use permit::Permit;
-pub use state::PoolStatus;
+pub use state::{PoolStatus, Wish};
 
 use permit::{Turn, Waiting};
 use state::State;
@@ -41,7 +41,9 @@
         let mut pools = lock(&self.pools);
         pools.retain(|target, _| view.targets().any(|wanted| wanted == target));
         for target in view.targets() {
-            let pool = pools.entry(target.clone()).or_insert_with(|| Arc::new(Pool::new(clock)));
+            let pool = pools
+                .entry(target.clone())
+                .or_insert_with(|| Arc::new(Pool::new(clock)));
             pool.change(|state| state.apply(view, target, domain, clock.now()));
         }
     }
@@ -56,7 +58,10 @@
     /// State of each pool for operators.
     pub fn status(&self) -> Vec<(Target, PoolStatus)> {
         let pools = lock(&self.pools);
-        let mut list: Vec<_> = pools.iter().map(|(target, pool)| (target.clone(), lock(&pool.state).status())).collect();
+        let mut list: Vec<_> = pools
+            .iter()
+            .map(|(target, pool)| (target.clone(), lock(&pool.state).status()))
+            .collect();
         list.sort_by(|a, b| a.0.cmp(&b.0));
         list
     }
@@ -87,7 +92,10 @@
 
 impl Pool {
     fn new(clock: Clock) -> Self {
-        Self { clock, state: Mutex::new(State::new()) }
+        Self {
+            clock,
+            state: Mutex::new(State::new()),
+        }
     }
 
     /// Waits for a slot of the pool. Dropping the future gives up the place in the queue.
@@ -97,7 +105,7 @@
     pub async fn enter(self: &Arc<Self>, job: Job) -> Result<Permit, Refusal> {
         let waiting = {
             let mut state = lock(&self.state);
-            match state.admission.offer(job, self.clock.now()) {
+            match state.admission.offer(&job, self.clock.now()) {
                 Offer::Start(ticket) => return Ok(Permit::new(self.clone(), ticket)),
                 Offer::Refuse(refusal) => return Err(refusal),
                 Offer::Wait(ticket) => {
--- a/crates/router/src/pool/permit.rs
+++ b/crates/router/src/pool/permit.rs
@@ -24,7 +24,10 @@
 
 impl Waiting {
     pub(super) fn new(pool: Arc<Pool>, ticket: Ticket) -> Self {
-        Self { pool, ticket: Some(ticket) }
+        Self {
+            pool,
+            ticket: Some(ticket),
+        }
     }
 
     /// The pool has answered: the ticket belongs to the permit now, or has ended.
@@ -54,7 +57,10 @@
 
 impl Permit {
     pub(super) fn new(pool: Arc<Pool>, ticket: Ticket) -> Self {
-        Self { pool, ticket: Some(ticket) }
+        Self {
+            pool,
+            ticket: Some(ticket),
+        }
     }
 
     /// Chooses an endpoint, none if no endpoint can take the request.
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -106,13 +106,20 @@
 
     /// Keeps admission's capacity at the sum of the endpoints' limits.
     pub(super) fn fit(&mut self, now: Duration) {
-        let live = self.members.iter().filter(|member| member.believed.standing != Standing::Out);
+        let live = self
+            .members
+            .iter()
+            .filter(|member| member.believed.standing != Standing::Out);
         let capacity = live.map(|member| member.limit.limit()).sum();
         self.admission.set_capacity(capacity, now);
     }
 
     pub(super) fn expected_blocks(&mut self, chain: &PrefixChain, now: Duration) -> usize {
-        let wish = Wish { chain, weights: None, avoid: &[] };
+        let wish = Wish {
+            chain,
+            weights: None,
+            avoid: &[],
+        };
         match self.choose(&wish, now) {
             Some((_, pick)) => pick.cached,
             None => 0,
@@ -146,13 +153,21 @@
         // All limits are reached, which a shrinking limit can cause after admission: the emptiest below its ceiling.
         let below = open.iter().filter(|(index, _)| self.members[*index].below_ceiling());
         let emptiest = below.min_by_key(|(_, candidate)| candidate.in_flight)?;
-        Some((emptiest.0, Pick { index: 0, cached: 0, reason: Reason::Drawn }))
+        Some((
+            emptiest.0,
+            Pick {
+                index: 0,
+                cached: 0,
+                reason: Reason::Drawn,
+            },
+        ))
     }
 
     fn candidates(&self, wish: &Wish<'_>, standing: Standing, now: Duration) -> Vec<(usize, Candidate)> {
         let members = self.members.iter().enumerate();
         let open = members.filter(|(_, member)| member.believed.standing == standing && member.fits(wish));
-        open.map(|(index, member)| (index, self.candidate(member, now))).collect()
+        open.map(|(index, member)| (index, self.candidate(member, now)))
+            .collect()
     }
 
     fn candidate(&self, member: &Member, now: Duration) -> Candidate {
@@ -184,7 +199,10 @@
 
     pub(super) fn status(&self) -> PoolStatus {
         let counts = self.admission.counts();
-        let live = self.members.iter().filter(|member| member.believed.standing != Standing::Out);
+        let live = self
+            .members
+            .iter()
+            .filter(|member| member.believed.standing != Standing::Out);
         PoolStatus {
             waiting: counts.waiting,
             running: counts.running,
--- a/crates/router/src/settings/checks.rs
+++ b/crates/router/src/settings/checks.rs
@@ -55,9 +55,15 @@
         let path = err.path().to_string();
         vec![problem(&path, SettingsProblemKind::Shape(err.into_inner().to_string()))]
     })?;
-    reader.end().map_err(|err| vec![problem(".", SettingsProblemKind::Shape(err.to_string()))])?;
+    reader
+        .end()
+        .map_err(|err| vec![problem(".", SettingsProblemKind::Shape(err.to_string()))])?;
     let problems = check(&settings);
-    if problems.is_empty() { Ok(settings) } else { Err(problems) }
+    if problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(problems)
+    }
 }
 
 fn check(settings: &Settings) -> Vec<SettingsProblem> {
@@ -115,10 +121,16 @@
         }
     }
     if settings.limits.body_ms > settings.limits.request_ms {
-        problems.push(problem("limits.body_ms", SettingsProblemKind::LongerThan("limits.request_ms")));
+        problems.push(problem(
+            "limits.body_ms",
+            SettingsProblemKind::LongerThan("limits.request_ms"),
+        ));
     }
     if settings.limits.request_ms > settings.shutdown.grace_ms {
-        problems.push(problem("limits.request_ms", SettingsProblemKind::LongerThan("shutdown.grace_ms")));
+        problems.push(problem(
+            "limits.request_ms",
+            SettingsProblemKind::LongerThan("shutdown.grace_ms"),
+        ));
     }
 }
 
@@ -136,5 +148,8 @@
 }
 
 fn problem(path: &str, kind: SettingsProblemKind) -> SettingsProblem {
-    SettingsProblem { path: path.to_owned(), kind }
+    SettingsProblem {
+        path: path.to_owned(),
+        kind,
+    }
 }
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -113,13 +113,19 @@
 
 impl Default for ShutdownSettings {
     fn default() -> Self {
-        Self { notice_ms: 3_000, grace_ms: 60_000 }
+        Self {
+            notice_ms: 3_000,
+            grace_ms: 60_000,
+        }
     }
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { format: LogFormat::Json, level: "info".to_owned() }
+        Self {
+            format: LogFormat::Json,
+            level: "info".to_owned(),
+        }
     }
 }
 
--- a/crates/router/src/view/mod.rs
+++ b/crates/router/src/view/mod.rs
@@ -44,7 +44,13 @@
         for (id, endpoint) in &document.endpoints {
             members.entry(target(&endpoint.role)).or_default().push(id.clone());
         }
-        Self { revision, document, believed, keys, members }
+        Self {
+            revision,
+            document,
+            believed,
+            keys,
+            members,
+        }
     }
 
     /// The workspace whose key this is.
@@ -73,7 +79,10 @@
     /// The operation of `service` whose path is the longest prefix of `path`.
     pub fn operation(&self, service: &ServiceId, path: &str) -> Option<&Operation> {
         let spec = self.document.services.get(service)?;
-        let matching = spec.operations.iter().filter(|operation| is_below(path, &operation.path));
+        let matching = spec
+            .operations
+            .iter()
+            .filter(|operation| is_below(path, &operation.path));
         matching.max_by_key(|operation| operation.path.len())
     }
 }
