--- /dev/null
+++ b/crates/admission/tests/support/load.rs
@@ -0,0 +1,110 @@
+//! Seeded streams of requests.
+
+use admission::{Job, Tokens};
+use ids::{Priority, WorkspaceId};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// One caller's request.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub at: Duration,
+    pub workspace: u32,
+    pub weight: u32,
+    pub rank: u8,
+    pub tokens: Tokens,
+    /// Tokens as they turn out.
+    pub truth: Tokens,
+    pub slack: Option<Duration>,
+}
+
+impl Arrival {
+    pub fn job(&self) -> Job {
+        Job {
+            workspace: WorkspaceId::from(format!("w{}", self.workspace)),
+            weight: self.weight,
+            priority: Priority(self.rank),
+            tokens: self.tokens,
+            deadline: self.slack.map(|slack| self.at + slack),
+        }
+    }
+}
+
+/// Requests of one kind, at random times.
+#[derive(Debug, Clone, Copy)]
+pub struct Stream {
+    pub workspace: u32,
+    pub rank: u8,
+    /// Requests a second.
+    pub rate: f64,
+    /// Seconds from and until.
+    pub span: (f64, f64),
+    /// Mean tokens; each request's are between half and one and a half of them.
+    pub tokens: Tokens,
+    /// Estimated by true output.
+    pub estimate: f64,
+    /// Seconds until the deadline.
+    pub slack: Option<f64>,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        Self {
+            workspace: 0,
+            rank: 5,
+            rate: 1.0,
+            span: (0.0, 120.0),
+            tokens: Tokens {
+                uncached: 1_400,
+                output: 40,
+            },
+            estimate: 1.0,
+            slack: Some(4.0),
+        }
+    }
+}
+
+/// All requests of the streams.
+pub fn arrivals(streams: &[Stream], seed: u64) -> Vec<Arrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    for stream in streams {
+        let mut at = stream.span.0;
+        loop {
+            at -= random.random::<f64>().max(1e-12).ln() / stream.rate;
+            if at >= stream.span.1 {
+                break;
+            }
+            let size = 0.5 + random.random::<f64>();
+            all.push(arrival(stream, at, size));
+        }
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+fn arrival(stream: &Stream, at: f64, size: f64) -> Arrival {
+    let scaled = |tokens: u64, factor: f64| (tokens as f64 * factor) as u64;
+    let uncached = scaled(stream.tokens.uncached, size);
+    Arrival {
+        at: seconds(at),
+        workspace: stream.workspace,
+        weight: 1,
+        rank: stream.rank,
+        tokens: Tokens {
+            uncached,
+            output: scaled(stream.tokens.output, size * stream.estimate),
+        },
+        truth: Tokens {
+            uncached,
+            output: scaled(stream.tokens.output, size),
+        },
+        slack: stream.slack.map(seconds),
+    }
+}
+
+/// Duration of so many seconds.
+pub fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
--- /dev/null
+++ b/crates/admission/tests/support/scenarios.rs
@@ -0,0 +1,348 @@
+//! Scenarios, each with a mechanism off and on, and what the callers receive.
+
+use crate::support::{Endpoint, Got, Served, Setup, Stream, arrivals, first_quantile, goodput, in_time, run};
+use admission::{Mechanisms, Settings, Tokens};
+
+/// Slots of the pools; with half a second a request they serve 32 a second.
+pub const SLOTS: u32 = 16;
+const SEED: u64 = 11;
+/// What is judged, seconds; before it the service model learns.
+const JUDGED: (f64, f64) = (10.0, 120.0);
+
+/// Named figures of one run.
+pub type Figures = Vec<(&'static str, f64)>;
+
+/// A load, a pool and what is measured.
+pub struct Scenario {
+    pub name: &'static str,
+    setup: fn(bool) -> Setup,
+    streams: fn() -> Vec<Stream>,
+    measure: fn(&[Served]) -> Figures,
+}
+
+impl Scenario {
+    /// Runs it with the mechanism on or off.
+    pub fn run(&self, on: bool) -> Figures {
+        let served = run(&(self.setup)(on), &arrivals(&(self.streams)(), SEED));
+        let warm = |one: &&Served| one.arrival.at.as_secs_f64() > JUDGED.0;
+        let judged: Vec<Served> = served.iter().filter(warm).copied().collect();
+        let mut figures = (self.measure)(&judged);
+        figures.push(("goodput", goodput(&served, SLOTS, JUDGED)));
+        figures.push(("refused after waiting", refused_late(&judged)));
+        figures
+    }
+}
+
+/// All scenarios.
+pub fn all() -> Vec<Scenario> {
+    vec![
+        Scenario {
+            name: "burst",
+            setup: refuse,
+            streams: burst,
+            measure: whole,
+        },
+        Scenario {
+            name: "burst, callers come back",
+            setup: come_back,
+            streams: burst,
+            measure: returns,
+        },
+        Scenario {
+            name: "hot caller",
+            setup: fair,
+            streams: hot,
+            measure: behaved,
+        },
+        Scenario {
+            name: "urgent hot caller",
+            setup: fair,
+            streams: urgent_hot,
+            measure: behaved,
+        },
+        Scenario {
+            name: "slow endpoint",
+            setup: slow_endpoint,
+            streams: || even(0.7),
+            measure: firsts,
+        },
+        Scenario {
+            name: "full endpoints",
+            setup: full_endpoints,
+            streams: || even(2.0),
+            measure: firsts,
+        },
+        Scenario {
+            name: "long among short",
+            setup: lengths,
+            streams: long_short,
+            measure: by_length,
+        },
+        Scenario {
+            name: "overload 2x",
+            setup: refuse,
+            streams: || even(2.0),
+            measure: whole,
+        },
+        Scenario {
+            name: "overload 4x",
+            setup: refuse,
+            streams: || even(4.0),
+            measure: whole,
+        },
+        Scenario {
+            name: "mixed lengths 4x",
+            setup: refuse,
+            streams: mixed,
+            measure: whole,
+        },
+        Scenario {
+            name: "priorities",
+            setup: priorities,
+            streams: ranks,
+            measure: by_rank,
+        },
+    ]
+}
+
+fn pool(mechanisms: Mechanisms) -> Setup {
+    Setup::pool(SLOTS, Settings::builder().mechanisms(mechanisms).build())
+}
+
+fn refuse(on: bool) -> Setup {
+    pool(Mechanisms {
+        refuse: on,
+        ..Mechanisms::default()
+    })
+}
+
+fn fair(on: bool) -> Setup {
+    pool(Mechanisms {
+        fair: on,
+        ..Mechanisms::default()
+    })
+}
+
+fn lengths(on: bool) -> Setup {
+    pool(Mechanisms {
+        reserve: on,
+        short_first: on,
+        ..Mechanisms::default()
+    })
+}
+
+fn priorities(on: bool) -> Setup {
+    pool(Mechanisms {
+        priorities: on,
+        ..Mechanisms::default()
+    })
+}
+
+fn come_back(on: bool) -> Setup {
+    Setup {
+        come_back: on,
+        ..pool(Mechanisms::default())
+    }
+}
+
+fn slow_endpoint(on: bool) -> Setup {
+    let sound = Endpoint {
+        slots: SLOTS,
+        ..Endpoint::sound(SLOTS / 4)
+    };
+    let slow = Endpoint {
+        slow: (10.0, 20.0, 100.0),
+        ..sound
+    };
+    Setup {
+        endpoints: vec![sound, sound, sound, slow],
+        adaptive: on,
+        ..pool(Mechanisms::default())
+    }
+}
+
+/// The operators allow each endpoint eight times what it can work on at once.
+fn full_endpoints(on: bool) -> Setup {
+    let endpoint = Endpoint {
+        slots: SLOTS * 2,
+        ..Endpoint::sound(SLOTS / 4)
+    };
+    Setup {
+        endpoints: vec![endpoint; 4],
+        adaptive: on,
+        ..pool(Mechanisms::default())
+    }
+}
+
+/// Eight workspaces that together ask for `load` times what the pool can serve.
+fn even(load: f64) -> Vec<Stream> {
+    let stream = |workspace| Stream {
+        workspace,
+        rate: load * 4.0,
+        ..Stream::default()
+    };
+    (1..=8).map(stream).collect()
+}
+
+fn burst() -> Vec<Stream> {
+    let mut streams = even(0.5);
+    streams.push(Stream {
+        workspace: 1,
+        rate: 160.0,
+        span: (20.0, 24.0),
+        ..Stream::default()
+    });
+    streams
+}
+
+fn hot() -> Vec<Stream> {
+    let mut streams = even(0.5);
+    streams.push(Stream {
+        workspace: 0,
+        rate: 96.0,
+        ..Stream::default()
+    });
+    streams
+}
+
+fn urgent_hot() -> Vec<Stream> {
+    let mut streams = even(0.5);
+    streams.push(Stream {
+        workspace: 0,
+        rank: 0,
+        rate: 96.0,
+        ..Stream::default()
+    });
+    streams
+}
+
+fn long_short() -> Vec<Stream> {
+    let mut streams = even(0.5);
+    let tokens = Tokens {
+        uncached: 20_000,
+        output: 1_900,
+    };
+    streams.push(Stream {
+        workspace: 9,
+        rate: 0.8,
+        tokens,
+        slack: Some(120.0),
+        ..Stream::default()
+    });
+    streams
+}
+
+/// Jobs of a fifth of a second, of a second and of five, a third of the load each.
+fn mixed() -> Vec<Stream> {
+    let sizes = [(10, 107.0, 2.0), (80, 21.3, 6.0), (480, 4.3, 20.0)];
+    let stream = |workspace| {
+        sizes.map(|(output, rate, slack)| {
+            let tokens = Tokens {
+                uncached: 1_400,
+                output,
+            };
+            Stream {
+                workspace,
+                rate: rate / 8.0,
+                tokens,
+                slack: Some(slack),
+                ..Stream::default()
+            }
+        })
+    };
+    (1..=8).flat_map(stream).collect()
+}
+
+fn ranks() -> Vec<Stream> {
+    let streams = even(1.5).into_iter();
+    let ranked = |stream: Stream| {
+        let urgent = Stream {
+            rank: 0,
+            rate: stream.rate * 0.2,
+            ..stream
+        };
+        [
+            urgent,
+            Stream {
+                rank: 9,
+                rate: stream.rate * 0.8,
+                ..stream
+            },
+        ]
+    };
+    streams.flat_map(ranked).collect()
+}
+
+fn late(served: &[Served]) -> f64 {
+    served.iter().filter(|one| one.got == Got::Late).count() as f64 / served.len() as f64
+}
+
+/// Share of the requests that were refused after they had waited.
+fn refused_late(served: &[Served]) -> f64 {
+    let refused = served
+        .iter()
+        .filter(|one| matches!(one.got, Got::Refused(_)) && !one.after.is_zero());
+    refused.count() as f64 / served.len() as f64
+}
+
+fn whole(served: &[Served]) -> Figures {
+    vec![
+        ("in time", in_time(served, |_| true)),
+        ("late", late(served)),
+        ("p99 first token, s", first_quantile(served, 0.99, |_| true)),
+    ]
+}
+
+fn returns(served: &[Served]) -> Figures {
+    let finals = served.len() as f64 - served.iter().filter(|one| one.second).count() as f64;
+    let good = served
+        .iter()
+        .filter(|one| matches!(one.got, Got::Answer { .. }))
+        .count() as f64;
+    let mut figures = vec![("callers served in the end", good / finals)];
+    let second = served.iter().any(|one| one.second);
+    figures.push((
+        "second tries in time",
+        if second {
+            in_time(served, |one| one.second)
+        } else {
+            f64::NAN
+        },
+    ));
+    figures
+}
+
+fn behaved(served: &[Served]) -> Figures {
+    let behaved = |one: &Served| one.arrival.workspace != 0;
+    vec![
+        ("others in time", in_time(served, behaved)),
+        ("others p99 first token, s", first_quantile(served, 0.99, behaved)),
+        ("hot in time", in_time(served, |one| !behaved(one))),
+    ]
+}
+
+fn firsts(served: &[Served]) -> Figures {
+    vec![
+        ("in time", in_time(served, |_| true)),
+        ("late", late(served)),
+        ("p99 first token, s", first_quantile(served, 0.99, |_| true)),
+    ]
+}
+
+fn by_length(served: &[Served]) -> Figures {
+    let short = |one: &Served| one.arrival.workspace != 9;
+    vec![
+        ("short in time", in_time(served, short)),
+        ("short p99 first token, s", first_quantile(served, 0.99, short)),
+        ("long in time", in_time(served, |one| !short(one))),
+    ]
+}
+
+fn by_rank(served: &[Served]) -> Figures {
+    let urgent = |one: &Served| one.arrival.rank == 0;
+    vec![
+        ("urgent in time", in_time(served, urgent)),
+        ("urgent p99 first token, s", first_quantile(served, 0.99, urgent)),
+        ("others in time", in_time(served, |one| !urgent(one))),
+    ]
+}
