--- /dev/null
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -0,0 +1,329 @@
+//! Starts a whole site as processes on loopback, ports given by the system, and speaks to it as callers do.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use async_std::task;
+use config::{ChangeId, OperatorKey, UnixMillis, bootstrap};
+use http::{Client, Method, Reply, Request, SendError, StatusCode, Url};
+use ids::{Digest, Version};
+use platform::Platform;
+use serde::Serialize;
+use serde_json::{Value, json};
+use standins::process::Running;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant};
+use wire::platform::Put;
+
+/// Key of the workspace `board`.
+pub const KEY: &str = "board-key";
+/// Key of the workspace `other`, which may call nothing.
+pub const OTHER_KEY: &str = "other-key";
+/// Key of the operator `ops`.
+pub const OPERATOR_KEY: &str = "ops-key";
+/// Longest wait for what must happen in the end; a test never measures time.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const BODY: u64 = 16 << 20;
+
+/// What a site consists of.
+pub struct Plan<'a> {
+    /// Arguments of each engine.
+    pub engines: Vec<Vec<&'a str>>,
+    /// Arguments of each runner of the service `silo`.
+    pub services: Vec<Vec<&'a str>>,
+    /// Number of routers.
+    pub routers: usize,
+}
+
+impl Default for Plan<'_> {
+    fn default() -> Self {
+        Self {
+            engines: vec![vec![], vec![]],
+            services: vec![vec![]],
+            routers: 1,
+        }
+    }
+}
+
+/// A running site; its processes end with it.
+pub struct Site {
+    /// The platform.
+    pub platform: Running,
+    /// Engines `e0`, `e1` and so on.
+    pub engines: Vec<Running>,
+    /// Runners `s0`, `s1` and so on.
+    pub services: Vec<Running>,
+    /// Routers `r0`, `r1` and so on.
+    pub routers: Vec<Running>,
+    folder: tempfile::TempDir,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// The router's id of the request.
+    pub request: String,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+
+    /// Code and `ran` of a refusal.
+    pub fn refusal(&self) -> (String, String) {
+        let error = &self.json()["error"];
+        let text = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
+        (text("code"), text("ran"))
+    }
+}
+
+impl Site {
+    /// Starts everything, puts a configuration in force and waits until the routers are ready.
+    pub fn start(plan: &Plan) -> Self {
+        let platform = standin("standin-platform", &[]);
+        let engines: Vec<Running> = plan
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(i, args)| engine(i, args))
+            .collect();
+        let services: Vec<Running> = plan
+            .services
+            .iter()
+            .map(|args| standin("standin-service", args))
+            .collect();
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut site = Self {
+            platform,
+            engines,
+            services,
+            routers: Vec::new(),
+            folder,
+        };
+        site.publish(&site.document());
+        for index in 0..plan.routers {
+            let router = site.start_router(index);
+            site.routers.push(router);
+        }
+        for index in 0..plan.routers {
+            site.until_ready(index);
+        }
+        site
+    }
+
+    /// The document that names everything in this site.
+    pub fn document(&self) -> Value {
+        let digest = |key: &str| Digest::of(key.as_bytes()).to_string();
+        let mut endpoints = serde_json::Map::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            let spec = json!({"address": engine.address, "domain": "lahore", "role": {"model": "advisory"}});
+            endpoints.insert(format!("e{index}"), spec);
+        }
+        for (index, service) in self.services.iter().enumerate() {
+            let spec = json!({"address": service.address, "domain": "lahore", "role": {"service": "silo"}});
+            endpoints.insert(format!("s{index}"), spec);
+        }
+        json!({
+            "operators": {"ops": {"key": digest(OPERATOR_KEY), "sections":
+                ["operators", "workspaces", "models", "services", "priorities", "endpoints"]}},
+            "workspaces": {
+                "board": {"keys": [digest(KEY)], "models": ["advisory"], "services": ["silo"]},
+                "other": {"keys": [digest(OTHER_KEY)]},
+            },
+            "models": {"advisory": {"versions": ["w1", "w2"], "wanted": "w1"}},
+            "services": {"silo": {"operations": [
+                {"path": "/probes", "idempotent": true},
+                {"path": "/fans", "idempotent": false},
+                {"path": "/dedup", "idempotent": false, "deduplicates": true},
+            ]}},
+            "priorities": {"urgent": {"rank": 0}, "batch": {"rank": 9}},
+            "endpoints": endpoints,
+        })
+    }
+
+    fn publish(&self, document: &Value) {
+        let platform = self.platform_client();
+        let key = OperatorKey::from(OPERATOR_KEY.to_owned());
+        let id = ChangeId::from("first".to_owned());
+        let plan = bootstrap(&id, "ops", &key, &document.to_string(), UnixMillis(0)).expect("a valid document");
+        for value in &plan.puts {
+            put(&platform, &value.key, &value.text);
+        }
+        put(&platform, config::HEAD_KEY, &plan.head.text());
+    }
+
+    /// A client of the site's platform.
+    pub fn platform_client(&self) -> Platform {
+        Platform::new(vec![self.platform.address], PATIENCE)
+    }
+
+    /// Starts a router of this number; several lives may follow each other.
+    pub fn start_router(&self, index: usize) -> Running {
+        let settings = json!({
+            "vm": format!("r{index}"), "domain": "lahore",
+            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+            "platform": {"addresses": [self.platform.address], "timeout_ms": 500, "watch_ms": 1000},
+            "limits": {"head_ms": 1000, "body_ms": 1000, "body_bytes": 1_048_576, "request_ms": 20_000},
+            "shutdown": {"notice_ms": 200, "grace_ms": 20_000},
+            "log": {"format": "text", "level": "warn"},
+        });
+        let file = self.folder.path().join(format!("r{index}.json"));
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_apricotfork"));
+        command.args(["serve", "--settings"]).arg(file);
+        Running::start_with(&mut command).expect("a router")
+    }
+
+    /// Waits until a router is ready.
+    pub fn until_ready(&self, index: usize) {
+        let operators = operators(&self.routers[index]);
+        until("the router is ready", || {
+            get(operators, "/readyz").is_ok_and(|answer| answer.status.is_success())
+        });
+    }
+
+    /// A completion's answer by router 0.
+    pub fn complete(&self, path: &str, body: &Value) -> Answer {
+        let headers = [
+            ("authorization", bearer(KEY)),
+            ("content-type", "application/json".to_owned()),
+        ];
+        call(
+            self.routers[0].address,
+            Method::Post,
+            path,
+            &headers,
+            body.to_string().as_bytes(),
+        )
+        .expect("an answer")
+    }
+
+    /// A call's answer of the service `silo` by a router.
+    pub fn silo(&self, router: usize, path: &str, headers: &[(&str, &str)], body: &str) -> Result<Answer, SendError> {
+        let mut all = vec![("authorization", bearer(KEY))];
+        all.extend(headers.iter().map(|(name, value)| (*name, (*value).to_owned())));
+        call(
+            self.routers[router].address,
+            Method::Post,
+            &format!("/services/silo{path}"),
+            &all,
+            body.as_bytes(),
+        )
+    }
+
+    /// Executions of each key and request, over all runners.
+    pub fn executions(&self) -> wire::service::Executions {
+        let mut sum = wire::service::Executions::default();
+        for service in &self.services {
+            let answer = get(service.address, "/v1/executions").expect("the service's count");
+            let one: wire::service::Executions = serde_json::from_slice(&answer.body).expect("a count");
+            one.by_key
+                .into_iter()
+                .for_each(|(key, count)| *sum.by_key.entry(key).or_default() += count);
+            one.by_request
+                .into_iter()
+                .for_each(|(key, count)| *sum.by_request.entry(key).or_default() += count);
+        }
+        sum
+    }
+
+    /// What an engine says it sent for a request.
+    pub fn sent(&self, request: &str) -> Vec<u8> {
+        let asked = self
+            .engines
+            .iter()
+            .map(|engine| get(engine.address, &format!("/v1/sent?request={request}")));
+        let found = asked.flatten().find(|answer| answer.status.is_success());
+        found.expect("an engine that answered").body
+    }
+}
+
+/// The address for operators, from the line the router printed.
+pub fn operators(router: &Running) -> SocketAddr {
+    let mut words = router.line.split_whitespace().skip_while(|word| *word != "operators");
+    words
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .expect("the operators' address")
+}
+
+/// Sets a fault switch.
+pub fn fault<F: Serialize>(at: SocketAddr, fault: &F) {
+    let body = serde_json::to_vec(fault).expect("a fault is JSON");
+    let answer = call(at, Method::Post, "/fault", &[], &body).expect("the fault switch");
+    assert_eq!(answer.status, StatusCode::NoContent);
+}
+
+/// Waits until `what` holds.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// One call and its whole answer.
+pub fn call(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> Result<Answer, SendError> {
+    let url = Url::parse(&format!("http://{to}{path}")).expect("a URL");
+    let mut request = Request::new(method, url);
+    for (name, value) in headers {
+        request.insert_header(*name, value.as_str());
+    }
+    task::block_on(async {
+        let reply: Reply = Client::new().send_once(to, request, body, PATIENCE, || true).await?;
+        let status = reply.status();
+        let request = reply.header(wire::headers::REQUEST_ID).unwrap_or_default().to_owned();
+        let body = reply.whole(BODY).await.map_err(|_| SendError::NoAnswer)?;
+        Ok(Answer { status, request, body })
+    })
+}
+
+/// One `GET`.
+pub fn get(to: SocketAddr, path: &str) -> Result<Answer, SendError> {
+    call(to, Method::Get, path, &[], &[])
+}
+
+/// The header of a key.
+pub fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+fn engine(index: usize, args: &[&str]) -> Running {
+    let id = format!("e{index}");
+    let mut all = vec!["--id", id.as_str(), "--model", "advisory"];
+    all.extend(args);
+    standin("standin-engine", &all)
+}
+
+/// Starts a stand-in, which `cargo xtask test` has built beside the router.
+pub fn standin(name: &str, args: &[&str]) -> Running {
+    Running::start(&program(name), args).unwrap_or_else(|err| panic!("{name}: {err}; run `cargo build --workspace`"))
+}
+
+fn program(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_apricotfork")).with_file_name(name)
+}
+
+fn put(platform: &Platform, key: &str, text: &str) {
+    let put = Put {
+        key: key.to_owned(),
+        value: Some(text.to_owned()),
+        expect: Version(0),
+        lease: None,
+    };
+    let written = task::block_on(platform.put(&put)).expect("the platform");
+    assert!(matches!(written, platform::Written::Done(_)), "the key {key} is new");
+}
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -4,6 +4,7 @@
 use super::event::{Event, LoadSeen, Sighting};
 use crate::shared::Shared;
 use crate::view::{Believed, Standing, View};
+use admission::ShareView;
 use config::{Adopt, Document, Head, Revisions};
 use control::health::{self, Belief, Change, EndpointHealth, Listing};
 use ids::{EndpointId, WeightsVersion};
@@ -22,6 +23,7 @@
     health: EndpointHealth,
     weights: HashMap<EndpointId, WeightsVersion>,
     feeds: Feeds,
+    shares: ShareView,
 }
 
 impl Control {
@@ -34,6 +36,7 @@
             health: EndpointHealth::default(),
             weights: HashMap::new(),
             feeds: Feeds::default(),
+            shares: ShareView::new(1),
         }
     }
 
@@ -86,9 +89,24 @@
             .iter()
             .map(|vm| (EndpointId::from(vm.id.as_str()), listing(vm.state)))
             .collect();
+        self.share(&listed);
         self.health_event(health::Event::Listed(listed));
     }
 
+    /// Splits the limits of workspaces between the routers that the list names.
+    fn share(&mut self, listed: &BTreeMap<EndpointId, Listing>) {
+        let Some(document) = &self.document else { return };
+        let live = listed.iter().filter(|(_, listing)| **listing == Listing::Live);
+        let routers = live
+            .filter(|(id, _)| !document.endpoints.contains_key(*id))
+            .count()
+            .max(1);
+        let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+        let now = self.now();
+        self.shares.observe(routers, Some(routers), now);
+        self.shared.limits.set_share(self.shares.even_share(), now);
+    }
+
     fn sighted(&mut self, id: &EndpointId, sighting: Sighting) {
         let endpoint = id.clone();
         match sighting {
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -95,11 +95,6 @@
         self.loads.report(key, report);
     }
 
-    /// An endpoint's cache events have a gap.
-    pub fn mark_uncertain(&mut self, key: EndpointKey) {
-        self.placer.mark_uncertain(key);
-    }
-
     pub(super) fn position(&self, key: EndpointKey) -> Option<usize> {
         self.members.binary_search_by_key(&key, |member| member.key).ok()
     }
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -12,6 +12,8 @@
 pub struct Running {
     /// Where it serves.
     pub address: SocketAddr,
+    /// The line it printed; a router names its other addresses there as well.
+    pub line: String,
     child: Child,
 }
 
@@ -33,9 +35,10 @@
         let mut line = String::new();
         let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let read = BufReader::new(output).read_line(&mut line);
-        let address = line.trim().strip_prefix(ANNOUNCED).and_then(|text| text.parse().ok());
+        let mut words = line.strip_prefix(ANNOUNCED).unwrap_or_default().split_whitespace();
+        let address = words.next().and_then(|text| text.parse().ok());
         match (read, address) {
-            (Ok(_), Some(address)) => Ok(Self { address, child }),
+            (Ok(_), Some(address)) => Ok(Self { address, line, child }),
             _ => {
                 let _ = child.kill();
                 let _ = child.wait();
