Engine stand-in: block hashes as the router computes them

The stand-in had hashes of its own, so that no cache event could have matched a prompt. Now xxh3 chained from the digest of scope, model and weights, written a second time here and compared with placement's by a test.

--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -2,13 +2,14 @@
 
 use ids::Digest;
 use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Cached blocks by the hash of their chain.
 #[derive(Debug)]
 pub struct BlockCache {
     capacity: usize,
-    blocks: HashMap<Digest, Kept>,
-    by_use: BTreeMap<u64, Digest>,
+    blocks: HashMap<u64, Kept>,
+    by_use: BTreeMap<u64, u64>,
     newest_use: u64,
 }
 
@@ -16,9 +17,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
     /// Now in the cache.
-    Stored(Digest),
+    Stored(u64),
     /// No longer in the cache.
-    Evicted(Digest),
+    Evicted(u64),
 }
 
 #[derive(Debug)]
@@ -27,17 +28,32 @@
     used: u64,
 }
 
-/// Hashes of the whole blocks of `prompt`, each covering all before it.
-pub fn chain(seed: [&str; 3], prompt: &[u8], block_bytes: usize) -> Vec<Digest> {
-    let mut previous = Digest::of(seed.join("\n").as_bytes());
+/// Hashes of the whole blocks of `prompt`, each covering all before it; `seed` is scope, model and weights.
+pub fn chain(seed: [&str; 3], prompt: &[u8], block_bytes: usize) -> Vec<u64> {
+    let mut text = Vec::new();
+    for part in seed {
+        text.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        text.extend_from_slice(part.as_bytes());
+    }
     let mut hashes = Vec::with_capacity(prompt.len() / block_bytes);
+    let mut previous = Digest::of(&text).prefix();
     for block in prompt.chunks_exact(block_bytes) {
-        previous = Digest::of(&[previous.to_string().as_bytes(), block].concat());
+        previous = xxh3_64_with_seed(block, previous);
         hashes.push(previous);
     }
     hashes
 }
 
+/// A hash as it is written in messages.
+pub fn hash_text(hash: u64) -> String {
+    format!("{hash:016x}")
+}
+
+/// Reads a hash from a message.
+pub fn read_hash(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
+
 impl BlockCache {
     /// An empty cache for `capacity` blocks.
     pub fn new(capacity: usize) -> Self {
@@ -65,17 +81,17 @@
     }
 
     /// Whether it holds this block for this scope.
-    pub fn contains(&self, scope: &str, hash: &Digest) -> bool {
-        self.blocks.get(hash).is_some_and(|kept| kept.scope == scope)
+    pub fn contains(&self, scope: &str, hash: u64) -> bool {
+        self.blocks.get(&hash).is_some_and(|kept| kept.scope == scope)
     }
 
     /// How many of `hashes` are cached from the first on without a gap.
-    pub fn matched(&self, scope: &str, hashes: &[Digest]) -> usize {
-        hashes.iter().take_while(|hash| self.contains(scope, hash)).count()
+    pub fn matched(&self, scope: &str, hashes: &[u64]) -> usize {
+        hashes.iter().take_while(|hash| self.contains(scope, **hash)).count()
     }
 
     /// Stores or uses all of `hashes`; what had to change comes back.
-    pub fn store(&mut self, scope: &str, hashes: &[Digest]) -> Vec<Change> {
+    pub fn store(&mut self, scope: &str, hashes: &[u64]) -> Vec<Change> {
         let mut changes = Vec::new();
         // From the end, so that a chain's start is newer than its tail and is evicted after it.
         for hash in hashes.iter().take(self.capacity).rev() {
--- a/crates/standins/src/engine/events.rs
+++ b/crates/standins/src/engine/events.rs
@@ -1,6 +1,6 @@
 //! Cache events: numbered, shown late, some lost.
 
-use super::cache::Change;
+use super::cache::{Change, hash_text};
 use std::collections::VecDeque;
 use std::time::Duration;
 use wire::engine::Event;
@@ -28,8 +28,8 @@
             return;
         }
         let (block, stored) = match change {
-            Change::Stored(hash) => (hash.to_string(), true),
-            Change::Evicted(hash) => (hash.to_string(), false),
+            Change::Stored(hash) => (hash_text(hash), true),
+            Change::Evicted(hash) => (hash_text(hash), false),
         };
         self.kept.push_back((
             visible,
--- a/crates/standins/src/engine/generate.rs
+++ b/crates/standins/src/engine/generate.rs
@@ -9,7 +9,7 @@
 use async_std::{io, task};
 use futures::TryStreamExt;
 use http_types::{Body, Response, StatusCode};
-use ids::{Digest, Incarnation};
+use ids::Incarnation;
 use std::sync::Arc;
 use wire::caller::Completion;
 use wire::engine::RefusedReason;
@@ -37,7 +37,7 @@
     pub(super) weights: String,
     pub(super) scope: String,
     seed: u64,
-    pub(super) hashes: Vec<Digest>,
+    pub(super) hashes: Vec<u64>,
     prompt_tokens: u64,
     wanted: u64,
     resume: u64,
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -1,5 +1,6 @@
 //! Orders: checked against fencing number, incarnation and expiry, then carried out one at a time.
 
+use super::cache::read_hash;
 use super::state::{Engine, State};
 use async_std::task;
 use ids::{ModelId, WeightsVersion};
@@ -67,7 +68,7 @@
     /// If it was computed with other weights.
     pub fn import(&self, block: &Block) -> Result<(), RefusedReason> {
         let mut state = self.lock();
-        let Ok(hash) = block.hash.parse() else {
+        let Some(hash) = read_hash(&block.hash) else {
             return Err(RefusedReason::OtherWeights);
         };
         if state.weights.as_ref() != Some(&block.weights) {
@@ -82,9 +83,9 @@
     pub fn export(&self, scope: &str, hash: &str) -> Option<Block> {
         let state: &State = &self.lock();
         let weights = state.weights.clone()?;
-        let digest = hash.parse().ok()?;
+        let digest = read_hash(hash)?;
         let tokens = u32::try_from(self.args.block_tokens).ok()?;
-        let found = state.cache.contains(scope, &digest);
+        let found = state.cache.contains(scope, digest);
         found.then(|| Block {
             scope: scope.to_owned(),
             weights,
--- a/crates/standins/tests/cache.rs
+++ b/crates/standins/tests/cache.rs
@@ -1,6 +1,6 @@
 //! The engine's block cache: scopes, whole blocks, and what is evicted first.
 
-use ids::Digest;
+use placement::{PrefixChain, Scope};
 use standins::engine::{BlockCache, Change, chain};
 
 const BLOCK: usize = 4;
@@ -88,7 +88,7 @@
     }
 }
 
-fn hashes(scope: &str, prompt: &str) -> Vec<Digest> {
+fn hashes(scope: &str, prompt: &str) -> Vec<u64> {
     chain([scope, "model", "weights"], prompt.as_bytes(), BLOCK)
 }
 
@@ -100,3 +100,23 @@
         assert!(!hashes[..at].contains(hash), "{:?}", seeds[at]);
     }
 }
+
+// Router and engine name a block by its hash; were they to differ, no cache event would ever match a prompt.
+#[test]
+fn hashes_are_those_of_the_router() {
+    let (workspace, model, weights) = ("s".into(), "model".into(), "w1".into());
+    let scope = Scope {
+        workspace: &workspace,
+        model: &model,
+        weights: &weights,
+    };
+    for length in [0, 3, 4, 9, 64] {
+        let prompt = vec![b'x'; length];
+        let router = PrefixChain::new(scope, &prompt, BLOCK, &[]);
+        assert_eq!(
+            chain(["s", "model", "w1"], &prompt, BLOCK),
+            router.blocks(),
+            "{length} bytes"
+        );
+    }
+}
