--- a/crates/apricotfork/src/logs.rs
+++ b/crates/apricotfork/src/logs.rs
@@ -10,8 +10,8 @@
 use quick_error::quick_error;
 use router::{LogFormat, LogSettings};
 
-/// Time, level, text and its keys, for people.
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m} {K}{n}";
+/// Time, level and text, for people; the keys of a line are in the JSON form only.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
 quick_error! {
     /// Why logs cannot be set up.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -64,7 +64,15 @@
 fn test() -> Result<(), Error> {
     let known_red = known_red()?;
     cargo(&["build", "--workspace", "--bins", "--locked", "--quiet"])?;
-    let mut args = vec!["test", "--workspace", "--locked", "--no-fail-fast", "--tests", "--", "--quiet"];
+    let mut args = vec![
+        "test",
+        "--workspace",
+        "--locked",
+        "--no-fail-fast",
+        "--tests",
+        "--",
+        "--quiet",
+    ];
     for test in &known_red {
         println!("known red, not run: {test}");
         args.extend(["--skip", test.split(',').next().unwrap_or(test).trim()]);
