Endpoint limit: minima for each quarter of a doubling of the prompt

Cause: with one minimum for each doubling, a sound endpoint's answers took about half as long again as their minimum, so the limit shrank without need.

--- a/crates/admission/src/endpoint_limit.rs
+++ b/crates/admission/src/endpoint_limit.rs
@@ -6,8 +6,8 @@
 //! is a multiple of what it was while the routers' queues are empty.
 //!
 //! The limit grows by one a round (as many answers as the limit) while first tokens come within [`CALM`] of the recent
-//! minimum, and shrinks once they take more than [`INFLATED`] of it. Minima are kept for each size of prompt (powers of
-//! two), so that a long prompt does not look like a slow endpoint. A refusal or a timeout shrinks it at once.
+//! minimum, and shrinks once they take more than [`INFLATED`] of it. Minima are kept for each size of prompt (quarters of a
+//! doubling), so that a long prompt does not look like a slow endpoint. A refusal or a timeout shrinks it at once.
 
 use std::time::Duration;
 
@@ -16,7 +16,8 @@
 const CALM: f64 = 1.5;
 /// Beyond this multiple a request has waited at least its own length inside the endpoint: it queues there.
 const INFLATED: f64 = 2.0;
-/// Left of the limit after a round of inflated answers; as in other adaptive limits, small steps avoid swinging.
+/// Left of the limit after a round of inflated answers; small steps avoid swinging. Steps in proportion to the inflation
+/// were tried: sound endpoints with a short queue went far below what they can work on.
 const SHRINK: f64 = 0.9;
 /// Left of the limit after a refusal or a timeout, which show more than slowness does.
 const CUT: f64 = 0.7;
@@ -27,8 +28,10 @@
 /// Left of the limit when a window ends: an endpoint that is always full shows no undisturbed answer, and its minimum
 /// would creep up with its queue.
 const PROBE: f64 = 0.8;
-/// Sizes of prompts with a minimum of their own.
-const SIZES: usize = 20;
+/// Sizes of prompts with a minimum of their own: up to 2^20 tokens, and within one size times differ by a fifth. With one
+/// size for each doubling, sound answers came out at half as long again as the minimum.
+const SIZES: usize = 80;
+const SIZES_PER_DOUBLING: f64 = 4.0;
 /// Cuts come at most once in this time, so that the refusals of one moment count once.
 const CUT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -128,7 +131,8 @@
     }
 
     fn first_token(&mut self, seconds: f64, uncached: u64) {
-        let size = (u64::BITS - uncached.leading_zeros()).min(SIZES as u32 - 1) as usize;
+        let size = ((uncached + 1) as f64).log2() * SIZES_PER_DOUBLING;
+        let size = (size as usize).min(SIZES - 1);
         let newest = &mut self.minima[1][size];
         *newest = newest.min(seconds);
         let minimum = self.minima[0][size].min(self.minima[1][size]).max(f64::MIN_POSITIVE);
