Admission: returns of refused jobs are spread wider than they take to serve

Cause: callers who came back when they were told to met the queue that new jobs had filled meanwhile.

--- a/crates/admission/src/pool/judge.rs
+++ b/crates/admission/src/pool/judge.rs
@@ -25,6 +25,8 @@
 /// Nobody is told to come back sooner than this: less is below the time between two checks.
 const MIN_RETRY: Duration = CHECK_PERIOD;
 
+/// Returns of refused jobs are spread over this multiple of the time that serving them takes, since new jobs come as well.
+const RETURN_SPACE: f64 = 1.5;
 /// Longer forecasts are cut to this, so that sums of times cannot overflow.
 const MAX_SECONDS: f64 = 1e6;
 
@@ -131,7 +133,7 @@
     /// moment and most be refused again, so each is told to come after the ones before it have been served at the
     /// workspace's share of the slots.
     fn come_back(&mut self, lane: LaneIndex, cost: u64, excess: Duration, now: Duration) -> Duration {
-        let own = micros(cost as f64 / self.queue.due_slots(lane, self.slots(now)));
+        let own = micros(RETURN_SPACE * cost as f64 / self.queue.due_slots(lane, self.slots(now)));
         let latest = now + MAX_RETRY;
         let promised = self.queue.promised(lane);
         let back = (now + excess).max(*promised).min(latest);
