--- a/crates/admission/src/pool/judge.rs
+++ b/crates/admission/src/pool/judge.rs
@@ -49,21 +49,23 @@
         if !self.settings.mechanisms.refuse {
             return None;
         }
-        let service = micros(job.cost as f64 * ADMIT_MARGIN);
-        let slack = job.deadline.map(|deadline| deadline.saturating_sub(now));
-        if slack.is_some_and(|slack| service > slack) {
+        let margin = micros(job.cost as f64 * (ADMIT_MARGIN - 1.0));
+        let until_latest = job
+            .latest
+            .map_or(Some(Duration::MAX), |latest| latest.checked_sub(now + margin));
+        let Some(until_latest) = until_latest else {
             return Some(Refusal {
                 reason: Reason::DeadlineShort,
                 retry_after: None,
             });
-        }
+        };
         if idle {
             return None;
         }
         let slots = self.slots(now);
         let ahead = self.queue.ahead(lane, key, job.rank, slots);
         let wait = self.wait(ahead, job.length, slots).mul_f64(ADMIT_MARGIN);
-        let until_late = slack.map_or(Duration::MAX, |slack| (slack - service).mul_f64(WAIT_SHARE));
+        let until_late = until_latest.mul_f64(WAIT_SHARE);
         let allowed = until_late.min(self.settings.max_wait);
         if wait <= allowed {
             return None;
@@ -89,31 +91,20 @@
         }
         let slots = self.slots(now);
         for lane in 0..self.queue.lanes() {
-            let late = self.queue.late(lane, slots, |job, ahead| {
-                let wait = self.wait(ahead, job.length, slots);
-                self.capacity > 0 && self.overrun(job, wait, now).is_zero()
-            });
-            for (key, job, ahead) in late {
+            let start = |ahead, length| now + self.wait(ahead, length, slots);
+            let late = match self.capacity {
+                0 => self.queue.all(lane),
+                _ => self.queue.late(lane, slots, start),
+            };
+            for (key, job, overrun) in late {
                 self.queue.remove(lane, key, job.length);
                 self.places.remove(&key.ticket);
-                let overrun = self.overrun(&job, self.wait(ahead, job.length, slots), now);
                 let refusal = self.expire(lane, job.cost, overrun, now);
                 self.expired.push_back((key.ticket, refusal));
             }
         }
     }
 
-    /// By how much the job would end after its deadline if it started after `wait`.
-    pub(super) fn overrun(&self, job: &Queued, wait: Duration, now: Duration) -> Duration {
-        let Some(deadline) = job.deadline else {
-            return Duration::ZERO;
-        };
-        if !self.settings.mechanisms.refuse {
-            return Duration::ZERO;
-        }
-        (now + wait + micros(job.cost as f64)).saturating_sub(deadline)
-    }
-
     /// Refusal of a job that has waited.
     pub(super) fn expire(&mut self, lane: LaneIndex, cost: u64, overrun: Duration, now: Duration) -> Refusal {
         if self.capacity == 0 {
--- a/crates/admission/src/pool/mod.rs
+++ b/crates/admission/src/pool/mod.rs
@@ -107,11 +107,14 @@
         self.counts.offered += 1;
         let seconds = self.model.seconds(job.tokens);
         let length = self.reserve.observe(seconds, now);
+        let cost = (seconds * 1e6) as u64 + 1;
         let queued = Queued {
-            cost: (seconds * 1e6) as u64 + 1,
+            cost,
             rank: job.priority.0,
             length,
-            deadline: job.deadline,
+            latest: job
+                .deadline
+                .map(|deadline| deadline.saturating_sub(Duration::from_micros(cost))),
         };
         let lane = self.queue.lane(&job.workspace, job.weight);
         self.newest += 1;
@@ -254,7 +257,7 @@
         self.queue.remove(lane, key, job.length);
         self.places.remove(&key.ticket);
         self.counts.waiting -= 1;
-        if !self.overrun(&job, Duration::ZERO, now).is_zero() {
+        if self.settings.mechanisms.refuse && job.latest.is_some_and(|latest| now > latest) {
             self.counts.expired += 1;
             return Next::Expired(key.ticket, self.expire(lane, job.cost, Duration::ZERO, now));
         }
--- a/crates/admission/src/queue/lane.rs
+++ b/crates/admission/src/queue/lane.rs
@@ -23,8 +23,8 @@
     pub rank: u8,
     /// Whether it is long among its like.
     pub length: Length,
-    /// When its caller stops waiting.
-    pub deadline: Option<Duration>,
+    /// When it must have started to end before its caller stops waiting.
+    pub latest: Option<Duration>,
 }
 
 /// The queued jobs of one workspace, in the order they are to start.
--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -173,33 +173,34 @@
         self.ahead_of(lane, start, Ahead { work, long }, slots)
     }
 
-    /// Jobs of a lane that `keeps` does not keep, given the slot time that starts before each of them. A job that goes no
-    /// longer counts for those behind it. `keeps` must not turn false as the slot time falls: jobs that it keeps even
-    /// behind the whole lane are not looked at closer.
+    /// Jobs of a lane that would start after the latest time they must, given the time at which a job of some length
+    /// starts behind so much slot time, and those times. A job that goes no longer counts for those behind it.
     pub fn late(
         &self,
         lane: LaneIndex,
         slots: Slots,
-        keeps: impl Fn(&Queued, Ahead) -> bool,
-    ) -> Vec<(Key, Queued, Ahead)> {
+        start: impl Fn(Ahead, Length) -> Duration,
+    ) -> Vec<(Key, Queued, Duration)> {
         let own = &self.lanes[lane];
-        let start = self.start(own, None, slots);
+        let tag = self.start(own, None, slots);
         let whole = Ahead {
             work: own.work() as f64,
             long: own.long_work() as f64,
         };
-        let worst = self.ahead_of(lane, start, whole, slots);
+        let worst = self.ahead_of(lane, tag, whole, slots);
+        let worst = [Length::Short, Length::Long].map(|length| start(worst, length));
         let mut before = Ahead { work: 0.0, long: 0.0 };
         let mut late = Vec::new();
         for (key, job) in own.iter() {
-            let ahead = if keeps(job, worst) {
-                worst
-            } else {
-                self.ahead_of(lane, start, before, slots)
-            };
-            if !keeps(job, ahead) {
-                late.push((key, *job, ahead));
-                continue;
+            // Most jobs would be in time even behind the whole lane, and are not looked at closer.
+            if let Some(latest) = job.latest
+                && worst[job.length as usize] > latest
+            {
+                let start = start(self.ahead_of(lane, tag, before, slots), job.length);
+                if start > latest {
+                    late.push((key, *job, start - latest));
+                    continue;
+                }
             }
             before.work += job.cost as f64;
             if job.length == Length::Long {
@@ -209,6 +210,14 @@
         late
     }
 
+    /// All jobs of a lane, for a pool that cannot start any.
+    pub fn all(&self, lane: LaneIndex) -> Vec<(Key, Queued, Duration)> {
+        self.lanes[lane]
+            .iter()
+            .map(|(key, job)| (key, *job, Duration::ZERO))
+            .collect()
+    }
+
     /// Number of lanes.
     pub fn lanes(&self) -> usize {
         self.lanes.len()
--- a/crates/admission/src/reserve.rs
+++ b/crates/admission/src/reserve.rs
@@ -24,9 +24,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Length {
     /// Usual or shorter.
-    Short,
+    Short = 0,
     /// Several times the usual.
-    Long,
+    Long = 1,
 }
 
 /// Tells long jobs from short ones and says how many slots the long ones may hold.
