--- a/crates/admission/src/pool/judge.rs
+++ b/crates/admission/src/pool/judge.rs
@@ -9,6 +9,10 @@
 /// Expected wait and service are taken as longer by this factor when a job is admitted, not when it is checked again: a
 /// job that was admitted goes only if things got worse, not for a rounding.
 const ADMIT_MARGIN: f64 = 1.1;
+/// Share of the time to its deadline that a job is admitted to wait. The rest is for what comes later and goes ahead of
+/// it: without it, in a lasting overload every admitted job stands at the edge of its deadline and one in ten is pushed
+/// over it. Less waiting also means sooner first tokens, and a queue of seconds keeps the slots as busy as a longer one.
+const WAIT_SHARE: f64 = 0.5;
 /// How often waiting jobs are checked. A refusal this late is still useful to a caller with seconds to go, and a check of
 /// a full queue stays below a hundredth of a core.
 pub(super) const CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -21,6 +25,8 @@
 /// Nobody is told to come back sooner than this: less is below the time between two checks.
 const MIN_RETRY: Duration = CHECK_PERIOD;
 
+/// Returns of refused jobs are spread over this multiple of the time that serving them takes, since new jobs come as well.
+const RETURN_SPACE: f64 = 1.5;
 /// Longer forecasts are cut to this, so that sums of times cannot overflow.
 const MAX_SECONDS: f64 = 1e6;
 
@@ -43,26 +49,28 @@
         if !self.settings.mechanisms.refuse {
             return None;
         }
-        let service = micros(job.cost as f64 * ADMIT_MARGIN);
-        let slack = job.deadline.map(|deadline| deadline.saturating_sub(now));
-        if slack.is_some_and(|slack| service > slack) {
+        let margin = micros(job.cost as f64 * (ADMIT_MARGIN - 1.0));
+        let until_latest = job
+            .latest
+            .map_or(Some(Duration::MAX), |latest| latest.checked_sub(now + margin));
+        let Some(until_latest) = until_latest else {
             return Some(Refusal {
                 reason: Reason::DeadlineShort,
                 retry_after: None,
             });
-        }
+        };
         if idle {
             return None;
         }
         let slots = self.slots(now);
         let ahead = self.queue.ahead(lane, key, job.rank, slots);
         let wait = self.wait(ahead, job.length, slots).mul_f64(ADMIT_MARGIN);
-        let until_deadline = slack.map_or(Duration::MAX, |slack| slack - service);
-        let allowed = until_deadline.min(self.settings.max_wait);
+        let until_late = until_latest.mul_f64(WAIT_SHARE);
+        let allowed = until_late.min(self.settings.max_wait);
         if wait <= allowed {
             return None;
         }
-        let at_deadline = until_deadline <= self.settings.max_wait;
+        let at_deadline = until_late <= self.settings.max_wait;
         let reason = if at_deadline {
             Reason::DeadlineUnreachable
         } else {
@@ -83,31 +91,20 @@
         }
         let slots = self.slots(now);
         for lane in 0..self.queue.lanes() {
-            let late = self.queue.late(lane, slots, |job, ahead| {
-                let wait = self.wait(ahead, job.length, slots);
-                self.capacity > 0 && self.overrun(job, wait, now).is_zero()
-            });
-            for (key, job, ahead) in late {
+            let start = |ahead, length| now + self.wait(ahead, length, slots);
+            let late = match self.capacity {
+                0 => self.queue.all(lane),
+                _ => self.queue.late(lane, slots, start),
+            };
+            for (key, job, overrun) in late {
                 self.queue.remove(lane, key, job.length);
                 self.places.remove(&key.ticket);
-                let overrun = self.overrun(&job, self.wait(ahead, job.length, slots), now);
                 let refusal = self.expire(lane, job.cost, overrun, now);
                 self.expired.push_back((key.ticket, refusal));
             }
         }
     }
 
-    /// By how much the job would end after its deadline if it started after `wait`.
-    pub(super) fn overrun(&self, job: &Queued, wait: Duration, now: Duration) -> Duration {
-        let Some(deadline) = job.deadline else {
-            return Duration::ZERO;
-        };
-        if !self.settings.mechanisms.refuse {
-            return Duration::ZERO;
-        }
-        (now + wait + micros(job.cost as f64)).saturating_sub(deadline)
-    }
-
     /// Refusal of a job that has waited.
     pub(super) fn expire(&mut self, lane: LaneIndex, cost: u64, overrun: Duration, now: Duration) -> Refusal {
         if self.capacity == 0 {
@@ -127,7 +124,7 @@
     /// moment and most be refused again, so each is told to come after the ones before it have been served at the
     /// workspace's share of the slots.
     fn come_back(&mut self, lane: LaneIndex, cost: u64, excess: Duration, now: Duration) -> Duration {
-        let own = micros(cost as f64 / self.queue.due_slots(lane, self.slots(now)));
+        let own = micros(RETURN_SPACE * cost as f64 / self.queue.due_slots(lane, self.slots(now)));
         let latest = now + MAX_RETRY;
         let promised = self.queue.promised(lane);
         let back = (now + excess).max(*promised).min(latest);
