Test settings: a request may take longer than a test waits, so that a missed cancel shows

Cause: with a deadline of 20 s the engine was freed by the deadline even with the watch on the socket switched off. Seen red with peer_gone() never resolving.

--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -169,8 +169,8 @@
             "vm": format!("r{index}"), "domain": "lahore",
             "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
             "platform": {"addresses": [self.platform.address], "timeout_ms": 500, "watch_ms": 1000},
-            "limits": {"head_ms": 1000, "body_ms": 1000, "body_bytes": 1_048_576, "request_ms": 20_000},
-            "shutdown": {"notice_ms": 200, "grace_ms": 20_000},
+            "limits": {"head_ms": 1000, "body_ms": 1000, "body_bytes": 1_048_576, "request_ms": 100_000},
+            "shutdown": {"notice_ms": 200, "grace_ms": 100_000},
             "log": {"format": "text", "level": "warn"},
         });
         let file = self.folder.path().join(format!("r{index}.json"));
