--- /dev/null
+++ b/crates/loadtool/src/lib.rs
@@ -0,0 +1,9 @@
+//! Open-loop load and experiments against our own stand-ins on loopback. Never shipped.
+
+pub mod error;
+pub mod faults;
+pub mod run;
+pub mod scenario;
+pub mod site;
+pub mod table;
+pub mod workload;
