Orders to engines: the holder's calls to the platform and to engines; requests follow the weights that runners serve

Cause (found by the rollout test, red first): a router that has just started knows no endpoint's weights, asked for the wanted ones and was refused by every engine that still served the old ones; callers got no_endpoint during every rollout. Ruled out: waiting for load reports before the first request (a restarted router must serve at once). Change: a request states no weights unless it resumes a stream; any allowed weights may answer, and the chain is seeded with those most runners serve.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,7 +6,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::future::{Either, select};
-use http_types::{Request, Response, headers};
+use http_types::{Body, Request, Response, headers};
 use quick_error::quick_error;
 use std::future::Future;
 use std::sync::Arc;
@@ -18,6 +18,9 @@
 /// How often the end of a graceful shutdown is looked for.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
+/// Most bytes that are read of a body that is too large before the connection is closed.
+const DISCARD_BYTES: u64 = 16 << 20;
+
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -222,20 +225,29 @@
 /// Reads a request's body of at most `limit` bytes, whole.
 pub async fn read_body(request: &mut Request, conn: &Conn, limit: u64) -> Result<Vec<u8>, ReadError> {
     let declared = request.len().map(|length| length as u64);
+    let mut source = request.take_body();
     if declared.is_some_and(|length| length > limit) {
-        conn.shut_reads();
-        return Err(ReadError::TooLarge(limit));
+        return Err(refuse(&mut source, conn, limit).await);
     }
     let mut body = Vec::with_capacity(declared.unwrap_or(0) as usize);
-    let mut source = request.take_body();
     (&mut source).take(limit + 1).read_to_end(&mut body).await?;
     let read = body.len() as u64;
     if read > limit {
-        conn.shut_reads();
-        return Err(ReadError::TooLarge(limit));
+        return Err(refuse(&mut source, conn, limit).await);
     }
     if declared.is_some_and(|length| length != read) {
         return Err(ReadError::Short);
     }
     Ok(body)
 }
+
+/// Reads a part of a body that is too large and forgets it.
+///
+/// A connection that is closed with unread bytes is reset, and the reset can overtake the refusal: the caller would
+/// see a broken connection instead of the reason. The part is bounded, so that nobody can keep a task busy for ever.
+async fn refuse(source: &mut Body, conn: &Conn, limit: u64) -> ReadError {
+    // If the caller breaks off meanwhile, there is nobody left to refuse.
+    let _ = async_std::io::copy(&mut source.take(DISCARD_BYTES), &mut async_std::io::sink()).await;
+    conn.shut_reads();
+    ReadError::TooLarge(limit)
+}
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -120,6 +120,13 @@
         parse(reply).await.map(Some)
     }
 
+    /// Gives a lease back, and with it the values written under it.
+    pub async fn revoke(&self, id: u64) -> Result<(), PlatformError> {
+        let body = serde_json::to_vec(&LeaseRef { id })?;
+        let request = self.request(Method::Post, "/v1/leases/revoke", &[]);
+        discard(self.send(request, &body, self.timeout).await?).await
+    }
+
     /// The list of VMs.
     pub async fn vms(&self) -> Result<VmList, PlatformError> {
         let request = self.request(Method::Get, "/v1/vms", &[]);
--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -33,7 +33,8 @@
     pub(super) permit: Permit,
     pub(super) life: Life,
     pub(super) chain: PrefixChain,
-    pub(super) weights: Option<WeightsVersion>,
+    /// Weights that may serve it, the preferred ones first; empty for plain services.
+    pub(super) weights: Vec<WeightsVersion>,
     avoid: Vec<EndpointKey>,
     count: u32,
 }
@@ -65,7 +66,7 @@
             permit,
             life: Life::new(repeat),
             chain: PrefixChain::from_hashes(0, Vec::new(), &[]),
-            weights: None,
+            weights: Vec::new(),
             avoid: Vec::new(),
             count: 0,
         }
@@ -93,7 +94,7 @@
     fn place(&mut self) -> Result<Flight, Refused> {
         let wish = Wish {
             chain: &self.chain,
-            weights: self.weights.as_ref(),
+            weights: &self.weights,
             avoid: &self.avoid,
         };
         let Some(flight) = self.permit.place(&wish) else {
@@ -152,7 +153,7 @@
     async fn judge(&mut self, flight: &Flight, reply: Reply) -> Sent {
         self.sight(flight, &reply);
         let status = u16::from(reply.status());
-        if status == 409 && self.weights.is_some() {
+        if status == 409 && self.is_completion() {
             self.life.on(RequestEvent::EndpointRefused);
             return Sent::Failed(refused(reply).await);
         }
@@ -161,12 +162,9 @@
         let ours = match echoed {
             Some(id) => id == self.call.id.as_str(),
             // A plain service need not know of request ids; an engine does.
-            None => self.weights.is_none(),
+            None => !self.is_completion(),
         };
-        let same_weights = self.weights.is_none()
-            || !reply.status().is_success()
-            || reply.header(headers::WEIGHTS) == self.weights.as_ref().map(WeightsVersion::as_str);
-        if ours && same_weights && status < 500 {
+        if ours && self.allowed(&reply) && status < 500 {
             return Sent::Head(Box::new(reply));
         }
         reply.close();
@@ -174,6 +172,17 @@
         Sent::Failed(Failure::Unknown)
     }
 
+    /// Whether weights that may serve this request have served it.
+    fn allowed(&self, reply: &Reply) -> bool {
+        let served = reply.header(headers::WEIGHTS).unwrap_or_default();
+        let allowed = self.weights.iter().any(|weights| weights.as_str() == served);
+        allowed || !self.is_completion() || !reply.status().is_success()
+    }
+
+    fn is_completion(&self) -> bool {
+        !self.weights.is_empty()
+    }
+
     /// Tells the control thread of a life or weights that differ from what is believed.
     fn sight(&self, flight: &Flight, reply: &Reply) {
         let incarnation = reply
@@ -246,7 +255,7 @@
 
     /// Tells an engine that nobody waits for this request any more.
     pub fn cancel(&self, flight: &Flight) {
-        if self.weights.is_none() {
+        if !self.is_completion() {
             return;
         }
         let client = self.shared.client.clone();
@@ -278,8 +287,7 @@
                 request.insert_header(name, value);
             }
         }
-        if let Some(weights) = &self.weights {
-            request.insert_header(headers::WEIGHTS, weights.as_str());
+        if self.is_completion() {
             request.insert_header(headers::CACHE_SCOPE, call.caller.workspace.as_str());
         }
         request
@@ -289,6 +297,10 @@
     pub fn resume_request(&self, flight: &Flight, from: u64, left: Duration) -> Request {
         let mut request = self.request(flight, left);
         request.insert_header(headers::RESUME_FROM, from.to_string());
+        // Other weights would go on with another text.
+        if let Some(weights) = self.weights.first() {
+            request.insert_header(headers::WEIGHTS, weights.as_str());
+        }
         request
     }
 
@@ -297,7 +309,7 @@
         self.avoid.push(broken);
         let wish = Wish {
             chain: &self.chain,
-            weights: self.weights.as_ref(),
+            weights: &self.weights,
             avoid: &self.avoid,
         };
         self.permit.place(&wish).or_else(|| {
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -13,6 +13,7 @@
 use lifecycle::request::{Repeat, RequestEvent};
 use placement::{PrefixChain, Scope};
 use serde::Deserialize;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::caller::Completion;
@@ -34,7 +35,7 @@
         return Err(Refused::not_run(Cause::NoPrompt));
     }
     let weights = weights(&call.caller, &wanted.model)?;
-    let chain = chain(&call, &wanted, &weights)?;
+    let chain = chain(&call, &wanted, &weights[0])?;
     let pool = shared
         .pools
         .get(&Target::Model(wanted.model.clone()))
@@ -46,7 +47,7 @@
     let permit = pool.enter(job(&call, estimate)).await?;
     let mut attempts = Attempts::new(shared, call, permit, Repeat::Idempotent);
     attempts.chain = chain;
-    attempts.weights = Some(weights);
+    attempts.weights = weights;
     let opened = attempts.open(send_pooled).await?;
     let seen = seen(&attempts, &opened);
     if wanted.stream && opened.reply.status().is_success() {
@@ -67,7 +68,13 @@
     let prompt = attempts.chain.blocks().len() as u64 * BLOCK_TOKENS;
     let header = |name| opened.reply.header(name).and_then(|text| text.parse::<u64>().ok());
     let cached = header(headers::CACHED_TOKENS).unwrap_or(0).min(prompt);
-    if let Some(incarnation) = header(headers::INCARNATION) {
+    let served = opened.reply.header(headers::WEIGHTS).unwrap_or_default();
+    // The chain's hashes stand for the preferred weights only.
+    let chained = attempts
+        .weights
+        .first()
+        .is_some_and(|weights| weights.as_str() == served);
+    if let Some(incarnation) = header(headers::INCARNATION).filter(|_| chained) {
         let blocks = (cached / BLOCK_TOKENS) as usize;
         opened.flight.learn(Incarnation(incarnation), &attempts.chain, blocks);
     }
@@ -115,27 +122,29 @@
     response
 }
 
-/// The weights to ask for: the wanted ones if any endpoint may serve them, or else allowed ones that one does.
-fn weights(caller: &Caller, model: &ModelId) -> Result<WeightsVersion, Refused> {
+/// The weights that may serve `model`, those that most endpoints serve first and the wanted ones before equals: while
+/// new weights are loaded, traffic moves once most runners have them, and never to one warming runner alone. There
+/// is at least one.
+fn weights(caller: &Caller, model: &ModelId) -> Result<Vec<WeightsVersion>, Refused> {
     let missing = || Refused::not_run(Cause::Model(model.clone()));
     if !caller.spec.models.contains(model) {
         return Err(missing());
     }
     let spec = caller.view.document.models.get(model).ok_or_else(missing)?;
-    let serves = |version: &WeightsVersion| serves(&caller.view, model, version);
-    let wanted = std::iter::once(&spec.wanted)
-        .chain(&spec.versions)
-        .find(|version| serves(version));
-    Ok(wanted.unwrap_or(&spec.wanted).clone())
+    let mut weights = spec.versions.clone();
+    let wanted = |version: &WeightsVersion| *version == spec.wanted;
+    weights.sort_by_cached_key(|version| (Reverse(serving(&caller.view, model, version)), !wanted(version)));
+    Ok(weights)
 }
 
-fn serves(view: &View, model: &ModelId, version: &WeightsVersion) -> bool {
+/// How many endpoints serve `version`, or may, since nothing is known of theirs.
+fn serving(view: &View, model: &ModelId, version: &WeightsVersion) -> usize {
     let target = Target::Model(model.clone());
-    let mut members = view.members(&target);
-    members.any(|(id, _)| {
+    let serves = |id| {
         let believed = view.belief(id);
         believed.standing != Standing::Out && believed.weights.as_ref().is_none_or(|weights| weights == version)
-    })
+    };
+    view.members(&target).filter(|(id, _)| serves(id)).count()
 }
 
 fn chain(call: &Call, wanted: &Completion, weights: &WeightsVersion) -> Result<PrefixChain, Refused> {
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -12,6 +12,7 @@
 use futures::future::{Either, select};
 use futures::{StreamExt, TryStreamExt};
 use http::{Body, Piece, Pieces, Reply, Response, StatusCode};
+use ids::WeightsVersion;
 use lifecycle::request::RequestEvent;
 use lifecycle::stream::{Break, Head, Piece as Verdict, StreamAssembler};
 use std::fmt::Write;
@@ -27,10 +28,17 @@
 const RESUMES: u32 = 3;
 
 /// Answers with a stream; what follows the head runs in a task of its own.
-pub async fn answer(attempts: Attempts, opened: Opened, seen: Seen, limit: Taken) -> Result<Response, Refused> {
+pub async fn answer(mut attempts: Attempts, opened: Opened, seen: Seen, limit: Taken) -> Result<Response, Refused> {
     let mut assembler = StreamAssembler::new(attempts.call.id.clone());
     let head = on_head(&mut assembler, &opened.reply);
     debug_assert_eq!(head, Head::Accept, "the attempt has judged this head already");
+    // From here on only the weights that began the stream can go on with it.
+    attempts.weights = opened
+        .reply
+        .header(headers::WEIGHTS)
+        .map(WeightsVersion::from)
+        .into_iter()
+        .collect();
     let pieces = opened
         .reply
         .pieces()
--- a/crates/router/src/control/endpoint_feed.rs
+++ b/crates/router/src/control/endpoint_feed.rs
@@ -107,6 +107,7 @@
             let load: wire::engine::Load = serde_json::from_slice(body).ok()?;
             Some(LoadSeen {
                 incarnation: load.incarnation,
+                model: Some(load.model),
                 weights: load.weights,
                 leaving: load.leaving,
                 requests: load.running + load.waiting,
@@ -118,6 +119,7 @@
             let load: wire::service::Load = serde_json::from_slice(body).ok()?;
             Some(LoadSeen {
                 incarnation: load.incarnation,
+                model: None,
                 weights: None,
                 leaving: load.leaving,
                 requests: load.running + load.waiting,
--- a/crates/router/src/control/event.rs
+++ b/crates/router/src/control/event.rs
@@ -1,7 +1,7 @@
 //! What the control thread hears.
 
 use config::{Document, Head};
-use ids::{EndpointId, Incarnation, WeightsVersion};
+use ids::{EndpointId, Incarnation, ModelId, WeightsVersion};
 use std::time::Duration;
 use wire::platform::VmList;
 
@@ -14,6 +14,8 @@
     Vms(VmList),
     /// Traffic or a feed met an endpoint.
     Endpoint(EndpointId, Sighting),
+    /// A call of the order holder had this outcome.
+    Orders(control::orders::Event),
     /// Time passed.
     Tick,
     /// The process ends.
@@ -45,6 +47,8 @@
 pub struct LoadSeen {
     /// The life that reported.
     pub incarnation: Incarnation,
+    /// The model an engine serves, absent for plain services.
+    pub model: Option<ModelId>,
     /// The weights it serves, absent for plain services and while an engine loads.
     pub weights: Option<WeightsVersion>,
     /// Whether it takes no new work.
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -32,6 +32,11 @@
         .spawn(move || task::block_on(run(shared, events)))
 }
 
+/// Hands an event to the control thread; after its end nobody needs it.
+pub async fn send(shared: &Shared, event: Event) {
+    let _ = shared.events.send(event).await;
+}
+
 async fn run(shared: Arc<Shared>, events: Receiver<Event>) {
     let mut control = Control::new(shared);
     while let Ok(event) = events.recv().await {
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -2,14 +2,17 @@
 
 use super::endpoint_feed::{self, Feeds};
 use super::event::{Event, LoadSeen, Sighting};
+use crate::orders::Orders;
 use crate::shared::Shared;
 use crate::view::{Believed, Standing, View};
 use admission::ShareView;
-use config::{Adopt, Document, Head, Revisions};
+use config::{Adopt, Document, EndpointRole, Head, Revisions};
 use control::health::{self, Belief, Change, EndpointHealth, Listing};
+use control::orders::{self, Runner, Wanted};
 use ids::{EndpointId, WeightsVersion};
 use placement::Report;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,13 +27,19 @@
     weights: HashMap<EndpointId, WeightsVersion>,
     feeds: Feeds,
     shares: ShareView,
+    orders: Orders,
+    reported: HashMap<EndpointId, LoadSeen>,
 }
 
 impl Control {
     /// Knows nothing yet.
     pub fn new(shared: Arc<Shared>) -> Self {
+        let mut orders = Orders::new(shared.clone());
+        orders.on(orders::Event::Candidate(true));
         Self {
             shared,
+            orders,
+            reported: HashMap::new(),
             revisions: Revisions::default(),
             document: None,
             health: EndpointHealth::default(),
@@ -46,8 +55,10 @@
             Event::Config(head, document) => self.config(&head, *document),
             Event::Vms(list) => self.listed(&list),
             Event::Endpoint(id, sighting) => self.sighted(&id, sighting),
+            Event::Orders(event) => self.orders.on(event),
             Event::Tick => self.tick(),
             Event::Stop => {
+                self.orders.on(orders::Event::Stop);
                 self.feeds.stop();
                 return ControlFlow::Break(());
             }
@@ -73,6 +84,8 @@
         let ids = document.endpoints.keys().cloned().collect();
         self.feeds.follow(&self.shared, &document);
         self.weights.retain(|id, _| document.endpoints.contains_key(id));
+        self.orders.configure(self.wanted(&document), self.addresses(&document));
+        self.reported.retain(|id, _| document.endpoints.contains_key(id));
         self.document = Some(document);
         let changes = self.health.on(health::Event::Configured(ids), self.now());
         self.note(&changes);
@@ -117,7 +130,7 @@
                     self.publish();
                 }
             }
-            Sighting::Reported(load) => self.reported(id, load),
+            Sighting::Reported(load) => self.reported(id, &load),
             Sighting::NotReached | Sighting::Broke => {
                 self.health_event(health::Event::Failed {
                     endpoint,
@@ -133,14 +146,16 @@
         }
     }
 
-    fn reported(&mut self, id: &EndpointId, load: LoadSeen) {
+    fn reported(&mut self, id: &EndpointId, load: &LoadSeen) {
         let report = Report {
             incarnation: load.incarnation,
             requests: load.requests,
             prefill: load.prefill,
             measured: load.asked,
         };
-        let changed = self.learn_weights(id, load.weights);
+        let loaded = self.loads_weights(id);
+        self.reported.insert(id.clone(), load.clone());
+        let changed = self.learn_weights(id, load.weights.clone()) || loaded != self.loads_weights(id);
         self.health_event(health::Event::Report(health::Report {
             endpoint: id.clone(),
             incarnation: load.incarnation,
@@ -192,6 +207,13 @@
     }
 
     fn tick(&mut self) {
+        let runners = self.runners();
+        self.orders.runners(runners);
+        let fence = self.orders.fence().unwrap_or_default();
+        self.shared
+            .metrics
+            .fence
+            .set(i64::try_from(fence.0).unwrap_or(i64::MAX));
         for id in self.health.due_probes(self.now()) {
             if let Some(spec) = self.document.as_ref().and_then(|document| document.endpoints.get(&id)) {
                 endpoint_feed::probe(&self.shared, &id, spec);
@@ -199,6 +221,57 @@
         }
     }
 
+    /// What the engines of this failure domain are to serve.
+    fn wanted(&self, document: &Document) -> Vec<Wanted> {
+        let own = document
+            .endpoints
+            .iter()
+            .filter(|(_, spec)| spec.domain == self.shared.settings.domain);
+        let wanted = own.filter_map(|(id, spec)| {
+            let EndpointRole::Model(model) = &spec.role else {
+                return None;
+            };
+            let weights = document.models.get(model)?.wanted.clone();
+            Some(Wanted {
+                endpoint: id.clone(),
+                model: model.clone(),
+                weights,
+            })
+        });
+        wanted.collect()
+    }
+
+    fn addresses(&self, document: &Document) -> BTreeMap<EndpointId, SocketAddr> {
+        document
+            .endpoints
+            .iter()
+            .map(|(id, spec)| (id.clone(), spec.address))
+            .collect()
+    }
+
+    /// The engines of this failure domain as last reported.
+    fn runners(&self) -> Vec<Runner> {
+        let Some(document) = &self.document else {
+            return Vec::new();
+        };
+        let own = self.reported.iter().filter(|(id, _)| {
+            document
+                .endpoints
+                .get(*id)
+                .is_some_and(|spec| spec.domain == self.shared.settings.domain)
+        });
+        let runners = own.filter_map(|(id, load)| {
+            Some(Runner {
+                endpoint: id.clone(),
+                incarnation: load.incarnation,
+                model: load.model.clone()?,
+                weights: load.weights.clone(),
+                available: self.health.belief(id) == Belief::Live,
+            })
+        });
+        runners.collect()
+    }
+
     /// Replaces what traffic reads.
     fn publish(&self) {
         let Some(document) = &self.document else { return };
@@ -217,6 +290,7 @@
 
     fn believed(&self, id: &EndpointId) -> Believed {
         let standing = match self.health.belief(id) {
+            _ if self.loads_weights(id) => Standing::Out,
             Belief::Live => Standing::Live,
             Belief::Suspected => Standing::Suspected,
             Belief::Leaving | Belief::Dead => Standing::Out,
@@ -228,6 +302,13 @@
         }
     }
 
+    /// An engine that loads weights serves nothing until it is done.
+    fn loads_weights(&self, id: &EndpointId) -> bool {
+        self.reported
+            .get(id)
+            .is_some_and(|load| load.model.is_some() && load.weights.is_none())
+    }
+
     fn count(&self, view: &View) {
         for (name, standing) in [
             ("live", Standing::Live),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod metrics;
 mod operator;
+mod orders;
 mod pool;
 mod run;
 mod settings;
--- a/crates/router/src/metrics/mod.rs
+++ b/crates/router/src/metrics/mod.rs
@@ -30,6 +30,8 @@
     pub platform: IntCounterVec,
     /// Revision in force.
     pub revision: IntGauge,
+    /// Fencing number under which this router gives orders to engines, 0 if it does not.
+    pub fence: IntGauge,
     /// Endpoints by standing.
     pub endpoints: prometheus::IntGaugeVec,
 }
@@ -59,6 +61,9 @@
             .expect("a name used once");
         let revision = IntGauge::new("config_revision", "Configuration revision in force").expect("a valid gauge");
         registry.register(Box::new(revision.clone())).expect("a name used once");
+        let fence =
+            IntGauge::new("order_fence", "Fencing number of this router's orders, 0 without").expect("a valid gauge");
+        registry.register(Box::new(fence.clone())).expect("a name used once");
         let endpoints = prometheus::IntGaugeVec::new(Opts::new("endpoints", "Endpoints by standing"), &["standing"])
             .expect("a valid gauge");
         registry
@@ -76,6 +81,7 @@
             platform: counters("platform_calls_total", "Calls to the platform by outcome", &["outcome"]),
             first_token,
             revision,
+            fence,
             endpoints,
             registry,
         }
--- /dev/null
+++ b/crates/router/src/orders/engine_calls.rs
@@ -0,0 +1,40 @@
+//! Orders on their way to engines.
+
+use crate::shared::Shared;
+use control::orders::{Event, ORDER_CALL};
+use http::{Method, Request, SendError, StatusCode, Url};
+use ids::EndpointId;
+use std::net::SocketAddr;
+use wire::engine::Order;
+
+/// Longest answer of an engine to an order, bytes.
+const ANSWER_BYTES: u64 = 64 * 1024;
+
+/// Sends an order once, if `may_send` still holds when the connection stands.
+pub async fn send(
+    shared: &Shared,
+    endpoint: EndpointId,
+    to: SocketAddr,
+    order: &Order,
+    may_send: impl FnOnce() -> bool,
+) -> Event {
+    let url = Url::parse(&format!("http://{to}/v1/orders")).expect("a socket address makes a URL");
+    let mut request = Request::new(Method::Post, url);
+    request.insert_header("content-type", "application/json");
+    let body = serde_json::to_vec(order).expect("an order is always JSON");
+    let sent = shared.client.send_once(to, request, &body, ORDER_CALL, may_send).await;
+    let reply = match sent {
+        Ok(reply) => reply,
+        Err(SendError::NotSent(_) | SendError::Withheld) => return Event::Refused(endpoint),
+        Err(_) => return Event::NoAnswer(endpoint),
+    };
+    let status = reply.status();
+    if reply.whole(ANSWER_BYTES).await.is_err() {
+        return Event::NoAnswer(endpoint);
+    }
+    match status {
+        StatusCode::Ok => Event::Done(endpoint),
+        StatusCode::Conflict => Event::Refused(endpoint),
+        _ => Event::NoAnswer(endpoint),
+    }
+}
--- /dev/null
+++ b/crates/router/src/orders/mod.rs
@@ -0,0 +1,109 @@
+//! Carries out what the order holder of this failure domain wants: calls to the platform, orders to engines.
+//!
+//! The holder itself is a machine of the `control` crate and changes on the control thread only. Each step runs as a
+//! task of its own and sends its outcome back as an event, so that a slow platform holds up nothing.
+
+mod engine_calls;
+mod platform_calls;
+
+use crate::control::{Event, send};
+use crate::shared::Shared;
+use async_std::task;
+use control::orders::{self, OrderHolder, Runner, Step, Wanted};
+use futures::future::{AbortHandle, abortable};
+use ids::{EndpointId, Fence};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use platform_calls::Keys;
+
+/// The part of this router in giving orders.
+pub struct Orders {
+    shared: Arc<Shared>,
+    holder: Arc<Mutex<OrderHolder>>,
+    keys: Arc<Keys>,
+    calls: Vec<AbortHandle>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
+}
+
+impl Orders {
+    /// Takes no part yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        let keys = Arc::new(Keys::new(&shared.settings.domain));
+        Self {
+            shared,
+            holder: Arc::default(),
+            keys,
+            calls: Vec::new(),
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    /// What runners are to serve, and where they listen.
+    pub fn configure(&mut self, wanted: Vec<Wanted>, addresses: BTreeMap<EndpointId, SocketAddr>) {
+        self.addresses = addresses;
+        self.on(orders::Event::Wanted(wanted));
+    }
+
+    /// Runners as last reported.
+    pub fn runners(&mut self, runners: Vec<Runner>) {
+        self.on(orders::Event::Runners(runners));
+    }
+
+    /// Takes an event of the holder.
+    pub fn on(&mut self, event: orders::Event) {
+        let steps = lock(&self.holder).on(event, self.shared.clock.now());
+        for step in steps {
+            self.carry_out(step);
+        }
+    }
+
+    /// The lease under which orders are given, if this router holds it.
+    pub fn fence(&self) -> Option<Fence> {
+        lock(&self.holder).fence()
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Abandon => self.abandon(),
+            Step::Report(blocked) => log::warn!("order not given: {blocked}"),
+            Step::Send { endpoint, order } => self.send(endpoint, order),
+            step => {
+                let (shared, keys) = (self.shared.clone(), self.keys.clone());
+                task::spawn(async move {
+                    if let Some(event) = platform_calls::carry_out(&shared, &keys, step).await {
+                        send(&shared, Event::Orders(event)).await;
+                    }
+                });
+            }
+        }
+    }
+
+    fn send(&mut self, endpoint: EndpointId, order: wire::engine::Order) {
+        let Some(to) = self.addresses.get(&endpoint).copied() else {
+            return;
+        };
+        log::info!(endpoint = endpoint.as_str(), fence = order.fence.0; "order given");
+        let (shared, holder) = (self.shared.clone(), self.holder.clone());
+        let clock = self.shared.clock;
+        let may_send = move || lock(&holder).may_send(clock.now());
+        let (call, handle) = abortable(async move {
+            let event = engine_calls::send(&shared, endpoint, to, &order, may_send).await;
+            send(&shared, Event::Orders(event)).await;
+        });
+        task::spawn(call);
+        self.calls.retain(|call| !call.is_aborted());
+        self.calls.push(handle);
+    }
+
+    fn abandon(&mut self) {
+        for call in self.calls.drain(..) {
+            call.abort();
+        }
+    }
+}
+
+fn lock(holder: &Mutex<OrderHolder>) -> MutexGuard<'_, OrderHolder> {
+    holder.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/router/src/pool/member.rs
+++ b/crates/router/src/pool/member.rs
@@ -46,13 +46,13 @@
         reborn
     }
 
-    /// Whether a request may go here: an endpoint of unknown weights is asked, and refuses if it serves others.
+    /// Whether a request may go here. An endpoint of unknown weights may: its answer names those that served.
     pub(super) fn fits(&self, wish: &Wish<'_>) -> bool {
         if wish.avoid.contains(&self.key) {
             return false;
         }
-        match (wish.weights, &self.believed.weights) {
-            (Some(wanted), Some(served)) => wanted == served,
+        match (wish.weights.is_empty(), &self.believed.weights) {
+            (false, Some(served)) => wish.weights.contains(served),
             _ => true,
         }
     }
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -47,8 +47,8 @@
 pub struct Wish<'a> {
     /// Its prompt; empty for plain services.
     pub chain: &'a PrefixChain,
-    /// Weights it needs, absent for plain services.
-    pub weights: Option<&'a WeightsVersion>,
+    /// Weights that may serve it, the preferred ones first; empty for plain services.
+    pub weights: &'a [WeightsVersion],
     /// Endpoints that failed it already.
     pub avoid: &'a [EndpointKey],
 }
@@ -112,7 +112,7 @@
     pub(super) fn expected_blocks(&mut self, chain: &PrefixChain, now: Duration) -> usize {
         let wish = Wish {
             chain,
-            weights: None,
+            weights: &[],
             avoid: &[],
         };
         match self.choose(&wish, now) {
@@ -133,29 +133,48 @@
     }
 
     fn choose(&mut self, wish: &Wish<'_>, now: Duration) -> Option<(usize, Pick)> {
-        let live = self.candidates(wish, Standing::Live, now);
-        self.choose_among(wish, &live, now).or_else(|| {
-            let suspected = self.candidates(wish, Standing::Suspected, now);
-            self.choose_among(wish, &suspected, now)
-        })
+        let preferred = Wish {
+            weights: wish.weights.get(..1).unwrap_or_default(),
+            ..*wish
+        };
+        let live = self.candidates(&preferred, Standing::Live, now);
+        if let Some(choice) = self.choose_with_room(wish, &live, now) {
+            return Some(choice);
+        }
+        for standing in [Standing::Live, Standing::Suspected] {
+            let open = self.candidates(wish, standing, now);
+            let choice = self.choose_with_room(wish, &open, now);
+            if let Some(choice) = choice.or_else(|| self.emptiest(&open)) {
+                return Some(choice);
+            }
+        }
+        None
     }
 
-    fn choose_among(&mut self, wish: &Wish<'_>, open: &[(usize, Candidate)], now: Duration) -> Option<(usize, Pick)> {
+    fn choose_with_room(
+        &mut self,
+        wish: &Wish<'_>,
+        open: &[(usize, Candidate)],
+        now: Duration,
+    ) -> Option<(usize, Pick)> {
         let candidates: Vec<Candidate> = open.iter().map(|(_, candidate)| *candidate).collect();
-        if let Choice::At(pick) = self.placer.choose(wish.chain, &candidates, now, rand::random()) {
-            return Some((open[pick.index].0, pick));
+        match self.placer.choose(wish.chain, &candidates, now, rand::random()) {
+            Choice::At(pick) => Some((open[pick.index].0, pick)),
+            Choice::Full => None,
         }
-        // All limits are reached, which a shrinking limit can cause after admission: the emptiest below its ceiling.
+    }
+
+    /// The emptiest endpoint below its ceiling, for the case that all limits are reached because one shrank after
+    /// admission.
+    fn emptiest(&self, open: &[(usize, Candidate)]) -> Option<(usize, Pick)> {
         let below = open.iter().filter(|(index, _)| self.members[*index].below_ceiling());
-        let emptiest = below.min_by_key(|(_, candidate)| candidate.in_flight)?;
-        Some((
-            emptiest.0,
-            Pick {
-                index: 0,
-                cached: 0,
-                reason: Reason::Drawn,
-            },
-        ))
+        let (index, _) = below.min_by_key(|(_, candidate)| candidate.in_flight)?;
+        let pick = Pick {
+            index: 0,
+            cached: 0,
+            reason: Reason::Drawn,
+        };
+        Some((*index, pick))
     }
 
     fn candidates(&self, wish: &Wish<'_>, standing: Standing, now: Duration) -> Vec<(usize, Candidate)> {
