--- a/crates/admission/src/share_limiter.rs
+++ b/crates/admission/src/share_limiter.rs
@@ -10,7 +10,7 @@
 //! | case | sum of shares | for how long |
 //! | --- | --- | --- |
 //! | all routers see each other | 1 | |
-//! | demand moves, or a router joins | at most 2 | one exchange of demand: a share at most doubles from one to the next |
+//! | demand moves, or a router joins | below 3 | one exchange of demand: a share at most doubles, or rises to the even one |
 //! | a minority is cut off | 1 plus the minority's shares | until it is seen again; the minority keeps its last shares |
 //! | no side has a majority | 1 | each side keeps its last shares |
 //!
@@ -22,14 +22,23 @@
 /// Part of a limit that is split evenly, so that a router where a workspace has not been seen grants its first requests
 /// at once; the rest follows demand. At a tenth, callers who all use one of 14 routers get 0.91 of their limit there.
 const EVEN_PART: f64 = 0.1;
-/// A share grows at most by this factor from one exchange of demand to the next. When many routers get busy together none
-/// has heard of the others yet: without this each would take nearly the whole limit.
+/// A share grows at most by this factor, or to the even share, from one exchange of demand to the next. When many routers
+/// get busy together none has heard of the others yet: without this each would take nearly the whole limit.
 const MAX_GROWTH: f64 = 2.0;
 /// A router that is missing keeps its part for this long: restarts take seconds and should not move limits.
 const MISSING: Duration = Duration::from_secs(30);
 /// How much unused rate may be saved up.
 const BURST: Duration = Duration::from_secs(1);
 
+/// This router's part of a workspace's limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Part by demand, 0 to 1.
+    pub wanted: f64,
+    /// Part if the limit were split evenly, 0 to 1.
+    pub even: f64,
+}
+
 /// Which routers count, as one router sees them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ShareView {
@@ -71,15 +80,16 @@
 
     /// This router's wanted share of a workspace's limit, from the demand that arrives here and at all routers.
     /// None while routers are missing: the last share stays.
-    pub fn share(&self, own: f64, total: f64) -> Option<f64> {
+    pub fn share(&self, own: f64, total: f64) -> Option<Share> {
         if self.missing_since.is_some() || self.seen < self.counted {
             return None;
         }
-        let even = 1.0 / f64::from(self.counted);
+        let even = self.even_share();
         if total <= 0.0 {
-            return Some(even);
+            return Some(Share { wanted: even, even });
         }
-        Some(EVEN_PART * even + (1.0 - EVEN_PART) * (own / total).clamp(0.0, 1.0))
+        let wanted = EVEN_PART * even + (1.0 - EVEN_PART) * (own / total).clamp(0.0, 1.0);
+        Some(Share { wanted, even })
     }
 
     /// The share to begin with.
@@ -136,8 +146,8 @@
     }
 
     /// Takes over the wanted share, called once for each exchange of demand.
-    pub fn set_share(&mut self, wanted: f64, now: Duration) {
-        self.share = wanted.min(self.share * MAX_GROWTH);
+    pub fn set_share(&mut self, share: Share, now: Duration) {
+        self.share = share.wanted.min((self.share * MAX_GROWTH).max(share.even));
         self.set_limits(self.limits, now);
     }
 
--- /dev/null
+++ b/crates/admission/tests/queue_order.rs
@@ -0,0 +1,296 @@
+//! Which job starts next, against a naive queue that looks at every job each time; and long random runs in which every
+//! ticket must end exactly once.
+
+use admission::{Admission, Cancelled, Job, Mechanisms, Next, Offer, Outcome, ServiceModel, Settings, Ticket, Tokens};
+use ids::{Priority, WorkspaceId};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const WORKSPACES: u8 = 4;
+const SLOTS: u32 = 3;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Offer { workspace: u8, rank: u8, output: u16 },
+    FinishOldest,
+    CancelNewest,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        match u8::arbitrary(source) % 8 {
+            0..=4 => Self::Offer {
+                workspace: u8::arbitrary(source) % WORKSPACES,
+                rank: u8::arbitrary(source) % 10,
+                output: u16::arbitrary(source) % 500,
+            },
+            5..=6 => Self::FinishOldest,
+            _ => Self::CancelNewest,
+        }
+    }
+}
+
+fn job(workspace: u8, rank: u8, output: u64, deadline: Option<Duration>) -> Job {
+    let weight = u32::from(workspace) + 1;
+    let tokens = Tokens { uncached: 100, output };
+    let workspace = WorkspaceId::from(format!("w{workspace}"));
+    Job {
+        workspace,
+        weight,
+        priority: Priority(rank),
+        tokens,
+        deadline,
+    }
+}
+
+/// Queue of (offer's number, workspace, time it counts as arrived, cost in microseconds), searched whole for each start.
+#[derive(Default)]
+struct Naive {
+    waiting: Vec<(usize, u8, Duration, f64)>,
+    ranks: BTreeMap<usize, u8>,
+    tags: BTreeMap<u8, f64>,
+    virtual_time: f64,
+    running: u32,
+    urgent: bool,
+}
+
+impl Naive {
+    fn tag(&self, workspace: u8) -> f64 {
+        self.tags.get(&workspace).copied().unwrap_or(0.0)
+    }
+
+    fn waits(&self, workspace: u8) -> bool {
+        self.waiting.iter().any(|one| one.1 == workspace)
+    }
+
+    /// Whether it starts at once.
+    fn offer(&mut self, number: usize, workspace: u8, rank: u8, cost: f64, now: Duration) -> bool {
+        if !self.waits(workspace) {
+            let tag = self.tag(workspace).max(self.virtual_time);
+            if self.running < SLOTS && self.waiting.is_empty() {
+                self.virtual_time = tag;
+                self.tags.insert(workspace, tag + cost / f64::from(workspace + 1));
+                self.running += 1;
+                return true;
+            }
+            self.tags.insert(workspace, tag);
+        }
+        let due = if self.urgent {
+            now + Duration::from_millis(500) * u32::from(rank)
+        } else {
+            now
+        };
+        self.waiting.push((number, workspace, due, cost));
+        self.ranks.insert(number, rank);
+        false
+    }
+
+    fn next(&mut self) -> Option<usize> {
+        if self.running >= SLOTS {
+            return None;
+        }
+        let active: BTreeSet<u8> = self.waiting.iter().map(|one| one.1).collect();
+        let weight: f64 = active.iter().map(|workspace| f64::from(workspace + 1)).sum();
+        let least = active
+            .iter()
+            .map(|&workspace| self.tag(workspace))
+            .fold(f64::INFINITY, f64::min);
+        let first = |workspace: u8| {
+            let own = self.waiting.iter().filter(|one| one.1 == workspace);
+            own.min_by_key(|one| (one.2, one.0))
+                .copied()
+                .expect("an active workspace")
+        };
+        let key = |workspace: u8| {
+            let ranks = if self.urgent {
+                f64::from(9 - self.ranks[&first(workspace).0])
+            } else {
+                0.0
+            };
+            self.tag(workspace) - ranks * 1e5 * f64::from(SLOTS) / weight
+        };
+        // Ties go to the workspace that was seen first, which the caller makes the lowest.
+        let workspace = active.iter().copied().min_by(|a, b| key(*a).total_cmp(&key(*b)))?;
+        let (number, _, _, cost) = first(workspace);
+        self.virtual_time = self.virtual_time.max(least);
+        self.waiting.retain(|one| one.0 != number);
+        *self.tags.entry(workspace).or_default() += cost / f64::from(workspace + 1);
+        self.running += 1;
+        Some(number)
+    }
+}
+
+/// Starts in order, by the numbers of the offers.
+fn starts(steps: &[Step], urgent: bool) -> (Vec<usize>, Vec<usize>) {
+    let mechanisms = Mechanisms {
+        priorities: urgent,
+        short_first: false,
+        reserve: false,
+        refuse: false,
+        ..Mechanisms::default()
+    };
+    let mut pool = Admission::new(Settings::builder().mechanisms(mechanisms).build());
+    pool.set_capacity(SLOTS, Duration::ZERO);
+    let mut naive = Naive {
+        urgent,
+        ..Naive::default()
+    };
+    let (mut numbers, mut running) = (BTreeMap::new(), Vec::<Ticket>::new());
+    let (mut ours, mut theirs) = (Vec::new(), Vec::new());
+    let first = (0..WORKSPACES).map(|workspace| Step::Offer {
+        workspace,
+        rank: 5,
+        output: 10,
+    });
+    for (number, step) in first.chain(steps.iter().copied()).enumerate() {
+        let now = Duration::from_millis(number as u64 * 37);
+        match step {
+            Step::Offer {
+                workspace,
+                rank,
+                output,
+            } => {
+                let job = job(workspace, rank, output.into(), None);
+                let cost = (ServiceModel::default().seconds(job.tokens) * 1e6) as u64 + 1;
+                if naive.offer(number, workspace, rank, cost as f64, now) {
+                    theirs.push(number);
+                }
+                match pool.offer(&job, now) {
+                    Offer::Start(ticket) => {
+                        running.push(ticket);
+                        ours.push(number);
+                    }
+                    Offer::Wait(ticket) => drop(numbers.insert(ticket, number)),
+                    Offer::Refuse(refusal) => panic!("{refusal:?}"),
+                }
+            }
+            Step::FinishOldest if !running.is_empty() => {
+                pool.finish(running.remove(0), Outcome::Failed, now)
+                    .expect("a running job");
+                naive.running -= 1;
+            }
+            Step::CancelNewest => {
+                if let Some((ticket, number)) = numbers.pop_last() {
+                    assert_eq!(pool.cancel(ticket), Cancelled::Queued);
+                    naive.waiting.retain(|one| one.0 != number);
+                }
+            }
+            Step::FinishOldest => {}
+        }
+        while let Next::Start(ticket) = pool.next(now) {
+            running.push(ticket);
+            ours.push(numbers.remove(&ticket).expect("a waiting job"));
+        }
+        theirs.extend(std::iter::from_fn(|| naive.next()));
+    }
+    (ours, theirs)
+}
+
+#[test]
+fn starts_as_the_naive_queue() {
+    fn same(steps: Vec<Step>, urgent: bool) -> bool {
+        let (ours, theirs) = starts(&steps, urgent);
+        ours == theirs
+    }
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(same as fn(Vec<Step>, bool) -> bool);
+}
+
+/// Callers come, go away and come back while slots appear and vanish. A ticket that ended twice would answer a caller
+/// twice or free a slot that is in use; one that never ended would leave a caller hanging. The program asserts the same
+/// of its own counts at every step.
+#[test]
+fn every_ticket_ends_once() {
+    for seed in 0..40 {
+        random_run(seed);
+    }
+}
+
+fn random_run(seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut pool = Admission::new(Settings::default());
+    let (mut now, mut capacity) = (Duration::ZERO, 0);
+    let (mut waiting, mut running) = (BTreeMap::new(), BTreeSet::new());
+    for step in 0..3_000 {
+        now += Duration::from_millis(random.random_range(0..40));
+        match random.random_range(0..10) {
+            0 if step % 50 == 0 => capacity = random.random_range(0..8),
+            0..=4 => {
+                let slack = Duration::from_millis(random.random_range(10..8_000));
+                let output = random.random_range(0..60) * random.random_range(1..20);
+                let deadline = random.random_bool(0.8).then(|| now + slack);
+                let job = job(
+                    random.random_range(0..WORKSPACES),
+                    random.random_range(0..10),
+                    output,
+                    deadline,
+                );
+                match pool.offer(&job, now) {
+                    Offer::Start(ticket) => assert!(running.insert(ticket), "a ticket used twice"),
+                    Offer::Wait(ticket) => assert!(waiting.insert(ticket, deadline).is_none(), "a ticket used twice"),
+                    Offer::Refuse(_) => {}
+                }
+            }
+            5..=8 => {
+                if let Some(ticket) = running.pop_first() {
+                    let tokens = Tokens {
+                        uncached: 100,
+                        output: random.random_range(0..200),
+                    };
+                    let first_token = Duration::from_millis(30);
+                    pool.finish(ticket, Outcome::Served { first_token, tokens }, now)
+                        .expect("a running job");
+                    assert!(pool.finish(ticket, Outcome::Failed, now).is_err(), "a job ended twice");
+                }
+            }
+            _ => {
+                if let Some((ticket, _)) = waiting.pop_first() {
+                    assert_eq!(pool.cancel(ticket), Cancelled::Queued);
+                    assert_eq!(pool.cancel(ticket), Cancelled::Ended);
+                }
+            }
+        }
+        pool.set_capacity(capacity, now);
+        drain(&mut pool, now, capacity, &mut waiting, &mut running);
+        let counts = pool.counts();
+        assert_eq!(
+            (counts.waiting as usize, counts.running as usize),
+            (waiting.len(), running.len())
+        );
+    }
+}
+
+fn drain(
+    pool: &mut Admission,
+    now: Duration,
+    capacity: u32,
+    waiting: &mut BTreeMap<Ticket, Option<Duration>>,
+    running: &mut BTreeSet<Ticket>,
+) {
+    loop {
+        match pool.next(now) {
+            Next::Start(ticket) => {
+                let deadline = waiting.remove(&ticket).expect("a waiting job");
+                assert!(
+                    deadline.is_none_or(|deadline| now < deadline),
+                    "started after its deadline"
+                );
+                assert!(running.insert(ticket) && running.len() <= capacity as usize);
+            }
+            Next::Expired(ticket, _) => {
+                let deadline = waiting.remove(&ticket).expect("a waiting job");
+                // One step of the run and one period of the check.
+                let latest = deadline.map(|deadline| deadline + Duration::from_millis(90));
+                assert!(
+                    capacity == 0 || latest.is_some_and(|latest| now <= latest),
+                    "held past its deadline"
+                );
+            }
+            Next::Wait => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/shares.rs
@@ -0,0 +1,214 @@
+//! Limits of a workspace over all routers: the bucket against a naive one, and routers that come, go and are cut off.
+
+use admission::{Bucket, Limits, ShareLimiter, ShareView, Take};
+use quickcheck::QuickCheck;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const LIMIT: u32 = 140;
+const ROUTERS: usize = 14;
+/// Steps a second, and seconds between exchanges of demand.
+const STEPS: u64 = 100;
+const EXCHANGE: u64 = 1;
+
+/// A whole number of tokens, filled up millisecond by millisecond.
+#[test]
+fn fills_as_the_naive_bucket() {
+    fn same(steps: Vec<(u8, u8)>, rate: u8, capacity: u8) -> bool {
+        let (rate, capacity) = (i64::from(rate), i64::from(capacity) * 1_000);
+        let mut bucket = Bucket::new(rate as f64, capacity as f64 / 1e3, Duration::ZERO);
+        let (mut level, mut now) = (capacity, Duration::ZERO);
+        for (passed, cost) in steps {
+            now += Duration::from_millis(passed.into());
+            for _ in 0..passed {
+                level = (level + rate).min(capacity);
+            }
+            let free = level >= 1_000.min(capacity);
+            if free != (bucket.wait(1.0, now) == Some(Duration::ZERO)) && (level - 1_000.min(capacity)).abs() > 1 {
+                return false;
+            }
+            if free {
+                bucket.charge(cost.into(), now);
+                level -= i64::from(cost) * 1_000;
+            }
+            if (bucket.level(now) * 1e3 - level as f64).abs() > 0.01 {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(same as fn(Vec<(u8, u8)>, u8, u8) -> bool);
+}
+
+/// Which routers are up, who sees whom, and where the callers are.
+struct Case {
+    name: &'static str,
+    /// Routers up at a second.
+    up: fn(u64, usize) -> bool,
+    /// Whether two routers see each other.
+    linked: fn(u64, usize, usize) -> bool,
+    /// Requests a second at a router.
+    demand: fn(u64, usize) -> f64,
+    /// Seconds that are judged.
+    span: (u64, u64),
+    /// Bounds of what is granted, as a multiple of the limit.
+    granted: (f64, f64),
+}
+
+fn check(cases: &[Case]) {
+    for case in cases {
+        let granted = run(case, true);
+        let (least, most) = case.granted;
+        assert!(
+            granted >= least && granted <= most,
+            "{}: {granted} times the limit",
+            case.name
+        );
+        let alone = run(case, false);
+        assert!(
+            alone > 2.0,
+            "{}: only {alone} times the limit when each router grants all of it",
+            case.name
+        );
+    }
+}
+
+/// What is granted over all routers, as a multiple of the limit.
+fn run(case: &Case, shared: bool) -> f64 {
+    let limits = Limits {
+        requests: Some(LIMIT),
+        tokens: None,
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let start = if shared { 1.0 / ROUTERS as f64 } else { 1.0 };
+    let mut views = vec![ShareView::new(ROUTERS as u32); ROUTERS];
+    let mut limiters = vec![ShareLimiter::new(limits, start, Duration::ZERO); ROUTERS];
+    let mut granted = 0;
+    for step in 0..case.span.1 * STEPS {
+        let (second, now) = (step / STEPS, Duration::from_millis(step * 1_000 / STEPS));
+        for router in (0..ROUTERS).filter(|&router| (case.up)(second, router)) {
+            if shared && step % (STEPS * EXCHANGE) == 0 {
+                let heard = heard(case, second, router);
+                views[router].observe(heard.len() as u32, None, now);
+                // What the others tell is a second old.
+                let others: f64 = heard
+                    .iter()
+                    .map(|&other| (case.demand)(second.saturating_sub(1), other))
+                    .sum();
+                let (own, old) = (
+                    (case.demand)(second, router),
+                    (case.demand)(second.saturating_sub(1), router),
+                );
+                if let Some(share) = views[router].share(own, others - old + own) {
+                    limiters[router].set_share(share, now);
+                }
+            }
+            let asked = random.random_bool((case.demand)(second, router) / STEPS as f64);
+            if asked && limiters[router].take(0, now) == Take::Granted && second >= case.span.0 {
+                granted += 1;
+            }
+        }
+    }
+    f64::from(granted) / (f64::from(LIMIT) * (case.span.1 - case.span.0) as f64)
+}
+
+fn heard(case: &Case, second: u64, router: usize) -> Vec<usize> {
+    let up = |other: usize| (case.up)(second, other) && (other == router || (case.linked)(second, router, other));
+    (0..ROUTERS).filter(|&other| up(other)).collect()
+}
+
+/// A workspace asks each router for four times its even share. Were each to grant the whole limit, the workspace would
+/// get several times what it may; were shares lost with routers, its callers would be refused below their limit.
+#[test]
+fn sum_of_shares() {
+    let even = |_, _| 40.0;
+    check(&[
+        Case {
+            name: "steady",
+            up: |_, _| true,
+            linked: |_, _, _| true,
+            demand: even,
+            span: (5, 60),
+            granted: (0.95, 1.01),
+        },
+        Case {
+            name: "callers move",
+            up: |_, _| true,
+            linked: |_, _, _| true,
+            demand: |second, router| {
+                if (second / 10) as usize % 2 == router % 2 {
+                    90.0
+                } else {
+                    0.1
+                }
+            },
+            span: (5, 60),
+            granted: (0.85, 1.1),
+        },
+        Case {
+            name: "all at one router",
+            up: |_, _| true,
+            linked: |_, _, _| true,
+            demand: |second, router| if second < 5 || router < 4 { 95.0 } else { 0.0 },
+            span: (15, 60),
+            granted: (0.9, 1.01),
+        },
+        Case {
+            name: "half of the routers go",
+            up: |second, router| second < 10 || router >= 6,
+            linked: |_, _, _| true,
+            demand: even,
+            span: (45, 80),
+            granted: (0.95, 1.01),
+        },
+        Case {
+            name: "six are cut off",
+            up: |_, _| true,
+            linked: |second, one, two| second < 10 || (one < 6) == (two < 6),
+            demand: even,
+            span: (45, 80),
+            granted: (1.3, 1.01 + 6.0 / 14.0),
+        },
+        Case {
+            name: "seven are cut off from seven",
+            up: |_, _| true,
+            linked: |second, one, two| second < 10 || (one < 7) == (two < 7),
+            demand: even,
+            span: (45, 80),
+            granted: (0.95, 1.01),
+        },
+        Case {
+            name: "all restart together",
+            up: |second, _| second >= 5,
+            linked: |second, _, _| second >= 7,
+            demand: even,
+            span: (5, 20),
+            granted: (0.95, 1.08),
+        },
+    ]);
+}
+
+/// One prompt is larger than a router's share of a small limit. A bucket that wants the whole cost beforehand would refuse
+/// it for ever; granted without a debt, the workspace would get many times its tokens.
+#[test]
+fn large_prompts_pay_off_their_debt() {
+    let limits = Limits {
+        requests: None,
+        tokens: Some(1_000),
+    };
+    let mut limiter = ShareLimiter::new(limits, 0.1, Duration::ZERO);
+    let mut tokens = 0;
+    for millis in 0..1_000_000 {
+        if limiter.take(5_000, Duration::from_millis(millis)) == Take::Granted {
+            tokens += 5_000;
+        }
+    }
+    let allowed = 1_000 / 10 * 1_000;
+    assert!(
+        tokens >= allowed * 9 / 10 && tokens <= allowed + 5_000 + 100,
+        "{tokens} of {allowed}"
+    );
+}
