apricotfork config: init, show, set, edit, diff, history, verify, undo; tables of the commands' refusals

Found by the tests (red first): check took settings for a document, since both have a field named operators; a section is told by being an object.

--- a/crates/apricotfork/src/arguments.rs
+++ b/crates/apricotfork/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::config_command::Config;
 use argh::FromArgs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -32,6 +33,8 @@
     Serve(Serve),
     /// Check a file.
     Check(Check),
+    /// The configuration.
+    Config(Config),
     /// Ask a router.
     Status(Status),
 }
--- a/crates/apricotfork/src/check.rs
+++ b/crates/apricotfork/src/check.rs
@@ -21,14 +21,13 @@
     }
 }
 
-/// A document's fields are sections; settings have none of them.
+/// A document's fields are sections, which are objects; settings have `operators` too, as an address.
 fn is_document(text: &str) -> bool {
     let Ok(Value::Object(fields)) = serde_json::from_str(text) else {
         return false;
     };
-    Section::ALL
-        .iter()
-        .any(|section| fields.contains_key(&section.to_string()))
+    let is_section = |section: &Section| fields.get(&section.to_string()).is_some_and(Value::is_object);
+    Section::ALL.iter().any(is_section)
 }
 
 fn report<P: Display>(result: Result<&str, Vec<P>>) -> ExitCode {
--- /dev/null
+++ b/crates/apricotfork/src/config_command/change.rs
@@ -0,0 +1,179 @@
+//! Commands that change the configuration.
+
+use super::arguments::{Edit, Init, Set, Undo};
+use super::{ConfigError, calls, read};
+use config::{
+    Change, ChangeId, ChangeRefused, Intent, OperatorKey, Outcome, REFUSED_KEY, Submission, UnixMillis, undo_source,
+};
+use ids::{Revision, Version};
+use platform::Platform;
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+use std::time::{SystemTime, UNIX_EPOCH};
+use wire::platform::Put;
+
+/// Editor of a machine that names none.
+const EDITOR: &str = "vi";
+
+/// Writes the first document.
+pub async fn init(args: &Init) -> Result<(), ConfigError> {
+    let text = file(&args.document)?;
+    let intent = Intent::First {
+        id: new_id(),
+        operator: args.operator.clone(),
+        text,
+    };
+    submit(&calls::client(args.platform), intent, key(&args.key_file)?).await
+}
+
+/// Replaces a section.
+pub async fn set(args: &Set) -> Result<(), ConfigError> {
+    let platform = calls::client(args.platform);
+    let view = calls::load(&platform).await?;
+    let change = Change {
+        id: new_id(),
+        operator: args.operator.clone(),
+        section: args.section,
+        before: args.before.unwrap_or(view.head.sections[&args.section].digest),
+        after: file(&args.file)?,
+    };
+    submit(&platform, Intent::Change(change), key(&args.key_file)?).await
+}
+
+/// Edits a section and replaces it.
+pub async fn edit(args: &Edit) -> Result<(), ConfigError> {
+    let platform = calls::client(args.platform);
+    let view = calls::load(&platform).await?;
+    let before = serde_json::to_string_pretty(&read::value(&view, args.section)?)?;
+    let path = std::env::temp_dir().join(format!("apricotfork-{}-{}.json", args.section, new_id()));
+    fs::write(&path, before).map_err(|err| ConfigError::File(path.clone(), err))?;
+    let editor = std::env::var("EDITOR").unwrap_or_else(|_| EDITOR.to_owned());
+    Command::new(editor).arg(&path).status().map_err(ConfigError::Editor)?;
+    let after = file(&path)?;
+    println!("your text stays in {} if the change is refused", path.display());
+    let change = Change {
+        id: new_id(),
+        operator: args.operator.clone(),
+        section: args.section,
+        before: view.head.sections[&args.section].digest,
+        after,
+    };
+    submit(&platform, Intent::Change(change), key(&args.key_file)?).await?;
+    fs::remove_file(&path).map_err(|err| ConfigError::File(path, err))
+}
+
+/// Undoes a revision by a new change.
+pub async fn undo(args: &Undo) -> Result<(), ConfigError> {
+    let platform = calls::client(args.platform);
+    let view = calls::load(&platform).await?;
+    let revision = Revision(args.revision);
+    let (section, from) = undo_source(&view, revision)?;
+    let entry = platform
+        .get(&from.key(section))
+        .await
+        .map_err(|_| ConfigError::Platform)?;
+    let text = entry.and_then(|entry| entry.value).unwrap_or_default();
+    let change = config::undo(&view, revision, new_id(), &args.operator, &text)?;
+    submit(&platform, Intent::Change(change), key(&args.key_file)?).await
+}
+
+async fn submit(platform: &Platform, intent: Intent, key: OperatorKey) -> Result<(), ConfigError> {
+    let at = UnixMillis(now_ms());
+    let outcome = calls::submit(platform, Submission::new(intent.clone(), key, at)).await;
+    match outcome {
+        Outcome::Accepted { revision, garbage } => {
+            println!("accepted as revision {revision}");
+            calls::delete(platform, &garbage).await;
+            Ok(())
+        }
+        Outcome::Refused(refused) => {
+            if let Intent::Change(change) = &intent {
+                record_refused(platform, change, &refused, at).await;
+            }
+            Err(ConfigError::Ended(Outcome::Refused(refused)))
+        }
+        other => Err(ConfigError::Ended(other)),
+    }
+}
+
+/// Writes a refused attempt to its trail, as well as can be: one that races another goes unrecorded.
+async fn record_refused(platform: &Platform, change: &Change, refused: &ChangeRefused, at: UnixMillis) {
+    let Ok(entry) = platform.get(REFUSED_KEY).await else {
+        return;
+    };
+    let expect = entry.as_ref().map_or(Version(0), |entry| entry.version);
+    let text = entry.and_then(|entry| entry.value);
+    let Ok(mut log) = text.map_or_else(|| Ok(config::RefusedLog::default()), |text| serde_json::from_str(&text)) else {
+        return;
+    };
+    log.record(change, refused, at);
+    let Ok(text) = serde_json::to_string(&log) else { return };
+    let put = Put {
+        key: REFUSED_KEY.to_owned(),
+        value: Some(text),
+        expect,
+        lease: None,
+    };
+    let _ = platform.put(&put).await;
+}
+
+/// What an outcome means, for people.
+pub fn explain(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Accepted { revision, .. } => format!("accepted as revision {revision}"),
+        Outcome::Refused(refused) => explain_refused(refused),
+        Outcome::Damaged => "what is stored is damaged; nothing was changed".to_owned(),
+        Outcome::NotSent => "the platform does not answer; nothing was changed".to_owned(),
+        Outcome::Undecided => {
+            "the platform's answer was lost: the change may be accepted; look at `apricotfork config history`"
+                .to_owned()
+        }
+        Outcome::Unknown => "the audit trail no longer reaches back to this change".to_owned(),
+    }
+}
+
+fn explain_refused(refused: &ChangeRefused) -> String {
+    let mut text = refused.to_string();
+    match refused {
+        ChangeRefused::Invalid(problems) => {
+            for problem in problems {
+                let _ = write!(text, "\n  {problem}");
+            }
+        }
+        ChangeRefused::Conflict(conflict) => {
+            for record in &conflict.since {
+                let _ = write!(
+                    text,
+                    "\n  revision {} by {} at {}",
+                    record.revision, record.operator, record.at
+                );
+            }
+            let _ = write!(text, "\n  now its digest is {}", conflict.current);
+        }
+        _ => {}
+    }
+    text
+}
+
+fn file(path: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(path).map_err(|err| ConfigError::File(path.to_owned(), err))
+}
+
+/// A key file holds the key and perhaps a line end.
+fn key(path: &Path) -> Result<OperatorKey, ConfigError> {
+    Ok(OperatorKey::from(file(path)?.trim().to_owned()))
+}
+
+/// Unique for each command, and kept over its retries.
+fn new_id() -> ChangeId {
+    ChangeId::from(format!("{:x}-{:x}", now_ms(), std::process::id()))
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
--- /dev/null
+++ b/crates/apricotfork/src/config_command/read.rs
@@ -0,0 +1,115 @@
+//! Commands that change nothing.
+
+use super::arguments::{Diff, History, Show, Verify};
+use super::{ConfigError, calls};
+use config::{Difference, REFUSED_KEY, Record, RefusedLog, Section, View, section_text, verify_chain};
+use serde_json::{Map, Value};
+use std::fs;
+
+/// Prints the document or a section; its digest goes to standard error, so that the output is plain JSON.
+pub async fn show(args: &Show) -> Result<(), ConfigError> {
+    let view = calls::load(&calls::client(args.platform)).await?;
+    let shown = match args.section {
+        Some(section) => {
+            eprintln!(
+                "revision {}, digest {}",
+                view.head.revision, view.head.sections[&section].digest
+            );
+            value(&view, section)?
+        }
+        None => {
+            eprintln!("revision {}", view.head.revision);
+            whole(&view)?
+        }
+    };
+    println!("{}", serde_json::to_string_pretty(&shown)?);
+    Ok(())
+}
+
+/// Prints what a file would change.
+pub async fn diff(args: &Diff) -> Result<(), ConfigError> {
+    let text = fs::read_to_string(&args.file).map_err(|err| ConfigError::File(args.file.clone(), err))?;
+    let wanted: Value = serde_json::from_str(&text)?;
+    let view = calls::load(&calls::client(args.platform)).await?;
+    print_differences(&value(&view, args.section)?, &wanted);
+    Ok(())
+}
+
+/// Prints the audit trail.
+pub async fn history(args: &History) -> Result<(), ConfigError> {
+    let platform = calls::client(args.platform);
+    if args.refused {
+        for attempt in refused(&platform).await?.attempts {
+            println!(
+                "{} {} {} refused: {}",
+                attempt.at, attempt.operator, attempt.section, attempt.reason
+            );
+        }
+        return Ok(());
+    }
+    let view = calls::load(&platform).await?;
+    if view.log.checkpoint.revision.0 > 0 {
+        println!(
+            "earlier revisions, up to {}, are no longer kept",
+            view.log.checkpoint.revision
+        );
+    }
+    view.log.records.iter().for_each(print_record);
+    Ok(())
+}
+
+/// Checks the audit trail.
+pub async fn verify(args: &Verify) -> Result<(), ConfigError> {
+    let platform = calls::client(args.platform);
+    let view = calls::load(&platform).await?;
+    verify_chain(&view.head, &view.log)?;
+    if !refused(&platform).await?.verify() {
+        return Err(ConfigError::RefusedChain);
+    }
+    println!("the audit trail is whole up to revision {}", view.head.revision);
+    Ok(())
+}
+
+/// Prints differences, one a line.
+pub fn print_differences(before: &Value, after: &Value) {
+    for Difference { path, before, after } in config::diff(before, after) {
+        let text = |value: Option<Value>| value.map_or_else(|| "nothing".to_owned(), |value| value.to_string());
+        println!("{path}: {} -> {}", text(before), text(after));
+    }
+}
+
+/// A section as JSON.
+pub fn value(view: &View, section: Section) -> Result<Value, ConfigError> {
+    Ok(serde_json::from_str(&section_text(&view.document, section))?)
+}
+
+/// Prints one accepted change.
+pub fn print_record(record: &Record) {
+    let sections: Vec<String> = record
+        .moves
+        .iter()
+        .map(|step| format!("{} {}", step.section, step.to))
+        .collect();
+    println!(
+        "revision {} at {} by {}: {}",
+        record.revision,
+        record.at,
+        record.operator,
+        sections.join(", ")
+    );
+}
+
+/// The trail of refused attempts, empty if there is none.
+pub async fn refused(platform: &platform::Platform) -> Result<RefusedLog, ConfigError> {
+    let entry = platform.get(REFUSED_KEY).await.map_err(|_| ConfigError::Platform)?;
+    let text = entry.and_then(|entry| entry.value);
+    text.map_or_else(|| Ok(RefusedLog::default()), |text| Ok(serde_json::from_str(&text)?))
+}
+
+fn whole(view: &View) -> Result<Value, ConfigError> {
+    let mut sections = Map::new();
+    for section in Section::ALL {
+        sections.insert(section.to_string(), value(view, section)?);
+    }
+    Ok(Value::Object(sections))
+}
--- a/crates/apricotfork/src/main.rs
+++ b/crates/apricotfork/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod check;
+mod config_command;
 mod exit;
 mod logs;
 mod serve;
@@ -19,6 +20,7 @@
     match arguments.command {
         Some(Command::Serve(serve)) => serve::run(&serve),
         Some(Command::Check(check)) => check::run(&check),
+        Some(Command::Config(config)) => config_command::run(&config),
         Some(Command::Status(status)) => status::run(&status),
         None => exit::usage("a command is needed; see `apricotfork --help`"),
     }
--- /dev/null
+++ b/crates/apricotfork/tests/check_command.rs
@@ -0,0 +1,106 @@
+//! `apricotfork check` and the exit codes of wrong settings.
+
+use serde_json::{Value, json};
+use std::process::Command;
+
+struct Case {
+    name: &'static str,
+    text: String,
+    exit: i32,
+    /// All of these are printed.
+    says: &'static [&'static str],
+}
+
+fn check(case: &Case) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("file.json");
+    std::fs::write(&path, &case.text).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_apricotfork"));
+    let output = command.arg("check").arg(&path).output().expect("the command");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(case.exit), "{}: {text}", case.name);
+    for says in case.says {
+        assert!(text.contains(says), "{}: no {says} in {text}", case.name);
+    }
+}
+
+fn settings(change: impl Fn(&mut Value)) -> String {
+    let mut settings = json!({
+        "vm": "lahore-1", "domain": "lahore",
+        "callers": "127.0.0.1:8080", "operators": "127.0.0.1:9090", "peers": "127.0.0.1:7070",
+        "platform": {"addresses": ["127.0.0.1:2379"]},
+    });
+    change(&mut settings);
+    settings.to_string()
+}
+
+#[test]
+fn every_error_is_named_with_its_path() {
+    let cases = [
+        Case {
+            name: "good",
+            text: settings(|_| ()),
+            exit: 0,
+            says: &["settings: no errors"],
+        },
+        Case {
+            name: "not JSON",
+            text: "{".to_owned(),
+            exit: 1,
+            says: &["EOF"],
+        },
+        Case {
+            name: "unknown field",
+            text: settings(|all| all["limits"] = json!({"body": 1})),
+            exit: 1,
+            says: &["limits.body", "unknown field"],
+        },
+        Case {
+            name: "a time with a unit",
+            text: settings(|all| all["limits"] = json!({"head_ms": "10s"})),
+            exit: 1,
+            says: &["limits.head_ms", "invalid type"],
+        },
+        Case {
+            name: "a name in place of an IP number",
+            text: settings(|all| all["callers"] = json!("localhost:80")),
+            exit: 1,
+            says: &["callers"],
+        },
+        Case {
+            name: "several contradictions at once",
+            text: settings(|all| {
+                all["vm"] = json!("");
+                all["operators"] = json!("127.0.0.1:8080");
+                all["platform"] = json!({"addresses": [], "timeout_ms": 0});
+                all["limits"] = json!({"request_ms": 5000, "body_ms": 6000, "connections": 0});
+                all["shutdown"] = json!({"grace_ms": 1000});
+                all["log"] = json!({"level": "loud"});
+            }),
+            exit: 1,
+            says: &[
+                "vm: must not be empty",
+                "operators: is the same address as callers",
+                "platform.addresses",
+                "platform.timeout_ms: must be at least 1",
+                "limits.body_ms: must not be longer than limits.request_ms",
+                "limits.request_ms: must not be longer than shutdown.grace_ms",
+                "limits.connections",
+                "log.level",
+            ],
+        },
+        Case {
+            name: "a document with several errors",
+            text: json!({
+                "workspaces": {"board": {"keys": [], "models": ["none"], "weight": 0}},
+                "priorities": {"urgent": {"rank": 10}},
+            })
+            .to_string(),
+            exit: 1,
+            says: &["workspaces.board", "priorities.urgent.rank", "no model none"],
+        },
+    ];
+    for case in &cases {
+        check(case);
+    }
+}
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -44,7 +44,13 @@
     let limit = shared
         .limits
         .take(&call.caller, estimate.uncached + estimate.output, shared.clock.now())?;
-    let permit = pool.enter(job(&call, estimate)).await?;
+    let permit = match pool.enter(job(&call, estimate)).await {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            limit.settle(0);
+            return Err(refusal.into());
+        }
+    };
     let mut attempts = Attempts::new(shared, call, permit, Repeat::Idempotent);
     attempts.chain = chain;
     attempts.weights = weights;
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -117,7 +117,10 @@
         let routers = u32::try_from(routers).unwrap_or(u32::MAX);
         let now = self.now();
         self.shares.observe(routers, Some(routers), now);
-        self.shared.limits.set_share(self.shares.even_share(), now);
+        // Routers do not tell each other yet where a workspace's requests arrive: the balancer spreads them evenly.
+        if let Some(share) = self.shares.share(0.0, 0.0) {
+            self.shared.limits.set_share(share, now);
+        }
     }
 
     fn sighted(&mut self, id: &EndpointId, sighting: Sighting) {
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -3,7 +3,7 @@
 use crate::caller::Caller;
 use crate::caller::{Cause, Refused};
 use crate::clock::Clock;
-use admission::{Limits, ShareLimiter, Take};
+use admission::{Limits, Share, ShareLimiter, Take};
 use ids::WorkspaceId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +18,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    share: f64,
+    share: Share,
     limiters: HashMap<WorkspaceId, (Limits, ShareLimiter)>,
 }
 
@@ -35,7 +35,7 @@
     /// Limits of which this router grants all, until it hears of others.
     pub fn new(clock: Clock) -> Self {
         let inner = Inner {
-            share: 1.0,
+            share: Share { wanted: 1.0, even: 1.0 },
             limiters: HashMap::new(),
         };
         Self {
@@ -45,7 +45,7 @@
     }
 
     /// This router's share of each limit has changed.
-    pub fn set_share(&self, share: f64, now: Duration) {
+    pub fn set_share(&self, share: Share, now: Duration) {
         let mut inner = lock(&self.inner);
         inner.share = share;
         for (_, limiter) in inner.limiters.values_mut() {
@@ -72,7 +72,7 @@
         let mut inner = lock(&self.inner);
         let share = inner.share;
         let limiter = inner.limiters.entry(caller.workspace.clone());
-        let (known, limiter) = limiter.or_insert_with(|| (limits, ShareLimiter::new(limits, share, now)));
+        let (known, limiter) = limiter.or_insert_with(|| (limits, ShareLimiter::new(limits, share.wanted, now)));
         if *known != limits {
             *known = limits;
             limiter.set_limits(limits, now);
