--- a/crates/loadtool/src/lib.rs
+++ b/crates/loadtool/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod error;
 pub mod faults;
+pub mod measure;
+pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod site;
--- a/crates/loadtool/src/main.rs
+++ b/crates/loadtool/src/main.rs
@@ -1,13 +1,21 @@
 //! `apricotfork-load`: load and experiments against our own stand-ins on loopback.
 
 use argh::FromArgs;
+use async_std::task::block_on;
 use loadtool::error::ToolError;
+use loadtool::measure::{OverheadSpec, SlopeSpec, overhead, slopes};
 use loadtool::run::{Record, RunSpec};
 use loadtool::scenario::Scenario;
-use loadtool::table::table;
+use loadtool::table;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+const MOST_REQUESTS: usize = 200_000;
+const MOST_SECONDS: f64 = 60.0;
+const MOST_CONNECTIONS: usize = 1024;
+
 /// Load and experiments against our own stand-ins on loopback.
 #[derive(Debug, FromArgs)]
 struct Args {
@@ -19,6 +27,9 @@
 #[argh(subcommand)]
 enum Command {
     Run(Run),
+    Overhead(Overhead),
+    Slopes(Slopes),
+    Report(Report),
 }
 
 /// Run deployments with open-loop load and faults; exit code 1 if the accounting finds an error.
@@ -48,10 +59,61 @@
     out: PathBuf,
 }
 
+/// Measure the router's own time per request against a direct call to the engine.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "overhead")]
+struct Overhead {
+    /// requests one after the other, by each way
+    #[argh(option, default = "10000")]
+    requests: usize,
+    /// seconds of the run at full speed
+    #[argh(option, default = "5.0")]
+    seconds: f64,
+    /// connections of the run at full speed
+    #[argh(option, default = "64")]
+    connections: usize,
+    /// file for the record
+    #[argh(option, default = "PathBuf::from(\"overhead.json\")")]
+    out: PathBuf,
+}
+
+/// Measure how one router grows with peers, endpoints, blocks, requests, pieces, claims and configuration.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct Slopes {
+    /// seconds of each point
+    #[argh(option, default = "6.0")]
+    seconds: f64,
+    /// only this sweep; may be given several times
+    #[argh(option)]
+    only: Vec<String>,
+    /// file for the record
+    #[argh(option, default = "PathBuf::from(\"slopes.json\")")]
+    out: PathBuf,
+}
+
+/// Put two records of runs side by side in a page.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "report")]
+struct Report {
+    /// record of one run
+    #[argh(positional)]
+    left: PathBuf,
+    /// record of the other
+    #[argh(positional)]
+    right: PathBuf,
+    /// file for the page
+    #[argh(option, default = "PathBuf::from(\"report.html\")")]
+    out: PathBuf,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let result = match args.command {
-        Command::Run(args) => async_std::task::block_on(run(&args)),
+        Command::Run(args) => block_on(run(&args)),
+        Command::Overhead(args) => block_on(measure_overhead(&args)),
+        Command::Slopes(args) => block_on(measure_slopes(&args)),
+        Command::Report(args) => report(&args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -74,7 +136,7 @@
             faults,
         };
         let record = loadtool::run::run(&spec).await?;
-        println!("{}", table(&record));
+        println!("{}", table::table(&record));
         write(&args.out.join(format!("run-{}.json", record.name)), &record)?;
         problems += record.problems.len();
     }
@@ -87,9 +149,7 @@
 
 fn scenarios(args: &Run) -> Result<Vec<Scenario>, ToolError> {
     if let Some(file) = &args.settings {
-        let text = std::fs::read_to_string(file).map_err(ToolError::io(file.display()))?;
-        let scenario = serde_json::from_str(&text).map_err(|err| ToolError::Json(file.display().to_string(), err))?;
-        return Ok(vec![scenario]);
+        return Ok(vec![read(file)?]);
     }
     match args.deployment.as_str() {
         "board" => Ok(vec![Scenario::board()]),
@@ -99,7 +159,43 @@
     }
 }
 
-fn write(file: &Path, record: &Record) -> Result<(), ToolError> {
+async fn measure_overhead(args: &Overhead) -> Result<(), ToolError> {
+    let spec = OverheadSpec {
+        requests: args.requests.min(MOST_REQUESTS),
+        seconds: args.seconds.min(MOST_SECONDS),
+        connections: args.connections.min(MOST_CONNECTIONS),
+        threads: vec![1, 4],
+    };
+    let records = overhead(&spec).await?;
+    records
+        .iter()
+        .for_each(|record| println!("{}", table::overhead(record)));
+    write(&args.out, &records)
+}
+
+async fn measure_slopes(args: &Slopes) -> Result<(), ToolError> {
+    let spec = SlopeSpec {
+        seconds: args.seconds.min(MOST_SECONDS),
+        only: args.only.clone(),
+    };
+    let series = slopes(&spec, |series| println!("{}", table::series(series))).await?;
+    write(&args.out, &series)
+}
+
+fn report(args: &Report) -> Result<(), ToolError> {
+    let left: Record = read(&args.left)?;
+    let right: Record = read(&args.right)?;
+    let names = [args.left.display().to_string(), args.right.display().to_string()];
+    let page = loadtool::report::page((&names[0], &left), (&names[1], &right))?;
+    std::fs::write(&args.out, page).map_err(ToolError::io(args.out.display()))
+}
+
+fn read<T: DeserializeOwned>(file: &Path) -> Result<T, ToolError> {
+    let text = std::fs::read_to_string(file).map_err(ToolError::io(file.display()))?;
+    serde_json::from_str(&text).map_err(|err| ToolError::Json(file.display().to_string(), err))
+}
+
+fn write<T: Serialize>(file: &Path, record: &T) -> Result<(), ToolError> {
     let text = serde_json::to_vec_pretty(record).map_err(|err| ToolError::Json(file.display().to_string(), err))?;
     std::fs::write(file, text).map_err(ToolError::io(file.display()))
 }
--- /dev/null
+++ b/crates/loadtool/src/measure/mod.rs
@@ -0,0 +1,13 @@
+//! Measures one router: its own time per request, and how processor time, memory and bytes grow.
+
+mod fit;
+mod load;
+mod overhead;
+mod process;
+mod relay;
+mod slopes;
+mod stand;
+
+pub use fit::{Fit, fit};
+pub use overhead::{OverheadRecord, OverheadSpec, overhead};
+pub use slopes::{Series, SlopeSpec, slopes};
--- a/crates/loadtool/src/run/tally.rs
+++ b/crates/loadtool/src/run/tally.rs
@@ -54,8 +54,10 @@
     pub attempts: BTreeMap<String, u64>,
     /// Last attempts of calls without a whole answer.
     pub failures: BTreeMap<String, u64>,
-    /// Time to first token of whole completions, from the arrival.
+    /// Time to first token of whole streams, from the arrival.
     pub first_token: Times,
+    /// Time to the end of whole completions, from the arrival.
+    pub completion: Times,
     /// Time to the whole answer of service calls.
     pub service: Times,
     /// Prompt tokens of whole completions.
@@ -81,6 +83,7 @@
 pub struct Tally {
     record: Record,
     first: Histogram<u64>,
+    completion: Histogram<u64>,
     service: Histogram<u64>,
     computed: HashSet<u64>,
     block_tokens: u64,
@@ -125,6 +128,7 @@
         Self {
             record,
             first: histogram(),
+            completion: histogram(),
             service: histogram(),
             computed: HashSet::new(),
             block_tokens,
@@ -147,7 +151,7 @@
         if let (false, Some((last, _))) = (whole, outcome.attempts.last()) {
             *self.record.failures.entry(last.name()).or_default() += 1;
         }
-        let first = outcome.got.map(|got| got.first);
+        let first = outcome.got.filter(|_| streamed(arrival)).map(|got| got.first);
         if let Some(second) = self.record.seconds.get_mut(arrival.at.as_secs() as usize) {
             second.calls += 1;
             second.whole += u64::from(whole);
@@ -157,7 +161,10 @@
             add(&mut self.service, outcome.took);
         }
         if let (true, Some(got)) = (whole, outcome.got) {
-            add(&mut self.first, got.first);
+            if streamed(arrival) {
+                add(&mut self.first, got.first);
+            }
+            add(&mut self.completion, outcome.took);
             self.record.prompt_tokens += got.prompt_tokens;
             self.record.cached_tokens += got.cached_tokens;
             let known = blocks.iter().take_while(|block| self.computed.contains(block)).count() as u64;
@@ -169,11 +176,16 @@
     /// The record so far.
     pub fn finish(mut self) -> Record {
         self.record.first_token = Times::of(&self.first);
+        self.record.completion = Times::of(&self.completion);
         self.record.service = Times::of(&self.service);
         self.record
     }
 }
 
+fn streamed(arrival: &Arrival) -> bool {
+    matches!(arrival.kind, Kind::Completion { streamed: true, .. })
+}
+
 fn kind_name(kind: &Kind) -> &'static str {
     match kind {
         Kind::Completion { streamed: true, .. } => "streamed completion",
--- a/crates/loadtool/src/table.rs
+++ b/crates/loadtool/src/table.rs
@@ -1,5 +1,6 @@
-//! Prints a record as a table.
+//! Records as tables.
 
+use crate::measure::{OverheadRecord, Series};
 use crate::run::{Record, Times};
 
 /// The table of a record.
@@ -23,6 +24,7 @@
         "milliseconds", "p50", "p95", "p99", "max"
     ));
     lines.push(times("time to first token", &record.first_token));
+    lines.push(times("whole completion", &record.completion));
     lines.push(times("service call", &record.service));
     let hit = percent(record.cached_tokens, record.prompt_tokens);
     let recomputed = percent(record.recomputed_tokens, record.prompt_tokens);
@@ -64,3 +66,45 @@
         100.0 * part as f64 / whole as f64
     }
 }
+
+/// The table of one measurement of the router's own time.
+pub fn overhead(record: &OverheadRecord) -> String {
+    let micros = |times: &Times| format!("p50 {:.0} µs, p99 {:.0} µs", times.p50 * 1000.0, times.p99 * 1000.0);
+    let added = |at: fn(&Times) -> f64| (at(&record.routed) - at(&record.direct)) * 1000.0;
+    let full = |(rate, times): &(f64, Times)| format!("{rate:.0} requests/s, {}", micros(times));
+    let lines = [
+        format!(
+            "router with {} threads, {} answers not whole",
+            record.threads, record.failed
+        ),
+        format!("  one at a time, direct: {}", micros(&record.direct)),
+        format!("  one at a time, routed: {}", micros(&record.routed)),
+        format!(
+            "  added: {:.0} µs at the median, {:.0} µs at p99",
+            added(|times| times.p50),
+            added(|times| times.p99)
+        ),
+        format!("  full speed, direct: {}", full(&record.direct_full)),
+        format!("  full speed, routed: {}", full(&record.routed_full)),
+        format!(
+            "  router at full speed: {:.1} µs of processor a request, {:.2} cores",
+            record.cpu_us, record.cores
+        ),
+    ];
+    lines.join("\n")
+}
+
+/// The table of one series: points, line, residuals.
+pub fn series(series: &Series) -> String {
+    let mut lines = vec![format!("{}: {} over {}", series.sweep, series.y, series.x)];
+    match &series.fit {
+        Some(fit) => {
+            lines.push(format!("  = {:.4} + {:.6} x", fit.intercept, fit.slope));
+            for ((x, y), residual) in series.points.iter().zip(&fit.residuals) {
+                lines.push(format!("  {x:>12.1}{y:>16.3}{residual:>14.3}"));
+            }
+        }
+        None => lines.push("  no line".to_owned()),
+    }
+    lines.join("\n")
+}
--- a/crates/standins/src/engine/calls.rs
+++ b/crates/standins/src/engine/calls.rs
@@ -17,18 +17,25 @@
 /// Serves until the process is ended.
 ///
 /// # Errors
-/// If the address can't be listened on.
+/// If an address can't be listened on.
 pub async fn run(args: Args) -> std::io::Result<()> {
-    let engine = Arc::new(Engine::new(args));
-    let (listener, local) = http::bind(&engine.args.listen).await?;
-    task::spawn(report(engine.clone()));
-    http::announce(local);
-    let connections = engine.connections.clone();
-    let handler = move |call: Call| -> futures::future::BoxFuture<'static, Reply> {
-        let engine = engine.clone();
-        Box::pin(async move { engine.answer(call).await })
-    };
-    http::serve(listener, connections, Arc::new(handler)).await
+    let mut addresses = Vec::new();
+    let mut serving = Vec::new();
+    for _ in 0..args.copies.max(1) {
+        let engine = Arc::new(Engine::new(args.clone()));
+        let (listener, local) = http::bind(&engine.args.listen).await?;
+        task::spawn(report(engine.clone()));
+        addresses.push(local.to_string());
+        let connections = engine.connections.clone();
+        let handler = move |call: Call| -> futures::future::BoxFuture<'static, Reply> {
+            let engine = engine.clone();
+            Box::pin(async move { engine.answer(call).await })
+        };
+        serving.push(task::spawn(http::serve(listener, connections, Arc::new(handler))));
+    }
+    http::announce(&addresses.join(" "));
+    futures::future::try_join_all(serving).await?;
+    Ok(())
 }
 
 async fn report(engine: Arc<Engine>) {
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -65,6 +65,9 @@
     /// refuses orders with an old fencing number
     #[argh(switch)]
     pub fenced: bool,
+    /// engines in this process, each at an address of its own
+    #[argh(option, default = "1")]
+    pub copies: usize,
     /// seed of the lost events
     #[argh(option, default = "1")]
     pub seed: u64,
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -139,7 +139,7 @@
 }
 
 /// Prints the one line from which tests read the port.
-pub fn announce(local: SocketAddr) {
+pub fn announce(local: &str) {
     println!("listening on {local}");
 }
 
--- a/crates/standins/src/platform/serve.rs
+++ b/crates/standins/src/platform/serve.rs
@@ -50,7 +50,7 @@
     });
     let (listener, local) = http::bind(&args.listen).await?;
     task::spawn(end_leases(platform.clone()));
-    http::announce(local);
+    http::announce(&local.to_string());
     let handler = move |call: Call| -> futures::future::BoxFuture<'static, Reply> {
         let platform = platform.clone();
         Box::pin(async move { platform.answer(call).await })
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// All addresses it named, of a stand-in with several copies.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.line
+            .split_whitespace()
+            .filter_map(|word| word.parse().ok())
+            .collect()
+    }
+
     /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -71,7 +71,7 @@
     });
     let (listener, local) = http::bind(&args.listen).await?;
     task::spawn(report(service.clone(), Duration::from_millis(args.report_lag_ms)));
-    http::announce(local);
+    http::announce(&local.to_string());
     let handler = move |call: Call| -> futures::future::BoxFuture<'static, Reply> {
         let service = service.clone();
         Box::pin(async move { service.answer(call).await })
