--- a/crates/control/src/orders/mod.rs
+++ b/crates/control/src/orders/mod.rs
@@ -127,9 +127,18 @@
         steps
     }
 
-    /// Whether an order may leave now. The check belongs right before the write: a holder can be paused anywhere.
-    pub fn may_send(&self, now: Duration) -> bool {
-        self.phase == Phase::Holding && self.lease.as_ref().is_some_and(|lease| lease.lasts(now))
+    /// Whether the order to `endpoint` may leave now. The check belongs right before the write, since a holder can be
+    /// paused anywhere; the time that the order may take is counted from here.
+    pub fn may_send(&mut self, endpoint: &EndpointId, now: Duration) -> bool {
+        let lasts = self.lease.as_ref().is_some_and(|lease| lease.lasts(now));
+        let Some(load) = self.loads.get_mut(endpoint) else {
+            return false;
+        };
+        if self.phase != Phase::Holding || !lasts || now >= load.until {
+            return false;
+        }
+        load.until = now + LONGEST_ORDER;
+        true
     }
 
     /// The lease that is held, for the fleet's status.
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -123,6 +123,10 @@
         members: vec![member(1, "multan")],
         counts: Vec::new(),
     };
+    check(
+        "never heard",
+        vec![Do::On(1.0, Event::Roster(roster.clone())), Do::Live(1)],
+    );
     let mut steps = vec![Do::Beats(0.0, 5.0, 1..2), Do::Live(2)];
     for second in 5..13 {
         steps.push(Do::On(f64::from(second), Event::Roster(roster.clone())));
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -12,7 +12,10 @@
 const STEP: Duration = Duration::from_millis(50);
 const DOMAINS: usize = 2;
 const ROUTERS: usize = 2;
-const RUNNERS: usize = 3;
+/// Failure domain of each runner.
+const RUNNERS: [usize; 5] = [0, 0, 0, 1, 1];
+/// Longest stall between the last check and the write, which nothing can rule out.
+const STALL: u64 = 1_500;
 /// Faults end here, and the rest of the run must bring every runner to what is wanted.
 const CALM: Duration = Duration::from_secs(300);
 const END: Duration = Duration::from_secs(420);
@@ -29,7 +32,8 @@
     next: u64,
     holders: [Option<u64>; DOMAINS],
     slots: [SlotKey; LOAD_SLOTS],
-    down: bool,
+    /// Domains that can't reach the platform.
+    cut: [bool; DOMAINS],
 }
 
 struct Router {
@@ -48,7 +52,7 @@
     weights: Option<WeightsVersion>,
     checks: bool,
     fence: Fence,
-    load: Option<(Duration, Duration, WeightsVersion, usize)>,
+    load: Option<(Duration, Duration, WeightsVersion, Fence)>,
     reported: VecDeque<Runner>,
 }
 
@@ -70,6 +74,8 @@
     begun: [Fence; DOMAINS],
     orders: usize,
     holders: usize,
+    /// Orders for what the runner serves already.
+    redundant: usize,
     crashes: bool,
 }
 
@@ -186,7 +192,7 @@
             sends: Vec::new(),
         };
         let engine = |place: usize| Engine {
-            domain: place / RUNNERS,
+            domain: RUNNERS[place],
             id: EndpointId::from(format!("engine-{place}")),
             life: 1,
             weights: Some(WeightsVersion::from("0")),
@@ -203,14 +209,15 @@
                 next: 0,
                 holders: [None; DOMAINS],
                 slots: [SlotKey::Free; LOAD_SLOTS],
-                down: false,
+                cut: [false; DOMAINS],
             },
             routers: (0..DOMAINS * ROUTERS).map(router).collect(),
-            engines: (0..DOMAINS * RUNNERS).map(engine).collect(),
+            engines: (0..RUNNERS.len()).map(engine).collect(),
             deliveries: Vec::new(),
             begun: [Fence(0); DOMAINS],
             orders: 0,
             holders: 0,
+            redundant: 0,
             crashes,
         }
     }
@@ -219,9 +226,9 @@
         Duration::from_millis(self.random.random_range(0..=most))
     }
 
-    /// The version wanted changes every 20 s while faults last.
+    /// The version wanted changes every 6 s while faults last.
     fn wanted(&self) -> WeightsVersion {
-        WeightsVersion::from(format!("{}", self.now.min(CALM).as_secs() / 20 + 1))
+        WeightsVersion::from(format!("{}", self.now.min(CALM).as_secs() / 6 + 1))
     }
 
     fn run(&mut self) {
@@ -245,15 +252,20 @@
 
     fn faults(&mut self) {
         if self.now > CALM {
-            self.platform.down = false;
+            self.platform.cut = [false; DOMAINS];
             return;
         }
-        if self.random.random_ratio(1, 400) {
-            self.platform.down = !self.platform.down;
+        for domain in 0..DOMAINS {
+            if self.random.random_ratio(1, 200) {
+                self.platform.cut[domain] = !self.platform.cut[domain];
+            }
         }
-        if self.random.random_ratio(1, 100) {
-            let place = self.random.random_range(0..self.routers.len());
-            self.routers[place].awake = self.now + self.millis(30_000);
+        for place in 0..self.routers.len() {
+            let busy = !self.routers[place].sends.is_empty();
+            let (chance, longest) = if busy { (3, 10_000) } else { (600, 30_000) };
+            if self.random.random_ratio(1, chance) {
+                self.routers[place].awake = self.now + self.millis(longest);
+            }
         }
         if self.crashes && self.random.random_ratio(1, 300) {
             let place = self.random.random_range(0..self.engines.len());
@@ -321,7 +333,7 @@
         }
         let domain = self.routers[place].domain;
         let lost = self.now < CALM && self.random.random_ratio(1, 10);
-        let answer = match (self.platform.down, lost) {
+        let answer = match (self.platform.cut[domain], lost) {
             (true, _) => Some(Event::PlatformFailed),
             (false, true) => self
                 .platform
@@ -336,11 +348,13 @@
     /// A pause may lie between the decision and the write, so that the write checks once more.
     fn write(&mut self, place: usize) {
         for (endpoint, order) in std::mem::take(&mut self.routers[place].sends) {
-            if !self.routers[place].holder.may_send(self.now) {
+            if !self.routers[place].holder.may_send(&endpoint, self.now) {
                 continue;
             }
             let engine = self.engines.iter().position(|engine| engine.id == endpoint).unwrap();
-            let due = self.now + self.millis(900);
+            let slow = self.random.random_ratio(1, 2);
+            let delivery = if slow { ORDER_CALL } else { self.millis(100) };
+            let due = self.now + self.millis(STALL) + delivery;
             self.deliveries.push(Delivery {
                 due,
                 router: place,
@@ -383,10 +397,14 @@
         );
         self.begun[domain] = delivery.order.fence;
         if engine.weights.as_ref() == Some(weights) {
+            self.redundant += 1;
             return (now, Event::Done(endpoint));
         }
         let (begin, end) = (now + wait, now + wait + work);
-        engine.load = Some((begin, end, weights.clone(), delivery.router));
+        engine.load = Some((begin, end, weights.clone(), delivery.order.fence));
+        let older = |other: &Engine| other.load.as_ref().is_some_and(|load| load.3 < delivery.order.fence);
+        let still = self.engines.iter().any(|other| other.domain == domain && older(other));
+        assert!(!still, "an old holder's order is still acted on");
         if !self.crashes {
             let other = |other: &&Engine| other.domain == domain && other.id != endpoint && other.load.is_none();
             assert!(
@@ -408,15 +426,20 @@
 /// users would get another version than the one announced, or wait for a load.
 #[test]
 fn one_holder_orders_at_a_time() {
-    let (mut orders, mut holders) = (0, 0);
-    for seed in 0..40 {
+    let (mut orders, mut holders, mut redundant) = (0, 0, 0);
+    for seed in 0..60 {
         let mut run = Run::new(seed, seed % 2 == 1);
         run.run();
         orders += run.orders;
         holders += run.holders;
+        redundant += run.redundant;
     }
     assert!(
         orders > 1000 && holders > 200,
         "{orders} orders and {holders} holders are too few to show anything"
     );
+    assert!(
+        redundant * 20 < orders,
+        "{redundant} of {orders} orders were for what the runner served already"
+    );
 }
