--- a/crates/control/src/membership/links.rs
+++ b/crates/control/src/membership/links.rs
@@ -1,7 +1,8 @@
 //! Whom a router calls.
 //!
-//! Inside a failure domain each pair has one link, called by the router with the lower id; a call and its answer
-//! are a heartbeat in both directions. To each other domain only few routers keep a link.
+//! Inside a failure domain the router with the lower id of each pair calls regularly; a call and its answer are a
+//! heartbeat in both directions. The other one keeps a link as well, only for what can't wait: a new revision, a
+//! leaving endpoint. To each other domain only few routers keep a link.
 
 use super::{Member, Membership};
 use crate::rendezvous::choose;
@@ -19,17 +20,19 @@
     pub member: Member,
     /// Whether it is in another failure domain.
     pub far: bool,
+    /// Whether heartbeats are sent at regular times, or only when something is urgent.
+    pub regular: bool,
 }
 
 impl Membership {
     /// All links that this router is to keep, dead peers among them, so that their return is noticed.
     pub fn links(&self) -> Vec<Link> {
         let near = self.peers.values().filter(|peer| peer.member.domain == self.own.domain);
-        let called = near.filter(|peer| self.own.id < peer.member.id);
-        let mut links: Vec<Link> = called
+        let mut links: Vec<Link> = near
             .map(|peer| Link {
                 member: peer.member.clone(),
                 far: false,
+                regular: self.own.id < peer.member.id,
             })
             .collect();
         let domains: BTreeSet<&DomainId> = self.peers.values().map(|peer| &peer.member.domain).collect();
@@ -53,6 +56,7 @@
             .map(|id| Link {
                 member: self.peers[id].member.clone(),
                 far: true,
+                regular: true,
             })
             .collect()
     }
--- /dev/null
+++ b/crates/peers/examples/traffic.rs
@@ -0,0 +1,189 @@
+//! Measures what routers of one failure domain send each other, and how fast they hear of a new configuration.
+//!
+//! All routers run in this one process, over loopback. Every load changes before every heartbeat, which is the worst
+//! that can happen; then one in five does.
+
+use async_std::net::TcpListener;
+use async_std::task;
+use control::membership::{Event as Seen, Listed, Member, Membership};
+use control::rendezvous::passes_on;
+use ids::{Digest, DomainId, EndpointId, Incarnation, Revision, VmId, WeightsVersion};
+use peers::{Event, LoadReport, Offered, Peers, Published};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const ROUTERS: usize = 22;
+const ENDPOINTS: usize = 400;
+const WARM_UP: Duration = Duration::from_secs(5);
+const MEASURE: Duration = Duration::from_secs(20);
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+
+struct Router {
+    peers: Peers,
+    membership: Membership,
+    events: async_channel::Receiver<Event>,
+}
+
+#[async_std::main]
+async fn main() -> std::io::Result<()> {
+    let mut routers = start().await?;
+    task::sleep(WARM_UP).await;
+    for (name, share) in [
+        ("every load changes", 1),
+        ("one load in five changes", 5),
+        ("no load changes", 0),
+    ] {
+        measure(name, share, &mut routers).await;
+    }
+    spread(&mut routers).await;
+    Ok(())
+}
+
+async fn start() -> std::io::Result<Vec<Router>> {
+    let mut listeners = Vec::new();
+    for number in 0..ROUTERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let member = Member {
+            id: VmId::from(format!("router-{number:02}")),
+            address,
+            domain: DomainId::from("lahore"),
+        };
+        listeners.push((member, listener));
+    }
+    let listed: Vec<Listed> = listeners
+        .iter()
+        .map(|(member, _)| Listed {
+            member: member.clone(),
+            leaving: false,
+        })
+        .collect();
+    let mut routers = Vec::new();
+    for (member, listener) in listeners {
+        let (sender, events) = async_channel::unbounded();
+        let mut membership = Membership::new(member.clone(), Duration::ZERO);
+        membership.on(Seen::Listed(listed.clone()), Duration::ZERO);
+        let mut peers = Peers::new(member, sender);
+        peers.listen(listener);
+        peers.publish(published(&membership, 0, 1, None));
+        peers.set_links(&membership.links());
+        routers.push(Router {
+            peers,
+            membership,
+            events,
+        });
+    }
+    Ok(routers)
+}
+
+fn published(membership: &Membership, round: u32, share: u32, config: Option<Arc<Offered>>) -> Published {
+    let own = &membership.own().id;
+    let mut loads = Vec::new();
+    for number in 0..ENDPOINTS as u32 {
+        let endpoint = EndpointId::from(format!("engine-{number:03}"));
+        if !passes_on(own, &endpoint, membership.live()) {
+            continue;
+        }
+        let changes = if share == 0 { 0 } else { (round + number) / share };
+        loads.push(LoadReport {
+            endpoint,
+            incarnation: Incarnation(1_764_000_000_000),
+            weights: Some(WeightsVersion::from("2026-11")),
+            leaving: false,
+            running: changes % 31,
+            waiting: changes % 7,
+            prefill: changes % 97,
+        });
+    }
+    Published {
+        leaving: false,
+        routers: membership.live().len() as u32,
+        membership: membership.digest(),
+        roster: membership.roster(Duration::ZERO),
+        config,
+        loads,
+    }
+}
+
+async fn measure(name: &str, share: u32, routers: &mut [Router]) {
+    let before: Vec<(u64, u64)> = routers.iter().map(|router| router.peers.traffic()).collect();
+    let began = Instant::now();
+    let mut round = 0;
+    while began.elapsed() < MEASURE {
+        for router in routers.iter() {
+            router.peers.publish(published(&router.membership, round, share, None));
+            while router.events.try_recv().is_ok() {}
+        }
+        round += 1;
+        task::sleep(LOAD_PERIOD).await;
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    let rates: Vec<(f64, f64)> = routers
+        .iter()
+        .zip(before)
+        .map(|(router, (sent, received))| {
+            let now = router.peers.traffic();
+            ((now.0 - sent) as f64 / seconds, (now.1 - received) as f64 / seconds)
+        })
+        .collect();
+    let most = |side: fn(&(f64, f64)) -> f64| rates.iter().map(side).fold(0.0, f64::max);
+    let mean = |side: fn(&(f64, f64)) -> f64| rates.iter().map(side).sum::<f64>() / rates.len() as f64;
+    println!(
+        "{name}: bytes/s a router, mean (most): sent {:.0} ({:.0}), received {:.0} ({:.0}), both {:.0} ({:.0})",
+        mean(|rate| rate.0),
+        most(|rate| rate.0),
+        mean(|rate| rate.1),
+        most(|rate| rate.1),
+        mean(|rate| rate.0 + rate.1),
+        most(|rate| rate.0 + rate.1),
+    );
+}
+
+/// One router gets a new revision, of which the others hear from it alone.
+async fn spread(routers: &mut [Router]) {
+    let mut times = Vec::new();
+    for revision in 1..=20 {
+        let offered = Offered {
+            revision: Revision(revision),
+            digest: Digest::of(&revision.to_le_bytes()),
+            head: String::new(),
+            sections: BTreeMap::new(),
+        };
+        let offered = Arc::new(offered);
+        let first = (revision as usize * 7) % routers.len();
+        let state = published(&routers[first].membership, 0, 0, Some(offered.clone()));
+        let began = Instant::now();
+        routers[first].peers.publish_now(state);
+        for (place, router) in routers.iter().enumerate().filter(|(place, _)| *place != first) {
+            let heard = async_std::future::timeout(Duration::from_secs(10), hear(router, revision)).await;
+            match heard {
+                Ok(at) => times.push(at - began),
+                Err(_) => println!("router {place} did not hear of revision {revision}"),
+            }
+            router
+                .peers
+                .publish(published(&router.membership, 0, 0, Some(offered.clone())));
+        }
+        task::sleep(Duration::from_millis(500)).await;
+    }
+    times.sort_unstable();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "a revision is heard of by {} routers: median {:?}, 99 % {:?}, last {:?}",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+async fn hear(router: &Router, wanted: u64) -> Instant {
+    loop {
+        match router.events.recv().await {
+            Ok(Event::Offer { revision, .. }) if revision.0 == wanted => return Instant::now(),
+            Ok(_) => {}
+            Err(_) => futures::future::pending().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/handle.rs
@@ -0,0 +1,210 @@
+//! The router's end of it all.
+
+use crate::delta::News;
+use crate::service::PeerError;
+use crate::socket::Traffic;
+use crate::{Event, Published, link, server, socket};
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use async_std::net::TcpListener;
+use async_std::task::JoinHandle;
+use control::membership::{Link, Member};
+use ids::{Digest, VmId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// What all tasks share.
+pub(crate) struct Inner {
+    pub(crate) own: Member,
+    pub(crate) events: Sender<Event>,
+    pub(crate) traffic: Arc<Traffic>,
+    state: ArcSwap<Published>,
+}
+
+impl Inner {
+    pub(crate) fn published(&self) -> Arc<Published> {
+        self.state.load_full()
+    }
+
+    pub(crate) async fn send(&self, event: Event) -> Result<(), PeerError> {
+        self.events.send(event).await.map_err(|_| PeerError::Stopped)
+    }
+
+    /// Tells the control thread what a heartbeat says.
+    pub(crate) async fn tell(&self, from: &Member, news: News) -> Result<(), PeerError> {
+        let summary = news.summary;
+        let heard = Event::Heard {
+            from: from.clone(),
+            leaving: summary.leaving,
+            routers: summary.routers,
+        };
+        self.send(heard).await?;
+        let own = self
+            .published()
+            .config
+            .as_ref()
+            .map(|config| (config.revision, config.digest));
+        if let Some((revision, digest)) = summary.config
+            && own != Some((revision, digest))
+            && own.is_none_or(|(kept, _)| kept <= revision)
+        {
+            self.send(Event::Offer {
+                from: from.clone(),
+                revision,
+                digest,
+            })
+            .await?;
+        }
+        if !news.reports.is_empty() {
+            self.send(Event::Loads {
+                from: from.id.clone(),
+                reports: news.reports,
+            })
+            .await?;
+        }
+        if !news.gone.is_empty() {
+            self.send(Event::Unwatched {
+                from: from.id.clone(),
+                endpoints: news.gone,
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
+
+/// Connections to peers and answers to them.
+pub struct Peers {
+    inner: Arc<Inner>,
+    links: BTreeMap<VmId, Kept>,
+    accept: Option<JoinHandle<()>>,
+}
+
+struct Kept {
+    link: Link,
+    urgent: Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl Peers {
+    /// A router that is about to listen. Events go to `events`, whose reader must not fall behind for long: peers'
+    /// heartbeats wait for it.
+    pub fn new(own: Member, events: Sender<Event>) -> Self {
+        let inner = Inner {
+            own,
+            events,
+            traffic: Arc::default(),
+            state: ArcSwap::default(),
+        };
+        Self {
+            inner: Arc::new(inner),
+            links: BTreeMap::new(),
+            accept: None,
+        }
+    }
+
+    /// Answers peers that connect to `listener`.
+    pub fn listen(&mut self, listener: TcpListener) {
+        self.accept = Some(async_std::task::spawn(server::accept(listener, self.inner.clone())));
+    }
+
+    /// Replaces what peers are told, from the next heartbeat on.
+    pub fn publish(&self, state: Published) {
+        self.inner.state.store(Arc::new(state));
+    }
+
+    /// Like [`publish`](Self::publish), and tells peers at once: for a new revision, a leaving endpoint or one in a
+    /// new life, and a router that is going.
+    pub fn publish_now(&self, state: Published) {
+        self.publish(state);
+        for kept in self.links.values() {
+            // One message is enough to wake a link, however many are due.
+            let _ = kept.urgent.try_send(());
+        }
+    }
+
+    /// Keeps exactly these links.
+    pub fn set_links(&mut self, links: &[Link]) {
+        let gone: Vec<VmId> = self
+            .links
+            .iter()
+            .filter(|(_, kept)| !links.contains(&kept.link))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            if let Some(kept) = self.links.remove(&id) {
+                end(kept.task);
+            }
+        }
+        for link in links {
+            if !self.links.contains_key(&link.member.id) {
+                self.links.insert(link.member.id.clone(), self.keep(link));
+            }
+        }
+    }
+
+    fn keep(&self, link: &Link) -> Kept {
+        let (urgent, woken) = async_channel::bounded(1);
+        let task = async_std::task::spawn(link::keep(link.clone(), self.inner.clone(), woken));
+        Kept {
+            link: link.clone(),
+            urgent,
+            task,
+        }
+    }
+
+    /// A fetcher of peers' configurations, for tasks of their own.
+    pub fn fetcher(&self) -> Fetcher {
+        Fetcher {
+            traffic: self.inner.traffic.clone(),
+        }
+    }
+
+    /// Bytes sent and received so far.
+    pub fn traffic(&self) -> (u64, u64) {
+        let traffic = &self.inner.traffic;
+        (
+            traffic.sent.load(Ordering::Relaxed),
+            traffic.received.load(Ordering::Relaxed),
+        )
+    }
+
+    /// Ends all links and takes no further connection.
+    pub fn stop(&mut self) {
+        self.set_links(&[]);
+        if let Some(task) = self.accept.take() {
+            end(task);
+        }
+    }
+}
+
+fn end(task: JoinHandle<()>) {
+    async_std::task::spawn(task.cancel());
+}
+
+/// Reads the configuration that a peer has in force.
+#[derive(Debug, Clone)]
+pub struct Fetcher {
+    traffic: Arc<Traffic>,
+}
+
+impl Fetcher {
+    /// The text of the peer's head, if it has one.
+    ///
+    /// # Errors
+    /// The peer can't be reached.
+    pub async fn head(&self, peer: &Member) -> Result<Option<String>, PeerError> {
+        let client = socket::connect(peer.address, &self.traffic).await?;
+        Ok(client.head(link::deadline()).await?)
+    }
+
+    /// The text of a section, if the peer still has it in force; check it against the digest.
+    ///
+    /// # Errors
+    /// The peer can't be reached.
+    pub async fn section(&self, peer: &Member, digest: Digest) -> Result<Option<String>, PeerError> {
+        let client = socket::connect(peer.address, &self.traffic).await?;
+        Ok(client.section(link::deadline(), digest).await?)
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,23 @@
 //! Heartbeats and digests between routers, over tarpc.
+//!
+//! A router keeps one connection to each router of its failure domain and few to other domains. On each, a heartbeat
+//! and its answer tell what has changed since the last one: who is live, which configuration is in force, the load of
+//! watched endpoints. A heartbeat that fails ends its connection, and a new one begins with the whole state, so that
+//! nothing said is ever missed.
+
+mod delta;
+mod handle;
+mod link;
+mod message;
+mod news;
+mod server;
+mod service;
+mod socket;
+
+pub use delta::{Extent, Malformed, News, Received, Sent};
+pub use handle::{Fetcher, Peers};
+pub use link::{CALL_TIMEOUT, LONGEST_BACKOFF};
+pub use message::{About, Beat, Summary};
+pub use news::{Event, LoadReport, Offered, Published};
+pub use service::PeerError;
+pub use socket::MAX_FRAME;
