Routers among their peers: membership, links, configuration and loads passed on; start from peers while the platform is out

Each endpoint's report is read by two routers of the domain and passed on by one; limits are split by live routers; the order lease has two candidates a domain.

--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -158,6 +158,24 @@
         put(&platform, config::HEAD_KEY, &plan.head.text());
     }
 
+    /// Tells the platform's list of the routers that run.
+    pub fn list_routers(&self) {
+        let vm = |(index, router): (usize, &Running)| wire::platform::Vm {
+            id: format!("r{index}"),
+            address: peers(router).to_string(),
+            domain: "lahore".into(),
+            state: wire::platform::VmState::Live,
+        };
+        let vms = self.routers.iter().enumerate().map(vm).collect();
+        fault(
+            self.platform.address,
+            &wire::platform::Fault {
+                vms: Some(vms),
+                ..Default::default()
+            },
+        );
+    }
+
     /// A client of the site's platform.
     pub fn platform_client(&self) -> Platform {
         Platform::new(vec![self.platform.address], PATIENCE)
@@ -165,7 +183,12 @@
 
     /// Starts a router of this number; several lives may follow each other.
     pub fn start_router(&self, index: usize) -> Running {
-        let settings = json!({
+        self.start_router_with(index, |_| ())
+    }
+
+    /// Starts a router whose settings are changed first.
+    pub fn start_router_with(&self, index: usize, change: impl Fn(&mut Value)) -> Running {
+        let mut settings = json!({
             "vm": format!("r{index}"), "domain": "lahore",
             "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
             "platform": {"addresses": [self.platform.address], "timeout_ms": 500, "watch_ms": 1000},
@@ -173,6 +196,7 @@
             "shutdown": {"notice_ms": 200, "grace_ms": 100_000},
             "log": {"format": "text", "level": "warn"},
         });
+        change(&mut settings);
         let file = self.folder.path().join(format!("r{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("a settings file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_apricotfork"));
@@ -246,11 +270,25 @@
 
 /// The address for operators, from the line the router printed.
 pub fn operators(router: &Running) -> SocketAddr {
-    let mut words = router.line.split_whitespace().skip_while(|word| *word != "operators");
-    words
-        .nth(1)
-        .and_then(|text| text.parse().ok())
-        .expect("the operators' address")
+    named(router, "operators")
+}
+
+/// The address for other routers, from the line the router printed.
+pub fn peers(router: &Running) -> SocketAddr {
+    named(router, "peers")
+}
+
+/// The value of a gauge or counter of a router, as it is shown; none if the router does not show it.
+pub fn metric(router: &Running, name: &str) -> Option<String> {
+    let metrics = get(operators(router), "/metrics").ok()?;
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
+    line.rsplit(' ').next().map(str::to_owned)
+}
+
+fn named(router: &Running, name: &str) -> SocketAddr {
+    let mut words = router.line.split_whitespace().skip_while(|word| *word != name);
+    words.nth(1).and_then(|text| text.parse().ok()).expect("an address")
 }
 
 /// Sets a fault switch.
--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use wire::engine::RefusedReason;
 use wire::headers;
 
 /// Longest body of an endpoint's refusal that is read, bytes.
@@ -155,7 +156,7 @@
         let status = u16::from(reply.status());
         if status == 409 && self.is_completion() {
             self.life.on(RequestEvent::EndpointRefused);
-            return Sent::Failed(refused(reply).await);
+            return Sent::Failed(self.refused(flight, reply).await);
         }
         self.life.on(RequestEvent::HeadArrived);
         let echoed = reply.header(headers::REQUEST_ID);
@@ -172,6 +173,23 @@
         Sent::Failed(Failure::Unknown)
     }
 
+    /// An engine's refusal: it has not run the request.
+    async fn refused(&self, flight: &Flight, reply: Reply) -> Failure {
+        let incarnation = incarnation(&reply);
+        let body = reply.whole(REFUSAL_BYTES).await.unwrap_or_default();
+        let Ok(refused) = serde_json::from_slice::<wire::engine::Refused>(&body) else {
+            return Failure::Declined;
+        };
+        match refused.reason {
+            RefusedReason::Full => Failure::Full,
+            RefusedReason::Leaving => {
+                self.tell(flight, Sighting::Leaves { incarnation });
+                Failure::Declined
+            }
+            _ => Failure::Declined,
+        }
+    }
+
     /// Whether weights that may serve this request have served it.
     fn allowed(&self, reply: &Reply) -> bool {
         let served = reply.header(headers::WEIGHTS).unwrap_or_default();
@@ -185,10 +203,7 @@
 
     /// Tells the control thread of a life or weights that differ from what is believed.
     fn sight(&self, flight: &Flight, reply: &Reply) {
-        let incarnation = reply
-            .header(headers::INCARNATION)
-            .and_then(|text| text.parse().ok())
-            .map(Incarnation);
+        let incarnation = incarnation(reply);
         let weights = reply.header(headers::WEIGHTS).map(WeightsVersion::from);
         let believed = self.call.caller.view.belief(&flight.endpoint);
         let news = incarnation.is_some_and(|life| life != believed.incarnation)
@@ -350,12 +365,9 @@
     }
 }
 
-async fn refused(reply: Reply) -> Failure {
-    let body = reply.whole(REFUSAL_BYTES).await.unwrap_or_default();
-    match serde_json::from_slice::<wire::engine::Refused>(&body) {
-        Ok(refused) if refused.reason == wire::engine::RefusedReason::Full => Failure::Full,
-        _ => Failure::Declined,
-    }
+fn incarnation(reply: &Reply) -> Option<Incarnation> {
+    let text = reply.header(headers::INCARNATION)?;
+    text.parse().ok().map(Incarnation)
 }
 
 fn engine_url(to: SocketAddr, path: &str, query: Option<&str>) -> Url {
--- a/crates/router/src/control/config_feed.rs
+++ b/crates/router/src/control/config_feed.rs
@@ -1,9 +1,9 @@
 //! Follows the configuration in the platform: one watch on the head, and a read of each section that changed.
 
-use super::Event;
+use super::event::{Configured, Event};
 use crate::shared::Shared;
 use async_std::task;
-use config::{HEAD_KEY, Head, Section, assemble};
+use config::{HEAD_KEY, Head, Section};
 use ids::Version;
 use quick_error::quick_error;
 use std::collections::BTreeMap;
@@ -47,12 +47,18 @@
                 }
                 failing = false;
             }
-            Ok(None) => failing = false,
+            Ok(None) => {
+                failing = false;
+                if version == Version(0) {
+                    super::send(&shared, Event::ConfigEmpty).await;
+                }
+            }
             Err(err) => {
                 if !failing {
                     log::warn!("configuration cannot be followed: {err}");
                 }
                 failing = true;
+                super::send(&shared, Event::ConfigFailed).await;
                 task::sleep(PAUSE + PAUSE.mul_f64(rand::random())).await;
             }
         }
@@ -84,6 +90,6 @@
         .iter()
         .map(|(section, (_, text))| (*section, text.clone()))
         .collect();
-    let document = assemble(&head, &plain)?;
-    Ok(Some((entry.version, Event::Config(Box::new(head), Box::new(document)))))
+    let configured = Configured::assemble(head, plain)?;
+    Ok(Some((entry.version, Event::Config(Box::new(configured)))))
 }
--- a/crates/router/src/control/endpoint_feed.rs
+++ b/crates/router/src/control/endpoint_feed.rs
@@ -3,10 +3,10 @@
 use super::event::{Event, LoadSeen, Sighting};
 use crate::shared::Shared;
 use async_std::task::{self, JoinHandle};
-use config::{Document, EndpointRole, EndpointSpec};
+use config::{EndpointRole, EndpointSpec};
 use http::{Method, Request, SendError, Url};
 use ids::EndpointId;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,11 +25,10 @@
 }
 
 impl Feeds {
-    /// Watches the endpoints of `document`, and no others.
-    pub fn follow(&mut self, shared: &Arc<Shared>, document: &Document) {
-        let wanted = |id: &EndpointId, address: SocketAddr| {
-            document.endpoints.get(id).is_some_and(|spec| spec.address == address)
-        };
+    /// Watches these endpoints, and no others.
+    pub fn follow(&mut self, shared: &Arc<Shared>, endpoints: &BTreeMap<EndpointId, EndpointSpec>) {
+        let wanted =
+            |id: &EndpointId, address: SocketAddr| endpoints.get(id).is_some_and(|spec| spec.address == address);
         let gone: Vec<EndpointId> = self
             .tasks
             .iter()
@@ -39,7 +38,7 @@
         for id in gone {
             self.stop_one(&id);
         }
-        for (id, spec) in &document.endpoints {
+        for (id, spec) in endpoints {
             if !self.tasks.contains_key(id) {
                 let feed = task::spawn(run(shared.clone(), id.clone(), spec.clone()));
                 self.tasks.insert(id.clone(), (spec.address, feed));
@@ -106,11 +105,13 @@
         EndpointRole::Model(_) => {
             let load: wire::engine::Load = serde_json::from_slice(body).ok()?;
             Some(LoadSeen {
+                own: true,
                 incarnation: load.incarnation,
                 model: Some(load.model),
                 weights: load.weights,
                 leaving: load.leaving,
-                requests: load.running + load.waiting,
+                running: load.running,
+                waiting: load.waiting,
                 prefill: load.prefill_tokens,
                 asked,
             })
@@ -118,11 +119,13 @@
         EndpointRole::Service(_) => {
             let load: wire::service::Load = serde_json::from_slice(body).ok()?;
             Some(LoadSeen {
+                own: true,
                 incarnation: load.incarnation,
                 model: None,
                 weights: None,
                 leaving: load.leaving,
-                requests: load.running + load.waiting,
+                running: load.running,
+                waiting: load.waiting,
                 prefill: 0,
                 asked,
             })
--- a/crates/router/src/control/event.rs
+++ b/crates/router/src/control/event.rs
@@ -1,15 +1,26 @@
 //! What the control thread hears.
 
-use config::{Document, Head};
-use ids::{EndpointId, Incarnation, ModelId, WeightsVersion};
+use config::{AssembleError, Document, Head, Section, assemble};
+use ids::{EndpointId, Incarnation, ModelId, VmId, WeightsVersion};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::platform::VmList;
 
 /// One event for the control thread.
 #[derive(Debug)]
 pub enum Event {
-    /// A configuration was read, from the platform or a peer.
-    Config(Box<Head>, Box<Document>),
+    /// A configuration was read from the platform.
+    Config(Box<Configured>),
+    /// The platform answered that there is no configuration.
+    ConfigEmpty,
+    /// The platform did not answer when it was asked for the configuration.
+    ConfigFailed,
+    /// A configuration was read from this peer.
+    PeerConfig(VmId, Box<Configured>),
+    /// A peer has no configuration, or it could not be read.
+    PeerConfigFailed(VmId),
+    /// A peer said something.
+    Peer(peers::Event),
     /// The platform's list of VMs.
     Vms(VmList),
     /// Traffic or a feed met an endpoint.
@@ -18,10 +29,34 @@
     Orders(control::orders::Event),
     /// Time passed.
     Tick,
+    /// Shutdown has begun: this router is leaving.
+    Leave,
     /// The process ends.
     Stop,
 }
 
+/// A configuration with the texts it was made of, which peers may ask for.
+#[derive(Debug, Clone)]
+pub struct Configured {
+    /// The head.
+    pub head: Head,
+    /// The sections' texts.
+    pub texts: BTreeMap<Section, String>,
+    /// The document.
+    pub document: Document,
+}
+
+impl Configured {
+    /// Puts a configuration together.
+    ///
+    /// # Errors
+    /// A text is missing, is not the one that the head names, or the whole contradicts itself.
+    pub fn assemble(head: Head, texts: BTreeMap<Section, String>) -> Result<Self, AssembleError> {
+        let document = assemble(&head, &texts)?;
+        Ok(Self { head, texts, document })
+    }
+}
+
 /// What was seen of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Sighting {
@@ -32,6 +67,11 @@
         /// The weights that served, if it said so.
         weights: Option<WeightsVersion>,
     },
+    /// It refused a call since it takes no new work.
+    Leaves {
+        /// Its life, if it said so.
+        incarnation: Option<Incarnation>,
+    },
     /// It reported its load.
     Reported(LoadSeen),
     /// No connection could be made.
@@ -45,16 +85,20 @@
 /// A load report as read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadSeen {
+    /// Whether this router read it itself, not a peer.
+    pub own: bool,
     /// The life that reported.
     pub incarnation: Incarnation,
-    /// The model an engine serves, absent for plain services.
+    /// The model an engine serves, absent for plain services and in a peer's word.
     pub model: Option<ModelId>,
     /// The weights it serves, absent for plain services and while an engine loads.
     pub weights: Option<WeightsVersion>,
     /// Whether it takes no new work.
     pub leaving: bool,
-    /// Requests running or waiting inside.
-    pub requests: u32,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting inside.
+    pub waiting: u32,
     /// Prompt tokens still to be prefilled.
     pub prefill: u64,
     /// When it was asked for.
--- /dev/null
+++ b/crates/router/src/control/peering.rs
@@ -0,0 +1,316 @@
+//! This router among its peers: who is live, what is told, what is heard.
+
+use super::event::{Configured, Event, LoadSeen};
+use super::state::Control;
+use crate::shared::Shared;
+use async_std::task;
+use config::Head;
+use control::membership::{self, Change, Link, Listed, Member, Membership};
+use control::{orders, rendezvous};
+use ids::{Digest, EndpointId, Revision, VmId};
+use peers::{Fetcher, LoadReport, Offered, PeerError, Peers, Published};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use wire::platform::{VmList, VmState};
+
+/// How often peers' view of this router is renewed; heartbeats take what they find.
+const PUBLISH_EVERY: Duration = Duration::from_millis(500);
+/// How often the seeds of the settings count as listed while the platform does not answer.
+const SEEDS_EVERY: Duration = Duration::from_secs(10);
+/// Thousands of prompt tokens, the unit of a load report between routers.
+const PREFILL_UNIT: u64 = 1_000;
+
+/// What belongs to this router's place among its peers.
+pub struct Peering {
+    pub(super) membership: Membership,
+    peers: Peers,
+    links: Vec<Link>,
+    offered: Option<Arc<Offered>>,
+    leaving: bool,
+    published: Duration,
+    seeded: Option<Duration>,
+    /// Routers in the platform's last list.
+    listed: Option<u32>,
+    /// Revisions that are being read from peers.
+    fetching: BTreeSet<(VmId, Revision)>,
+}
+
+impl Peering {
+    /// This router alone.
+    pub fn new(own: Member, peers: Peers, now: Duration) -> Self {
+        Self {
+            membership: Membership::new(own, now),
+            peers,
+            links: Vec::new(),
+            offered: None,
+            leaving: false,
+            published: Duration::ZERO,
+            seeded: None,
+            listed: None,
+            fetching: BTreeSet::new(),
+        }
+    }
+
+    /// Ends all links.
+    pub fn stop(&mut self) {
+        self.peers.stop();
+    }
+}
+
+impl Control {
+    pub(super) fn peering_tick(&mut self) {
+        self.list_seeds();
+        self.member_event(membership::Event::Tick);
+        let now = self.now();
+        if now.saturating_sub(self.peering.published) >= PUBLISH_EVERY {
+            self.peering.published = now;
+            self.relink();
+            let state = self.state_for_peers();
+            self.peering.peers.publish(state);
+        }
+    }
+
+    pub(super) fn peering_leave(&mut self) {
+        self.peering.leaving = true;
+        self.tell_peers_now();
+    }
+
+    /// Tells peers at once what cannot wait for the next heartbeat.
+    pub(super) fn tell_peers_now(&mut self) {
+        let state = self.state_for_peers();
+        self.peering.peers.publish_now(state);
+    }
+
+    /// The platform's list names routers and endpoints alike; what is no endpoint is a router.
+    pub(super) fn routers_listed(&mut self, list: &VmList) {
+        let Some(configured) = &self.configured else { return };
+        let endpoints = &configured.document.endpoints;
+        let routers = list.vms.iter().filter(|vm| !endpoints.contains_key(vm.id.as_str()));
+        let listed: Vec<Listed> = routers
+            .filter_map(|vm| {
+                let member = Member {
+                    id: VmId::from(vm.id.as_str()),
+                    address: vm.address.parse().ok()?,
+                    domain: vm.domain.clone(),
+                };
+                Some(Listed {
+                    member,
+                    leaving: vm.state == VmState::Leaving,
+                })
+            })
+            .collect();
+        let live = listed.iter().filter(|one| !one.leaving).count();
+        self.peering.listed = u32::try_from(live).ok().filter(|count| *count > 0);
+        self.member_event(membership::Event::Listed(listed));
+    }
+
+    /// What a peer said.
+    pub(super) fn peer_event(&mut self, event: peers::Event) {
+        match event {
+            peers::Event::Heard { from, leaving, routers } => {
+                self.member_event(membership::Event::Heard { from, leaving, routers });
+            }
+            peers::Event::Roster(roster) => self.member_event(membership::Event::Roster(roster)),
+            peers::Event::Offer { from, revision, digest } => self.offer(from, revision, digest),
+            peers::Event::Loads { reports, .. } => {
+                for report in reports {
+                    self.peer_report(report);
+                }
+            }
+            peers::Event::Unwatched { .. } => {}
+            peers::Event::Silent(peer) => {
+                self.start_event(control::startup::Event::PeerFailed(peer));
+            }
+        }
+    }
+
+    fn member_event(&mut self, event: membership::Event) {
+        let now = self.now();
+        if self.peering.membership.on(event, now) == Change::Live {
+            let live = self.peering.membership.live().len();
+            log::info!(live = live; "live routers of the failure domain changed");
+            self.shared.metrics.routers.set(live as i64);
+            self.watch_endpoints();
+            self.relink();
+        }
+        self.share_limits();
+    }
+
+    /// Splits the limits of workspaces between all live routers.
+    fn share_limits(&mut self) {
+        let now = self.now();
+        let total = self.peering.membership.total();
+        self.shares.observe(total, self.peering.listed, now);
+        // Routers do not tell each other where a workspace's requests arrive: the balancer spreads them evenly.
+        if let Some(share) = self.shares.share(0.0, 0.0) {
+            self.shared.limits.set_share(share, now);
+        }
+    }
+
+    fn relink(&mut self) {
+        let links = self.peering.membership.links();
+        if links != self.peering.links {
+            self.peering.peers.set_links(&links);
+            self.peering.links = links;
+        }
+        let own = &self.shared.settings;
+        let lasting = self.peering.membership.lasting();
+        let candidate = !self.peering.leaving && rendezvous::is_candidate(&own.vm, &own.domain, &lasting);
+        self.orders.on(orders::Event::Candidate(candidate));
+    }
+
+    /// While the platform is out of reach, peers are found by the addresses in the settings.
+    fn list_seeds(&mut self) {
+        let now = self.now();
+        let due = self
+            .peering
+            .seeded
+            .is_none_or(|last| now.saturating_sub(last) >= SEEDS_EVERY);
+        if self.peering.listed.is_some() || !due {
+            return;
+        }
+        self.peering.seeded = Some(now);
+        let seeds = self.shared.settings.seeds.iter();
+        let listed = seeds.map(|seed| Listed {
+            member: Member {
+                id: seed.vm.clone(),
+                address: seed.address,
+                domain: seed.domain.clone(),
+            },
+            leaving: false,
+        });
+        let listed = listed.collect();
+        self.member_event(membership::Event::Listed(listed));
+    }
+
+    /// A peer has a newer configuration: it is read from there, so that a router that is cut from the platform has it
+    /// as well.
+    fn offer(&mut self, from: Member, revision: Revision, digest: Digest) {
+        if !matches!(self.revisions.weigh(revision, digest), config::Adopt::Newer) {
+            return;
+        }
+        if !self.peering.fetching.insert((from.id.clone(), revision)) {
+            return;
+        }
+        let known = self.known_texts();
+        let fetcher = self.peering.peers.fetcher();
+        let shared = self.shared.clone();
+        task::spawn(async move { fetch(&shared, &fetcher, from, known).await });
+    }
+
+    /// A fetch has ended; the same revision may be asked for again if it failed.
+    pub(super) fn fetched(&mut self, peer: &VmId) {
+        self.peering.fetching.retain(|(id, _)| id != peer);
+    }
+
+    fn known_texts(&self) -> BTreeMap<Digest, String> {
+        let offered = self.peering.offered.as_ref();
+        offered.map(|offered| offered.sections.clone()).unwrap_or_default()
+    }
+
+    fn peer_report(&mut self, report: LoadReport) {
+        let load = LoadSeen {
+            own: false,
+            incarnation: report.incarnation,
+            model: None,
+            weights: report.weights,
+            leaving: report.leaving,
+            running: report.running,
+            waiting: report.waiting,
+            prefill: u64::from(report.prefill) * PREFILL_UNIT,
+            asked: self.now(),
+        };
+        if self.health.incarnation(&report.endpoint).is_some() || self.is_configured(&report.endpoint) {
+            self.reported(&report.endpoint, load);
+        }
+    }
+
+    fn is_configured(&self, id: &EndpointId) -> bool {
+        let configured = self.configured.as_ref();
+        configured.is_some_and(|configured| configured.document.endpoints.contains_key(id))
+    }
+
+    fn state_for_peers(&mut self) -> Published {
+        self.renew_offer();
+        let peering = &self.peering;
+        let membership = &peering.membership;
+        Published {
+            leaving: peering.leaving,
+            routers: u32::try_from(membership.live().len()).unwrap_or(u32::MAX),
+            membership: membership.digest(),
+            roster: membership.roster(self.now()),
+            config: peering.offered.clone(),
+            loads: self.loads_for_peers(),
+        }
+    }
+
+    fn renew_offer(&mut self) {
+        let Some(configured) = &self.configured else { return };
+        let digest = configured.head.digest();
+        if self
+            .peering
+            .offered
+            .as_ref()
+            .is_some_and(|known| known.digest == digest)
+        {
+            return;
+        }
+        let texts = configured.texts.values();
+        let sections = texts.map(|text| (Digest::of(text.as_bytes()), text.clone()));
+        self.peering.offered = Some(Arc::new(Offered {
+            revision: configured.head.revision,
+            digest,
+            head: configured.head.text(),
+            sections: sections.collect(),
+        }));
+    }
+
+    /// Loads of the endpoints that this router reads first, for the others.
+    fn loads_for_peers(&self) -> Vec<LoadReport> {
+        let own = &self.shared.settings.vm;
+        let lasting = self.peering.membership.lasting();
+        let read = self.reported.iter().filter(|(_, load)| load.own);
+        let mine = read.filter(|(id, _)| rendezvous::passes_on(own, id, &lasting));
+        let reports = mine.map(|(id, load)| LoadReport {
+            endpoint: id.clone(),
+            incarnation: load.incarnation,
+            weights: load.weights.clone(),
+            leaving: load.leaving,
+            running: load.running,
+            waiting: load.waiting,
+            prefill: u32::try_from(load.prefill.div_ceil(PREFILL_UNIT)).unwrap_or(u32::MAX),
+        });
+        reports.collect()
+    }
+}
+
+/// Reads a peer's configuration, but for the sections that are known already.
+async fn fetch(shared: &Shared, fetcher: &Fetcher, from: Member, known: BTreeMap<Digest, String>) {
+    let event = match read(fetcher, &from, known).await {
+        Ok(Some(configured)) => Event::PeerConfig(from.id, Box::new(configured)),
+        Ok(None) | Err(_) => Event::PeerConfigFailed(from.id),
+    };
+    super::send(shared, event).await;
+}
+
+async fn read(
+    fetcher: &Fetcher,
+    from: &Member,
+    known: BTreeMap<Digest, String>,
+) -> Result<Option<Configured>, PeerError> {
+    let Some(head) = fetcher.head(from).await?.and_then(|text| Head::read(&text).ok()) else {
+        return Ok(None);
+    };
+    let mut texts = BTreeMap::new();
+    for (section, named) in &head.sections {
+        let text = match known.get(&named.digest) {
+            Some(text) => Some(text.clone()),
+            None => fetcher.section(from, named.digest).await?,
+        };
+        // The peer has gone on to a newer revision in between, and will offer that.
+        let Some(text) = text else { return Ok(None) };
+        texts.insert(*section, text);
+    }
+    Ok(Configured::assemble(head, texts).ok())
+}
--- a/crates/router/src/metrics/mod.rs
+++ b/crates/router/src/metrics/mod.rs
@@ -30,6 +30,8 @@
     pub platform: IntCounterVec,
     /// Revision in force.
     pub revision: IntGauge,
+    /// Live routers of the failure domain.
+    pub routers: IntGauge,
     /// Fencing number under which this router gives orders to engines, 0 if it does not.
     pub fence: IntGauge,
     /// Endpoints by standing.
@@ -61,6 +63,8 @@
             .expect("a name used once");
         let revision = IntGauge::new("config_revision", "Configuration revision in force").expect("a valid gauge");
         registry.register(Box::new(revision.clone())).expect("a name used once");
+        let routers = IntGauge::new("live_routers", "Live routers of the failure domain").expect("a valid gauge");
+        registry.register(Box::new(routers.clone())).expect("a name used once");
         let fence =
             IntGauge::new("order_fence", "Fencing number of this router's orders, 0 without").expect("a valid gauge");
         registry.register(Box::new(fence.clone())).expect("a name used once");
@@ -82,6 +86,7 @@
             first_token,
             revision,
             fence,
+            routers,
             endpoints,
             registry,
         }
--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -56,11 +56,11 @@
     if shared.ready() {
         return text(StatusCode::Ok, "text/plain", b"ready\n".to_vec());
     }
-    let why: &[u8] = match shared.view.load().is_some() {
-        true => b"shutting down\n",
-        false => b"no configuration yet: neither the platform nor a peer has given one\n",
+    let why = match shared.view.load().is_some() {
+        true => "shutting down\n".to_owned(),
+        false => format!("no configuration yet: {}\n", shared.not_ready.load()),
     };
-    text(StatusCode::ServiceUnavailable, "text/plain", why.to_vec())
+    text(StatusCode::ServiceUnavailable, "text/plain", why.into_bytes())
 }
 
 fn status(shared: &Shared) -> Status {
--- a/crates/router/src/orders/mod.rs
+++ b/crates/router/src/orders/mod.rs
@@ -87,7 +87,8 @@
         log::info!(endpoint = endpoint.as_str(), fence = order.fence.0; "order given");
         let (shared, holder) = (self.shared.clone(), self.holder.clone());
         let clock = self.shared.clock;
-        let may_send = move || lock(&holder).may_send(clock.now());
+        let asked = endpoint.clone();
+        let may_send = move || lock(&holder).may_send(&asked, clock.now());
         let (call, handle) = abortable(async move {
             let event = engine_calls::send(&shared, endpoint, to, &order, may_send).await;
             send(&shared, Event::Orders(event)).await;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -61,17 +61,19 @@
 {
     let callers = listen(settings.callers).await?;
     let operators = listen(settings.operators).await?;
+    let peers = listen(settings.peers).await?;
     let platform = Platform::new(
         settings.platform.addresses.clone(),
         Duration::from_millis(settings.platform.timeout_ms),
     );
     let (events, received) = async_channel::bounded(control::EVENTS);
     let shared = Shared::new(settings, platform, events);
-    let thread = control::start(&shared, received).map_err(RunError::Thread)?;
+    let peers_address = local(&peers, shared.settings.peers);
+    let thread = control::start(&shared, received, peers).map_err(RunError::Thread)?;
     started(Addresses {
         callers: local(&callers, shared.settings.callers),
         operators: local(&operators, shared.settings.operators),
-        peers: shared.settings.peers,
+        peers: peers_address,
     });
     serve_callers(&shared, callers);
     serve_operators(&shared, operators);
@@ -119,6 +121,7 @@
 async fn shut_down(shared: &Arc<Shared>, second: impl Future<Output = ()>) -> Result<(), RunError> {
     let settings = &shared.settings.shutdown;
     shared.stopping.store(true, Ordering::SeqCst);
+    control::send(shared, Event::Leave).await;
     log::info!(notice_ms = settings.notice_ms; "shutting down: not ready, still serving");
     let graceful = async {
         task::sleep(Duration::from_millis(settings.notice_ms)).await;
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -23,6 +23,9 @@
     pub operators: SocketAddr,
     /// Where other routers connect.
     pub peers: SocketAddr,
+    /// Routers to ask for a configuration while the platform is out of reach.
+    #[serde(default)]
+    pub seeds: Vec<SeedSettings>,
     /// The platform's key-value service.
     pub platform: PlatformSettings,
     /// Limits towards callers.
@@ -36,6 +39,18 @@
     pub log: LogSettings,
 }
 
+/// Another router, as found without the platform.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SeedSettings {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where it listens for routers.
+    pub address: SocketAddr,
+}
+
 /// The platform's key-value service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,7 +7,8 @@
 use crate::pool::Pools;
 use crate::settings::Settings;
 use crate::view::View;
-use arc_swap::ArcSwapOption;
+use ::control::startup::NotReady;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
 use http::{Client, Serving};
 use ids::RequestId;
@@ -43,6 +44,8 @@
     pub claim_lease: async_std::sync::Mutex<ClaimLease>,
     /// Results of claimed calls that are still to be written down.
     pub settling: AtomicUsize,
+    /// Why no configuration is in force yet.
+    pub not_ready: ArcSwap<NotReady>,
     /// Set once shutdown has begun.
     pub stopping: AtomicBool,
     started_ms: u128,
@@ -67,6 +70,7 @@
             metrics: Metrics::new(),
             serving: Serving::default(),
             events,
+            not_ready: ArcSwap::from_pointee(NotReady::Waiting),
             stopping: AtomicBool::new(false),
             started_ms: started.as_millis(),
             requests: AtomicU64::new(0),
