lifecycle: platform calls of an entry per claim against grouped claims

The entry per claim costs 2 writes and no read per call, so several hundred writes a second carry about a hundred calls a second of this kind.

--- /dev/null
+++ b/crates/lifecycle/examples/claim_writes.rs
@@ -0,0 +1,297 @@
+//! Platform calls that at-most-once claims cost: an entry per claim against claims grouped in shared entries.
+//!
+//! A deterministic loop of 14 routers and one platform. Calls arrive at random at any router. Each call needs its
+//! claim written before it is sent and its result written after it. Grouped: the key picks one of `shards` entries;
+//! a router gathers what is pending for an entry for `linger`, writes it all with one compare-and-swap, and after
+//! a conflict merges and writes again. `read` first reads the entry, so that only writes in the same instant
+//! collide. `owner` sends all calls of an entry to one router, which no other then collides with.
+//!
+//! Run: `cargo run --release -p lifecycle --example claim_writes`
+
+use ids::Digest;
+use lifecycle::claims::{Body, ClaimState, Kept, Nonce, REMEMBERED, Record};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const ROUTERS: u64 = 14;
+/// One way to the platform, microseconds.
+const ONE_WAY: u64 = 2_000;
+/// Time an endpoint takes, microseconds.
+const WORK: u64 = 50_000;
+const SECONDS: u64 = 60;
+const MICROS: u64 = 1_000_000;
+const VALUE_LIMIT: f64 = 1e6;
+
+#[derive(Clone, Copy)]
+struct Design {
+    name: &'static str,
+    shards: u64,
+    linger: u64,
+    read: bool,
+    owner: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Call {
+        router: u64,
+        shard: u64,
+    },
+    Result {
+        router: u64,
+        shard: u64,
+    },
+    Write {
+        router: u64,
+        shard: u64,
+    },
+    Arrive {
+        router: u64,
+        shard: u64,
+    },
+    Answer {
+        router: u64,
+        shard: u64,
+        version: u64,
+        ok: bool,
+    },
+}
+
+#[derive(Default)]
+struct Group {
+    known: u64,
+    claims: Vec<u64>,
+    results: u64,
+    flying: Option<(usize, u64)>,
+    waking: bool,
+}
+
+#[derive(Default)]
+struct Totals {
+    calls: u64,
+    writes: u64,
+    conflicts: u64,
+    reads: u64,
+    delays: Vec<u64>,
+}
+
+struct Bench {
+    design: Design,
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    order: u64,
+    versions: BTreeMap<u64, u64>,
+    groups: BTreeMap<(u64, u64), Group>,
+    totals: Totals,
+}
+
+impl Bench {
+    fn at(&mut self, time: u64, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse((time, self.order, event)));
+    }
+
+    fn wake(&mut self, router: u64, shard: u64, linger: u64) {
+        let group = self.groups.entry((router, shard)).or_default();
+        if group.waking || group.flying.is_some() || (group.claims.is_empty() && group.results == 0) {
+            return;
+        }
+        group.waking = true;
+        self.at(self.now + linger, Event::Write { router, shard });
+    }
+
+    fn step(&mut self, event: Event) {
+        let linger = self.design.linger;
+        match event {
+            Event::Call { router, shard } => {
+                self.totals.calls += 1;
+                let now = self.now;
+                self.groups.entry((router, shard)).or_default().claims.push(now);
+                self.wake(router, shard, linger);
+            }
+            Event::Result { router, shard } => {
+                self.groups.entry((router, shard)).or_default().results += 1;
+                self.wake(router, shard, linger);
+            }
+            Event::Write { router, shard } => self.send(router, shard),
+            Event::Arrive { router, shard } => self.arrive(router, shard),
+            Event::Answer {
+                router,
+                shard,
+                version,
+                ok,
+            } => self.answer(router, shard, version, ok),
+        }
+    }
+
+    fn send(&mut self, router: u64, shard: u64) {
+        let read = self.design.read;
+        let current = self.versions.get(&shard).copied().unwrap_or(0);
+        let group = self.groups.get_mut(&(router, shard)).expect("a woken group exists");
+        group.waking = false;
+        group.flying = Some((group.claims.len(), group.results));
+        let mut delay = ONE_WAY;
+        if read && group.known != current {
+            // The read sees the entry as it is half-way through its own round trip.
+            group.known = current;
+            self.totals.reads += 1;
+            delay += 2 * ONE_WAY;
+        }
+        self.at(self.now + delay, Event::Arrive { router, shard });
+    }
+
+    fn arrive(&mut self, router: u64, shard: u64) {
+        let version = self.versions.entry(shard).or_default();
+        let ok = self.groups[&(router, shard)].known == *version;
+        *version += u64::from(ok);
+        let version = *version;
+        self.totals.writes += 1;
+        self.totals.conflicts += u64::from(!ok);
+        self.at(
+            self.now + ONE_WAY,
+            Event::Answer {
+                router,
+                shard,
+                version,
+                ok,
+            },
+        );
+    }
+
+    fn answer(&mut self, router: u64, shard: u64, version: u64, ok: bool) {
+        let now = self.now;
+        let group = self.groups.get_mut(&(router, shard)).expect("an answered group exists");
+        group.known = version;
+        let Some((claims, results)) = group.flying.take() else {
+            return;
+        };
+        if !ok {
+            self.wake(router, shard, 0);
+            return;
+        }
+        group.results -= results;
+        let won: Vec<u64> = group.claims.drain(..claims).collect();
+        for begun in won {
+            self.totals.delays.push(now - begun);
+            self.at(now + WORK, Event::Result { router, shard });
+        }
+        self.wake(router, shard, self.design.linger);
+    }
+}
+
+fn run(design: Design, rate: u64) -> Totals {
+    let mut bench = Bench {
+        design,
+        now: 0,
+        queue: BinaryHeap::new(),
+        order: 0,
+        versions: BTreeMap::new(),
+        groups: BTreeMap::new(),
+        totals: Totals::default(),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    for _ in 0..rate * SECONDS {
+        let shard = random.random_range(0..design.shards);
+        let router = if design.owner {
+            shard % ROUTERS
+        } else {
+            random.random_range(0..ROUTERS)
+        };
+        let time = random.random_range(0..SECONDS * MICROS);
+        bench.at(time, Event::Call { router, shard });
+    }
+    while let Some(Reverse((time, _, event))) = bench.queue.pop() {
+        bench.now = time;
+        bench.step(event);
+    }
+    bench.totals.delays.sort_unstable();
+    bench.totals
+}
+
+fn record_bytes() -> f64 {
+    let body = Body::keep(&[b'x'; 120]);
+    let kept = Kept {
+        status: 200,
+        content: Some("application/json".into()),
+        body,
+    };
+    let record = Record {
+        nonce: Nonce::from(7),
+        call: Digest::of(b"call"),
+        at: MICROS,
+        state: ClaimState::Done(kept),
+    };
+    record.to_value().len() as f64
+}
+
+fn print(design: Design, rate: u64) {
+    let totals = run(design, rate);
+    let calls = totals.calls as f64;
+    let kept = (rate * REMEMBERED.as_secs()) as f64;
+    let entry = if design.shards == u64::MAX {
+        1.0
+    } else {
+        (kept / design.shards as f64).max(1.0)
+    } * record_bytes();
+    let writes = totals.writes as f64 / calls;
+    let percentile = |share: usize| totals.delays[totals.delays.len() * share / 100] as f64 / 1e3;
+    println!(
+        "| {rate} | {} | {writes:.2} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.1} | {} |",
+        design.name,
+        totals.conflicts as f64 / calls,
+        totals.reads as f64 / calls,
+        writes * rate as f64,
+        percentile(50),
+        percentile(99),
+        entry / 1e3,
+        if entry <= VALUE_LIMIT { "yes" } else { "no" },
+    );
+}
+
+fn main() {
+    let shared = |name, shards, linger, read| Design {
+        name,
+        shards,
+        linger,
+        read,
+        owner: false,
+    };
+    let designs = [
+        shared("entry per claim", u64::MAX, 0, false),
+        shared("16 entries, no linger", 16, 0, false),
+        shared("16 entries, no linger, read", 16, 0, true),
+        shared("16 entries, 100 ms", 16, 100_000, true),
+        shared("256 entries, 100 ms", 256, 100_000, true),
+        shared("4096 entries, 100 ms", 4096, 100_000, true),
+        Design {
+            owner: true,
+            ..shared("14 entries, owner, no linger", 14, 0, false)
+        },
+        Design {
+            owner: true,
+            ..shared("14 entries, owner, 20 ms", 14, 20_000, false)
+        },
+        Design {
+            owner: true,
+            ..shared("14 entries, owner, 100 ms", 14, 100_000, false)
+        },
+        Design {
+            owner: true,
+            ..shared("4096 entries, owner, 100 ms", 4096, 100_000, false)
+        },
+    ];
+    println!(
+        "record of a done call: {} bytes; remembered {} h",
+        record_bytes(),
+        REMEMBERED.as_secs() / 3600
+    );
+    println!(
+        "| calls/s | design | writes/call | of these conflicts | reads/call | writes/s | claim p50 ms | p99 ms | entry kB | fits 1 MB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for rate in [10, 100, 1000] {
+        designs.iter().for_each(|design| print(*design, rate));
+    }
+}
