--- a/crates/lifecycle/src/claims/acquire.rs
+++ b/crates/lifecycle/src/claims/acquire.rs
@@ -165,11 +165,11 @@
         if record.nonce == self.request.nonce && record.state == ClaimState::Claimed {
             return self.won(seen.version);
         }
-        if record.call != self.request.call {
-            return self.end(ClaimStep::KeyReused);
-        }
         let lapsed = self.lapsed(record.at, now);
+        let reused = record.call != self.request.call;
         self.end(match record.state {
+            // Only an outcome is for good: a claim may still be released, and then an attempt of this call may run.
+            ClaimState::Done(_) | ClaimState::Unknown if reused => ClaimStep::KeyReused,
             ClaimState::Done(kept) => ClaimStep::Answer(kept),
             ClaimState::Claimed if !lapsed => ClaimStep::InProgress,
             ClaimState::Claimed | ClaimState::Unknown => ClaimStep::Unknown,
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -88,11 +88,23 @@
     Forbidden,
 }
 
+/// How far the current send has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Link {
+    /// No send is open.
+    Idle,
+    /// Bytes may have left, and the answer has not begun.
+    Sent,
+    /// The answer's head has arrived.
+    Head,
+}
+
 /// The life of one request at one router.
 #[derive(Debug, Clone)]
 pub struct Request {
     state: RequestState,
     repeat: Repeat,
+    link: Link,
     /// Bytes of an earlier send may have been acted on.
     exposed: bool,
     /// Sends that were started and not refused by their endpoint.
@@ -105,6 +117,7 @@
         Self {
             state: RequestState::Queued,
             repeat,
+            link: Link::Idle,
             exposed: false,
             sends: 0,
         }
@@ -149,17 +162,19 @@
                 RequestStep::Ignore
             };
         }
+        let Some(link) = self.linked(event) else {
+            return RequestStep::Forbidden;
+        };
         let Some((next, step)) = self.transition(event) else {
             return RequestStep::Forbidden;
         };
+        self.link = link;
         match event {
             RequestEvent::SendStarts => self.sends += 1,
             RequestEvent::EndpointRefused => self.sends -= 1,
+            RequestEvent::SendFailed | RequestEvent::AnswerBroke => self.exposed = true,
             _ => {}
         }
-        if event == RequestEvent::SendFailed || event == RequestEvent::AnswerBroke {
-            self.exposed = true;
-        }
         assert!(
             self.repeat == Repeat::Idempotent || self.sends <= 1,
             "a call that may run once is sent twice"
@@ -172,6 +187,20 @@
         step
     }
 
+    /// How far the send has come after the event; none if the event does not fit the send.
+    fn linked(&self, event: RequestEvent) -> Option<Link> {
+        use RequestEvent as E;
+        match (self.link, event) {
+            (Link::Idle, E::SendStarts) => Some(Link::Sent),
+            (Link::Sent, E::HeadArrived) => Some(Link::Head),
+            (Link::Sent, E::SendFailed | E::EndpointRefused) => Some(Link::Idle),
+            (Link::Head, E::PartArrived) => Some(Link::Head),
+            (Link::Head, E::AnswerBroke | E::AnswerWhole) => Some(Link::Idle),
+            (Link::Idle, E::ClaimHeld) | (_, E::GiveUp) => Some(Link::Idle),
+            _ => None,
+        }
+    }
+
     fn transition(&self, event: RequestEvent) -> Option<(RequestState, RequestStep)> {
         use RequestEvent as E;
         use RequestState as S;
@@ -187,13 +216,10 @@
             (S::Sent, E::SendFailed) | (S::FirstByte, E::AnswerBroke) => self.again(),
             (S::FirstByte | S::Streaming, E::PartArrived) => (S::Streaming, T::Deliver),
             (S::FirstByte | S::Streaming, E::AnswerWhole) => (S::Answered, T::Answer),
-            (S::Streaming, E::AnswerBroke | E::SendFailed) if self.repeat == Repeat::Idempotent => {
-                (S::Streaming, T::Resume)
-            }
-            (S::Streaming, E::EndpointRefused) if self.repeat == Repeat::Idempotent => (S::Streaming, T::Resume),
-            (S::Streaming, E::SendStarts) if self.repeat == Repeat::Idempotent => (S::Streaming, T::Send),
+            (S::Streaming, E::AnswerBroke) if self.repeat != Repeat::Idempotent => (S::Unknown, T::FailUnknown),
+            (S::Streaming, E::AnswerBroke | E::SendFailed | E::EndpointRefused) => (S::Streaming, T::Resume),
+            (S::Streaming, E::SendStarts) => (S::Streaming, T::Send),
             (S::Streaming, E::HeadArrived) => (S::Streaming, T::Read),
-            (S::Streaming, E::AnswerBroke | E::SendFailed) => (S::Unknown, T::FailUnknown),
             (S::Sent | S::FirstByte | S::Streaming, E::GiveUp) => (S::Unknown, T::FailUnknown),
             _ => return None,
         };
