--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -75,13 +75,13 @@
     ) -> Result<Reply, SendError> {
         let until = Instant::now() + within;
         if let Some(conn) = self.take_idle(to) {
-            let first = self.exchange(&conn, to, with_body(&request, body), until).await;
+            let first = self.exchange(&conn, to, with_body(request.clone(), body), until).await;
             match first {
                 Err(SendError::NoAnswer) => {}
                 other => return other,
             }
         }
-        self.send_fresh(to, with_body(&request, body), until).await
+        self.send_fresh(to, with_body(request, body), until).await
     }
 
     /// Sends a request once, over a connection of its own. A pooled connection may have been closed by the peer
@@ -100,7 +100,7 @@
         if !may_send() {
             return Err(SendError::Withheld);
         }
-        self.exchange(&conn, to, with_body(&request, body), until).await
+        self.exchange(&conn, to, with_body(request, body), until).await
     }
 
     async fn send_fresh(&self, to: SocketAddr, request: Request, until: Instant) -> Result<Reply, SendError> {
@@ -116,7 +116,9 @@
         until: Instant,
     ) -> Result<Reply, SendError> {
         let before = conn.written();
-        let answered = timeout(left(until), async_h1::connect(conn.clone(), request)).await;
+        // Boxed: the future is large, and each future around it would be moved with all of it inside.
+        let exchange = Box::pin(async_h1::connect(conn.clone(), request));
+        let answered = timeout(left(until), exchange).await;
         let sent = conn.written() > before;
         let response: Response = match answered {
             Ok(Ok(response)) => response,
@@ -159,14 +161,9 @@
     Ok(Conn::new(stream))
 }
 
-/// A copy of `request` with this body; setting a body replaces the content type, so the headers go on last.
-fn with_body(request: &Request, body: &[u8]) -> Request {
-    let mut copy = request.clone();
-    copy.set_body(body);
-    for (name, values) in request {
-        copy.insert_header(name, values);
-    }
-    copy
+fn with_body(mut request: Request, body: &[u8]) -> Request {
+    request.set_body(body);
+    request
 }
 
 fn left(until: Instant) -> Duration {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -132,7 +132,8 @@
     };
     let mut server = Server::new(conn.clone(), |request| {
         busy.begin();
-        let answering = answer(request, conn.clone());
+        // Boxed: the future is large, and the connection's futures around it would be moved with it inside.
+        let answering = Box::pin(answer(request, conn.clone()));
         async {
             let mut response = answering.await;
             if serving.draining() {
