lifecycle: a claim that was given up is freed, as its write may have taken effect

Seen with processes: while the platform answers slower than the router waits, the claim's write takes effect, the router refuses the call as 'claim unavailable' and the claim stays. Claim::clear deletes it in the background by the version that the lost write expected, so that a write still on its way is refused as well. Releasing it after a won claim would free a key whose call runs: the model asserts that there is nothing to clear then (seen red). One million faults (LIFECYCLE_FAULTS=1000000) over 68 350 keys: none broken.

--- a/crates/lifecycle/src/claims/acquire.rs
+++ b/crates/lifecycle/src/claims/acquire.rs
@@ -1,6 +1,7 @@
 //! Winning a claim, and the last look before the send.
 
 use super::record::{ClaimState, Kept, Nonce, Record, Seen};
+use super::settle::{Settle, SettleStep};
 use ids::{Digest, Version};
 use std::time::Duration;
 use wire::caller::Ran;
@@ -116,6 +117,8 @@
     limits: ClaimLimits,
     phase: Phase,
     begun: Duration,
+    /// Version that the last write without an answer expected.
+    lost: Option<Version>,
 }
 
 impl Claim {
@@ -126,6 +129,7 @@
             limits,
             phase: Phase::Ended,
             begun: now,
+            lost: None,
         };
         let step = claim.write(Version(0));
         (claim, step)
@@ -133,6 +137,9 @@
 
     /// Takes an event and says what to do next.
     pub fn on(&mut self, event: ClaimEvent<'_>, now: Duration) -> ClaimStep {
+        if let (Phase::Writing(expect), ClaimEvent::Lost) = (self.phase, event) {
+            self.lost = Some(expect);
+        }
         match (self.phase, event) {
             (Phase::Ended, _) => ClaimStep::Ended,
             (Phase::Writing(_), ClaimEvent::Written(version)) => self.won(version),
@@ -151,6 +158,17 @@
         }
     }
 
+    /// After [`ClaimStep::Unavailable`], and nothing after any other end: frees the key of a claim that may have been written although no answer came.
+    ///
+    /// Left there, the key would be in progress and then unknown although its call has never run, and a caller that
+    /// retries it once the platform is back would wait in vain. Nothing was sent and nothing will be, so that the
+    /// key may be freed. The deletion expects the version that the lost write expected: should that write arrive
+    /// later, the version has moved on and it is refused.
+    pub fn clear(&self, pause: Duration, until: Duration) -> Option<(Settle, SettleStep)> {
+        let version = self.lost.filter(|_| self.phase == Phase::Ended)?;
+        Some(Settle::release(self.record(), version, pause, until))
+    }
+
     /// What the entry says. Whatever cannot be read or is not ours is never run.
     fn judge(&mut self, seen: Seen<'_>, now: Duration) -> ClaimStep {
         let Some(value) = seen.value else {
@@ -233,6 +251,10 @@
 
     fn end(&mut self, step: ClaimStep) -> ClaimStep {
         self.phase = Phase::Ended;
+        if !matches!(step, ClaimStep::Unavailable(_)) {
+            // The claim is this attempt's own, or the entry has moved on past what it wrote.
+            self.lost = None;
+        }
         step
     }
 }
--- a/crates/lifecycle/src/claims/settle.rs
+++ b/crates/lifecycle/src/claims/settle.rs
@@ -77,6 +77,19 @@
         (settle, step)
     }
 
+    /// Begins to free a key whose claim was perhaps written, and never sent.
+    pub(super) fn release(record: Record, version: Version, pause: Duration, until: Duration) -> (Self, SettleStep) {
+        let mut settle = Self {
+            record,
+            wanted: None,
+            phase: Phase::Reading,
+            pause,
+            until,
+        };
+        let step = settle.write(version);
+        (settle, step)
+    }
+
     /// Takes an event and says what to do next.
     pub fn on(&mut self, event: ClaimEvent<'_>, now: Duration) -> SettleStep {
         match (self.phase, event) {
--- a/crates/lifecycle/tests/claims.rs
+++ b/crates/lifecycle/tests/claims.rs
@@ -150,7 +150,13 @@
 
     fn claiming(&mut self, random: &mut ChaCha8Rng, router: &mut Router, mut claim: Claim, step: ClaimStep) -> Doing {
         let says = match step {
-            ClaimStep::Won(held) => return self.send(random, router, held),
+            ClaimStep::Won(held) => {
+                assert!(
+                    claim.clear(MARGIN, MARGIN).is_none(),
+                    "the claim that was won would be freed"
+                );
+                return self.send(random, router, held);
+            }
             ClaimStep::Write { .. } | ClaimStep::Read | ClaimStep::Wait(_) => {
                 let now = self.now;
                 let event = match step {
@@ -177,7 +183,10 @@
             ClaimStep::Ended => panic!("no event came after the end"),
         };
         self.say(router, says);
-        Doing::Nothing
+        match claim.clear(Duration::from_millis(50), self.now + MARGIN) {
+            Some((settle, step)) => Doing::Settling(settle, step),
+            None => Doing::Nothing,
+        }
     }
 
     fn settling(&mut self, random: &mut ChaCha8Rng, says: Option<&str>, mut settle: Settle, step: SettleStep) -> Doing {
