Claims: the router frees a claim that it gave up without an answer

Seen red before: tests/single_run.rs, calls_while_the_platform_is_in_trouble, 'in vain: the key's call has ended' for a platform that answers after 1 s.

--- a/crates/router/src/caller/claim.rs
+++ b/crates/router/src/caller/claim.rs
@@ -71,12 +71,29 @@
             ClaimStep::Write { value, expect } => write(shared, &name, Some(value), expect, lease).await,
             ClaimStep::Read => read(shared, &name).await,
             ClaimStep::Wait(pause) => wait(pause).await,
-            end => return ended(end, key),
+            end => {
+                clear(shared, &machine, &name, lease);
+                return ended(end, key);
+            }
         };
         step = machine.on(event(&happened), shared.clock.now());
     }
 }
 
+/// Frees, in the background, a key that this attempt has perhaps claimed without ever hearing of it.
+fn clear(shared: &Arc<Shared>, machine: &Claim, name: &str, lease: u64) {
+    let until = shared.clock.now() + SETTLE_PATIENCE;
+    let Some((settle, step)) = machine.clear(SETTLE_PAUSE, until) else {
+        return;
+    };
+    let (background, name) = (shared.clone(), name.to_owned());
+    shared.settling.fetch_add(1, Ordering::SeqCst);
+    task::spawn(async move {
+        drive(&background, &name, lease, settle, step).await;
+        background.settling.fetch_sub(1, Ordering::SeqCst);
+    });
+}
+
 fn ended(step: ClaimStep, key: &IdempotencyKey) -> Claimed {
     let key = key.clone();
     Claimed::Refused(match step {
@@ -112,7 +129,11 @@
 async fn run_settle(shared: &Arc<Shared>, name: &str, held: Held, outcome: Outcome) {
     let Some(lease) = lease(shared).await else { return };
     let until = shared.clock.now() + SETTLE_PATIENCE;
-    let (mut machine, mut step) = Settle::start(held, outcome, SETTLE_PAUSE, until);
+    let (machine, step) = Settle::start(held, outcome, SETTLE_PAUSE, until);
+    drive(shared, name, lease, machine, step).await;
+}
+
+async fn drive(shared: &Shared, name: &str, lease: u64, mut machine: Settle, mut step: SettleStep) {
     loop {
         let happened = match step {
             SettleStep::Write { value, expect } => write(shared, name, value, expect, lease).await,
