Timeouts without a system call each

Cause: every timer of async-io wakes the reactor through the kernel, two or three times a request. Ruled out: the executor's thread count (one thread shows it too). Change: waiting futures stand in one map that a task looks at every 10 ms.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::conn::Conn;
 use crate::reply::Reply;
-use async_std::future::timeout;
+use crate::timeout::timeout;
 use async_std::net::TcpStream;
 use http_types::{Request, Response};
 use quick_error::quick_error;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,11 +9,13 @@
 mod reply;
 mod server;
 mod sse;
+mod timeout;
 
 pub use client::{Client, SendError};
 pub use conn::Conn;
 pub use reply::{BodyError, Reply};
 pub use server::{Limits, ReadError, Serving, read_body, serve};
 pub use sse::{Piece, PieceError, Pieces};
+pub use timeout::{Elapsed, timeout};
 
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- /dev/null
+++ b/crates/http/src/timeout.rs
@@ -0,0 +1,110 @@
+//! Timeouts that cost no system call.
+//!
+//! Load pattern: thousands of requests a second, each with a deadline that almost never comes. async-io wakes its
+//! reactor through the kernel for every timer that is set, which shows as processor time and as latency of every
+//! request. Here waiting futures stand in one map, and one task looks for those that are due every [`TICK`]; a
+//! deadline is met at most that much late, against deadlines of a second and more.
+
+use async_std::task;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{LazyLock, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// How late a timeout may be noticed.
+const TICK: Duration = Duration::from_millis(10);
+
+/// The time was over first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Elapsed;
+
+/// The result of `future`, or [`Elapsed`] once `within` has passed.
+///
+/// # Errors
+/// The time was over first.
+pub async fn timeout<F: Future>(within: Duration, future: F) -> Result<F::Output, Elapsed> {
+    let mut future = pin!(future);
+    let mut delay = Delay {
+        due: Instant::now() + within,
+        key: None,
+    };
+    std::future::poll_fn(|cx| {
+        if let Poll::Ready(result) = future.as_mut().poll(cx) {
+            return Poll::Ready(Ok(result));
+        }
+        Pin::new(&mut delay).poll(cx).map(|()| Err(Elapsed))
+    })
+    .await
+}
+
+type Key = (Instant, u64);
+
+/// Futures that wait, by when they are due.
+struct Waiting {
+    wakers: Mutex<BTreeMap<Key, Waker>>,
+    next: AtomicU64,
+}
+
+static WAITING: LazyLock<Waiting> = LazyLock::new(|| {
+    task::spawn(tick());
+    Waiting {
+        wakers: Mutex::default(),
+        next: AtomicU64::new(0),
+    }
+});
+
+fn wakers() -> MutexGuard<'static, BTreeMap<Key, Waker>> {
+    WAITING.wakers.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn tick() {
+    loop {
+        task::sleep(TICK).await;
+        let now = Instant::now();
+        let due = {
+            let mut wakers = wakers();
+            let later = wakers.split_off(&(now, u64::MAX));
+            std::mem::replace(&mut *wakers, later)
+        };
+        // Woken without the lock: a woken future may set its next timeout at once.
+        due.into_values().for_each(Waker::wake);
+    }
+}
+
+struct Delay {
+    due: Instant,
+    key: Option<Key>,
+}
+
+impl Future for Delay {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if Instant::now() >= self.due {
+            return Poll::Ready(());
+        }
+        let due = self.due;
+        let key = *self
+            .key
+            .get_or_insert_with(|| (due, WAITING.next.fetch_add(1, Ordering::Relaxed)));
+        let mut wakers = wakers();
+        match wakers.get_mut(&key) {
+            Some(waker) => waker.clone_from(cx.waker()),
+            None => {
+                wakers.insert(key, cx.waker().clone());
+            }
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Delay {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            wakers().remove(&key);
+        }
+    }
+}
--- a/crates/router/src/caller/call.rs
+++ b/crates/router/src/caller/call.rs
@@ -3,7 +3,7 @@
 use super::auth::Caller;
 use super::refusal::{Cause, Refused};
 use crate::shared::Shared;
-use async_std::future::timeout;
+use http::timeout;
 use http::{Conn, Method, ReadError, Request, read_body};
 use ids::{Priority, RequestId};
 use std::sync::Arc;
--- a/crates/router/src/caller/claim.rs
+++ b/crates/router/src/caller/claim.rs
@@ -123,7 +123,7 @@
         background.settling.fetch_sub(1, Ordering::SeqCst);
     });
     // The answer is whole whether or not its result is kept.
-    let _ = async_std::future::timeout(SETTLE_WAIT, settling).await;
+    let _ = http::timeout(SETTLE_WAIT, settling).await;
 }
 
 async fn run_settle(shared: &Arc<Shared>, name: &str, held: Held, outcome: Outcome) {
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -103,7 +103,7 @@
     attempts.shared.metrics.first_token.observe(first_token.as_secs_f64());
     let answer_bytes = attempts.shared.settings.limits.answer_bytes;
     let left = attempts.call.left(&attempts.shared).unwrap_or(Duration::ZERO);
-    let reading = async_std::future::timeout(left, opened.reply.whole(answer_bytes)).await;
+    let reading = http::timeout(left, opened.reply.whole(answer_bytes)).await;
     let Ok(Ok(body)) = reading else {
         attempts.cancel(&opened.flight);
         attempts.tell(&opened.flight, crate::control::Sighting::Broke);
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -179,7 +179,7 @@
     let content = reply.header("content-type").map(str::to_owned);
     let left = attempts.call.left(&attempts.shared)?;
     let limit = attempts.shared.settings.limits.answer_bytes;
-    let body = async_std::future::timeout(left, reply.whole(limit)).await.ok()?.ok()?;
+    let body = http::timeout(left, reply.whole(limit)).await.ok()?.ok()?;
     Some(Kept {
         status,
         content,
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -145,7 +145,7 @@
         let Some(left) = self.attempts.call.left(&self.attempts.shared) else {
             return Err(End::Late);
         };
-        let next = async_std::future::timeout(left, pieces.next());
+        let next = http::timeout(left, pieces.next());
         let gone = self.attempts.call.conn.peer_gone();
         futures::pin_mut!(next, gone);
         match select(next, gone).await {
