--- a/crates/loadtool/src/lib.rs
+++ b/crates/loadtool/src/lib.rs
@@ -1,5 +1,6 @@
 //! Open-loop load and experiments against our own stand-ins on loopback. Never shipped.
 
+pub mod demo;
 pub mod error;
 pub mod faults;
 pub mod measure;
--- a/crates/loadtool/src/main.rs
+++ b/crates/loadtool/src/main.rs
@@ -26,12 +26,18 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Demo(Demo),
     Run(Run),
     Overhead(Overhead),
     Slopes(Slopes),
     Report(Report),
 }
 
+/// Start the whole path on loopback, print curl commands and wait for Ctrl-C.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
 /// Run deployments with open-loop load and faults; exit code 1 if the accounting finds an error.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "run")]
@@ -110,6 +116,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let result = match args.command {
+        Command::Demo(_) => block_on(loadtool::demo::demo()),
         Command::Run(args) => block_on(run(&args)),
         Command::Overhead(args) => block_on(measure_overhead(&args)),
         Command::Slopes(args) => block_on(measure_slopes(&args)),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -18,9 +18,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Chore {
+    Demo(Demo),
     Test(Test),
 }
 
+/// Build everything and start the whole path on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
 /// Run all tests but those listed in KNOWN-RED.txt, which are printed.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "test")]
@@ -49,6 +55,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let result = match args.chore {
+        Chore::Demo(_) => demo(),
         Chore::Test(_) => test(),
     };
     match result {
@@ -60,10 +67,19 @@
     }
 }
 
-/// Builds the programs first: tests start them as processes.
+fn demo() -> Result<(), Error> {
+    build()?;
+    cargo(&["run", "--package", "loadtool", "--quiet", "--", "demo"])
+}
+
+/// The programs are started as processes, by tests as well.
+fn build() -> Result<(), Error> {
+    cargo(&["build", "--workspace", "--bins", "--locked", "--quiet"])
+}
+
 fn test() -> Result<(), Error> {
     let known_red = known_red()?;
-    cargo(&["build", "--workspace", "--bins", "--locked", "--quiet"])?;
+    build()?;
     let mut args = vec![
         "test",
         "--workspace",
