--- a/crates/admission/tests/learnt.rs
+++ b/crates/admission/tests/learnt.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 /// Least squares over all samples at once, each weighted by its age; the two the model begins with are the oldest.
-fn naive_first_token(samples: &[(u16, u16)], uncached: f64) -> f64 {
+fn naive_first_token(samples: Vec<(u16, u16)>, uncached: f64) -> f64 {
     let prior = [(0.0, 0.02), (2_000.0, 0.22)];
-    let newer = |index: usize| 0.99_f64.powi((samples.len() - index) as i32);
+    let count = samples.len();
+    let newer = |index: usize| 0.99_f64.powi((count - index) as i32);
     let seen = samples
-        .iter()
+        .into_iter()
         .enumerate()
         .map(|(index, one)| (newer(index + 1), f64::from(one.0), f64::from(one.1) / 1e3));
     let all: Vec<(f64, f64, f64)> = prior.iter().map(|one| (newer(0), one.0, one.1)).chain(seen).collect();
@@ -32,7 +33,6 @@
 
 #[test]
 fn first_token_as_naive_least_squares() {
-    #[allow(clippy::needless_pass_by_value)]
     fn same(samples: Vec<(u16, u16)>, uncached: u16) -> bool {
         let mut model = ServiceModel::default();
         for (tokens, millis) in samples.iter().copied() {
@@ -48,7 +48,7 @@
         }
         let (ours, naive) = (
             model.first_token(uncached.into()),
-            naive_first_token(&samples, uncached.into()),
+            naive_first_token(samples, uncached.into()),
         );
         (ours - naive).abs() <= 1e-6 * naive.max(1.0)
     }
--- a/crates/admission/tests/queue_order.rs
+++ b/crates/admission/tests/queue_order.rs
@@ -124,7 +124,7 @@
 }
 
 /// Starts in order, by the numbers of the offers.
-fn starts(steps: &[Step], urgent: bool) -> (Vec<usize>, Vec<usize>) {
+fn starts(steps: Vec<Step>, urgent: bool) -> (Vec<usize>, Vec<usize>) {
     let mechanisms = Mechanisms {
         priorities: urgent,
         short_first: false,
@@ -145,7 +145,7 @@
         rank: 5,
         output: 10,
     });
-    for (number, step) in first.chain(steps.iter().copied()).enumerate() {
+    for (number, step) in first.chain(steps).enumerate() {
         let now = Duration::from_millis(number as u64 * 37);
         match step {
             Step::Offer {
@@ -192,7 +192,7 @@
 #[test]
 fn starts_as_the_naive_queue() {
     fn same(steps: Vec<Step>, urgent: bool) -> bool {
-        let (ours, theirs) = starts(&steps, urgent);
+        let (ours, theirs) = starts(steps, urgent);
         ours == theirs
     }
     QuickCheck::new()
