--- a/crates/admission/tests/queue_order.rs
+++ b/crates/admission/tests/queue_order.rs
@@ -110,7 +110,7 @@
             } else {
                 0.0
             };
-            self.tag(workspace) - ranks * 1e5 * f64::from(SLOTS) / weight
+            self.tag(workspace) - ranks * 0.1 * 1e6 * f64::from(SLOTS) / weight
         };
         // Ties go to the workspace that was seen first, which the caller makes the lowest.
         let workspace = active.iter().copied().min_by(|a, b| key(*a).total_cmp(&key(*b)))?;
@@ -196,7 +196,7 @@
         ours == theirs
     }
     QuickCheck::new()
-        .tests(2_000)
+        .tests(10_000)
         .quickcheck(same as fn(Vec<Step>, bool) -> bool);
 }
 
