--- /dev/null
+++ b/crates/apricotfork/tests/single_run.rs
@@ -0,0 +1,394 @@
+//! Calls that may run once, with real processes: the runners count what they execute.
+
+mod support;
+
+use http::Method;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use support::{Answer, KEY, Plan, Site, bearer, call, fault, signal, until};
+use wire::platform::Fault as PlatformFault;
+use wire::service::{CutAt, Fault};
+
+const BODY: &str = "{\"run\": true}";
+const FANS: &str = "/fans/12";
+
+fn site(routers: usize) -> Site {
+    let site = Site::start(&Plan {
+        engines: vec![vec![]],
+        services: vec![vec![], vec![]],
+        routers,
+    });
+    // Each router takes its lease for claims with its first one.
+    (0..routers).for_each(|router| assert_eq!(told(&fan(&site, router, &format!("warm-{router}"), "")), "ok"));
+    site
+}
+
+/// A fan command under `key`; `attempt` is `first` or empty.
+fn fan(site: &Site, router: usize, key: &str, attempt: &str) -> Option<Answer> {
+    fan_at(site.routers[router].address, key, attempt)
+}
+
+fn fan_at(router: SocketAddr, key: &str, attempt: &str) -> Option<Answer> {
+    let mut headers = vec![("authorization", bearer(KEY)), ("idempotency-key", key.to_owned())];
+    headers.push(("apricotfork-deadline-ms", "4000".to_owned()));
+    if !attempt.is_empty() {
+        headers.push(("apricotfork-attempt", attempt.to_owned()));
+    }
+    call(
+        router,
+        Method::Post,
+        &format!("/services/silo{FANS}"),
+        &headers,
+        BODY.as_bytes(),
+    )
+    .ok()
+}
+
+/// What the caller was told, in short.
+fn told(answer: &Option<Answer>) -> String {
+    match answer {
+        None => "nothing".to_owned(),
+        Some(answer) if answer.status.is_success() => "ok".to_owned(),
+        Some(answer) => {
+            let (code, ran) = answer.refusal();
+            format!("{code} {ran}")
+        }
+    }
+}
+
+fn runners(site: &Site, switch: &Fault) {
+    site.services.iter().for_each(|runner| fault(runner.address, switch));
+}
+
+/// Waits until the first router sends to a runner again; after a failure it leaves that one alone for a while.
+fn in_service(site: &Site) {
+    until("a runner is in service", || {
+        told(&site.silo(0, "/probes", &[], "").ok()) == "ok"
+    });
+}
+
+fn executions(site: &Site, key: &str) -> u64 {
+    site.executions().by_key.get(key).copied().unwrap_or(0)
+}
+
+/// What must hold of one key, whatever happened: it ran at most once, a whole answer is the one answer of that run,
+/// and whoever was told "not run" by an attempt that was the only one was told the truth.
+fn check(site: &Site, key: &str, answers: &[Option<Answer>]) {
+    let ran = executions(site, key);
+    let all: Vec<String> = answers.iter().map(told).collect();
+    assert!(ran <= 1, "{key} ran {ran} times: {all:?}");
+    let whole: Vec<&Answer> = answers
+        .iter()
+        .flatten()
+        .filter(|answer| answer.status.is_success())
+        .collect();
+    assert!(
+        whole.iter().all(|answer| answer.body == whole[0].body),
+        "{key}: {whole:?}"
+    );
+    assert!(
+        whole.is_empty() || ran == 1,
+        "{key} was answered and has not run: {all:?}"
+    );
+    let refused = all.iter().all(|told| told.ends_with("not_run"));
+    assert!(!refused || ran == 0, "{key} ran once, and the callers read {all:?}");
+}
+
+/// Sends the key again at `router` until its call is no longer running and a runner is in service.
+fn retry(site: &Site, router: usize, key: &str) -> Option<Answer> {
+    let last = RefCell::new(None);
+    until("the key's call has ended", || {
+        let answer = fan(site, router, key, "");
+        let told = told(&answer);
+        last.replace(answer);
+        !told.starts_with("in_progress") && !told.starts_with("no_endpoint")
+    });
+    last.into_inner()
+}
+
+/// Where the runner's connection is cut, and how often the call has run then.
+struct Cut(CutAt, u64);
+
+// A runner's connection breaks at some byte of the exchange. The caller must never read "not run" of a fan that may
+// be running, nor half an answer; and no retry, here or at another router, may start the fan again.
+#[test]
+fn a_connection_cut_at_each_byte_class_runs_nothing_twice() {
+    let site = site(2);
+    let cuts = [
+        Cut(CutAt::BeforeWork, 0),
+        Cut(CutAt::BeforeHead, 1),
+        Cut(CutAt::InHead, 1),
+        Cut(CutAt::AfterHead, 1),
+        Cut(CutAt::InBody, 1),
+    ];
+    for Cut(at, ran) in cuts {
+        let key = format!("{at:?}");
+        let cut = Fault {
+            cut: Some(1),
+            cut_at: Some(at),
+            ..Fault::default()
+        };
+        let [first, unkeyed] = [Some(key.as_str()), None].map(|key| {
+            in_service(&site);
+            runners(&site, &cut);
+            let answer = match key {
+                Some(key) => fan(&site, 0, key, "first"),
+                None => site.silo(0, FANS, &[], BODY).ok(),
+            };
+            runners(
+                &site,
+                &Fault {
+                    cut: Some(0),
+                    ..Fault::default()
+                },
+            );
+            assert_eq!(told(&answer), "endpoint_failed unknown", "{at:?} {key:?}");
+            answer.expect("a refusal")
+        });
+        let later = retry(&site, 1, &key);
+        assert_eq!(told(&later), "endpoint_failed unknown", "{key} again");
+        check(&site, &key, &[Some(first), later]);
+        let by_request = site.executions().by_request.get(&unkeyed.request).copied();
+        assert_eq!((executions(&site, &key), by_request.unwrap_or(0)), (ran, ran), "{at:?}");
+    }
+}
+
+// An answer bears the id of another request. Passed on, it would tell one depot about another depot's fan.
+#[test]
+fn a_crossed_answer_is_never_passed_on() {
+    let site = site(2);
+    runners(
+        &site,
+        &Fault {
+            cross_answers: Some(1),
+            ..Fault::default()
+        },
+    );
+    let first = fan(&site, 0, "crossed", "first");
+    assert_eq!(told(&first), "endpoint_failed unknown");
+    check(&site, "crossed", &[first, retry(&site, 1, "crossed")]);
+}
+
+// A caller that got no answer in time asks three routers at once. The fan must run once, and each of them gives the
+// same whole answer in the end.
+#[test]
+fn one_key_at_three_routers_at_once_runs_once() {
+    let site = site(3);
+    runners(
+        &site,
+        &Fault {
+            work_ms: Some(100),
+            ..Fault::default()
+        },
+    );
+    for round in 0..10 {
+        let key = format!("thrice-{round}");
+        let mut answers: Vec<Option<Answer>> = thread::scope(|scope| {
+            let calls = [0, 1, 2].map(|router| {
+                scope.spawn({
+                    let (site, key) = (&site, &key);
+                    move || fan(site, router, key, "")
+                })
+            });
+            calls.into_iter().map(|call| call.join().expect("no panic")).collect()
+        });
+        assert!(
+            answers
+                .iter()
+                .map(told)
+                .all(|told| told == "ok" || told == "in_progress unknown")
+        );
+        answers.extend([0, 1, 2].map(|router| retry(&site, router, &key)));
+        assert!(answers[3..].iter().all(|answer| told(answer) == "ok"));
+        check(&site, &key, &answers);
+    }
+}
+
+/// A state of the platform, and what a keyed, a first keyed, an unkeyed and an idempotent call are told meanwhile.
+struct Trouble(PlatformFault, [&'static str; 4]);
+
+// The platform is out, slow, or its answers are lost after the write has taken effect. Whoever is refused must be told
+// the truth, what needs no claim goes on, and a retry after the trouble must neither repeat nor forget a fan command.
+#[test]
+fn calls_while_the_platform_is_in_trouble() {
+    let site = site(2);
+    let quiet = PlatformFault {
+        down: Some(false),
+        delay_ms: Some(0),
+        lose_answers: Some(0),
+        ..PlatformFault::default()
+    };
+    let out = ["claim_unavailable unknown", "claim_unavailable not_run", "ok", "ok"];
+    let troubles = [
+        Trouble(
+            PlatformFault {
+                down: Some(true),
+                ..PlatformFault::default()
+            },
+            out,
+        ),
+        Trouble(
+            PlatformFault {
+                delay_ms: Some(1_000),
+                ..PlatformFault::default()
+            },
+            out,
+        ),
+        Trouble(
+            PlatformFault {
+                delay_ms: Some(50),
+                ..PlatformFault::default()
+            },
+            ["ok"; 4],
+        ),
+        Trouble(
+            PlatformFault {
+                lose_answers: Some(1),
+                ..PlatformFault::default()
+            },
+            ["ok"; 4],
+        ),
+        Trouble(
+            PlatformFault {
+                lose_answers: Some(2),
+                ..PlatformFault::default()
+            },
+            ["ok"; 4],
+        ),
+    ];
+    for (number, Trouble(trouble, expected)) in troubles.iter().enumerate() {
+        let keys = [format!("later-{number}"), format!("first-{number}")];
+        fault(site.platform.address, trouble);
+        let keyed = [fan(&site, 0, &keys[0], ""), fan(&site, 0, &keys[1], "first")];
+        let others = [FANS, "/probes/1"].map(|path| site.silo(0, path, &[], BODY).ok());
+        fault(site.platform.address, &quiet);
+        let all: Vec<String> = keyed.iter().chain(&others).map(told).collect();
+        assert_eq!(all, expected, "{trouble:?}");
+        for (key, first) in keys.iter().zip(keyed) {
+            let later = retry(&site, 1, key);
+            assert_eq!(
+                told(&later),
+                "ok",
+                "{trouble:?}: {key} can be used once the platform is back"
+            );
+            check(&site, key, &[first, later]);
+        }
+    }
+}
+
+/// What is done to the router that has the call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Blow {
+    /// `kill -9`; another life starts.
+    Kill,
+    /// Stopped for a moment.
+    Pause,
+    /// Stopped for longer than a claim may wait for its send.
+    LongPause,
+}
+
+/// How far the call has come when it happens.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    /// The claim's write is on its way.
+    Claiming,
+    /// The runner is stopped: bytes have left, and nothing has run.
+    Sent,
+    /// The runner has begun.
+    Running,
+    /// The caller has its answer.
+    Answered,
+}
+
+/// Stage, blow, what the caller is told and what a retry elsewhere is told; empty where it depends on the instant.
+struct Case(Stage, Blow, &'static str, &'static str);
+
+fn strike(site: &mut Site, blow: Blow) {
+    if blow == Blow::Kill {
+        signal(&site.routers[0], "KILL");
+        site.routers[0] = site.start_router(0);
+        return site.until_ready(0);
+    }
+    signal(&site.routers[0], "STOP");
+    thread::sleep(Duration::from_millis(if blow == Blow::Pause { 300 } else { 6_000 }));
+    signal(&site.routers[0], "CONT");
+}
+
+fn reach(site: &Site, stage: Stage, key: &str) {
+    match stage {
+        Stage::Claiming | Stage::Sent => thread::sleep(Duration::from_millis(150)),
+        Stage::Running => until("the fan is running", || executions(site, key) == 1),
+        Stage::Answered => {}
+    }
+}
+
+fn prepare(site: &Site, stage: Stage) {
+    let delay = if stage == Stage::Claiming { 350 } else { 0 };
+    fault(
+        site.platform.address,
+        &PlatformFault {
+            delay_ms: Some(delay),
+            ..PlatformFault::default()
+        },
+    );
+    let work = if stage == Stage::Running { 1_500 } else { 0 };
+    runners(
+        site,
+        &Fault {
+            work_ms: Some(work),
+            ..Fault::default()
+        },
+    );
+    if stage == Stage::Sent {
+        site.services.iter().for_each(|runner| signal(runner, "STOP"));
+    }
+}
+
+fn suffer(site: &mut Site, case: &Case) {
+    let Case(stage, blow, first, later) = *case;
+    let key = format!("{stage:?}-{blow:?}");
+    in_service(site);
+    prepare(site, stage);
+    let (to, name) = (site.routers[0].address, key.clone());
+    let call = thread::spawn(move || fan_at(to, &name, "first"));
+    let mut answers = Vec::new();
+    if stage == Stage::Answered {
+        until("the answer is there", || call.is_finished());
+    }
+    reach(site, stage, &key);
+    strike(site, blow);
+    site.services.iter().for_each(|runner| signal(runner, "CONT"));
+    prepare(site, Stage::Answered);
+    answers.push(call.join().expect("no panic"));
+    assert!(first.is_empty() || told(&answers[0]) == first, "{key}: {answers:?}");
+    let again = if blow == Blow::Kill {
+        fan(site, 1, &key, "")
+    } else {
+        retry(site, 1, &key)
+    };
+    assert!(later.is_empty() || told(&again) == later, "{key}, retried: {again:?}");
+    answers.push(again);
+    check(site, &key, &answers);
+}
+
+// A router dies or stops while it has a fan command, and wakes up believing that the command is still its own. The
+// caller asks another router. The fan must not be switched twice, and nobody may be told "not run" falsely.
+#[test]
+fn a_router_killed_or_stopped_at_each_stage() {
+    let mut site = site(2);
+    let running = "in_progress unknown";
+    let cases = [
+        Case(Stage::Claiming, Blow::Kill, "nothing", running),
+        Case(Stage::Sent, Blow::Kill, "nothing", running),
+        Case(Stage::Running, Blow::Kill, "nothing", running),
+        Case(Stage::Answered, Blow::Kill, "ok", "ok"),
+        Case(Stage::Claiming, Blow::Pause, "ok", "ok"),
+        Case(Stage::Sent, Blow::Pause, "", ""),
+        Case(Stage::Running, Blow::Pause, "ok", "ok"),
+        Case(Stage::Claiming, Blow::LongPause, "", "ok"),
+        Case(Stage::Running, Blow::LongPause, "", ""),
+    ];
+    cases.iter().for_each(|case| suffer(&mut site, case));
+}
--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -298,6 +298,13 @@
     assert_eq!(answer.status, StatusCode::NoContent);
 }
 
+/// Sends a signal to a process of the site: `KILL`, `STOP`, `CONT` or `TERM`.
+pub fn signal(process: &Running, name: &str) {
+    let id = process.id().to_string();
+    let status = Command::new("kill").args(["-s", name, &id]).status();
+    assert!(status.is_ok_and(|status| status.success()), "cannot send {name}");
+}
+
 /// Waits until `what` holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
