--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts a whole site as processes on loopback, ports given by the system, and speaks to it as callers do.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod single_run;
+
 use async_std::task;
 use config::{ChangeId, OperatorKey, UnixMillis, bootstrap};
 use http::{Client, Method, Reply, Request, SendError, StatusCode, Url};
