control: who watches the platform's head; peers: what peers were last heard with

Cause: with a watch in every router one change costs the platform as many answers, new watches and section reads as there are routers. Two routers a domain watch, the others read the head now and then, a domain 0.4 reads/s together. To be wired in the router's config feed, with Follow drawn anew when the live routers change. Peers::seen is for the fleet's status. Seen red: all watching, a fixed period, an unknown router that relies on others.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each machine takes events with the time since the process started, and gives back what to do next.
 
+pub mod following;
 pub mod health;
 pub mod membership;
 pub mod orders;
--- a/crates/peers/src/handle.rs
+++ b/crates/peers/src/handle.rs
@@ -9,10 +9,14 @@
 use async_std::net::TcpListener;
 use async_std::task::JoinHandle;
 use control::membership::{Link, Member};
-use ids::{Digest, VmId};
+use ids::{Digest, Revision, VmId};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How long a silent peer stays in the status.
+const SEEN_FOR: Duration = Duration::from_secs(600);
 
 /// What all tasks share.
 pub(crate) struct Inner {
@@ -20,6 +24,18 @@
     pub(crate) events: Sender<Event>,
     pub(crate) traffic: Arc<Traffic>,
     state: ArcSwap<Published>,
+    seen: Mutex<BTreeMap<VmId, (SeenPeer, Instant)>>,
+}
+
+/// A peer as it was last heard, for the fleet's status.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenPeer {
+    /// Who.
+    pub member: Member,
+    /// The revision that it had in force.
+    pub revision: Option<Revision>,
+    /// Time since then.
+    pub age: Duration,
 }
 
 impl Inner {
@@ -31,9 +47,21 @@
         self.events.send(event).await.map_err(|_| PeerError::Stopped)
     }
 
+    fn note(&self, from: &Member, revision: Option<Revision>) {
+        let peer = SeenPeer {
+            member: from.clone(),
+            revision,
+            age: Duration::ZERO,
+        };
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.retain(|_, (_, at)| at.elapsed() < SEEN_FOR);
+        seen.insert(from.id.clone(), (peer, Instant::now()));
+    }
+
     /// Tells the control thread what a heartbeat says.
     pub(crate) async fn tell(&self, from: &Member, news: News) -> Result<(), PeerError> {
         let summary = news.summary;
+        self.note(from, summary.config.map(|(revision, _)| revision));
         let heard = Event::Heard {
             from: from.clone(),
             leaving: summary.leaving,
@@ -96,6 +124,7 @@
             events,
             traffic: Arc::default(),
             state: ArcSwap::default(),
+            seen: Mutex::default(),
         };
         Self {
             inner: Arc::new(inner),
@@ -161,6 +190,17 @@
         }
     }
 
+    /// Peers that were heard within the last ten minutes.
+    pub fn seen(&self) -> Vec<SeenPeer> {
+        let seen = self.inner.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.values()
+            .map(|(peer, at)| SeenPeer {
+                age: at.elapsed(),
+                ..peer.clone()
+            })
+            .collect()
+    }
+
     /// Bytes sent and received so far.
     pub fn traffic(&self) -> (u64, u64) {
         let traffic = &self.inner.traffic;
--- a/crates/peers/tests/loopback.rs
+++ b/crates/peers/tests/loopback.rs
@@ -107,6 +107,9 @@
     wait_for(&b, |event| matches!(event, Event::Heard { .. })).await;
     a.peers.publish_now(state(5));
     wait_for(&b, offers(5)).await;
+    let seen = b.peers.seen();
+    let known: Vec<_> = seen.iter().map(|peer| (&peer.member, peer.revision)).collect();
+    assert_eq!(known, [(&a.member, Some(Revision(5)))], "for the status");
 }
 
 /// A peer restarts at the same address. It must be found again, and told everything from the beginning.
