--- a/crates/loadtool/src/measure/mod.rs
+++ b/crates/loadtool/src/measure/mod.rs
@@ -6,6 +6,7 @@
 mod process;
 mod relay;
 mod slopes;
+mod sockets;
 mod stand;
 
 pub use fit::{Fit, fit};
--- a/crates/loadtool/src/measure/slopes.rs
+++ b/crates/loadtool/src/measure/slopes.rs
@@ -47,10 +47,11 @@
 /// Its name with the unit, and how to take it.
 type Quantity = (&'static str, fn(&Rates) -> f64);
 
-const NAMES: [&str; 9] = [
+const NAMES: [&str; 10] = [
     "peers",
     "endpoints",
     "requests",
+    "busy",
     "prompts",
     "pieces",
     "claims",
@@ -77,6 +78,7 @@
             "peers" => peers(time).await?,
             "endpoints" => endpoints(time).await?,
             "requests" => requests(time).await?,
+            "busy" => busy(time).await?,
             "prompts" => prompts(time).await?,
             "pieces" => pieces(time).await?,
             "claims" => claims(time).await?,
@@ -184,11 +186,18 @@
     Ok(Sweep { name, x, points })
 }
 
+/// As many as one of many small VMs gets.
 async fn requests(time: Duration) -> Result<Sweep, ToolError> {
-    let loads = [0.0, 250.0, 500.0, 1000.0, 2000.0, 4000.0].map(|rate| (rate, Load::Short));
+    let loads = [0.0, 25.0, 50.0, 100.0, 200.0, 300.0].map(|rate| (rate, Load::Short));
     loaded(time, "requests", "short requests/s", &loads).await
 }
 
+/// As many as fill a core: each wake of a thread serves several.
+async fn busy(time: Duration) -> Result<Sweep, ToolError> {
+    let loads = [1000.0, 2000.0, 3000.0, 4000.0, 6000.0].map(|rate| (rate, Load::Short));
+    loaded(time, "busy", "short requests/s of a busy router", &loads).await
+}
+
 async fn prompts(time: Duration) -> Result<Sweep, ToolError> {
     let loads = [0.0, 50.0, 100.0, 200.0, 400.0].map(|rate| (rate, Load::Prompt { blocks: 7 }));
     loaded(time, "prompts", "requests/s with a shared prompt of 7 blocks", &loads).await
@@ -206,10 +215,10 @@
 
 /// Memory after prompts of so many blocks that no prompt shared with another.
 async fn blocks() -> Result<Sweep, ToolError> {
-    const BLOCKS_OF_PROMPT: usize = 400;
-    const RATE: f64 = 40.0;
+    const BLOCKS_OF_PROMPT: usize = 100;
+    const RATE: f64 = 100.0;
     let mut points = Vec::new();
-    for prompts in [0, 50, 125, 250, 500] {
+    for prompts in [0, 250, 500, 1000, 2000] {
         let stand = Stand::start(&StandSpec {
             blocks: 1 << 20,
             ..StandSpec::small()
@@ -223,7 +232,7 @@
             &stand,
             load,
             RATE,
-            Duration::from_secs_f64((prompts + 10) as f64 / RATE),
+            Duration::from_secs_f64((prompts + 100) as f64 / RATE),
         )
         .await;
         task::sleep(SETTLE).await;
--- a/crates/loadtool/src/measure/stand.rs
+++ b/crates/loadtool/src/measure/stand.rs
@@ -2,6 +2,7 @@
 
 use super::process;
 use super::relay::{Count, relay};
+use super::sockets;
 use crate::error::ToolError;
 use crate::scenario::Scenario;
 use crate::site::{self, Launcher, Places, Publisher, Router, RouterSpec};
@@ -10,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use wire::platform::{Calls, Fault, Vm, VmState};
+use wire::platform::Calls;
 
 /// Engines in one process.
 const COPIES: usize = 50;
@@ -53,7 +54,6 @@
 struct Counts {
     platform: Count,
     endpoints: Count,
-    peers: Count,
 }
 
 /// What the first router did over some time, each a second.
@@ -142,36 +142,13 @@
             _processes: processes,
             _folder: folder,
         };
-        stand.list(spec.relays).await?;
+        site::set_vms(stand.platform.address, &stand.routers).await?;
         for (router, _) in &stand.routers {
             site::until_ready(router.operators).await?;
         }
         Ok(stand)
     }
 
-    async fn list(&self, relays: bool) -> Result<(), ToolError> {
-        let mut vms = Vec::new();
-        for (index, (router, domain)) in self.routers.iter().enumerate() {
-            let address = if relays {
-                relay(router.peers, &self.counts.peers).await?
-            } else {
-                router.peers
-            };
-            let domain = domain.as_str().into();
-            vms.push(Vm {
-                id: site::vm(index),
-                address: address.to_string(),
-                domain,
-                state: VmState::Live,
-            });
-        }
-        let fault = Fault {
-            vms: Some(vms),
-            ..Fault::default()
-        };
-        site::set_fault(self.platform.address, &fault).await
-    }
-
     /// What changes the document, once.
     ///
     /// # Errors
@@ -225,12 +202,13 @@
 
     async fn totals(&self) -> Result<[f64; 6], ToolError> {
         let calls: Calls = site::read(self.platform.address, "/v1/calls").await?;
+        let peers: Vec<SocketAddr> = self.routers.iter().map(|(router, _)| router.peers).collect();
         let bytes = |count: &Count| count.load(Ordering::Relaxed) as f64;
         Ok([
             self.cpu()?.as_secs_f64() * 1000.0,
             bytes(&self.counts.platform),
             bytes(&self.counts.endpoints),
-            bytes(&self.counts.peers),
+            sockets::bytes(&peers) as f64,
             calls.reads as f64,
             calls.writes as f64,
         ])
