--- a/crates/loadtool/src/measure/slopes.rs
+++ b/crates/loadtool/src/measure/slopes.rs
@@ -99,10 +99,12 @@
         let quantities: [Quantity; 7] = [
             ("processor time, ms/s", |rates| rates.cpu_ms),
             ("resident memory, kB", |rates| rates.resident),
-            ("bytes/s with the platform, all routers", |rates| rates.platform_bytes),
-            ("bytes/s with endpoints, all routers", |rates| rates.endpoint_bytes),
-            ("bytes/s with peers, all routers", |rates| rates.peer_bytes),
-            ("reads/s at the platform, all routers", |rates| rates.reads),
+            ("bytes/s with the platform, of each router", |rates| {
+                rates.platform_bytes
+            }),
+            ("bytes/s with endpoints, of each router", |rates| rates.endpoint_bytes),
+            ("bytes/s with peers, of each router", |rates| rates.peer_bytes),
+            ("reads/s at the platform, of each router", |rates| rates.reads),
             ("writes/s at the platform, all routers", |rates| rates.writes),
         ];
         let mut all = Vec::new();
--- a/crates/loadtool/src/measure/stand.rs
+++ b/crates/loadtool/src/measure/stand.rs
@@ -61,13 +61,13 @@
 pub struct Rates {
     /// Milliseconds of processor time.
     pub cpu_ms: f64,
-    /// Bytes to and from the platform, of all routers.
+    /// Bytes to and from the platform, of one router on average.
     pub platform_bytes: f64,
-    /// Bytes to and from endpoints, of all routers.
+    /// Bytes to and from endpoints, of one router on average.
     pub endpoint_bytes: f64,
-    /// Bytes to and from peers, of all routers, each counted once.
+    /// Bytes to and from peers, of one router on average.
     pub peer_bytes: f64,
-    /// Reads at the platform, of all routers.
+    /// Reads at the platform, of one router on average.
     pub reads: f64,
     /// Writes at the platform, of all routers.
     pub writes: f64,
@@ -188,13 +188,15 @@
         task::sleep(time).await;
         let after = self.totals().await?;
         let seconds = from.elapsed().as_secs_f64();
+        let routers = self.routers.len() as f64;
         let each = |index: usize| (after[index] - before[index]) / seconds;
         Ok(Rates {
             cpu_ms: each(0),
-            platform_bytes: each(1),
-            endpoint_bytes: each(2),
-            peer_bytes: each(3),
-            reads: each(4),
+            platform_bytes: each(1) / routers,
+            endpoint_bytes: each(2) / routers,
+            // What one sends another receives.
+            peer_bytes: 2.0 * each(3) / routers,
+            reads: each(4) / routers,
             writes: each(5),
             resident: self.resident()? as f64,
         })
