--- a/crates/loadtool/src/measure/stand.rs
+++ b/crates/loadtool/src/measure/stand.rs
@@ -2,6 +2,7 @@
 
 use super::process;
 use super::relay::{Count, relay};
+use super::sockets;
 use crate::error::ToolError;
 use crate::scenario::Scenario;
 use crate::site::{self, Launcher, Places, Publisher, Router, RouterSpec};
@@ -10,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use wire::platform::{Calls, Fault, Vm, VmState};
+use wire::platform::Calls;
 
 /// Engines in one process.
 const COPIES: usize = 50;
@@ -53,7 +54,6 @@
 struct Counts {
     platform: Count,
     endpoints: Count,
-    peers: Count,
 }
 
 /// What the first router did over some time, each a second.
@@ -61,13 +61,13 @@
 pub struct Rates {
     /// Milliseconds of processor time.
     pub cpu_ms: f64,
-    /// Bytes to and from the platform, of all routers.
+    /// Bytes to and from the platform, of one router on average.
     pub platform_bytes: f64,
-    /// Bytes to and from endpoints, of all routers.
+    /// Bytes to and from endpoints, of one router on average.
     pub endpoint_bytes: f64,
-    /// Bytes to and from peers, of all routers, each counted once.
+    /// Bytes to and from peers, of one router on average.
     pub peer_bytes: f64,
-    /// Reads at the platform, of all routers.
+    /// Reads at the platform, of one router on average.
     pub reads: f64,
     /// Writes at the platform, of all routers.
     pub writes: f64,
@@ -142,36 +142,13 @@
             _processes: processes,
             _folder: folder,
         };
-        stand.list(spec.relays).await?;
+        site::set_vms(stand.platform.address, &stand.routers).await?;
         for (router, _) in &stand.routers {
             site::until_ready(router.operators).await?;
         }
         Ok(stand)
     }
 
-    async fn list(&self, relays: bool) -> Result<(), ToolError> {
-        let mut vms = Vec::new();
-        for (index, (router, domain)) in self.routers.iter().enumerate() {
-            let address = if relays {
-                relay(router.peers, &self.counts.peers).await?
-            } else {
-                router.peers
-            };
-            let domain = domain.as_str().into();
-            vms.push(Vm {
-                id: site::vm(index),
-                address: address.to_string(),
-                domain,
-                state: VmState::Live,
-            });
-        }
-        let fault = Fault {
-            vms: Some(vms),
-            ..Fault::default()
-        };
-        site::set_fault(self.platform.address, &fault).await
-    }
-
     /// What changes the document, once.
     ///
     /// # Errors
@@ -211,13 +188,15 @@
         task::sleep(time).await;
         let after = self.totals().await?;
         let seconds = from.elapsed().as_secs_f64();
+        let routers = self.routers.len() as f64;
         let each = |index: usize| (after[index] - before[index]) / seconds;
         Ok(Rates {
             cpu_ms: each(0),
-            platform_bytes: each(1),
-            endpoint_bytes: each(2),
-            peer_bytes: each(3),
-            reads: each(4),
+            platform_bytes: each(1) / routers,
+            endpoint_bytes: each(2) / routers,
+            // What one sends another receives.
+            peer_bytes: 2.0 * each(3) / routers,
+            reads: each(4) / routers,
             writes: each(5),
             resident: self.resident()? as f64,
         })
@@ -225,12 +204,13 @@
 
     async fn totals(&self) -> Result<[f64; 6], ToolError> {
         let calls: Calls = site::read(self.platform.address, "/v1/calls").await?;
+        let peers: Vec<SocketAddr> = self.routers.iter().map(|(router, _)| router.peers).collect();
         let bytes = |count: &Count| count.load(Ordering::Relaxed) as f64;
         Ok([
             self.cpu()?.as_secs_f64() * 1000.0,
             bytes(&self.counts.platform),
             bytes(&self.counts.endpoints),
-            bytes(&self.counts.peers),
+            sockets::bytes(&peers) as f64,
             calls.reads as f64,
             calls.writes as f64,
         ])
