--- /dev/null
+++ b/crates/experiment/src/deployment/mod.rs
@@ -0,0 +1,59 @@
+//! Sizes of the two deployments and the cost model's figures.
+
+use std::time::Duration;
+
+/// Sizes of one deployment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Deployment {
+    /// Name in tables.
+    pub name: &'static str,
+    /// Failure domains.
+    pub domains: usize,
+    /// Engines, spread evenly over the domains.
+    pub engines: usize,
+    /// Routers, spread evenly over the domains.
+    pub routers: usize,
+    /// One way between failure domains.
+    pub crossing: Duration,
+    /// Workspaces.
+    pub workspaces: usize,
+}
+
+/// The Board: sizes as its brief gives them.
+pub const BOARD: Deployment = Deployment {
+    name: "board",
+    domains: 4,
+    engines: 12,
+    routers: 14,
+    crossing: Duration::from_micros(1500),
+    workspaces: 8,
+};
+
+/// Kovács: sizes as its brief gives them.
+pub const KOVACS: Deployment = Deployment {
+    name: "kovacs",
+    domains: 3,
+    engines: 9,
+    routers: 13,
+    crossing: Duration::from_micros(1000),
+    workspaces: 8,
+};
+
+/// One way between a caller and its router.
+pub const CLIENT: Duration = Duration::from_millis(3);
+/// Tokens of a block.
+pub const BLOCK_TOKENS: u32 = 1024;
+/// Tokens a second that an engine prefills (assumed; a small machine).
+pub const PREFILL_RATE: f64 = 20_000.0;
+/// Time of an engine's step besides prefill and decoding (assumed).
+pub const STEP: Duration = Duration::from_millis(8);
+/// Added to a step for each sequence that decodes (assumed).
+pub const DECODE: Duration = Duration::from_micros(300);
+/// Sequences an engine runs at once (assumed).
+pub const SLOTS: usize = 32;
+/// Blocks an engine can cache (assumed: little enough that an unused block is evicted within seconds).
+pub const CACHE_BLOCKS: usize = 192;
+/// Time between two load reports of an engine (assumed).
+pub const REPORT_EVERY: Duration = Duration::from_millis(500);
+/// How late a report reaches a router (assumed).
+pub const REPORT_LAG: Duration = Duration::from_millis(250);
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -1,3 +1,127 @@
-//! Deterministic experiment over the pure modules with a cost model of engines.
+//! Runs the experiment and prints its tables.
 
-fn main() {}
+use argh::FromArgs;
+use experiment::deployment::{BOARD, Deployment, KOVACS};
+use experiment::policy::{Policy, Settings};
+use experiment::table::{self, Comparison, Contender};
+use experiment::{cost, scenario};
+use std::process::ExitCode;
+
+/// Deterministic experiment over the pure modules.
+#[derive(FromArgs)]
+struct Options {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Compare(Compare),
+    DecisionCost(DecisionCost),
+}
+
+/// Compares the policies in all scenarios.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct Compare {
+    /// print JSON in place of markdown
+    #[argh(switch)]
+    json: bool,
+    /// only scenarios whose name contains this
+    #[argh(option, default = "String::new()")]
+    only: String,
+    /// only this policy, by its name in the table
+    #[argh(option, default = "String::new()")]
+    policy: String,
+    /// only this deployment
+    #[argh(option, default = "String::new()")]
+    deployment: String,
+    /// how many seeds are averaged
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// runs at a time
+    #[argh(option, default = "4")]
+    jobs: usize,
+    /// adds a row for ours with these mechanisms off or figures changed, separated by commas: hash, learn, spill,
+    /// reports, own, speed, or name=figure; may be repeated
+    #[argh(option)]
+    change: Vec<String>,
+    /// requests a second that count as a load of 1; searched if left out
+    #[argh(option)]
+    capacity: Option<f64>,
+}
+
+/// Times one decision.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "decision-cost")]
+struct DecisionCost {}
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match options.command {
+        Command::Compare(options) => compare(&options),
+        Command::DecisionCost(_) => println!("{}", cost::table()),
+    }
+    ExitCode::SUCCESS
+}
+
+fn compare(options: &Compare) {
+    let chosen = Policy::ALL
+        .into_iter()
+        .filter(|policy| policy.name().contains(&options.policy));
+    let plain = |policy: Policy| Contender {
+        policy,
+        settings: Settings::default(),
+        name: policy.name().to_owned(),
+    };
+    let changed = options.change.iter().map(|change| changed(change));
+    let contenders: Vec<Contender> = chosen.map(plain).chain(changed).collect();
+    let mut rows = Vec::new();
+    for deployment in [BOARD, KOVACS]
+        .into_iter()
+        .filter(|it| it.name.contains(&options.deployment))
+    {
+        let comparison = Comparison {
+            deployment,
+            capacity: options.capacity.unwrap_or_else(|| capacity(deployment)),
+            contenders: contenders.clone(),
+            scenarios: scenario::all()
+                .into_iter()
+                .filter(|it| it.name.contains(&options.only))
+                .collect(),
+            seeds: (1..=options.seeds).collect(),
+        };
+        rows.extend(table::rows(&comparison, options.jobs));
+    }
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&rows).expect("rows are plain data"));
+        return;
+    }
+    println!("{}", table::markdown(&rows));
+}
+
+/// Ours with the named changes; an unknown name ends the program, since its row would show nothing.
+fn changed(names: &str) -> Contender {
+    let apply = |settings: Option<Settings>, name: &str| settings.and_then(|settings| settings.changed(name));
+    let Some(settings) = names.split(',').fold(Some(Settings::default()), apply) else {
+        eprintln!("unknown change: {names}");
+        std::process::exit(2);
+    };
+    let oracle = names.starts_with("oracle");
+    let policy = if oracle { Policy::Oracle } else { Policy::Ours };
+    Contender {
+        policy,
+        settings,
+        name: format!("{}: {names}", policy.name()),
+    }
+}
+
+/// Seed of the runs that search the capacity.
+const CAPACITY_SEED: u64 = 99;
+
+fn capacity(deployment: Deployment) -> f64 {
+    let capacity = scenario::capacity(deployment, CAPACITY_SEED);
+    eprintln!("{}: a load of 1 is {capacity:.1} requests a second", deployment.name);
+    capacity
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use chain::{Level, PrefixChain, Scope};
 pub use index::{Holder, LearntIndex};
-pub use load::{Estimate, LoadView, Report, Ticket};
-pub use placer::{Candidate, Choice, EndpointKey, Pick, Placer, PlacerBuilder, Reason};
+pub use load::{Estimate, LoadView, LoadViewBuilder, Report, Ticket};
+pub use placer::{Candidate, Choice, EndpointKey, Pick, Placer, PlacerBuilder, Reason, score};
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -4,6 +4,10 @@
 //! recent placements on top of the report, all of them send their next requests to that endpoint until the next report.
 //! A slow endpoint reports a short queue because it answers little; it is noticed from the answers.
 
+mod builder;
+
+pub use builder::LoadViewBuilder;
+
 use crate::EndpointKey;
 use ids::Incarnation;
 use std::collections::HashMap;
@@ -42,6 +46,7 @@
     ticket: Ticket,
     placed: Duration,
     tokens: u64,
+    ahead: u64,
     started: bool,
 }
 
@@ -57,28 +62,25 @@
 /// The load view of one router.
 #[derive(Debug, Clone)]
 pub struct LoadView {
+    settings: LoadViewBuilder,
     endpoints: HashMap<EndpointKey, EndpointLoad>,
     next: u64,
-    rate: f64,
     median: Option<f64>,
 }
 
 /// Weight of the newest answer in an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.2;
+/// What a request costs besides its tokens, as tokens, so that short prompts do not look slow.
+const FIXED_TOKENS: u64 = 512;
 /// A pace older than this is no longer believed: the endpoint counts as median again and so is probed.
 const PACE_TRUST: Duration = Duration::from_secs(10);
 /// Bounds of a believed speed. Below, an endpoint would get nothing and so never show that it has recovered.
 const SPEED_BOUNDS: (f64, f64) = (0.05, 2.0);
 
 impl LoadView {
-    /// An empty view. `rate` is what the pool's median endpoint prefills, in tokens a second, until answers tell.
-    pub fn new(rate: f64) -> Self {
-        Self {
-            endpoints: HashMap::new(),
-            next: 0,
-            rate,
-            median: None,
-        }
+    /// A builder; `rate` is what the pool's median endpoint prefills, in tokens a second.
+    pub fn builder(rate: f64) -> LoadViewBuilder {
+        LoadViewBuilder::new(rate)
     }
 
     /// A request with `tokens` uncached prompt tokens was placed.
@@ -87,10 +89,12 @@
         self.next += 1;
         let load = self.endpoints.entry(endpoint).or_default();
         load.renew(incarnation);
+        let ahead = load.queued(&self.settings, now);
         load.flights.push(Flight {
             ticket,
             placed: now,
             tokens,
+            ahead,
             started: false,
         });
         ticket
@@ -106,7 +110,7 @@
         };
         flight.started = true;
         let waited = now.saturating_sub(flight.placed).as_secs_f64();
-        let pace = waited / (tokens.max(1) as f64);
+        let pace = waited / (flight.ahead + tokens + FIXED_TOKENS) as f64;
         let known = load.pace.unwrap_or(pace);
         load.pace = Some(known + PACE_WEIGHT * (pace - known));
         load.paced = now;
@@ -125,7 +129,9 @@
     pub fn report(&mut self, endpoint: EndpointKey, report: Report) {
         let load = self.endpoints.entry(endpoint).or_default();
         load.renew(report.incarnation);
-        load.report = Some(report);
+        if self.settings.reports {
+            load.report = Some(report);
+        }
     }
 
     /// Forgets an endpoint that left.
@@ -145,7 +151,7 @@
         let in_flight = u32::try_from(load.flights.len()).unwrap_or(u32::MAX);
         Estimate {
             in_flight,
-            queued: load.queued(self.rate, now),
+            queued: load.queued(&self.settings, now),
             speed: self.speed(load, now),
         }
     }
@@ -154,7 +160,7 @@
         let (Some(pace), Some(median)) = (load.pace, self.median) else {
             return 1.0;
         };
-        if now.saturating_sub(load.paced) > PACE_TRUST || pace <= 0.0 {
+        if !self.settings.paces || now.saturating_sub(load.paced) > PACE_TRUST || pace <= 0.0 {
             return 1.0;
         }
         (median / pace).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
@@ -172,13 +178,14 @@
         };
     }
 
-    fn queued(&self, rate: f64, now: Duration) -> u64 {
+    fn queued(&self, settings: &LoadViewBuilder, now: Duration) -> u64 {
         let waiting = self.flights.iter().filter(|flight| !flight.started);
+        let waiting = waiting.take_while(|_| settings.own);
         let own: u64 = waiting.clone().map(|flight| flight.tokens).sum();
         let Some(report) = self.report else { return own };
         let later = waiting.filter(|flight| flight.placed >= report.measured);
         let newer: u64 = later.map(|flight| flight.tokens).sum();
-        let drained = (now.saturating_sub(report.measured).as_secs_f64() * rate) as u64;
+        let drained = (now.saturating_sub(report.measured).as_secs_f64() * settings.rate * settings.drain) as u64;
         own.max(report.prefill.saturating_sub(drained) + newer)
     }
 }
--- a/crates/placement/src/placer/builder.rs
+++ b/crates/placement/src/placer/builder.rs
@@ -1,5 +1,6 @@
 //! Settings of a placer.
 
+use super::share::LevelShares;
 use super::{Candidate, Placer};
 use crate::LearntIndex;
 use std::time::Duration;
@@ -12,6 +13,12 @@
     pub(super) capacity: usize,
     pub(super) keep: Duration,
     pub(super) belief: f64,
+    pub(super) ranks: usize,
+    pub(super) trust: f64,
+    pub(super) fill: f64,
+    pub(super) fade: Duration,
+    pub(super) prior: f64,
+    pub(super) prior_weight: f64,
     tokens: u32,
     rate: f64,
     crossing: Duration,
@@ -26,6 +33,12 @@
             capacity: 100_000,
             keep: Duration::from_secs(10),
             belief: 0.5,
+            ranks: 2,
+            trust: 0.7,
+            fill: 0.6,
+            fade: Duration::from_secs(20),
+            prior: 0.2,
+            prior_weight: 5.0,
             tokens: 1024,
             rate: 20_000.0,
             crossing: Duration::from_millis(3),
@@ -89,12 +102,51 @@
         self
     }
 
+    /// How many ranks of a level are offered, at most as many as a ranking holds.
+    pub fn ranks(mut self, count: usize) -> Self {
+        self.ranks = count;
+        self
+    }
+
+    /// Share of the blocks learnt of an endpoint that is no home which counts.
+    pub fn trust(mut self, trust: f64) -> Self {
+        self.trust = trust;
+        self
+    }
+
+    /// Share of one endpoint's fair load that one home of a level takes before the level gets another.
+    pub fn fill(mut self, fill: f64) -> Self {
+        self.fill = fill;
+        self
+    }
+
+    /// Time in which counts of requests fade to 37%.
+    pub fn fade(mut self, fade: Duration) -> Self {
+        self.fade = fade;
+        self
+    }
+
+    /// Share of the next outer level's requests that a level is believed to have before requests were counted.
+    pub fn prior(mut self, prior: f64) -> Self {
+        self.prior = prior;
+        self
+    }
+
+    /// How many counted requests the prior weighs as much as.
+    pub fn prior_weight(mut self, prior_weight: f64) -> Self {
+        self.prior_weight = prior_weight;
+        self
+    }
+
     /// The placer, empty.
     pub fn build(self) -> Placer {
         let index = LearntIndex::new(self.capacity, self.keep);
+        let shares = LevelShares::new(self.fade, self.capacity);
         Placer {
             settings: self,
             index,
+            shares,
+            set: Vec::new(),
             options: Vec::new(),
         }
     }
--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -2,10 +2,13 @@
 
 mod builder;
 mod rank;
+mod share;
 
 pub use builder::PlacerBuilder;
+pub use rank::score;
 
-use self::rank::{Offer, Ranking};
+use self::rank::Offer;
+use self::share::LevelShares;
 use crate::{Holder, LearntIndex, PrefixChain};
 use derive_more::{Display, From, Into};
 use ids::{EndpointId, Incarnation};
@@ -87,6 +90,8 @@
 pub struct Placer {
     settings: PlacerBuilder,
     index: LearntIndex,
+    shares: LevelShares,
+    set: Vec<(u64, usize)>,
     options: Vec<Offer>,
 }
 
@@ -107,7 +112,8 @@
             "candidates are sorted by endpoint"
         );
         self.options.clear();
-        self.offer_ranked(chain, candidates);
+        self.count(chain, now);
+        self.offer_ranked(chain, candidates, now);
         self.offer_learnt(chain, candidates, now);
         self.offer_drawn(candidates, draw);
         if self.options.is_empty() {
@@ -165,25 +171,41 @@
         &self.index
     }
 
-    fn offer_ranked(&mut self, chain: &PrefixChain, candidates: &[Candidate]) {
+    fn count(&mut self, chain: &PrefixChain, now: Duration) {
+        self.shares.count_request(now);
+        for level in chain.levels() {
+            self.shares.count_level(level.hash, now);
+        }
+    }
+
+    /// Narrows all endpoints level by level to the few that the innermost level calls home, and offers those and, at
+    /// each level, the next ones in rank.
+    fn offer_ranked(&mut self, chain: &PrefixChain, candidates: &[Candidate], now: Duration) {
         if !self.settings.hashes {
             return;
         }
-        for level in chain.levels().iter().rev() {
-            let mut ranking = Ranking::default();
-            for (index, candidate) in candidates.iter().enumerate() {
-                ranking.push(rank::score(level.hash, candidate.endpoint), index);
+        self.set.clear();
+        self.set.extend((0..candidates.len()).map(|index| (0, index)));
+        let mut outer = 0;
+        for (depth, level) in chain.levels().iter().enumerate() {
+            for (rank, index) in &mut self.set {
+                *rank = score(level.hash, candidates[*index].endpoint);
             }
-            for (at, index) in ranking.iter().enumerate() {
-                let belief = self.settings.belief.powi(at as i32);
-                let reason = if at == 0 { Reason::Home } else { Reason::Spill };
-                let offer = Offer {
-                    index,
-                    cached: belief * level.blocks as f64,
-                    reason,
-                };
-                push_open(&mut self.options, candidates, offer);
+            self.set.sort_unstable_by(|a, b| b.cmp(a));
+            let prior = self.settings.prior.powi(depth as i32 + 1);
+            let share = self.shares.share(level.hash, now, prior, self.settings.prior_weight);
+            let width = (share * candidates.len() as f64 / self.settings.fill).ceil() as usize;
+            let width = width.clamp(1, self.set.len());
+            for (_, index) in self.set[width..].iter().take(self.settings.ranks) {
+                let cached = outer as f64 + self.settings.belief * (level.blocks - outer) as f64;
+                push_open(&mut self.options, candidates, Offer::new(*index, cached, Reason::Spill));
             }
+            self.set.truncate(width);
+            outer = level.blocks;
+        }
+        for (_, index) in &self.set {
+            let offer = Offer::new(*index, outer as f64, Reason::Home);
+            push_open(&mut self.options, candidates, offer);
         }
     }
 
@@ -202,16 +224,15 @@
                 if candidates[index].incarnation != holder.incarnation {
                     continue;
                 }
-                let deeper = |offer: &Offer| offer.index == index && offer.cached >= (at + 1) as f64;
-                if self.options.iter().any(deeper) {
+                let cached = (at + 1) as f64 * self.settings.trust;
+                if self
+                    .options
+                    .iter()
+                    .any(|offer| offer.index == index && offer.cached >= cached)
+                {
                     continue;
                 }
-                let offer = Offer {
-                    index,
-                    cached: (at + 1) as f64,
-                    reason: Reason::Learnt,
-                };
-                push_open(&mut self.options, candidates, offer);
+                push_open(&mut self.options, candidates, Offer::new(index, cached, Reason::Learnt));
             }
         }
     }
@@ -222,29 +243,13 @@
         }
         for half in [draw & 0xffff_ffff, draw >> 32] {
             let index = ((half * candidates.len() as u64) >> 32) as usize;
-            push_open(
-                &mut self.options,
-                candidates,
-                Offer {
-                    index,
-                    cached: 0.0,
-                    reason: Reason::Drawn,
-                },
-            );
+            push_open(&mut self.options, candidates, Offer::new(index, 0.0, Reason::Drawn));
         }
     }
 
     fn offer_all(&mut self, candidates: &[Candidate]) {
         for index in 0..candidates.len() {
-            push_open(
-                &mut self.options,
-                candidates,
-                Offer {
-                    index,
-                    cached: 0.0,
-                    reason: Reason::Drawn,
-                },
-            );
+            push_open(&mut self.options, candidates, Offer::new(index, 0.0, Reason::Drawn));
         }
     }
 }
