--- a/crates/experiment/src/cost/mod.rs
+++ b/crates/experiment/src/cost/mod.rs
@@ -50,6 +50,7 @@
         limit: 32,
         queued: mix(number) % 10_000,
         speed: 1.0,
+        weight: 1.0,
     }
 }
 
--- a/crates/experiment/src/policy/mod.rs
+++ b/crates/experiment/src/policy/mod.rs
@@ -1,9 +1,12 @@
 //! Policies that choose an engine, all over the same candidates.
 
+mod settings;
+
+pub use settings::{Front, Settings};
+
 use crate::deployment::{BLOCK_TOKENS, PREFILL_RATE};
 use crate::engine::Engine;
-use placement::{Candidate, Choice, LoadView, LoadViewBuilder, Pick, Placer, PlacerBuilder, PrefixChain, Reason};
-use std::time::Duration;
+use placement::{Candidate, Choice, Pick, PrefixChain, Reason};
 
 /// Which policy a run uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -46,61 +49,6 @@
     }
 }
 
-/// Settings of every router in a run.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// The placer's.
-    pub placer: PlacerBuilder,
-    /// The load view's.
-    pub view: LoadViewBuilder,
-    /// Weight of recomputing in the oracle's choice.
-    pub oracle_weight: f64,
-}
-
-/// Weight of recomputing in the oracle's choice, the best of those tried at 80% load.
-const ORACLE_WEIGHT: f64 = 2.0;
-
-impl Default for Settings {
-    fn default() -> Self {
-        let placer = Placer::builder().tokens(BLOCK_TOKENS).rate(PREFILL_RATE);
-        Self {
-            placer,
-            view: LoadView::builder(PREFILL_RATE),
-            oracle_weight: ORACLE_WEIGHT,
-        }
-    }
-}
-
-impl Settings {
-    /// With one mechanism off or one figure changed, as `name` or `name=figure`; none if the name is unknown.
-    pub fn changed(mut self, change: &str) -> Option<Self> {
-        let (name, figure) = change.split_once('=').unwrap_or((change, "0"));
-        let figure: f64 = figure.parse().ok()?;
-        let time = Duration::from_secs_f64(figure);
-        match name {
-            "hash" => self.placer = self.placer.hashes(false),
-            "learn" => self.placer = self.placer.learns(false),
-            "spill" => self.placer = self.placer.ranks(1),
-            "reports" => self.view = self.view.reports(false),
-            "own" => self.view = self.view.own(false),
-            "speed" => self.view = self.view.paces(false),
-            "ranks" => self.placer = self.placer.ranks(figure as usize),
-            "belief" => self.placer = self.placer.belief(figure),
-            "keep" => self.placer = self.placer.keep(time),
-            "weight" => self.placer = self.placer.miss_weight(figure),
-            "drain" => self.view = self.view.drain(figure),
-            "trust" => self.placer = self.placer.trust(figure),
-            "fill" => self.placer = self.placer.fill(figure),
-            "fade" => self.placer = self.placer.fade(time),
-            "prior" => self.placer = self.placer.prior(figure),
-            "priorweight" => self.placer = self.placer.prior_weight(figure),
-            "oracle" => self.oracle_weight = figure,
-            _ => return None,
-        }
-        Some(self)
-    }
-}
-
 /// Takes the engines in turn.
 pub fn round_robin(candidates: &[Candidate], turn: &mut usize) -> Choice {
     for _ in 0..candidates.len() {
--- /dev/null
+++ b/crates/experiment/src/policy/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of every router in a run, and mechanisms that can be switched off.
+
+use crate::deployment::{BLOCK_TOKENS, PREFILL_RATE};
+use placement::{LoadView, LoadViewBuilder, Placer, PlacerBuilder};
+use std::time::Duration;
+
+/// What stands before placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Front {
+    /// A bounded first-in-first-out queue for requests that find no engine with room.
+    Fifo,
+    /// The admission crate.
+    Admission,
+}
+
+/// Settings of every router in a run.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The placer's.
+    pub placer: PlacerBuilder,
+    /// The load view's.
+    pub view: LoadViewBuilder,
+    /// What stands before placement.
+    pub front: Front,
+    /// Price of recomputing in the oracle's choice.
+    pub oracle: f64,
+}
+
+/// Price of recomputing in the oracle's choice, the best of 1, 2, 4, 8 and 16 at 80% load.
+const ORACLE: f64 = 2.0;
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            placer: Placer::builder().tokens(BLOCK_TOKENS).rate(PREFILL_RATE),
+            view: LoadView::builder(PREFILL_RATE),
+            front: Front::Admission,
+            oracle: ORACLE,
+        }
+    }
+}
+
+impl Settings {
+    /// With one mechanism off or one figure changed, as `name` or `name=figure`; none if the name is unknown.
+    pub fn changed(mut self, change: &str) -> Option<Self> {
+        let (name, figure) = change.split_once('=').unwrap_or((change, "0"));
+        let figure: f64 = figure.parse().ok()?;
+        let time = Duration::from_secs_f64(figure);
+        match name {
+            "hash" => self.placer = self.placer.hashes(false),
+            "learn" => self.placer = self.placer.learns(false),
+            "price" => self.placer = self.placer.price_base(1.0).price_rise(0.0),
+            "reports" => self.view = self.view.reports(false),
+            "own" => self.view = self.view.own(false),
+            "speed" => self.view = self.view.paces(false),
+            "admission" => self.front = Front::Fifo,
+            "ranks" => self.placer = self.placer.ranks(figure as usize),
+            "spread" => self.placer = self.placer.spread(figure),
+            "belief" => self.placer = self.placer.belief(figure),
+            "keep" => self.placer = self.placer.keep(time),
+            "fade" => self.placer = self.placer.fade(time),
+            "base" => self.placer = self.placer.price_base(figure),
+            "rise" => self.placer = self.placer.price_rise(figure),
+            "lean" => self.view = self.view.lean(figure),
+            "smooth" => self.view = self.view.smooth(time),
+            "drain" => self.view = self.view.drain(figure),
+            "oracle" => self.oracle = figure,
+            _ => return None,
+        }
+        Some(self)
+    }
+}
--- a/crates/experiment/src/scenario/mod.rs
+++ b/crates/experiment/src/scenario/mod.rs
@@ -1,15 +1,15 @@
 //! The scenarios, each a load pattern with its faults.
 
 use crate::deployment::Deployment;
-use crate::policy::{Policy, Settings};
+use crate::policy::{Front, Policy, Settings};
 use crate::sim::{Fault, Record, Setup, run};
 use crate::workload::{Shape, Window, requests};
 use std::time::Duration;
 
 /// Length of a run.
-pub const LENGTH: Duration = Duration::from_secs(90);
-/// What is sent before this is not counted: caches fill.
-pub const WARM_UP: Duration = Duration::from_secs(10);
+pub const LENGTH: Duration = Duration::from_secs(120);
+/// What is sent before this is not counted: the rate rises and caches fill.
+pub const WARM_UP: Duration = Duration::from_secs(40);
 
 /// One scenario.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,11 +40,11 @@
         faults,
     };
     let burst = Shape {
-        burst: window(40, 45, 2.0),
+        burst: window(60, 65, 2.0),
         ..plain
     };
     let caller = Shape {
-        hot_caller: window(30, 60, 1.2),
+        hot_caller: window(60, 90, 1.2),
         ..plain
     };
     vec![
@@ -62,7 +62,7 @@
         fault(
             "slow endpoint",
             0.7,
-            vec![at(30, Fault::Slow(2, 4.0)), at(60, Fault::Slow(2, 1.0))],
+            vec![at(50, Fault::Slow(2, 4.0)), at(90, Fault::Slow(2, 1.0))],
         ),
         shape(
             "long among short",
@@ -77,9 +77,9 @@
         fault(
             "routers restart",
             0.8,
-            (1..9).map(|number| at(number * 10, Fault::Restart)).collect(),
+            (4..12).map(|number| at(number * 10, Fault::Restart)).collect(),
         ),
-        fault("engine crash", 0.7, vec![at(40, Fault::Crash(3))]),
+        fault("engine crash", 0.7, vec![at(60, Fault::Crash(3))]),
     ]
 }
 
@@ -149,7 +149,10 @@
         let trial = Trial {
             deployment,
             policy: Policy::Oracle,
-            settings: Settings::default(),
+            settings: Settings {
+                front: Front::Fifo,
+                ..Settings::default()
+            },
             capacity: rate / scenario.load,
             seed,
         };
--- a/crates/experiment/src/sim/mod.rs
+++ b/crates/experiment/src/sim/mod.rs
@@ -1,10 +1,12 @@
 //! The event queue that drives engines, routers and callers through one run.
 
+mod gate;
 mod record;
 mod router;
 
 pub use record::{Figures, Outcome, Record};
 
+use self::gate::{Entry, Turn};
 use self::router::{Router, Sent};
 use crate::deployment::{CLIENT, Deployment, REPORT_EVERY, REPORT_LAG};
 use crate::engine::{Engine, Progress, Sequence};
@@ -75,6 +77,7 @@
     },
     Fault(Fault),
     Back(usize),
+    Check(usize),
 }
 
 struct Simulation<'a> {
@@ -87,6 +90,7 @@
     engines: Vec<Engine>,
     routers: Vec<Router>,
     sent: Vec<Option<Sent>>,
+    checks: Vec<Duration>,
     computed: HashSet<u64>,
     record: Record,
 }
@@ -104,6 +108,7 @@
         engines: vec![Engine::default(); deployment.engines],
         routers: (0..deployment.routers).map(|at| Router::new(setup, at, seed)).collect(),
         sent: vec![None; requests.len()],
+        checks: vec![Duration::ZERO; deployment.routers],
         computed: HashSet::new(),
         record: Record::new(requests),
     };
@@ -153,32 +158,35 @@
             Event::Measure => self.measure(),
             Event::Deliver { engine, report } => {
                 for router in &mut self.routers {
-                    router.report(engine, report);
+                    router.report(engine, report, self.now);
                 }
             }
             Event::Fault(fault) => self.fault(fault),
             Event::Back(engine) => self.engines[engine].alive = true,
+            Event::Check(router) => self.drain(router),
         }
     }
 
     fn call(&mut self, request: usize) {
-        let router = self.requests[request].router;
-        if self.place(request) {
-            return;
-        }
-        if self.routers[router].waiting.len() >= self.setup.queue {
-            self.record.refuse(request, self.now);
-            return;
+        let call = &self.requests[request];
+        let router = &mut self.routers[call.router];
+        let room = router.has_room(self.setup);
+        let uncached = router.expected(self.setup, &self.engines, call, self.now);
+        match router.gate.offer(request, call, room, uncached, self.now) {
+            Entry::Start => self.place(request),
+            Entry::Wait => self.check(call.router),
+            Entry::Refuse => self.record.refuse(request, self.now),
         }
-        self.routers[router].waiting.push_back(request);
     }
 
-    /// Sends `request` to an engine; false if none has room.
-    fn place(&mut self, request: usize) -> bool {
+    /// Sends `request` to an engine; it is refused if none is alive.
+    fn place(&mut self, request: usize) {
         let call = &self.requests[request];
         let router = &mut self.routers[call.router];
-        let Some(sent) = router.choose(self.setup, &self.engines, call, self.now) else {
-            return false;
+        let Some(sent) = router.place(self.setup, &self.engines, call, self.now) else {
+            router.gate.finish(request, None, self.now);
+            self.record.refuse(request, self.now);
+            return;
         };
         let engine = sent.engine;
         let delay = self.delay(call.router, engine);
@@ -193,7 +201,19 @@
                 request,
             },
         );
-        true
+    }
+
+    /// Wakes the router's gate when it wants to be.
+    fn check(&mut self, router: usize) {
+        let Some(time) = self.routers[router].gate.next_check() else {
+            return;
+        };
+        let time = time.max(self.now + Duration::from_millis(1));
+        if self.checks[router] > self.now && self.checks[router] <= time {
+            return;
+        }
+        self.checks[router] = time;
+        self.at(time, Event::Check(router));
     }
 
     fn delay(&self, router: usize, engine: usize) -> Duration {
@@ -257,38 +277,39 @@
     }
 
     fn head(&mut self, request: usize, cached: usize) {
-        let Some(sent) = self.sent[request] else { return };
+        let Some(mut sent) = self.sent[request] else { return };
         let call = &self.requests[request];
-        self.routers[call.router].head(&sent, call, cached, self.now);
+        self.routers[call.router].head(&mut sent, call, cached, self.now);
+        self.sent[request] = Some(sent);
         self.record.first(request, cached, self.now + CLIENT);
     }
 
     fn end(&mut self, request: usize) {
         let Some(sent) = self.sent[request].take() else { return };
-        let router = self.requests[request].router;
-        self.routers[router].end(&sent);
+        let call = &self.requests[request];
+        self.routers[call.router].end(&sent, request, call, self.now);
         self.record.end(request, self.now + CLIENT);
-        self.drain(router);
+        self.drain(call.router);
     }
 
     fn lost(&mut self, request: usize) {
         let Some(sent) = self.sent[request].take() else { return };
         let router = self.requests[request].router;
-        self.routers[router].lost(&sent);
+        self.routers[router].lost(&sent, self.now);
         self.record.retry(request);
-        if !self.place(request) {
-            self.routers[router].waiting.push_front(request);
-        }
+        self.place(request);
     }
 
     fn drain(&mut self, router: usize) {
-        while let Some(request) = self.routers[router].waiting.pop_front() {
-            if self.place(request) {
-                continue;
+        loop {
+            let room = self.routers[router].has_room(self.setup);
+            match self.routers[router].gate.next(room, self.now) {
+                Some(Turn::Start(request)) => self.place(request),
+                Some(Turn::Refuse(request)) => self.record.refuse(request, self.now),
+                None => break,
             }
-            self.routers[router].waiting.push_front(request);
-            return;
         }
+        self.check(router);
     }
 
     fn measure(&mut self) {
--- a/crates/experiment/src/table/mod.rs
+++ b/crates/experiment/src/table/mod.rs
@@ -3,7 +3,7 @@
 use crate::deployment::Deployment;
 use crate::policy::{Policy, Settings};
 use crate::scenario::{self, Scenario, Trial, WARM_UP};
-use crate::sim::{Figures, Record};
+use crate::sim::Figures;
 use serde::Serialize;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,6 +19,8 @@
     pub policy: String,
     /// Over all requests after the warm-up.
     pub figures: Figures,
+    /// Mean seconds from the last use of a block to its eviction.
+    pub idle: f64,
     /// Blocks computed again, as a share of all prompt blocks.
     pub waste: f64,
     /// Answered in time, over all workspaces but the smallest, which is the hot caller.
@@ -95,7 +97,8 @@
         deployment: trial.deployment.name,
         scenario: scenario.name,
         policy: contender.name.clone(),
-        waste: Record::waste(&record),
+        idle: record.idle / record.evicted.max(1) as f64,
+        waste: record.waste(),
         others_in_time: others.in_time,
         goodput: figures.in_time * figures.requests as f64 / length,
         figures,
@@ -114,6 +117,7 @@
     };
     Row {
         figures,
+        idle: over(|row| row.idle),
         waste: over(|row| row.waste),
         others_in_time: over(|row| row.others_in_time),
         goodput: over(|row| row.goodput),
@@ -124,14 +128,14 @@
 /// The rows as a markdown table.
 pub fn markdown(rows: &[Row]) -> String {
     let mut text = String::from(
-        "| deployment | scenario | policy | requests | hit rate | recomputed | TTFT p50 ms | p99 ms | in time | refused | others in time | goodput/s |\n\
-         | --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
+        "| deployment | scenario | policy | requests | hit rate | recomputed | TTFT p50 ms | p99 ms | in time | refused | others in time | goodput/s | evicted after s |\n\
+         | --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
     );
     for row in rows {
         let figures = &row.figures;
         writeln!(
             text,
-            "| {} | {} | {} | {} | {:.3} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {:.3} | {:.1} |",
+            "| {} | {} | {} | {} | {:.3} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {:.3} | {:.1} | {:.1} |",
             row.deployment,
             row.scenario,
             row.policy,
@@ -144,6 +148,7 @@
             figures.refused,
             row.others_in_time,
             row.goodput,
+            row.idle,
         )
         .expect("writing to a string does not fail");
     }
--- a/crates/experiment/src/workload/mod.rs
+++ b/crates/experiment/src/workload/mod.rs
@@ -80,6 +80,10 @@
     }
 }
 
+/// The rate rises this long to its full height: with empty caches a full load would be several times what engines can do.
+const RAMP: Duration = Duration::from_secs(30);
+/// Share of the full rate at which the rise begins.
+const RAMP_FROM: f64 = 0.2;
 /// How long a hot prefix stays the same.
 const HOT_SPAN: Duration = Duration::from_secs(10);
 
@@ -96,7 +100,8 @@
         if now >= length {
             return all;
         }
-        let plain = shape.burst.map_or(1.0, |burst| burst.at(now).max(1.0));
+        let ramp = (now.as_secs_f64() / RAMP.as_secs_f64()).clamp(RAMP_FROM, 1.0);
+        let plain = ramp * shape.burst.map_or(1.0, |burst| burst.at(now).max(1.0));
         let hot = shape.hot_caller.map_or(0.0, |window| window.at(now));
         let drawn = rng.random::<f64>() * peak / rate;
         let mut request = draw(deployment, shape, now, &mut rng);
--- a/crates/placement/src/chain/mod.rs
+++ b/crates/placement/src/chain/mod.rs
@@ -6,6 +6,10 @@
 use ids::{Digest, ModelId, WeightsVersion, WorkspaceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Levels of a caller who states none, as ends in blocks. Prompts that share a prefix share the levels inside it, and a
+/// level that a prompt has for itself does no harm: it only picks among the homes of the level around it.
+const IMPLIED: [usize; 4] = [1, 4, 16, 64];
+
 /// What a cache entry belongs to.
 #[derive(Debug, Clone, Copy)]
 pub struct Scope<'a> {
@@ -49,7 +53,7 @@
 
 impl PrefixChain {
     /// Hashes `prompt` in one pass. `ends` are the levels' ends in bytes, ascending; an end beyond the prompt is
-    /// cut to it and a level without a whole block of its own is left out. A last, partial block is never cached and
+    /// cut to it and a level without a whole block of its own is left out. Without any, levels are implied. A last, partial block is never cached and
     /// has no hash. Allocates once for the scope's text, once for the blocks and once for the levels.
     ///
     /// # Panics
@@ -68,14 +72,14 @@
             last = xxh3_64_with_seed(block, last);
             blocks.push(last);
         }
-        let mut chain = Self {
-            blocks,
-            levels: Vec::with_capacity(ends.len()),
-            seed,
-        };
+        let levels = Vec::with_capacity(ends.len().max(IMPLIED.len()));
+        let mut chain = Self { blocks, levels, seed };
         for end in ends {
             chain.push_level(end / block_bytes);
         }
+        if ends.is_empty() {
+            IMPLIED.iter().for_each(|end| chain.push_level(*end));
+        }
         chain
     }
 
--- a/crates/placement/src/index/mod.rs
+++ b/crates/placement/src/index/mod.rs
@@ -13,6 +13,9 @@
 /// Endpoints remembered for one block. A prefix that is hotter than this many endpoints can serve is found by its ranks.
 pub const HOLDERS: usize = 4;
 
+/// Endpoints doubted before the index starts anew, a bound on memory.
+const DOUBTS: usize = 4096;
+
 /// An endpoint believed to hold a block.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Holder {
@@ -44,7 +47,14 @@
     }
 }
 
-type Holders = [Option<Holder>; HOLDERS];
+/// A holder, and the index's counter when it was learnt.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    holder: Holder,
+    learnt: u64,
+}
+
+type Holders = [Option<Entry>; HOLDERS];
 type Generation = HashMap<u64, Holders, BuildHasherDefault<Identity>>;
 
 /// The learnt index.
@@ -55,18 +65,23 @@
     half: usize,
     keep: Duration,
     turned: Duration,
+    counter: u64,
+    doubts: HashMap<EndpointKey, u64>,
 }
 
 impl LearntIndex {
     /// An empty index of at most `capacity` blocks, each forgotten at the latest after twice `keep` without use.
     pub fn new(capacity: usize, keep: Duration) -> Self {
         let half = (capacity / 2).max(1);
+        let (young, old) = (Generation::default(), Generation::default());
         Self {
-            young: Generation::default(),
-            old: Generation::default(),
+            young,
+            old,
             half,
             keep,
             turned: Duration::ZERO,
+            counter: 0,
+            doubts: HashMap::new(),
         }
     }
 
@@ -83,7 +98,17 @@
     /// Endpoints believed to hold `block`.
     pub fn holders(&self, block: u64) -> impl Iterator<Item = &Holder> {
         let found = self.young.get(&block).or_else(|| self.old.get(&block));
-        found.into_iter().flatten().flatten()
+        let believed = |entry: &&Entry| {
+            self.doubts
+                .get(&entry.holder.endpoint)
+                .is_none_or(|doubt| entry.learnt >= *doubt)
+        };
+        found
+            .into_iter()
+            .flatten()
+            .flatten()
+            .filter(believed)
+            .map(|entry| &entry.holder)
     }
 
     /// Remembers that `holder` holds `blocks`. The stalest of too many holders is replaced.
@@ -92,18 +117,25 @@
             self.turn(holder.seen);
             let carried = self.old.remove(block);
             let holders = self.young.entry(*block).or_insert_with(|| carried.unwrap_or_default());
-            put(holders, holder);
+            put(
+                holders,
+                Entry {
+                    holder,
+                    learnt: self.counter,
+                },
+            );
         }
     }
 
-    /// Forgets all about `endpoint`.
-    pub fn forget(&mut self, endpoint: EndpointKey) {
-        for generation in [&mut self.young, &mut self.old] {
-            generation.retain(|_, holders| {
-                drop_holder(holders, endpoint);
-                holders.iter().any(Option::is_some)
-            });
+    /// Believes nothing learnt of `endpoint` so far, in constant time: entries stay until they are replaced or age out.
+    pub fn doubt(&mut self, endpoint: EndpointKey) {
+        if self.doubts.len() >= DOUBTS {
+            self.young.clear();
+            self.old.clear();
+            self.doubts.clear();
         }
+        self.counter += 1;
+        self.doubts.insert(endpoint, self.counter);
     }
 
     fn turn(&mut self, now: Duration) {
@@ -118,22 +150,12 @@
     }
 }
 
-fn drop_holder(holders: &mut Holders, endpoint: EndpointKey) {
-    for slot in holders {
-        if slot.is_some_and(|holder| holder.endpoint == endpoint) {
-            *slot = None;
-        }
-    }
-}
-
-fn put(holders: &mut Holders, holder: Holder) {
+fn put(holders: &mut Holders, entry: Entry) {
+    let endpoint = entry.holder.endpoint;
     let same = holders
         .iter()
-        .position(|slot| slot.is_some_and(|known| known.endpoint == holder.endpoint));
-    let stalest = || {
-        let seen = |slot: &Option<Holder>| slot.map(|known| known.seen);
-        (0..HOLDERS).min_by_key(|at| seen(&holders[*at])).unwrap_or(0)
-    };
-    let at = same.unwrap_or_else(stalest);
-    holders[at] = Some(holder);
+        .position(|slot| slot.is_some_and(|known| known.holder.endpoint == endpoint));
+    let seen = |at: &usize| holders[*at].map(|known| known.holder.seen);
+    let at = same.or_else(|| (0..HOLDERS).min_by_key(seen)).unwrap_or(0);
+    holders[at] = Some(entry);
 }
--- a/crates/placement/src/placer/builder.rs
+++ b/crates/placement/src/placer/builder.rs
@@ -1,28 +1,26 @@
 //! Settings of a placer.
 
+use super::Placer;
+use super::homes::{Homes, MAX_RANKS};
+use super::offer::Offers;
+use super::price::Pricing;
 use super::share::LevelShares;
-use super::{Candidate, Placer};
 use crate::LearntIndex;
 use std::time::Duration;
 
-/// Builds a [`Placer`]. Each mechanism can be switched off, so that its worth can be measured.
+/// Builds a [`Placer`]. Each mechanism can be switched off, so that its worth can be measured. The defaults are the best
+/// of several hundred settings tried by the experiment over both deployments, see `docs/DECISIONS.md`.
 #[derive(Debug, Clone)]
 pub struct PlacerBuilder {
     pub(super) hashes: bool,
     pub(super) learns: bool,
-    pub(super) capacity: usize,
     pub(super) keep: Duration,
-    pub(super) belief: f64,
     pub(super) ranks: usize,
-    pub(super) trust: f64,
-    pub(super) fill: f64,
-    pub(super) fade: Duration,
-    pub(super) prior: f64,
-    pub(super) prior_weight: f64,
-    tokens: u32,
-    rate: f64,
-    crossing: Duration,
-    miss_weight: f64,
+    pub(super) spread: f64,
+    pub(super) belief: f64,
+    pub(super) price: Pricing,
+    capacity: usize,
+    fade: Duration,
 }
 
 impl Default for PlacerBuilder {
@@ -30,19 +28,19 @@
         Self {
             hashes: true,
             learns: true,
-            capacity: 100_000,
-            keep: Duration::from_secs(10),
-            belief: 0.5,
+            keep: Duration::from_secs(5),
             ranks: 2,
-            trust: 0.7,
-            fill: 0.6,
-            fade: Duration::from_secs(20),
-            prior: 0.2,
-            prior_weight: 5.0,
-            tokens: 1024,
-            rate: 20_000.0,
-            crossing: Duration::from_millis(3),
-            miss_weight: 1.0,
+            spread: 0.5,
+            belief: 0.5,
+            price: Pricing {
+                tokens: 1024,
+                rate: 20_000.0,
+                crossing: Duration::from_millis(3),
+                base: 3.0,
+                rise: 2.0,
+            },
+            capacity: 100_000,
+            fade: Duration::from_secs(30),
         }
     }
 }
@@ -60,81 +58,70 @@
         self
     }
 
-    /// Most blocks remembered.
-    pub fn capacity(mut self, blocks: usize) -> Self {
-        self.capacity = blocks;
-        self
-    }
-
-    /// How long a learnt block is believed without being seen again.
+    /// How long a learnt block is believed without being seen again. Engines evict within seconds.
     pub fn keep(mut self, time: Duration) -> Self {
         self.keep = time;
         self
     }
 
-    /// Tokens of a block.
-    pub fn tokens(mut self, tokens: u32) -> Self {
-        self.tokens = tokens;
-        self
-    }
-
-    /// Tokens a second that the pool's median endpoint prefills.
-    pub fn rate(mut self, rate: f64) -> Self {
-        self.rate = rate;
+    /// Most blocks remembered, and most levels counted.
+    pub fn capacity(mut self, blocks: usize) -> Self {
+        self.capacity = blocks;
         self
     }
 
-    /// What a request pays for an endpoint in another failure domain: there and back.
-    pub fn crossing(mut self, time: Duration) -> Self {
-        self.crossing = time;
+    /// How many ranks after the homes are offered at each level, at most 4.
+    pub fn ranks(mut self, count: usize) -> Self {
+        self.ranks = count.min(MAX_RANKS);
         self
     }
 
-    /// Weight of recomputing against waiting: recomputing also holds up those who come later.
-    pub fn miss_weight(mut self, weight: f64) -> Self {
-        self.miss_weight = weight;
+    /// Least share of all endpoints that the outermost level selects. Fewer would save copies of the outermost layer, but
+    /// some endpoints would be selected by many levels and others by none.
+    pub fn spread(mut self, share: f64) -> Self {
+        self.spread = share;
         self
     }
 
-    /// Share of a level's blocks expected at each next rank.
+    /// Share of a very hot level's blocks that are expected at the next rank.
     pub fn belief(mut self, share: f64) -> Self {
         self.belief = share;
         self
     }
 
-    /// How many ranks of a level are offered, at most as many as a ranking holds.
-    pub fn ranks(mut self, count: usize) -> Self {
-        self.ranks = count;
+    /// Time in which counts of requests fade to 37%.
+    pub fn fade(mut self, time: Duration) -> Self {
+        self.fade = time;
         self
     }
 
-    /// Share of the blocks learnt of an endpoint that is no home which counts.
-    pub fn trust(mut self, trust: f64) -> Self {
-        self.trust = trust;
+    /// Tokens of a block.
+    pub fn tokens(mut self, tokens: u32) -> Self {
+        self.price.tokens = tokens;
         self
     }
 
-    /// Share of one endpoint's fair load that one home of a level takes before the level gets another.
-    pub fn fill(mut self, fill: f64) -> Self {
-        self.fill = fill;
+    /// Tokens a second that the pool's median endpoint prefills.
+    pub fn rate(mut self, rate: f64) -> Self {
+        self.price.rate = rate;
         self
     }
 
-    /// Time in which counts of requests fade to 37%.
-    pub fn fade(mut self, fade: Duration) -> Self {
-        self.fade = fade;
+    /// What a request pays for an endpoint in another failure domain: there and back.
+    pub fn crossing(mut self, time: Duration) -> Self {
+        self.price.crossing = time;
         self
     }
 
-    /// Share of the next outer level's requests that a level is believed to have before requests were counted.
-    pub fn prior(mut self, prior: f64) -> Self {
-        self.prior = prior;
+    /// Price of a second of recomputing in an idle pool, in seconds of waiting.
+    pub fn price_base(mut self, seconds: f64) -> Self {
+        self.price.base = seconds;
         self
     }
 
-    /// How many counted requests the prior weighs as much as.
-    pub fn prior_weight(mut self, prior_weight: f64) -> Self {
-        self.prior_weight = prior_weight;
+    /// Rise of that price for each second of the pool's mean wait.
+    pub fn price_rise(mut self, rise: f64) -> Self {
+        self.price.rise = rise;
         self
     }
 
@@ -146,20 +133,8 @@
             settings: self,
             index,
             shares,
-            set: Vec::new(),
-            options: Vec::new(),
+            homes: Homes::default(),
+            offers: Offers::default(),
         }
     }
-
-    /// Expected time to first token at `candidate`, in seconds, with recomputation weighted.
-    pub(super) fn cost(&self, candidate: &Candidate, blocks: usize, cached: f64) -> f64 {
-        let missed = (blocks as f64 - cached).max(0.0) * f64::from(self.tokens);
-        let work = candidate.queued as f64 + missed * self.miss_weight;
-        let crossing = if candidate.near {
-            0.0
-        } else {
-            self.crossing.as_secs_f64()
-        };
-        work / (self.rate * candidate.speed.max(f64::MIN_POSITIVE)) + crossing
-    }
 }
--- a/crates/placement/src/placer/share.rs
+++ b/crates/placement/src/placer/share.rs
@@ -5,6 +5,7 @@
 //! of all requests, since the platform's balancer spreads them, so its own counts tell how many endpoints a level needs;
 //! the counts fade, so that a level that cools down shrinks back.
 
+use crate::Level;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -36,6 +37,9 @@
 
 /// A count that has faded below this is dropped when room is needed.
 const NEGLIGIBLE: f64 = 0.05;
+/// Requests that a router must have counted before its counts outweigh what is assumed of a level it hardly knows,
+/// namely a share of nothing.
+const ASSUMED: f64 = 5.0;
 
 impl LevelShares {
     /// No counts yet; a count falls to 37% within `fade`. At most `capacity` levels are counted.
@@ -48,23 +52,21 @@
         }
     }
 
-    /// Counts a request that is about to be counted level by level.
-    pub fn count_request(&mut self, now: Duration) {
+    /// Counts a request with these levels.
+    pub fn count(&mut self, levels: &[Level], now: Duration) {
         self.total.add(now, self.fade);
-    }
-
-    /// Counts one level of a request.
-    pub fn count_level(&mut self, level: u64, now: Duration) {
-        if self.counts.len() >= self.capacity && !self.counts.contains_key(&level) {
-            self.make_room(now);
+        for level in levels {
+            if self.counts.len() >= self.capacity && !self.counts.contains_key(&level.hash) {
+                self.make_room(now);
+            }
+            self.counts.entry(level.hash).or_default().add(now, self.fade);
         }
-        self.counts.entry(level).or_default().add(now, self.fade);
     }
 
-    /// Share of recent requests that had `level`. Until there were enough, `prior` counts as much as `weight` requests.
-    pub fn share(&self, level: u64, now: Duration, prior: f64, weight: f64) -> f64 {
-        let own = self.counts.get(&level).map_or(0.0, |count| count.faded(now, self.fade));
-        (own + prior * weight) / (self.total.faded(now, self.fade) + weight)
+    /// Share of recent requests that had `level`, 0 to 1.
+    pub fn share(&self, level: u64, now: Duration) -> f64 {
+        let Some(own) = self.counts.get(&level) else { return 0.0 };
+        own.faded(now, self.fade) / (self.total.faded(now, self.fade) + ASSUMED)
     }
 
     fn make_room(&mut self, now: Duration) {
