--- a/crates/experiment/src/engine/mod.rs
+++ b/crates/experiment/src/engine/mod.rs
@@ -19,6 +19,8 @@
     pub chain: Rc<PrefixChain>,
     /// Prompt tokens after the last whole block.
     pub tail: u32,
+    /// Tokens to generate in all.
+    pub output: u32,
     /// Tokens still to be generated.
     pub left: u32,
     /// Blocks found in the cache.
@@ -34,6 +36,7 @@
             request,
             chain,
             tail,
+            output,
             left: output,
             cached: 0,
             done: 0,
@@ -42,6 +45,9 @@
     }
 }
 
+/// Progress is told each time this many tokens have come.
+const MORE: u64 = 16;
+
 /// What a step brought about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -52,6 +58,13 @@
         /// Blocks found.
         cached: usize,
     },
+    /// Some more tokens.
+    More {
+        /// Number of the request.
+        request: usize,
+        /// Tokens generated so far.
+        generated: u64,
+    },
     /// The last token.
     Last {
         /// Number of the request.
@@ -193,6 +206,13 @@
         let chunked = self.running.iter().position(|sequence| !sequence.prefilled);
         for sequence in self.running.iter_mut().filter(|sequence| sequence.prefilled) {
             sequence.left = sequence.left.saturating_sub(1);
+            let generated = u64::from(sequence.output - sequence.left);
+            if generated.is_multiple_of(MORE) {
+                progress.push(Progress::More {
+                    request: sequence.request,
+                    generated,
+                });
+            }
         }
         if let Some(at) = chunked {
             self.end_chunk(at, now, progress);
--- a/crates/experiment/src/policy/settings.rs
+++ b/crates/experiment/src/policy/settings.rs
@@ -22,6 +22,8 @@
     pub view: LoadViewBuilder,
     /// What stands before placement.
     pub front: Front,
+    /// What all routers together may have at an engine at first, in multiples of its slots.
+    pub overcommit: f64,
     /// Price of recomputing in the oracle's choice.
     pub oracle: f64,
 }
@@ -35,6 +37,7 @@
             placer: Placer::builder().tokens(BLOCK_TOKENS).rate(PREFILL_RATE),
             view: LoadView::builder(PREFILL_RATE),
             front: Front::Admission,
+            overcommit: 1.0,
             oracle: ORACLE,
         }
     }
@@ -64,6 +67,7 @@
             "lean" => self.view = self.view.lean(figure),
             "smooth" => self.view = self.view.smooth(time),
             "drain" => self.view = self.view.drain(figure),
+            "overcommit" => self.overcommit = figure,
             "oracle" => self.oracle = figure,
             _ => return None,
         }
--- a/crates/experiment/src/scenario/mod.rs
+++ b/crates/experiment/src/scenario/mod.rs
@@ -62,7 +62,7 @@
         fault(
             "slow endpoint",
             0.7,
-            vec![at(50, Fault::Slow(2, 4.0)), at(90, Fault::Slow(2, 1.0))],
+            vec![at(50, Fault::Slow(6, 4.0)), at(90, Fault::Slow(6, 1.0))],
         ),
         shape(
             "long among short",
@@ -74,10 +74,13 @@
         ),
         shape("overload 2x", 2.0, plain),
         shape("overload 4x", 4.0, plain),
+        fault("all routers restart", 0.8, vec![at(60, Fault::RestartAll)]),
         fault(
-            "routers restart",
+            "one router restarts",
             0.8,
-            (4..12).map(|number| at(number * 10, Fault::Restart)).collect(),
+            (0..8)
+                .map(|number| at(40 + 10 * number, Fault::Restart(number as usize)))
+                .collect(),
         ),
         fault("engine crash", 0.7, vec![at(60, Fault::Crash(3))]),
     ]
--- a/crates/experiment/src/sim/mod.rs
+++ b/crates/experiment/src/sim/mod.rs
@@ -4,7 +4,7 @@
 mod record;
 mod router;
 
-pub use record::{Figures, Outcome, Record};
+pub use record::{FRESH, Figures, Outcome, Record};
 
 use self::gate::{Entry, Turn};
 use self::router::{Router, Sent};
@@ -25,7 +25,9 @@
     /// An engine crashes and comes back empty after [`DOWN`].
     Crash(usize),
     /// All routers lose what they learnt.
-    Restart,
+    RestartAll,
+    /// One router loses what it learnt.
+    Restart(usize),
 }
 
 /// How long a crashed engine is away.
@@ -64,6 +66,10 @@
         request: usize,
         cached: usize,
     },
+    More {
+        request: usize,
+        generated: u64,
+    },
     End {
         request: usize,
     },
@@ -91,6 +97,7 @@
     routers: Vec<Router>,
     sent: Vec<Option<Sent>>,
     checks: Vec<Duration>,
+    restarted: Vec<Option<Duration>>,
     computed: HashSet<u64>,
     record: Record,
 }
@@ -109,6 +116,7 @@
         routers: (0..deployment.routers).map(|at| Router::new(setup, at, seed)).collect(),
         sent: vec![None; requests.len()],
         checks: vec![Duration::ZERO; deployment.routers],
+        restarted: vec![None; deployment.routers],
         computed: HashSet::new(),
         record: Record::new(requests),
     };
@@ -153,6 +161,11 @@
             } => self.reach(engine, incarnation, request),
             Event::StepEnd { engine, incarnation } => self.step_end(engine, incarnation),
             Event::Head { request, cached } => self.head(request, cached),
+            Event::More { request, generated } => {
+                if let Some(sent) = self.sent[request] {
+                    self.routers[self.requests[request].router].more(&sent, generated, self.now);
+                }
+            }
             Event::End { request } => self.end(request),
             Event::Lost { request } => self.lost(request),
             Event::Measure => self.measure(),
@@ -169,6 +182,8 @@
 
     fn call(&mut self, request: usize) {
         let call = &self.requests[request];
+        let restarted = self.restarted[call.router];
+        self.record.outcomes[request].fresh = restarted.is_some_and(|time| self.now - time <= FRESH);
         let router = &mut self.routers[call.router];
         let room = router.has_room(self.setup);
         let uncached = router.expected(self.setup, &self.engines, call, self.now);
@@ -269,6 +284,10 @@
                 let delay = self.delay(self.requests[request].router, engine);
                 self.at(self.now + delay, Event::Head { request, cached });
             }
+            Progress::More { request, generated } => {
+                let delay = self.delay(self.requests[request].router, engine);
+                self.at(self.now + delay, Event::More { request, generated });
+            }
             Progress::Last { request } => {
                 let delay = self.delay(self.requests[request].router, engine);
                 self.at(self.now + delay, Event::End { request });
@@ -338,14 +357,16 @@
                 }
                 self.at(self.now + DOWN, Event::Back(engine));
             }
-            Fault::Restart => {
-                for router in &mut self.routers {
-                    router.restart(self.setup);
-                }
-            }
+            Fault::RestartAll => (0..self.routers.len()).for_each(|router| self.restart(router)),
+            Fault::Restart(router) => self.restart(router),
         }
     }
 
+    fn restart(&mut self, router: usize) {
+        self.routers[router].restart(self.setup);
+        self.restarted[router] = Some(self.now);
+    }
+
     fn finish(mut self) -> Record {
         self.record.busy = self.engines.iter().map(|engine| engine.busy().as_secs_f64()).sum();
         for engine in &self.engines {
--- a/crates/experiment/src/sim/record.rs
+++ b/crates/experiment/src/sim/record.rs
@@ -4,6 +4,9 @@
 use hdrhistogram::Histogram;
 use std::time::Duration;
 
+/// How long a router that restarted counts as fresh.
+pub const FRESH: Duration = Duration::from_secs(10);
+
 /// What became of one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Outcome {
@@ -25,6 +28,8 @@
     pub refused: Option<Duration>,
     /// Times it was sent again.
     pub retries: u32,
+    /// Whether its router had restarted at most [`FRESH`] before.
+    pub fresh: bool,
 }
 
 impl Outcome {
@@ -81,6 +86,7 @@
             whole: None,
             refused: None,
             retries: 0,
+            fresh: false,
         };
         Self {
             outcomes: requests.iter().map(outcome).collect(),
--- a/crates/experiment/src/sim/router.rs
+++ b/crates/experiment/src/sim/router.rs
@@ -59,7 +59,7 @@
             alive: true,
             near: engine % domains == at % domains,
             running: 0,
-            limit: EndpointLimit::new(SLOTS as u32),
+            limit: EndpointLimit::new(slots(setup)),
         };
         let mut known: Vec<Known> = (0..setup.deployment.engines).map(known).collect();
         known.sort_by_key(|endpoint| endpoint.key);
@@ -131,9 +131,13 @@
         );
     }
 
+    /// More of an answer arrived.
+    pub fn more(&mut self, sent: &Sent, generated: u64, now: Duration) {
+        self.view.progress(sent.key, sent.ticket, generated, now);
+    }
+
     /// An answer ended.
     pub fn end(&mut self, sent: &Sent, request: usize, call: &Request, now: Duration) {
-        self.view.answered(sent.key, sent.ticket, u64::from(call.output), now);
         self.release(sent);
         let served = sent.first.map(|(first, computed)| {
             let tokens = Tokens {
@@ -253,13 +257,14 @@
     }
 }
 
+/// This router's share of an engine's slots.
+fn slots(setup: &Setup) -> u32 {
+    (SLOTS as f64 * setup.settings.overcommit / setup.deployment.routers as f64).ceil() as u32
+}
+
 /// Most requests that a router may have at an engine.
-fn most(setup: &Setup, known: &Known) -> u32 {
-    if setup.settings.front == Front::Fifo {
-        setup.limit
-    } else {
-        known.limit.limit()
-    }
+fn most(setup: &Setup, _known: &Known) -> u32 {
+    setup.limit
 }
 
 fn uncached(call: &Request, cached: usize) -> u64 {
--- a/crates/experiment/src/table/mod.rs
+++ b/crates/experiment/src/table/mod.rs
@@ -19,6 +19,8 @@
     pub policy: String,
     /// Over all requests after the warm-up.
     pub figures: Figures,
+    /// Share of prompt blocks found in caches, over requests at routers that restarted shortly before; 0 without any.
+    pub fresh: f64,
     /// Mean seconds from the last use of a block to its eviction.
     pub idle: f64,
     /// Blocks computed again, as a share of all prompt blocks.
@@ -97,6 +99,9 @@
         deployment: trial.deployment.name,
         scenario: scenario.name,
         policy: contender.name.clone(),
+        fresh: record
+            .figures(|outcome| outcome.sent >= WARM_UP && outcome.fresh)
+            .hit_rate,
         idle: record.idle / record.evicted.max(1) as f64,
         waste: record.waste(),
         others_in_time: others.in_time,
@@ -117,6 +122,7 @@
     };
     Row {
         figures,
+        fresh: over(|row| row.fresh),
         idle: over(|row| row.idle),
         waste: over(|row| row.waste),
         others_in_time: over(|row| row.others_in_time),
@@ -128,19 +134,20 @@
 /// The rows as a markdown table.
 pub fn markdown(rows: &[Row]) -> String {
     let mut text = String::from(
-        "| deployment | scenario | policy | requests | hit rate | recomputed | TTFT p50 ms | p99 ms | in time | refused | others in time | goodput/s | evicted after s |\n\
-         | --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
+        "| deployment | scenario | policy | requests | hit rate | of fresh routers | recomputed | TTFT p50 ms | p99 ms | in time | refused | others in time | goodput/s | evicted after s |\n\
+         | --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
     );
     for row in rows {
         let figures = &row.figures;
         writeln!(
             text,
-            "| {} | {} | {} | {} | {:.3} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {:.3} | {:.1} | {:.1} |",
+            "| {} | {} | {} | {} | {:.3} | {:.3} | {:.3} | {:.0} | {:.0} | {:.3} | {:.3} | {:.3} | {:.1} | {:.1} |",
             row.deployment,
             row.scenario,
             row.policy,
             figures.requests,
             figures.hit_rate,
+            row.fresh,
             row.waste,
             figures.p50_ms,
             figures.p99_ms,
--- a/crates/placement/src/load/endpoint.rs
+++ b/crates/placement/src/load/endpoint.rs
@@ -14,23 +14,35 @@
     pub placed: Duration,
     /// Prompt tokens that have to be computed for it.
     pub tokens: u64,
-    /// When its first token arrived.
-    pub first: Option<Duration>,
+    /// When its progress was last seen, and its tokens by then; none before the first token.
+    pub mark: Option<(Duration, u64)>,
 }
 
 /// Load of one endpoint.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct EndpointLoad {
     /// Requests of this router.
     pub flights: Vec<Flight>,
     /// Pace of its answers.
     pub pace: Pace,
-    /// Smoothed number of requests inside.
-    pub crowd: Option<f64>,
+    /// Smoothed number of requests inside relative to the pool's mean.
+    pub pressure: f64,
     incarnation: Incarnation,
     report: Option<Report>,
 }
 
+impl Default for EndpointLoad {
+    fn default() -> Self {
+        Self {
+            flights: Vec::new(),
+            pace: Pace::default(),
+            pressure: 1.0,
+            incarnation: Incarnation::default(),
+            report: None,
+        }
+    }
+}
+
 impl EndpointLoad {
     /// A restarted endpoint is empty, and its queue and pace are new.
     pub fn renew(&mut self, incarnation: Incarnation) {
@@ -43,22 +55,22 @@
         };
     }
 
-    /// Takes in a report.
-    pub fn take_in(&mut self, report: Report, smooth: Duration) {
+    /// Requests inside by the last report.
+    pub fn requests(&self) -> Option<f64> {
+        self.report.map(|report| f64::from(report.requests))
+    }
+
+    /// Takes in a report; `mean` is the pool's mean number of requests inside. One is added to both, so that a nearly idle
+    /// pool is not ruled by chance. The pressure begins at 1 and moves slowly: a router that has just started finds the
+    /// homes near where they were, instead of moving them by one report.
+    pub fn take_in(&mut self, report: Report, mean: f64, smooth: Duration) {
         let gap = self
             .report
             .map_or(Duration::ZERO, |last| report.measured.saturating_sub(last.measured));
-        let weight = 1.0 - (-gap.as_secs_f64() / smooth.as_secs_f64()).exp();
-        let requests = f64::from(report.requests);
-        let known = self.crowd.unwrap_or(requests);
-        self.crowd = Some(known + weight * (requests - known));
         self.report = Some(report);
-    }
-
-    /// Requests inside relative to the pool's `mean`; one is added to both, so that a nearly idle pool is not ruled by
-    /// chance.
-    pub fn pressure(&self, mean: f64) -> f64 {
-        (self.crowd.unwrap_or(mean) + 1.0) / (mean + 1.0)
+        let weight = 1.0 - (-gap.as_secs_f64() / smooth.as_secs_f64()).exp();
+        let now = (f64::from(report.requests) + 1.0) / (mean + 1.0);
+        self.pressure += weight * (now - self.pressure);
     }
 
     /// Prompt tokens that a new request would wait for: the report, less what was prefilled since, and the router's own
@@ -67,7 +79,7 @@
         let waiting = self
             .flights
             .iter()
-            .filter(|flight| flight.first.is_none() && settings.own);
+            .filter(|flight| flight.mark.is_none() && settings.own);
         let own: u64 = waiting.clone().map(|flight| flight.tokens).sum();
         let Some(report) = self.report else { return own };
         let later = waiting.filter(|flight| flight.placed >= report.measured);
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -63,7 +63,6 @@
     endpoints: HashMap<EndpointKey, EndpointLoad>,
     next: u64,
     pace: Option<f64>,
-    crowd: f64,
 }
 
 impl LoadView {
@@ -87,7 +86,7 @@
             ticket,
             placed: now,
             tokens,
-            first: None,
+            mark: None,
         });
         ticket
     }
@@ -97,17 +96,20 @@
         let Some(flight) = self.flight(endpoint, ticket) else {
             return;
         };
-        flight.first = Some(now);
+        flight.mark = Some((now, 1));
     }
 
-    /// The whole answer of `ticket` arrived, with `generated` tokens: shows how fast the endpoint is.
-    pub fn answered(&mut self, endpoint: EndpointKey, ticket: Ticket, generated: u64, now: Duration) {
-        let Some(first) = self.flight(endpoint, ticket).and_then(|flight| flight.first) else {
+    /// So far `generated` tokens of `ticket` have arrived: shows how fast the endpoint is. To be called now and then while
+    /// an answer streams, and at its end: whole answers of a slow endpoint come too late to notice it by.
+    pub fn progress(&mut self, endpoint: EndpointKey, ticket: Ticket, generated: u64, now: Duration) {
+        let Some(flight) = self.flight(endpoint, ticket) else {
             return;
         };
-        let Some(pace) = pace::of_answer(now.saturating_sub(first), generated) else {
+        let Some(mark) = flight.mark else { return };
+        let Some(pace) = pace::between(mark, (now, generated)) else {
             return;
         };
+        flight.mark = Some((now, generated));
         let Some(load) = self.endpoints.get_mut(&endpoint) else {
             return;
         };
@@ -128,11 +130,11 @@
         if !self.settings.reports {
             return;
         }
+        let known = || self.endpoints.values().filter_map(EndpointLoad::requests);
+        let mean = known().sum::<f64>() / known().count().max(1) as f64;
         let load = self.endpoints.entry(endpoint).or_default();
         load.renew(report.incarnation);
-        load.take_in(report, self.settings.smooth);
-        let crowds = || self.endpoints.values().filter_map(|load| load.crowd);
-        self.crowd = crowds().sum::<f64>() / crowds().count().max(1) as f64;
+        load.take_in(report, mean, self.settings.smooth);
     }
 
     /// Forgets an endpoint that left.
@@ -151,7 +153,7 @@
         } else {
             1.0
         };
-        let weight = (speed / load.pressure(self.crowd)).powf(self.settings.lean);
+        let weight = speed / load.pressure.powf(self.settings.lean);
         Estimate {
             in_flight,
             queued: load.queued(&self.settings, now),
--- a/crates/placement/src/load/pace.rs
+++ b/crates/placement/src/load/pace.rs
@@ -11,16 +11,18 @@
 /// A pace of up to this many times the median is ordinary: an endpoint that also prefills generates up to three times as
 /// slowly as an idle one.
 const ORDINARY: f64 = 3.0;
-/// Without answers for this long an endpoint counts as ordinary again, gets work, and so shows whether it recovered.
-const TRUST: Duration = Duration::from_secs(10);
+/// Without answers the believed speed doubles in this time, so that the endpoint gets some work again and shows whether it
+/// has recovered. Were it believed ordinary at once, a share of a whole endpoint would be the probe.
+const RECOVERY: Duration = Duration::from_secs(5);
 /// Least speed believed: below, an endpoint would get nothing at all.
 const LEAST: f64 = 0.05;
-/// Answers with fewer tokens say little.
+/// Fewer tokens say little.
 const FEWEST: u64 = 8;
 
-/// Seconds for each generated token; none for an answer too short to tell.
-pub fn of_answer(time: Duration, generated: u64) -> Option<f64> {
-    (generated >= FEWEST).then(|| time.as_secs_f64() / (generated - 1) as f64)
+/// Seconds for each token generated between two moments with their counts of tokens; none if they are too few to tell.
+pub fn between(earlier: (Duration, u64), later: (Duration, u64)) -> Option<f64> {
+    let generated = later.1.saturating_sub(earlier.1);
+    (generated >= FEWEST).then(|| later.0.saturating_sub(earlier.0).as_secs_f64() / generated as f64)
 }
 
 /// Median of `paces`.
@@ -55,10 +57,10 @@
         let (Some(pace), Some(median)) = (self.value, median) else {
             return 1.0;
         };
-        let ordinary = pace <= median * ORDINARY;
-        if ordinary || now.saturating_sub(self.seen) > TRUST {
+        if pace <= median * ORDINARY {
             return 1.0;
         }
-        (median / pace).max(LEAST)
+        let silent = now.saturating_sub(self.seen).as_secs_f64() / RECOVERY.as_secs_f64();
+        ((median / pace).max(LEAST) * silent.exp2()).min(1.0)
     }
 }
--- a/crates/placement/src/placer/builder.rs
+++ b/crates/placement/src/placer/builder.rs
@@ -37,7 +37,7 @@
                 rate: 20_000.0,
                 crossing: Duration::from_millis(3),
                 base: 3.0,
-                rise: 2.0,
+                rise: 4.0,
             },
             capacity: 100_000,
             fade: Duration::from_secs(30),
