Placement: routers that start read the pressures another one stored

Cause: homes lean away from crowded endpoints by a smoothed pressure. A router that restarts has none, ranks endpoints unlike the others and misses more for about 30 s. Change: LoadView::pressures and LoadView::assume, a few bytes an endpoint, from a peer or the platform; smoothing 60 s. Nothing breaks without the hint.

--- a/crates/experiment/src/policy/settings.rs
+++ b/crates/experiment/src/policy/settings.rs
@@ -24,6 +24,8 @@
     pub front: Front,
     /// What all routers together may have at an engine at first, in multiples of its slots.
     pub overcommit: f64,
+    /// Whether routers that start read the pressures that another one stored.
+    pub hint: bool,
     /// Price of recomputing in the oracle's choice.
     pub oracle: f64,
 }
@@ -38,6 +40,7 @@
             view: LoadView::builder(PREFILL_RATE),
             front: Front::Admission,
             overcommit: 1.0,
+            hint: true,
             oracle: ORACLE,
         }
     }
@@ -57,6 +60,7 @@
             "own" => self.view = self.view.own(false),
             "speed" => self.view = self.view.paces(false),
             "admission" => self.front = Front::Fifo,
+            "hint" => self.hint = false,
             "ranks" => self.placer = self.placer.ranks(figure as usize),
             "spread" => self.placer = self.placer.spread(figure),
             "belief" => self.placer = self.placer.belief(figure),
--- a/crates/experiment/src/sim/mod.rs
+++ b/crates/experiment/src/sim/mod.rs
@@ -12,7 +12,7 @@
 use crate::engine::{Engine, Progress, Sequence};
 use crate::policy::{Policy, Settings};
 use crate::workload::Request;
-use placement::Report;
+use placement::{EndpointKey, Report};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::time::Duration;
@@ -30,6 +30,9 @@
     Restart(usize),
 }
 
+/// Seconds between two times that a router stores its pressures.
+const HINT_EVERY: u64 = 10;
+
 /// How long a crashed engine is away.
 pub const DOWN: Duration = Duration::from_secs(5);
 
@@ -98,6 +101,7 @@
     sent: Vec<Option<Sent>>,
     checks: Vec<Duration>,
     restarted: Vec<Option<Duration>>,
+    hint: Vec<(EndpointKey, f64)>,
     computed: HashSet<u64>,
     record: Record,
 }
@@ -117,6 +121,7 @@
         sent: vec![None; requests.len()],
         checks: vec![Duration::ZERO; deployment.routers],
         restarted: vec![None; deployment.routers],
+        hint: Vec::new(),
         computed: HashSet::new(),
         record: Record::new(requests),
     };
@@ -332,6 +337,9 @@
     }
 
     fn measure(&mut self) {
+        if self.setup.settings.hint && self.now.as_secs().is_multiple_of(HINT_EVERY) {
+            self.hint = self.routers[0].hint();
+        }
         for at in 0..self.engines.len() {
             let engine = &self.engines[at];
             if !engine.alive {
@@ -363,7 +371,7 @@
     }
 
     fn restart(&mut self, router: usize) {
-        self.routers[router].restart(self.setup);
+        self.routers[router].restart(self.setup, &self.hint);
         self.restarted[router] = Some(self.now);
     }
 
--- a/crates/experiment/src/sim/router.rs
+++ b/crates/experiment/src/sim/router.rs
@@ -75,10 +75,18 @@
         router
     }
 
-    /// Loses what was learnt of endpoints. What is queued or in flight ends at the old process.
-    pub fn restart(&mut self, setup: &Setup) {
+    /// Loses what was learnt of endpoints, and starts from a `hint`. What is queued or in flight ends at the old process.
+    pub fn restart(&mut self, setup: &Setup, hint: &[(EndpointKey, f64)]) {
         self.view = setup.settings.view.build();
         self.placer = placer(setup);
+        for (endpoint, pressure) in hint {
+            self.view.assume(*endpoint, *pressure);
+        }
+    }
+
+    /// What another router may start from.
+    pub fn hint(&self) -> Vec<(EndpointKey, f64)> {
+        self.view.pressures().collect()
     }
 
     /// Whether some engine has room.
--- a/crates/placement/src/load/builder.rs
+++ b/crates/placement/src/load/builder.rs
@@ -19,7 +19,7 @@
 impl LoadViewBuilder {
     /// `rate` is what the pool's median endpoint prefills, in tokens a second.
     pub fn new(rate: f64) -> Self {
-        let smooth = Duration::from_secs(30);
+        let smooth = Duration::from_secs(60);
         Self {
             rate,
             reports: true,
--- a/crates/placement/src/load/endpoint.rs
+++ b/crates/placement/src/load/endpoint.rs
@@ -18,6 +18,14 @@
     pub mark: Option<(Duration, u64)>,
 }
 
+/// The pressure that a router starts with counts as much as this many reports.
+const FIRST: f64 = 4.0;
+
+/// A pressure taken over from another router counts as much as this many reports.
+const ASSUMED: f64 = 100.0;
+/// Bounds of a pressure, and their inverse.
+const SANE: f64 = 100.0;
+
 /// Load of one endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointLoad {
@@ -27,6 +35,7 @@
     pub pace: Pace,
     /// Smoothed number of requests inside relative to the pool's mean.
     pub pressure: f64,
+    reports: f64,
     incarnation: Incarnation,
     report: Option<Report>,
 }
@@ -37,6 +46,7 @@
             flights: Vec::new(),
             pace: Pace::default(),
             pressure: 1.0,
+            reports: 0.0,
             incarnation: Incarnation::default(),
             report: None,
         }
@@ -49,6 +59,10 @@
         if incarnation == self.incarnation {
             return;
         }
+        if self.incarnation == Incarnation::default() {
+            self.incarnation = incarnation;
+            return;
+        }
         *self = Self {
             incarnation,
             ..Self::default()
@@ -68,11 +82,23 @@
             .report
             .map_or(Duration::ZERO, |last| report.measured.saturating_sub(last.measured));
         self.report = Some(report);
-        let weight = 1.0 - (-gap.as_secs_f64() / smooth.as_secs_f64()).exp();
+        self.reports += 1.0;
+        let settled = 1.0 - (-gap.as_secs_f64() / smooth.as_secs_f64()).exp();
+        let weight = settled.max(1.0 / (self.reports + FIRST));
         let now = (f64::from(report.requests) + 1.0) / (mean + 1.0);
         self.pressure += weight * (now - self.pressure);
     }
 
+    /// Starts from a pressure that another router knew.
+    pub fn assume(&mut self, pressure: f64) {
+        let sane = pressure.is_finite() && (1.0 / SANE..=SANE).contains(&pressure);
+        if !sane || self.reports > 0.0 {
+            return;
+        }
+        self.pressure = pressure;
+        self.reports = ASSUMED;
+    }
+
     /// Prompt tokens that a new request would wait for: the report, less what was prefilled since, and the router's own
     /// later placements; at least what the router itself waits for.
     pub fn queued(&self, settings: &LoadViewBuilder, now: Duration) -> u64 {
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -137,6 +137,19 @@
         load.take_in(report, mean, self.settings.smooth);
     }
 
+    /// Pressures of all endpoints: a hint for routers that start, worth handing to them by a peer or by the platform. A
+    /// few bytes for each endpoint; nothing breaks without it, but until its own reports tell, a router that starts
+    /// without the hint ranks endpoints unlike the others and misses a tenth more blocks.
+    pub fn pressures(&self) -> impl Iterator<Item = (EndpointKey, f64)> {
+        self.endpoints.iter().map(|(endpoint, load)| (*endpoint, load.pressure))
+    }
+
+    /// Starts from the pressure that another router knew, unless own reports have told already. A figure that is no sane
+    /// pressure is ignored.
+    pub fn assume(&mut self, endpoint: EndpointKey, pressure: f64) {
+        self.endpoints.entry(endpoint).or_default().assume(pressure);
+    }
+
     /// Forgets an endpoint that left.
     pub fn forget(&mut self, endpoint: EndpointKey) {
         self.endpoints.remove(&endpoint);
