--- a/crates/placement/src/index/mod.rs
+++ b/crates/placement/src/index/mod.rs
@@ -5,9 +5,9 @@
 //! one is full or old, it becomes the old one and what nobody used since goes.
 
 use crate::EndpointKey;
+use crate::uniform::Uniform;
 use ids::Incarnation;
 use std::collections::HashMap;
-use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
 
 /// Endpoints remembered for one block. A prefix that is hotter than this many endpoints can serve is found by its ranks.
@@ -27,26 +27,6 @@
     pub seen: Duration,
 }
 
-/// The hashes are uniform already; hashing them again would only cost time.
-#[derive(Debug, Clone, Copy, Default)]
-struct Identity(u64);
-
-impl Hasher for Identity {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
-        }
-    }
-
-    fn write_u64(&mut self, hash: u64) {
-        self.0 = hash;
-    }
-}
-
 /// A holder, and the index's counter when it was learnt.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
@@ -55,7 +35,7 @@
 }
 
 type Holders = [Option<Entry>; HOLDERS];
-type Generation = HashMap<u64, Holders, BuildHasherDefault<Identity>>;
+type Generation = HashMap<u64, Holders, Uniform>;
 
 /// The learnt index.
 #[derive(Debug, Clone)]
@@ -66,7 +46,7 @@
     keep: Duration,
     turned: Duration,
     counter: u64,
-    doubts: HashMap<EndpointKey, u64>,
+    doubts: HashMap<EndpointKey, u64, Uniform>,
 }
 
 impl LearntIndex {
@@ -81,7 +61,7 @@
             keep,
             turned: Duration::ZERO,
             counter: 0,
-            doubts: HashMap::new(),
+            doubts: HashMap::default(),
         }
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod index;
 mod load;
 mod placer;
+mod uniform;
 
 pub use chain::{Level, PrefixChain, Scope};
 pub use index::{Holder, LearntIndex};
--- a/crates/placement/src/load/builder.rs
+++ b/crates/placement/src/load/builder.rs
@@ -71,7 +71,7 @@
     pub fn build(self) -> LoadView {
         LoadView {
             settings: self,
-            endpoints: HashMap::new(),
+            endpoints: HashMap::default(),
             next: 0,
             pace: None,
         }
--- a/crates/placement/src/load/endpoint.rs
+++ b/crates/placement/src/load/endpoint.rs
@@ -33,8 +33,8 @@
     pub flights: Vec<Flight>,
     /// Pace of its answers.
     pub pace: Pace,
-    /// Smoothed number of requests inside relative to the pool's mean.
-    pub pressure: f64,
+    pressure: f64,
+    weight: f64,
     reports: f64,
     incarnation: Incarnation,
     report: Option<Report>,
@@ -46,6 +46,7 @@
             flights: Vec::new(),
             pace: Pace::default(),
             pressure: 1.0,
+            weight: 1.0,
             reports: 0.0,
             incarnation: Incarnation::default(),
             report: None,
@@ -69,6 +70,16 @@
         };
     }
 
+    /// Smoothed number of requests inside relative to the pool's mean.
+    pub fn pressure(&self) -> f64 {
+        self.pressure
+    }
+
+    /// Relative share of homes.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+
     /// Requests inside by the last report.
     pub fn requests(&self) -> Option<f64> {
         self.report.map(|report| f64::from(report.requests))
@@ -77,25 +88,27 @@
     /// Takes in a report; `mean` is the pool's mean number of requests inside. One is added to both, so that a nearly idle
     /// pool is not ruled by chance. The pressure begins at 1 and moves slowly: a router that has just started finds the
     /// homes near where they were, instead of moving them by one report.
-    pub fn take_in(&mut self, report: Report, mean: f64, smooth: Duration) {
+    pub fn take_in(&mut self, report: Report, mean: f64, settings: &LoadViewBuilder) {
         let gap = self
             .report
             .map_or(Duration::ZERO, |last| report.measured.saturating_sub(last.measured));
         self.report = Some(report);
         self.reports += 1.0;
-        let settled = 1.0 - (-gap.as_secs_f64() / smooth.as_secs_f64()).exp();
+        let settled = 1.0 - (-gap.as_secs_f64() / settings.smooth.as_secs_f64()).exp();
         let weight = settled.max(1.0 / (self.reports + FIRST));
         let now = (f64::from(report.requests) + 1.0) / (mean + 1.0);
         self.pressure += weight * (now - self.pressure);
+        self.weight = self.pressure.powf(-settings.lean);
     }
 
     /// Starts from a pressure that another router knew.
-    pub fn assume(&mut self, pressure: f64) {
+    pub fn assume(&mut self, pressure: f64, settings: &LoadViewBuilder) {
         let sane = pressure.is_finite() && (1.0 / SANE..=SANE).contains(&pressure);
         if !sane || self.reports > 0.0 {
             return;
         }
         self.pressure = pressure;
+        self.weight = pressure.powf(-settings.lean);
         self.reports = ASSUMED;
     }
 
--- a/crates/placement/src/load/mod.rs
+++ b/crates/placement/src/load/mod.rs
@@ -11,6 +11,7 @@
 
 use self::endpoint::{EndpointLoad, Flight};
 use crate::EndpointKey;
+use crate::uniform::Uniform;
 use ids::Incarnation;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -60,7 +61,7 @@
 #[derive(Debug, Clone)]
 pub struct LoadView {
     settings: LoadViewBuilder,
-    endpoints: HashMap<EndpointKey, EndpointLoad>,
+    endpoints: HashMap<EndpointKey, EndpointLoad, Uniform>,
     next: u64,
     pace: Option<f64>,
 }
@@ -134,20 +135,25 @@
         let mean = known().sum::<f64>() / known().count().max(1) as f64;
         let load = self.endpoints.entry(endpoint).or_default();
         load.renew(report.incarnation);
-        load.take_in(report, mean, self.settings.smooth);
+        load.take_in(report, mean, &self.settings);
     }
 
     /// Pressures of all endpoints: a hint for routers that start, worth handing to them by a peer or by the platform. A
     /// few bytes for each endpoint; nothing breaks without it, but until its own reports tell, a router that starts
     /// without the hint ranks endpoints unlike the others and misses a tenth more blocks.
     pub fn pressures(&self) -> impl Iterator<Item = (EndpointKey, f64)> {
-        self.endpoints.iter().map(|(endpoint, load)| (*endpoint, load.pressure))
+        self.endpoints
+            .iter()
+            .map(|(endpoint, load)| (*endpoint, load.pressure()))
     }
 
     /// Starts from the pressure that another router knew, unless own reports have told already. A figure that is no sane
     /// pressure is ignored.
     pub fn assume(&mut self, endpoint: EndpointKey, pressure: f64) {
-        self.endpoints.entry(endpoint).or_default().assume(pressure);
+        self.endpoints
+            .entry(endpoint)
+            .or_default()
+            .assume(pressure, &self.settings);
     }
 
     /// Forgets an endpoint that left.
@@ -166,7 +172,7 @@
         } else {
             1.0
         };
-        let weight = speed / load.pressure.powf(self.settings.lean);
+        let weight = speed * load.weight();
         Estimate {
             in_flight,
             queued: load.queued(&self.settings, now),
--- a/crates/placement/src/placer/homes.rs
+++ b/crates/placement/src/placer/homes.rs
@@ -13,6 +13,7 @@
 use super::offer::{Offer, Offers};
 use super::{Candidate, EndpointKey, PlacerBuilder, Reason};
 use crate::PrefixChain;
+use std::cmp::Ordering;
 
 /// Hash of `endpoint` for a level.
 pub fn score(level: u64, endpoint: EndpointKey) -> u64 {
@@ -93,20 +94,35 @@
         for ranked in &mut self.set {
             ranked.rank = rank(level, &candidates[ranked.index]);
         }
-        let descending = |one: &Ranked, other: &Ranked| other.rank.total_cmp(&one.rank);
         let width = width.clamp(1, self.set.len());
-        let wanted = (width + next).min(self.set.len());
-        if wanted < self.set.len() {
-            self.set.select_nth_unstable_by(wanted, descending);
-        }
-        self.set[..wanted].sort_unstable_by(descending);
+        first(&mut self.set, width);
+        let rest = &mut self.set[width..];
+        let next = next.min(rest.len());
+        first(rest, next);
+        rest[..next].sort_unstable_by(descending);
         let mut spill = [None; MAX_RANKS];
-        for (slot, ranked) in spill.iter_mut().zip(&self.set[width..wanted]) {
+        for (slot, ranked) in spill.iter_mut().zip(&rest[..next]) {
             *slot = Some(*ranked);
         }
         self.set.truncate(width);
         spill.into_iter().flatten()
     }
+
+    /// Room kept between choices.
+    pub fn capacity(&self) -> usize {
+        self.set.capacity()
+    }
+}
+
+fn descending(one: &Ranked, other: &Ranked) -> Ordering {
+    other.rank.total_cmp(&one.rank)
+}
+
+/// Brings the highest `count` to the front, in any order.
+fn first(set: &mut [Ranked], count: usize) {
+    if 0 < count && count < set.len() {
+        set.select_nth_unstable_by(count - 1, descending);
+    }
 }
 
 /// Most ranks after the homes that are offered at each level.
--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -108,6 +108,12 @@
         &self.index
     }
 
+    /// Room in the buffers kept between choices. A choice allocates nothing else, so a choice that leaves this as it was
+    /// has not allocated.
+    pub fn scratch(&self) -> usize {
+        self.homes.capacity() + self.offers.capacity()
+    }
+
     /// Offers the endpoints that are known to hold a part of the prompt, each with the longest part.
     fn offer_learnt(&mut self, chain: &PrefixChain, candidates: &[Candidate], now: Duration) {
         let first = self.offers.all().len();
--- a/crates/placement/src/placer/offer.rs
+++ b/crates/placement/src/placer/offer.rs
@@ -35,6 +35,11 @@
         &self.0
     }
 
+    /// Room kept between choices.
+    pub fn capacity(&self) -> usize {
+        self.0.capacity()
+    }
+
     /// Takes in an offer.
     pub fn add(&mut self, candidates: &[Candidate], offer: Offer) {
         if candidates[offer.index].has_room() {
--- a/crates/placement/src/placer/share.rs
+++ b/crates/placement/src/placer/share.rs
@@ -6,6 +6,7 @@
 //! the counts fade, so that a level that cools down shrinks back.
 
 use crate::Level;
+use crate::uniform::Uniform;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -29,7 +30,7 @@
 /// Fading counts of requests for each level.
 #[derive(Debug, Clone)]
 pub struct LevelShares {
-    counts: HashMap<u64, Count>,
+    counts: HashMap<u64, Count, Uniform>,
     total: Count,
     fade: Duration,
     capacity: usize,
@@ -45,7 +46,7 @@
     /// No counts yet; a count falls to 37% within `fade`. At most `capacity` levels are counted.
     pub fn new(fade: Duration, capacity: usize) -> Self {
         Self {
-            counts: HashMap::new(),
+            counts: HashMap::default(),
             total: Count::default(),
             fade,
             capacity,
