--- a/crates/admission/tests/queue_order.rs
+++ b/crates/admission/tests/queue_order.rs
@@ -191,7 +191,6 @@
 
 #[test]
 fn starts_as_the_naive_queue() {
-    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
     fn same(steps: Vec<Step>, urgent: bool) -> bool {
         let (ours, theirs) = starts(steps, urgent);
         ours == theirs
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -24,6 +24,8 @@
 const DONE: &str = "[DONE]";
 /// Pieces that may wait for a slow caller before the engine is held up.
 const PIECES_AHEAD: usize = 64;
+/// Pieces between two looks at an engine's pace.
+const PACE_EVERY: u64 = 16;
 /// Times that one stream is resumed.
 const RESUMES: u32 = 3;
 
@@ -134,6 +136,9 @@
             }
             self.note_first(flight);
             self.attempts.life.on(RequestEvent::PartArrived);
+            if number % PACE_EVERY == PACE_EVERY - 1 {
+                flight.progress(number + 1);
+            }
             if self.sender.send(encode(number, &piece.data)).await.is_err() {
                 return End::Gone;
             }
--- a/crates/router/src/pool/flight.rs
+++ b/crates/router/src/pool/flight.rs
@@ -43,11 +43,18 @@
         let now = self.pool.clock.now();
         let after = now.saturating_sub(self.placed);
         self.pool
-            .change(|state| state.loads.first_token(self.key, self.ticket, uncached, now));
+            .change(|state| state.loads.first_token(self.key, self.ticket, now));
         self.observe(Sample::FirstToken { after, uncached });
         after
     }
 
+    /// So far this many tokens were generated: shows how fast the endpoint is.
+    pub fn progress(&self, generated: u64) {
+        let now = self.pool.clock.now();
+        self.pool
+            .change(|state| state.loads.progress(self.key, self.ticket, generated, now));
+    }
+
     /// What came of the attempt, for the endpoint's limit.
     pub fn observe(&self, sample: Sample) {
         let now = self.pool.clock.now();
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -194,6 +194,7 @@
             limit: member.limit.limit(),
             queued: estimate.queued,
             speed: estimate.speed,
+            weight: estimate.weight,
         }
     }
 
