Completions: a whole answer that is cut short is asked for again elsewhere

Seen red before: tests/stream_faults.rs, 'short answer': the caller read endpoint_failed, unknown, though it had seen nothing and a completion may run twice.

--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -15,7 +15,6 @@
 use serde::Deserialize;
 use std::cmp::Reverse;
 use std::sync::Arc;
-use std::time::Duration;
 use wire::caller::Completion;
 use wire::headers;
 
@@ -91,33 +90,42 @@
     }
 }
 
+/// Answers with a whole body. One that is cut short is asked for again elsewhere: the caller has seen nothing of it,
+/// and a completion may run twice.
 async fn whole(
     mut attempts: Attempts,
-    opened: Opened,
-    seen: Seen,
+    mut opened: Opened,
+    mut shown: Seen,
     limit: crate::limits::Taken,
 ) -> Result<Response, Refused> {
-    let status = opened.reply.status();
-    let content = opened.reply.header("content-type").map(str::to_owned);
-    let first_token = opened.flight.first_token(seen.uncached);
-    attempts.shared.metrics.first_token.observe(first_token.as_secs_f64());
-    let answer_bytes = attempts.shared.settings.limits.answer_bytes;
-    let left = attempts.call.left(&attempts.shared).unwrap_or(Duration::ZERO);
-    let reading = http::timeout(left, opened.reply.whole(answer_bytes)).await;
-    let Ok(Ok(body)) = reading else {
+    loop {
+        let status = opened.reply.status();
+        let content = opened.reply.header("content-type").map(str::to_owned);
+        let first_token = opened.flight.first_token(shown.uncached);
+        if let Some(body) = read(&attempts, opened.reply).await {
+            attempts.shared.metrics.first_token.observe(first_token.as_secs_f64());
+            attempts.life.on(RequestEvent::AnswerWhole);
+            let tokens = Tokens {
+                uncached: shown.uncached,
+                output: output(&body),
+            };
+            attempts.permit.served(first_token, tokens);
+            limit.settle(tokens.uncached + tokens.output);
+            return Ok(respond(status, content.as_deref(), body));
+        }
         attempts.cancel(&opened.flight);
-        attempts.tell(&opened.flight, crate::control::Sighting::Broke);
         attempts.life.on(RequestEvent::AnswerBroke);
-        return Err(attempts.give_up(Cause::Endpoint));
-    };
-    attempts.life.on(RequestEvent::AnswerWhole);
-    let tokens = Tokens {
-        uncached: seen.uncached,
-        output: output(&body),
-    };
-    attempts.permit.served(first_token, tokens);
-    limit.settle(tokens.uncached + tokens.output);
-    Ok(respond(status, content.as_deref(), body))
+        attempts.again(opened.flight).await?;
+        opened = attempts.open(send_pooled).await?;
+        shown = seen(&attempts, &opened);
+    }
+}
+
+/// The whole body, none if it broke off or the deadline passed.
+async fn read(attempts: &Attempts, reply: http::Reply) -> Option<Vec<u8>> {
+    let left = attempts.call.left(&attempts.shared)?;
+    let limit = attempts.shared.settings.limits.answer_bytes;
+    async_std::future::timeout(left, reply.whole(limit)).await.ok()?.ok()
 }
 
 /// An answer with this body.
