config: what never came in force is deleted, an id of another change is refused

A change planned again left its first log behind, and one refused late its section: values that nothing refers to, without bound. Submission::leftovers names them once it is certain that they are never needed. Change ids were time and process number, which two machines can share; the second change would have passed for accepted. Ids are random now, and an id in the log counts as accepted only for the same operator and section. Seen red: leftovers that name what is in force, none, ids not compared.

--- a/crates/apricotfork/src/config_command/calls.rs
+++ b/crates/apricotfork/src/config_command/calls.rs
@@ -41,7 +41,7 @@
 }
 
 /// Carries a change through.
-pub async fn submit(platform: &Platform, mut submission: Submission) -> Outcome {
+pub async fn submit(platform: &Platform, submission: &mut Submission) -> Outcome {
     let until = Instant::now() + PATIENCE;
     let mut call = submission.call();
     loop {
--- a/crates/apricotfork/src/config_command/change.rs
+++ b/crates/apricotfork/src/config_command/change.rs
@@ -9,6 +9,7 @@
 use platform::Platform;
 use std::fmt::Write;
 use std::fs;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::path::Path;
 use std::process::Command;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -81,7 +82,9 @@
 
 async fn submit(platform: &Platform, intent: Intent, key: OperatorKey) -> Result<(), ConfigError> {
     let at = UnixMillis(now_ms());
-    let outcome = calls::submit(platform, Submission::new(intent.clone(), key, at)).await;
+    let mut submission = Submission::new(intent.clone(), key, at);
+    let outcome = calls::submit(platform, &mut submission).await;
+    calls::delete(platform, &submission.leftovers(&outcome)).await;
     match outcome {
         Outcome::Accepted { revision, garbage } => {
             println!("accepted as revision {revision}");
@@ -166,9 +169,11 @@
     Ok(OperatorKey::from(file(path)?.trim().to_owned()))
 }
 
-/// Unique for each command, and kept over its retries.
+/// Unique for each command, and kept over its retries. Two operators at two machines may well have the same process
+/// number at the same millisecond, so that random bits go with it.
 fn new_id() -> ChangeId {
-    ChangeId::from(format!("{:x}-{:x}", now_ms(), std::process::id()))
+    let random = RandomState::new().build_hasher().finish();
+    ChangeId::from(format!("{:x}-{random:016x}", now_ms()))
 }
 
 fn now_ms() -> u64 {
--- a/crates/config/src/change/mod.rs
+++ b/crates/config/src/change/mod.rs
@@ -81,6 +81,10 @@
         Accepted(revision: Revision) {
             display("the change was accepted before, as revision {revision}")
         }
+        /// The change's id belongs to another change; nothing was done under it.
+        IdTaken(revision: Revision) {
+            display("another change, of revision {revision}, has the same id")
+        }
         /// There is no document yet to change.
         Empty {
             display("there is no document yet")
--- a/crates/config/src/change/plan.rs
+++ b/crates/config/src/change/plan.rs
@@ -105,7 +105,7 @@
 /// Why it is refused.
 pub fn plan_change(view: &View, change: &Change, key: &OperatorKey, at: UnixMillis) -> Result<Plan, ChangeRefused> {
     if let Some(record) = view.log.find(&change.id) {
-        return Err(ChangeRefused::Accepted(record.revision));
+        return Err(known(record, change));
     }
     prove(&view.document, &change.operator, key)?;
     if !view.document.operators[&change.operator]
@@ -171,6 +171,16 @@
     }
 }
 
+/// An id that someone else happened to choose as well must not make this change pass for accepted.
+fn known(record: &Record, change: &Change) -> ChangeRefused {
+    let same = record.operator == change.operator && record.moves.iter().any(|step| step.section == change.section);
+    if same {
+        ChangeRefused::Accepted(record.revision)
+    } else {
+        ChangeRefused::IdTaken(record.revision)
+    }
+}
+
 fn prove(document: &Document, operator: &str, key: &OperatorKey) -> Result<(), ChangeRefused> {
     let proven = document
         .operators
--- a/crates/config/src/submission/mod.rs
+++ b/crates/config/src/submission/mod.rs
@@ -8,7 +8,7 @@
 pub use loader::{Loader, Loading, Stored};
 
 use crate::{
-    Change, ChangeId, ChangeRefused, HEAD_KEY, Head, OperatorKey, Plan, Settled, UnixMillis, View, bootstrap,
+    Change, ChangeId, ChangeRefused, HEAD_KEY, Head, OperatorKey, Plan, Settled, UnixMillis, Value, View, bootstrap,
     plan_change, settle,
 };
 use ids::{Revision, Version};
@@ -122,6 +122,8 @@
     stage: Stage,
     /// The last write that was sent and not answered.
     sent: Option<(Box<Plan>, Version)>,
+    /// Keys that were written for this change, in force or not.
+    written: Vec<String>,
 }
 
 impl Submission {
@@ -134,6 +136,7 @@
             loader: Loader::new(),
             stage: Stage::Load,
             sent: None,
+            written: Vec::new(),
         }
     }
 
@@ -190,6 +193,22 @@
         Outcome::NotSent
     }
 
+    /// Keys that were written and never came in force, once the submission has ended with `outcome`: to be deleted, as
+    /// well as can be. As long as the change may be accepted yet, there are none.
+    pub fn leftovers(&self, outcome: &Outcome) -> Vec<String> {
+        let kept: &[Value] = match (outcome, &self.stage, &self.sent) {
+            (Outcome::Refused(_) | Outcome::NotSent, ..) => &[],
+            (Outcome::Accepted { .. }, Stage::Swap { plan, .. }, _) => &plan.puts,
+            (Outcome::Accepted { .. }, _, Some((plan, _))) => &plan.puts,
+            _ => return Vec::new(),
+        };
+        let unused = self
+            .written
+            .iter()
+            .filter(|key| kept.iter().all(|put| put.key != **key));
+        unused.cloned().collect()
+    }
+
     fn load(&mut self) -> Next {
         self.stage = Stage::Load;
         Next::Call(self.call())
@@ -205,6 +224,7 @@
         {
             return Next::Done(Outcome::Damaged);
         }
+        self.written.push(plan.puts[*place].key.clone());
         *place += 1;
         if *place == plan.puts.len() {
             self.stage = Stage::Swap {
--- a/crates/config/tests/races.rs
+++ b/crates/config/tests/races.rs
@@ -90,7 +90,9 @@
         }
         Work::Submitting(mut submission, id, added) => match submission.on(store.faulty(&submission.call(), random)) {
             Next::Later(_) if random.random_ratio(1, 40) => {
-                match submission.give_up() {
+                let outcome = submission.give_up();
+                store.delete(submission.leftovers(&outcome));
+                match outcome {
                     Outcome::Undecided => assert!(told.undecided.insert(id)),
                     outcome => assert_eq!(outcome, Outcome::NotSent),
                 }
@@ -98,10 +100,8 @@
             }
             Next::Call(_) | Next::Later(_) => writer.work = Work::Submitting(submission, id, added),
             Next::Done(Outcome::Accepted { revision, garbage }) => {
-                for key in garbage {
-                    let version = store.entries[&key].1;
-                    store.entries.insert(key, (None, version + 1));
-                }
+                store.delete(garbage.clone());
+                store.delete(submission.leftovers(&Outcome::Accepted { revision, garbage }));
                 told.accepted.insert(id, (revision, section_of(writer.number), added));
                 writer.left -= 1;
                 writer.work = if writer.left == 0 {
@@ -112,6 +112,7 @@
             }
             Next::Done(Outcome::Refused(ChangeRefused::Conflict(conflict))) => {
                 assert!(!conflict.since.is_empty(), "the operator is shown what others changed");
+                store.delete(submission.leftovers(&Outcome::Refused(ChangeRefused::Conflict(conflict))));
                 writer.work = Work::Reading(Loader::new());
             }
             Next::Done(outcome) => panic!("{outcome:?}"),
@@ -226,6 +227,76 @@
     }
 }
 
+/// Another change goes first while this one's values are written already. Its first log is left over, and is the only
+/// thing that is.
+#[test]
+fn what_never_came_in_force_is_named() {
+    let mut store = Store::default();
+    first(&mut store);
+    let view = load(&store);
+    let submission = |number| {
+        let mut writer = Writer {
+            number,
+            left: 1,
+            tries: 0,
+            work: Work::Done,
+        };
+        let Work::Submitting(submission, ..) = submit(&mut writer, &view) else {
+            unreachable!()
+        };
+        *submission
+    };
+    let mut slow = submission(1);
+    while !matches!(slow.call(), config::Call::Write { key, .. } if key == HEAD_KEY) {
+        slow.on(store.apply(&slow.call()));
+    }
+    run(&mut store, submission(2));
+    let before: BTreeSet<String> = store.entries.keys().cloned().collect();
+    let (outcome, slow) = support::finish(&mut store, slow);
+    assert!(
+        matches!(
+            outcome,
+            Outcome::Accepted {
+                revision: Revision(3),
+                ..
+            }
+        ),
+        "{outcome:?}"
+    );
+    let leftovers = slow.leftovers(&outcome);
+    assert_eq!(leftovers.len(), 1);
+    assert!(before.contains(&leftovers[0]), "it was written before the other change");
+    store.delete(leftovers);
+    assert_eq!(load(&store).head.revision, Revision(3));
+}
+
+/// Two operators' commands choose the same id. The second one's change must not pass for accepted.
+#[test]
+fn an_id_of_another_change_is_refused() {
+    let mut store = Store::default();
+    first(&mut store);
+    let view = load(&store);
+    for (number, expected) in [(1, None), (2, Some(ChangeRefused::IdTaken(Revision(2))))] {
+        let section = section_of(number);
+        let mut after = serde_json::from_str::<serde_json::Value>(&section_text(&view.document, section)).unwrap();
+        after["new"] = entry(section, number);
+        let change = Change {
+            id: ChangeId::from("same"),
+            operator: name(number),
+            section,
+            before: view.head.sections[&section].digest,
+            after: after.to_string(),
+        };
+        match run(
+            &mut store,
+            Submission::new(Intent::Change(change), key(number), UnixMillis(3)),
+        ) {
+            Outcome::Refused(refused) => assert_eq!(Some(refused), expected),
+            outcome => assert!(expected.is_none(), "{outcome:?}"),
+        }
+    }
+}
+
 /// A change is refused for good reason, and the document stays as it was.
 #[test]
 fn refusals() {
@@ -317,9 +388,7 @@
         let Outcome::Accepted { revision, garbage } = run(&mut store, *submission) else {
             panic!("refused")
         };
-        for key in garbage {
-            store.entries.insert(key, (None, 2));
-        }
+        store.delete(garbage);
         told.accepted.insert(id, (revision, section_of(3), added));
     }
     check(&store, &told);
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -41,6 +41,14 @@
         Answer::Written
     }
 
+    pub fn delete(&mut self, keys: Vec<String>) {
+        for key in keys {
+            if let Some((text, version)) = self.entries.get_mut(&key) {
+                (*text, *version) = (None, *version + 1);
+            }
+        }
+    }
+
     /// One call over a network that loses calls, loses answers, and delivers some calls much later.
     pub fn faulty(&mut self, call: &Call, random: &mut impl Rng) -> Answer {
         if random.random_ratio(1, 10) && !self.delayed.is_empty() {
@@ -67,12 +75,16 @@
 }
 
 /// Runs a submission to its end without faults.
-pub fn run(store: &mut Store, mut submission: Submission) -> Outcome {
+pub fn run(store: &mut Store, submission: Submission) -> Outcome {
+    finish(store, submission).0
+}
+
+pub fn finish(store: &mut Store, mut submission: Submission) -> (Outcome, Submission) {
     let mut call = submission.call();
     for _ in 0..1000 {
         match submission.on(store.apply(&call)) {
             Next::Call(next) | Next::Later(next) => call = next,
-            Next::Done(outcome) => return outcome,
+            Next::Done(outcome) => return (outcome, submission),
         }
     }
     panic!("no end after 1000 calls");
