--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -16,6 +16,8 @@
     pub domain: DomainId,
     /// Whether callers should be sent here.
     pub ready: bool,
+    /// Whether it takes no new requests any more.
+    pub draining: bool,
     /// Configuration revision in force, absent before the first.
     pub revision: Option<Revision>,
     /// Seconds since it started.
@@ -69,6 +71,7 @@
         vm: shared.settings.vm.clone(),
         domain: shared.settings.domain.clone(),
         ready: shared.ready(),
+        draining: shared.serving.draining(),
         revision: shared.view.load().as_ref().map(|view| view.revision),
         uptime: shared.clock.now().as_secs(),
         in_flight: shared.serving.in_flight(),
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -3,7 +3,7 @@
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 const ANNOUNCED: &str = "listening on ";
 
@@ -55,6 +55,14 @@
             .collect()
     }
 
+    /// Waits for its own end.
+    ///
+    /// # Errors
+    /// If it can't be waited for.
+    pub fn wait(mut self) -> io::Result<ExitStatus> {
+        self.child.wait()
+    }
+
     /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
