--- a/crates/peers/examples/traffic.rs
+++ b/crates/peers/examples/traffic.rs
@@ -103,6 +103,7 @@
         roster: membership.roster(Duration::ZERO),
         config,
         loads,
+        pressures: Vec::new(),
     }
 }
 
--- a/crates/peers/src/handle.rs
+++ b/crates/peers/src/handle.rs
@@ -223,13 +223,22 @@
     async_std::task::spawn(task.cancel());
 }
 
-/// Reads the configuration that a peer has in force.
+/// Reads what a peer is asked for only now and then.
 #[derive(Debug, Clone)]
 pub struct Fetcher {
     traffic: Arc<Traffic>,
 }
 
 impl Fetcher {
+    /// How crowded each endpoint has been, in thousandths, by its key in hashes.
+    ///
+    /// # Errors
+    /// The peer can't be reached.
+    pub async fn pressures(&self, peer: &Member) -> Result<Vec<(u64, u32)>, PeerError> {
+        let client = socket::connect(peer.address, &self.traffic).await?;
+        Ok(client.pressures(link::deadline()).await?)
+    }
+
     /// The text of the peer's head, if it has one.
     ///
     /// # Errors
--- a/crates/peers/src/news.rs
+++ b/crates/peers/src/news.rs
@@ -52,6 +52,8 @@
     pub config: Option<Arc<Offered>>,
     /// The loads of the endpoints whose reports it passes on.
     pub loads: Vec<LoadReport>,
+    /// How crowded each endpoint has been, in thousandths, by its key in hashes; asked for once by a router that starts.
+    pub pressures: Vec<(u64, u32)>,
 }
 
 /// What a router hears from its peers.
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -91,6 +91,10 @@
         self.inner.published().roster.clone()
     }
 
+    async fn pressures(self, _: Context) -> Vec<(u64, u32)> {
+        self.inner.published().pressures.clone()
+    }
+
     async fn head(self, _: Context) -> Option<String> {
         Some(self.inner.published().config.as_ref()?.head.clone())
     }
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -19,6 +19,8 @@
         async fn beat(beat: Beat) -> Option<Beat>;
         /// The caller's membership for the other's.
         async fn roster(roster: Roster) -> Roster;
+        /// How crowded each endpoint has been, in thousandths, by its key in hashes.
+        async fn pressures() -> Vec<(u64, u32)>;
         /// Text of the head in force.
         async fn head() -> Option<String>;
         /// Text of a section in force.
--- a/crates/router/src/control/config_feed.rs
+++ b/crates/router/src/control/config_feed.rs
@@ -2,6 +2,7 @@
 
 use super::event::{Configured, Event};
 use crate::shared::Shared;
+use ::control::following::Follow;
 use async_std::task;
 use config::{HEAD_KEY, Head, Section};
 use ids::Version;
@@ -9,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use wire::platform::Entry;
 
 /// Pause after a failure, so that an outage is not made worse; spread by the router's own draw against herds.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -65,10 +67,24 @@
     }
 }
 
+/// A head newer than `version`, if there is one in time. Few routers of a domain watch; the others hear of a change from
+/// those, and read now and then in case they do not.
+async fn next_head(shared: &Shared, version: Version) -> Result<Option<Entry>, FeedError> {
+    let follow = **shared.follow.load();
+    if let Follow::Read(every) = follow
+        && version != Version(0)
+    {
+        task::sleep(every.mul_f64(0.5 + rand::random::<f64>())).await;
+        let entry = shared.platform.get(HEAD_KEY).await?;
+        return Ok(entry.filter(|entry| entry.version > version));
+    }
+    let wait = Duration::from_millis(shared.settings.platform.watch_ms);
+    Ok(shared.platform.watch(HEAD_KEY, version, wait).await?)
+}
+
 /// Waits for a head newer than `version`.
 async fn follow(shared: &Shared, version: Version, texts: &mut Texts) -> Result<Option<(Version, Event)>, FeedError> {
-    let wait = Duration::from_millis(shared.settings.platform.watch_ms);
-    let Some(entry) = shared.platform.watch(HEAD_KEY, version, wait).await? else {
+    let Some(entry) = next_head(shared, version).await? else {
         return Ok(None);
     };
     let Some(value) = entry.value else {
--- a/crates/router/src/control/event.rs
+++ b/crates/router/src/control/event.rs
@@ -21,6 +21,8 @@
     PeerConfigFailed(VmId),
     /// A peer said something.
     Peer(peers::Event),
+    /// How crowded endpoints have been, in thousandths, as a peer knows.
+    Pressures(Vec<(u64, u32)>),
     /// The platform's list of VMs.
     Vms(VmList),
     /// Traffic or a feed met an endpoint.
--- a/crates/router/src/control/peering.rs
+++ b/crates/router/src/control/peering.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use config::Head;
 use control::membership::{self, Change, Link, Listed, Member, Membership};
-use control::{orders, rendezvous};
+use control::{following, orders, rendezvous};
 use ids::{Digest, EndpointId, Revision, VmId};
 use peers::{Fetcher, LoadReport, Offered, PeerError, Peers, Published};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +28,8 @@
     links: Vec<Link>,
     offered: Option<Arc<Offered>>,
     leaving: bool,
+    /// Whether a peer was asked for pressures.
+    hinted: bool,
     published: Duration,
     seeded: Option<Duration>,
     /// Routers in the platform's last list.
@@ -45,6 +47,7 @@
             links: Vec::new(),
             offered: None,
             leaving: false,
+            hinted: false,
             published: Duration::ZERO,
             seeded: None,
             listed: None,
@@ -68,6 +71,7 @@
             self.relink();
             let state = self.state_for_peers();
             self.peering.peers.publish(state);
+            self.shared.seen.store(Arc::new(self.peering.peers.seen()));
         }
     }
 
@@ -109,6 +113,7 @@
     pub(super) fn peer_event(&mut self, event: peers::Event) {
         match event {
             peers::Event::Heard { from, leaving, routers } => {
+                self.ask_pressures(from.clone());
                 self.member_event(membership::Event::Heard { from, leaving, routers });
             }
             peers::Event::Roster(roster) => self.member_event(membership::Event::Roster(roster)),
@@ -158,6 +163,25 @@
         let lasting = self.peering.membership.lasting();
         let candidate = !self.peering.leaving && rendezvous::is_candidate(&own.vm, &own.domain, &lasting);
         self.orders.on(orders::Event::Candidate(candidate));
+        let follow = following::follow(&own.vm, &own.domain, self.peering.membership.live());
+        self.shared.follow.store(Arc::new(follow));
+    }
+
+    /// A router that starts asks the first peer it hears how crowded endpoints have been: until its own reports tell,
+    /// it would rank them unlike the others and miss a tenth more blocks.
+    fn ask_pressures(&mut self, peer: Member) {
+        if self.peering.hinted {
+            return;
+        }
+        self.peering.hinted = true;
+        let fetcher = self.peering.peers.fetcher();
+        let shared = self.shared.clone();
+        task::spawn(async move {
+            // Nothing breaks without the hint.
+            if let Ok(pressures) = fetcher.pressures(&peer).await {
+                super::send(&shared, Event::Pressures(pressures)).await;
+            }
+        });
     }
 
     /// While the platform is out of reach, peers are found by the addresses in the settings.
@@ -242,6 +266,7 @@
             roster: membership.roster(self.now()),
             config: peering.offered.clone(),
             loads: self.loads_for_peers(),
+            pressures: self.shared.pools.pressures(),
         }
     }
 
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -69,6 +69,7 @@
                 self.start_event(control::startup::Event::PeerFailed(peer));
             }
             Event::Peer(event) => self.peer_event(event),
+            Event::Pressures(pressures) => self.shared.pools.assume(&pressures),
             Event::Vms(list) => self.listed(&list),
             Event::Endpoint(id, sighting) => self.sighted(&id, sighting),
             Event::Orders(event) => self.orders.on(event),
--- a/crates/router/src/control/vm_feed.rs
+++ b/crates/router/src/control/vm_feed.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// How often the list is read: an endpoint must get no new work within 3 s of the list's word, and one read may fail.
-const EVERY: Duration = Duration::from_millis(1_000);
+const EVERY: Duration = Duration::from_millis(1_400);
 
 /// Runs until the control thread has gone.
 pub async fn run(shared: Arc<Shared>) {
--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -26,6 +26,21 @@
     pub in_flight: usize,
     /// Pools by target.
     pub pools: Vec<NamedPool>,
+    /// Other routers as last heard.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// Another router as last heard.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The revision it had in force.
+    pub revision: Option<Revision>,
+    /// Seconds since it was heard.
+    pub age: u64,
 }
 
 /// A pool with its name.
@@ -67,7 +82,15 @@
 
 fn status(shared: &Shared) -> Status {
     let pools = shared.pools.status().into_iter();
+    let seen = shared.seen.load();
+    let peers = seen.iter().map(|peer| PeerStatus {
+        vm: peer.member.id.clone(),
+        domain: peer.member.domain.clone(),
+        revision: peer.revision,
+        age: peer.age.as_secs(),
+    });
     Status {
+        peers: peers.collect(),
         vm: shared.settings.vm.clone(),
         domain: shared.settings.domain.clone(),
         ready: shared.ready(),
--- a/crates/router/src/pool/mod.rs
+++ b/crates/router/src/pool/mod.rs
@@ -66,6 +66,19 @@
         list
     }
 
+    /// How crowded endpoints have been, in thousandths, for routers that start.
+    pub fn pressures(&self) -> Vec<(u64, u32)> {
+        let pools = self.all();
+        pools.iter().flat_map(|pool| lock(&pool.state).pressures()).collect()
+    }
+
+    /// Starts from what another router knew of how crowded endpoints have been.
+    pub fn assume(&self, pressures: &[(u64, u32)]) {
+        for pool in self.all() {
+            pool.change(|state| state.assume(pressures));
+        }
+    }
+
     /// Applies `act` to each pool that has `endpoint` as member.
     pub fn with_member(&self, endpoint: &ids::EndpointId, act: impl Fn(&mut State, placement::EndpointKey)) {
         let key = placement::EndpointKey::from(endpoint);
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -15,6 +15,8 @@
 
 /// Prompt tokens a second that a runner prefills until answers tell: the order of a mid-size model on one card.
 const FIRST_RATE: f64 = 20_000.0;
+/// Unit of pressures between routers.
+const THOUSANDTHS: f64 = 1000.0;
 /// Tokens of a cache block.
 const BLOCK_TOKENS: u64 = 1024;
 
@@ -95,6 +97,22 @@
         self.loads.report(key, report);
     }
 
+    pub(super) fn pressures(&self) -> Vec<(u64, u32)> {
+        let pressures = self.loads.pressures();
+        pressures
+            .map(|(key, pressure)| (key.0, (pressure * THOUSANDTHS) as u32))
+            .collect()
+    }
+
+    pub(super) fn assume(&mut self, pressures: &[(u64, u32)]) {
+        for (key, pressure) in pressures {
+            let key = EndpointKey(*key);
+            if self.has(key) {
+                self.loads.assume(key, f64::from(*pressure) / THOUSANDTHS);
+            }
+        }
+    }
+
     pub(super) fn position(&self, key: EndpointKey) -> Option<usize> {
         self.members.binary_search_by_key(&key, |member| member.key).ok()
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,7 +7,9 @@
 use crate::pool::Pools;
 use crate::settings::Settings;
 use crate::view::View;
+use ::control::following::Follow;
 use ::control::startup::NotReady;
+use ::peers::SeenPeer;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
 use http::{Client, Serving};
@@ -44,6 +46,10 @@
     pub claim_lease: async_std::sync::Mutex<ClaimLease>,
     /// Results of claimed calls that are still to be written down.
     pub settling: AtomicUsize,
+    /// What this router asks of the platform to follow the configuration.
+    pub follow: ArcSwap<Follow>,
+    /// Peers as last heard.
+    pub seen: ArcSwap<Vec<SeenPeer>>,
     /// Why no configuration is in force yet.
     pub not_ready: ArcSwap<NotReady>,
     /// Set once shutdown has begun.
@@ -70,6 +76,8 @@
             metrics: Metrics::new(),
             serving: Serving::default(),
             events,
+            follow: ArcSwap::from_pointee(Follow::Watch),
+            seen: ArcSwap::default(),
             not_ready: ArcSwap::from_pointee(NotReady::Waiting),
             stopping: AtomicBool::new(false),
             started_ms: started.as_millis(),
