--- a/crates/placement/src/load/endpoint.rs
+++ b/crates/placement/src/load/endpoint.rs
@@ -87,12 +87,13 @@
 
     /// Takes in a report; `mean` is the pool's mean number of requests inside. One is added to both, so that a nearly idle
     /// pool is not ruled by chance. The pressure begins at 1 and moves slowly: a router that has just started finds the
-    /// homes near where they were, instead of moving them by one report.
+    /// homes near where they were, instead of moving them by one report. The first report only begins the count, since
+    /// the other endpoints' may not have come yet.
     pub fn take_in(&mut self, report: Report, mean: f64, settings: &LoadViewBuilder) {
-        let gap = self
-            .report
-            .map_or(Duration::ZERO, |last| report.measured.saturating_sub(last.measured));
-        self.report = Some(report);
+        let Some(last) = self.report.replace(report) else {
+            return;
+        };
+        let gap = report.measured.saturating_sub(last.measured);
         self.reports += 1.0;
         let settled = 1.0 - (-gap.as_secs_f64() / settings.smooth.as_secs_f64()).exp();
         let weight = settled.max(1.0 / (self.reports + FIRST));
--- /dev/null
+++ b/crates/placement/tests/chain.rs
@@ -0,0 +1,144 @@
+//! Chains of block hashes.
+
+use ids::{ModelId, WeightsVersion, WorkspaceId};
+use placement::{PrefixChain, Scope};
+use quickcheck::quickcheck;
+
+fn chain(scope: [&str; 3], prompt: &[u8], block: usize, ends: &[usize]) -> PrefixChain {
+    let (workspace, model, weights) = (
+        WorkspaceId::from(scope[0]),
+        ModelId::from(scope[1]),
+        WeightsVersion::from(scope[2]),
+    );
+    PrefixChain::new(
+        Scope {
+            workspace: &workspace,
+            model: &model,
+            weights: &weights,
+        },
+        prompt,
+        block,
+        ends,
+    )
+}
+
+const OURS: [&str; 3] = ["granary", "advisor", "7"];
+
+// A router that takes another workspace's blocks, or those of older weights, for its own sends the request to a cache
+// that the engine must not use: the caller waits for a prefill that was counted on as done.
+#[test]
+fn another_scope_never_matches() {
+    let prompt = vec![b'p'; 64];
+    let ours = chain(OURS, &prompt, 8, &[16, 32]);
+    let others = [
+        ["mill", "advisor", "7"],
+        ["granary", "forecaster", "7"],
+        ["granary", "advisor", "8"],
+        ["granarya", "dvisor", "7"],
+        ["", "granaryadvisor", "7"],
+        ["granary", "advisor7", ""],
+    ];
+    for scope in others {
+        let other = chain(scope, &prompt, 8, &[16, 32]);
+        assert_ne!(ours.seed(), other.seed(), "{scope:?}");
+        assert!(
+            ours.blocks().iter().all(|block| !other.blocks().contains(block)),
+            "{scope:?}"
+        );
+        assert!(
+            ours.levels().iter().all(|level| !other.levels().contains(level)),
+            "{scope:?}"
+        );
+    }
+}
+
+struct Case {
+    bytes: usize,
+    ends: &'static [usize],
+    blocks: usize,
+    levels: &'static [usize],
+}
+
+#[test]
+fn levels_end_at_whole_blocks() {
+    let cases = [
+        Case {
+            bytes: 0,
+            ends: &[],
+            blocks: 0,
+            levels: &[],
+        },
+        Case {
+            bytes: 7,
+            ends: &[7],
+            blocks: 0,
+            levels: &[],
+        },
+        Case {
+            bytes: 8,
+            ends: &[8],
+            blocks: 1,
+            levels: &[1],
+        },
+        Case {
+            bytes: 100,
+            ends: &[16, 33, 99],
+            blocks: 12,
+            levels: &[2, 4, 12],
+        },
+        Case {
+            bytes: 100,
+            ends: &[16, 17, 18],
+            blocks: 12,
+            levels: &[2],
+        },
+        Case {
+            bytes: 100,
+            ends: &[0, 1000],
+            blocks: 12,
+            levels: &[12],
+        },
+        Case {
+            bytes: 100,
+            ends: &[32, 16],
+            blocks: 12,
+            levels: &[4],
+        },
+        Case {
+            bytes: 100,
+            ends: &[],
+            blocks: 12,
+            levels: &[1, 4, 12],
+        },
+        Case {
+            bytes: 1000,
+            ends: &[],
+            blocks: 125,
+            levels: &[1, 4, 16, 64],
+        },
+    ];
+    for case in cases {
+        let chain = chain(OURS, &vec![1; case.bytes], 8, case.ends);
+        let ends: Vec<usize> = chain.levels().iter().map(|level| level.blocks).collect();
+        assert_eq!(
+            (chain.blocks().len(), ends.as_slice()),
+            (case.blocks, case.levels),
+            "{:?}",
+            case.ends
+        );
+        for level in chain.levels() {
+            assert_eq!(level.hash, chain.blocks()[level.blocks - 1]);
+        }
+    }
+}
+
+quickcheck! {
+    fn chains_agree_on_exactly_the_common_whole_blocks(common: Vec<u8>, one: Vec<u8>, other: Vec<u8>) -> bool {
+        let whole = |own: &[u8]| [common.as_slice(), own].concat();
+        let (first, second) = (whole(&one), whole(&other));
+        let same = first.iter().zip(&second).take_while(|(left, right)| left == right).count() / 4;
+        let (first, second) = (chain(OURS, &first, 4, &[]), chain(OURS, &second, 4, &[]));
+        let agreed = first.blocks().iter().zip(second.blocks()).filter(|(left, right)| left == right).count();
+        agreed == same.min(first.blocks().len()).min(second.blocks().len())
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/load.rs
@@ -0,0 +1,220 @@
+//! The load view: lagging reports, own placements, slow endpoints, restarts.
+
+mod support;
+
+use ids::Incarnation;
+use placement::{EndpointKey, LoadView, Report};
+use std::time::Duration;
+use support::{report, secs};
+
+const RATE: f64 = 20_000.0;
+const ONE: Incarnation = Incarnation(1);
+
+fn key(number: u64) -> EndpointKey {
+    EndpointKey(number)
+}
+
+struct Case {
+    name: &'static str,
+    report: Option<(u64, f64)>,
+    /// Tokens and time of own placements that still wait.
+    placed: &'static [(u64, f64)],
+    own: bool,
+    queued: u64,
+}
+
+// An endpoint was idle when it reported, and the router has sent it a long prompt since. Without counting that, the next
+// requests go there too and wait behind it.
+#[test]
+fn own_placements_count_on_top_of_a_lagging_report() {
+    let cases = [
+        Case {
+            name: "unknown",
+            report: None,
+            placed: &[],
+            own: true,
+            queued: 0,
+        },
+        Case {
+            name: "own only",
+            report: None,
+            placed: &[(5_000, 0.9)],
+            own: true,
+            queued: 5_000,
+        },
+        Case {
+            name: "newer than the report",
+            report: Some((0, 0.8)),
+            placed: &[(5_000, 0.9)],
+            own: true,
+            queued: 5_000,
+        },
+        Case {
+            name: "in the report",
+            report: Some((6_000, 0.9)),
+            placed: &[(5_000, 0.8)],
+            own: true,
+            queued: 5_000,
+        },
+        Case {
+            name: "both",
+            report: Some((9_000, 0.9)),
+            placed: &[(5_000, 0.95)],
+            own: true,
+            queued: 13_000,
+        },
+        Case {
+            name: "drained",
+            report: Some((9_000, 0.0)),
+            placed: &[],
+            own: true,
+            queued: 0,
+        },
+        Case {
+            name: "off",
+            report: Some((0, 0.8)),
+            placed: &[(5_000, 0.9)],
+            own: false,
+            queued: 0,
+        },
+    ];
+    for case in cases {
+        let mut view = LoadView::builder(RATE).own(case.own).build();
+        for (tokens, at) in case.placed {
+            view.placed(key(1), ONE, *tokens, secs(*at));
+        }
+        if let Some((prefill, at)) = case.report {
+            view.report(key(1), report(prefill, 1, secs(at)));
+        }
+        assert_eq!(view.estimate(key(1), secs(1.0)).queued, case.queued, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_placement_waits_until_its_first_token_and_counts_until_its_end() {
+    let mut view = LoadView::new(RATE);
+    let ticket = view.placed(key(1), ONE, 3_000, secs(0.0));
+    assert_eq!(
+        (
+            view.estimate(key(1), secs(0.1)).queued,
+            view.estimate(key(1), secs(0.1)).in_flight
+        ),
+        (3_000, 1)
+    );
+    view.first_token(key(1), ticket, secs(0.2));
+    assert_eq!(
+        (
+            view.estimate(key(1), secs(0.3)).queued,
+            view.estimate(key(1), secs(0.3)).in_flight
+        ),
+        (0, 1)
+    );
+    view.finished(key(1), ticket);
+    view.finished(key(1), ticket);
+    assert_eq!(view.estimate(key(1), secs(0.4)).in_flight, 0);
+}
+
+/// Lets each of five endpoints stream an answer, with these milliseconds between tokens.
+fn stream(view: &mut LoadView, paces: [u64; 5], begin: Duration) {
+    for (number, pace) in (1..).zip(paces) {
+        let ticket = view.placed(key(number), ONE, 1_000, begin);
+        view.first_token(key(number), ticket, begin);
+        for piece in 1..=6u64 {
+            let now = begin + Duration::from_millis(pace * 16 * piece);
+            view.progress(key(number), ticket, 1 + 16 * piece, now);
+        }
+        view.finished(key(number), ticket);
+    }
+}
+
+// A neighbour takes a runner's card: its tokens come five times as slowly. It takes little work and so looks idle; callers
+// sent there wait several times as long. Once it is well it must get its share back.
+#[test]
+fn a_slow_endpoint_is_noticed_and_probed_back() {
+    let mut view = LoadView::new(RATE);
+    stream(&mut view, [20, 25, 30, 35, 60], secs(0.0));
+    assert!(
+        (1..=5).all(|number| view.estimate(key(number), secs(6.0)).speed == 1.0),
+        "batches differ, that is ordinary"
+    );
+    stream(&mut view, [20, 25, 30, 150, 30], secs(6.0));
+    let slow = view.estimate(key(4), secs(21.0));
+    assert!(slow.speed < 0.4 && slow.weight < 0.4, "{slow:?}");
+    assert_eq!(view.estimate(key(1), secs(21.0)).speed, 1.0);
+    let silent = view.estimate(key(4), secs(60.0));
+    assert_eq!(silent.speed, 1.0, "without answers it gets work again");
+    stream(&mut view, [20, 25, 30, 25, 30], secs(60.0));
+    stream(&mut view, [20, 25, 30, 25, 30], secs(70.0));
+    assert_eq!(view.estimate(key(4), secs(80.0)).speed, 1.0, "it is well");
+}
+
+// One endpoint is home of more than its share: its queue stays longer than the others'. Homes lean away from it, slowly,
+// since each home that moves costs misses, and equally at all routers.
+#[test]
+fn homes_lean_away_from_a_crowded_endpoint() {
+    let after = |seconds: u32, lean: f64| {
+        let mut view = LoadView::builder(RATE).lean(lean).build();
+        for half in 0..seconds * 2 {
+            for number in 1..=4 {
+                let requests = if number == 1 { 30 } else { 5 };
+                view.report(key(number), report(0, requests, secs(f64::from(half) / 2.0)));
+            }
+        }
+        (
+            view.estimate(key(1), secs(f64::from(seconds))).weight,
+            view.estimate(key(2), secs(f64::from(seconds))).weight,
+        )
+    };
+    assert_eq!(after(60, 0.0), (1.0, 1.0), "off");
+    let (soon, later) = (after(1, 0.7), after(120, 0.7));
+    assert!(later.0 < soon.0 && soon.0 < 1.0, "{soon:?} {later:?}");
+    assert!(later.0 < 0.6 && later.1 > 1.2, "{later:?}");
+}
+
+// A router starts and takes over what another one knew. A damaged hint must do no harm.
+#[test]
+fn a_router_that_starts_takes_over_pressures() {
+    let mut warm = LoadView::new(RATE);
+    for half in 0..200 {
+        for number in 1..=4 {
+            let requests = if number == 1 { 30 } else { 5 };
+            warm.report(key(number), report(0, requests, secs(f64::from(half) / 2.0)));
+        }
+    }
+    let mut fresh = LoadView::new(RATE);
+    warm.pressures()
+        .for_each(|(endpoint, pressure)| fresh.assume(endpoint, pressure));
+    for number in 1..=4 {
+        let weights = [&warm, &fresh].map(|view| view.estimate(key(number), secs(100.0)).weight);
+        assert_eq!(weights[0], weights[1]);
+        for damaged in [f64::NAN, f64::INFINITY, 0.0, -1.0, 1e9] {
+            let mut fresh = LoadView::new(RATE);
+            fresh.assume(key(number), damaged);
+            assert_eq!(fresh.estimate(key(number), secs(0.0)).weight, 1.0);
+        }
+        let before = warm.estimate(key(number), secs(100.0)).weight;
+        warm.assume(key(number), 1.0);
+        assert_eq!(
+            warm.estimate(key(number), secs(100.0)).weight,
+            before,
+            "own reports go first"
+        );
+    }
+}
+
+// A runner restarts: its queue is gone, and its old report must not keep work away from it.
+#[test]
+fn a_new_life_begins_idle() {
+    let mut view = LoadView::new(RATE);
+    view.report(key(1), report(90_000, 30, secs(1.0)));
+    view.placed(key(1), ONE, 9_000, secs(1.0));
+    view.report(
+        key(1),
+        Report {
+            incarnation: Incarnation(2),
+            ..report(0, 0, secs(2.0))
+        },
+    );
+    let estimate = view.estimate(key(1), secs(2.0));
+    assert_eq!((estimate.queued, estimate.in_flight), (0, 0));
+}
