--- a/crates/admission/src/pool/judge.rs
+++ b/crates/admission/src/pool/judge.rs
@@ -134,7 +134,7 @@
 
     /// Expected wait of a job behind the slot time ahead of it and the first slot that frees up.
     fn wait(&self, ahead: Ahead, length: Length, slots: Slots) -> Duration {
-        let running = self.running_work as f64 / self.running.len().max(1) as f64;
+        let running = self.running.mean_cost();
         let wait = micros((ahead.work + running) / f64::from(slots.all.max(1)));
         if length == Length::Short {
             return wait;
--- a/crates/admission/src/pool/mod.rs
+++ b/crates/admission/src/pool/mod.rs
@@ -8,33 +8,22 @@
 //! time queued ahead of it under fair sharing and from the slots, so that the queue's bound follows the load. If that
 //! changes for the worse, jobs that have become hopeless are refused at the next check, not when their time is up.
 
+mod counts;
 mod judge;
+mod running;
+
+pub use counts::Counts;
 
 use crate::queue::{Key, LaneIndex, Queue, Queued, Slots};
 use crate::reserve::{Length, Reserve};
 use crate::{Cancelled, Job, Next, Offer, Outcome, Reason, Refusal, ServiceModel, Settings, Ticket, UnknownTicket};
 use judge::{CHECK_PERIOD, EMPTY_RETRY};
+use running::{Running, Started};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Jobs counted by what became of them; offered = refused + waiting + running + expired + finished + cancelled.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Offered so far.
-    pub offered: u64,
-    /// Refused when they were offered.
-    pub refused: u64,
-    /// In the queue now.
-    pub waiting: u64,
-    /// Holding a slot now.
-    pub running: u64,
-    /// Refused after they had waited.
-    pub expired: u64,
-    /// Finished after they had started.
-    pub finished: u64,
-    /// Cancelled while they waited or ran.
-    pub cancelled: u64,
-}
+/// Below this fraction of its former slots a pool's queue is checked at once; adaptive limits move by less all the time.
+const SHRUNK: (u32, u32) = (9, 10);
 
 #[derive(Debug, Clone, Copy)]
 struct Place {
@@ -43,14 +32,6 @@
     length: Length,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Running {
-    lane: LaneIndex,
-    cost: u64,
-    length: Length,
-    start: Duration,
-}
-
 /// Decides which jobs of one pool start, wait or are refused. A pool is one model's engines or one service's runners.
 #[derive(Debug)]
 pub struct Admission {
@@ -63,9 +44,7 @@
     counts: Counts,
     newest: u64,
     places: HashMap<Ticket, Place>,
-    running: HashMap<Ticket, Running>,
-    running_work: u64,
-    running_long: u32,
+    running: Running,
     expired: VecDeque<(Ticket, Refusal)>,
     check_at: Duration,
 }
@@ -83,9 +62,7 @@
             counts: Counts::default(),
             newest: 0,
             places: HashMap::new(),
-            running: HashMap::new(),
-            running_work: 0,
-            running_long: 0,
+            running: Running::default(),
             expired: VecDeque::new(),
             check_at: Duration::ZERO,
         }
@@ -96,7 +73,7 @@
         if slots == 0 && self.capacity > 0 {
             self.empty_since = now;
         }
-        if slots < self.capacity {
+        if slots * SHRUNK.1 < self.capacity * SHRUNK.0 {
             self.check_at = now;
         }
         self.capacity = slots;
@@ -161,7 +138,7 @@
         if let Outcome::Served { first_token, tokens } = outcome {
             let true_cost = self.model.seconds(tokens) * 1e6;
             self.queue.charge(job.lane, true_cost - job.cost as f64);
-            self.model.observe(tokens, first_token, now.saturating_sub(job.start));
+            self.model.observe(tokens, first_token, now.saturating_sub(job.at));
         }
         self.check_counts();
         Ok(())
@@ -237,7 +214,7 @@
         Slots {
             all: self.capacity,
             long,
-            long_allowed: self.running_long < long,
+            long_allowed: self.running.long() < long,
         }
     }
 
@@ -268,24 +245,22 @@
 
     fn start(&mut self, ticket: Ticket, lane: LaneIndex, job: &Queued, now: Duration) {
         assert!(self.free() > 0, "a job started beyond the pool's slots");
-        let running = Running {
-            lane,
-            cost: job.cost,
-            length: job.length,
-            start: now,
-        };
-        let old = self.running.insert(ticket, running);
-        assert!(old.is_none(), "{ticket} started twice");
+        let Queued { cost, length, .. } = *job;
+        self.running.start(
+            ticket,
+            Started {
+                lane,
+                cost,
+                length,
+                at: now,
+            },
+        );
         self.counts.running += 1;
-        self.running_work += job.cost;
-        self.running_long += u32::from(job.length == Length::Long);
     }
 
-    fn end_running(&mut self, ticket: Ticket) -> Option<Running> {
-        let job = self.running.remove(&ticket)?;
+    fn end_running(&mut self, ticket: Ticket) -> Option<Started> {
+        let job = self.running.end(ticket)?;
         self.counts.running -= 1;
-        self.running_work -= job.cost;
-        self.running_long -= u32::from(job.length == Length::Long);
         Some(job)
     }
 
@@ -306,20 +281,8 @@
         Cancelled::Queued
     }
 
-    /// Every offered job is in exactly one place.
     fn check_counts(&self) {
-        let counts = self.counts;
-        let ended = counts.refused + counts.expired + counts.finished + counts.cancelled;
-        assert_eq!(
-            counts.offered,
-            counts.waiting + counts.running + ended,
-            "a job was lost or counted twice"
-        );
-        assert_eq!(
-            counts.waiting as usize,
-            self.places.len() + self.expired.len(),
-            "the queue lost a job"
-        );
-        assert_eq!(counts.running as usize, self.running.len(), "a slot was lost");
+        self.counts
+            .check(self.places.len() + self.expired.len(), self.running.len());
     }
 }
