--- a/crates/admission/tests/scenarios.rs
+++ b/crates/admission/tests/scenarios.rs
@@ -118,6 +118,16 @@
     ]);
 }
 
+/// All endpoints become three times slower for half a minute, which nobody announces. Until that is learnt from the answers
+/// jobs are admitted that come late; without early refusals all of that time's callers and many later ones get theirs late.
+#[test]
+fn slow_pool() {
+    check(&[
+        case("pool slows down", "late", Most(0.015), Least(0.5)),
+        case("pool slows down", "in time", Least(0.83), Most(0.5)),
+    ]);
+}
+
 /// A few jobs of twenty seconds come among many of half a second, together one and a half times the pool's capacity.
 /// First come first served, all slots end up under long jobs and short callers wait for seconds.
 #[test]
--- a/crates/admission/tests/support/scenarios.rs
+++ b/crates/admission/tests/support/scenarios.rs
@@ -50,6 +50,7 @@
         scenario("no hot caller", fair, || even(0.5), whole),
         scenario("slow endpoint", slow_endpoint, || even(0.7), whole),
         scenario("full endpoints", full_endpoints, || even(2.0), whole),
+        scenario("pool slows down", slow_pool, || even(0.8), whole),
         scenario("long among short", lengths, long_short, by_length),
         scenario("overload 2x", refuse, || even(2.0), whole),
         scenario("overload 4x", refuse, || even(4.0), whole),
@@ -96,6 +97,13 @@
     setup
 }
 
+/// All endpoints become three times slower for half a minute.
+fn slow_pool(on: bool) -> Setup {
+    let mut setup = refuse(on);
+    setup.endpoints[0].slow = (3.0, 40.0, 70.0);
+    setup
+}
+
 /// The operators allow each endpoint eight times what it can work on at once.
 fn full_endpoints(on: bool) -> Setup {
     endpoints(on, SLOTS * 2)
