--- a/crates/admission/tests/learnt.rs
+++ b/crates/admission/tests/learnt.rs
@@ -113,3 +113,60 @@
     }
     assert_eq!(reached, [true; 2], "the run did not reach both ends");
 }
+
+/// Answers an endpoint gives while it runs `running` requests, and the limit it must have afterwards.
+struct Case {
+    name: &'static str,
+    running: u32,
+    /// Milliseconds to the first token, sample by sample; 0 stands for a refusal because it is full.
+    answers: Vec<u64>,
+    /// Milliseconds between them.
+    apart: u64,
+    limit: std::ops::RangeInclusive<u32>,
+}
+
+fn check(cases: Vec<Case>) {
+    for case in cases {
+        let mut limit = EndpointLimit::new(32);
+        (0..case.running).for_each(|_| drop(limit.start()));
+        for (index, millis) in case.answers.iter().enumerate() {
+            let after = Duration::from_millis(*millis);
+            let sample = if after.is_zero() {
+                Sample::Full
+            } else {
+                Sample::FirstToken { after, uncached: 500 }
+            };
+            limit.observe(sample, Duration::from_millis(case.apart * index as u64));
+        }
+        assert!(case.limit.contains(&limit.limit()), "{}: {}", case.name, limit.limit());
+    }
+}
+
+/// An endpoint that answers as ever gets more, one that is slow, full or never seen undisturbed gets less. Otherwise
+/// requests queue inside it, out of reach of fairness and deadlines, or its slots stay unused.
+#[test]
+fn limit_follows_the_answers() {
+    let case = |name, running, answers, apart, limit| Case {
+        name,
+        running,
+        answers,
+        apart,
+        limit,
+    };
+    check(vec![
+        case("new", 0, vec![], 1, 16..=16),
+        case("calm and busy", 16, vec![100; 1_000], 1, 32..=32),
+        case("calm and idle", 2, vec![100; 1_000], 1, 16..=16),
+        case(
+            "four times slower",
+            16,
+            [vec![100; 10], vec![400; 1_000]].concat(),
+            1,
+            1..=6,
+        ),
+        case("full", 16, vec![0], 1, 11..=11),
+        case("full twice at once", 16, vec![0, 0], 1, 11..=11),
+        case("full twice", 16, vec![0, 0], 200, 7..=7),
+        case("a new window", 2, vec![100, 100], 31_000, 12..=12),
+    ]);
+}
