--- a/crates/admission/tests/learnt.rs
+++ b/crates/admission/tests/learnt.rs
@@ -128,7 +128,7 @@
 fn check(cases: Vec<Case>) {
     for case in cases {
         let mut limit = EndpointLimit::new(32);
-        (0..case.running).for_each(|_| drop(limit.start()));
+        (0..case.running).for_each(|_| assert!(limit.start()));
         for (index, millis) in case.answers.iter().enumerate() {
             let after = Duration::from_millis(*millis);
             let sample = if after.is_zero() {
