--- a/crates/admission/src/pool/mod.rs
+++ b/crates/admission/src/pool/mod.rs
@@ -187,7 +187,7 @@
         if self.places.is_empty() {
             self.check_at = now + CHECK_PERIOD;
         }
-        self.queue.insert(lane, key, job);
+        self.queue.insert(lane, key, job, slots);
         self.places.insert(
             key.ticket,
             Place {
--- a/crates/admission/src/queue/forecast.rs
+++ b/crates/admission/src/queue/forecast.rs
@@ -92,7 +92,7 @@
         let tag = if head.is_some() {
             lane.tag
         } else {
-            lane.tag.max(self.virtual_time)
+            lane.tag.max(self.returning_tag(slots))
         };
         let urgent = head.into_iter().chain(rank).min();
         tag - urgent.map_or(0.0, |rank| self.borrowed(rank, slots))
--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -5,8 +5,8 @@
 //! One notices that workspaces far below their share see the same waits as the one that is far above.
 //!
 //! Start-time fair queueing (Goyal, Vin, Cheng 1996): each workspace has a tag, the slot time it has started divided by
-//! its weight, and the workspace with the smallest tag goes next. A workspace that comes back starts from the virtual
-//! time, so that idling saves nothing up and what was used while slots were free is not held against it. Costs are
+//! its weight, and the workspace with the smallest tag goes next. A workspace that comes back starts from just before the
+//! virtual time, so that idling saves up little and what was used while slots were free is not held against it. Costs are
 //! estimates; the difference is charged when the job ends, so that estimating low gains nothing.
 //!
 //! Urgent jobs borrow time (Duda, Cheriton 1999): a workspace whose next job is urgent is compared by an earlier tag, but
@@ -35,6 +35,10 @@
 const BORROW_STEP: Duration = Duration::from_millis(100);
 /// The least urgent rank.
 const LAST_RANK: u8 = 9;
+/// A workspace that had nothing queued comes back with at most this much of its share saved up. Requests come in clusters;
+/// with nothing saved, a workspace well below its share waits with the second of a cluster beside one that asks for more
+/// than the pool: p99 first token 0.39 s, at this 0.29 s, alone 0.16 s. More than all that urgent jobs may borrow.
+const SAVED: Duration = Duration::from_secs(1);
 /// A job counts as arrived later by this multiple of its own time: it waits longer in proportion to its length, and at
 /// most that much longer.
 const LENGTH_DELAY: u32 = 2;
@@ -88,11 +92,11 @@
     }
 
     /// Adds a job to its lane.
-    pub fn insert(&mut self, lane: LaneIndex, key: Key, job: Queued) {
-        let virtual_time = self.virtual_time;
+    pub fn insert(&mut self, lane: LaneIndex, key: Key, job: Queued, slots: Slots) {
+        let returning = self.returning_tag(slots);
         let lane = &mut self.lanes[lane];
         if lane.is_empty() {
-            lane.tag = lane.tag.max(virtual_time);
+            lane.tag = lane.tag.max(returning);
             self.active_weight += u64::from(lane.weight);
         }
         lane.insert(key, job);
@@ -185,7 +189,17 @@
         if !self.mechanisms.priorities {
             return 0.0;
         }
-        let ranks = f64::from(LAST_RANK.saturating_sub(rank));
-        ranks * BORROW_STEP.as_secs_f64() * MICROS * f64::from(slots.all) / self.active_weight.max(1) as f64
+        let ranks = u32::from(LAST_RANK.saturating_sub(rank));
+        self.virtual_span(BORROW_STEP * ranks, slots)
+    }
+
+    /// Least tag of a workspace that had nothing queued.
+    fn returning_tag(&self, slots: Slots) -> f64 {
+        self.virtual_time - self.virtual_span(SAVED, slots)
+    }
+
+    /// Virtual time, in microseconds, that passes in some time while all lanes with jobs are served.
+    fn virtual_span(&self, time: Duration, slots: Slots) -> f64 {
+        time.as_secs_f64() * MICROS * f64::from(slots.all) / self.active_weight.max(1) as f64
     }
 }
--- a/crates/admission/tests/queue_order.rs
+++ b/crates/admission/tests/queue_order.rs
@@ -66,6 +66,12 @@
         self.waiting.iter().any(|one| one.1 == workspace)
     }
 
+    /// Weight of all workspaces with a job in the queue.
+    fn weight(&self) -> f64 {
+        let active: BTreeSet<u8> = self.waiting.iter().map(|one| one.1).collect();
+        active.iter().map(|workspace| f64::from(workspace + 1)).sum()
+    }
+
     /// Whether it starts at once.
     fn offer(&mut self, number: usize, workspace: u8, rank: u8, cost: f64, now: Duration) -> bool {
         if !self.waits(workspace) {
@@ -76,7 +82,9 @@
                 self.running += 1;
                 return true;
             }
-            self.tags.insert(workspace, tag);
+            let saved = 1e6 * f64::from(SLOTS) / self.weight().max(1.0);
+            self.tags
+                .insert(workspace, self.tag(workspace).max(self.virtual_time - saved));
         }
         let due = if self.urgent {
             now + Duration::from_millis(500) * u32::from(rank)
@@ -93,7 +101,7 @@
             return None;
         }
         let active: BTreeSet<u8> = self.waiting.iter().map(|one| one.1).collect();
-        let weight: f64 = active.iter().map(|workspace| f64::from(workspace + 1)).sum();
+        let weight = self.weight();
         let least = active
             .iter()
             .map(|&workspace| self.tag(workspace))
@@ -106,11 +114,12 @@
         };
         let key = |workspace: u8| {
             let ranks = if self.urgent {
-                f64::from(9 - self.ranks[&first(workspace).0])
+                9 - self.ranks[&first(workspace).0]
             } else {
-                0.0
+                0
             };
-            self.tag(workspace) - ranks * 0.1 * 1e6 * f64::from(SLOTS) / weight
+            let borrowed = f64::from(u32::from(ranks) * 100) / 1e3;
+            self.tag(workspace) - borrowed * 1e6 * f64::from(SLOTS) / weight
         };
         // Ties go to the workspace that was seen first, which the caller makes the lowest.
         let workspace = active.iter().copied().min_by(|a, b| key(*a).total_cmp(&key(*b)))?;
--- a/crates/admission/tests/scenarios.rs
+++ b/crates/admission/tests/scenarios.rs
@@ -98,9 +98,9 @@
 fn hot_caller() {
     check(&[
         case("hot caller", "others in time", Least(0.999), Most(0.5)),
-        case("hot caller", "others p99 first token, s", Most(0.5), Least(1.5)),
+        case("hot caller", "others p99 first token, s", Most(0.33), Least(1.5)),
         case("urgent hot caller", "others in time", Least(0.999), Most(0.3)),
-        case("urgent hot caller", "others p99 first token, s", Most(0.8), Least(2.5)),
+        case("urgent hot caller", "others p99 first token, s", Most(0.33), Least(2.5)),
         case("hot caller", "goodput", Least(0.95), Least(0.95)),
     ]);
 }
--- a/crates/admission/tests/shares.rs
+++ b/crates/admission/tests/shares.rs
@@ -148,6 +148,14 @@
             span: (5, 60),
             granted: (0.85, 1.1),
         },
+        Case {
+            name: "all get busy together",
+            up: |_, _| true,
+            linked: |_, _, _| true,
+            demand: |second, _| if second < 10 { 0.01 } else { 95.0 },
+            span: (10, 12),
+            granted: (0.95, 2.1),
+        },
         Case {
             name: "all at one router",
             up: |_, _| true,
