A second attempt beside a slow one

Cause: a completion that met a hanging engine waited there until its deadline (60 s by default). Ruled out: a shorter fixed timeout, since long prompts take long for good reasons. Attempts split: what goes on the wire is in transmit.rs.

--- a/crates/apricotfork/tests/endpoints.rs
+++ b/crates/apricotfork/tests/endpoints.rs
@@ -98,6 +98,25 @@
     until_out(&site);
 }
 
+/// An engine accepts requests and never answers. Without a second attempt beside a slow one, each request that meets it
+/// would wait there until its deadline, and callers would get nothing in time.
+#[test]
+fn a_hanging_engine_delays_and_fails_nobody() {
+    let site = Site::start(&Plan::default());
+    fault(
+        site.engines[0].address,
+        &wire::engine::Fault {
+            hang: Some(true),
+            ..Default::default()
+        },
+    );
+    for number in 0..8 {
+        let body = json!({"model": "advisory", "prompt": format!("silo {number}"), "max_tokens": 2});
+        let answer = site.complete("/v1/completions", &body);
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+}
+
 /// An engine crashes and comes back empty under a new incarnation. What was believed of its cache is gone with its old
 /// life: the next prompt counts as uncached, and later ones are cached again.
 #[test]
--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -5,14 +5,14 @@
 
 use super::call::Call;
 use super::refusal::{Cause, Refused};
+use super::transmit::{incarnation, unless_gone};
 use crate::control::{Event, Sighting};
 use crate::pool::{Flight, Permit, Wish};
 use crate::shared::Shared;
 use admission::{Failure, RetryDecision, Sample};
 use async_std::task;
-use futures::future::{Either, select};
-use http::{Client, Conn, Method, Reply, Request, SendError, Url};
-use ids::{Incarnation, WeightsVersion};
+use http::{Reply, Request, SendError};
+use ids::WeightsVersion;
 use lifecycle::request::{Repeat, Request as Life, RequestEvent, RequestStep};
 use placement::{EndpointKey, PrefixChain};
 use std::future::Future;
@@ -24,8 +24,6 @@
 
 /// Longest body of an endpoint's refusal that is read, bytes.
 const REFUSAL_BYTES: u64 = 64 * 1024;
-/// Longest wait for an engine to take notice of a cancelled request.
-const CANCEL_WAIT: Duration = Duration::from_secs(2);
 
 /// The attempts of one call.
 pub struct Attempts {
@@ -36,8 +34,8 @@
     pub(super) chain: PrefixChain,
     /// Weights that may serve it, the preferred ones first; empty for plain services.
     pub(super) weights: Vec<WeightsVersion>,
-    avoid: Vec<EndpointKey>,
-    count: u32,
+    pub(super) avoid: Vec<EndpointKey>,
+    pub(super) count: u32,
 }
 
 /// What came of one send.
@@ -81,7 +79,7 @@
     {
         loop {
             let flight = self.place()?;
-            let sent = self.send(&flight, &send).await?;
+            let (flight, sent) = self.send(flight, &send).await?;
             let failure = match sent {
                 Sent::Head(reply) => return Ok(Opened { flight, reply: *reply }),
                 Sent::Failed(failure) => failure,
@@ -110,7 +108,8 @@
         Ok(flight)
     }
 
-    async fn send<F, Fut>(&mut self, flight: &Flight, send: &F) -> Result<Sent, Refused>
+    /// Sends to the endpoint of `flight`, and to a second one if that is slow; the attempt that counts comes back.
+    async fn send<F, Fut>(&mut self, flight: Flight, send: &F) -> Result<(Flight, Sent), Refused>
     where
         F: Fn(Arc<Shared>, Request, Vec<u8>, SocketAddr, Duration) -> Fut,
         Fut: Future<Output = Result<Reply, SendError>>,
@@ -118,34 +117,47 @@
         let Some(left) = self.call.left(&self.shared) else {
             return Err(self.give_up(Cause::Deadline));
         };
-        let request = self.request(flight, left);
         let step = self.life.on(RequestEvent::SendStarts);
         assert_eq!(step, RequestStep::Send, "a call is sent only where its state allows it");
-        let sending = send(
-            self.shared.clone(),
-            request,
-            self.call.body.clone(),
-            flight.address,
-            left,
-        );
-        let Some(result) = unless_gone(&self.call.conn, sending).await else {
-            self.cancel(flight);
-            return Ok(Sent::Gone);
+        let sending = Box::pin(self.transmit(&flight, left, send));
+        let (flight, result) = if self.is_completion() {
+            self.race(flight, sending, send).await
+        } else {
+            (flight, unless_gone(&self.call.conn, sending).await)
+        };
+        let Some(result) = result else {
+            self.cancel(&flight);
+            return Ok((flight, Sent::Gone));
         };
+        let sent = self.settle(&flight, result).await;
+        Ok((flight, sent))
+    }
+
+    /// The request on its way to the endpoint of `flight`.
+    pub(super) fn transmit<F, Fut>(&self, flight: &Flight, left: Duration, send: &F) -> Fut
+    where
+        F: Fn(Arc<Shared>, Request, Vec<u8>, SocketAddr, Duration) -> Fut,
+    {
+        let request = self.request(flight, left);
+        let body = self.call.body.clone();
+        send(self.shared.clone(), request, body, flight.address, left)
+    }
+
+    async fn settle(&mut self, flight: &Flight, result: Result<Reply, SendError>) -> Sent {
         match result {
-            Ok(reply) => Ok(self.judge(flight, reply).await),
+            Ok(reply) => self.judge(flight, reply).await,
             Err(SendError::Timeout(true)) => {
                 self.life.on(RequestEvent::SendFailed);
                 self.cancel(flight);
-                Ok(Sent::Failed(Failure::Timeout))
+                Sent::Failed(Failure::Timeout)
             }
             Err(err) if err.not_sent() => {
                 self.life.on(RequestEvent::EndpointRefused);
-                Ok(Sent::Failed(Failure::NotSent))
+                Sent::Failed(Failure::NotSent)
             }
             Err(_) => {
                 self.life.on(RequestEvent::SendFailed);
-                Ok(Sent::Failed(Failure::Unknown))
+                Sent::Failed(Failure::Unknown)
             }
         }
     }
@@ -197,7 +209,7 @@
         allowed || !self.is_completion() || !reply.status().is_success()
     }
 
-    fn is_completion(&self) -> bool {
+    pub(super) fn is_completion(&self) -> bool {
         !self.weights.is_empty()
     }
 
@@ -268,57 +280,12 @@
         self.pause(Failure::Unknown).await
     }
 
-    /// Tells an engine that nobody waits for this request any more.
-    pub fn cancel(&self, flight: &Flight) {
-        if !self.is_completion() {
-            return;
-        }
-        let client = self.shared.client.clone();
-        let (to, id) = (flight.address, self.call.id.clone());
-        task::spawn(async move {
-            let url = engine_url(to, "/v1/cancel", Some(&format!("request={id}")));
-            // An engine that cannot be reached has nothing left to cancel.
-            if let Ok(reply) = client.send(to, Request::new(Method::Post, url), &[], CANCEL_WAIT).await {
-                let _ = reply.whole(REFUSAL_BYTES).await;
-            }
-        });
-    }
-
     pub(super) fn tell(&self, flight: &Flight, sighting: Sighting) {
         let event = Event::Endpoint(flight.endpoint.clone(), sighting);
         // The control thread is behind by a whole queue: the next sighting will do as well.
         let _ = self.shared.events.try_send(event);
     }
 
-    fn request(&self, flight: &Flight, left: Duration) -> Request {
-        let call = &self.call;
-        let url = engine_url(flight.address, &call.path, call.query.as_deref());
-        let mut request = Request::new(call.method, url);
-        request.insert_header(headers::REQUEST_ID, call.id.as_str());
-        request.insert_header(headers::DEADLINE_MS, left.as_millis().to_string());
-        request.insert_header(headers::PRIORITY, call.priority.to_string());
-        for name in ["content-type", headers::IDEMPOTENCY_KEY] {
-            if let Some(value) = super::call::text(&call.head, name) {
-                request.insert_header(name, value);
-            }
-        }
-        if self.is_completion() {
-            request.insert_header(headers::CACHE_SCOPE, call.caller.workspace.as_str());
-        }
-        request
-    }
-
-    /// The request that asks for the rest of a stream.
-    pub fn resume_request(&self, flight: &Flight, from: u64, left: Duration) -> Request {
-        let mut request = self.request(flight, left);
-        request.insert_header(headers::RESUME_FROM, from.to_string());
-        // Other weights would go on with another text.
-        if let Some(weights) = self.weights.first() {
-            request.insert_header(headers::WEIGHTS, weights.as_str());
-        }
-        request
-    }
-
     /// Another endpoint, for the rest of a stream.
     pub fn place_again(&mut self, broken: EndpointKey) -> Option<Flight> {
         self.avoid.push(broken);
@@ -335,28 +302,6 @@
     }
 }
 
-/// The result of `work`, none if the caller goes first.
-async fn unless_gone<T>(conn: &Conn, work: impl Future<Output = T>) -> Option<T> {
-    let gone = conn.peer_gone();
-    futures::pin_mut!(work, gone);
-    match select(work, gone).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => None,
-    }
-}
-
-/// Sends over the pool of connections.
-pub async fn send_pooled(
-    shared: Arc<Shared>,
-    request: Request,
-    body: Vec<u8>,
-    to: SocketAddr,
-    within: Duration,
-) -> Result<Reply, SendError> {
-    let client: &Client = &shared.client;
-    client.send(to, request, &body, within).await
-}
-
 fn cause(failure: Failure) -> Cause {
     match failure {
         Failure::Timeout => Cause::Deadline,
@@ -364,15 +309,3 @@
         Failure::Unknown => Cause::Endpoint,
     }
 }
-
-fn incarnation(reply: &Reply) -> Option<Incarnation> {
-    let text = reply.header(headers::INCARNATION)?;
-    text.parse().ok().map(Incarnation)
-}
-
-fn engine_url(to: SocketAddr, path: &str, query: Option<&str>) -> Url {
-    let mut url = Url::parse(&format!("http://{to}")).expect("a socket address makes a URL");
-    url.set_path(path);
-    url.set_query(query);
-    url
-}
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -1,10 +1,11 @@
 //! Completions: read, admitted, placed, answered whole or as a stream.
 
-use super::attempt::{Attempts, Opened, send_pooled};
+use super::attempt::{Attempts, Opened};
 use super::auth::Caller;
 use super::call::{self, Call};
 use super::refusal::{Cause, Refused};
 use super::stream;
+use super::transmit::send_pooled;
 use crate::shared::Shared;
 use crate::view::{Standing, Target, View};
 use admission::{Job, Tokens};
@@ -21,7 +22,7 @@
 /// Bytes of a prompt that make one cache block: 1,024 tokens of about four bytes.
 const BLOCK_BYTES: usize = 4096;
 /// Tokens of a cache block.
-const BLOCK_TOKENS: u64 = 1024;
+pub const BLOCK_TOKENS: u64 = 1024;
 /// Bytes of a token, on average.
 const TOKEN_BYTES: u64 = 4;
 /// Output expected of a request that states no bound.
@@ -125,7 +126,7 @@
 async fn read(attempts: &Attempts, reply: http::Reply) -> Option<Vec<u8>> {
     let left = attempts.call.left(&attempts.shared)?;
     let limit = attempts.shared.settings.limits.answer_bytes;
-    async_std::future::timeout(left, reply.whole(limit)).await.ok()?.ok()
+    http::timeout(left, reply.whole(limit)).await.ok()?.ok()
 }
 
 /// An answer with this body.
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -5,10 +5,12 @@
 mod call;
 mod claim;
 mod completion;
+mod hedge;
 mod models;
 mod refusal;
 mod service;
 mod stream;
+mod transmit;
 
 use crate::shared::Shared;
 use http::{Conn, Method, Request, Response};
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -1,10 +1,11 @@
 //! Calls of plain services: repeated only where that does no harm, claimed where a key asks for it.
 
-use super::attempt::{Attempts, send_pooled};
+use super::attempt::Attempts;
 use super::call::{self, Call};
 use super::claim::{self, Claimed};
 use super::completion::{job, respond};
 use super::refusal::{Cause, Refused};
+use super::transmit::send_pooled;
 use crate::shared::Shared;
 use crate::view::Target;
 use admission::Tokens;
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -1,8 +1,9 @@
 //! Streams: numbered pieces passed on as they come, resumed after a break, ended by `[DONE]` or by an error event.
 
-use super::attempt::{Attempts, Opened, send_pooled};
+use super::attempt::{Attempts, Opened};
 use super::completion::Seen;
 use super::refusal::{Cause, Refused};
+use super::transmit::send_pooled;
 use crate::control::Sighting;
 use crate::limits::Taken;
 use crate::pool::Flight;
--- a/crates/router/src/pool/permit.rs
+++ b/crates/router/src/pool/permit.rs
@@ -1,8 +1,10 @@
 //! A place in the queue, and the slot it becomes.
 
-use super::state::Wish;
+use super::state::{State, Wish};
 use super::{Flight, Pool, lock};
-use admission::{Attempt, Failure, Outcome, Refusal, RetryDecision, Ticket, Tokens, decide};
+use admission::{
+    Attempt, Failure, HedgeDecision, Outcome, Refusal, RetryDecision, Ticket, Tokens, decide, decide_hedge,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,20 +75,25 @@
     pub fn retry(&self, count: u32, repeatable: bool, deadline: Duration, failure: Failure) -> RetryDecision {
         let now = self.pool.clock.now();
         let mut state = lock(&self.pool.state);
-        let status = state.status();
-        let free = f64::from(state.admission.free()) / f64::from(status.capacity.max(1));
-        let attempt = Attempt {
-            count,
-            repeatable,
-            streamed: false,
-            deadline: Some(deadline),
-            expected: Duration::ZERO,
-            free,
-            queued: status.waiting > 0,
-        };
+        let attempt = attempt(&state, count, repeatable, deadline);
         decide(&attempt, failure, &mut state.budget, now)
     }
 
+    /// Expected time to first token of a request with this many uncached prompt tokens.
+    pub fn expected_first_token(&self, uncached: u64) -> Duration {
+        let state = lock(&self.pool.state);
+        let seconds = state.admission.service_model().first_token(uncached);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Decides whether an attempt that has waited for `slow` gets a second one beside it.
+    pub fn hedge(&self, count: u32, deadline: Duration, slow: Duration) -> HedgeDecision {
+        let now = self.pool.clock.now();
+        let mut state = lock(&self.pool.state);
+        let attempt = attempt(&state, count, true, deadline);
+        decide_hedge(&attempt, slow, slow, &mut state.budget, now)
+    }
+
     /// The whole answer was given; the slot is free.
     pub fn served(mut self, first_token: Duration, tokens: Tokens) {
         self.finish(Outcome::Served { first_token, tokens });
@@ -105,6 +112,20 @@
     }
 }
 
+fn attempt(state: &State, count: u32, repeatable: bool, deadline: Duration) -> Attempt {
+    let status = state.status();
+    let free = f64::from(state.admission.free()) / f64::from(status.capacity.max(1));
+    Attempt {
+        count,
+        repeatable,
+        streamed: false,
+        deadline: Some(deadline),
+        expected: Duration::ZERO,
+        free,
+        queued: status.waiting > 0,
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         self.finish(Outcome::Failed);
