--- a/crates/experiment/src/policy/settings.rs
+++ b/crates/experiment/src/policy/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of every router in a run, and mechanisms that can be switched off.
 
-use crate::deployment::{BLOCK_TOKENS, PREFILL_RATE};
+use crate::deployment::{BLOCK_TOKENS, PREFILL_RATE, REPORT_EVERY, REPORT_LAG};
 use placement::{LoadView, LoadViewBuilder, Placer, PlacerBuilder};
 use std::time::Duration;
 
@@ -24,6 +24,10 @@
     pub front: Front,
     /// What all routers together may have at an engine at first, in multiples of its slots.
     pub overcommit: f64,
+    /// Time between two load reports of an engine.
+    pub every: Duration,
+    /// How late a report reaches a router.
+    pub lag: Duration,
     /// Whether routers that start read the pressures that another one stored.
     pub hint: bool,
     /// Price of recomputing in the oracle's choice.
@@ -40,6 +44,8 @@
             view: LoadView::builder(PREFILL_RATE),
             front: Front::Admission,
             overcommit: 1.0,
+            every: REPORT_EVERY,
+            lag: REPORT_LAG,
             hint: true,
             oracle: ORACLE,
         }
@@ -60,6 +66,8 @@
             "own" => self.view = self.view.own(false),
             "speed" => self.view = self.view.paces(false),
             "admission" => self.front = Front::Fifo,
+            "every" => self.every = time,
+            "lag" => self.lag = time,
             "hint" => self.hint = false,
             "ranks" => self.placer = self.placer.ranks(figure as usize),
             "spread" => self.placer = self.placer.spread(figure),
--- a/crates/experiment/src/sim/mod.rs
+++ b/crates/experiment/src/sim/mod.rs
@@ -8,7 +8,7 @@
 
 use self::gate::{Entry, Turn};
 use self::router::{Router, Sent};
-use crate::deployment::{CLIENT, Deployment, REPORT_EVERY, REPORT_LAG};
+use crate::deployment::{CLIENT, Deployment};
 use crate::engine::{Engine, Progress, Sequence};
 use crate::policy::{Policy, Settings};
 use crate::workload::Request;
@@ -143,10 +143,10 @@
             self.at(*time, Event::Fault(*fault));
         }
         let length = self.requests.last().map_or(Duration::ZERO, |request| request.sent);
-        let mut time = REPORT_EVERY;
+        let mut time = self.setup.settings.every;
         while time < length + Duration::from_secs(60) {
             self.at(time, Event::Measure);
-            time += REPORT_EVERY;
+            time += self.setup.settings.every;
         }
     }
 
@@ -351,7 +351,10 @@
                 prefill: engine.prefill_left(),
                 measured: self.now,
             };
-            self.at(self.now + REPORT_LAG, Event::Deliver { engine: at, report });
+            self.at(
+                self.now + self.setup.settings.lag,
+                Event::Deliver { engine: at, report },
+            );
         }
     }
 
