Admission: scenario of eight routers that share their endpoints

Each endpoint's slots are configured once for all routers, so eight fixed limits let in several times as many.

--- a/crates/admission/tests/scenarios.rs
+++ b/crates/admission/tests/scenarios.rs
@@ -118,6 +118,17 @@
     ]);
 }
 
+/// Eight routers send to the same endpoints and each knows only what it has sent itself. With fixed limits they fill the
+/// endpoints several times over, and callers wait there past their deadlines.
+#[test]
+fn many_routers() {
+    check(&[
+        case("eight routers", "late", Most(0.002), Least(0.01)),
+        case("eight routers", "p99 first token, s", Most(3.4), Least(3.9)),
+        case("eight routers", "goodput", Least(0.95), Most(0.95)),
+    ]);
+}
+
 /// All endpoints become three times slower for half a minute, which nobody announces. Until that is learnt from the answers
 /// jobs are admitted that come late; without early refusals all of that time's callers and many later ones get theirs late.
 #[test]
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -51,6 +51,8 @@
 pub struct Setup {
     pub settings: Settings,
     pub endpoints: Vec<Endpoint>,
+    /// Routers that share the endpoints; requests come to them in turn.
+    pub routers: usize,
     /// Whether the endpoints' limits adapt.
     pub adaptive: bool,
     /// When refused callers come back, once, from what they are told.
@@ -62,6 +64,7 @@
         Self {
             settings,
             endpoints: vec![Endpoint::new(slots, slots)],
+            routers: 1,
             adaptive: false,
             come_back: |_| None,
         }
@@ -92,7 +95,7 @@
     Arrive(usize),
     First(usize, usize),
     Finish(usize, usize),
-    Check,
+    Check(usize),
 }
 
 struct Request {
@@ -104,22 +107,23 @@
 
 struct EndpointState {
     config: Endpoint,
-    limit: EndpointLimit,
-    sent: u32,
+    /// Limit and requests sent by router.
+    limits: Vec<EndpointLimit>,
+    sent: Vec<u32>,
     working: u32,
     queue: VecDeque<usize>,
 }
 
 struct Driver {
     setup: Setup,
-    pool: Admission,
+    pools: Vec<Admission>,
     endpoints: Vec<EndpointState>,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     sequence: u64,
     requests: Vec<Request>,
-    tickets: BTreeMap<Ticket, usize>,
+    tickets: BTreeMap<(usize, Ticket), usize>,
     running: BTreeMap<usize, Ticket>,
-    check_at: Option<Duration>,
+    checks: Vec<bool>,
     served: Vec<Served>,
     random: ChaCha8Rng,
 }
@@ -146,21 +150,21 @@
     fn new(setup: &Setup) -> Self {
         let state = |config: &Endpoint| EndpointState {
             config: *config,
-            limit: EndpointLimit::new(config.slots),
-            sent: 0,
+            limits: vec![EndpointLimit::new(config.slots); setup.routers],
+            sent: vec![0; setup.routers],
             working: 0,
             queue: VecDeque::new(),
         };
         Self {
             setup: setup.clone(),
-            pool: Admission::new(setup.settings),
+            pools: (0..setup.routers).map(|_| Admission::new(setup.settings)).collect(),
             endpoints: setup.endpoints.iter().map(state).collect(),
             events: BinaryHeap::new(),
             sequence: 0,
             requests: Vec::new(),
             tickets: BTreeMap::new(),
             running: BTreeMap::new(),
-            check_at: None,
+            checks: vec![false; setup.routers],
             served: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(7),
         }
@@ -183,60 +187,68 @@
     }
 
     fn handle(&mut self, event: Event, now: Duration) {
-        self.set_capacity(now);
+        let router = match event {
+            Event::Check(router) => router,
+            Event::Arrive(index) | Event::First(index, _) | Event::Finish(index, _) => self.router(index),
+        };
+        self.set_capacity(router, now);
         match event {
             Event::Arrive(index) => self.offer(index, now),
             Event::First(index, endpoint) => self.first(index, endpoint, now),
             Event::Finish(index, endpoint) => self.finish(index, endpoint, now),
-            Event::Check => self.check_at = None,
+            Event::Check(router) => self.checks[router] = false,
         }
-        self.set_capacity(now);
-        self.drain(now);
+        self.set_capacity(router, now);
+        self.drain(router, now);
+    }
+
+    fn router(&self, index: usize) -> usize {
+        index % self.pools.len()
     }
 
-    fn set_capacity(&mut self, now: Duration) {
-        let slots = (0..self.endpoints.len()).map(|index| self.limit(index)).sum();
-        self.pool.set_capacity(slots, now);
+    fn set_capacity(&mut self, router: usize, now: Duration) {
+        let slots = (0..self.endpoints.len()).map(|index| self.limit(router, index)).sum();
+        self.pools[router].set_capacity(slots, now);
     }
 
-    fn limit(&self, index: usize) -> u32 {
+    fn limit(&self, router: usize, index: usize) -> u32 {
         let state = &self.endpoints[index];
         if self.setup.adaptive {
-            state.limit.limit()
+            state.limits[router].limit()
         } else {
             state.config.slots
         }
     }
 
     fn offer(&mut self, index: usize, now: Duration) {
-        match self.pool.offer(&self.requests[index].arrival.job(), now) {
+        let router = self.router(index);
+        match self.pools[router].offer(&self.requests[index].arrival.job(), now) {
             Offer::Start(ticket) => self.start(ticket, index, now),
             Offer::Wait(ticket) => {
-                self.tickets.insert(ticket, index);
+                self.tickets.insert((router, ticket), index);
             }
             Offer::Refuse(refusal) => self.refuse(index, refusal, now),
         }
     }
 
-    fn drain(&mut self, now: Duration) {
+    fn drain(&mut self, router: usize, now: Duration) {
         loop {
-            match self.pool.next(now) {
-                Next::Start(ticket) => {
-                    let index = self.tickets.remove(&ticket).expect("a waiting ticket");
-                    self.start(ticket, index, now);
-                }
-                Next::Expired(ticket, refusal) => {
-                    let index = self.tickets.remove(&ticket).expect("a waiting ticket");
-                    self.refuse(index, refusal, now);
-                }
+            let (ticket, refusal) = match self.pools[router].next(now) {
+                Next::Start(ticket) => (ticket, None),
+                Next::Expired(ticket, refusal) => (ticket, Some(refusal)),
                 Next::Wait => break,
+            };
+            let index = self.tickets.remove(&(router, ticket)).expect("a waiting ticket");
+            match refusal {
+                Some(refusal) => self.refuse(index, refusal, now),
+                None => self.start(ticket, index, now),
             }
         }
-        if let Some(at) = self.pool.next_check()
-            && self.check_at.is_none()
+        if let Some(at) = self.pools[router].next_check()
+            && !self.checks[router]
         {
-            self.check_at = Some(at);
-            self.push(at.max(now + Duration::from_micros(1)), Event::Check);
+            self.checks[router] = true;
+            self.push(at.max(now + Duration::from_micros(1)), Event::Check(router));
         }
     }
 
@@ -259,11 +271,13 @@
     fn start(&mut self, ticket: Ticket, index: usize, now: Duration) {
         self.running.insert(index, ticket);
         self.requests[index].start = now;
-        let room = |&endpoint: &usize| i64::from(self.limit(endpoint)) - i64::from(self.endpoints[endpoint].sent);
+        let router = self.router(index);
+        let sent = |endpoint: usize| i64::from(self.endpoints[endpoint].sent[router]);
+        let room = |&endpoint: &usize| i64::from(self.limit(router, endpoint)) - sent(endpoint);
         let endpoint = (0..self.endpoints.len()).rev().max_by_key(room).expect("an endpoint");
         let state = &mut self.endpoints[endpoint];
-        state.sent += 1;
-        state.limit.start();
+        state.sent[router] += 1;
+        state.limits[router].start();
         state.queue.push_back(index);
         self.work(endpoint, now);
     }
@@ -295,15 +309,17 @@
             after: now - request.start,
             uncached: request.arrival.truth.uncached,
         };
-        self.endpoints[endpoint].limit.observe(sample, now);
+        let router = self.router(index);
+        self.endpoints[endpoint].limits[router].observe(sample, now);
     }
 
     fn finish(&mut self, index: usize, endpoint: usize, now: Duration) {
+        let router = self.router(index);
         let state = &mut self.endpoints[endpoint];
         state.working -= 1;
-        state.sent -= 1;
-        if state.limit.in_flight() > 0 {
-            state.limit.end();
+        state.sent[router] -= 1;
+        if state.limits[router].in_flight() > 0 {
+            state.limits[router].end();
         }
         let ticket = self.running.remove(&index).expect("a running request");
         let request = &self.requests[index];
@@ -311,7 +327,9 @@
             first_token: request.first - request.start,
             tokens: request.arrival.truth,
         };
-        self.pool.finish(ticket, outcome, now).expect("a running ticket");
+        self.pools[router]
+            .finish(ticket, outcome, now)
+            .expect("a running ticket");
         let first = request.first - request.arrival.at;
         let late = now > request.arrival.at + request.arrival.slack;
         self.end(index, if late { Got::Late } else { Got::Answer { first } }, now);
--- a/crates/admission/tests/support/scenarios.rs
+++ b/crates/admission/tests/support/scenarios.rs
@@ -50,6 +50,7 @@
         scenario("no hot caller", fair, || even(0.5), whole),
         scenario("slow endpoint", slow_endpoint, || even(0.7), whole),
         scenario("full endpoints", full_endpoints, || even(2.0), whole),
+        scenario("eight routers", eight_routers, || even(2.0), whole),
         scenario("pool slows down", slow_pool, || even(0.8), whole),
         scenario("long among short", lengths, long_short, by_length),
         scenario("overload 2x", refuse, || even(2.0), whole),
@@ -109,6 +110,14 @@
     endpoints(on, SLOTS * 2)
 }
 
+/// Eight routers that know nothing of each other; each could fill the endpoints alone.
+fn eight_routers(on: bool) -> Setup {
+    let mut setup = endpoints(on, SLOTS / 2);
+    setup.endpoints = vec![Endpoint::new(SLOTS / 2, SLOTS / 2); 2];
+    setup.routers = 8;
+    setup
+}
+
 fn endpoints(adaptive: bool, slots: u32) -> Setup {
     let mut setup = pool(|_| (), true);
     setup.endpoints = vec![Endpoint::new(slots, SLOTS / 4); 4];
