Admission: learns how much of the allowed output answers use

Cause: the router can only say what a caller allows (max_tokens or a default), usually several times what comes, and admission took it as expected.

--- a/crates/admission/src/job.rs
+++ b/crates/admission/src/job.rs
@@ -4,12 +4,12 @@
 use ids::{Priority, WorkspaceId};
 use std::time::Duration;
 
-/// Tokens of one request: as estimated when it is offered, as counted when it ends. Both zero for plain services.
+/// Tokens of one request: as estimated or allowed when it is offered, as counted when it ends. Both zero for plain services.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Tokens {
     /// Prompt tokens that are not found in a cache.
     pub uncached: u64,
-    /// Tokens generated.
+    /// Tokens generated; of a request that is offered, what the caller allows. What is used of that is learnt.
     pub output: u64,
 }
 
@@ -22,7 +22,7 @@
     pub weight: u32,
     /// Urgency, 0 to 9, 0 the most urgent.
     pub priority: Priority,
-    /// Expected tokens; they say how long the job will hold its slot.
+    /// Tokens; they say how long the job will hold its slot.
     pub tokens: Tokens,
     /// When the caller stops waiting for the whole answer, on the clock of `now`.
     pub deadline: Option<Duration>,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -13,6 +13,7 @@
 mod bucket;
 mod endpoint_limit;
 mod job;
+mod output_model;
 mod pool;
 mod queue;
 mod reserve;
--- a/crates/admission/src/pool/mod.rs
+++ b/crates/admission/src/pool/mod.rs
@@ -14,9 +14,12 @@
 
 pub use counts::Counts;
 
+use crate::output_model::OutputModel;
 use crate::queue::{Key, LaneIndex, Queue, Queued, Slots};
 use crate::reserve::{Length, Reserve};
-use crate::{Cancelled, Job, Next, Offer, Outcome, Reason, Refusal, ServiceModel, Settings, Ticket, UnknownTicket};
+use crate::{
+    Cancelled, Job, Next, Offer, Outcome, Reason, Refusal, ServiceModel, Settings, Ticket, Tokens, UnknownTicket,
+};
 use judge::{CHECK_PERIOD, EMPTY_RETRY};
 use running::{Running, Started};
 use std::collections::{HashMap, VecDeque};
@@ -39,6 +42,7 @@
     capacity: u32,
     empty_since: Duration,
     model: ServiceModel,
+    outputs: OutputModel,
     reserve: Reserve,
     queue: Queue,
     counts: Counts,
@@ -57,6 +61,7 @@
             capacity: 0,
             empty_since: Duration::ZERO,
             model: ServiceModel::default(),
+            outputs: OutputModel::default(),
             reserve: Reserve::default(),
             queue: Queue::new(settings.mechanisms),
             counts: Counts::default(),
@@ -82,18 +87,18 @@
     /// Offers a job. After `Wait` its ticket comes out of [`Admission::next`], once, unless it is cancelled before.
     pub fn offer(&mut self, job: &Job, now: Duration) -> Offer {
         self.counts.offered += 1;
-        let seconds = self.model.seconds(job.tokens);
-        let length = self.reserve.observe(seconds, now);
+        let lane = self.queue.lane(&job.workspace, job.weight);
+        let seconds = self.expected_seconds(lane, job.tokens);
         let cost = (seconds * 1e6) as u64 + 1;
         let queued = Queued {
             cost,
+            allowed: job.tokens.output,
             rank: job.priority.0,
-            length,
+            length: self.reserve.observe(seconds, now),
             latest: job
                 .deadline
                 .map(|deadline| deadline.saturating_sub(Duration::from_micros(cost))),
         };
-        let lane = self.queue.lane(&job.workspace, job.weight);
         self.newest += 1;
         let ticket = Ticket(self.newest);
         let key = Key {
@@ -139,6 +144,7 @@
             let true_cost = self.model.seconds(tokens) * 1e6;
             self.queue.charge(job.lane, true_cost - job.cost as f64);
             self.model.observe(tokens, first_token, now.saturating_sub(job.at));
+            self.outputs.observe(job.lane, job.allowed, tokens.output);
         }
         self.check_counts();
         Ok(())
@@ -169,6 +175,13 @@
         &self.model
     }
 
+    fn expected_seconds(&self, lane: LaneIndex, mut tokens: Tokens) -> f64 {
+        if self.settings.mechanisms.learn {
+            tokens.output = self.outputs.expected(lane, tokens.output);
+        }
+        self.model.seconds(tokens)
+    }
+
     fn place(&mut self, lane: LaneIndex, key: Key, job: Queued, now: Duration) -> Offer {
         let slots = self.slots(now);
         if self.capacity == 0 {
@@ -245,13 +258,16 @@
 
     fn start(&mut self, ticket: Ticket, lane: LaneIndex, job: &Queued, now: Duration) {
         assert!(self.free() > 0, "a job started beyond the pool's slots");
-        let Queued { cost, length, .. } = *job;
+        let Queued {
+            cost, length, allowed, ..
+        } = *job;
         self.running.start(
             ticket,
             Started {
                 lane,
                 cost,
                 length,
+                allowed,
                 at: now,
             },
         );
--- a/crates/admission/src/pool/running.rs
+++ b/crates/admission/src/pool/running.rs
@@ -15,6 +15,8 @@
     pub cost: u64,
     /// Whether it is long among its like.
     pub length: Length,
+    /// Output that its caller allows, tokens.
+    pub allowed: u64,
     /// When it started.
     pub at: Duration,
 }
--- a/crates/admission/src/queue/lane.rs
+++ b/crates/admission/src/queue/lane.rs
@@ -19,6 +19,8 @@
 pub struct Queued {
     /// Expected slot time, microseconds.
     pub cost: u64,
+    /// Output that its caller allows, tokens.
+    pub allowed: u64,
     /// Urgency, 0 the most urgent.
     pub rank: u8,
     /// Whether it is long among its like.
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -21,6 +21,8 @@
     pub reserve: bool,
     /// Refuse jobs whose deadline is out of reach; otherwise they wait in a queue bounded by its length.
     pub refuse: bool,
+    /// Learn how much of the allowed output answers use; otherwise all of it is expected.
+    pub learn: bool,
 }
 
 impl Default for Mechanisms {
@@ -31,6 +33,7 @@
             short_first: true,
             reserve: true,
             refuse: true,
+            learn: true,
         }
     }
 }
--- a/crates/admission/tests/scenarios.rs
+++ b/crates/admission/tests/scenarios.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use admission::Settings;
+use admission::{Mechanisms, Settings};
 use support::{Served, Setup, Stream, arrivals, goodput, run, scenarios, scenarios::all};
 
 /// Bounds of one figure of a scenario; `off` is what the figure must miss without the mechanism.
@@ -164,6 +164,17 @@
     ]);
 }
 
+/// Callers allow eight times the output that they get, at four fifths of the capacity and at twice. Were all of it expected,
+/// two of five callers would be refused for their deadlines by a pool that has idle slots.
+#[test]
+fn high_estimates() {
+    check(&[
+        case("high estimates 0.8x", "in time", Least(0.99), Most(0.7)),
+        case("high estimates 2x", "goodput", Least(0.95), Most(0.9)),
+        case("high estimates 2x", "late", Most(0.002), Most(0.002)),
+    ]);
+}
+
 /// One and a half times the capacity, a fifth of it urgent. Without ranks urgent callers are refused like all others;
 /// with them the others must still be served from what is left.
 #[test]
@@ -177,16 +188,18 @@
 }
 
 /// One workspace says that its answers are a tenth as long as they turn out, beside seven that say the truth; together they
-/// ask for four times the pool. Were only the estimate charged, it would be served several times its share.
+/// ask for four times the pool, and nothing is learnt of their answers. Were only the estimate charged, it would be served several times its share.
 #[test]
 fn low_estimates_gain_nothing() {
     let share = |estimate: f64| {
         let mut streams: Vec<Stream> = (0..8).map(|workspace| Stream::of(workspace, 16.0)).collect();
         streams[0].estimate = estimate;
-        let served = run(
-            &Setup::pool(scenarios::SLOTS, Settings::default()),
-            &arrivals(&streams, 4),
-        );
+        let mechanisms = Mechanisms {
+            learn: false,
+            ..Mechanisms::default()
+        };
+        let settings = Settings::builder().mechanisms(mechanisms).build();
+        let served = run(&Setup::pool(scenarios::SLOTS, settings), &arrivals(&streams, 4));
         let own: Vec<Served> = served.into_iter().filter(|one| one.arrival.workspace == 0).collect();
         goodput(&own, scenarios::SLOTS, (10.0, 120.0))
     };
--- a/crates/admission/tests/support/scenarios.rs
+++ b/crates/admission/tests/support/scenarios.rs
@@ -56,6 +56,8 @@
         scenario("overload 2x", refuse, || even(2.0), whole),
         scenario("overload 4x", refuse, || even(4.0), whole),
         scenario("mixed lengths 4x", refuse, mixed, whole),
+        scenario("high estimates 0.8x", learn, || high(0.8), whole),
+        scenario("high estimates 2x", learn, || high(2.0), whole),
         scenario("priorities", priorities, ranks, by_rank),
     ]
 }
@@ -84,6 +86,10 @@
     pool(|all| all.priorities = false, on)
 }
 
+fn learn(on: bool) -> Setup {
+    pool(|all| all.learn = false, on)
+}
+
 /// Refused callers come back when they are told to, or else after a second.
 fn come_back(on: bool) -> Setup {
     let mut setup = pool(|_| (), true);
@@ -130,6 +136,13 @@
     (1..=8).map(|workspace| Stream::of(workspace, load * 4.0)).collect()
 }
 
+/// Callers allow eight times what the answers come to.
+fn high(load: f64) -> Vec<Stream> {
+    let mut streams = even(load);
+    streams.iter_mut().for_each(|stream| stream.estimate = 8.0);
+    streams
+}
+
 fn burst() -> Vec<Stream> {
     with(even(0.5), Stream::of(1, 160.0).span(20.0, 24.0))
 }
