Admission: a new router does not hold its assumptions against deadlines

Cause: a router that starts assumes that all of the allowed output comes; with 4,000 tokens allowed and ten seconds it would have refused every request as too short a deadline, and so never have learnt better. A job whose expected time does not fit is judged by what is known to be needed: nothing before five answers, the first token before two of its workspace and size. The new test is red without it.

--- a/crates/admission/src/output_model.rs
+++ b/crates/admission/src/output_model.rs
@@ -55,6 +55,14 @@
         (allowed * used).round() as u64
     }
 
+    /// Whether a few such requests of this workspace have been answered.
+    pub fn is_learnt(&self, lane: usize, allowed: u64) -> bool {
+        let Some(sums) = self.lanes.get(lane) else {
+            return allowed == 0;
+        };
+        allowed == 0 || sums[size(allowed)].allowed >= PRIOR * allowed as f64
+    }
+
     /// Takes in a whole answer.
     pub fn observe(&mut self, lane: usize, allowed: u64, counted: u64) {
         if allowed == 0 {
--- a/crates/admission/src/pool/judge.rs
+++ b/crates/admission/src/pool/judge.rs
@@ -3,7 +3,7 @@
 use super::Admission;
 use crate::queue::{Ahead, Key, LaneIndex, Queued, Slots};
 use crate::reserve::Length;
-use crate::{Reason, Refusal};
+use crate::{Reason, Refusal, Tokens};
 use std::time::Duration;
 
 /// Expected wait and service are taken as longer by this factor when a job is admitted, not when it is checked again: a
@@ -31,6 +31,35 @@
 const MAX_SECONDS: f64 = 1e6;
 
 impl Admission {
+    /// Seconds that a job is expected to hold its slot.
+    pub(super) fn expected_seconds(&self, lane: LaneIndex, mut tokens: Tokens) -> f64 {
+        if self.settings.mechanisms.learn {
+            tokens.output = self.outputs.expected(lane, tokens.output);
+        }
+        self.model.seconds(tokens)
+    }
+
+    /// When a job must have started to end before its deadline.
+    pub(super) fn latest_start(&self, lane: LaneIndex, tokens: Tokens, deadline: Duration, now: Duration) -> Duration {
+        let expected = Duration::from_secs_f64(self.expected_seconds(lane, tokens));
+        if now + expected.mul_f64(ADMIT_MARGIN) <= deadline {
+            return deadline - expected;
+        }
+        deadline.saturating_sub(self.least_time(lane, tokens))
+    }
+
+    /// Time that a job is known to need. A new router knows nothing, and callers allow more output than they get: were its
+    /// assumptions held against deadlines, it would refuse jobs that are in time, and never learn better.
+    fn least_time(&self, lane: LaneIndex, tokens: Tokens) -> Duration {
+        if !self.model.is_learnt() {
+            return Duration::ZERO;
+        }
+        if self.settings.mechanisms.learn && !self.outputs.is_learnt(lane, tokens.output) {
+            return Duration::from_secs_f64(self.model.first_token(tokens.uncached));
+        }
+        Duration::from_secs_f64(self.expected_seconds(lane, tokens))
+    }
+
     /// Why the job must not be admitted, if so. `idle` says that it can start now.
     pub(super) fn judge(
         &mut self,
--- a/crates/admission/src/pool/mod.rs
+++ b/crates/admission/src/pool/mod.rs
@@ -97,7 +97,7 @@
             length: self.reserve.observe(seconds, now),
             latest: job
                 .deadline
-                .map(|deadline| deadline.saturating_sub(Duration::from_micros(cost))),
+                .map(|deadline| self.latest_start(lane, job.tokens, deadline, now)),
         };
         self.newest += 1;
         let ticket = Ticket(self.newest);
@@ -175,13 +175,6 @@
         &self.model
     }
 
-    fn expected_seconds(&self, lane: LaneIndex, mut tokens: Tokens) -> f64 {
-        if self.settings.mechanisms.learn {
-            tokens.output = self.outputs.expected(lane, tokens.output);
-        }
-        self.model.seconds(tokens)
-    }
-
     fn place(&mut self, lane: LaneIndex, key: Key, job: Queued, now: Duration) -> Offer {
         let slots = self.slots(now);
         if self.capacity == 0 {
--- a/crates/admission/src/service_model.rs
+++ b/crates/admission/src/service_model.rs
@@ -21,6 +21,8 @@
 /// Sizes of the assumed samples, tokens.
 const PRIOR_PROMPTS: [f64; 2] = [0.0, 2_000.0];
 const PRIOR_OUTPUT: f64 = 100.0;
+/// After this many answers the assumptions above weigh less than what was seen.
+const LEARNT: u32 = 5;
 /// Never expect less, so that no job is free and no division by zero follows.
 const MIN_SECONDS: f64 = 1e-4;
 
@@ -34,6 +36,7 @@
     prompt_first: f64,
     output: f64,
     decode: f64,
+    seen: u32,
 }
 
 impl Default for ServiceModel {
@@ -46,6 +49,7 @@
             prompt_first: 0.0,
             output: PRIOR_OUTPUT,
             decode: PRIOR_OUTPUT * DECODE_SECONDS,
+            seen: 0,
         };
         for prompt in PRIOR_PROMPTS {
             model.add_first(prompt, REQUEST_SECONDS + prompt * PREFILL_SECONDS);
@@ -57,6 +61,7 @@
 impl ServiceModel {
     /// Takes in a job that ended: its tokens, its time to the first token and the whole time it held its slot.
     pub fn observe(&mut self, tokens: Tokens, first_token: Duration, total: Duration) {
+        self.seen = self.seen.saturating_add(1);
         self.count *= FADE;
         self.prompt *= FADE;
         self.prompt_square *= FADE;
@@ -70,6 +75,11 @@
         self.decode = self.decode * FADE + total.saturating_sub(first_token).as_secs_f64();
     }
 
+    /// Whether enough jobs have ended to judge others by them.
+    pub fn is_learnt(&self) -> bool {
+        self.seen >= LEARNT
+    }
+
     /// Expected time to the first token once the job has a slot, seconds.
     pub fn first_token(&self, uncached: u64) -> f64 {
         let (request, token) = self.line();
--- a/crates/admission/tests/refusals.rs
+++ b/crates/admission/tests/refusals.rs
@@ -9,7 +9,7 @@
 /// Expected of a fresh pool for a job of `OUTPUT` tokens without a prompt.
 const SERVICE: Duration = Duration::from_millis(520);
 const OUTPUT: u64 = 25;
-const START: Duration = Duration::from_secs(50);
+const START: Duration = Duration::from_secs(500);
 
 struct Case {
     name: &'static str,
@@ -35,8 +35,24 @@
     }
 }
 
+/// Serves jobs that take as long as is assumed, one after the other, until `now`.
+fn learn(pool: &mut Admission, job: &Job, output: u64, now: Duration) {
+    pool.set_capacity(1, Duration::ZERO);
+    for _ in 0..10 {
+        let first_token = Duration::from_millis(20);
+        let total = first_token + Duration::from_millis(20) * output as u32;
+        let Offer::Start(ticket) = pool.offer(job, now - total) else {
+            panic!("an idle pool starts it")
+        };
+        let tokens = Tokens { uncached: 0, output };
+        pool.finish(ticket, Outcome::Served { first_token, tokens }, now)
+            .expect("a running job");
+    }
+}
+
 fn filled(slots: u32, before: u32) -> (Admission, VecDeque<(Duration, Ticket)>) {
     let mut pool = Admission::new(Settings::default());
+    learn(&mut pool, &job("one", None), OUTPUT, START);
     pool.set_capacity(slots, START);
     let mut running = VecDeque::new();
     for _ in 0..before {
@@ -158,3 +174,34 @@
     }
     assert_eq!((pool.next(later), pool.next_check()), (Next::Wait, None));
 }
+
+/// A router starts while callers allow 4,000 tokens within ten seconds, as ever, and get 25. It assumes more than a minute
+/// for them; were that held against the deadline it would refuse all of them for good. Answers that do become as long as
+/// they may are refused once that is known.
+#[test]
+fn a_new_router_serves_what_it_cannot_judge() {
+    for (output, admitted) in [(25, true), (4_000, false)] {
+        let mut pool = Admission::new(Settings::default());
+        let mut job = job("one", Some(START + Duration::from_secs(10)));
+        job.tokens.output = 4_000;
+        pool.set_capacity(SLOTS, START);
+        let Offer::Start(ticket) = pool.offer(&job, START) else {
+            panic!("refused by a new router")
+        };
+        pool.cancel(ticket);
+        learn(
+            &mut pool,
+            &Job {
+                deadline: None,
+                ..job.clone()
+            },
+            output,
+            START,
+        );
+        assert_eq!(
+            matches!(pool.offer(&job, START), Offer::Start(_)),
+            admitted,
+            "answers of {output} tokens"
+        );
+    }
+}
