--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -5,8 +5,8 @@
 //! One notices that workspaces far below their share see the same waits as the one that is far above.
 //!
 //! Start-time fair queueing (Goyal, Vin, Cheng 1996): each workspace has a tag, the slot time it has started divided by
-//! its weight, and the workspace with the smallest tag goes next. A workspace that comes back starts from the virtual
-//! time, so that idling saves nothing up and what was used while slots were free is not held against it. Costs are
+//! its weight, and the workspace with the smallest tag goes next. A workspace that comes back starts from just before the
+//! virtual time, so that idling saves up little and what was used while slots were free is not held against it. Costs are
 //! estimates; the difference is charged when the job ends, so that estimating low gains nothing.
 //!
 //! Urgent jobs borrow time (Duda, Cheriton 1999): a workspace whose next job is urgent is compared by an earlier tag, but
@@ -14,8 +14,10 @@
 //! jobs urgent. Within a workspace a job counts as arrived the later the lower its rank and the longer it is, so that
 //! every job's turn comes.
 
+mod forecast;
 mod lane;
 
+pub use forecast::{Ahead, Slots};
 pub use lane::{Key, Queued};
 
 use crate::reserve::Length;
@@ -29,10 +31,14 @@
 /// deadlines of some seconds: an urgent job passes all that came in that time, the least urgent waits that much longer.
 const RANK_STEP: Duration = Duration::from_millis(500);
 /// Between workspaces one rank is worth this much: 0.9 s over all ranks, which is what a workspace that calls everything
-/// urgent may cost the others once. At 0.25 s they saw a p99 first token of 0.94 s beside such a one, at this 0.65 s.
+/// urgent may cost the others once. It is less than what those may have saved up.
 const BORROW_STEP: Duration = Duration::from_millis(100);
 /// The least urgent rank.
 const LAST_RANK: u8 = 9;
+/// A workspace that had nothing queued comes back with at most this much of its share saved up. Requests come in clusters;
+/// with nothing saved, a workspace well below its share waits with the second of a cluster beside one that asks for more
+/// than the pool: p99 first token 0.39 s, at this 0.29 s, alone 0.16 s. More than all that urgent jobs may borrow.
+const SAVED: Duration = Duration::from_secs(1);
 /// A job counts as arrived later by this multiple of its own time: it waits longer in proportion to its length, and at
 /// most that much longer.
 const LENGTH_DELAY: u32 = 2;
@@ -43,26 +49,6 @@
 /// Index of a workspace's lane.
 pub type LaneIndex = usize;
 
-/// What the queue needs to know of the pool, to turn waiting time into slot time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Slots {
-    /// Slots of the pool.
-    pub all: u32,
-    /// Most slots that long jobs may hold.
-    pub long: u32,
-    /// Whether a long job may start now.
-    pub long_allowed: bool,
-}
-
-/// Slot time that starts before a job, microseconds.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ahead {
-    /// Of all jobs.
-    pub work: f64,
-    /// Of long jobs.
-    pub long: f64,
-}
-
 /// Queued jobs of all workspaces.
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -106,11 +92,11 @@
     }
 
     /// Adds a job to its lane.
-    pub fn insert(&mut self, lane: LaneIndex, key: Key, job: Queued) {
-        let virtual_time = self.virtual_time;
+    pub fn insert(&mut self, lane: LaneIndex, key: Key, job: Queued, slots: Slots) {
+        let returning = self.returning_tag(slots);
         let lane = &mut self.lanes[lane];
         if lane.is_empty() {
-            lane.tag = lane.tag.max(virtual_time);
+            lane.tag = lane.tag.max(returning);
             self.active_weight += u64::from(lane.weight);
         }
         lane.insert(key, job);
@@ -130,12 +116,13 @@
     pub fn pick(&mut self, slots: Slots) -> Option<(LaneIndex, Key, Queued)> {
         let mut best: Option<(f64, LaneIndex, Key, Queued)> = None;
         let mut least = f64::INFINITY;
+        let step = self.borrowed_step(slots);
         for (index, lane) in self.lanes.iter().enumerate() {
             let Some((key, job)) = lane.head(slots.long_allowed) else {
                 continue;
             };
             least = least.min(lane.tag);
-            let tag = lane.tag - self.borrowed(job.rank, slots);
+            let tag = lane.tag - ranks_above_last(job.rank) * step;
             if best.is_none_or(|(best, ..)| tag < best) {
                 best = Some((tag, index, key, *job));
             }
@@ -168,51 +155,6 @@
         lane.tag += cost / f64::from(lane.weight);
     }
 
-    /// Slot time that starts before a job with this key, if each lane is served at its weight from its tag on.
-    pub fn ahead(&self, lane: LaneIndex, key: Key, rank: u8, slots: Slots) -> Ahead {
-        let own = &self.lanes[lane];
-        let start = self.start(own, Some(rank), slots);
-        let (work, long) = (own.work_before(key) as f64, own.long_before(key) as f64);
-        self.ahead_of(lane, start, Ahead { work, long }, slots)
-    }
-
-    /// Jobs of a lane that would start after the latest time they must, given the time at which a job of some length
-    /// starts behind so much slot time, and those times. A job that goes no longer counts for those behind it.
-    pub fn late(
-        &self,
-        lane: LaneIndex,
-        slots: Slots,
-        start: impl Fn(Ahead, Length) -> Duration,
-    ) -> Vec<(Key, Queued, Duration)> {
-        let own = &self.lanes[lane];
-        let tag = self.start(own, None, slots);
-        let whole = Ahead {
-            work: own.work() as f64,
-            long: own.long_work() as f64,
-        };
-        let worst = self.ahead_of(lane, tag, whole, slots);
-        let worst = [Length::Short, Length::Long].map(|length| start(worst, length));
-        let mut before = Ahead { work: 0.0, long: 0.0 };
-        let mut late = Vec::new();
-        for (key, job) in own.iter() {
-            // Most jobs would be in time even behind the whole lane, and are not looked at closer.
-            if let Some(latest) = job.latest
-                && worst[job.length as usize] > latest
-            {
-                let start = start(self.ahead_of(lane, tag, before, slots), job.length);
-                if start > latest {
-                    late.push((key, *job, start - latest));
-                    continue;
-                }
-            }
-            before.work += job.cost as f64;
-            if job.length == Length::Long {
-                before.long += job.cost as f64;
-            }
-        }
-        late
-    }
-
     /// All jobs of a lane, for a pool that cannot start any.
     pub fn all(&self, lane: LaneIndex) -> Vec<(Key, Queued, Duration)> {
         self.lanes[lane]
@@ -226,18 +168,6 @@
         self.lanes.len()
     }
 
-    /// Slots that this lane is due among those that wait now.
-    pub fn due_slots(&self, lane: LaneIndex, slots: Slots) -> f64 {
-        let own = &self.lanes[lane];
-        let weight = u64::from(own.weight);
-        let all = if own.is_empty() {
-            self.active_weight + weight
-        } else {
-            self.active_weight
-        };
-        f64::from(slots.all) * weight as f64 / all as f64
-    }
-
     /// Until when the lane's refused jobs have been told to come back.
     pub fn promised(&mut self, lane: LaneIndex) -> &mut Duration {
         &mut self.lanes[lane].promised
@@ -255,39 +185,26 @@
         self.lanes.len() - 1
     }
 
-    /// Virtual time, in microseconds, that an urgent job borrows: what passes in its ranks' worth of waiting.
-    fn borrowed(&self, rank: u8, slots: Slots) -> f64 {
-        if !self.mechanisms.priorities {
-            return 0.0;
+    /// Virtual time, in microseconds, that a job borrows for each rank it is more urgent than the last.
+    fn borrowed_step(&self, slots: Slots) -> f64 {
+        if self.mechanisms.priorities {
+            self.virtual_span(BORROW_STEP, slots)
+        } else {
+            0.0
         }
-        let ranks = f64::from(LAST_RANK.saturating_sub(rank));
-        ranks * BORROW_STEP.as_secs_f64() * MICROS * f64::from(slots.all) / self.active_weight.max(1) as f64
     }
 
-    /// Tag by which a lane is compared, with a job of `rank` added to it if given.
-    fn start(&self, lane: &Lane, rank: Option<u8>, slots: Slots) -> f64 {
-        let head = lane.head(true).map(|(_, job)| job.rank);
-        let tag = if head.is_some() {
-            lane.tag
-        } else {
-            lane.tag.max(self.virtual_time)
-        };
-        let urgent = head.into_iter().chain(rank).min();
-        tag - urgent.map_or(0.0, |rank| self.borrowed(rank, slots))
+    /// Least tag of a workspace that had nothing queued.
+    fn returning_tag(&self, slots: Slots) -> f64 {
+        self.virtual_time - self.virtual_span(SAVED, slots)
     }
 
-    fn ahead_of(&self, own: LaneIndex, start: f64, before: Ahead, slots: Slots) -> Ahead {
-        let weight = f64::from(self.lanes[own].weight);
-        let (until, long_until) = (start + before.work / weight, start + before.long / weight);
-        let mut ahead = before;
-        for (index, lane) in self.lanes.iter().enumerate() {
-            if index == own || lane.is_empty() {
-                continue;
-            }
-            let (start, weight) = (self.start(lane, None, slots), f64::from(lane.weight));
-            ahead.work += ((until - start) * weight).clamp(0.0, lane.work() as f64);
-            ahead.long += ((long_until - start) * weight).clamp(0.0, lane.long_work() as f64);
-        }
-        ahead
+    /// Virtual time, in microseconds, that passes in some time while all lanes with jobs are served.
+    fn virtual_span(&self, time: Duration, slots: Slots) -> f64 {
+        time.as_secs_f64() * MICROS * f64::from(slots.all) / self.active_weight.max(1) as f64
     }
 }
+
+fn ranks_above_last(rank: u8) -> f64 {
+    f64::from(LAST_RANK.saturating_sub(rank))
+}
--- a/crates/admission/tests/scenarios.rs
+++ b/crates/admission/tests/scenarios.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use support::scenarios::all;
+use admission::{Mechanisms, Settings};
+use support::{Served, Setup, Stream, arrivals, goodput, run, scenarios, scenarios::all};
 
 /// Bounds of one figure of a scenario; `off` is what the figure must miss without the mechanism.
 struct Case {
@@ -97,9 +98,9 @@
 fn hot_caller() {
     check(&[
         case("hot caller", "others in time", Least(0.999), Most(0.5)),
-        case("hot caller", "others p99 first token, s", Most(0.5), Least(1.5)),
+        case("hot caller", "others p99 first token, s", Most(0.33), Least(1.5)),
         case("urgent hot caller", "others in time", Least(0.999), Most(0.3)),
-        case("urgent hot caller", "others p99 first token, s", Most(0.8), Least(2.5)),
+        case("urgent hot caller", "others p99 first token, s", Most(0.33), Least(2.5)),
         case("hot caller", "goodput", Least(0.95), Least(0.95)),
     ]);
 }
@@ -117,6 +118,27 @@
     ]);
 }
 
+/// Eight routers send to the same endpoints and each knows only what it has sent itself. With fixed limits they fill the
+/// endpoints several times over, and callers wait there past their deadlines.
+#[test]
+fn many_routers() {
+    check(&[
+        case("eight routers", "late", Most(0.002), Least(0.01)),
+        case("eight routers", "p99 first token, s", Most(3.4), Least(3.9)),
+        case("eight routers", "goodput", Least(0.95), Most(0.95)),
+    ]);
+}
+
+/// All endpoints become three times slower for half a minute, which nobody announces. Until that is learnt from the answers
+/// jobs are admitted that come late; without early refusals all of that time's callers and many later ones get theirs late.
+#[test]
+fn slow_pool() {
+    check(&[
+        case("pool slows down", "late", Most(0.015), Least(0.5)),
+        case("pool slows down", "in time", Least(0.83), Most(0.5)),
+    ]);
+}
+
 /// A few jobs of twenty seconds come among many of half a second, together one and a half times the pool's capacity.
 /// First come first served, all slots end up under long jobs and short callers wait for seconds.
 #[test]
@@ -142,6 +164,17 @@
     ]);
 }
 
+/// Callers allow eight times the output that they get, at four fifths of the capacity and at twice. Were all of it expected,
+/// two of five callers would be refused for their deadlines by a pool that has idle slots.
+#[test]
+fn high_estimates() {
+    check(&[
+        case("high estimates 0.8x", "in time", Least(0.99), Most(0.7)),
+        case("high estimates 2x", "goodput", Least(0.95), Most(0.9)),
+        case("high estimates 2x", "late", Most(0.002), Most(0.002)),
+    ]);
+}
+
 /// One and a half times the capacity, a fifth of it urgent. Without ranks urgent callers are refused like all others;
 /// with them the others must still be served from what is left.
 #[test]
@@ -153,3 +186,27 @@
         case("priorities", "goodput", Least(0.95), Least(0.95)),
     ]);
 }
+
+/// One workspace says that its answers are a tenth as long as they turn out, beside seven that say the truth; together they
+/// ask for four times the pool, and nothing is learnt of their answers. Were only the estimate charged, it would be served several times its share.
+#[test]
+fn low_estimates_gain_nothing() {
+    let share = |estimate: f64| {
+        let mut streams: Vec<Stream> = (0..8).map(|workspace| Stream::of(workspace, 16.0)).collect();
+        streams[0].estimate = estimate;
+        let mechanisms = Mechanisms {
+            learn: false,
+            ..Mechanisms::default()
+        };
+        let settings = Settings::builder().mechanisms(mechanisms).build();
+        let served = run(&Setup::pool(scenarios::SLOTS, settings), &arrivals(&streams, 4));
+        let own: Vec<Served> = served.into_iter().filter(|one| one.arrival.workspace == 0).collect();
+        goodput(&own, scenarios::SLOTS, (10.0, 120.0))
+    };
+    let (honest, low) = (share(1.0), share(0.1));
+    assert!((honest - 0.125).abs() < 0.01, "{honest} is not an eighth");
+    assert!(
+        low < honest * 1.1,
+        "{low} of the pool with low estimates, {honest} with true ones"
+    );
+}
