--- a/crates/admission/tests/support/scenarios.rs
+++ b/crates/admission/tests/support/scenarios.rs
@@ -50,11 +50,14 @@
         scenario("no hot caller", fair, || even(0.5), whole),
         scenario("slow endpoint", slow_endpoint, || even(0.7), whole),
         scenario("full endpoints", full_endpoints, || even(2.0), whole),
+        scenario("eight routers", eight_routers, || even(2.0), whole),
         scenario("pool slows down", slow_pool, || even(0.8), whole),
         scenario("long among short", lengths, long_short, by_length),
         scenario("overload 2x", refuse, || even(2.0), whole),
         scenario("overload 4x", refuse, || even(4.0), whole),
         scenario("mixed lengths 4x", refuse, mixed, whole),
+        scenario("high estimates 0.8x", learn, || high(0.8), whole),
+        scenario("high estimates 2x", learn, || high(2.0), whole),
         scenario("priorities", priorities, ranks, by_rank),
     ]
 }
@@ -83,6 +86,10 @@
     pool(|all| all.priorities = false, on)
 }
 
+fn learn(on: bool) -> Setup {
+    pool(|all| all.learn = false, on)
+}
+
 /// Refused callers come back when they are told to, or else after a second.
 fn come_back(on: bool) -> Setup {
     let mut setup = pool(|_| (), true);
@@ -109,6 +116,14 @@
     endpoints(on, SLOTS * 2)
 }
 
+/// Eight routers that know nothing of each other; each could fill the endpoints alone.
+fn eight_routers(on: bool) -> Setup {
+    let mut setup = endpoints(on, SLOTS / 2);
+    setup.endpoints = vec![Endpoint::new(SLOTS / 2, SLOTS / 2); 2];
+    setup.routers = 8;
+    setup
+}
+
 fn endpoints(adaptive: bool, slots: u32) -> Setup {
     let mut setup = pool(|_| (), true);
     setup.endpoints = vec![Endpoint::new(slots, SLOTS / 4); 4];
@@ -121,6 +136,13 @@
     (1..=8).map(|workspace| Stream::of(workspace, load * 4.0)).collect()
 }
 
+/// Callers allow eight times what the answers come to.
+fn high(load: f64) -> Vec<Stream> {
+    let mut streams = even(load);
+    streams.iter_mut().for_each(|stream| stream.estimate = 8.0);
+    streams
+}
+
 fn burst() -> Vec<Stream> {
     with(even(0.5), Stream::of(1, 160.0).span(20.0, 24.0))
 }
