--- a/crates/admission/tests/refusals.rs
+++ b/crates/admission/tests/refusals.rs
@@ -36,9 +36,10 @@
 }
 
 /// Serves jobs that take as long as is assumed, one after the other, until `now`.
-fn learn(pool: &mut Admission, job: &Job, output: u64, now: Duration) {
+fn learn(pool: &mut Admission, job: &Job, answers: (u32, u64), now: Duration) {
+    let (count, output) = answers;
     pool.set_capacity(1, Duration::ZERO);
-    for _ in 0..10 {
+    for _ in 0..count {
         let first_token = Duration::from_millis(20);
         let total = first_token + Duration::from_millis(20) * output as u32;
         let Offer::Start(ticket) = pool.offer(job, now - total) else {
@@ -52,7 +53,7 @@
 
 fn filled(slots: u32, before: u32) -> (Admission, VecDeque<(Duration, Ticket)>) {
     let mut pool = Admission::new(Settings::default());
-    learn(&mut pool, &job("one", None), OUTPUT, START);
+    learn(&mut pool, &job("one", None), (10, OUTPUT), START);
     pool.set_capacity(slots, START);
     let mut running = VecDeque::new();
     for _ in 0..before {
@@ -177,31 +178,42 @@
 
 /// A router starts while callers allow 4,000 tokens within five seconds, as ever, and get 25. It assumes more than a minute
 /// for them; were that held against the deadline it would refuse all of them for good. Answers that do become as long as
-/// they may are refused once that is known.
+/// they may are refused once that is known, and no longer once that has changed.
 #[test]
 fn a_new_router_serves_what_it_cannot_judge() {
-    for (output, admitted) in [(25, true), (4_000, false)] {
+    let histories = [
+        (vec![(10, 25)], true),
+        (vec![(10, 4_000)], false),
+        (vec![(40, 4_000), (80, 25)], true),
+    ];
+    for (answers, admitted) in histories {
         let mut pool = Admission::new(Settings::default());
         let mut job = job("one", Some(START + Duration::from_secs(5)));
-        job.tokens.output = 4_000;
+        job.tokens = Tokens {
+            uncached: 100_000,
+            output: 4_000,
+        };
         pool.set_capacity(SLOTS, START);
         let Offer::Start(ticket) = pool.offer(&job, START) else {
             panic!("refused by a new router")
         };
         pool.cancel(ticket);
-        learn(
-            &mut pool,
-            &Job {
-                deadline: None,
-                ..job.clone()
-            },
-            output,
-            START,
-        );
+        job.tokens.uncached = 0;
+        for answers in &answers {
+            learn(
+                &mut pool,
+                &Job {
+                    deadline: None,
+                    ..job.clone()
+                },
+                *answers,
+                START,
+            );
+        }
         assert_eq!(
             matches!(pool.offer(&job, START), Offer::Start(_)),
             admitted,
-            "answers of {output} tokens"
+            "after {answers:?}"
         );
     }
 }
@@ -211,7 +223,7 @@
 #[test]
 fn a_full_queue_says_when() {
     let mut pool = Admission::new(Settings::builder().max_queued(2).build());
-    learn(&mut pool, &job("one", None), OUTPUT, START);
+    learn(&mut pool, &job("one", None), (10, OUTPUT), START);
     pool.set_capacity(SLOTS, START);
     let mut told = Vec::new();
     for _ in 0..SLOTS + 2 + 3 {
