A runner's own word that it has not run a call is believed: the call goes to another runner

A runner that leaves answers 503 with apricotfork-ran: not_run. The router took that for a failure and told the caller 'unknown', after which the key's call never ran. Only over a connection of its own, so that the refusal is of this very send; the claim's permission is given back and its margin asked again. Seen red before: tests/single_run.rs, a_runner_that_refuses_has_not_run_the_call.

--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -11,7 +11,7 @@
 use admission::{Failure, RetryDecision, Sample};
 use async_std::task;
 use futures::future::{Either, select};
-use http::{Client, Conn, Method, Reply, Request, SendError, Url};
+use http::{Client, Conn, Method, Reply, Request, SendError, StatusCode, Url};
 use ids::{Incarnation, WeightsVersion};
 use lifecycle::request::{Repeat, Request as Life, RequestEvent, RequestStep};
 use placement::{EndpointKey, PrefixChain};
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use wire::caller::Ran;
 use wire::engine::RefusedReason;
 use wire::headers;
 
@@ -158,6 +159,13 @@
             self.life.on(RequestEvent::EndpointRefused);
             return Sent::Failed(self.refused(flight, reply).await);
         }
+        if declined(&reply) && !self.is_completion() {
+            self.life.on(RequestEvent::EndpointRefused);
+            let incarnation = incarnation(&reply);
+            self.tell(flight, Sighting::Leaves { incarnation });
+            reply.close();
+            return Sent::Failed(Failure::Declined);
+        }
         self.life.on(RequestEvent::HeadArrived);
         let echoed = reply.header(headers::REQUEST_ID);
         let ours = match echoed {
@@ -335,6 +343,12 @@
     }
 }
 
+/// Whether a plain service refuses the call with its own word that it has not run, as a runner does that leaves.
+pub fn declined(reply: &Reply) -> bool {
+    let word = Ran::NotRun.to_string();
+    reply.status() == StatusCode::ServiceUnavailable && reply.header(headers::RAN) == Some(word.as_str())
+}
+
 /// The result of `work`, none if the caller goes first.
 async fn unless_gone<T>(conn: &Conn, work: impl Future<Output = T>) -> Option<T> {
     let gone = conn.peer_gone();
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services: repeated only where that does no harm, claimed where a key asks for it.
 
-use super::attempt::{Attempts, send_pooled};
+use super::attempt::{Attempts, declined, send_pooled};
 use super::call::{self, Call};
 use super::claim::{self, Claimed};
 use super::completion::{job, respond};
@@ -94,7 +94,7 @@
 
 /// Sends once, without a claim: the caller gave no key, so its own retry would be another call.
 async fn single(attempts: Attempts) -> Result<Kept, Refused> {
-    let (result, _) = send_once(attempts, || true).await;
+    let (result, _) = send_once(attempts, || true, || ()).await;
     result
 }
 
@@ -117,7 +117,9 @@
     let asked = held.clone();
     let clock = shared.clock;
     let may_send = move || lock(&asked).may_send(clock.now()) == MaySend::Now;
-    let (result, state) = send_once(attempts, may_send).await;
+    let sent = held.clone();
+    let refused = move || lock(&sent).endpoint_refused();
+    let (result, state) = send_once(attempts, may_send, refused).await;
     let outcome = match &result {
         Ok(kept) => Outcome::Done(kept.clone()),
         Err(_) if state == RequestState::Refused => Outcome::NotSent,
@@ -140,11 +142,19 @@
 async fn send_once(
     mut attempts: Attempts,
     may_send: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    refused: impl Fn() + Clone + Send + Sync + 'static,
 ) -> (Result<Kept, Refused>, RequestState) {
     let opened = attempts
         .open(|shared, request, body, to, within| {
-            let may_send = may_send.clone();
-            async move { once(&shared, request, &body, to, within, may_send).await }
+            let (may_send, refused) = (may_send.clone(), refused.clone());
+            async move {
+                let reply = once(&shared, request, &body, to, within, may_send).await?;
+                if declined(&reply) {
+                    // Over a connection of its own, so that the refusal is of this very send.
+                    refused();
+                }
+                Ok(reply)
+            }
         })
         .await;
     let opened = match opened {
