--- a/crates/apricotfork/tests/single_run.rs
+++ b/crates/apricotfork/tests/single_run.rs
@@ -56,6 +56,29 @@
     }
 }
 
+// A runner that is about to leave refuses and says that it has not run the call. The fan has to be switched by the
+// other runner, still only once; a caller that read "unknown" would have to send somebody to look.
+#[test]
+fn a_runner_that_refuses_has_not_run_the_call() {
+    // Which runner is asked first is the router's choice.
+    for leaving in 0..2 {
+        let site = site(2);
+        let leave = Fault {
+            leaving: Some(true),
+            ..Fault::default()
+        };
+        fault(site.services[leaving].address, &leave);
+        for router in 0..2 {
+            let key = format!("leaving-{router}");
+            let answers = [fan(&site, router, &key, "first"), fan(&site, 1 - router, &key, "")];
+            assert!(answers.iter().all(|answer| told(answer) == "ok"), "{answers:?}");
+            check(&site, &key, &answers);
+            let unkeyed = site.silo(router, FANS, &[], BODY).ok();
+            assert_eq!(told(&unkeyed), "ok", "without a key");
+        }
+    }
+}
+
 // An answer bears the id of another request. Passed on, it would tell one depot about another depot's fan.
 #[test]
 fn a_crossed_answer_is_never_passed_on() {
