--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -5,7 +5,7 @@
 
 use super::call::Call;
 use super::refusal::{Cause, Refused};
-use super::transmit::{incarnation, unless_gone};
+use super::transmit::{declined, incarnation, unless_gone};
 use crate::control::{Event, Sighting};
 use crate::pool::{Flight, Permit, Wish};
 use crate::shared::Shared;
@@ -170,6 +170,13 @@
             self.life.on(RequestEvent::EndpointRefused);
             return Sent::Failed(self.refused(flight, reply).await);
         }
+        if declined(&reply) && !self.is_completion() {
+            self.life.on(RequestEvent::EndpointRefused);
+            let incarnation = incarnation(&reply);
+            self.tell(flight, Sighting::Leaves { incarnation });
+            reply.close();
+            return Sent::Failed(Failure::Declined);
+        }
         self.life.on(RequestEvent::HeadArrived);
         let echoed = reply.header(headers::REQUEST_ID);
         let ours = match echoed {
--- a/crates/router/src/caller/transmit.rs
+++ b/crates/router/src/caller/transmit.rs
@@ -5,12 +5,13 @@
 use crate::shared::Shared;
 use async_std::task;
 use futures::future::{Either, select};
-use http::{Client, Conn, Method, Reply, Request, SendError, Url};
+use http::{Client, Conn, Method, Reply, Request, SendError, StatusCode, Url};
 use ids::Incarnation;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use wire::caller::Ran;
 use wire::headers;
 
 /// Longest wait for an engine to take notice of a cancelled request.
@@ -65,6 +66,12 @@
     }
 }
 
+/// Whether a plain service refuses the call with its own word that it has not run, as a runner does that leaves.
+pub fn declined(reply: &Reply) -> bool {
+    let word = Ran::NotRun.to_string();
+    reply.status() == StatusCode::ServiceUnavailable && reply.header(headers::RAN) == Some(word.as_str())
+}
+
 /// The result of `work`, none if the caller goes first.
 pub async fn unless_gone<T>(conn: &Conn, work: impl Future<Output = T>) -> Option<T> {
     let gone = conn.peer_gone();
