--- a/crates/loadtool/src/measure/overhead.rs
+++ b/crates/loadtool/src/measure/overhead.rs
@@ -9,8 +9,10 @@
 use http_types::{Method, Request};
 use serde::{Deserialize, Serialize};
 use standins::http::{Client, ClientError};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use wire::caller::RefusalBody;
 
 const LONGEST_US: u64 = 60_000_000;
 const WARM_UP: usize = 500;
@@ -46,10 +48,15 @@
     pub cpu_us: f64,
     /// Cores the router used in the run at full speed.
     pub cores: f64,
-    /// Answers that were not whole.
-    pub failed: u64,
+    /// Answers that were not whole, by what they were; they count in no rate and no time.
+    pub failed: Failures,
+    /// Average of running processes on the machine at the end, over a minute.
+    pub machine: f64,
 }
 
+/// Failures by name.
+pub type Failures = BTreeMap<String, u64>;
+
 /// A way that a request can take.
 #[derive(Debug, Clone)]
 struct Way {
@@ -95,13 +102,15 @@
     one_by_one(spec, &direct, &routed, &mut record).await?;
     let (full, failed) = full_speed(spec, &direct).await;
     record.direct_full = full;
-    record.failed += failed;
+    add_failures(&mut record.failed, failed);
     let (cpu, from) = (stand.cpu()?, Instant::now());
     let (full, failed) = full_speed(spec, &routed).await;
     let used = stand.cpu()? - cpu;
-    record.failed += failed;
+    let answers = full.1.count + failed.values().sum::<u64>();
+    add_failures(&mut record.failed, failed);
+    record.machine = load_average();
     record.cores = used.as_secs_f64() / from.elapsed().as_secs_f64();
-    record.cpu_us = used.as_secs_f64() * 1e6 / full.1.count.max(1) as f64;
+    record.cpu_us = used.as_secs_f64() * 1e6 / answers.max(1) as f64;
     record.routed_full = full;
     Ok(record)
 }
@@ -118,11 +127,10 @@
     for number in 0..spec.requests + WARM_UP {
         for (index, way) in [direct, routed].into_iter().enumerate() {
             let from = Instant::now();
-            let whole = call(&mut clients[index], way).await;
-            if !whole {
-                record.failed += 1;
-            } else if number >= WARM_UP {
-                record_time(&mut times[index], from.elapsed());
+            match call(&mut clients[index], way).await {
+                Ok(()) if number >= WARM_UP => record_time(&mut times[index], from.elapsed()),
+                Ok(()) => (),
+                Err(name) => *record.failed.entry(name).or_default() += 1,
             }
         }
     }
@@ -132,44 +140,59 @@
 }
 
 /// Every connection sends its next request when it has its answer.
-async fn full_speed(spec: &OverheadSpec, way: &Way) -> ((f64, Times), u64) {
+async fn full_speed(spec: &OverheadSpec, way: &Way) -> ((f64, Times), Failures) {
     let from = Instant::now();
     let ends = from + Duration::from_secs_f64(spec.seconds);
     let connections = (0..spec.connections).map(|index| {
         let way = way.clone();
         task::spawn(async move {
             let mut client = Client::new(way.to[index % way.to.len()]);
-            let (mut times, mut failed) = (histogram(), 0);
+            let (mut times, mut failed) = (histogram(), Failures::new());
             while Instant::now() < ends {
                 let sent = Instant::now();
-                if call(&mut client, &way).await {
-                    record_time(&mut times, sent.elapsed());
-                } else {
-                    failed += 1;
+                match call(&mut client, &way).await {
+                    Ok(()) => record_time(&mut times, sent.elapsed()),
+                    Err(name) => *failed.entry(name).or_default() += 1,
                 }
             }
             (times, failed)
         })
     });
     let mut all = histogram();
-    let mut failed = 0;
+    let mut failed = Failures::new();
     for (times, failures) in futures::future::join_all(connections).await {
         all.add(&times).expect("the same bounds");
-        failed += failures;
+        add_failures(&mut failed, failures);
     }
     let rate = all.len() as f64 / from.elapsed().as_secs_f64();
     ((rate, Times::of(&all)), failed)
 }
 
-async fn call(client: &mut Client, way: &Way) -> bool {
-    let Ok(request) = request(client, way) else {
-        return false;
-    };
-    let whole = client.call(request).await.is_ok_and(|answer| answer.status() == 200);
-    if !whole {
-        client.close();
+fn add_failures(all: &mut Failures, more: Failures) {
+    for (name, count) in more {
+        *all.entry(name).or_default() += count;
     }
-    whole
+}
+
+/// Makes a call; the name of what it was instead of a whole answer.
+async fn call(client: &mut Client, way: &Way) -> Result<(), String> {
+    let request = request(client, way).map_err(|err| err.to_string())?;
+    let failed = match client.call(request).await {
+        Ok(answer) if answer.status() == 200 => return Ok(()),
+        Ok(answer) => answer
+            .json::<RefusalBody>()
+            .map_or("unreadable".to_owned(), |body| body.error.code.to_string()),
+        Err(_) => "broken".to_owned(),
+    };
+    Err(failed)
+}
+
+fn load_average() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace()
+        .next()
+        .and_then(|average| average.parse().ok())
+        .unwrap_or(0.0)
 }
 
 fn request(client: &Client, way: &Way) -> Result<Request, ClientError> {
--- a/crates/loadtool/src/table.rs
+++ b/crates/loadtool/src/table.rs
@@ -74,7 +74,7 @@
     let full = |(rate, times): &(f64, Times)| format!("{rate:.0} requests/s, {}", micros(times));
     let lines = [
         format!(
-            "router with {} threads, {} answers not whole",
+            "router with {} threads, answers not whole: {:?}",
             record.threads, record.failed
         ),
         format!("  one at a time, direct: {}", micros(&record.direct)),
