--- a/crates/loadtool/src/measure/slopes.rs
+++ b/crates/loadtool/src/measure/slopes.rs
@@ -47,7 +47,8 @@
 /// Its name with the unit, and how to take it.
 type Quantity = (&'static str, fn(&Rates) -> f64);
 
-const NAMES: [&str; 10] = [
+const NAMES: [&str; 11] = [
+    "starts",
     "peers",
     "endpoints",
     "requests",
@@ -74,19 +75,11 @@
         if !spec.only.is_empty() && !spec.only.iter().any(|only| only == name) {
             continue;
         }
-        let sweep = match name {
-            "peers" => peers(time).await?,
-            "endpoints" => endpoints(time).await?,
-            "requests" => requests(time).await?,
-            "busy" => busy(time).await?,
-            "prompts" => prompts(time).await?,
-            "pieces" => pieces(time).await?,
-            "claims" => claims(time).await?,
-            "blocks" => blocks().await?,
-            "documents" => documents(time).await?,
-            _ => changes(time).await?,
+        let all_of_it = match name {
+            "starts" => starts().await?,
+            name => sweep(name, time).await?.series(),
         };
-        for series in sweep.series() {
+        for series in all_of_it {
             progress(&series);
             all.push(series);
         }
@@ -94,6 +87,21 @@
     Ok(all)
 }
 
+async fn sweep(name: &str, time: Duration) -> Result<Sweep, ToolError> {
+    match name {
+        "peers" => peers(time).await,
+        "endpoints" => endpoints(time).await,
+        "requests" => requests(time).await,
+        "busy" => busy(time).await,
+        "prompts" => prompts(time).await,
+        "pieces" => pieces(time).await,
+        "claims" => claims(time).await,
+        "blocks" => blocks().await,
+        "documents" => documents(time).await,
+        _ => changes(time).await,
+    }
+}
+
 impl Sweep {
     fn series(&self) -> Vec<Series> {
         let quantities: [Quantity; 7] = [
@@ -126,6 +134,31 @@
     }
 }
 
+/// Routers that start at once; a little later than they were ready, since readiness is polled.
+async fn starts() -> Result<Vec<Series>, ToolError> {
+    let (mut ready, mut reads) = (Vec::new(), Vec::new());
+    for routers in [1, 5, 11, 22] {
+        let stand = Stand::start(&StandSpec {
+            routers,
+            ..StandSpec::small()
+        })
+        .await?;
+        ready.push((routers as f64, stand.start.ready.as_secs_f64() * 1000.0));
+        reads.push((routers as f64, stand.start.reads as f64));
+    }
+    let series = |y: &str, points: Vec<(f64, f64)>| Series {
+        sweep: "starts".to_owned(),
+        x: "routers started at once".to_owned(),
+        y: y.to_owned(),
+        fit: fit(&points),
+        points,
+    };
+    Ok(vec![
+        series("until the last is ready, ms", ready),
+        series("reads at the platform until then", reads),
+    ])
+}
+
 /// Idle routers of one failure domain.
 async fn peers(time: Duration) -> Result<Sweep, ToolError> {
     let mut points = Vec::new();
--- a/crates/loadtool/src/measure/stand.rs
+++ b/crates/loadtool/src/measure/stand.rs
@@ -45,6 +45,8 @@
     /// The routers.
     pub routers: Vec<(Router, String)>,
     publisher: Option<Publisher>,
+    /// What the start of the routers cost.
+    pub start: StartCost,
     counts: Counts,
     _processes: Vec<Running>,
     _folder: tempfile::TempDir,
@@ -56,6 +58,15 @@
     endpoints: Count,
 }
 
+/// What it cost to start all routers at once.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StartCost {
+    /// Until the last was ready.
+    pub ready: Duration,
+    /// Reads at the platform meanwhile.
+    pub reads: u64,
+}
+
 /// What the first router did over some time, each a second.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Rates {
@@ -120,6 +131,7 @@
             }
         }
         let publisher = site::publish(platform.address, &site::document(&scenario, &places)).await?;
+        let from = Instant::now();
         let mut routers = Vec::new();
         for index in 0..spec.routers {
             // Slopes concern the peers of one failure domain.
@@ -132,12 +144,13 @@
             };
             routers.push((launcher.router(&router)?, domain));
         }
-        let stand = Self {
+        let mut stand = Self {
             scenario,
             platform,
             engines,
             routers,
             publisher: Some(publisher),
+            start: StartCost::default(),
             counts,
             _processes: processes,
             _folder: folder,
@@ -146,6 +159,11 @@
         for (router, _) in &stand.routers {
             site::until_ready(router.operators).await?;
         }
+        let calls: Calls = site::read(stand.platform.address, "/v1/calls").await?;
+        stand.start = StartCost {
+            ready: from.elapsed(),
+            reads: calls.reads,
+        };
         Ok(stand)
     }
 
--- a/crates/loadtool/src/table.rs
+++ b/crates/loadtool/src/table.rs
@@ -87,8 +87,8 @@
         format!("  full speed, direct: {}", full(&record.direct_full)),
         format!("  full speed, routed: {}", full(&record.routed_full)),
         format!(
-            "  router at full speed: {:.1} µs of processor a request, {:.2} cores",
-            record.cpu_us, record.cores
+            "  router at full speed: {:.1} µs of processor an answer, {:.2} cores; load of the machine {:.1}",
+            record.cpu_us, record.cores, record.machine
         ),
     ];
     lines.join("\n")
