--- a/crates/admission/examples/admission_scenarios.rs
+++ b/crates/admission/examples/admission_scenarios.rs
@@ -9,6 +9,8 @@
     for scenario in support::scenarios::all() {
         let (off, on) = (scenario.run(false), scenario.run(true));
         for ((name, off), (_, on)) in off.iter().zip(&on) {
+            // A sum of nothing is printed with a minus otherwise.
+            let off = off + 0.0;
             println!("| {} | {name} | {off:.3} | {on:.3} |", scenario.name);
         }
     }
