--- a/crates/experiment/src/deployment/mod.rs
+++ b/crates/experiment/src/deployment/mod.rs
@@ -17,6 +17,8 @@
     pub crossing: Duration,
     /// Workspaces.
     pub workspaces: usize,
+    /// Blocks an engine can cache (assumed: little enough that an unused block is evicted within seconds).
+    pub cache: usize,
 }
 
 /// The Board: sizes as its brief gives them.
@@ -27,6 +29,7 @@
     routers: 14,
     crossing: Duration::from_micros(1500),
     workspaces: 8,
+    cache: CACHE_BLOCKS,
 };
 
 /// Kovács: sizes as its brief gives them.
@@ -37,6 +40,7 @@
     routers: 13,
     crossing: Duration::from_micros(1000),
     workspaces: 8,
+    cache: CACHE_BLOCKS,
 };
 
 /// One way between a caller and its router.
@@ -51,8 +55,7 @@
 pub const DECODE: Duration = Duration::from_micros(300);
 /// Sequences an engine runs at once (assumed).
 pub const SLOTS: usize = 32;
-/// Blocks an engine can cache (assumed: little enough that an unused block is evicted within seconds).
-pub const CACHE_BLOCKS: usize = 192;
+const CACHE_BLOCKS: usize = 192;
 /// Time between two load reports of an engine (assumed).
 pub const REPORT_EVERY: Duration = Duration::from_millis(500);
 /// How late a report reaches a router (assumed).
--- a/crates/experiment/src/engine/cache.rs
+++ b/crates/experiment/src/engine/cache.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Most blocks it holds.
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Whether `block` is cached.
     pub fn holds(&self, block: u64) -> bool {
         self.entries.contains_key(&block)
--- a/crates/experiment/src/engine/mod.rs
+++ b/crates/experiment/src/engine/mod.rs
@@ -4,7 +4,7 @@
 
 pub use cache::Cache;
 
-use crate::deployment::{BLOCK_TOKENS, CACHE_BLOCKS, DECODE, PREFILL_RATE, SLOTS, STEP};
+use crate::deployment::{BLOCK_TOKENS, DECODE, PREFILL_RATE, SLOTS, STEP};
 use placement::PrefixChain;
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
@@ -95,23 +95,22 @@
     busy: Duration,
 }
 
-impl Default for Engine {
-    fn default() -> Self {
+impl Engine {
+    /// An idle engine that caches up to `blocks`.
+    pub fn new(blocks: usize) -> Self {
         Self {
             incarnation: 1,
             alive: true,
             slowness: 1.0,
             stepping: false,
-            cache: Cache::new(CACHE_BLOCKS),
+            cache: Cache::new(blocks),
             waiting: VecDeque::new(),
             running: Vec::new(),
             inbound: Vec::new(),
             busy: Duration::ZERO,
         }
     }
-}
 
-impl Engine {
     /// A request was sent here.
     pub fn send(&mut self, sequence: Sequence) {
         self.inbound.push(sequence);
@@ -239,11 +238,12 @@
             .chain(&self.running)
             .map(|sequence| sequence.request)
             .collect();
+        let empty = Self::new(self.cache.capacity());
         *self = Self {
             incarnation: self.incarnation + 1,
             alive: false,
             busy: self.busy,
-            ..Self::default()
+            ..empty
         };
         lost
     }
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -47,6 +47,9 @@
     /// reports, own, speed, or name=figure; may be repeated
     #[argh(option)]
     change: Vec<String>,
+    /// blocks an engine can cache
+    #[argh(option)]
+    cache: Option<usize>,
     /// requests a second that count as a load of 1; searched if left out
     #[argh(option)]
     capacity: Option<f64>,
@@ -79,10 +82,11 @@
     let contenders: Vec<Contender> = chosen.map(plain).chain(changed).collect();
     let mut rows = Vec::new();
     let mut loads = String::new();
-    for deployment in [BOARD, KOVACS]
+    for mut deployment in [BOARD, KOVACS]
         .into_iter()
         .filter(|it| it.name.contains(&options.deployment))
     {
+        deployment.cache = options.cache.unwrap_or(deployment.cache);
         let comparison = Comparison {
             deployment,
             capacity: options
--- a/crates/experiment/src/sim/mod.rs
+++ b/crates/experiment/src/sim/mod.rs
@@ -116,7 +116,7 @@
         number: 0,
         events: BinaryHeap::new(),
         details: Vec::new(),
-        engines: vec![Engine::default(); deployment.engines],
+        engines: vec![Engine::new(deployment.cache); deployment.engines],
         routers: (0..deployment.routers).map(|at| Router::new(setup, at, seed)).collect(),
         sent: vec![None; requests.len()],
         checks: vec![Duration::ZERO; deployment.routers],
