--- a/crates/admission/tests/refusals.rs
+++ b/crates/admission/tests/refusals.rs
@@ -36,9 +36,10 @@
 }
 
 /// Serves jobs that take as long as is assumed, one after the other, until `now`.
-fn learn(pool: &mut Admission, job: &Job, output: u64, now: Duration) {
+fn learn(pool: &mut Admission, job: &Job, answers: (u32, u64), now: Duration) {
+    let (count, output) = answers;
     pool.set_capacity(1, Duration::ZERO);
-    for _ in 0..10 {
+    for _ in 0..count {
         let first_token = Duration::from_millis(20);
         let total = first_token + Duration::from_millis(20) * output as u32;
         let Offer::Start(ticket) = pool.offer(job, now - total) else {
@@ -52,7 +53,7 @@
 
 fn filled(slots: u32, before: u32) -> (Admission, VecDeque<(Duration, Ticket)>) {
     let mut pool = Admission::new(Settings::default());
-    learn(&mut pool, &job("one", None), OUTPUT, START);
+    learn(&mut pool, &job("one", None), (10, OUTPUT), START);
     pool.set_capacity(slots, START);
     let mut running = VecDeque::new();
     for _ in 0..before {
@@ -175,33 +176,64 @@
     assert_eq!((pool.next(later), pool.next_check()), (Next::Wait, None));
 }
 
-/// A router starts while callers allow 4,000 tokens within ten seconds, as ever, and get 25. It assumes more than a minute
+/// A router starts while callers allow 4,000 tokens within five seconds, as ever, and get 25. It assumes more than a minute
 /// for them; were that held against the deadline it would refuse all of them for good. Answers that do become as long as
-/// they may are refused once that is known.
+/// they may are refused once that is known, and no longer once that has changed.
 #[test]
 fn a_new_router_serves_what_it_cannot_judge() {
-    for (output, admitted) in [(25, true), (4_000, false)] {
+    let histories = [
+        (vec![(10, 25)], true),
+        (vec![(10, 4_000)], false),
+        (vec![(40, 4_000), (80, 25)], true),
+    ];
+    for (answers, admitted) in histories {
         let mut pool = Admission::new(Settings::default());
-        let mut job = job("one", Some(START + Duration::from_secs(10)));
-        job.tokens.output = 4_000;
+        let mut job = job("one", Some(START + Duration::from_secs(5)));
+        job.tokens = Tokens {
+            uncached: 100_000,
+            output: 4_000,
+        };
         pool.set_capacity(SLOTS, START);
         let Offer::Start(ticket) = pool.offer(&job, START) else {
             panic!("refused by a new router")
         };
         pool.cancel(ticket);
-        learn(
-            &mut pool,
-            &Job {
-                deadline: None,
-                ..job.clone()
-            },
-            output,
-            START,
-        );
+        job.tokens.uncached = 0;
+        for answers in &answers {
+            learn(
+                &mut pool,
+                &Job {
+                    deadline: None,
+                    ..job.clone()
+                },
+                *answers,
+                START,
+            );
+        }
         assert_eq!(
             matches!(pool.offer(&job, START), Offer::Start(_)),
             admitted,
-            "answers of {output} tokens"
+            "after {answers:?}"
         );
     }
 }
+
+/// The queue's memory bound is reached though nobody would wait long. The caller is told a time from the queue, not a
+/// constant: the more are refused, the later they are to come.
+#[test]
+fn a_full_queue_says_when() {
+    let mut pool = Admission::new(Settings::builder().max_queued(2).build());
+    learn(&mut pool, &job("one", None), (10, OUTPUT), START);
+    pool.set_capacity(SLOTS, START);
+    let mut told = Vec::new();
+    for _ in 0..SLOTS + 2 + 3 {
+        if let Offer::Refuse(Refusal { reason, retry_after }) = pool.offer(&job("one", None), START) {
+            assert_eq!(reason, Reason::Overloaded);
+            told.push(retry_after.expect("a time to come back"));
+        }
+    }
+    assert!(
+        told.len() == 3 && told.is_sorted() && told[0] < told[2] && told[2] < SERVICE * 3,
+        "{told:?}"
+    );
+}
