--- a/crates/loadtool/src/measure/mod.rs
+++ b/crates/loadtool/src/measure/mod.rs
@@ -8,6 +8,7 @@
 mod slopes;
 mod sockets;
 mod stand;
+mod sweeps;
 
 pub use fit::{Fit, fit};
 pub use overhead::{OverheadRecord, OverheadSpec, overhead};
