--- a/crates/apricotfork/tests/single_run_storm.rs
+++ b/crates/apricotfork/tests/single_run_storm.rs
@@ -25,7 +25,7 @@
 /// Sets a random fault and gives the router that is to be struck meanwhile, with the signal.
 fn trouble(site: &Site, random: &mut ChaCha8Rng) -> Option<(usize, &'static str)> {
     let platform = site.platform.address;
-    match random.random_range(0..24) {
+    match random.random_range(0..26) {
         0..8 => {
             let cut_at = Some(CUTS[random.random_range(0..CUTS.len())]);
             let cut = Some(random.random_range(1..3));
@@ -69,7 +69,18 @@
                 ..PlatformFault::default()
             },
         ),
-        18..20 => return Some((random.random_range(0..3), "KILL")),
+        18..20 => {
+            let runner = site.services[random.random_range(0..2)].address;
+            let leaving = Some(true);
+            fault(
+                runner,
+                &Fault {
+                    leaving,
+                    ..Fault::default()
+                },
+            );
+        }
+        20..23 => return Some((random.random_range(0..3), "KILL")),
         _ => return Some((random.random_range(0..3), "STOP")),
     }
     None
@@ -88,6 +99,7 @@
         &Fault {
             cut: Some(0),
             cross_answers: Some(0),
+            leaving: Some(false),
             ..Fault::default()
         },
     );
@@ -106,7 +118,7 @@
         .map(|_| {
             let (to, name) = (site.routers[random.random_range(0..3)].address, key.to_owned());
             let call = thread::spawn(move || fan_at(to, &name, first));
-            thread::sleep(Duration::from_millis(random.random_range(0..20)));
+            thread::sleep(Duration::from_millis(random.random_range(0..40)));
             call
         })
         .collect();
@@ -138,7 +150,7 @@
     runners(
         &site,
         &Fault {
-            work_ms: Some(5),
+            work_ms: Some(30),
             ..Fault::default()
         },
     );
