--- a/crates/loadtool/src/demo.rs
+++ b/crates/loadtool/src/demo.rs
@@ -41,6 +41,7 @@
         domain: scenario.domains[0].clone(),
         platform: platform.address,
         threads: 2,
+        seeds: serde_json::Value::Array(Vec::new()),
     };
     let router = launcher.router(&spec)?;
     until_ready(router.operators).await?;
--- a/crates/loadtool/src/main.rs
+++ b/crates/loadtool/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use async_std::task::block_on;
 use loadtool::error::ToolError;
-use loadtool::measure::{OverheadSpec, SlopeSpec, overhead, slopes};
+use loadtool::measure::{OverheadSpec, SlopeSpec, SpreadSpec, overhead, slopes, spread};
 use loadtool::run::{Record, RunSpec};
 use loadtool::scenario::Scenario;
 use loadtool::table;
@@ -15,6 +15,9 @@
 const MOST_REQUESTS: usize = 200_000;
 const MOST_SECONDS: f64 = 60.0;
 const MOST_CONNECTIONS: usize = 1024;
+const MOST_DOMAINS: usize = 8;
+const MOST_ROUTERS: usize = 12;
+const MOST_CHANGES: u64 = 200;
 
 /// Load and experiments against our own stand-ins on loopback.
 #[derive(Debug, FromArgs)]
@@ -30,6 +33,7 @@
     Run(Run),
     Overhead(Overhead),
     Slopes(Slopes),
+    Spread(Spread),
     Report(Report),
 }
 
@@ -98,6 +102,24 @@
     out: PathBuf,
 }
 
+/// Measure how long a change of configuration takes until it is in force everywhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "spread")]
+struct Spread {
+    /// failure domains
+    #[argh(option, default = "4")]
+    domains: usize,
+    /// routers of each
+    #[argh(option, default = "4")]
+    routers: usize,
+    /// changes, one after the other
+    #[argh(option, default = "20")]
+    changes: u64,
+    /// cut the last domain from the platform
+    #[argh(switch)]
+    cut: bool,
+}
+
 /// Put two records of runs side by side in a page.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
@@ -120,6 +142,7 @@
         Command::Run(args) => block_on(run(&args)),
         Command::Overhead(args) => block_on(measure_overhead(&args)),
         Command::Slopes(args) => block_on(measure_slopes(&args)),
+        Command::Spread(args) => block_on(measure_spread(&args)),
         Command::Report(args) => report(&args),
     };
     match result {
@@ -189,6 +212,17 @@
     write(&args.out, &series)
 }
 
+async fn measure_spread(args: &Spread) -> Result<(), ToolError> {
+    let spec = SpreadSpec {
+        domains: args.domains.clamp(1, MOST_DOMAINS),
+        routers: args.routers.clamp(1, MOST_ROUTERS),
+        changes: args.changes.clamp(1, MOST_CHANGES),
+        cut: args.cut,
+    };
+    println!("{}", table::spread(&spread(&spec).await?));
+    Ok(())
+}
+
 fn report(args: &Report) -> Result<(), ToolError> {
     let left: Record = read(&args.left)?;
     let right: Record = read(&args.right)?;
--- a/crates/loadtool/src/measure/mod.rs
+++ b/crates/loadtool/src/measure/mod.rs
@@ -7,9 +7,11 @@
 mod relay;
 mod slopes;
 mod sockets;
+mod spread;
 mod stand;
 mod sweeps;
 
 pub use fit::{Fit, fit};
 pub use overhead::{OverheadRecord, OverheadSpec, overhead};
 pub use slopes::{Series, SlopeSpec, slopes};
+pub use spread::{SpreadRecord, SpreadSpec, spread};
--- a/crates/loadtool/src/measure/stand.rs
+++ b/crates/loadtool/src/measure/stand.rs
@@ -141,6 +141,7 @@
                 domain: domain.clone(),
                 platform: seen,
                 threads: spec.threads,
+                seeds: serde_json::Value::Array(Vec::new()),
             };
             routers.push((launcher.router(&router)?, domain));
         }
--- a/crates/loadtool/src/run/drive.rs
+++ b/crates/loadtool/src/run/drive.rs
@@ -181,6 +181,7 @@
             domain: domain.clone(),
             platform,
             threads: ROUTER_THREADS,
+            seeds: serde_json::Value::Array(Vec::new()),
         };
         Ok((self.launcher.router(&spec)?, domain))
     }
--- a/crates/loadtool/src/site/mod.rs
+++ b/crates/loadtool/src/site/mod.rs
@@ -42,6 +42,8 @@
     pub platform: SocketAddr,
     /// Threads for traffic.
     pub threads: usize,
+    /// Routers to ask while the platform is out of reach, as in the settings.
+    pub seeds: Value,
 }
 
 /// A router's process and its addresses.
@@ -87,6 +89,7 @@
             "vm": vm(spec.index), "domain": spec.domain,
             "callers": ANY_PORT, "operators": ANY_PORT, "peers": ANY_PORT,
             "platform": {"addresses": [spec.platform], "timeout_ms": 1000},
+            "seeds": spec.seeds,
             "log": {"format": "json", "level": "warn"},
         });
         let file = self
--- a/crates/loadtool/src/table.rs
+++ b/crates/loadtool/src/table.rs
@@ -1,6 +1,6 @@
 //! Records as tables.
 
-use crate::measure::{OverheadRecord, Series};
+use crate::measure::{OverheadRecord, Series, SpreadRecord};
 use crate::run::{Record, Times};
 
 /// The table of a record.
@@ -108,3 +108,20 @@
     }
     lines.join("\n")
 }
+
+/// A run of changes as text.
+pub fn spread(record: &SpreadRecord) -> String {
+    let line = |name: &str, (median, most, last): (f64, f64, f64)| {
+        format!("  {name}: median {median:.1} ms, 99 % {most:.1} ms, last {last:.1} ms")
+    };
+    let mut lines = vec![
+        format!("{} changes, {} routers", record.changes, record.routers),
+        line("in force, platform in reach", record.reached),
+    ];
+    lines.extend(record.cut.map(|cut| line("in force, cut from the platform", cut)));
+    lines.push(format!(
+        "  calls to the platform a change, pauses and the operator's included: {:.1}",
+        record.calls
+    ));
+    lines.join("\n")
+}
