Bodies in flight share a budget; the completion's visitor by hand

Cause: 4,096 connections with bodies of 2 MB could hold 8 GB. Change: limits.held_bytes, 128 MB by default; a request that does not fit is refused before its body is read.

--- a/crates/apricotfork/tests/bad_input.rs
+++ b/crates/apricotfork/tests/bad_input.rs
@@ -207,6 +207,33 @@
     }
 }
 
+/// Many callers send large bodies slowly. Each is within its limit, and together they could take all memory; the
+/// process would be killed with every request it had. Beyond the budget a request is refused before its body is read,
+/// truthfully, and once a slow body is given up there is room again.
+#[test]
+fn bodies_share_a_budget() {
+    let mut site = Site::start(&Plan {
+        routers: 0,
+        ..Plan::default()
+    });
+    let router = site.start_router_with(0, |settings| settings["limits"]["held_bytes"] = json!(1_048_576));
+    site.routers.push(router);
+    site.until_ready(0);
+    let mut slow = TcpStream::connect(site.routers[0].address).expect("a connection");
+    let key = bearer(KEY);
+    let head =
+        format!("POST /v1/completions HTTP/1.1\r\nhost: r\r\nauthorization: {key}\r\ncontent-length: 1048000\r\n\r\n");
+    slow.write_all(head.as_bytes()).expect("a head");
+    let body = json!({"model": "advisory", "prompt": "wheat ".repeat(1000)});
+    until("the slow body takes the budget", || {
+        let answer = site.complete("/v1/completions", &body);
+        !answer.status.is_success() && answer.refusal() == ("overloaded".to_owned(), "not_run".to_owned())
+    });
+    until("it is given up", || {
+        site.complete("/v1/completions", &body).status.is_success()
+    });
+}
+
 /// A caller closes its connection while the engine still prefills its prompt. Without a watch on the socket the
 /// engine would go on for nobody, and callers behind it would wait; here the engine is told to cancel.
 #[test]
--- a/crates/router/src/caller/call.rs
+++ b/crates/router/src/caller/call.rs
@@ -1,6 +1,7 @@
 //! What every call has: who, until when, how urgent, and its whole body.
 
 use super::auth::Caller;
+use super::held::Held;
 use super::refusal::{Cause, Refused};
 use crate::shared::Shared;
 use http::timeout;
@@ -10,6 +11,8 @@
 use std::time::Duration;
 use wire::headers;
 
+/// When to come back if the bodies in flight take all memory that they may.
+const MEMORY_MS: u64 = 1_000;
 /// Rank of a request that states no priority.
 const ORDINARY: Priority = Priority(5);
 
@@ -36,6 +39,8 @@
     pub head: Request,
     /// The body.
     pub body: Vec<u8>,
+    /// Its part of the memory for bodies.
+    pub _held: Held,
 }
 
 /// Reads a call's headers and body.
@@ -50,6 +55,7 @@
     let wanted = number(&request, headers::DEADLINE_MS)?.map_or(longest, Duration::from_millis);
     let deadline = shared.clock.now() + wanted.min(longest);
     let priority = priority(caller, &request)?;
+    let held = hold(shared, &request, &conn)?;
     let body = body(shared, &mut request, &conn).await?;
     Ok(Call {
         id: id.clone(),
@@ -62,6 +68,7 @@
         query: request.url().query().map(str::to_owned),
         head: request,
         body,
+        _held: held,
     })
 }
 
@@ -73,6 +80,17 @@
     }
 }
 
+/// A body of undeclared length counts with the most it may have.
+fn hold(shared: &Shared, request: &Request, conn: &Conn) -> Result<Held, Refused> {
+    let limits = &shared.settings.limits;
+    let declared = request.len().map_or(limits.body_bytes, |length| length as u64);
+    let held = shared.bodies.take(declared.min(limits.body_bytes), limits.held_bytes);
+    held.ok_or_else(|| {
+        conn.shut_reads();
+        Refused::not_run(Cause::Memory).retry_after(MEMORY_MS)
+    })
+}
+
 async fn body(shared: &Shared, request: &mut Request, conn: &Conn) -> Result<Vec<u8>, Refused> {
     let limits = &shared.settings.limits;
     let reading = read_body(request, conn, limits.body_bytes);
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -30,15 +30,18 @@
 
 /// Answers one completion.
 pub async fn completion(shared: &Arc<Shared>, call: Call) -> Result<Response, Refused> {
-    let wanted: Completion = serde_json::from_slice(&call.body).map_err(|err| Refused::not_run(Cause::Json(err)))?;
+    let wanted: Completion<'_> =
+        serde_json::from_slice(&call.body).map_err(|err| Refused::not_run(Cause::Json(err)))?;
     if wanted.prompt.is_none() && wanted.messages.is_none() {
         return Err(Refused::not_run(Cause::NoPrompt));
     }
-    let weights = weights(&call.caller, &wanted.model)?;
-    let chain = chain(&call, &wanted, &weights[0])?;
+    let model = ModelId::from(wanted.model.as_ref());
+    let stream = wanted.stream;
+    let weights = weights(&call.caller, &model)?;
+    let chain = chain(&call, &wanted, &model, &weights[0])?;
     let pool = shared
         .pools
-        .get(&Target::Model(wanted.model.clone()))
+        .get(&Target::Model(model))
         .ok_or(Refused::not_run(Cause::NoEndpoint))?;
     let estimate = estimate(&wanted, &call, &chain, pool.expected_blocks(&chain));
     let limit = shared
@@ -56,7 +59,7 @@
     attempts.weights = weights;
     let opened = attempts.open(send_pooled).await?;
     let seen = seen(&attempts, &opened);
-    if wanted.stream && opened.reply.status().is_success() {
+    if stream && opened.reply.status().is_success() {
         return stream::answer(attempts, opened, seen, limit).await;
     }
     whole(attempts, opened, seen, limit).await
@@ -162,11 +165,16 @@
     view.members(&target).filter(|(id, _)| serves(id)).count()
 }
 
-fn chain(call: &Call, wanted: &Completion, weights: &WeightsVersion) -> Result<PrefixChain, Refused> {
+fn chain(
+    call: &Call,
+    wanted: &Completion<'_>,
+    model: &ModelId,
+    weights: &WeightsVersion,
+) -> Result<PrefixChain, Refused> {
     let ends = levels(call)?;
     let scope = Scope {
         workspace: &call.caller.workspace,
-        model: &wanted.model,
+        model,
         weights,
     };
     Ok(PrefixChain::new(
@@ -187,7 +195,7 @@
     if ends.is_sorted() { Ok(ends) } else { Err(wrong()) }
 }
 
-fn estimate(wanted: &Completion, call: &Call, chain: &PrefixChain, expected: usize) -> Tokens {
+fn estimate(wanted: &Completion<'_>, call: &Call, chain: &PrefixChain, expected: usize) -> Tokens {
     let prompt = (call.body.len() as u64 / TOKEN_BYTES).max(chain.blocks().len() as u64 * BLOCK_TOKENS);
     Tokens {
         uncached: prompt.saturating_sub(expected as u64 * BLOCK_TOKENS),
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod completion;
 mod hedge;
+mod held;
 mod models;
 mod refusal;
 mod service;
@@ -19,6 +20,7 @@
 use wire::headers;
 
 pub use auth::Caller;
+pub use held::Budget;
 pub use refusal::{Cause, Refused};
 
 /// Paths below this belong to plain services.
--- a/crates/router/src/caller/refusal.rs
+++ b/crates/router/src/caller/refusal.rs
@@ -52,6 +52,9 @@
     /// The pool decided against it.
     #[display("{_0}")]
     Admission(admission::Reason),
+    /// The bodies in flight take all memory that they may.
+    #[display("the router holds too many bodies")]
+    Memory,
     /// No endpoint can take it.
     #[display("no endpoint can serve this now")]
     NoEndpoint,
@@ -100,7 +103,7 @@
                 Code::DeadlineExceeded
             }
             Self::Admission(Reason::NoCapacity) | Self::NoEndpoint => Code::NoEndpoint,
-            Self::Admission(_) => Code::Overloaded,
+            Self::Admission(_) | Self::Memory => Code::Overloaded,
             Self::Endpoint | Self::Abandoned(_) | Self::NotKept(..) => Code::EndpointFailed,
             Self::KeyReused(_) => Code::KeyReused,
             Self::InProgress(_) => Code::InProgress,
--- a/crates/router/src/settings/checks.rs
+++ b/crates/router/src/settings/checks.rs
@@ -135,9 +135,16 @@
 }
 
 fn check_sizes(settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    if settings.limits.body_bytes > settings.limits.held_bytes {
+        problems.push(problem(
+            "limits.body_bytes",
+            SettingsProblemKind::LongerThan("limits.held_bytes"),
+        ));
+    }
     let sizes = [
         ("limits.connections", settings.limits.connections as u64),
         ("limits.body_bytes", settings.limits.body_bytes),
+        ("limits.held_bytes", settings.limits.held_bytes),
         ("limits.answer_bytes", settings.limits.answer_bytes),
     ];
     for (path, value) in sizes {
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -73,6 +73,8 @@
     pub connections: usize,
     /// Longest body, bytes.
     pub body_bytes: u64,
+    /// Bodies of all requests in flight together, bytes.
+    pub held_bytes: u64,
     /// Longest answer of an endpoint that is not streamed, bytes.
     pub answer_bytes: u64,
     /// Longest wait for a request's head.
@@ -118,6 +120,7 @@
         Self {
             connections: 4096,
             body_bytes: 2 << 20,
+            held_bytes: 128 << 20,
             answer_bytes: 8 << 20,
             head_ms: 10_000,
             body_ms: 10_000,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a router share.
 
+use crate::caller::Budget;
 use crate::clock::Clock;
 use crate::control::Event;
 use crate::limits::WorkspaceLimits;
@@ -40,6 +41,8 @@
     pub serving: Serving,
     /// To the control thread.
     pub events: Sender<Event>,
+    /// Memory for bodies in flight.
+    pub bodies: Budget,
     /// Limits of workspaces.
     pub limits: WorkspaceLimits,
     /// The lease under which claims are written.
@@ -66,6 +69,7 @@
         Arc::new(Self {
             settings,
             clock,
+            bodies: Budget::default(),
             limits: WorkspaceLimits::new(clock),
             claim_lease: async_std::sync::Mutex::default(),
             settling: AtomicUsize::new(0),
--- a/crates/standins/src/engine/generate.rs
+++ b/crates/standins/src/engine/generate.rs
@@ -90,7 +90,7 @@
         let other = call
             .header(headers::WEIGHTS)
             .is_some_and(|meant| meant != weights.as_str());
-        if other || completion.model != state.model {
+        if other || completion.model != state.model.as_str() {
             return Err(RefusedReason::OtherWeights);
         }
         if state.fault.leaving == Some(true) {
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -8,8 +8,8 @@
 use async_std::task;
 use futures::future::BoxFuture;
 use http_types::{Body, Method, Request, Response, StatusCode};
+use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -89,7 +89,7 @@
     }
 
     /// The body as JSON.
-    pub fn json<T: DeserializeOwned>(&self) -> Option<T> {
+    pub fn json<'a, T: Deserialize<'a>>(&'a self) -> Option<T> {
         serde_json::from_slice(&self.body).ok()
     }
 }
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller/mod.rs
@@ -1,64 +1,12 @@
 //! What callers speak: the completions interface of this ecosystem, and one JSON form for refusals.
 
-use derive_more::Display;
-use ids::{ModelId, RequestId};
-use serde::{Deserialize, Serialize};
-
-/// What a router reads of a completion's body; all other fields go on to the engine unread.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct Completion {
-    /// The model.
-    pub model: ModelId,
-    /// The prompt of `/v1/completions`.
-    #[serde(default)]
-    pub prompt: Option<String>,
-    /// The messages of `/v1/chat/completions`.
-    #[serde(default)]
-    pub messages: Option<Vec<Message>>,
-    /// Most tokens to generate.
-    #[serde(default)]
-    pub max_tokens: Option<u32>,
-    /// Whether the answer is to come as server-sent events.
-    #[serde(default)]
-    pub stream: bool,
-}
+mod completion;
 
-/// One message of a chat.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// Who speaks.
-    pub role: String,
-    /// What they say.
-    pub content: String,
-}
+pub use completion::{Completion, Message};
 
-impl Completion {
-    /// The prompt as text: a chat is rendered message by message, each as `role`, newline, content, newline.
-    pub fn rendered(&self) -> String {
-        if let Some(prompt) = &self.prompt {
-            return prompt.clone();
-        }
-        let mut text = String::new();
-        for message in self.messages.iter().flatten() {
-            text.push_str(&message.role);
-            text.push('\n');
-            text.push_str(&message.content);
-            text.push('\n');
-        }
-        text
-    }
-}
-
-/// Tokens of one request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Usage {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens generated.
-    pub completion_tokens: u64,
-    /// Prompt tokens that were found in the cache.
-    pub cached_tokens: u64,
-}
+use derive_more::Display;
+use ids::RequestId;
+use serde::{Deserialize, Serialize};
 
 /// Whether a refused or failed request may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
