Claims: a lease for claims is asked for again within the claim's patience, and waiting for it is bounded

Cause: one lost answer to the first grant refused the first keyed call of a fresh router; a result was dropped if no lease could be had at once; and calls that needed a lease at the same time waited for each other's timeouts in turn. Seen red before: tests/single_run.rs, the_first_claim_of_a_router_survives_a_lost_answer (claim_unavailable).

--- a/crates/router/src/caller/claim.rs
+++ b/crates/router/src/caller/claim.rs
@@ -57,7 +57,7 @@
         wall: wall_ms(),
         attempt,
     };
-    let Some(lease) = lease(shared).await else {
+    let Some(lease) = lease_within(shared, limits.patience).await else {
         let ran = if attempt == Attempt::First {
             Ran::NotRun
         } else {
@@ -127,8 +127,11 @@
 }
 
 async fn run_settle(shared: &Arc<Shared>, name: &str, held: Held, outcome: Outcome) {
-    let Some(lease) = lease(shared).await else { return };
     let until = shared.clock.now() + SETTLE_PATIENCE;
+    let Some(lease) = lease_within(shared, SETTLE_PATIENCE).await else {
+        shared.metrics.platform.with_label_values(&["settle_gave_up"]).inc();
+        return;
+    };
     let (machine, step) = Settle::start(held, outcome, SETTLE_PAUSE, until);
     drive(shared, name, lease, machine, step).await;
 }
@@ -149,6 +152,20 @@
     }
 }
 
+/// The lease that ends claims; `None` if none can be had within `patience`. Calls that need a new lease at the same time
+/// wait for one another: without the bound the last of them would wait for as many timeouts of the platform.
+async fn lease_within(shared: &Shared, patience: Duration) -> Option<u64> {
+    let granted = async {
+        loop {
+            if let Some(id) = lease(shared).await {
+                return id;
+            }
+            task::sleep(SETTLE_PAUSE).await;
+        }
+    };
+    http::timeout(patience, granted).await.ok()
+}
+
 /// The lease that ends claims; `None` while the platform does not grant one.
 async fn lease(shared: &Shared) -> Option<u64> {
     let mut current = shared.claim_lease.lock().await;
