--- a/crates/apricotfork/tests/single_run.rs
+++ b/crates/apricotfork/tests/single_run.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 use support::single_run::{BODY, FANS, check, executions, fan, fan_at, in_service, retry, runners, site, told};
-use support::{Answer, Site, fault, signal, until};
+use support::{Answer, Plan, Site, fault, signal, until};
 use wire::platform::Fault as PlatformFault;
 use wire::service::{CutAt, Fault};
 
@@ -202,6 +202,25 @@
     }
 }
 
+// A router has just started, and the platform's first answer to it that concerns a claim is lost. The caller must not be
+// refused for that.
+#[test]
+fn the_first_claim_of_a_router_survives_a_lost_answer() {
+    let plan = Plan {
+        engines: vec![vec![]],
+        ..Plan::default()
+    };
+    let site = Site::start(&plan);
+    let lose = PlatformFault {
+        lose_answers: Some(2),
+        ..PlatformFault::default()
+    };
+    fault(site.platform.address, &lose);
+    let first = fan(&site, 0, "fresh", "first");
+    assert_eq!(told(&first), "ok");
+    check(&site, "fresh", &[first]);
+}
+
 /// What is done to the router that has the call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Blow {
