--- a/crates/lifecycle/src/claims/acquire.rs
+++ b/crates/lifecycle/src/claims/acquire.rs
@@ -143,18 +143,16 @@
         match (self.phase, event) {
             (Phase::Ended, _) => ClaimStep::Ended,
             (Phase::Writing(_), ClaimEvent::Written(version)) => self.won(version),
-            (_, ClaimEvent::Written(_) | ClaimEvent::Conflict(_)) if !matches!(self.phase, Phase::Writing(_)) => {
-                self.read()
+            (Phase::Writing(_), ClaimEvent::Conflict(seen)) | (Phase::Reading, ClaimEvent::Read(seen)) => {
+                self.judge(seen, now)
             }
-            (_, ClaimEvent::Conflict(seen) | ClaimEvent::Read(seen)) => self.judge(seen, now),
-            (_, _) if self.late(now) => self.end(ClaimStep::Unavailable(self.unclaimed())),
+            _ if self.late(now) => self.end(ClaimStep::Unavailable(self.unclaimed())),
             (Phase::Writing(_), ClaimEvent::Lost) => self.read(),
             (Phase::Writing(expect), ClaimEvent::Unreachable) => self.pause(Some(expect)),
             (Phase::Reading, ClaimEvent::Lost | ClaimEvent::Unreachable) => self.pause(None),
             (Phase::Paused(Some(expect)), _) => self.write(expect),
             (Phase::Paused(None), _) => self.read(),
-            (Phase::Writing(_) | Phase::Reading, ClaimEvent::Tick) => ClaimStep::Wait(self.limits.pause),
-            (_, ClaimEvent::Written(_)) => self.read(),
+            _ => ClaimStep::Wait(self.limits.pause),
         }
     }
 
