--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -119,14 +119,15 @@
         let first = self.offers.all().len();
         for (at, block) in chain.blocks().iter().enumerate().rev() {
             for holder in self.index.holders(*block) {
-                if now.saturating_sub(holder.seen) > self.settings.keep {
+                let mut offered = self.offers.all()[first..].iter();
+                let known = offered.any(|offer| candidates[offer.index].endpoint == holder.endpoint);
+                if known || now.saturating_sub(holder.seen) > self.settings.keep {
                     continue;
                 }
                 let Ok(index) = candidates.binary_search_by_key(&holder.endpoint, |known| known.endpoint) else {
                     continue;
                 };
-                let known = self.offers.all()[first..].iter().any(|offer| offer.index == index);
-                if known || candidates[index].incarnation != holder.incarnation {
+                if candidates[index].incarnation != holder.incarnation {
                     continue;
                 }
                 self.offers
