Orders go on after their holder died; set needs the digest that was seen; fleet in the status

Ruled out: the holder's machine, which had it right. Red first: no successor after 30 s. Change: a 404 carries the entry's version. Also: a head whose revision is in force already is not read again; tarpc's two lines a heartbeat are no longer logged.

--- a/crates/apricotfork/src/config_command/arguments.rs
+++ b/crates/apricotfork/src/config_command/arguments.rs
@@ -12,7 +12,7 @@
     subcommand,
     name = "config",
     example = "{command_name} show --platform 10.0.0.2:2379 workspaces",
-    example = "{command_name} set --platform 10.0.0.2:2379 --operator asha --key-file asha.key models models.json"
+    example = "{command_name} set --platform 10.0.0.2:2379 --operator asha --key-file asha.key --before DIGEST models models.json"
 )]
 pub struct Config {
     /// what to do
@@ -85,9 +85,10 @@
     /// file with your key
     #[argh(option)]
     pub key_file: PathBuf,
-    /// digest of the section as you saw it, as `show` prints it on standard error; without it, as it is now
+    /// digest of the section as you saw it, as `show` prints it on standard error: what others changed since is not
+    /// overwritten unread
     #[argh(option)]
-    pub before: Option<Digest>,
+    pub before: Digest,
     /// the section
     #[argh(positional, from_str_fn(section))]
     pub section: Section,
--- a/crates/apricotfork/src/config_command/change.rs
+++ b/crates/apricotfork/src/config_command/change.rs
@@ -31,16 +31,19 @@
 
 /// Replaces a section.
 pub async fn set(args: &Set) -> Result<(), ConfigError> {
-    let platform = calls::client(args.platform);
-    let view = calls::load(&platform).await?;
     let change = Change {
         id: new_id(),
         operator: args.operator.clone(),
         section: args.section,
-        before: args.before.unwrap_or(view.head.sections[&args.section].digest),
+        before: args.before,
         after: file(&args.file)?,
     };
-    submit(&platform, Intent::Change(change), key(&args.key_file)?).await
+    submit(
+        &calls::client(args.platform),
+        Intent::Change(change),
+        key(&args.key_file)?,
+    )
+    .await
 }
 
 /// Edits a section and replaces it.
--- a/crates/apricotfork/src/logs.rs
+++ b/crates/apricotfork/src/logs.rs
@@ -3,7 +3,7 @@
 use log::LevelFilter;
 use log4rs::Config;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Root, runtime::ConfigErrors};
+use log4rs::config::{Appender, Logger, Root, runtime::ConfigErrors};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -43,7 +43,9 @@
     // The settings' check knows the same levels.
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     let appender = Appender::builder().build("console", Box::new(console));
+    // tarpc tells of each call, which is a heartbeat or its answer.
+    let peers = Logger::builder().build("tarpc", level.min(LevelFilter::Warn));
     let root = Root::builder().appender("console").build(level);
-    log4rs::init_config(Config::builder().appender(appender).build(root)?)?;
+    log4rs::init_config(Config::builder().appender(appender).logger(peers).build(root)?)?;
     Ok(())
 }
--- a/crates/apricotfork/tests/config_command.rs
+++ b/crates/apricotfork/tests/config_command.rs
@@ -42,16 +42,16 @@
         let key = self.file("key", key);
         let text = self.file("priorities.json", &priorities.to_string());
         let (key, text) = (key.display().to_string(), text.display().to_string());
+        let now = self.digest();
         let mut args = vec!["--operator", operator, "--key-file", key.as_str()];
-        args.extend(more);
+        let seen = ["--before", now.as_str()];
+        args.extend(if more.is_empty() { &seen } else { more });
         args.extend(["priorities", text.as_str()]);
         self.run("set", &args)
     }
 
     fn digest(&self) -> String {
-        let output = self.run("show", &["priorities"]);
-        let text = String::from_utf8_lossy(&output.stderr).into_owned();
-        text.trim().rsplit(' ').next().unwrap_or_default().to_owned()
+        self.site.digest(config::Section::Priorities)
     }
 }
 
--- a/crates/apricotfork/tests/cut_off.rs
+++ b/crates/apricotfork/tests/cut_off.rs
@@ -22,8 +22,16 @@
     let (key, file) = (folder.path().join("key"), folder.path().join("priorities.json"));
     std::fs::write(&key, OPERATOR_KEY).expect("a file");
     std::fs::write(&file, json!({"urgent": {"rank": 2}}).to_string()).expect("a file");
+    let before = site.digest(config::Section::Priorities);
     let mut command = Command::new(env!("CARGO_BIN_EXE_apricotfork"));
-    command.args(["config", "set", "--platform", &site.platform.address.to_string()]);
+    command.args([
+        "config",
+        "set",
+        "--before",
+        &before,
+        "--platform",
+        &site.platform.address.to_string(),
+    ]);
     command
         .args(["--operator", "ops", "--key-file"])
         .arg(&key)
--- a/crates/apricotfork/tests/rollout.rs
+++ b/crates/apricotfork/tests/rollout.rs
@@ -6,7 +6,7 @@
 use ids::Version;
 use serde_json::json;
 use std::collections::BTreeMap;
-use support::{OPERATOR_KEY, Plan, Site, get, until};
+use support::{OPERATOR_KEY, Plan, Site, get, metric, until};
 use wire::platform::Put;
 
 /// Operators want other weights. The engines are ordered to load them, at most two at once and never the last that
@@ -24,14 +24,44 @@
     until("all engines serve w2", || {
         let answer = site.complete("/v1/completions", &body);
         assert!(answer.status.is_success(), "{answer:?}");
-        site.engines.iter().all(|engine| {
-            let report = get(engine.address, "/v1/load").expect("a report");
-            let load: wire::engine::Load = serde_json::from_slice(&report.body).expect("a report");
-            load.weights.is_some_and(|weights| weights.as_str() == "w2")
-        })
+        all_serve(&site, "w2")
     });
 }
 
+/// The router that gives orders dies. Its lease lapses, and the key it held is gone but for its version. A successor that
+/// takes that for a key that never was cannot write it, and nobody would give orders any more: new weights would never
+/// be loaded.
+#[test]
+fn another_router_gives_the_orders_after_the_holder_died() {
+    let mut site = Site::start(&Plan {
+        routers: 2,
+        engines: vec![vec![]; 3],
+        ..Plan::default()
+    });
+    site.list_routers();
+    let holds = |index: usize| {
+        let fence = metric(&site.routers[index], "apricotfork_order_fence");
+        fence.is_some_and(|fence| fence != "0")
+    };
+    until("one router holds the lease", || holds(0) || holds(1));
+    let holder = usize::from(holds(1));
+    drop(site.routers.remove(holder));
+    want(&site, "w2");
+    until("a successor holds the lease", || {
+        let fence = metric(&site.routers[0], "apricotfork_order_fence");
+        fence.is_some_and(|fence| fence != "0")
+    });
+    until("all engines serve w2", || all_serve(&site, "w2"));
+}
+
+fn all_serve(site: &Site, weights: &str) -> bool {
+    site.engines.iter().all(|engine| {
+        let report = get(engine.address, "/v1/load").expect("a report");
+        let load: wire::engine::Load = serde_json::from_slice(&report.body).expect("a report");
+        load.weights.is_some_and(|served| served.as_str() == weights)
+    })
+}
+
 /// Changes the section of models as the operators' command does.
 fn want(site: &Site, weights: &str) {
     let platform = site.platform_client();
--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -178,6 +178,14 @@
         );
     }
 
+    /// Digest of a section in force.
+    pub fn digest(&self, section: config::Section) -> String {
+        let entry = task::block_on(self.platform_client().get(config::HEAD_KEY)).expect("the platform");
+        let text = entry.and_then(|entry| entry.value).expect("a head");
+        let head = config::Head::read(&text).expect("a head");
+        head.sections[&section].digest.to_string()
+    }
+
     /// A client of the site's platform.
     pub fn platform_client(&self) -> Platform {
         Platform::new(vec![self.platform.address], PATIENCE)
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -46,13 +46,15 @@
         }
     }
 
-    /// The entry of `key`, `None` if it never existed.
+    /// The entry of `key`, `None` if it never existed; one that was deleted has a version and no value.
     pub async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
         let request = self.request(Method::Get, "/v1/kv", &[("key", key)]);
         let reply = self.send(request, &[], self.timeout).await?;
         if reply.status() == StatusCode::NotFound {
-            discard(reply).await?;
-            return Ok(None);
+            // A deleted key keeps its version, without which nobody could write it again.
+            let bytes = lost(reply.whole(ANSWER_MAX).await)?;
+            let entry: Entry = serde_json::from_slice(&bytes)?;
+            return Ok(Some(entry).filter(|entry| entry.version > Version(0)));
         }
         parse(reply).await.map(Some)
     }
--- a/crates/router/src/control/config_feed.rs
+++ b/crates/router/src/control/config_feed.rs
@@ -44,7 +44,9 @@
         match follow(&shared, version, &mut texts).await {
             Ok(Some((newer, event))) => {
                 version = newer;
-                if shared.events.send(event).await.is_err() {
+                if let Some(event) = event
+                    && shared.events.send(event).await.is_err()
+                {
                     return;
                 }
                 failing = false;
@@ -83,7 +85,11 @@
 }
 
 /// Waits for a head newer than `version`.
-async fn follow(shared: &Shared, version: Version, texts: &mut Texts) -> Result<Option<(Version, Event)>, FeedError> {
+async fn follow(
+    shared: &Shared,
+    version: Version,
+    texts: &mut Texts,
+) -> Result<Option<(Version, Option<Event>)>, FeedError> {
     let Some(entry) = next_head(shared, version).await? else {
         return Ok(None);
     };
@@ -91,6 +97,11 @@
         return Ok(None);
     };
     let head = Head::read(&value)?;
+    // A peer was faster: its sections are here already, and need not be read again.
+    let in_force = shared.view.load().as_ref().map(|view| view.revision);
+    if in_force >= Some(head.revision) {
+        return Ok(Some((entry.version, None)));
+    }
     for (section, named) in &head.sections {
         let key = named.key(*section);
         if texts.get(section).is_some_and(|(known, _)| *known == key) {
@@ -107,5 +118,5 @@
         .map(|(section, (_, text))| (*section, text.clone()))
         .collect();
     let configured = Configured::assemble(head, plain)?;
-    Ok(Some((entry.version, Event::Config(Box::new(configured)))))
+    Ok(Some((entry.version, Some(Event::Config(Box::new(configured))))))
 }
--- a/crates/router/src/control/peering.rs
+++ b/crates/router/src/control/peering.rs
@@ -72,6 +72,8 @@
             let state = self.state_for_peers();
             self.peering.peers.publish(state);
             self.shared.seen.store(Arc::new(self.peering.peers.seen()));
+            let domains = self.peering.membership.roster(now).counts;
+            self.shared.domains.store(Arc::new(domains));
         }
     }
 
--- a/crates/router/src/operator/mod.rs
+++ b/crates/router/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::pool::PoolStatus;
 use crate::shared::Shared;
+use control::membership::DomainCount;
 use http::{Conn, Method, Request, Response, StatusCode};
 use ids::{DomainId, Revision, VmId};
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,8 @@
     pub pools: Vec<NamedPool>,
     /// Other routers as last heard.
     pub peers: Vec<PeerStatus>,
+    /// Other failure domains as last heard of.
+    pub domains: Vec<DomainCount>,
 }
 
 /// Another router as last heard.
@@ -91,6 +94,7 @@
     });
     Status {
         peers: peers.collect(),
+        domains: shared.domains.load().to_vec(),
         vm: shared.settings.vm.clone(),
         domain: shared.settings.domain.clone(),
         ready: shared.ready(),
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::settings::Settings;
 use crate::view::View;
 use ::control::following::Follow;
+use ::control::membership::DomainCount;
 use ::control::startup::NotReady;
 use ::peers::SeenPeer;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -53,6 +54,8 @@
     pub follow: ArcSwap<Follow>,
     /// Peers as last heard.
     pub seen: ArcSwap<Vec<SeenPeer>>,
+    /// Other failure domains as last heard of.
+    pub domains: ArcSwap<Vec<DomainCount>>,
     /// Why no configuration is in force yet.
     pub not_ready: ArcSwap<NotReady>,
     /// Set once shutdown has begun.
@@ -82,6 +85,7 @@
             events,
             follow: ArcSwap::from_pointee(Follow::Watch),
             seen: ArcSwap::default(),
+            domains: ArcSwap::default(),
             not_ready: ArcSwap::from_pointee(NotReady::Waiting),
             stopping: AtomicBool::new(false),
             started_ms: started.as_millis(),
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! | call | answer |
 //! | --- | --- |
-//! | `GET /v1/kv?key=K` | 200 [`Entry`]; 404 |
+//! | `GET /v1/kv?key=K` | 200 [`Entry`]; 404 [`Entry`] without value, version 0 if the key never existed |
 //! | `PUT /v1/kv` with [`Put`] | 200 [`Put`]'s outcome as [`Entry`]; 409 with the current [`Entry`] |
 //! | `GET /v1/range?prefix=P` | 200 [`Entries`] |
 //! | `GET /v1/watch?key=K&after=V&wait_ms=W` | 200 [`Entry`] once its version passes `V`; 204 |
