--- a/crates/lifecycle/src/claims/mod.rs
+++ b/crates/lifecycle/src/claims/mod.rs
@@ -11,12 +11,14 @@
 
 mod acquire;
 mod guard;
+mod held;
 mod lease;
 mod record;
 mod settle;
 
-pub use acquire::{Attempt, Claim, ClaimEvent, ClaimLimits, ClaimRequest, ClaimStep, Held, MaySend};
+pub use acquire::{Attempt, Claim, ClaimEvent, ClaimLimits, ClaimRequest, ClaimStep};
 pub use guard::{Guard, guard};
+pub use held::{Held, MaySend};
 pub use lease::{ClaimLease, LeaseStep, REMEMBERED, TIME_TO_LIVE, USED_FOR};
 pub use record::{Body, ClaimState, KEPT_BYTES, Kept, Nonce, Record, Seen, call_digest, claim_key};
 pub use settle::{Outcome, Settle, SettleStep};
--- a/crates/lifecycle/src/claims/settle.rs
+++ b/crates/lifecycle/src/claims/settle.rs
@@ -1,6 +1,7 @@
 //! Writing down how a claimed call ended, so that a retry at any router is told the same.
 
-use super::acquire::{ClaimEvent, Held};
+use super::acquire::ClaimEvent;
+use super::held::Held;
 use super::record::{ClaimState, Kept, Record, Seen};
 use ids::Version;
 use std::time::Duration;
