--- a/crates/loadtool/src/measure/overhead.rs
+++ b/crates/loadtool/src/measure/overhead.rs
@@ -179,9 +179,9 @@
     let request = request(client, way).map_err(|err| err.to_string())?;
     let failed = match client.call(request).await {
         Ok(answer) if answer.status() == 200 => return Ok(()),
-        Ok(answer) => answer
-            .json::<RefusalBody>()
-            .map_or("unreadable".to_owned(), |body| body.error.code.to_string()),
+        Ok(answer) => answer.json::<RefusalBody>().map_or("unreadable".to_owned(), |body| {
+            format!("{}: {}", body.error.code, body.error.message)
+        }),
         Err(_) => "broken".to_owned(),
     };
     Err(failed)
