--- a/crates/admission/src/endpoint_limit.rs
+++ b/crates/admission/src/endpoint_limit.rs
@@ -21,6 +21,10 @@
 const SHRINK: f64 = 0.9;
 /// Left of the limit after a refusal or a timeout, which show more than slowness does.
 const CUT: f64 = 0.7;
+/// Least minimum, seconds. Schedulers and networks delay by some milliseconds now and then; against an answer that took a
+/// tenth of one that looks like a queue, and the limit of an idle endpoint would fall to one request. A queue of less
+/// than twice this harms no target of a second.
+const NOISE: f64 = 0.01;
 /// Share that a new answer has in the mean inflation.
 const BLEND: f64 = 0.2;
 /// A minimum is trusted for one to two windows; caches and neighbours change within minutes.
@@ -135,7 +139,7 @@
         let size = (size as usize).min(SIZES - 1);
         let newest = &mut self.minima[1][size];
         *newest = newest.min(seconds);
-        let minimum = self.minima[0][size].min(self.minima[1][size]).max(f64::MIN_POSITIVE);
+        let minimum = self.minima[0][size].min(self.minima[1][size]).max(NOISE);
         self.inflation += (seconds / minimum - self.inflation) * BLEND;
         self.answers += 1;
         if self.answers < self.limit() {
--- a/crates/admission/src/service_model.rs
+++ b/crates/admission/src/service_model.rs
@@ -23,6 +23,9 @@
 const PRIOR_OUTPUT: f64 = 100.0;
 /// After this many answers the assumptions above weigh less than what was seen.
 const LEARNT: u32 = 5;
+/// Below this spread of prompts (tokens squared, weighted) no slope can be told: the samples of other prompts have faded
+/// to rounding errors, of which a quotient is any number.
+const MIN_SPREAD: f64 = 1.0;
 /// Never expect less, so that no job is free and no division by zero follows.
 const MIN_SECONDS: f64 = 1e-4;
 
@@ -102,7 +105,7 @@
     /// Overhead of a request and time of a prompt token, neither below zero.
     fn line(&self) -> (f64, f64) {
         let spread = self.count * self.prompt_square - self.prompt * self.prompt;
-        if spread <= f64::EPSILON * self.count * self.prompt_square {
+        if spread <= (f64::EPSILON * self.count * self.prompt_square).max(MIN_SPREAD) {
             return (self.first / self.count, 0.0);
         }
         let slope = (self.count * self.prompt_first - self.prompt * self.first) / spread;
--- a/crates/admission/tests/learnt.rs
+++ b/crates/admission/tests/learnt.rs
@@ -177,3 +177,37 @@
         case("a new window", 2, vec![100, 100], 31_000, 12..=12),
     ]);
 }
+
+/// Prompts are shorter than a cache block for a long while, so that no answer counts an uncached token. The samples of
+/// longer prompts fade until only rounding is left of them; a line through that made a token take a second, and every
+/// short prompt that could not start at once was refused as overloaded, for good.
+#[test]
+fn short_prompts_for_ever_leave_the_model_sane() {
+    let mut model = ServiceModel::default();
+    let (none, short) = (Tokens { uncached: 0, output: 1 }, Tokens { uncached: 17, output: 1 });
+    for answer in 0..200_000 {
+        model.observe(none, Duration::from_micros(100), Duration::from_micros(150));
+        assert!(model.seconds(short) < 0.1, "{} after {answer} answers", model.seconds(short));
+    }
+}
+
+/// Engines answer within a fraction of a millisecond, and the answers differ by the scheduler's whims. Taken for a queue,
+/// they brought each engine's limit down to one request, and callers were refused while engines were idle.
+#[test]
+fn answers_of_a_millisecond_are_no_queue() {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let mut limit = EndpointLimit::new(16);
+    let begun = limit.limit();
+    for answer in 0..20_u64 {
+        let now = Duration::from_millis(answer * 10);
+        for _ in 0..limit.limit() {
+            limit.start();
+        }
+        while limit.in_flight() > 0 {
+            let after = Duration::from_micros(random.random_range(100..5_000));
+            limit.observe(Sample::FirstToken { after, uncached: 0 }, now);
+            limit.end();
+        }
+    }
+    assert!(limit.limit() >= begun, "{} of {begun}", limit.limit());
+}
