Streams leave an engine that falls silent; a crossed refusal is not taken for one

Change: five seconds of silence break a stream, which is resumed elsewhere; a refusal counts only if it is not another request's. Also: a resumed answer without framing is told to the request's state.

--- a/crates/apricotfork/tests/endpoints.rs
+++ b/crates/apricotfork/tests/endpoints.rs
@@ -4,7 +4,7 @@
 
 use ids::DomainId;
 use serde_json::{Value, json};
-use support::{Plan, Site, fault, get, metric, until};
+use support::{Plan, Site, fault, get, metric, signal, until};
 use wire::platform::{Vm, VmState};
 
 const OUT: &str = "apricotfork_endpoints{standing=\"out\"}";
@@ -117,6 +117,39 @@
     }
 }
 
+/// An engine stops in the middle of a stream, with its connections open. Nothing breaks, so that without a bound on its
+/// silence the caller would wait until its deadline; the stream goes on at another engine, and is whole.
+#[test]
+fn a_stream_leaves_an_engine_that_falls_silent() {
+    let slow = || vec!["--decode-ms", "20"];
+    let site = Site::start(&Plan {
+        engines: vec![slow(), slow()],
+        ..Plan::default()
+    });
+    let body = json!({"model": "advisory", "prompt": "p", "max_tokens": 100, "stream": true});
+    let answer = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| site.complete("/v1/completions", &body));
+        let busy = |engine: &standins::process::Running| {
+            let report = get(engine.address, "/v1/load").expect("a report");
+            let load: wire::engine::Load = serde_json::from_slice(&report.body).expect("a report");
+            load.running > 0
+        };
+        until("an engine streams", || site.engines.iter().any(busy));
+        let streaming = site
+            .engines
+            .iter()
+            .find(|engine| busy(engine))
+            .expect("the engine that streams");
+        signal(streaming, "STOP");
+        let answer = caller.join().expect("an answer");
+        signal(streaming, "CONT");
+        answer
+    });
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    assert_eq!(text.matches("id: ").count(), 101, "{text}");
+}
+
 /// An engine crashes and comes back empty under a new incarnation. What was believed of its cache is gone with its old
 /// life: the next prompt counts as uncached, and later ones are cached again.
 #[test]
--- a/crates/apricotfork/tests/shutdown.rs
+++ b/crates/apricotfork/tests/shutdown.rs
@@ -5,22 +5,12 @@
 use async_std::task;
 use http::{Client, Method, Pieces, Request, StatusCode, Url};
 use serde_json::json;
-use standins::process::Running;
-use std::process::Command;
-use support::{KEY, PATIENCE, Plan, Site, bearer, get, operators, until};
+use support::{KEY, PATIENCE, Plan, Site, bearer, get, operators, signal, until};
 
 /// An engine whose answers take long enough to be in flight when the signal comes.
 const SLOW: &[&str] = &["--decode-ms", "40"];
 const TOKENS: u64 = 50;
 
-fn signal(router: &Running, name: &str) {
-    let status = Command::new("kill")
-        .args([name, &router.id().to_string()])
-        .status()
-        .expect("kill");
-    assert!(status.success());
-}
-
 /// Begins a stream and reads its first piece.
 async fn stream(site: &Site) -> Pieces {
     let to = site.routers[0].address;
@@ -60,7 +50,7 @@
     });
     task::block_on(async {
         let pieces = stream(&site).await;
-        signal(&site.routers[0], "-TERM");
+        signal(&site.routers[0], "TERM");
         until("it is not ready", || {
             get(operators(&site.routers[0]), "/readyz").is_ok_and(|answer| !answer.status.is_success())
         });
@@ -82,11 +72,11 @@
     });
     task::block_on(async {
         let pieces = stream(&site).await;
-        signal(&site.routers[0], "-TERM");
+        signal(&site.routers[0], "TERM");
         until("it has noticed", || {
             get(operators(&site.routers[0]), "/readyz").is_ok_and(|answer| !answer.status.is_success())
         });
-        signal(&site.routers[0], "-TERM");
+        signal(&site.routers[0], "TERM");
         let (last, _) = rest(pieces).await;
         assert_ne!(last, "[DONE]", "a cut stream must not look complete");
     });
@@ -118,7 +108,7 @@
         let first = ask(short.clone()).await.expect("an answer");
         first.whole(1 << 20).await.expect("a body");
         let pieces = stream(&site).await;
-        signal(&site.routers[0], "-TERM");
+        signal(&site.routers[0], "TERM");
         // The connection of the first request stays open in the pool; new ones are refused once the router drains.
         until("it drains", || {
             std::net::TcpStream::connect(to).is_err() || refuses(&site)
--- a/crates/router/src/caller/attempt.rs
+++ b/crates/router/src/caller/attempt.rs
@@ -166,11 +166,14 @@
     async fn judge(&mut self, flight: &Flight, reply: Reply) -> Sent {
         self.sight(flight, &reply);
         let status = u16::from(reply.status());
-        if status == 409 && self.is_completion() {
+        let echoed = reply.header(headers::REQUEST_ID);
+        // A refusal of another request says nothing of this one, which may be running.
+        let crossed = echoed.is_some_and(|id| id != self.call.id.as_str());
+        if status == 409 && self.is_completion() && !crossed {
             self.life.on(RequestEvent::EndpointRefused);
             return Sent::Failed(self.refused(flight, reply).await);
         }
-        if declined(&reply) && !self.is_completion() {
+        if declined(&reply) && !self.is_completion() && !crossed {
             self.life.on(RequestEvent::EndpointRefused);
             let incarnation = incarnation(&reply);
             self.tell(flight, Sighting::Leaves { incarnation });
@@ -178,12 +181,8 @@
             return Sent::Failed(Failure::Declined);
         }
         self.life.on(RequestEvent::HeadArrived);
-        let echoed = reply.header(headers::REQUEST_ID);
-        let ours = match echoed {
-            Some(id) => id == self.call.id.as_str(),
-            // A plain service need not know of request ids; an engine does.
-            None => !self.is_completion(),
-        };
+        // A plain service need not know of request ids; an engine does.
+        let ours = !crossed && (reply.header(headers::REQUEST_ID).is_some() || !self.is_completion());
         if ours && self.allowed(&reply) && status < 500 {
             return Sent::Head(Box::new(reply));
         }
--- a/crates/router/src/caller/hedge.rs
+++ b/crates/router/src/caller/hedge.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    fn slow(&self) -> Duration {
+    /// From when on an attempt without an answer counts as slow.
+    pub(super) fn slow(&self) -> Duration {
         let missing = self.chain.blocks().len() as u64 * super::completion::BLOCK_TOKENS;
         let expected = self.permit.expected_first_token(missing);
         expected.mul_f64(TIMES).max(FLOOR)
--- a/crates/router/src/caller/stream.rs
+++ b/crates/router/src/caller/stream.rs
@@ -27,6 +27,9 @@
 const PIECES_AHEAD: usize = 64;
 /// Pieces between two looks at an engine's pace.
 const PACE_EVERY: u64 = 16;
+/// Longest silence between two pieces: a hundred and fifty times the 32 ms that are aimed at, so that an engine that
+/// merely serves others in between is not left.
+const STALL: Duration = Duration::from_secs(5);
 /// Times that one stream is resumed.
 const RESUMES: u32 = 3;
 
@@ -151,17 +154,28 @@
         let Some(left) = self.attempts.call.left(&self.attempts.shared) else {
             return Err(End::Late);
         };
-        let next = http::timeout(left, pieces.next());
+        let wait = left.min(self.patience());
+        let next = http::timeout(wait, pieces.next());
         let gone = self.attempts.call.conn.peer_gone();
         futures::pin_mut!(next, gone);
         match select(next, gone).await {
             Either::Left((Ok(Ok(Some(piece))), _)) => Ok(piece),
             Either::Left((Ok(_), _)) => Err(End::Broken),
+            Either::Left((Err(_), _)) if wait < left => Err(End::Broken),
             Either::Left((Err(_), _)) => Err(End::Late),
             Either::Right(_) => Err(End::Gone),
         }
     }
 
+    /// How long an engine may be silent. Without a bound a stream from an engine that hangs would stay with it until
+    /// the caller's deadline; it is resumed elsewhere instead.
+    fn patience(&self) -> Duration {
+        if self.first_token.is_some() {
+            return STALL;
+        }
+        self.attempts.slow().max(STALL)
+    }
+
     fn note_first(&mut self, flight: &Flight) {
         if self.first_token.is_some() {
             return;
@@ -204,6 +218,7 @@
                 self.attempts.shared.metrics.resumed.inc();
                 return Some((flight, pieces));
             }
+            self.attempts.life.on(RequestEvent::AnswerBroke);
         }
         None
     }
