Router: the gauge of standings follows what traffic reads

The control thread set the gauge of endpoints that are out before it told the pools and replaced the view. Whoever waited for the gauge and then sent a request, as the test of leaving engines does, could still meet the old view. Now the gauge is set last.

--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -110,11 +110,12 @@
         let believed = document.endpoints.keys().map(|id| (id.clone(), self.believed(id)));
         let view = View::new(self.revisions.current(), document.clone(), believed.collect());
         let view = Arc::new(view);
-        self.count(&view);
         self.shared
             .pools
             .apply(&view, &self.shared.settings.domain, self.shared.clock);
-        self.shared.view.store(Some(view));
+        self.shared.view.store(Some(view.clone()));
+        // Last: whoever reads that an endpoint is out must be able to rely on it.
+        self.count(&view);
     }
 
     fn believed(&self, id: &EndpointId) -> Believed {
