Endpoints: what the first answers showed is kept; tests that meet the engine in question

Cause: with the new incarnation turned off, each of the tests stayed green. An engine was made to leave or die without a look at whether the prompt's requests went there at all, and one engine alone shows a caller nothing of what the router believes. - a_leaving_engine, a_dead_engine: the engine that answers the prompt is the one that leaves or dies. Red without the list's word, the engine's word, counting failures, and (new) trying elsewhere, which stayed green before. - an_engine_that_comes_back: also an engine that was taken for dead and is started again at its address. Red without taking back the death, and without counting failures; both stayed green before. Stays green without new incarnations. - nothing_is_believed_of_a_former_life, new: one engine holds 8 blocks, the other 7; the first crashes. Red without new incarnations in health, and without both forgetting and the comparison of incarnations in the placer; green with either of these two, as each suffices. Fault found and mended: the first load report of an engine counted as a new life and threw away what answers had shown in the first half second of the router.

--- a/crates/apricotfork/tests/endpoints.rs
+++ b/crates/apricotfork/tests/endpoints.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use http::Method;
 use ids::DomainId;
 use serde_json::{Value, json};
-use support::{Plan, Site, fault, get, metric, until};
+use support::{KEY, Plan, Site, bearer, call, fault, get, metric, standin, until};
+use wire::headers;
 use wire::platform::{Vm, VmState};
 
 const OUT: &str = "apricotfork_endpoints{standing=\"out\"}";
@@ -13,6 +15,13 @@
     json!({"model": "advisory", "prompt": "wheat ".repeat(2000), "max_tokens": 2})
 }
 
+/// The number of the engine that answers the prompt: the next ones go there as well, for its cache.
+fn home(site: &Site) -> usize {
+    let answers = |engine: &usize| answered_by(site, *engine, 1) == 1;
+    let found = (0..site.engines.len()).cycle().take(100).find(answers);
+    found.expect("an engine that answers")
+}
+
 /// How many of the next requests the engine of this number answers.
 fn answered_by(site: &Site, engine: usize, requests: usize) -> usize {
     let address = site.engines[engine].address;
@@ -38,17 +47,22 @@
 fn a_leaving_engine_gets_no_new_work() {
     struct Case {
         name: &'static str,
-        tell: fn(&Site),
+        /// Says of the engine of this number that it leaves.
+        tell: fn(&Site, usize),
     }
     let cases = [
         Case {
             name: "the platform's list",
-            tell: |site| {
-                let vm = |index: usize, state| Vm {
+            tell: |site, leaving| {
+                let vm = |index: usize| Vm {
                     id: format!("e{index}"),
                     address: site.engines[index].address.to_string(),
                     domain: DomainId::from("lahore"),
-                    state,
+                    state: if index == leaving {
+                        VmState::Leaving
+                    } else {
+                        VmState::Live
+                    },
                 };
                 let service = Vm {
                     id: "s0".to_owned(),
@@ -56,7 +70,7 @@
                     domain: DomainId::from("lahore"),
                     state: VmState::Live,
                 };
-                let vms = vec![vm(0, VmState::Leaving), vm(1, VmState::Live), service];
+                let vms = vec![vm(0), vm(1), service];
                 fault(
                     site.platform.address,
                     &wire::platform::Fault {
@@ -68,20 +82,21 @@
         },
         Case {
             name: "the engine's own word",
-            tell: |site| {
+            tell: |site, leaving| {
                 let leave = wire::engine::Fault {
                     leaving: Some(true),
                     ..Default::default()
                 };
-                fault(site.engines[0].address, &leave);
+                fault(site.engines[leaving].address, &leave);
             },
         },
     ];
     for case in &cases {
         let site = Site::start(&Plan::default());
-        (case.tell)(&site);
+        let home = home(&site);
+        (case.tell)(&site, home);
         until_out(&site);
-        assert_eq!(answered_by(&site, 0, 10), 0, "{}", case.name);
+        assert_eq!(answered_by(&site, home, 10), 0, "{}", case.name);
     }
 }
 
@@ -90,7 +105,8 @@
 #[test]
 fn a_dead_engine_is_noticed_by_its_failures() {
     let mut site = Site::start(&Plan::default());
-    drop(site.engines.remove(0));
+    let home = home(&site);
+    drop(site.engines.remove(home));
     for _ in 0..20 {
         let answer = site.complete("/v1/completions", &body());
         assert!(answer.status.is_success(), "{answer:?}");
@@ -117,23 +133,23 @@
     }
 }
 
-/// An engine crashes and comes back empty under a new incarnation. What was believed of its cache is gone with its old
-/// life: the next prompt counts as uncached, and later ones are cached again.
+/// An engine crashes and comes back empty under a new incarnation, at once or after it was taken for dead. The next prompt
+/// counts as uncached, and later ones are cached again. An engine that was forgotten for good would stand idle.
 #[test]
 fn an_engine_that_comes_back_is_empty_and_serves() {
-    let site = Site::start(&Plan {
+    let mut site = Site::start(&Plan {
         engines: vec![vec![]],
         ..Plan::default()
     });
-    let cached = || {
+    let cached = |site: &Site| {
         let answer = site.complete("/v1/completions", &body());
         assert!(answer.status.is_success(), "{answer:?}");
         answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"]
             .as_u64()
             .expect("a count")
     };
-    cached();
-    assert!(cached() > 0, "the prompt was in the cache");
+    cached(&site);
+    assert!(cached(&site) > 0, "the prompt was in the cache");
     let before = incarnation(&site);
     fault(
         site.engines[0].address,
@@ -144,8 +160,91 @@
     );
     until("it is back", || incarnation(&site) != before);
     until("it gets work", || metric(&site.routers[0], OUT).as_deref() == Some("0"));
-    assert_eq!(cached(), 0, "the new life is empty");
-    assert!(cached() > 0, "and fills again");
+    assert_eq!(cached(&site), 0, "the new life is empty");
+    assert!(cached(&site) > 0, "and fills again");
+    restart_after_a_while(&mut site);
+    until("it gets work again", || {
+        metric(&site.routers[0], OUT).as_deref() == Some("0")
+    });
+    assert_eq!(cached(&site), 0, "the third life is empty");
+    assert!(cached(&site) > 0, "and fills again");
+}
+
+/// Ends the engine, waits until it is taken for dead, and starts it again at the same address.
+fn restart_after_a_while(site: &mut Site) {
+    let address = site.engines[0].address.to_string();
+    site.engines.clear();
+    until_out(site);
+    let args = ["--id", "e0", "--model", "advisory", "--listen", address.as_str()];
+    site.engines.push(standin("standin-engine", &args));
+}
+
+/// Bytes of a cache block, and a prompt of so many blocks.
+const BLOCK: usize = 4096;
+
+fn prompt(blocks: usize) -> Value {
+    json!({"model": "advisory", "prompt": "w".repeat(blocks * BLOCK + 1), "max_tokens": 2})
+}
+
+/// Cached tokens of an answer, and the number of the engine that gave it. Only the first block counts as shared with other
+/// prompts: of the rest, a router believes what answers showed.
+fn cached_where(site: &Site, blocks: usize) -> (u64, usize) {
+    let level = BLOCK.to_string();
+    let headers = [("authorization", bearer(KEY)), (headers::PREFIX_LEVELS, level)];
+    let body = prompt(blocks).to_string();
+    let router = site.routers[0].address;
+    let answer = call(router, Method::Post, "/v1/completions", &headers, body.as_bytes()).expect("an answer");
+    assert!(answer.status.is_success(), "{answer:?}");
+    let tokens = &answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"];
+    let sent = |engine: &usize| {
+        let sent = get(
+            site.engines[*engine].address,
+            &format!("/v1/sent?request={}", answer.request),
+        );
+        sent.is_ok_and(|sent| sent.status.is_success())
+    };
+    let engine = (0..site.engines.len()).find(sent).expect("an engine that answered");
+    (tokens.as_u64().expect("a count"), engine)
+}
+
+/// Makes the router know by the engine's own word that it leaves, or that it stays.
+fn leave(site: &Site, engine: usize, leaving: bool) {
+    let word = wire::engine::Fault {
+        leaving: Some(leaving),
+        ..Default::default()
+    };
+    fault(site.engines[engine].address, &word);
+    let wanted = if leaving { "1" } else { "0" };
+    until("the router knows it", || {
+        metric(&site.routers[0], OUT).as_deref() == Some(wanted)
+    });
+}
+
+/// One engine holds a prompt, another one most of it. The first crashes and comes back empty. Were its cache believed
+/// in still, the prompt would go there and be computed from its beginning; the caller would wait for all of it.
+#[test]
+fn nothing_is_believed_of_a_former_life() {
+    let site = Site::start(&Plan::default());
+    let (_, first) = cached_where(&site, 8);
+    let other = 1 - first;
+    leave(&site, first, true);
+    assert_eq!(cached_where(&site, 7).1, other);
+    leave(&site, first, false);
+    assert_eq!(
+        cached_where(&site, 8),
+        (8 * 1024, first),
+        "the longest part is looked for"
+    );
+    let crash = wire::engine::Fault {
+        crash: Some(true),
+        ..Default::default()
+    };
+    fault(site.engines[first].address, &crash);
+    // The new life says that it leaves, and then that it stays: the router has heard of it.
+    leave(&site, first, true);
+    assert_eq!(cached_where(&site, 7), (7 * 1024, other));
+    leave(&site, first, false);
+    assert_eq!(cached_where(&site, 8), (7 * 1024, other), "the other holds most of it");
 }
 
 fn incarnation(site: &Site) -> u64 {
--- a/crates/router/src/pool/member.rs
+++ b/crates/router/src/pool/member.rs
@@ -4,7 +4,7 @@
 use crate::view::Believed;
 use admission::EndpointLimit;
 use config::EndpointSpec;
-use ids::{DomainId, EndpointId};
+use ids::{DomainId, EndpointId, Incarnation};
 use placement::EndpointKey;
 use std::net::SocketAddr;
 
@@ -35,9 +35,11 @@
         }
     }
 
-    /// Takes over configuration and belief; true if this is another life than before.
+    /// Takes over configuration and belief; true if this is another life than before. The first life that is heard of
+    /// is no other one: what answers showed before the first load report holds.
     pub(super) fn update(&mut self, spec: &EndpointSpec, believed: Believed, domain: &DomainId) -> bool {
-        let reborn = believed.incarnation != self.believed.incarnation;
+        let known = self.believed.incarnation != Incarnation::default();
+        let reborn = known && believed.incarnation != self.believed.incarnation;
         self.address = spec.address;
         self.near = spec.domain == *domain;
         self.believed = believed;
