Bad input: a connection that stays open fails the test

The raw cases ignored the result of reading to the end, so that a connection that never ended passed after 30 s as one without an answer. Now only an end or a reset passes. Red without the head's timeout, the body's timeout, and the end of reads after a refusal. A body of 8 MiB joins the table: with one of 1.1 MB, the test stayed green without reading the rest of a body that is too large; with 8 MiB it is red in two of two runs (the caller gets no answer).

--- a/crates/apricotfork/tests/bad_input.rs
+++ b/crates/apricotfork/tests/bad_input.rs
@@ -4,7 +4,7 @@
 
 use http::Method;
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use support::{KEY, OTHER_KEY, PATIENCE, Plan, Site, bearer, call, get, until};
 
@@ -86,6 +86,10 @@
             body: vec![b' '; 1_100_000],
             ..Refusal::new("body too large", 413, "body_too_large")
         },
+        Refusal {
+            body: vec![b' '; 8 << 20],
+            ..Refusal::new("body many times too large", 413, "body_too_large")
+        },
         Refusal {
             path: "/v1/nothing",
             ..Refusal::new("no such path", 404, "not_found")
@@ -144,7 +148,12 @@
     // The router may close before all is written.
     let _ = stream.write_all(&case.bytes);
     let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
+    let read = stream.read_to_end(&mut answer).map_err(|err| err.kind());
+    let ended = matches!(
+        read,
+        Ok(_) | Err(ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted)
+    );
+    assert!(ended, "{}: the connection stays open: {read:?}", case.name);
     let text = String::from_utf8_lossy(&answer);
     assert!(
         answer.is_empty() || text.starts_with("HTTP/1.1 4"),
