Config command: all answers of writes are lost; an undo that others have built on is refused for that

- Three answers were lost, and the router beside it took some of them with its own writes, so that the answer in question came: green without reading back.
Now every write's answer is lost.
Red without reading back, and without both settling and the known id; green with either of these two, as each suffices.
- The second undo was refused since nothing would change, not since the section was changed again.
Now another change lies in between, the reason is read, and that change is still in force.
Red without the check.

--- a/crates/apricotfork/tests/config_command.rs
+++ b/crates/apricotfork/tests/config_command.rs
@@ -145,7 +145,10 @@
     assert!(says.contains("revision 2 by ops"), "{says}");
 }
 
-/// The platform's answer to the write that accepts the change is lost. Guessing would either report a change as lost
+/// More writes than there are in a test.
+const EVERY: u32 = 1000;
+
+/// The platform's answers are lost, that to the write that accepts the change among them. Guessing would either report a change as lost
 /// that is in force, or apply it twice; the command reads back and reports the one revision.
 #[test]
 fn a_change_whose_answer_was_lost_is_settled_by_reading_back() {
@@ -154,7 +157,7 @@
         ..Plan::default()
     });
     let lose = wire::platform::Fault {
-        lose_answers: Some(3),
+        lose_answers: Some(EVERY),
         ..Default::default()
     };
     fault(desk.site.platform.address, &lose);
@@ -191,5 +194,12 @@
         "{undone:?}"
     );
     assert_eq!(desk.run("show", &["priorities"]).stdout, before);
-    assert_eq!(undo("2").status.code(), Some(1), "it was changed again since");
+    let later = desk.set("ops", OPERATOR_KEY, &[], &json!({"urgent": {"rank": 2}}));
+    assert!(later.status.success(), "{later:?}");
+    let built_on = desk.run("show", &["priorities"]).stdout;
+    let refused = undo("2");
+    assert_eq!(refused.status.code(), Some(1), "it was changed again since");
+    let says = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(says.contains("changed again in revision"), "{says}");
+    assert_eq!(desk.run("show", &["priorities"]).stdout, built_on);
 }
