--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -111,13 +111,14 @@
         let believed = document.endpoints.keys().map(|id| (id.clone(), self.believed(id)));
         let view = View::new(self.revisions.current(), document.clone(), believed.collect());
         let view = Arc::new(view);
-        self.count(&view);
         let around = Around {
             domain: &self.shared.settings.domain,
             routers: self.peering.membership.total(),
         };
         self.shared.pools.apply(&view, &around, self.shared.clock);
-        self.shared.view.store(Some(view));
+        self.shared.view.store(Some(view.clone()));
+        // Last: whoever reads that an endpoint is out must be able to rely on it.
+        self.count(&view);
     }
 
     fn believed(&self, id: &EndpointId) -> Believed {
