--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a router share.
 
+use crate::caller::Budget;
 use crate::clock::Clock;
 use crate::control::Event;
 use crate::limits::WorkspaceLimits;
@@ -8,6 +9,7 @@
 use crate::settings::Settings;
 use crate::view::View;
 use ::control::following::Follow;
+use ::control::membership::DomainCount;
 use ::control::startup::NotReady;
 use ::peers::SeenPeer;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -40,6 +42,8 @@
     pub serving: Serving,
     /// To the control thread.
     pub events: Sender<Event>,
+    /// Memory for bodies in flight.
+    pub bodies: Budget,
     /// Limits of workspaces.
     pub limits: WorkspaceLimits,
     /// The lease under which claims are written.
@@ -50,6 +54,8 @@
     pub follow: ArcSwap<Follow>,
     /// Peers as last heard.
     pub seen: ArcSwap<Vec<SeenPeer>>,
+    /// Other failure domains as last heard of.
+    pub domains: ArcSwap<Vec<DomainCount>>,
     /// Why no configuration is in force yet.
     pub not_ready: ArcSwap<NotReady>,
     /// Set once shutdown has begun.
@@ -66,6 +72,7 @@
         Arc::new(Self {
             settings,
             clock,
+            bodies: Budget::default(),
             limits: WorkspaceLimits::new(clock),
             claim_lease: async_std::sync::Mutex::default(),
             settling: AtomicUsize::new(0),
@@ -78,6 +85,7 @@
             events,
             follow: ArcSwap::from_pointee(Follow::Watch),
             seen: ArcSwap::default(),
+            domains: ArcSwap::default(),
             not_ready: ArcSwap::from_pointee(NotReady::Waiting),
             stopping: AtomicBool::new(false),
             started_ms: started.as_millis(),
