--- a/crates/control/src/orders/choose.rs
+++ b/crates/control/src/orders/choose.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use ids::{EndpointId, Incarnation, ModelId, WeightsVersion};
+use std::collections::BTreeMap;
 
 /// What a runner is to serve, by the configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,8 +53,9 @@
 pub(super) fn choose(wanted: &[Wanted], runners: &[Runner], busy: &[&EndpointId]) -> Choice {
     let mut blocked = Vec::new();
     let (mut empty, mut serving) = (None, None);
+    let by_id: BTreeMap<&EndpointId, &Runner> = runners.iter().map(|runner| (&runner.endpoint, runner)).collect();
     for wanted in wanted.iter().filter(|wanted| !busy.contains(&&wanted.endpoint)) {
-        let Some(runner) = runners.iter().find(|runner| runner.endpoint == wanted.endpoint) else {
+        let Some(runner) = by_id.get(&wanted.endpoint).copied() else {
             continue;
         };
         let right = runner.model == wanted.model && runner.weights.as_ref() == Some(&wanted.weights);
--- a/crates/router/src/control/state.rs
+++ b/crates/router/src/control/state.rs
@@ -89,9 +89,14 @@
         self.start_event(control::startup::Event::Tick);
         self.peering_tick();
         self.probe_endpoints();
-        let runners = self.runners();
-        self.orders.runners(runners);
-        let fence = self.orders.fence().unwrap_or_default();
+        self.orders.on(orders::Event::Tick);
+        let fence = self.orders.fence();
+        if fence.is_some() {
+            // Only who gives orders needs to look at all runners.
+            let runners = self.runners();
+            self.orders.runners(runners);
+        }
+        let fence = fence.unwrap_or_default();
         self.shared
             .metrics
             .fence
