--- a/crates/loadtool/src/measure/sweeps.rs
+++ b/crates/loadtool/src/measure/sweeps.rs
@@ -12,6 +12,8 @@
 
 /// After the start, so that what starts up isn't measured.
 const SETTLE: Duration = Duration::from_secs(2);
+/// Until a herd of routers has found each other: in its first seconds each costs ten times what it costs at rest.
+const HERD_SETTLE: Duration = Duration::from_secs(12);
 
 /// Measures the sweep of this name.
 pub(super) async fn sweep(name: &str, time: Duration) -> Result<Sweep, ToolError> {
@@ -66,7 +68,7 @@
             ..StandSpec::small()
         };
         let stand = Stand::start(&spec).await?;
-        task::sleep(SETTLE).await;
+        task::sleep(HERD_SETTLE).await;
         points.push((routers as f64, stand.watch(time).await?));
     }
     Ok(Sweep {
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -5,8 +5,10 @@
 mod endpoint_feed;
 mod endpoints;
 mod event;
+mod fetching;
 mod peering;
 mod state;
+mod telling;
 mod vm_feed;
 
 pub use event::{Event, Sighting};
--- a/crates/router/src/control/peering.rs
+++ b/crates/router/src/control/peering.rs
@@ -1,15 +1,14 @@
 //! This router among its peers: who is live, what is told, what is heard.
 
-use super::event::{Configured, Event, LoadSeen};
+use super::event::{Event, LoadSeen};
 use super::state::Control;
-use crate::shared::Shared;
+use super::telling::PREFILL_UNIT;
 use async_std::task;
-use config::Head;
 use control::membership::{self, Change, Link, Listed, Member, Membership};
 use control::{following, orders, rendezvous};
-use ids::{Digest, EndpointId, Revision, VmId};
-use peers::{Fetcher, LoadReport, Offered, PeerError, Peers, Published};
-use std::collections::{BTreeMap, BTreeSet};
+use ids::{EndpointId, Revision, VmId};
+use peers::{LoadReport, Offered, Peers};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::platform::{VmList, VmState};
@@ -18,16 +17,14 @@
 const PUBLISH_EVERY: Duration = Duration::from_millis(500);
 /// How often the seeds of the settings count as listed while the platform does not answer.
 const SEEDS_EVERY: Duration = Duration::from_secs(10);
-/// Thousands of prompt tokens, the unit of a load report between routers.
-const PREFILL_UNIT: u64 = 1_000;
 
 /// What belongs to this router's place among its peers.
 pub struct Peering {
     pub(super) membership: Membership,
-    peers: Peers,
+    pub(super) peers: Peers,
     links: Vec<Link>,
-    offered: Option<Arc<Offered>>,
-    leaving: bool,
+    pub(super) offered: Option<Arc<Offered>>,
+    pub(super) leaving: bool,
     /// Whether a peer was asked for pressures.
     hinted: bool,
     published: Duration,
@@ -35,7 +32,7 @@
     /// Routers in the platform's last list.
     listed: Option<u32>,
     /// Revisions that are being read from peers.
-    fetching: BTreeSet<(VmId, Revision)>,
+    pub(super) fetching: BTreeSet<(VmId, Revision)>,
 }
 
 impl Peering {
@@ -82,12 +79,6 @@
         self.tell_peers_now();
     }
 
-    /// Tells peers at once what cannot wait for the next heartbeat.
-    pub(super) fn tell_peers_now(&mut self) {
-        let state = self.state_for_peers();
-        self.peering.peers.publish_now(state);
-    }
-
     /// The platform's list names routers and endpoints alike; what is no endpoint is a router.
     pub(super) fn routers_listed(&mut self, list: &VmList) {
         let Some(configured) = &self.configured else { return };
@@ -215,31 +206,6 @@
         self.member_event(membership::Event::Listed(listed));
     }
 
-    /// A peer has a newer configuration: it is read from there, so that a router that is cut from the platform has it
-    /// as well.
-    fn offer(&mut self, from: Member, revision: Revision, digest: Digest) {
-        if !matches!(self.revisions.weigh(revision, digest), config::Adopt::Newer) {
-            return;
-        }
-        if !self.peering.fetching.insert((from.id.clone(), revision)) {
-            return;
-        }
-        let known = self.known_texts();
-        let fetcher = self.peering.peers.fetcher();
-        let shared = self.shared.clone();
-        task::spawn(async move { fetch(&shared, &fetcher, from, known).await });
-    }
-
-    /// A fetch has ended; the same revision may be asked for again if it failed.
-    pub(super) fn fetched(&mut self, peer: &VmId) {
-        self.peering.fetching.retain(|(id, _)| id != peer);
-    }
-
-    fn known_texts(&self) -> BTreeMap<Digest, String> {
-        let offered = self.peering.offered.as_ref();
-        offered.map(|offered| offered.sections.clone()).unwrap_or_default()
-    }
-
     fn peer_report(&mut self, report: LoadReport) {
         let load = LoadSeen {
             own: false,
@@ -261,88 +227,4 @@
         let configured = self.configured.as_ref();
         configured.is_some_and(|configured| configured.document.endpoints.contains_key(id))
     }
-
-    fn state_for_peers(&mut self) -> Published {
-        self.renew_offer();
-        let peering = &self.peering;
-        let membership = &peering.membership;
-        Published {
-            leaving: peering.leaving,
-            routers: u32::try_from(membership.live().len()).unwrap_or(u32::MAX),
-            membership: membership.digest(),
-            roster: membership.roster(self.now()),
-            config: peering.offered.clone(),
-            loads: self.loads_for_peers(),
-            pressures: self.shared.pools.pressures(),
-        }
-    }
-
-    fn renew_offer(&mut self) {
-        let Some(configured) = &self.configured else { return };
-        let digest = configured.head.digest();
-        if self
-            .peering
-            .offered
-            .as_ref()
-            .is_some_and(|known| known.digest == digest)
-        {
-            return;
-        }
-        let texts = configured.texts.values();
-        let sections = texts.map(|text| (Digest::of(text.as_bytes()), text.clone()));
-        self.peering.offered = Some(Arc::new(Offered {
-            revision: configured.head.revision,
-            digest,
-            head: configured.head.text(),
-            sections: sections.collect(),
-        }));
-    }
-
-    /// Loads of the endpoints that this router reads first, for the others.
-    fn loads_for_peers(&self) -> Vec<LoadReport> {
-        let own = &self.shared.settings.vm;
-        let lasting = self.peering.membership.lasting();
-        let read = self.reported.iter().filter(|(_, load)| load.own);
-        let mine = read.filter(|(id, _)| rendezvous::passes_on(own, id, &lasting));
-        let reports = mine.map(|(id, load)| LoadReport {
-            endpoint: id.clone(),
-            incarnation: load.incarnation,
-            weights: load.weights.clone(),
-            leaving: load.leaving,
-            running: load.running,
-            waiting: load.waiting,
-            prefill: u32::try_from(load.prefill.div_ceil(PREFILL_UNIT)).unwrap_or(u32::MAX),
-        });
-        reports.collect()
-    }
-}
-
-/// Reads a peer's configuration, but for the sections that are known already.
-async fn fetch(shared: &Shared, fetcher: &Fetcher, from: Member, known: BTreeMap<Digest, String>) {
-    let event = match read(fetcher, &from, known).await {
-        Ok(Some(configured)) => Event::PeerConfig(from.id, Box::new(configured)),
-        Ok(None) | Err(_) => Event::PeerConfigFailed(from.id),
-    };
-    super::send(shared, event).await;
-}
-
-async fn read(
-    fetcher: &Fetcher,
-    from: &Member,
-    known: BTreeMap<Digest, String>,
-) -> Result<Option<Configured>, PeerError> {
-    let Some(head) = fetcher.head(from).await?.and_then(|text| Head::read(&text).ok()) else {
-        return Ok(None);
-    };
-    let mut texts = BTreeMap::new();
-    for (section, named) in &head.sections {
-        let text = match known.get(&named.digest) {
-            Some(text) => Some(text.clone()),
-            None => fetcher.section(from, named.digest).await?,
-        };
-        // The peer has gone on to a newer revision in between, and will offer that.
-        let Some(text) = text else { return Ok(None) };
-        texts.insert(*section, text);
-    }
-    Ok(Configured::assemble(head, texts).ok())
 }
