Connections that have served are kept for their next request

Change: limits.idle_ms, 75 s by default; a head that has begun, or a connection that never served, keeps the short limit. Red first: the second request of a kept connection found it closed.

--- a/crates/apricotfork/tests/bad_input.rs
+++ b/crates/apricotfork/tests/bad_input.rs
@@ -216,6 +216,27 @@
     }
 }
 
+/// A caller keeps its connection and uses it again after a while. Were it closed as soon as one that never sends a head,
+/// calls would go out on connections that are just closing, and nobody could tell whether they ran.
+#[test]
+fn a_connection_that_has_served_is_kept() {
+    let site = Site::start(&Plan::default());
+    let mut stream = TcpStream::connect(site.routers[0].address).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let request = format!(
+        "GET /v1/models HTTP/1.1\r\nhost: r\r\nauthorization: {}\r\n\r\n",
+        bearer(KEY)
+    );
+    for _ in 0..2 {
+        stream.write_all(request.as_bytes()).expect("a request");
+        let mut answer = [0; 4096];
+        let count = stream.read(&mut answer).expect("an answer");
+        assert!(answer[..count].starts_with(b"HTTP/1.1 200"), "the connection is closed");
+        // Three times the second that a head may take here.
+        std::thread::sleep(std::time::Duration::from_secs(3));
+    }
+}
+
 /// Many callers send large bodies slowly. Each is within its limit, and together they could take all memory; the
 /// process would be killed with every request it had. Beyond the budget a request is refused before its body is read,
 /// truthfully, and once a slow body is given up there is room again.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -28,6 +28,8 @@
     pub connections: usize,
     /// A connection without a whole head for this long is closed, at the latest after twice as long.
     pub head: Duration,
+    /// A connection that has served is closed after this time without a byte of a next request.
+    pub idle: Duration,
 }
 
 /// The state of one server; clones share it.
@@ -127,8 +129,10 @@
     let conn = Conn::new(stream);
     let busy = Busy {
         serving,
+        conn: conn.clone(),
         flag: AtomicBool::new(false),
         begun: AtomicU64::new(0),
+        received: AtomicU64::new(0),
     };
     let mut server = Server::new(conn.clone(), |request| {
         busy.begin();
@@ -154,7 +158,7 @@
             }
         }
     };
-    let idle = busy.idle(limits.head);
+    let idle = busy.idle(limits);
     futures::pin_mut!(requests, idle);
     select(requests, idle).await;
 }
@@ -163,24 +167,35 @@
 /// connection's task ends in between.
 struct Busy<'a> {
     serving: &'a Serving,
+    conn: Conn,
     flag: AtomicBool,
     begun: AtomicU64,
+    /// Bytes received when the last request ended.
+    received: AtomicU64,
 }
 
 impl Busy<'_> {
-    /// Resolves once no request has begun for at least `head` and none is running.
+    /// Resolves once the connection is to be closed for its silence.
     ///
-    /// A caller that sends its head byte by byte, or none at all, would hold a connection for as long as it
-    /// likes; async-h1's own limit is a fixed minute.
-    async fn idle(&self, head: Duration) {
+    /// A caller that sends its head byte by byte, or none at all, would hold a connection for as long as it likes;
+    /// async-h1's own limit is a fixed minute. A connection that has served and of whose next request nothing has come
+    /// is kept much longer: its caller would send on it just as it closes, and could not tell whether the call ran.
+    async fn idle(&self, limits: Limits) {
         let mut seen = self.begun.load(Ordering::SeqCst);
+        let mut quiet = Duration::ZERO;
         loop {
-            task::sleep(head).await;
+            task::sleep(limits.head).await;
             let begun = self.begun.load(Ordering::SeqCst);
-            if begun == seen && !self.flag.load(Ordering::SeqCst) {
+            if begun != seen || self.flag.load(Ordering::SeqCst) {
+                seen = begun;
+                quiet = Duration::ZERO;
+                continue;
+            }
+            quiet += limits.head;
+            let unused = begun > 0 && self.conn.received() == self.received.load(Ordering::SeqCst);
+            if !unused || quiet >= limits.idle {
                 return;
             }
-            seen = begun;
         }
     }
 
@@ -191,6 +206,7 @@
     }
 
     fn end(&self) {
+        self.received.store(self.conn.received(), Ordering::SeqCst);
         if self.flag.swap(false, Ordering::SeqCst) {
             self.serving.shared.in_flight.fetch_sub(1, Ordering::SeqCst);
         }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -100,6 +100,7 @@
     let limits = Limits {
         connections: settings.connections,
         head: Duration::from_millis(settings.head_ms),
+        idle: Duration::from_millis(settings.idle_ms),
     };
     let state = shared.clone();
     let answer = move |request, conn| caller::answer(state.clone(), request, conn);
@@ -111,6 +112,7 @@
     let limits = Limits {
         connections: OPERATOR_CONNECTIONS,
         head,
+        idle: head,
     };
     let state = shared.clone();
     let answer = move |request, conn| operator::answer(state.clone(), request, conn);
--- a/crates/router/src/settings/checks.rs
+++ b/crates/router/src/settings/checks.rs
@@ -107,6 +107,7 @@
         ("platform.timeout_ms", settings.platform.timeout_ms, 1),
         ("platform.watch_ms", settings.platform.watch_ms, 1),
         ("limits.head_ms", settings.limits.head_ms, 1),
+        ("limits.idle_ms", settings.limits.idle_ms, 1),
         ("limits.body_ms", settings.limits.body_ms, 1),
         ("limits.request_ms", settings.limits.request_ms, 1),
         ("shutdown.notice_ms", settings.shutdown.notice_ms, 0),
--- a/crates/router/src/settings/mod.rs
+++ b/crates/router/src/settings/mod.rs
@@ -79,6 +79,9 @@
     pub answer_bytes: u64,
     /// Longest wait for a request's head.
     pub head_ms: u64,
+    /// How long a connection that has served is kept without a next request. Longer than balancers and callers keep
+    /// theirs: whoever closes second meets a call that is already on its way.
+    pub idle_ms: u64,
     /// Longest wait for a request's body.
     pub body_ms: u64,
     /// Deadline of a request that states none, and the longest it may state.
@@ -123,6 +126,7 @@
             held_bytes: 128 << 20,
             answer_bytes: 8 << 20,
             head_ms: 10_000,
+            idle_ms: 75_000,
             body_ms: 10_000,
             request_ms: 60_000,
         }
