--- a/crates/apricotfork/tests/shutdown.rs
+++ b/crates/apricotfork/tests/shutdown.rs
@@ -40,6 +40,14 @@
     (last, count)
 }
 
+/// Tells the router to stop, and waits until the balancer could see it.
+fn stop_and_wait_unready(site: &Site) {
+    signal(&site.routers[0], "TERM");
+    until("it is not ready", || {
+        get(operators(&site.routers[0]), "/readyz").is_ok_and(|answer| !answer.status.is_success())
+    });
+}
+
 /// A router is replaced while an advisory streams. If the process simply ended, the depot keeper would see half an
 /// answer. The stream ends whole, `/readyz` tells the balancer at once, and the process exits with 0.
 #[test]
@@ -50,10 +58,7 @@
     });
     task::block_on(async {
         let pieces = stream(&site).await;
-        signal(&site.routers[0], "TERM");
-        until("it is not ready", || {
-            get(operators(&site.routers[0]), "/readyz").is_ok_and(|answer| !answer.status.is_success())
-        });
+        stop_and_wait_unready(&site);
         let (last, count) = rest(pieces).await;
         assert_eq!(last, "[DONE]");
         assert!(count > TOKENS, "{count} events");
@@ -72,10 +77,7 @@
     });
     task::block_on(async {
         let pieces = stream(&site).await;
-        signal(&site.routers[0], "TERM");
-        until("it has noticed", || {
-            get(operators(&site.routers[0]), "/readyz").is_ok_and(|answer| !answer.status.is_success())
-        });
+        stop_and_wait_unready(&site);
         signal(&site.routers[0], "TERM");
         let (last, _) = rest(pieces).await;
         assert_ne!(last, "[DONE]", "a cut stream must not look complete");
