--- a/crates/control/src/startup.rs
+++ b/crates/control/src/startup.rs
@@ -4,7 +4,6 @@
 //! If it began with that, an accepted change would seem to revert. It therefore asks the platform, which has the
 //! newest. Only where that gives no answer it asks all peers, and begins with the newest that they have.
 
-use config::Revisions;
 use ids::{Digest, Revision, VmId};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -160,8 +159,3 @@
 fn newer(than: Offer) -> impl Fn(&Offer) -> bool {
     move |offer| offer.revision > than.revision
 }
-
-/// Puts the chosen revision in force.
-pub fn begin(revisions: &mut Revisions, offer: Offer) -> config::Adopt {
-    revisions.offer(offer.revision, offer.digest)
-}
