--- a/crates/apricotfork/src/arguments.rs
+++ b/crates/apricotfork/src/arguments.rs
@@ -9,6 +9,7 @@
 #[derive(FromArgs)]
 #[argh(
     example = "{command_name} serve --settings router.json",
+    example = "{command_name} gateway --settings gateway.json",
     example = "{command_name} check router.json",
     example = "{command_name} status --router 127.0.0.1:9090",
     error_code(0, "done"),
@@ -31,6 +32,8 @@
 pub enum Command {
     /// Run a router.
     Serve(Serve),
+    /// Run a router on the users' platform.
+    Gateway(Gateway),
     /// Check a file.
     Check(Check),
     /// The configuration.
@@ -48,6 +51,16 @@
     pub settings: PathBuf,
 }
 
+/// Run a router in front of the routed services of the users' platform until a signal ends it: the first one
+/// gracefully, the second at once. Settings are read again on SIGHUP and whenever the file changes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct Gateway {
+    /// settings of this router, a JSON file
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
 /// Check a router's settings or a configuration document, and list every error with its JSON path.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/apricotfork/src/config_command/calls.rs
+++ b/crates/apricotfork/src/config_command/calls.rs
@@ -4,9 +4,9 @@
 use async_std::task;
 use config::{Answer, Call, Loader, Loading, Next, Outcome, Stored, Submission, View};
 use ids::Version;
-use platform::{Platform, Written};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use store::{Platform, Written};
 use wire::platform::{Entry, Put};
 
 /// Longest wait for one answer.
--- a/crates/apricotfork/src/config_command/change.rs
+++ b/crates/apricotfork/src/config_command/change.rs
@@ -6,13 +6,13 @@
     Change, ChangeId, ChangeRefused, Intent, OperatorKey, Outcome, REFUSED_KEY, Submission, UnixMillis, undo_source,
 };
 use ids::{Revision, Version};
-use platform::Platform;
 use std::fmt::Write;
 use std::fs;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::path::Path;
 use std::process::Command;
 use std::time::{SystemTime, UNIX_EPOCH};
+use store::Platform;
 use wire::platform::Put;
 
 /// Editor of a machine that names none.
--- a/crates/apricotfork/src/config_command/read.rs
+++ b/crates/apricotfork/src/config_command/read.rs
@@ -100,7 +100,7 @@
 }
 
 /// The trail of refused attempts, empty if there is none.
-pub async fn refused(platform: &platform::Platform) -> Result<RefusedLog, ConfigError> {
+pub async fn refused(platform: &store::Platform) -> Result<RefusedLog, ConfigError> {
     let entry = platform.get(REFUSED_KEY).await.map_err(|_| ConfigError::Platform)?;
     let text = entry.and_then(|entry| entry.value);
     text.map_or_else(|| Ok(RefusedLog::default()), |text| Ok(serde_json::from_str(&text)?))
--- a/crates/apricotfork/src/logs.rs
+++ b/crates/apricotfork/src/logs/mod.rs
@@ -1,5 +1,8 @@
-//! Logs by log4rs, on standard error; standard output is for what a command answers.
+//! Logs by log4rs: of `serve` on standard error, of `gateway` in compact lines on standard output.
 
+mod lines;
+
+use lines::Lines;
 use log::LevelFilter;
 use log4rs::Config;
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -22,6 +25,11 @@
             from()
             display("{err}")
         }
+        /// The thread that writes lines cannot be started.
+        Thread(err: std::io::Error) {
+            from()
+            display("{err}")
+        }
         /// Another logger is in place.
         Taken(err: log::SetLoggerError) {
             from()
@@ -49,3 +57,13 @@
     log4rs::init_config(Config::builder().appender(appender).logger(peers).build(root)?)?;
     Ok(())
 }
+
+/// Sets up compact lines on standard output for the process.
+pub fn start_lines(level: &str) -> Result<(), LogError> {
+    // The settings' check knows the same levels.
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let appender = Appender::builder().build("lines", Box::new(Lines::start()?));
+    let root = Root::builder().appender("lines").build(level);
+    log4rs::init_config(Config::builder().appender(appender).build(root)?)?;
+    Ok(())
+}
--- a/crates/apricotfork/src/main.rs
+++ b/crates/apricotfork/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod config_command;
 mod exit;
+mod gateway_command;
 mod logs;
 mod serve;
 mod status;
@@ -19,6 +20,7 @@
     }
     match arguments.command {
         Some(Command::Serve(serve)) => serve::run(&serve),
+        Some(Command::Gateway(gateway)) => gateway_command::run(&gateway),
         Some(Command::Check(check)) => check::run(&check),
         Some(Command::Config(config)) => config_command::run(&config),
         Some(Command::Status(status)) => status::run(&status),
--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -7,7 +7,6 @@
 use config::{ChangeId, OperatorKey, UnixMillis, bootstrap};
 use http::{Client, Method, Reply, Request, SendError, StatusCode, Url};
 use ids::{Digest, Version};
-use platform::Platform;
 use serde::Serialize;
 use serde_json::{Value, json};
 use standins::process::Running;
@@ -15,6 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
+use store::Platform;
 use wire::platform::Put;
 
 /// Key of the workspace `board`.
@@ -380,5 +380,5 @@
         lease: None,
     };
     let written = task::block_on(platform.put(&put)).expect("the platform");
-    assert!(matches!(written, platform::Written::Done(_)), "the key {key} is new");
+    assert!(matches!(written, store::Written::Done(_)), "the key {key} is new");
 }
--- /dev/null
+++ b/crates/dispatch/src/attempt.rs
@@ -0,0 +1,193 @@
+//! What follows a failed attempt, and what the caller is told in the end.
+//!
+//! What goes wrong without these rules: a call that may have run is sent again, or refused as "not run"; a caller
+//! notices a doubled order. Only three things prove that a call has not run: no byte of it was sent, the endpoint says
+//! so, or it is another endpoint than the one that was meant and says that.
+
+use lifecycle::request::RequestState;
+use std::time::Duration;
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte was sent: no connection.
+    NotSent,
+    /// The endpoint is full, and has not run it.
+    Full,
+    /// The endpoint has not run it for another reason: it leaves, loads weights, or is not the one that was meant.
+    Declined,
+    /// Sent, and the answer is broken, cut, spoilt or another request's: it may have run.
+    Broken,
+    /// Sent, and no answer in the time for this attempt: it may run still.
+    Silent,
+    /// The endpoint ran it and answered with an error of its own.
+    Error,
+}
+
+impl Failure {
+    /// Whether the endpoint has certainly not run the request.
+    pub fn not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::Full | Self::Declined)
+    }
+
+    /// Name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Full => "full",
+            Self::Declined => "declined",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Error => "error",
+        }
+    }
+}
+
+/// What is known of a request after an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tried {
+    /// Endpoints that bytes of it were sent to.
+    pub sent: u32,
+    /// Endpoints that could not be connected to.
+    pub unreached: u32,
+    /// Endpoints that one request may be sent to.
+    pub attempts: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time that is left until its deadline.
+    pub left: Duration,
+}
+
+/// What follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Try another endpoint, if the retry budget allows it.
+    Again,
+    /// Try another endpoint; nothing was sent, so it costs no budget.
+    AgainFree,
+    /// Give up.
+    Stop,
+}
+
+/// Endpoints that a request tries in vain to connect to: a third failure in a row is the network's, not an endpoint's.
+const MAX_UNREACHED: u32 = 3;
+/// With less time than this left, another attempt only makes work for nobody: it is about the time of one network
+/// round trip and the shortest answers of the sites' services.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// What follows a failed attempt.
+pub fn next(tried: &Tried, failure: Failure) -> Next {
+    if tried.left < LEAST_LEFT {
+        return Next::Stop;
+    }
+    if failure == Failure::NotSent {
+        return if tried.unreached < MAX_UNREACHED {
+            Next::AgainFree
+        } else {
+            Next::Stop
+        };
+    }
+    if tried.sent >= tried.attempts || !(tried.repeatable || failure.not_run()) {
+        return Next::Stop;
+    }
+    Next::Again
+}
+
+/// Why a request ends without an endpoint's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// No configuration is known yet.
+    NotReady,
+    /// The configuration may be too old to say whose key is good.
+    Stale,
+    /// The head or the framing of the body cannot be read.
+    Malformed,
+    /// The head is too long.
+    HeadTooLarge,
+    /// The body is too long.
+    BodyTooLarge,
+    /// Head or body did not arrive in time.
+    SlowCaller,
+    /// No key, or an unknown one.
+    Unauthorized,
+    /// No such route.
+    NoRoute,
+    /// No endpoint is in service or can be reached.
+    NoEndpoint,
+    /// The endpoints are full.
+    Full,
+    /// The deadline has passed.
+    Deadline,
+    /// An attempt failed after its bytes had left.
+    EndpointFailed,
+}
+
+/// A refusal or failure as the caller gets it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// HTTP status.
+    pub status: u16,
+    /// When to come back; present only if the request has not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// When callers come back who met a router without a fresh configuration: about as long as a watch of the store waits,
+/// so that one of their next two attempts meets a router that knows.
+const RETRY_UNREADY: Duration = Duration::from_millis(500);
+/// When callers come back to full endpoints: about the time in which a third of the running streams of either site end.
+const RETRY_FULL: Duration = Duration::from_millis(300);
+/// When callers come back where no endpoint could be reached: a crashed one is replaced or noticed within this time.
+const RETRY_UNREACHED: Duration = Duration::from_millis(250);
+
+/// The refusal for a cause; `state` tells whether the request may have run.
+pub fn refusal(cause: Cause, state: RequestState) -> Refusal {
+    let untouched = matches!(
+        state,
+        RequestState::Queued | RequestState::Claimed | RequestState::Refused
+    );
+    let status = match cause {
+        Cause::Malformed => 400,
+        Cause::Unauthorized => 401,
+        Cause::NoRoute => 404,
+        Cause::SlowCaller => 408,
+        Cause::BodyTooLarge => 413,
+        Cause::HeadTooLarge => 431,
+        Cause::NotReady | Cause::Stale => 503,
+        Cause::NoEndpoint | Cause::Full if untouched => 503,
+        Cause::NoEndpoint | Cause::Full | Cause::EndpointFailed => 502,
+        Cause::Deadline => 504,
+    };
+    let retry_after = match (status, cause) {
+        (503, Cause::Full) => Some(RETRY_FULL),
+        (503, Cause::NoEndpoint) => Some(RETRY_UNREACHED),
+        (503, _) => Some(RETRY_UNREADY),
+        _ => None,
+    };
+    Refusal {
+        cause,
+        status,
+        retry_after,
+    }
+}
+
+impl Cause {
+    /// Name in logs, counters and the body of refusals.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::Stale => "stale_configuration",
+            Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head_too_large",
+            Self::BodyTooLarge => "body_too_large",
+            Self::SlowCaller => "slow_caller",
+            Self::Unauthorized => "unauthorized",
+            Self::NoRoute => "no_route",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Full => "full",
+            Self::Deadline => "deadline",
+            Self::EndpointFailed => "endpoint_failed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -0,0 +1,140 @@
+//! Model engines: requests go where their prompt's prefix is cached.
+//!
+//! Load pattern: prompts that share long nested prefixes, over engines whose memory holds a part of them. The placer ranks engines by
+//! hashes of the nested levels and weighs what would have to be read again against what waits there.
+
+use super::{Choice, Fleet, Picked, Wish};
+use ids::{EndpointId, Incarnation, ModelId};
+use placement::{Candidate, EndpointKey, Placer, PrefixChain};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Tokens of a block in the placer's eyes. Engines keep blocks of 16; this is fine enough for parts of hundreds of tokens
+/// and keeps a chain of 10,000 tokens at 40 hashes.
+const BLOCK: u64 = 256;
+/// Tokens a second that an engine of the sites reads of a prompt.
+const PREFILL_RATE: f64 = 80_000.0;
+/// Prompt tokens that are assumed for each request that waits inside an engine, whoever sent it: the sites' mean.
+const WAITING_TOKENS: f64 = 1_500.0;
+/// What a running request costs a new one, as prompt tokens: each step of the batch takes longer by it.
+const RUNNING_TOKENS: f64 = 60.0;
+/// Requests for each slot that this router may have at an engine; more only wait there behind each other.
+const DEPTH: u32 = 2;
+/// Least speed in the placer's eyes of an engine that fails.
+const LEAST_SPEED: f64 = 0.1;
+/// Bits of an incarnation's number that are left to the weights: an engine drops its cache for new ones.
+const WEIGHTS_BITS: u32 = 16;
+
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Stands for its text.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
+/// A prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model.
+    pub model: ModelId,
+    /// Parts in order; the last one is the request's own.
+    pub parts: Vec<Part>,
+    /// Prompt tokens in all.
+    pub tokens: u64,
+    /// Most tokens that are generated.
+    pub output: u64,
+}
+
+impl Prompt {
+    fn chain(&self, seed: u64) -> PrefixChain {
+        let mut blocks = Vec::new();
+        let mut levels = Vec::new();
+        let mut last = seed;
+        let mut tokens = 0;
+        for part in &self.parts {
+            last = xxh3_64_with_seed(&part.id.to_le_bytes(), last);
+            tokens += part.tokens;
+            while (blocks.len() as u64) < tokens / BLOCK {
+                last = xxh3_64_with_seed(b"block", last);
+                blocks.push(last);
+            }
+            levels.push(blocks.len());
+        }
+        // The last part is the request's own: nobody else looks for it.
+        levels.pop();
+        PrefixChain::from_hashes(seed, blocks, &levels)
+    }
+}
+
+impl Fleet {
+    pub(super) fn choose_engine(
+        &mut self,
+        wish: &Wish<'_>,
+        prompt: &Prompt,
+        ids: &[EndpointId],
+        draw: u64,
+        now: Duration,
+    ) -> Choice {
+        let chain = prompt.chain(seed(wish));
+        let mut candidates: Vec<Candidate> = ids.iter().filter_map(|id| self.candidate(id, prompt, now)).collect();
+        candidates.sort_by_key(|candidate| candidate.endpoint);
+        let placer = self.placers.entry(wish.service.clone()).or_insert_with(placer);
+        let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
+            return Choice::Full;
+        };
+        let chosen = candidates[pick.index].endpoint;
+        let incarnation = candidates[pick.index].incarnation;
+        let Some(known) = ids
+            .iter()
+            .filter_map(|id| self.known.get(id))
+            .find(|known| EndpointKey::from(&known.entry.id) == chosen)
+        else {
+            return Choice::Nowhere;
+        };
+        let picked = Picked {
+            endpoint: known.entry.clone(),
+            weights: known.weights(&prompt.model),
+            prefill: prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK),
+            reason: reason(pick.reason),
+        };
+        placer.learn(chosen, incarnation, &chain, pick.cached.min(chain.blocks().len()), now);
+        Choice::At(picked)
+    }
+
+    fn candidate(&self, id: &EndpointId, prompt: &Prompt, now: Duration) -> Option<Candidate> {
+        let known = self.known.get(id)?;
+        let others = known.waiting(now) * WAITING_TOKENS + known.running(now) * RUNNING_TOKENS;
+        let weights = known.weights(&prompt.model).unwrap_or_default();
+        Some(Candidate {
+            endpoint: EndpointKey::from(id),
+            incarnation: Incarnation((known.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
+            near: known.entry.domain == self.settings.domain,
+            in_flight: known.in_flight(),
+            limit: known.entry.slots.max(1) * DEPTH,
+            queued: known.prefill() + others as u64,
+            speed: (1.0 - known.trouble()).max(LEAST_SPEED),
+            weight: 1.0,
+        })
+    }
+}
+
+/// Prefixes of an isolated workspace have homes of their own.
+fn seed(wish: &Wish<'_>) -> u64 {
+    wish.isolated
+        .map_or(0, |workspace| xxh3_64_with_seed(workspace.as_str().as_bytes(), 1))
+}
+
+fn placer() -> Placer {
+    Placer::builder().tokens(BLOCK as u32).rate(PREFILL_RATE).build()
+}
+
+fn reason(reason: placement::Reason) -> &'static str {
+    match reason {
+        placement::Reason::Home => "home",
+        placement::Reason::Spill => "spill",
+        placement::Reason::Learnt => "learnt",
+        placement::Reason::Drawn => "drawn",
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/fleet/known.rs
@@ -0,0 +1,153 @@
+//! One endpoint as a router knows it.
+
+use crate::site::EndpointEntry;
+use ids::ModelId;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Weight of one more outcome in the running means: about ten requests back count, which a router of a small site sees
+/// of one endpoint in a few seconds.
+const FADE: f64 = 0.1;
+/// Time in which a load report loses half of its weight: about two answers' time of the sites' slower service.
+const REPORT_HALF: f64 = 0.25;
+
+/// Load that an endpoint tells on its answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the endpoint.
+    pub waiting: u32,
+}
+
+/// What came of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Whole answer, or a stream's first event, after this time.
+    Answered(Duration),
+    /// The endpoint refused and has not run it.
+    Declined,
+    /// The endpoint ran it and answered with an error.
+    Failed,
+    /// The answer was broken, cut or spoilt.
+    Broken,
+    /// No connection.
+    Unreached,
+    /// No answer in time.
+    Silent,
+}
+
+#[derive(Debug)]
+pub(super) struct Known {
+    pub(super) entry: Arc<EndpointEntry>,
+    /// Requests of this router there.
+    in_flight: u32,
+    /// Prompt tokens of this router's requests that have not been read yet.
+    prefill: u64,
+    report: Option<(LoadReport, Duration)>,
+    /// Share of attempts that failed, running mean.
+    trouble: f64,
+    /// Seconds until an answer, running mean.
+    latency: Option<f64>,
+    /// Weights that answers named, which are ahead of the entry.
+    weights: Vec<(ModelId, u64)>,
+}
+
+impl Known {
+    pub(super) fn new(entry: Arc<EndpointEntry>) -> Self {
+        let weights = entry.weights.clone();
+        Self {
+            entry,
+            in_flight: 0,
+            prefill: 0,
+            report: None,
+            trouble: 0.0,
+            latency: None,
+            weights,
+        }
+    }
+
+    pub(super) fn update(&mut self, entry: Arc<EndpointEntry>) {
+        for (model, weights) in &entry.weights {
+            self.learn_weights(model, *weights);
+        }
+        self.entry = entry;
+    }
+
+    /// Within one life an endpoint's weights only get newer.
+    pub(super) fn learn_weights(&mut self, model: &ModelId, weights: u64) {
+        match self.weights.iter_mut().find(|(known, _)| known == model) {
+            Some((_, known)) => *known = weights.max(*known),
+            None => self.weights.push((model.clone(), weights)),
+        }
+    }
+
+    pub(super) fn weights(&self, model: &ModelId) -> Option<u64> {
+        let served = self.weights.iter().find(|(known, _)| known == model)?;
+        Some(served.1)
+    }
+
+    pub(super) fn begin(&mut self, prefill: u64) {
+        self.in_flight += 1;
+        self.prefill += prefill;
+    }
+
+    pub(super) fn prefilled(&mut self, prefill: u64) {
+        self.prefill = self.prefill.saturating_sub(prefill);
+    }
+
+    pub(super) fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    pub(super) fn reported(&mut self, report: LoadReport, now: Duration) {
+        self.report = Some((report, now));
+    }
+
+    pub(super) fn outcome(&mut self, outcome: Outcome) {
+        let failed = match outcome {
+            Outcome::Answered(after) => {
+                let seconds = after.as_secs_f64();
+                let mean = self.latency.unwrap_or(seconds);
+                self.latency = Some(mean + FADE * (seconds - mean));
+                0.0
+            }
+            Outcome::Declined => return,
+            Outcome::Failed | Outcome::Broken | Outcome::Unreached | Outcome::Silent => 1.0,
+        };
+        self.trouble += FADE * (failed - self.trouble);
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    pub(super) fn prefill(&self) -> u64 {
+        self.prefill
+    }
+
+    pub(super) fn trouble(&self) -> f64 {
+        self.trouble
+    }
+
+    pub(super) fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    /// Requests expected to run there, whoever sent them.
+    pub(super) fn running(&self, now: Duration) -> f64 {
+        let told = self.faded(now, |report| report.running + report.waiting);
+        told.max(f64::from(self.in_flight))
+    }
+
+    /// Requests expected to wait there, whoever sent them.
+    pub(super) fn waiting(&self, now: Duration) -> f64 {
+        self.faded(now, |report| report.waiting)
+    }
+
+    fn faded(&self, now: Duration, count: impl Fn(LoadReport) -> u32) -> f64 {
+        let Some((report, at)) = self.report else { return 0.0 };
+        let age = now.saturating_sub(at).as_secs_f64();
+        f64::from(count(report)) * 0.5_f64.powf(age / REPORT_HALF)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -0,0 +1,253 @@
+//! Which endpoint a request goes to.
+//!
+//! Load pattern: many routers, none of which sees more than a small part of the traffic, before endpoints that are
+//! unequal, fail, fill up and change their weights. Each router weighs what endpoints report on their answers, what it
+//! has in flight itself, and how its own attempts went; endpoints of one prompt's prefix are found by hashing, so that
+//! routers agree without talking.
+
+mod candidates;
+mod engines;
+mod known;
+mod plain;
+
+pub use engines::{Part, Prompt};
+pub use known::{LoadReport, Outcome};
+
+use crate::retries::{RetryLimits, RetryMeter};
+use crate::site::EndpointEntry;
+use candidates::Standing;
+use control::health::{self, EndpointHealth};
+use ids::{EndpointId, Incarnation, ModelId, ServiceId};
+use known::Known;
+use placement::Placer;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Settings of the choice.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// This router's failure domain.
+    pub domain: ids::DomainId,
+    /// Budget of attempts beyond the first.
+    pub retries: RetryLimits,
+    /// How long requests may begin on older weights after newer ones were named.
+    pub old_weights: Duration,
+}
+
+/// What a request asks of its endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// Endpoints that were tried before.
+    pub avoid: &'a [EndpointId],
+    /// Its prompt, if it is for a model.
+    pub prompt: Option<&'a Prompt>,
+    /// Its workspace, if that shares no cached prefix.
+    pub isolated: Option<&'a ids::WorkspaceId>,
+}
+
+/// The outcome of a choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// Send it there.
+    At(Picked),
+    /// All endpoints that could serve it are full.
+    Full,
+    /// No endpoint that could serve it is in service.
+    Nowhere,
+}
+
+/// A chosen endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Picked {
+    /// The endpoint.
+    pub endpoint: Arc<EndpointEntry>,
+    /// Number of the weights it is believed to serve the request's model with.
+    pub weights: Option<u64>,
+    /// Prompt tokens it is expected to read.
+    pub prefill: u64,
+    /// Why it was chosen, for logs.
+    pub reason: &'static str,
+}
+
+/// What one router believes of all endpoints.
+pub struct Fleet {
+    settings: FleetSettings,
+    known: BTreeMap<EndpointId, Known>,
+    health: EndpointHealth,
+    placers: HashMap<ServiceId, Placer>,
+    meters: HashMap<ServiceId, RetryMeter>,
+    loading: BTreeSet<EndpointId>,
+    wanted: HashMap<ModelId, (u64, Duration)>,
+}
+
+impl Fleet {
+    /// A fleet without endpoints.
+    pub fn new(settings: FleetSettings) -> Self {
+        Self {
+            settings,
+            known: BTreeMap::new(),
+            health: EndpointHealth::default(),
+            placers: HashMap::new(),
+            meters: HashMap::new(),
+            loading: BTreeSet::new(),
+            wanted: HashMap::new(),
+        }
+    }
+
+    /// An endpoint serves, newly or with other properties.
+    pub fn serves(&mut self, entry: &Arc<EndpointEntry>, now: Duration) {
+        let known = self.known.get_mut(&entry.id);
+        match known {
+            Some(known) if known.entry.incarnation == entry.incarnation => known.update(entry.clone()),
+            _ => {
+                self.known.insert(entry.id.clone(), Known::new(entry.clone()));
+            }
+        }
+        self.configure(now);
+    }
+
+    /// An endpoint is gone.
+    pub fn gone(&mut self, id: &EndpointId, now: Duration) {
+        self.known.remove(id);
+        self.configure(now);
+    }
+
+    /// Weights that a model is to be served with.
+    pub fn want(&mut self, model: &ModelId, weights: u64, now: Duration) {
+        let newer = self.wanted.get(model).is_none_or(|(known, _)| *known < weights);
+        if newer {
+            self.wanted.insert(model.clone(), (weights, now));
+        }
+    }
+
+    /// Weights wanted of each model.
+    pub fn wanted(&self) -> impl Iterator<Item = (&ModelId, u64)> {
+        self.wanted.iter().map(|(model, (weights, _))| (model, *weights))
+    }
+
+    /// Endpoints that load weights now or are about to; they get no requests.
+    pub fn loads(&mut self, loading: BTreeSet<EndpointId>) {
+        self.loading = loading;
+    }
+
+    /// An answer or the order holder named the weights an endpoint serves a model with.
+    pub fn serves_weights(&mut self, id: &EndpointId, model: &ModelId, weights: u64) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.learn_weights(model, weights);
+        }
+    }
+
+    /// Weights an endpoint is believed to serve a model with.
+    pub fn weights(&self, id: &EndpointId, model: &ModelId) -> Option<u64> {
+        self.known.get(id)?.weights(model)
+    }
+
+    /// Endpoints to probe now.
+    pub fn due_probes(&mut self, now: Duration) -> Vec<Arc<EndpointEntry>> {
+        let due = self.health.due_probes(now);
+        due.iter()
+            .filter_map(|id| self.known.get(id).map(|known| known.entry.clone()))
+            .collect()
+    }
+
+    /// Chooses an endpoint; `draw` is uniform over all numbers.
+    pub fn choose(&mut self, wish: &Wish<'_>, draw: u64, now: Duration) -> Choice {
+        let standing = self.candidates(wish, now);
+        let ids = match standing {
+            Standing::Some(ids) => ids,
+            Standing::Full => return Choice::Full,
+            Standing::None => return Choice::Nowhere,
+        };
+        match wish.prompt {
+            Some(prompt) => self.choose_engine(wish, prompt, &ids, draw, now),
+            None => self.choose_plain(&ids, draw, now),
+        }
+    }
+
+    /// A request was sent to an endpoint.
+    pub fn begin(&mut self, id: &EndpointId, incarnation: Incarnation, prefill: u64) {
+        if let Some(known) = self.life(id, incarnation) {
+            known.begin(prefill);
+        }
+    }
+
+    /// The endpoint has read a request's prompt, or will never read it.
+    pub fn prefilled(&mut self, id: &EndpointId, incarnation: Incarnation, prefill: u64) {
+        if let Some(known) = self.life(id, incarnation) {
+            known.prefilled(prefill);
+        }
+    }
+
+    /// A request has left an endpoint.
+    pub fn end(&mut self, id: &EndpointId, incarnation: Incarnation) {
+        if let Some(known) = self.life(id, incarnation) {
+            known.end();
+        }
+    }
+
+    /// An endpoint told its load.
+    pub fn reported(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.reported(report, now);
+        }
+    }
+
+    /// What came of an attempt.
+    pub fn outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.outcome(outcome);
+        }
+        let event = evidence(id, outcome);
+        self.health.on(event, now);
+    }
+
+    /// What came of a probe: it shows whether the endpoint is reached, not how it serves.
+    pub fn probed(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
+        let event = evidence(id, outcome);
+        self.health.on(event, now);
+    }
+
+    /// A request's first attempt at a service.
+    pub fn first_attempt(&mut self, service: &ServiceId, now: Duration) {
+        let window = self.settings.retries.window;
+        self.meters.entry(service.clone()).or_default().first(window, now);
+    }
+
+    /// Whether one more attempt may be made at a service; it is counted if so.
+    pub fn another_attempt(&mut self, service: &ServiceId, now: Duration) -> bool {
+        let limits = self.settings.retries;
+        self.meters.entry(service.clone()).or_default().again(&limits, now)
+    }
+
+    fn life(&mut self, id: &EndpointId, incarnation: Incarnation) -> Option<&mut Known> {
+        let known = self.known.get_mut(id)?;
+        (known.entry.incarnation == incarnation).then_some(known)
+    }
+
+    fn configure(&mut self, now: Duration) {
+        let ids = self.known.keys().cloned().collect();
+        self.health.on(health::Event::Configured(ids), now);
+    }
+}
+
+/// What an outcome tells of an endpoint's health.
+fn evidence(id: &EndpointId, outcome: Outcome) -> health::Event {
+    let endpoint = id.clone();
+    match outcome {
+        Outcome::Answered(_) | Outcome::Failed | Outcome::Declined => health::Event::Replied {
+            endpoint,
+            incarnation: None,
+        },
+        Outcome::Broken | Outcome::Unreached => health::Event::Failed {
+            endpoint,
+            failure: health::Failure::Broken,
+        },
+        Outcome::Silent => health::Event::Failed {
+            endpoint,
+            failure: health::Failure::Timeout,
+        },
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/holder.rs
@@ -0,0 +1,233 @@
+//! Who gives orders to endpoints: one router of the whole deployment, under a lease of the store.
+//!
+//! What goes wrong without it: two routers order different weights, or one that was paused goes on where it stopped;
+//! endpoints that don't check generation numbers then change back and forth. So the holder counts its lease from before
+//! it asked for it, on a clock that goes on while its VM is suspended, and stops [`HolderTimes::margin`] before the end; and
+//! a successor waits until the last order of its predecessor must have arrived.
+
+use ids::Fence;
+use std::time::Duration;
+
+/// Times of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HolderTimes {
+    /// Time to live without renewal.
+    pub ttl: Duration,
+    /// Time between renewals.
+    pub renew: Duration,
+    /// Last part of the lease in which no order leaves.
+    pub margin: Duration,
+    /// Wait of a new holder before its first order.
+    pub settle: Duration,
+    /// Wait before a failed call is repeated.
+    pub again: Duration,
+}
+
+/// The holder key's contents as last seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Occupant {
+    /// The process that holds it; another one after each start.
+    pub name: String,
+    /// Store revision at which the key was created, which only grows: the generation number.
+    pub created: Fence,
+    /// The lease it hangs on.
+    pub lease: u64,
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The holder key as the store has it now.
+    Seen(Option<Occupant>),
+    /// The store granted a lease, asked for at the given time; the key is being written.
+    Granted {
+        /// Its id.
+        lease: u64,
+        /// Its time to live.
+        ttl: Duration,
+        /// When it was asked for.
+        asked: Duration,
+    },
+    /// No lease was granted, or the key could not be written.
+    Failed,
+    /// The lease was renewed by a call that left at the given time.
+    Renewed {
+        /// Time to live from then.
+        ttl: Duration,
+        /// When the call left.
+        asked: Duration,
+    },
+    /// The store doesn't have the lease any more.
+    Lapsed,
+    /// This router is going.
+    Stop,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Ask for a lease, and write the key if it is absent.
+    Acquire(Duration),
+    /// Renew the lease.
+    Renew(u64),
+    /// Give it back.
+    Release(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lease {
+    id: u64,
+    end: Duration,
+    renew: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Another holds the key, or nothing is known of it.
+    Idle,
+    /// The key is absent; asked for from this time on.
+    Free { next: Duration },
+    /// The call is under way.
+    Asking { until: Duration },
+    /// The key is held; orders may be given from this time on.
+    Holding { fence: Fence, from: Duration },
+}
+
+/// The part of one router in holding the key.
+#[derive(Debug, Clone)]
+pub struct Holder {
+    name: String,
+    times: HolderTimes,
+    phase: Phase,
+    lease: Option<Lease>,
+    /// Wait before the key is asked for, other for each router, so that they don't all ask at once.
+    stagger: Duration,
+    stopped: bool,
+}
+
+impl Holder {
+    /// A router that holds nothing; `name` is unique to this process.
+    pub fn new(name: String, times: HolderTimes, stagger: Duration) -> Self {
+        Self {
+            name,
+            times,
+            phase: Phase::Idle,
+            lease: None,
+            stagger,
+            stopped: false,
+        }
+    }
+
+    /// Takes an event.
+    pub fn on(&mut self, event: Event, now: Duration) -> Option<Step> {
+        self.check(now);
+        match event {
+            Event::Tick => return self.tick(now),
+            Event::Seen(occupant) => return self.seen(occupant, now),
+            Event::Granted { lease, ttl, asked } => {
+                self.lease = Some(Lease {
+                    id: lease,
+                    end: asked + ttl,
+                    renew: asked + self.times.renew,
+                });
+            }
+            Event::Renewed { ttl, asked } => {
+                if let Some(lease) = &mut self.lease {
+                    lease.end = lease.end.max(asked + ttl);
+                }
+            }
+            Event::Failed => {
+                if matches!(self.phase, Phase::Asking { .. }) {
+                    self.phase = Phase::Free {
+                        next: now + self.times.again,
+                    };
+                }
+            }
+            Event::Lapsed => self.let_go(),
+            Event::Stop => {
+                self.stopped = true;
+                let held = self.lease.map(|lease| Step::Release(lease.id));
+                self.let_go();
+                return held;
+            }
+        }
+        None
+    }
+
+    /// The generation number, while orders may leave. Belongs right before each send: a process can be paused anywhere.
+    pub fn may_order(&self, now: Duration) -> Option<Fence> {
+        let Phase::Holding { fence, from } = self.phase else {
+            return None;
+        };
+        let lasts = self.lease.is_some_and(|lease| now + self.times.margin < lease.end);
+        (lasts && now >= from).then_some(fence)
+    }
+
+    /// The lease that the key hangs on, while it is held.
+    pub fn lease(&self) -> Option<u64> {
+        let holds = matches!(self.phase, Phase::Holding { .. });
+        self.lease.filter(|_| holds).map(|lease| lease.id)
+    }
+
+    fn check(&mut self, now: Duration) {
+        let over = self.lease.is_some_and(|lease| now >= lease.end);
+        if over {
+            self.let_go();
+        }
+    }
+
+    fn tick(&mut self, now: Duration) -> Option<Step> {
+        match self.phase {
+            Phase::Free { next } if now >= next && !self.stopped => {
+                self.phase = Phase::Asking {
+                    until: now + self.times.ttl,
+                };
+                Some(Step::Acquire(self.times.ttl))
+            }
+            Phase::Asking { until } if now >= until => {
+                self.phase = Phase::Free { next: now };
+                None
+            }
+            Phase::Holding { .. } => self.renew(now),
+            _ => None,
+        }
+    }
+
+    fn renew(&mut self, now: Duration) -> Option<Step> {
+        let lease = self.lease.as_mut().filter(|lease| now >= lease.renew)?;
+        lease.renew = now + self.times.renew;
+        Some(Step::Renew(lease.id))
+    }
+
+    fn seen(&mut self, occupant: Option<Occupant>, now: Duration) -> Option<Step> {
+        let Some(occupant) = occupant else {
+            if !matches!(self.phase, Phase::Asking { .. } | Phase::Free { .. }) {
+                self.let_go();
+                self.phase = Phase::Free {
+                    next: now + self.stagger,
+                };
+            }
+            return None;
+        };
+        let own = occupant.name == self.name && self.lease.is_some_and(|lease| lease.id == occupant.lease);
+        if !own {
+            let held = self.lease.map(|lease| Step::Release(lease.id));
+            self.let_go();
+            return held;
+        }
+        if !matches!(self.phase, Phase::Holding { .. }) {
+            self.phase = Phase::Holding {
+                fence: occupant.created,
+                from: now + self.times.settle,
+            };
+        }
+        None
+    }
+
+    fn let_go(&mut self) {
+        self.phase = Phase::Idle;
+        self.lease = None;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of a router in front of routed services. Never does I/O, never reads a clock.
+//!
+//! | module | what it decides |
+//! | --- | --- |
+//! | [`site`] | which service a request belongs to, and whose it is |
+//! | [`freshness`] | whether the configuration may still be relied on for keys |
+//! | [`roster`] | which endpoints are in service |
+//! | [`fleet`] | which endpoint a request goes to |
+//! | [`attempt`] | what follows a failed attempt, and what the caller is told |
+//! | [`retries`] | whether the budget that all routers share allows one more attempt |
+//! | [`holder`] | who gives orders to the endpoints, and since when |
+//! | [`rollout`] | which endpoint loads new weights next |
+
+pub mod attempt;
+pub mod fleet;
+pub mod freshness;
+pub mod holder;
+pub mod retries;
+pub mod rollout;
+pub mod roster;
+pub mod site;
--- /dev/null
+++ b/crates/dispatch/src/roster.rs
@@ -0,0 +1,151 @@
+//! Which endpoints are in service, from the store's entries.
+//!
+//! Load pattern: entries live under leases that the endpoints renew. When the store is away, leases of healthy
+//! endpoints lapse; were their entries believed gone at once, all endpoints would vanish in the moment the store comes
+//! back and every caller would be refused. So what is missing right after an outage stays in service for as long as a
+//! living endpoint needs to register again.
+
+use crate::site::EndpointEntry;
+use ids::{EndpointId, ServiceId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after the store's return in which a living endpoint has registered again: the users state about two seconds,
+/// to which a quarter is added for the watch's way here.
+const REGISTER_AGAIN: Duration = Duration::from_millis(2_500);
+/// Failing calls for shorter than this are no outage: leases of endpoints last for several heartbeats of a second.
+const OUTAGE: Duration = Duration::from_millis(700);
+
+/// What changed in the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListChange {
+    /// An entry as it is now.
+    Listed(EndpointEntry),
+    /// An entry that cannot be read: it names no endpoint to use.
+    Unreadable(EndpointId),
+    /// The entry has gone.
+    Removed(EndpointId),
+}
+
+/// What became of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RosterChange {
+    /// In service, newly or with other properties.
+    Serves(Arc<EndpointEntry>),
+    /// Gone.
+    Gone(EndpointId),
+}
+
+/// Endpoints in service.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    entries: BTreeMap<EndpointId, Arc<EndpointEntry>>,
+    missing: BTreeMap<EndpointId, Duration>,
+    failing: Option<Duration>,
+    returned: Option<Duration>,
+}
+
+impl Roster {
+    /// Endpoints of a service.
+    pub fn of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Arc<EndpointEntry>> {
+        self.entries.values().filter(move |entry| entry.service == *service)
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
+        self.entries.values()
+    }
+
+    /// An endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&Arc<EndpointEntry>> {
+        self.entries.get(id)
+    }
+
+    /// A call to the store failed.
+    pub fn store_failed(&mut self, now: Duration) {
+        self.failing.get_or_insert(now);
+    }
+
+    /// A call to the store was answered. Comes before the changes that it brought.
+    pub fn store_answered(&mut self, now: Duration) {
+        let Some(since) = self.failing.take() else { return };
+        if now.saturating_sub(since) >= OUTAGE {
+            self.returned = Some(now);
+        }
+    }
+
+    /// One change of the list.
+    pub fn change(&mut self, change: ListChange, now: Duration) -> Option<RosterChange> {
+        match change {
+            ListChange::Listed(entry) => {
+                self.missing.remove(&entry.id);
+                self.list(entry)
+            }
+            ListChange::Unreadable(id) | ListChange::Removed(id) => self.remove(id, now),
+        }
+    }
+
+    /// The whole list as it is now.
+    pub fn replace(&mut self, list: Vec<ListChange>, now: Duration) -> Vec<RosterChange> {
+        let named = |change: &ListChange| match change {
+            ListChange::Listed(entry) => entry.id.clone(),
+            ListChange::Unreadable(id) | ListChange::Removed(id) => id.clone(),
+        };
+        let present: Vec<EndpointId> = list.iter().map(named).collect();
+        let lost: Vec<EndpointId> = self
+            .entries
+            .keys()
+            .filter(|id| !present.contains(id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<_> = list.into_iter().filter_map(|change| self.change(change, now)).collect();
+        changes.extend(lost.into_iter().filter_map(|id| self.remove(id, now)));
+        changes
+    }
+
+    /// Lets go of what is still missing.
+    pub fn tick(&mut self, now: Duration) -> Vec<RosterChange> {
+        let due = |until: &Duration| now >= *until;
+        let gone: Vec<EndpointId> = self
+            .missing
+            .iter()
+            .filter(|(_, until)| due(until))
+            .map(|(id, _)| id.clone())
+            .collect();
+        gone.into_iter()
+            .map(|id| {
+                self.missing.remove(&id);
+                self.entries.remove(&id);
+                RosterChange::Gone(id)
+            })
+            .collect()
+    }
+
+    fn list(&mut self, entry: EndpointEntry) -> Option<RosterChange> {
+        let known = self.entries.get(&entry.id);
+        if known.is_some_and(|known| **known == entry) {
+            return None;
+        }
+        let entry = Arc::new(entry);
+        self.entries.insert(entry.id.clone(), entry.clone());
+        Some(RosterChange::Serves(entry))
+    }
+
+    fn remove(&mut self, id: EndpointId, now: Duration) -> Option<RosterChange> {
+        let entry = self.entries.get(&id)?;
+        // One that said it leaves has not lapsed by the outage.
+        if let (Some(until), false) = (self.grace(now), entry.leaving) {
+            self.missing.entry(id).or_insert(until);
+            return None;
+        }
+        self.missing.remove(&id);
+        self.entries.remove(&id);
+        Some(RosterChange::Gone(id))
+    }
+
+    fn grace(&self, now: Duration) -> Option<Duration> {
+        let until = self.returned? + REGISTER_AGAIN;
+        (now < until).then_some(until)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,345 @@
+//! The control thread: it alone changes what is believed of the site, of endpoints in service and of the order holder.
+
+pub mod orders;
+
+use crate::dialect::Holding;
+use crate::shared::Shared;
+use async_channel::Receiver;
+use dispatch::holder::{Holder, HolderTimes, Occupant};
+use dispatch::roster::{ListChange, Roster, RosterChange};
+use dispatch::site::Site;
+use ids::{EndpointId, Fence, ModelId};
+use rand::RngExt;
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use store::items::{Change, Item};
+
+/// Events that wait for the control thread at most; a feed that is faster waits.
+pub const EVENTS: usize = 256;
+/// Pause between two looks at what is due.
+pub const TICK: Duration = Duration::from_millis(200);
+/// Key of the holder of the right to give orders.
+pub const HOLDER_KEY: &str = "apricotfork/holder";
+/// Key of what the holder tells all routers.
+pub const HOLDING_KEY: &str = "apricotfork/holding";
+/// Time to live of the holder's lease: a holder that dies is replaced this long after its last renewal, and its successor's
+/// first order comes a turn later; together well below the bound on old weights.
+const LEASE: Duration = Duration::from_millis(3_000);
+/// Two renewals may fail before the lease ends.
+const RENEW: Duration = Duration::from_millis(900);
+/// Last part of the lease without orders: covers the time from the check to the endpoint, and clocks of unequal speed.
+const MARGIN: Duration = Duration::from_millis(600);
+/// Added to the bound on turns before a new holder's first order, for the last order of the old one on its way.
+const TURN_SLACK: Duration = Duration::from_millis(300);
+/// Wait before a failed call for the lease is repeated.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Longest random wait of a router before it asks for the holder key: the first one's write reaches the others within milliseconds.
+const STAGGER: Duration = Duration::from_millis(600);
+
+/// What the control thread hears.
+#[derive(Debug)]
+pub enum Event {
+    /// A call to the store failed.
+    StoreFailed,
+    /// Everything in the store, asked for at the given time.
+    Read {
+        /// Items in order of keys.
+        items: Vec<Item>,
+        /// When the call left.
+        sent: Duration,
+    },
+    /// Changes, asked for at the given time.
+    Changed {
+        /// In their order.
+        changes: Vec<Change>,
+        /// When the call left.
+        sent: Duration,
+    },
+    /// Something of the holder's own.
+    Holder(dispatch::holder::Event),
+    /// A load has ended, with the weights that are in place now, if it succeeded.
+    LoadEnded {
+        /// Where.
+        endpoint: EndpointId,
+        /// Model and number of the weights.
+        loaded: Option<(ModelId, u64)>,
+    },
+    /// Time has passed.
+    Tick,
+    /// The process is going.
+    Stop,
+}
+
+/// Tells the control thread; waits while it is behind.
+pub async fn send(shared: &Shared, event: Event) {
+    // The thread ends with the process only.
+    let _ = shared.events.send(event).await;
+}
+
+/// State of the control thread.
+pub struct Control {
+    shared: Arc<Shared>,
+    roster: Roster,
+    holder: Arc<Mutex<Holder>>,
+    holder_name: String,
+    loading: BTreeSet<EndpointId>,
+    holding: Holding,
+    in_touch: bool,
+}
+
+impl Control {
+    /// Nothing is known yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        let settings = shared.settings.load();
+        let times = HolderTimes {
+            ttl: LEASE,
+            renew: RENEW,
+            margin: MARGIN,
+            settle: settings.bounds.turn() + TURN_SLACK,
+            again: ASK_AGAIN,
+        };
+        let holder_name = format!("{}/{:016x}", settings.vm, rand::random::<u64>());
+        let stagger = STAGGER.mul_f64(rand::rng().random_range(0.0..1.0));
+        let holder = Holder::new(holder_name.clone(), times, stagger);
+        drop(settings);
+        Self {
+            shared,
+            roster: Roster::default(),
+            holder: Arc::new(Mutex::new(holder)),
+            holder_name,
+            loading: BTreeSet::new(),
+            holding: Holding::default(),
+            in_touch: false,
+        }
+    }
+
+    /// Takes events until the process ends.
+    pub async fn run(mut self, events: Receiver<Event>) {
+        while let Ok(event) = events.recv().await {
+            self.on(event);
+        }
+    }
+
+    fn on(&mut self, event: Event) {
+        let now = self.shared.clock.now();
+        match event {
+            Event::StoreFailed => {
+                self.roster.store_failed(now);
+                self.in_touch = false;
+            }
+            Event::Read { items, sent } => {
+                self.answered(now);
+                self.read(items, now);
+                self.confirm(sent);
+            }
+            Event::Changed { changes, sent } => {
+                self.answered(now);
+                for change in changes {
+                    self.changed(change, now);
+                }
+                self.confirm(sent);
+            }
+            Event::Holder(event) => self.holder_event(event),
+            Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::Tick => self.tick(now),
+            Event::Stop => self.holder_event(dispatch::holder::Event::Stop),
+        }
+    }
+
+    fn answered(&mut self, now: Duration) {
+        self.roster.store_answered(now);
+        if !self.in_touch {
+            self.in_touch = true;
+            log::info!("store: in touch");
+        }
+    }
+
+    fn confirm(&self, sent: Duration) {
+        // Without a document there is nothing that could be fresh.
+        if self.shared.site.load().is_some() {
+            self.shared.freshness().confirm(sent);
+        }
+    }
+
+    /// All there is: what is absent has gone.
+    fn read(&mut self, items: Vec<Item>, now: Duration) {
+        let prefix = self.shared.dialect.keys.endpoints;
+        let (entries, rest): (Vec<Item>, Vec<Item>) = items.into_iter().partition(|item| item.key.starts_with(prefix));
+        let list = entries.iter().filter_map(|item| self.listed(item)).collect();
+        let changes = self.roster.replace(list, now);
+        self.apply(changes, now);
+        self.shared.listed.store(true, Ordering::SeqCst);
+        for own in [HOLDER_KEY, HOLDING_KEY] {
+            if !rest.iter().any(|item| item.key == own) {
+                self.removed(own, now);
+            }
+        }
+        for item in &rest {
+            self.written(item, now);
+        }
+    }
+
+    fn changed(&mut self, change: Change, now: Duration) {
+        let prefix = self.shared.dialect.keys.endpoints;
+        let listed = match &change {
+            Change::Written(item) => self.listed(item),
+            Change::Removed(key) => endpoint_id(key, prefix).map(ListChange::Removed),
+        };
+        if let Some(listed) = listed {
+            let changed = self.roster.change(listed, now);
+            self.apply(changed.into_iter().collect(), now);
+            return;
+        }
+        match &change {
+            Change::Written(item) => self.written(item, now),
+            Change::Removed(key) => self.removed(key, now),
+        }
+    }
+
+    /// The entry of an endpoint, if the item is one.
+    fn listed(&self, item: &Item) -> Option<ListChange> {
+        let id = endpoint_id(&item.key, self.shared.dialect.keys.endpoints)?;
+        match (self.shared.dialect.entry)(id.clone(), &item.value) {
+            Ok(entry) => Some(ListChange::Listed(entry)),
+            Err(err) => {
+                log::warn!(endpoint = id.as_str(), why:% = err; "endpoint: its entry cannot be read");
+                Some(ListChange::Unreadable(id))
+            }
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<RosterChange>, now: Duration) {
+        for change in changes {
+            match change {
+                RosterChange::Serves(entry) => {
+                    self.shared.links.forget(&entry.id, Some(entry.incarnation));
+                    self.shared.fleet().serves(&entry, now);
+                    log::info!(
+                        endpoint = entry.id.as_str(),
+                        service = entry.service.as_str(),
+                        address:% = entry.address,
+                        life = entry.incarnation.0,
+                        leaving = entry.leaving;
+                        "endpoint: listed"
+                    );
+                }
+                RosterChange::Gone(id) => {
+                    self.shared.links.forget(&id, None);
+                    self.shared.fleet().gone(&id, now);
+                    log::info!(endpoint = id.as_str(); "endpoint: gone");
+                }
+            }
+        }
+        let count = self.roster.all().count();
+        self.shared.metrics.endpoints.set(count as i64);
+    }
+
+    fn written(&mut self, item: &Item, now: Duration) {
+        let keys = self.shared.dialect.keys;
+        match item.key.as_str() {
+            HOLDER_KEY => self.occupied(item),
+            HOLDING_KEY => self.told(item),
+            key if key == keys.document => self.document(item),
+            key if key.starts_with(keys.weights) => self.wanted(item, now),
+            _ => {}
+        }
+    }
+
+    fn removed(&mut self, key: &str, now: Duration) {
+        match key {
+            HOLDER_KEY => {
+                self.holder_event(dispatch::holder::Event::Seen(None));
+            }
+            HOLDING_KEY => self.shared.fleet().loads(BTreeSet::new()),
+            _ => {}
+        }
+        let _ = now;
+    }
+
+    fn document(&self, item: &Item) {
+        let parts = match (self.shared.dialect.document)(&item.value) {
+            Ok(parts) => parts,
+            Err(err) => {
+                log::error!(why:% = err; "configuration: cannot be read, the last one stays in force");
+                return;
+            }
+        };
+        let old = self.shared.revision();
+        let none = self.shared.site.load().is_none();
+        if !none && parts.revision <= old {
+            return;
+        }
+        log::info!(revision = parts.revision.0, before = old.0, routes = parts.routes.len(); "configuration: in force");
+        self.shared.metrics.revision.set(parts.revision.0 as i64);
+        self.shared.site.store(Some(Arc::new(Site::new(parts))));
+    }
+
+    fn wanted(&self, item: &Item, now: Duration) {
+        match (self.shared.dialect.wanted)(&item.value) {
+            Ok(wanted) => {
+                log::info!(model = wanted.model.as_str(), weights = wanted.weights; "weights: wanted");
+                self.shared.fleet().want(&wanted.model, wanted.weights, now);
+            }
+            Err(err) => log::error!(key = item.key.as_str(), why:% = err; "weights: cannot be read"),
+        }
+    }
+
+    fn occupied(&mut self, item: &Item) {
+        let occupant = Occupant {
+            name: String::from_utf8_lossy(&item.value).into_owned(),
+            created: Fence(item.created),
+            lease: item.lease,
+        };
+        self.holder_event(dispatch::holder::Event::Seen(Some(occupant)));
+    }
+
+    /// What the holder says of endpoints.
+    fn told(&self, item: &Item) {
+        let holding: Holding = match serde_json::from_slice(&item.value) {
+            Ok(holding) => holding,
+            Err(err) => {
+                log::error!(why:% = err; "orders: what the holder says cannot be read");
+                return;
+            }
+        };
+        self.believe(&holding);
+    }
+
+    fn believe(&self, holding: &Holding) {
+        let mut fleet = self.shared.fleet();
+        fleet.loads(holding.loading.iter().cloned().collect());
+        for (endpoint, model, weights) in &holding.loaded {
+            fleet.serves_weights(endpoint, model, *weights);
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let gone = self.roster.tick(now);
+        if !gone.is_empty() {
+            self.apply(gone, now);
+        }
+        self.shared.links.sweep();
+        let age = self.shared.freshness().age(now).unwrap_or_default();
+        self.shared.metrics.age.set(age.as_millis() as i64);
+        let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
+        self.shared.metrics.in_flight.set(in_flight as i64);
+        self.probe(now);
+        self.holder_event(dispatch::holder::Event::Tick);
+        self.give_orders(now);
+    }
+
+    fn lock_holder(&self) -> MutexGuard<'_, Holder> {
+        lock(&self.holder)
+    }
+}
+
+/// The id of the endpoint whose entry lies under `key`.
+fn endpoint_id(key: &str, prefix: &str) -> Option<EndpointId> {
+    key.strip_prefix(prefix).map(EndpointId::from)
+}
+
+pub(crate) fn lock(holder: &Mutex<Holder>) -> MutexGuard<'_, Holder> {
+    holder.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/control/orders.rs
@@ -0,0 +1,203 @@
+//! The control thread's part in holding the right to give orders, and in giving them.
+
+use super::{Control, Event, HOLDER_KEY, HOLDING_KEY, lock, send};
+use crate::orders;
+use crate::shared::Shared;
+use async_std::task;
+use dispatch::holder::{self, Step};
+use dispatch::rollout::{Runner, next_loads};
+use dispatch::site::EndpointEntry;
+use ids::{EndpointId, ModelId};
+use std::sync::Arc;
+use std::time::Duration;
+use store::items::{Client, Committed, ItemsError, Transaction, Write};
+
+/// Endpoints that load at once, over the whole deployment: the store of weights serves two at full speed.
+const LOADS: usize = 2;
+/// Longest wait for an answer to a call about the lease; a fifth of the lease.
+const CALL: Duration = Duration::from_millis(600);
+
+impl Control {
+    pub(super) fn holder_event(&mut self, event: holder::Event) {
+        let now = self.shared.clock.now();
+        let before = self.lock_holder().lease();
+        let step = self.lock_holder().on(event, now);
+        let after = self.lock_holder().lease();
+        if before != after {
+            log::info!(holds = after.is_some(); "orders: the right to give them changed");
+            self.holding = crate::dialect::Holding::default();
+            self.loading.clear();
+        }
+        if let Some(step) = step {
+            self.carry_out(step);
+        }
+    }
+
+    fn carry_out(&self, step: Step) {
+        let (shared, name) = (self.shared.clone(), self.holder_name.clone());
+        task::spawn(async move {
+            let client = Client::new(shared.settings.load().store, shared.dialect.store);
+            match step {
+                Step::Acquire(ttl) => acquire(&shared, &client, name, ttl).await,
+                Step::Renew(lease) => renew(&shared, &client, lease).await,
+                // A lease that isn't given back lapses by itself.
+                Step::Release(lease) => drop(client.release(lease, CALL).await),
+            }
+        });
+    }
+
+    pub(super) fn give_orders(&mut self, now: Duration) {
+        if self.lock_holder().may_order(now).is_none() {
+            return;
+        }
+        let wanted: Vec<(ModelId, u64)> = {
+            let fleet = self.shared.fleet();
+            fleet
+                .wanted()
+                .map(|(model, weights)| (model.clone(), weights))
+                .collect()
+        };
+        for (model, weights) in wanted {
+            let runners = self.runners(&model);
+            for endpoint in next_loads(&runners, weights, &self.loading, LOADS) {
+                self.start_load(endpoint, &model);
+            }
+        }
+    }
+
+    fn runners(&self, model: &ModelId) -> Vec<Runner> {
+        let fleet = self.shared.fleet();
+        let runner = |entry: &Arc<EndpointEntry>| {
+            let weights = fleet.weights(&entry.id, model)?;
+            Some(Runner {
+                endpoint: entry.id.clone(),
+                weights,
+                leaving: entry.leaving,
+            })
+        };
+        self.roster.all().filter_map(runner).collect()
+    }
+
+    fn start_load(&mut self, endpoint: EndpointId, model: &ModelId) {
+        let Some(entry) = self.roster.get(&endpoint).cloned() else {
+            return;
+        };
+        self.loading.insert(endpoint.clone());
+        self.holding.loading.push(endpoint);
+        self.tell();
+        let load = orders::Load {
+            shared: self.shared.clone(),
+            holder: self.holder.clone(),
+            name: self.holder_name.clone(),
+            entry,
+            model: model.clone(),
+        };
+        task::spawn(load.run());
+    }
+
+    pub(super) fn load_ended(&mut self, endpoint: EndpointId, loaded: Option<(ModelId, u64)>) {
+        if !self.loading.remove(&endpoint) {
+            return;
+        }
+        self.holding.loading.retain(|loading| *loading != endpoint);
+        if let Some((model, weights)) = loaded {
+            self.holding.loaded.retain(|(known, ..)| *known != endpoint);
+            self.holding.loaded.push((endpoint, model, weights));
+        }
+        let now = self.shared.clock.now();
+        let before = self.loading.len();
+        self.give_orders(now);
+        if self.loading.len() == before {
+            self.tell();
+        }
+    }
+
+    /// Tells all routers which endpoints load: requests sent there meanwhile would be refused, and some may not be sent
+    /// to a second endpoint.
+    fn tell(&self) {
+        self.believe(&self.holding);
+        let lock = self.lock_holder();
+        let now = self.shared.clock.now();
+        let (Some(lease), Some(fence)) = (lock.lease(), lock.may_order(now)) else {
+            return;
+        };
+        drop(lock);
+        let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
+        let transaction = Transaction {
+            expected: vec![(HOLDER_KEY.to_owned(), fence.0)],
+            writes: vec![Write {
+                key: HOLDING_KEY.to_owned(),
+                value,
+                lease,
+            }],
+        };
+        let shared = self.shared.clone();
+        task::spawn(async move {
+            let client = Client::new(shared.settings.load().store, shared.dialect.store);
+            let told = client.commit(&transaction, CALL).await;
+            count(&shared, "tell", told.is_ok());
+            if let Err(err) = told {
+                log::warn!(why:% = err; "orders: the other routers could not be told");
+            }
+        });
+    }
+
+    pub(super) fn probe(&self, now: Duration) {
+        let due = self.shared.fleet().due_probes(now);
+        for entry in due {
+            task::spawn(orders::probe(self.shared.clone(), entry));
+        }
+    }
+}
+
+async fn acquire(shared: &Shared, client: &Client, name: String, ttl: Duration) {
+    let asked = shared.clock.now();
+    let granted = client.grant(ttl, CALL).await;
+    count(shared, "grant", granted.is_ok());
+    let Ok(granted) = granted else {
+        send(shared, Event::Holder(holder::Event::Failed)).await;
+        return;
+    };
+    let lease = granted.lease;
+    let ttl = granted.ttl;
+    send(shared, Event::Holder(holder::Event::Granted { lease, ttl, asked })).await;
+    let transaction = Transaction {
+        expected: vec![(HOLDER_KEY.to_owned(), 0)],
+        writes: vec![Write {
+            key: HOLDER_KEY.to_owned(),
+            value: name.into_bytes(),
+            lease,
+        }],
+    };
+    let committed = client.commit(&transaction, CALL).await;
+    count(shared, "claim", committed.is_ok());
+    // Success shows by the watch, with the generation number; so does a write whose answer was lost.
+    if matches!(committed, Ok(Committed::Done(_)) | Err(ItemsError::Lost)) {
+        return;
+    }
+    send(shared, Event::Holder(holder::Event::Failed)).await;
+    drop(client.release(lease, CALL).await);
+}
+
+async fn renew(shared: &Shared, client: &Client, lease: u64) {
+    let asked = shared.clock.now();
+    let renewed = client.renew(lease, CALL).await;
+    count(shared, "renew", renewed.is_ok());
+    let event = match renewed {
+        Ok(Some(ttl)) => holder::Event::Renewed { ttl, asked },
+        Ok(None) => holder::Event::Lapsed,
+        // The lease goes on until it ends by the own clock.
+        Err(_) => return,
+    };
+    send(shared, Event::Holder(event)).await;
+}
+
+fn count(shared: &Shared, call: &str, done: bool) {
+    let outcome = if done { "ok" } else { "failed" };
+    shared.metrics.store.with_label_values(&[call, outcome]).inc();
+}
+
+/// The generation number, if an order may leave right now.
+pub(crate) fn may_order(holder: &std::sync::Mutex<holder::Holder>, now: Duration) -> Option<ids::Fence> {
+    lock(holder).may_order(now)
+}
--- /dev/null
+++ b/crates/gateway/src/dialect.rs
@@ -0,0 +1,172 @@
+//! What the product says and hears, and the functions that bring it to a site's wire.
+//!
+//! A dialect only translates. It never decides: its functions see one message and know nothing of any state.
+
+use dispatch::fleet::{LoadReport, Prompt};
+use dispatch::rollout::Report;
+use dispatch::site::{EndpointEntry, SiteParts};
+use http::raw::{Headers, RequestHead, ResponseHead};
+use ids::{EndpointId, Fence, ModelId, ServiceId, WorkspaceId};
+use quick_error::quick_error;
+use std::time::Duration;
+use store::items::{Call, Codec, Unreadable};
+
+quick_error! {
+    /// Why a caller's head is refused.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum BadCall {
+        /// A header that must stand once is missing or stands more than once.
+        Header(name: &'static str) {
+            display("header {name} must stand exactly once")
+        }
+        /// A header's value cannot be read.
+        Value(name: &'static str) {
+            display("header {name} cannot be read")
+        }
+    }
+}
+
+/// What a caller asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerWish {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// Host it addressed.
+    pub host: String,
+    /// Key that names its workspace.
+    pub key: Option<String>,
+    /// How long it will wait.
+    pub patience: Option<Duration>,
+    /// The prompt, if it is for a model.
+    pub prompt: Option<Prompt>,
+}
+
+/// What the router adds to a request for one endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Forward<'a> {
+    /// The endpoint that is meant; any other one refuses it.
+    pub endpoint: &'a EndpointId,
+    /// Time until the caller stops waiting.
+    pub left: Duration,
+    /// The caller's workspace.
+    pub workspace: Option<&'a WorkspaceId>,
+    /// Scope of cached prefixes.
+    pub salt: Option<&'a str>,
+    /// Urgency within the endpoint, 0 the most urgent.
+    pub rank: Option<u8>,
+    /// Last event of the stream that the caller has.
+    pub after: Option<u64>,
+}
+
+/// What an answer's head tells.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request's id, as the endpoint echoes it.
+    pub id: Option<String>,
+    /// The endpoint's word that it has not run the request.
+    pub not_run: bool,
+    /// Whether it bears the endpoint's proof that the answer is its own.
+    pub sealed: bool,
+    /// Whether the body is encoded, which nobody asked for.
+    pub encoded: bool,
+    /// Load of the endpoint.
+    pub load: Option<LoadReport>,
+    /// Number of the weights that answer.
+    pub weights: Option<u64>,
+    /// How long the endpoint keeps the connection without a request.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Weights that a model is to be served with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedWeights {
+    /// The model.
+    pub model: ModelId,
+    /// Their number; it only grows.
+    pub weights: u64,
+}
+
+/// An order to load weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightsOrder<'a> {
+    /// The endpoint that is meant.
+    pub endpoint: &'a EndpointId,
+    /// The model.
+    pub model: &'a ModelId,
+    /// Number of the weights.
+    pub weights: u64,
+    /// Orders that the endpoint must have accepted so far.
+    pub expected: u64,
+    /// Who orders.
+    pub holder: &'a str,
+    /// Generation number.
+    pub fence: Fence,
+}
+
+/// An endpoint's answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for already holds.
+    Holds,
+    /// Another order is in progress or came first.
+    Conflict,
+    /// Refused for good.
+    Refused,
+}
+
+/// Keys of the site in the store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreKeys {
+    /// Prefix of all that operators write.
+    pub operators: &'static str,
+    /// The operators' document.
+    pub document: &'static str,
+    /// Prefix of wanted weights.
+    pub weights: &'static str,
+    /// Prefix of endpoints' entries.
+    pub endpoints: &'static str,
+}
+
+/// A site's wire.
+#[derive(Debug, Clone, Copy)]
+pub struct Dialect {
+    /// Keys in the store.
+    pub keys: StoreKeys,
+    /// Calls to the store.
+    pub store: Codec,
+    /// The operators' document.
+    pub document: fn(&[u8]) -> Result<SiteParts, Unreadable>,
+    /// Wanted weights.
+    pub wanted: fn(&[u8]) -> Result<WantedWeights, Unreadable>,
+    /// An endpoint's entry, under its id.
+    pub entry: fn(EndpointId, &[u8]) -> Result<EndpointEntry, Unreadable>,
+    /// A caller's head.
+    pub wish: fn(&RequestHead) -> Result<CallerWish, BadCall>,
+    /// Header lines for an endpoint: the caller's, without what concerns one connection or is the router's to set.
+    pub forward: fn(&Headers, &Forward<'_>) -> Headers,
+    /// An answer's head.
+    pub facts: fn(&ResponseHead) -> AnswerFacts,
+    /// Header lines of an answer for the caller.
+    pub answer: fn(&Headers) -> Headers,
+    /// Asks an engine for a report.
+    pub report: fn() -> Call,
+    /// An engine's report on a model.
+    pub reported: fn(&[u8], &ModelId) -> Result<Report, Unreadable>,
+    /// An order.
+    pub order: fn(&WeightsOrder<'_>) -> (Call, Headers),
+    /// Status of an order's answer.
+    pub ordered: fn(u16) -> OrderAnswer,
+    /// Asks whether an endpoint of a service is well.
+    pub probe: fn(&ServiceId) -> Call,
+}
+
+/// What the holder tells all routers, as it lies in the store under the product's own key.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Holding {
+    /// Endpoints that load weights now or are about to.
+    pub loading: Vec<EndpointId>,
+    /// Endpoints that have loaded, with model and number of the weights.
+    pub loaded: Vec<(EndpointId, ModelId, u64)>,
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,80 @@
+//! Counters and histograms, as prometheus shows them.
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Bounds of the time to first byte, seconds: around the objectives of routes, which lie between 0.1 and 1.2 s.
+const FIRST_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 2.0, 5.0];
+
+/// All counters of a router.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route and outcome (status, or why it ended).
+    pub requests: IntCounterVec,
+    /// Attempts that failed, by how.
+    pub attempts: IntCounterVec,
+    /// Seconds until the answer's first byte went to the caller, by route.
+    pub first: HistogramVec,
+    /// Calls to the store by kind and outcome.
+    pub store: IntCounterVec,
+    /// Orders to endpoints by outcome.
+    pub orders: IntCounterVec,
+    /// Connections opened to endpoints.
+    pub connections: IntCounterVec,
+    /// Revision of the document in force.
+    pub revision: IntGauge,
+    /// Age of the newest confirmation of the document, milliseconds.
+    pub age: IntGauge,
+    /// Endpoints in service.
+    pub endpoints: IntGauge,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all counters at zero.
+    ///
+    /// # Panics
+    /// If two counters have one name, which every start would show.
+    pub fn new() -> Self {
+        let registry = Registry::new_custom(Some("apricotfork".to_owned()), None).expect("a valid prefix");
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid counter");
+            registry.register(Box::new(counter.clone())).expect("a name used once");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("a valid gauge");
+            registry.register(Box::new(gauge.clone())).expect("a name used once");
+            gauge
+        };
+        let options = HistogramOpts::new("first_byte_seconds", "Time until the answer's first byte, by route");
+        let first = HistogramVec::new(options.buckets(FIRST_BOUNDS.into()), &["route"]).expect("a valid histogram");
+        registry.register(Box::new(first.clone())).expect("a name used once");
+        Self {
+            requests: counters("requests_total", "Requests by route and outcome", &["route", "outcome"]),
+            attempts: counters("attempts_failed_total", "Failed attempts by how", &["failure"]),
+            store: counters(
+                "store_calls_total",
+                "Calls to the store by kind and outcome",
+                &["call", "outcome"],
+            ),
+            orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
+            connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
+            revision: gauge("config_revision", "Revision of the document in force"),
+            age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
+            endpoints: gauge("endpoints", "Endpoints in service"),
+            in_flight: gauge("requests_in_flight", "Requests in flight"),
+            first,
+            registry,
+        }
+    }
+
+    /// All counters as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("counters cannot be shown: {err}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/orders/mod.rs
@@ -0,0 +1,185 @@
+//! Calls of the holder to endpoints: reports, orders, and probes of endpoints that failed.
+
+use crate::control::orders::may_order;
+use crate::control::{Event, send};
+use crate::dialect::{OrderAnswer, WeightsOrder};
+use crate::shared::Shared;
+use async_std::future::timeout;
+use async_std::task;
+use dispatch::fleet::Outcome;
+use dispatch::holder::Holder;
+use dispatch::rollout::{LoadStep, Ordered, Report, load_step};
+use dispatch::site::EndpointEntry;
+use http::raw::{ExchangeError, HeadError, Headers, connect, exchange};
+use ids::ModelId;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use store::items::Call;
+
+/// Time for the other routers to hear that an endpoint is about to load, before it is ordered to.
+const NOTICE: Duration = Duration::from_millis(60);
+/// Pause between two looks at an endpoint that loads.
+const LOOK: Duration = Duration::from_millis(150);
+/// Longest wait for an answer to a report or an order.
+const CALL: Duration = Duration::from_millis(800);
+/// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
+const LOAD: Duration = Duration::from_secs(8);
+/// Longest answer of an endpoint to such a call, bytes.
+const ANSWER_BYTES: u64 = 1 << 20;
+
+/// One endpoint that is to load a model's newest weights.
+pub struct Load {
+    /// Of this router.
+    pub shared: Arc<Shared>,
+    /// The right to give orders.
+    pub holder: Arc<Mutex<Holder>>,
+    /// Who orders.
+    pub name: String,
+    /// Where.
+    pub entry: Arc<EndpointEntry>,
+    /// What.
+    pub model: ModelId,
+}
+
+impl Load {
+    /// Orders and looks until the newest weights are in place, or it takes too long.
+    pub async fn run(self) {
+        task::sleep(NOTICE).await;
+        let loaded = timeout(LOAD, self.steps()).await.unwrap_or_default();
+        let loaded = loaded.map(|weights| (self.model.clone(), weights));
+        if loaded.is_none() {
+            log::warn!(endpoint = self.entry.id.as_str(); "orders: a load has not ended in time or could not begin");
+        }
+        let endpoint = self.entry.id.clone();
+        send(&self.shared, Event::LoadEnded { endpoint, loaded }).await;
+    }
+
+    /// The weights that are in place in the end; none if this router may not order any more.
+    async fn steps(&self) -> Option<u64> {
+        let mut ordered = None;
+        loop {
+            let wanted = self.wanted()?;
+            may_order(&self.holder, self.shared.clock.now())?;
+            if let Some(report) = self.report().await {
+                let now = self.shared.clock.now();
+                match load_step(&report, wanted, ordered, now) {
+                    LoadStep::Done => return report.weights,
+                    LoadStep::Wait => {}
+                    LoadStep::Order { expected } => ordered = self.order(wanted, expected).await?,
+                }
+            }
+            task::sleep(LOOK).await;
+        }
+    }
+
+    fn wanted(&self) -> Option<u64> {
+        let fleet = self.shared.fleet();
+        let wanted = fleet.wanted().find(|(model, _)| **model == self.model);
+        wanted.map(|(_, weights)| weights)
+    }
+
+    async fn report(&self) -> Option<Report> {
+        let call = (self.shared.dialect.report)();
+        let (status, body) = ask(&self.entry, &call, &Headers::default()).await.ok()?;
+        if status != 200 {
+            return None;
+        }
+        match (self.shared.dialect.reported)(&body, &self.model) {
+            Ok(report) => Some(report),
+            Err(err) => {
+                log::warn!(endpoint = self.entry.id.as_str(), why:% = err; "orders: a report cannot be read");
+                None
+            }
+        }
+    }
+
+    /// Sends an order, if this router may still give any. `None` if not; then nothing more is done.
+    async fn order(&self, weights: u64, expected: u64) -> Option<Option<Ordered>> {
+        let at = self.shared.clock.now();
+        let fence = may_order(&self.holder, at)?;
+        let order = WeightsOrder {
+            endpoint: &self.entry.id,
+            model: &self.model,
+            weights,
+            expected,
+            holder: &self.name,
+            fence,
+        };
+        let (call, headers) = (self.shared.dialect.order)(&order);
+        let answer = ask(&self.entry, &call, &headers).await;
+        let outcome = match &answer {
+            Ok((status, _)) => (self.shared.dialect.ordered)(*status),
+            // It may be carried out later; the count it expects keeps it from undoing a newer one.
+            Err(ExchangeError::NotSent) => OrderAnswer::Conflict,
+            Err(_) => OrderAnswer::Accepted,
+        };
+        let status = answer.map_or(0, |(status, _)| status);
+        let orders = &self.shared.metrics.orders;
+        orders.with_label_values(&[name(outcome)]).inc();
+        log::info!(
+            endpoint = self.entry.id.as_str(),
+            model = self.model.as_str(),
+            weights = weights,
+            expected = expected,
+            fence = fence.0,
+            status = status,
+            outcome = name(outcome);
+            "orders: given"
+        );
+        let sent = matches!(outcome, OrderAnswer::Accepted | OrderAnswer::Holds);
+        Some(sent.then_some(Ordered { expected, at }))
+    }
+}
+
+fn name(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Accepted => "accepted",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::Conflict => "conflict",
+        OrderAnswer::Refused => "refused",
+    }
+}
+
+/// Asks an endpoint that failed whether it is back.
+pub async fn probe(shared: Arc<Shared>, entry: Arc<EndpointEntry>) {
+    let asked = shared.clock.now();
+    let call = (shared.dialect.probe)(&entry.service);
+    let answer = ask(&entry, &call, &Headers::default()).await;
+    let now = shared.clock.now();
+    let outcome = match answer {
+        Ok((200, _)) => Outcome::Answered(now.saturating_sub(asked)),
+        Ok(_) => Outcome::Declined,
+        Err(ExchangeError::NotSent) => Outcome::Unreached,
+        Err(_) => Outcome::Broken,
+    };
+    shared.fleet().probed(&entry.id, outcome, now);
+}
+
+/// One call over a connection of its own.
+async fn ask(entry: &EndpointEntry, call: &Call, headers: &Headers) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let asked = async {
+        let mut source = connect(entry.address, CALL).await?;
+        let mut bytes = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\n",
+            call.method, call.target, entry.address
+        )
+        .into_bytes();
+        headers.write(&mut bytes);
+        if !call.body.is_empty() {
+            let lines = format!(
+                "Content-Type: application/json\r\nContent-Length: {}\r\n",
+                call.body.len()
+            );
+            bytes.extend_from_slice(lines.as_bytes());
+        }
+        bytes.extend_from_slice(b"Connection: close\r\n\r\n");
+        bytes.extend_from_slice(&call.body);
+        let mut answer = exchange(&mut source, &bytes, call.method, |_| true).await?;
+        let body = answer.body.whole(&mut source, ANSWER_BYTES).await;
+        let body = body.map_err(|_| ExchangeError::Head(HeadError::Cut))?;
+        Ok((answer.head.status, body))
+    };
+    timeout(CALL, asked)
+        .await
+        .unwrap_or(Err(ExchangeError::Head(HeadError::Cut)))
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,167 @@
+//! A router's life: start, serve, notice, drain, end.
+
+use crate::control::{Control, EVENTS, Event, TICK, send};
+use crate::dialect::Dialect;
+use crate::follow::follow;
+use crate::front::{serve_callers, serve_page};
+use crate::settings::Settings;
+use crate::shared::Shared;
+use async_channel::Receiver;
+use async_std::net::TcpListener;
+use async_std::task;
+use quick_error::quick_error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a stopping router goes on accepting: the balancer asks each second and turns away after two refusals.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace period that is left when the process ends by itself.
+const SPARE: Duration = Duration::from_millis(600);
+/// How often the end of what is in flight is looked for.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+quick_error! {
+    /// Why a router ended otherwise than by a clean shutdown.
+    #[derive(Debug)]
+    pub enum RunError {
+        /// An address cannot be listened on.
+        Listen(address: SocketAddr, err: std::io::Error) {
+            display("cannot listen on {address}: {err}")
+        }
+        /// The control thread cannot be started.
+        Thread(err: std::io::Error) {
+            display("cannot start the control thread: {err}")
+        }
+        /// Requests were cut at the end of the grace period or by a second signal.
+        Cut(requests: usize) {
+            display("{requests} requests in flight were cut")
+        }
+    }
+}
+
+/// What the process is told from outside.
+#[derive(Debug, Clone)]
+pub enum Told {
+    /// Shut down gracefully; a second time: at once.
+    Stop,
+    /// Other settings.
+    Settings(Box<Settings>),
+}
+
+/// Where a router listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question.
+    pub readiness: SocketAddr,
+    /// For counters.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Runs a router until it is told to stop. `started` is told its addresses once it listens.
+///
+/// # Errors
+/// It could not start, or requests were cut at its end.
+pub async fn run(
+    settings: Settings,
+    dialect: Dialect,
+    started: impl FnOnce(Addresses),
+    told: Receiver<Told>,
+) -> Result<(), RunError> {
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
+    let addresses = Addresses {
+        callers: local(&callers, settings.callers),
+        readiness: local(&readiness, settings.readiness),
+        metrics: metrics
+            .as_ref()
+            .zip(settings.metrics)
+            .map(|(listener, wanted)| local(listener, wanted)),
+    };
+    log::info!(vm = settings.vm.as_str(), domain = settings.domain.as_str(), store:% = settings.store; "start");
+    let (sender, events) = async_channel::bounded(EVENTS);
+    let shared = Arc::new(Shared::new(settings, dialect, sender));
+    start_control(&shared, events)?;
+    task::spawn(serve_callers(shared.clone(), callers));
+    let state = shared.clone();
+    task::spawn(serve_page(readiness, move || readiness_page(&state)));
+    if let Some(listener) = metrics {
+        let state = shared.clone();
+        task::spawn(serve_page(listener, move || (200, state.metrics.text())));
+    }
+    started(addresses);
+    wait_for_stop(&shared, &told).await;
+    shut_down(&shared, &told).await
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|err| RunError::Listen(address, err))
+}
+
+fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+fn readiness_page(shared: &Shared) -> (u16, Vec<u8>) {
+    if shared.ready() {
+        return (200, b"ready\n".to_vec());
+    }
+    (503, b"not ready\n".to_vec())
+}
+
+/// One thread for control state: what is believed changes in one place, one event at a time.
+fn start_control(shared: &Arc<Shared>, events: Receiver<Event>) -> Result<(), RunError> {
+    let control = Control::new(shared.clone());
+    let run = move || task::block_on(control.run(events));
+    let builder = thread::Builder::new().name("control".to_owned());
+    builder.spawn(run).map_err(RunError::Thread)?;
+    task::spawn(follow(shared.clone(), ""));
+    let ticking = shared.clone();
+    task::spawn(async move {
+        loop {
+            task::sleep(TICK).await;
+            send(&ticking, Event::Tick).await;
+        }
+    });
+    Ok(())
+}
+
+async fn wait_for_stop(shared: &Shared, told: &Receiver<Told>) {
+    while let Ok(Told::Settings(settings)) = told.recv().await {
+        log::info!(store:% = settings.store; "settings reloaded");
+        shared.settings.store(Arc::new(*settings));
+    }
+}
+
+/// Unready at once, so that the balancer sends nothing new; answers go on, each ending its connection; then the end of
+/// what is in flight.
+async fn shut_down(shared: &Shared, told: &Receiver<Told>) -> Result<(), RunError> {
+    let begun = Instant::now();
+    shared.stopping.store(true, Ordering::SeqCst);
+    log::info!(in_flight = shared.in_flight.load(Ordering::SeqCst); "stopping: not ready, still serving");
+    send(shared, Event::Stop).await;
+    let end = shared.settings.load().bounds.grace().saturating_sub(SPARE);
+    loop {
+        task::sleep(DRAIN_POLL).await;
+        let left = shared.in_flight.load(Ordering::SeqCst);
+        if left == 0 && begun.elapsed() >= NOTICE {
+            log::info!("stopped");
+            return Ok(());
+        }
+        let again = matches!(told.try_recv(), Ok(Told::Stop));
+        if again || begun.elapsed() >= end {
+            log::error!(cut = left; "stopped with requests in flight");
+            return if left == 0 { Ok(()) } else { Err(RunError::Cut(left)) };
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/attempts.rs
@@ -0,0 +1,496 @@
+//! Attempts of one request, one after the other.
+
+use super::Call;
+use super::record::Record;
+use super::relay::Relay;
+use crate::dialect::{AnswerFacts, Forward};
+use crate::link::Link;
+use crate::shared::Shared;
+use async_std::future::timeout;
+use dispatch::attempt::{self, Cause, Failure, Next, Tried};
+use dispatch::fleet::{Choice, Outcome, Picked, Wish};
+use futures::future::{Either, select};
+use http::Conn;
+use http::raw::{Answer, ExchangeError, Headers, Source, exchange};
+use ids::EndpointId;
+use lifecycle::events::EventSplitter;
+use lifecycle::request::{Repeat, Request, RequestEvent, RequestState, RequestStep};
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::caller::Ran;
+
+/// Longest answer that is not streamed, bytes.
+const ANSWER_BYTES: u64 = 8 << 20;
+/// Share of the time that is left after which a request that may run twice is tried elsewhere, if it may be: enough for
+/// an answer that is merely slow, and the second endpoint still has more than half of the time.
+const PATIENCE: f64 = 0.45;
+
+/// How a request ended.
+pub enum Finish {
+    /// With an endpoint's whole answer.
+    Whole(WholeAnswer),
+    /// With a whole stream, which the caller has.
+    Streamed {
+        /// Whether the caller's connection may be kept.
+        keeps: bool,
+    },
+    /// Within a stream that the caller has a part of.
+    Cut(&'static str),
+    /// The caller has gone.
+    Gone,
+    /// Without an answer; the state tells whether it may have run.
+    Refused(Cause, RequestState),
+}
+
+/// An endpoint's answer with its body.
+pub struct WholeAnswer {
+    /// Status.
+    pub status: u16,
+    /// Header lines for the caller.
+    pub headers: Headers,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What one attempt came to.
+pub(super) enum Attempted {
+    /// A whole answer.
+    Whole(WholeAnswer),
+    /// The endpoint's own error, whole.
+    Error(WholeAnswer),
+    /// The request has ended.
+    Ended(Finish),
+    /// It failed.
+    Failed(Failure),
+}
+
+/// How a wait ended.
+pub(super) enum Waited<T> {
+    Done(T),
+    CallerGone,
+    TimeOver,
+}
+
+/// Waits for `future`, for the caller to go, or for the time to be over.
+pub(super) async fn wait<T>(conn: &Conn, within: Duration, future: impl Future<Output = T>) -> Waited<T> {
+    let gone = pin!(conn.peer_gone());
+    let future = pin!(future);
+    match timeout(within, select(future, gone)).await {
+        Ok(Either::Left((done, _))) => Waited::Done(done),
+        Ok(Either::Right(_)) => Waited::CallerGone,
+        Err(_) => Waited::TimeOver,
+    }
+}
+
+/// A request in flight at an endpoint; counted there until dropped.
+pub(super) struct Flight<'a> {
+    shared: &'a Shared,
+    pub(super) picked: &'a Picked,
+    pub(super) began: Duration,
+    read: bool,
+}
+
+impl<'a> Flight<'a> {
+    fn new(shared: &'a Shared, picked: &'a Picked) -> Self {
+        let entry = &picked.endpoint;
+        shared.fleet().begin(&entry.id, entry.incarnation, picked.prefill);
+        Self {
+            shared,
+            picked,
+            began: shared.clock.now(),
+            read: false,
+        }
+    }
+
+    /// The endpoint has read the prompt, or will never read it.
+    pub(super) fn prompt_read(&mut self) {
+        if !self.read {
+            self.read = true;
+            let entry = &self.picked.endpoint;
+            self.shared
+                .fleet()
+                .prefilled(&entry.id, entry.incarnation, self.picked.prefill);
+        }
+    }
+
+    pub(super) fn outcome(&self, outcome: Outcome) {
+        let now = self.shared.clock.now();
+        self.shared.fleet().outcome(&self.picked.endpoint.id, outcome, now);
+    }
+
+    pub(super) fn answered(&self) {
+        let after = self.shared.clock.now().saturating_sub(self.began);
+        self.outcome(Outcome::Answered(after));
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let entry = &self.picked.endpoint;
+        self.shared.fleet().end(&entry.id, entry.incarnation);
+    }
+}
+
+/// The attempts of one request.
+pub(super) struct Attempts<'a> {
+    pub(super) shared: &'a Arc<Shared>,
+    pub(super) call: &'a Call<'a>,
+    pub(super) record: &'a mut Record,
+    pub(super) life: Request,
+    pub(super) events: EventSplitter,
+    /// Whether the caller has the head of a stream.
+    pub(super) begun: bool,
+    avoid: Vec<EndpointId>,
+    sent: u32,
+    unreached: u32,
+    /// The last error that an endpoint answered with.
+    error: Option<WholeAnswer>,
+}
+
+impl<'a> Attempts<'a> {
+    pub(super) fn new(shared: &'a Arc<Shared>, call: &'a Call<'a>, record: &'a mut Record) -> Self {
+        let repeat = if call.route.kind.repeatable() {
+            Repeat::Idempotent
+        } else {
+            Repeat::Once
+        };
+        Self {
+            shared,
+            call,
+            record,
+            life: Request::new(repeat),
+            events: EventSplitter::default(),
+            begun: false,
+            avoid: Vec::new(),
+            sent: 0,
+            unreached: 0,
+            error: None,
+        }
+    }
+
+    /// Tries until the request has ended.
+    pub(super) async fn run(&mut self) -> Finish {
+        loop {
+            let picked = match self.choose() {
+                Ok(picked) => picked,
+                Err(cause) => return self.give_up(cause),
+            };
+            let failure = match self.attempt(&picked).await {
+                Attempted::Whole(answer) => {
+                    self.note(&picked, "whole");
+                    return Finish::Whole(answer);
+                }
+                Attempted::Ended(finish) => {
+                    self.note(&picked, "ended");
+                    return finish;
+                }
+                Attempted::Error(answer) => {
+                    self.error = Some(answer);
+                    Failure::Error
+                }
+                Attempted::Failed(failure) => failure,
+            };
+            self.note(&picked, failure.name());
+            let failed = &self.shared.metrics.attempts;
+            failed.with_label_values(&[failure.name()]).inc();
+            self.avoid.push(picked.endpoint.id.clone());
+            if !self.again(failure) {
+                return self.give_up(cause(failure));
+            }
+        }
+    }
+
+    fn note(&mut self, picked: &Picked, outcome: &str) {
+        let now = self.shared.clock.now();
+        self.record.tried(&picked.endpoint.id, picked.reason, outcome, now);
+    }
+
+    /// Time until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.call.deadline.saturating_sub(self.shared.clock.now())
+    }
+
+    fn repeatable(&self) -> bool {
+        self.call.route.kind.repeatable()
+    }
+
+    fn choose(&self) -> Result<Picked, Cause> {
+        let isolated = self.call.workspace.filter(|_| self.call.isolated);
+        let wish = Wish {
+            service: self.call.service,
+            avoid: &self.avoid,
+            prompt: self.call.wish.prompt.as_ref(),
+            isolated,
+        };
+        let now = self.shared.clock.now();
+        match self.shared.fleet().choose(&wish, rand::random(), now) {
+            Choice::At(picked) => Ok(picked),
+            Choice::Full => Err(Cause::Full),
+            Choice::Nowhere => Err(Cause::NoEndpoint),
+        }
+    }
+
+    /// Whether another endpoint is to be tried.
+    fn again(&mut self, failure: Failure) -> bool {
+        if self.life.ended() {
+            return false;
+        }
+        let tried = Tried {
+            sent: self.sent,
+            unreached: self.unreached,
+            attempts: self.call.route.attempts,
+            repeatable: self.repeatable(),
+            left: self.left(),
+        };
+        match attempt::next(&tried, failure) {
+            Next::AgainFree => true,
+            Next::Stop => false,
+            Next::Again => {
+                let now = self.shared.clock.now();
+                self.shared.fleet().another_attempt(self.call.service, now)
+            }
+        }
+    }
+
+    pub(super) fn give_up(&mut self, cause: Cause) -> Finish {
+        let state = self.life.state();
+        let exposed = self.life.ran() == Ran::Unknown;
+        self.life.on(RequestEvent::GiveUp);
+        if self.begun {
+            return Finish::Cut(cause.name());
+        }
+        if let Some(error) = self.error.take() {
+            return Finish::Whole(error);
+        }
+        let state = if exposed { RequestState::Unknown } else { state };
+        Finish::Refused(cause, state)
+    }
+
+    async fn attempt(&mut self, picked: &Picked) -> Attempted {
+        let mut flight = Flight::new(self.shared, picked);
+        let link = match self.link(picked).await {
+            Waited::Done(Ok(link)) => link,
+            Waited::Done(Err(_)) => {
+                self.unreached += 1;
+                flight.outcome(Outcome::Unreached);
+                return Attempted::Failed(Failure::NotSent);
+            }
+            Waited::CallerGone => return Attempted::Ended(self.gone()),
+            Waited::TimeOver => return Attempted::Ended(self.give_up(Cause::Deadline)),
+        };
+        if self.life.on(RequestEvent::SendStarts) != RequestStep::Send {
+            return Attempted::Ended(self.give_up(Cause::EndpointFailed));
+        }
+        self.sent += 1;
+        let within = self.patience();
+        let conn = self.call.caller.conn.clone();
+        match wait(&conn, within, self.exchange(picked, link)).await {
+            Waited::Done(Ok((answer, source))) => self.judge(&mut flight, answer, source).await,
+            Waited::Done(Err(_)) => {
+                flight.outcome(Outcome::Broken);
+                self.life.on(RequestEvent::SendFailed);
+                Attempted::Failed(Failure::Broken)
+            }
+            Waited::CallerGone => Attempted::Ended(self.gone()),
+            Waited::TimeOver => {
+                flight.outcome(Outcome::Silent);
+                self.silent()
+            }
+        }
+    }
+
+    /// The endpoint has not answered in the time for this attempt.
+    fn silent(&mut self) -> Attempted {
+        if self.left().is_zero() {
+            return Attempted::Ended(self.give_up(Cause::Deadline));
+        }
+        self.life.on(RequestEvent::SendFailed);
+        Attempted::Failed(Failure::Silent)
+    }
+
+    /// How long this attempt may take until its answer begins.
+    fn patience(&self) -> Duration {
+        let another = self.repeatable() && self.sent < self.call.route.attempts;
+        if another {
+            return self.left().mul_f64(PATIENCE);
+        }
+        self.left()
+    }
+
+    async fn link(&self, picked: &Picked) -> Waited<Result<Link, ExchangeError>> {
+        if self.repeatable()
+            && let Some(link) = self.shared.links.kept(&picked.endpoint)
+        {
+            return Waited::Done(Ok(link));
+        }
+        let left = self.left();
+        let open = self.shared.links.open(&picked.endpoint, left, &self.shared.metrics);
+        wait(&self.call.caller.conn, left, open).await
+    }
+
+    async fn exchange(&self, picked: &Picked, link: Link) -> Result<(Answer, Source), ExchangeError> {
+        let request = self.bytes(picked);
+        let method = &self.call.caller.head.method;
+        let facts = self.shared.dialect.facts;
+        let id = &self.call.wish.id;
+        let ours = |head: &http::raw::ResponseHead| facts(head).id.is_none_or(|echoed| echoed == *id);
+        let mut source = link.source;
+        match exchange(&mut source, &request, method, ours).await {
+            Ok(answer) => Ok((answer, source)),
+            // The endpoint closed the kept connection while the request was on its way, and may run twice.
+            Err(err) if link.used && err.closed() => {
+                let left = self.left();
+                let fresh = self.shared.links.open(&picked.endpoint, left, &self.shared.metrics);
+                source = fresh.await?.source;
+                let answer = exchange(&mut source, &request, method, ours).await?;
+                Ok((answer, source))
+            }
+            Err(err) => Err(err),
+        }
+    }
+
+    /// The request as it goes to the endpoint.
+    fn bytes(&self, picked: &Picked) -> Vec<u8> {
+        let caller = self.call.caller;
+        let isolated = self.call.workspace.filter(|_| self.call.isolated);
+        let salt = self.call.wish.prompt.as_ref().map(|_| salt(picked.weights, isolated));
+        let forward = Forward {
+            endpoint: &picked.endpoint.id,
+            left: self.left(),
+            workspace: self.call.workspace,
+            salt: salt.as_deref(),
+            rank: self.call.wish.prompt.as_ref().map(|_| self.call.rank),
+            after: self.events.last(),
+        };
+        let headers = (self.shared.dialect.forward)(&caller.head.headers, &forward);
+        let line = format!("{} {} HTTP/1.1\r\n", caller.head.method, caller.head.target);
+        let mut bytes = line.into_bytes();
+        headers.write(&mut bytes);
+        let bodied = !caller.body.is_empty() || !matches!(caller.head.method.as_str(), "GET" | "HEAD" | "DELETE");
+        if bodied {
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n", caller.body.len()).as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&caller.body);
+        bytes
+    }
+
+    async fn judge(&mut self, flight: &mut Flight<'_>, answer: Answer, source: Source) -> Attempted {
+        let facts = (self.shared.dialect.facts)(&answer.head);
+        self.learn(flight.picked, &facts);
+        let status = answer.head.status;
+        if facts.not_run || status == 421 {
+            return self.refused(flight, status);
+        }
+        self.life.on(RequestEvent::HeadArrived);
+        let success = (200..300).contains(&status);
+        let own = facts.sealed && !facts.encoded && facts.id.is_some();
+        if success && !own {
+            return self.broke(flight);
+        }
+        if success && self.call.route.kind.streams() {
+            return Relay::new(self, flight).run(answer, source, &facts).await;
+        }
+        if self.begun {
+            // A stream goes on with a stream or not at all.
+            return self.broke(flight);
+        }
+        self.whole(flight, answer, source, &facts).await
+    }
+
+    fn learn(&self, picked: &Picked, facts: &AnswerFacts) {
+        let id = &picked.endpoint.id;
+        let mut fleet = self.shared.fleet();
+        if let Some(load) = facts.load {
+            fleet.reported(id, load, self.shared.clock.now());
+        }
+        if let (Some(prompt), Some(weights)) = (&self.call.wish.prompt, facts.weights) {
+            fleet.serves_weights(id, &prompt.model, weights);
+        }
+    }
+
+    fn refused(&mut self, flight: &Flight<'_>, status: u16) -> Attempted {
+        self.life.on(RequestEvent::EndpointRefused);
+        if status == 421 {
+            // Another endpoint has the address now.
+            flight.outcome(Outcome::Unreached);
+            self.shared.links.forget(&flight.picked.endpoint.id, None);
+            return Attempted::Failed(Failure::Declined);
+        }
+        flight.outcome(Outcome::Declined);
+        let full = matches!(status, 429 | 503);
+        Attempted::Failed(if full { Failure::Full } else { Failure::Declined })
+    }
+
+    pub(super) fn broke(&mut self, flight: &Flight<'_>) -> Attempted {
+        flight.outcome(Outcome::Broken);
+        self.events.broke();
+        self.life.on(RequestEvent::AnswerBroke);
+        Attempted::Failed(Failure::Broken)
+    }
+
+    async fn whole(
+        &mut self,
+        flight: &mut Flight<'_>,
+        mut answer: Answer,
+        mut source: Source,
+        facts: &AnswerFacts,
+    ) -> Attempted {
+        let conn = self.call.caller.conn.clone();
+        let reading = answer.body.whole(&mut source, ANSWER_BYTES);
+        let body = match wait(&conn, self.left(), reading).await {
+            Waited::Done(Ok(body)) => body,
+            Waited::Done(Err(_)) => return self.broke(flight),
+            Waited::CallerGone => return Attempted::Ended(self.gone()),
+            Waited::TimeOver => return Attempted::Ended(self.give_up(Cause::Deadline)),
+        };
+        let status = answer.head.status;
+        let headers = (self.shared.dialect.answer)(&answer.head.headers);
+        if answer.clean && answer.head.keeps() {
+            self.shared
+                .links
+                .give_back(&flight.picked.endpoint, source, facts.keep_alive);
+        }
+        let whole = WholeAnswer { status, headers, body };
+        if status >= 500 && self.repeatable() {
+            flight.outcome(Outcome::Failed);
+            self.life.on(RequestEvent::AnswerBroke);
+            return Attempted::Error(whole);
+        }
+        if status >= 500 {
+            flight.outcome(Outcome::Failed);
+        } else {
+            flight.answered();
+        }
+        self.life.on(RequestEvent::AnswerWhole);
+        Attempted::Whole(whole)
+    }
+
+    /// The caller has gone: nobody reads an answer, but the state must be ended.
+    pub(super) fn gone(&mut self) -> Finish {
+        self.life.on(RequestEvent::GiveUp);
+        Finish::Gone
+    }
+}
+
+/// Why a request ends after its last attempt failed.
+fn cause(failure: Failure) -> Cause {
+    match failure {
+        Failure::NotSent | Failure::Declined => Cause::NoEndpoint,
+        Failure::Full => Cause::Full,
+        Failure::Silent => Cause::Deadline,
+        Failure::Broken | Failure::Error => Cause::EndpointFailed,
+    }
+}
+
+/// Scope of cached prefixes: weights must not mix, and an isolated workspace's prefixes are its own.
+fn salt(weights: Option<u64>, isolated: Option<&ids::WorkspaceId>) -> String {
+    let weights = weights.map_or_else(|| "any".to_owned(), |weights| weights.to_string());
+    match isolated {
+        Some(workspace) => format!("{weights}/{workspace}"),
+        None => weights,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/record.rs
@@ -0,0 +1,79 @@
+//! What is written down of a request: one line, and counters.
+
+use crate::shared::Shared;
+use ids::{EndpointId, Revision, WorkspaceId};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// What is known of a request so far.
+pub struct Record {
+    /// The caller's id.
+    pub id: String,
+    /// Name of its route.
+    pub route: String,
+    /// Its workspace.
+    pub workspace: Option<WorkspaceId>,
+    /// Revision of the document that decided.
+    pub revision: Revision,
+    /// Age of that document's last confirmation.
+    pub age: Option<Duration>,
+    arrived: Duration,
+    first: Option<Duration>,
+    tries: String,
+}
+
+impl Record {
+    /// A request whose first byte was read at `arrived`.
+    pub fn new(arrived: Duration) -> Self {
+        Self {
+            id: String::new(),
+            route: String::new(),
+            workspace: None,
+            revision: Revision(0),
+            age: None,
+            arrived,
+            first: None,
+            tries: String::new(),
+        }
+    }
+
+    /// An attempt at an endpoint, why it was chosen, and how it ended, this long after the request's arrival.
+    pub fn tried(&mut self, endpoint: &EndpointId, reason: &str, outcome: &str, now: Duration) {
+        let after = now.saturating_sub(self.arrived).as_millis();
+        let comma = if self.tries.is_empty() { "" } else { "," };
+        // Writing to a string doesn't fail.
+        let _ = write!(self.tries, "{comma}{endpoint}:{reason}:{outcome}@{after}");
+    }
+
+    /// The first byte of the answer goes to the caller.
+    pub fn first_byte(&mut self, shared: &Shared) {
+        let after = shared.clock.now().saturating_sub(self.arrived);
+        if self.first.is_none() {
+            self.first = Some(after);
+            let histogram = shared.metrics.first.with_label_values(&[&self.route]);
+            histogram.observe(after.as_secs_f64());
+        }
+    }
+
+    /// The request has ended.
+    pub fn end(&mut self, shared: &Shared, status: u16, outcome: &str) {
+        if status < 300 || self.first.is_none() {
+            self.first_byte(shared);
+        }
+        let total = shared.clock.now().saturating_sub(self.arrived);
+        shared.metrics.requests.with_label_values(&[&self.route, outcome]).inc();
+        log::info!(
+            id = self.id.as_str(),
+            route = self.route.as_str(),
+            workspace = self.workspace.as_ref().map_or("", |workspace| workspace.as_str()),
+            status = status,
+            outcome = outcome,
+            first_ms = self.first.unwrap_or_default().as_millis() as u64,
+            total_ms = total.as_millis() as u64,
+            tries = self.tries.as_str(),
+            revision = self.revision.0,
+            age_ms = self.age.unwrap_or_default().as_millis() as u64;
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/relay.rs
@@ -0,0 +1,132 @@
+//! A stream on its way from an endpoint to the caller, event by event.
+
+use super::attempts::{Attempted, Attempts, Finish, Flight, Waited, wait};
+use super::{closes, reply};
+use crate::dialect::AnswerFacts;
+use async_std::future::timeout;
+use async_std::io::WriteExt;
+use dispatch::attempt::{Cause, Failure};
+use dispatch::fleet::Outcome;
+use http::raw::{Answer, Source};
+use lifecycle::request::RequestEvent;
+use std::time::Duration;
+
+/// Silence within a stream after which another endpoint goes on with it, where that may be. Callers of the sites wait
+/// two seconds; an engine that preempts a request needs some hundred milliseconds to read it in again.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Passes one endpoint's part of a stream on.
+pub(super) struct Relay<'r, 'a, 'f> {
+    attempts: &'r mut Attempts<'a>,
+    flight: &'r mut Flight<'f>,
+    close: bool,
+    chunked: bool,
+}
+
+/// What became of a write to the caller.
+#[derive(PartialEq, Eq)]
+enum Written {
+    Done,
+    Gone,
+}
+
+impl<'r, 'a, 'f> Relay<'r, 'a, 'f> {
+    pub(super) fn new(attempts: &'r mut Attempts<'a>, flight: &'r mut Flight<'f>) -> Self {
+        let caller = attempts.call.caller;
+        let close = closes(attempts.shared, caller);
+        let chunked = !caller.head.old;
+        Self {
+            attempts,
+            flight,
+            close,
+            chunked,
+        }
+    }
+
+    pub(super) async fn run(mut self, mut answer: Answer, mut source: Source, facts: &AnswerFacts) -> Attempted {
+        let conn = self.attempts.call.caller.conn.clone();
+        loop {
+            let within = self.patience();
+            match wait(&conn, within, answer.body.part(&mut source)).await {
+                Waited::Done(Ok(Some(part))) => {
+                    let whole = self.attempts.events.push(&part);
+                    if whole.count == 0 {
+                        continue;
+                    }
+                    self.first_event();
+                    if self.write(&answer, &whole.bytes, false).await == Written::Gone {
+                        return Attempted::Ended(self.attempts.gone());
+                    }
+                }
+                Waited::Done(Ok(None)) => return self.finish(&answer, source, facts).await,
+                Waited::Done(Err(_)) => return self.attempts.broke(self.flight),
+                Waited::CallerGone => return Attempted::Ended(self.attempts.gone()),
+                Waited::TimeOver if self.attempts.left().is_zero() => {
+                    return Attempted::Ended(self.attempts.give_up(Cause::Deadline));
+                }
+                Waited::TimeOver => return self.silent(),
+            }
+        }
+    }
+
+    fn patience(&self) -> Duration {
+        let left = self.attempts.left();
+        if self.attempts.call.route.kind.repeatable() {
+            return left.min(SILENCE);
+        }
+        left
+    }
+
+    fn silent(self) -> Attempted {
+        self.flight.outcome(Outcome::Silent);
+        self.attempts.events.broke();
+        self.attempts.life.on(RequestEvent::AnswerBroke);
+        Attempted::Failed(Failure::Silent)
+    }
+
+    fn first_event(&mut self) {
+        if self.attempts.begun {
+            return;
+        }
+        self.flight.prompt_read();
+        self.flight.answered();
+        self.attempts.record.first_byte(self.attempts.shared);
+    }
+
+    /// The endpoint's last byte has come.
+    async fn finish(mut self, answer: &Answer, source: Source, facts: &AnswerFacts) -> Attempted {
+        let rest = self.attempts.events.finish();
+        if self.write(answer, &rest, true).await == Written::Gone {
+            return Attempted::Ended(self.attempts.gone());
+        }
+        self.attempts.life.on(RequestEvent::AnswerWhole);
+        if answer.clean && answer.head.keeps() {
+            let links = &self.attempts.shared.links;
+            links.give_back(&self.flight.picked.endpoint, source, facts.keep_alive);
+        }
+        Attempted::Ended(Finish::Streamed {
+            keeps: !self.close && self.chunked,
+        })
+    }
+
+    /// Writes events, after the head if they are the first, and the end of the stream after the last.
+    async fn write(&mut self, answer: &Answer, part: &[u8], last: bool) -> Written {
+        let mut bytes = Vec::with_capacity(part.len() + 64);
+        if !self.attempts.begun {
+            let headers = (self.attempts.shared.dialect.answer)(&answer.head.headers);
+            bytes = reply::stream_head(answer.head.status, &headers, self.close, self.chunked);
+            self.attempts.begun = true;
+        }
+        reply::push_part(&mut bytes, part, self.chunked);
+        if last {
+            reply::push_end(&mut bytes, self.chunked);
+        }
+        self.attempts.life.on(RequestEvent::PartArrived);
+        let mut conn = self.attempts.call.caller.conn.clone();
+        let written = timeout(self.attempts.left(), conn.write_all(&bytes)).await;
+        if matches!(written, Ok(Ok(()))) {
+            return Written::Done;
+        }
+        Written::Gone
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/reply.rs
@@ -0,0 +1,70 @@
+//! Answers as they go to callers.
+
+use async_std::io::WriteExt;
+use dispatch::attempt::Refusal;
+use http::Conn;
+use http::StatusCode;
+use http::raw::Headers;
+
+/// Writes a refusal of this router; false if the caller has gone.
+pub async fn refusal(conn: &Conn, refusal: &Refusal, close: bool) -> bool {
+    let code = refusal.cause.name();
+    let body = format!("{{\"error\":{{\"code\":\"{code}\"}}}}");
+    let mut headers = Headers::default();
+    headers.push("Content-Type", "application/json");
+    if let Some(after) = refusal.retry_after {
+        headers.push("Retry-After", format!("{:.3}", after.as_secs_f64()));
+    }
+    whole(conn, refusal.status, &headers, body.as_bytes(), close).await
+}
+
+/// Writes an answer with its body; false if the caller has gone.
+pub async fn whole(conn: &Conn, status: u16, headers: &Headers, body: &[u8], close: bool) -> bool {
+    let mut bytes = head(status, headers, close);
+    let length = format!("Content-Length: {}\r\n\r\n", body.len());
+    bytes.extend_from_slice(length.as_bytes());
+    bytes.extend_from_slice(body);
+    conn.clone().write_all(&bytes).await.is_ok()
+}
+
+/// The head of a streamed answer, up to the empty line. A caller of HTTP/1.0 knows no chunks: its answer ends with the
+/// connection.
+pub fn stream_head(status: u16, headers: &Headers, close: bool, chunked: bool) -> Vec<u8> {
+    let mut bytes = head(status, headers, close || !chunked);
+    if chunked {
+        bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+/// Appends bytes of a stream.
+pub fn push_part(out: &mut Vec<u8>, part: &[u8], chunked: bool) {
+    if part.is_empty() {
+        return;
+    }
+    if !chunked {
+        out.extend_from_slice(part);
+        return;
+    }
+    out.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+    out.extend_from_slice(part);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends the end of a stream.
+pub fn push_end(out: &mut Vec<u8>, chunked: bool) {
+    if chunked {
+        out.extend_from_slice(b"0\r\n\r\n");
+    }
+}
+
+fn head(status: u16, headers: &Headers, close: bool) -> Vec<u8> {
+    let reason = StatusCode::try_from(status).map_or("Unknown", |status| status.canonical_reason());
+    let mut bytes = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
+    headers.write(&mut bytes);
+    if close {
+        bytes.extend_from_slice(b"Connection: close\r\n");
+    }
+    bytes
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,112 @@
+//! What all tasks of a router share.
+
+use crate::control::Event;
+use crate::dialect::Dialect;
+use crate::link::Links;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_channel::Sender;
+use clock::Clock;
+use dispatch::fleet::{Fleet, FleetSettings};
+use dispatch::freshness::Freshness;
+use dispatch::retries::RetryLimits;
+use dispatch::site::Site;
+use ids::Revision;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Share of the bound on old weights after which none are begun on: routers hear of new weights later than they were
+/// named, and a request may wait inside an endpoint before it begins.
+const OLD_WEIGHTS: f64 = 0.75;
+
+/// Shared by all tasks.
+pub struct Shared {
+    /// Settings in force; they may be reloaded.
+    pub settings: ArcSwap<Settings>,
+    /// The site's wire.
+    pub dialect: Dialect,
+    /// Time since the start.
+    pub clock: Clock,
+    /// The document in force, absent until one was read.
+    pub site: ArcSwapOption<Site>,
+    /// What is believed of endpoints; never locked across an await.
+    fleet: Mutex<Fleet>,
+    freshness: Mutex<Freshness>,
+    /// Connections to endpoints.
+    pub links: Links,
+    /// Counters.
+    pub metrics: Metrics,
+    /// To the control thread.
+    pub events: Sender<Event>,
+    /// Set once a signal to stop has come.
+    pub stopping: AtomicBool,
+    /// Whether the list of endpoints was read once.
+    pub listed: AtomicBool,
+    /// Requests of which a byte was read and that have not been answered.
+    pub in_flight: AtomicUsize,
+    /// Bytes of bodies held in memory.
+    pub held: AtomicUsize,
+}
+
+impl Shared {
+    /// The state of a router that has just started.
+    pub fn new(settings: Settings, dialect: Dialect, events: Sender<Event>) -> Self {
+        let bounds = &settings.bounds;
+        let fleet = Fleet::new(FleetSettings {
+            domain: settings.domain.clone(),
+            retries: RetryLimits {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window: bounds.retry_window(),
+                routers: 0,
+            },
+            old_weights: bounds.weights().mul_f64(OLD_WEIGHTS),
+        });
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            dialect,
+            clock: Clock::start(),
+            site: ArcSwapOption::empty(),
+            fleet: Mutex::new(fleet),
+            freshness: Mutex::default(),
+            links: Links::default(),
+            metrics: Metrics::new(),
+            events,
+            stopping: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            held: AtomicUsize::new(0),
+        }
+    }
+
+    /// What is believed of endpoints.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How fresh the document is.
+    pub fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the document may be relied on to say whose key is good.
+    pub fn fresh(&self) -> bool {
+        let Some(bound) = self.settings.load().bounds.revoke() else {
+            return true;
+        };
+        let now = self.clock.now();
+        self.freshness().holds(bound, now)
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        let known = self.site.load().is_some() && self.listed.load(Ordering::SeqCst);
+        known && self.fresh() && !self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Revision in force, 0 without a document.
+    pub fn revision(&self) -> Revision {
+        self.site.load().as_ref().map_or(Revision(0), |site| site.revision())
+    }
+}
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -56,6 +56,19 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Resolves once there is anything to read: bytes, the end of the connection or an error.
+    pub async fn readable(&self) {
+        let mut byte = [0];
+        // An error is the end of the connection too, which its next use shows.
+        let _ = self.stream.peek(&mut byte).await;
+    }
+
+    /// Closes the writing side; the peer sees the end after all that was written.
+    pub fn finish(&self) {
+        // The peer may have closed first; there is nothing left to do then.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Resolves once the peer has closed the connection.
     ///
     /// async-h1 notices that a caller has gone only at its next write, so a stream that is silent while an
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod conn;
+pub mod raw;
 mod reply;
 mod server;
 mod sse;
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -4,5 +4,6 @@
 //! started), and so is everything random. The caller of a machine does the I/O and reports what came of it.
 
 pub mod claims;
+pub mod events;
 pub mod request;
 pub mod stream;
--- a/crates/router/src/caller/claim.rs
+++ b/crates/router/src/caller/claim.rs
@@ -9,10 +9,10 @@
     Attempt, Body, Claim, ClaimEvent, ClaimLimits, ClaimRequest, ClaimStep, Held, Kept, LeaseStep, Nonce, Outcome,
     Seen, Settle, SettleStep, TIME_TO_LIVE, call_digest, claim_key,
 };
-use platform::{PlatformError, Written};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use store::{PlatformError, Written};
 use wire::caller::Ran;
 use wire::platform::{Entry, Put};
 
--- a/crates/router/src/control/config_feed.rs
+++ b/crates/router/src/control/config_feed.rs
@@ -20,7 +20,7 @@
     #[derive(Debug)]
     enum FeedError {
         /// The platform did not answer.
-        Platform(err: platform::PlatformError) {
+        Platform(err: store::PlatformError) {
             from()
             display("{err}")
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,7 +4,6 @@
 //! thread owns all state that is agreed or believed (revision, membership, endpoint health) and publishes views.
 
 mod caller;
-mod clock;
 mod control;
 mod limits;
 mod metrics;
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -2,8 +2,8 @@
 
 use crate::caller::Caller;
 use crate::caller::{Cause, Refused};
-use crate::clock::Clock;
 use admission::{Limits, Share, ShareLimiter, Take};
+use clock::Clock;
 use ids::WorkspaceId;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/router/src/orders/platform_calls.rs
+++ b/crates/router/src/orders/platform_calls.rs
@@ -3,9 +3,9 @@
 use crate::shared::Shared;
 use control::orders::{Event, LOAD_SLOTS, SlotSeen, Step};
 use ids::{DomainId, Fence, Version};
-use platform::{PlatformError, Written};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use store::{PlatformError, Written};
 use wire::platform::{Entry, Put};
 
 /// Value of a slot that nobody uses.
--- a/crates/router/src/pool/mod.rs
+++ b/crates/router/src/pool/mod.rs
@@ -8,9 +8,9 @@
 mod permit;
 mod state;
 
-use crate::clock::Clock;
 use crate::view::{Target, View};
 use admission::{Job, Offer, Refusal};
+use clock::Clock;
 use futures::channel::oneshot;
 use placement::PrefixChain;
 use std::collections::HashMap;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,13 +9,13 @@
 use async_std::task;
 use futures::future::{Either, select};
 use http::{Limits, Serving, serve};
-use platform::Platform;
 use quick_error::quick_error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use store::Platform;
 
 /// Connections of operators open at once.
 const OPERATOR_CONNECTIONS: usize = 64;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,7 +1,6 @@
 //! What all tasks of a router share.
 
 use crate::caller::Budget;
-use crate::clock::Clock;
 use crate::control::Event;
 use crate::limits::WorkspaceLimits;
 use crate::metrics::Metrics;
@@ -14,13 +13,14 @@
 use ::peers::SeenPeer;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::Sender;
+use clock::Clock;
 use http::{Client, Serving};
 use ids::RequestId;
 use lifecycle::claims::ClaimLease;
-use platform::Platform;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
+use store::Platform;
 
 /// Shared by all tasks; published state is replaced whole, never changed in place.
 pub struct Shared {
--- /dev/null
+++ b/crates/store/src/items/client.rs
@@ -0,0 +1,185 @@
+//! Calls over kept connections.
+
+use super::{Call, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Watched};
+use async_std::future::timeout;
+use async_std::sync::Mutex;
+use http::raw::{ExchangeError, Source, connect, exchange};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Longest answer, bytes: pages and documents are about a megabyte at most, in base64.
+const ANSWER_BYTES: u64 = 4 << 20;
+/// Longest wait for a connection; within a region one stands after a few milliseconds.
+const CONNECT: Duration = Duration::from_millis(700);
+
+/// A client with one kept connection; calls go one after the other.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    codec: Codec,
+    kept: Mutex<Option<Source>>,
+}
+
+impl Client {
+    /// A client without a connection.
+    pub fn new(address: SocketAddr, codec: Codec) -> Self {
+        Self {
+            address,
+            codec,
+            kept: Mutex::new(None),
+        }
+    }
+
+    /// All items under a prefix, and the store's revision before the first page was read: a watch that begins there
+    /// misses nothing, since pages are no snapshot.
+    ///
+    /// # Errors
+    /// A page could not be read.
+    pub async fn all(&self, prefix: &str, within: Duration) -> Result<(Vec<Item>, u64), ItemsError> {
+        let first = self.page(prefix, None, within).await?;
+        let revision = first.revision;
+        let mut items = first.items;
+        let mut more = first.more;
+        while more {
+            let Some(last) = items.last().map(|item| item.key.clone()) else {
+                break;
+            };
+            let page = self.page(prefix, Some(&last), within).await?;
+            more = page.more && !page.items.is_empty();
+            items.extend(page.items);
+        }
+        Ok((items, revision))
+    }
+
+    async fn page(&self, prefix: &str, after: Option<&str>, within: Duration) -> Result<Page, ItemsError> {
+        let (status, body) = self.call(&(self.codec.range)(prefix, after), within).await?;
+        expect_ok(status)?;
+        Ok((self.codec.page)(&body)?)
+    }
+
+    /// Waits for changes under a prefix after a revision.
+    ///
+    /// # Errors
+    /// No answer came within `wait` and `grace`, or the store refused.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        grace: Duration,
+    ) -> Result<Watched, ItemsError> {
+        let (status, body) = self
+            .call(&(self.codec.watch)(prefix, after, wait), wait + grace)
+            .await?;
+        if status == 410 {
+            return Ok(Watched::Forgotten);
+        }
+        expect_ok(status)?;
+        let changes: Changes = (self.codec.changes)(&body)?;
+        Ok(Watched::Changes(changes))
+    }
+
+    /// Carries out a transaction, sent once.
+    ///
+    /// # Errors
+    /// The outcome is known only for [`ItemsError::NotSent`] and [`ItemsError::Refused`]: nothing was done.
+    pub async fn commit(&self, transaction: &Transaction, within: Duration) -> Result<Committed, ItemsError> {
+        let (status, body) = self.call(&(self.codec.transaction)(transaction), within).await?;
+        match status {
+            200 => Ok(Committed::Done((self.codec.committed)(&body)?)),
+            404 => Ok(Committed::NoLease),
+            412 => Ok(Committed::Conflict),
+            status => Err(ItemsError::Refused(status)),
+        }
+    }
+
+    /// Asks for a lease.
+    ///
+    /// # Errors
+    /// None was granted, or the answer was lost; then it lapses by itself.
+    pub async fn grant(&self, ttl: Duration, within: Duration) -> Result<Granted, ItemsError> {
+        let (status, body) = self.call(&(self.codec.grant)(ttl), within).await?;
+        expect_ok(status)?;
+        Ok((self.codec.granted)(&body)?)
+    }
+
+    /// Renews a lease; `None` if it has ended.
+    ///
+    /// # Errors
+    /// It may or may not have been renewed.
+    pub async fn renew(&self, lease: u64, within: Duration) -> Result<Option<Duration>, ItemsError> {
+        let (status, body) = self.call(&(self.codec.renew)(lease), within).await?;
+        if status == 404 {
+            return Ok(None);
+        }
+        expect_ok(status)?;
+        Ok(Some((self.codec.renewed)(&body)?))
+    }
+
+    /// Ends a lease.
+    ///
+    /// # Errors
+    /// It may go on until it lapses.
+    pub async fn release(&self, lease: u64, within: Duration) -> Result<(), ItemsError> {
+        self.call(&(self.codec.release)(lease), within).await.map(|_| ())
+    }
+
+    async fn call(&self, call: &Call, within: Duration) -> Result<(u16, Vec<u8>), ItemsError> {
+        let until = Instant::now() + within;
+        let mut kept = self.kept.lock().await;
+        let source = match kept.take() {
+            Some(source) => source,
+            None => self.open(until).await?,
+        };
+        let bytes = self.bytes(call);
+        match timeout(left(until), converse(source, &bytes, call.method)).await {
+            Ok(Ok((status, body, source))) => {
+                *kept = source;
+                Ok((status, body))
+            }
+            Ok(Err(_)) | Err(_) => Err(ItemsError::Lost),
+        }
+    }
+
+    async fn open(&self, until: Instant) -> Result<Source, ItemsError> {
+        let source = connect(self.address, left(until).min(CONNECT)).await;
+        source.map_err(|_| ItemsError::NotSent)
+    }
+
+    fn bytes(&self, call: &Call) -> Vec<u8> {
+        let mut bytes = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, self.address).into_bytes();
+        if !call.body.is_empty() {
+            let lines = format!(
+                "Content-Type: application/json\r\nContent-Length: {}\r\n",
+                call.body.len()
+            );
+            bytes.extend_from_slice(lines.as_bytes());
+        } else if call.method != "GET" {
+            bytes.extend_from_slice(b"Content-Length: 0\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&call.body);
+        bytes
+    }
+}
+
+type Answered = (u16, Vec<u8>, Option<Source>);
+
+async fn converse(mut source: Source, bytes: &[u8], method: &str) -> Result<Answered, ExchangeError> {
+    let mut answer = exchange(&mut source, bytes, method, |_| true).await?;
+    let body = answer.body.whole(&mut source, ANSWER_BYTES).await;
+    let body = body.map_err(|_| http::raw::HeadError::Cut)?;
+    let keeps = answer.clean && answer.head.keeps();
+    Ok((answer.head.status, body, keeps.then_some(source)))
+}
+
+fn expect_ok(status: u16) -> Result<(), ItemsError> {
+    if status == 200 {
+        return Ok(());
+    }
+    Err(ItemsError::Refused(status))
+}
+
+fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/crates/store/src/items/mod.rs
@@ -0,0 +1,12 @@
+//! Client of a key-value service that has transactions, leases and watches over prefixes.
+//!
+//! How a call looks on the wire is a matter of a [`Codec`]; this module keeps the connections, the time limits and the
+//! difference between a call that was never sent and one whose answer was lost.
+
+mod client;
+mod types;
+
+pub use client::Client;
+pub use types::{
+    Call, Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Unreadable, Watched, Write,
+};
--- /dev/null
+++ b/crates/store/src/items/types.rs
@@ -0,0 +1,171 @@
+//! Values of the service and the codec that brings them to the wire.
+
+use quick_error::quick_error;
+use std::time::Duration;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// Its bytes.
+    pub value: Vec<u8>,
+    /// Store revision of its last change.
+    pub revision: u64,
+    /// Store revision of its creation.
+    pub created: u64,
+    /// The lease it goes with; 0 for none.
+    pub lease: u64,
+}
+
+/// One change under a watched prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A key was written.
+    Written(Item),
+    /// A key was removed, or its lease ended.
+    Removed(String),
+}
+
+/// A page of the items under a prefix. Pages are no snapshot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// In order of keys.
+    pub items: Vec<Item>,
+    /// Whether more follow after the last of these.
+    pub more: bool,
+    /// Store revision of this page.
+    pub revision: u64,
+}
+
+/// Changes in the order in which they happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Empty if nothing happened while the watch waited.
+    pub changes: Vec<Change>,
+    /// Store revision to go on from.
+    pub revision: u64,
+}
+
+/// What a watch brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes after the revision that was asked for.
+    Changes(Changes),
+    /// The service has dropped that part of its history: all must be read again.
+    Forgotten,
+}
+
+/// A write within a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// Its bytes.
+    pub value: Vec<u8>,
+    /// The key goes when this lease ends; 0 for none.
+    pub lease: u64,
+}
+
+/// All or nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys and the revisions they must have; 0 for a key that must not exist.
+    pub expected: Vec<(String, u64)>,
+    /// Keys to write.
+    pub writes: Vec<Write>,
+}
+
+/// Outcome of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Committed {
+    /// Done, at this store revision.
+    Done(u64),
+    /// An expected revision differs.
+    Conflict,
+    /// The lease has ended.
+    NoLease,
+}
+
+/// A lease as granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Granted {
+    /// Its id.
+    pub lease: u64,
+    /// Its time to live, counted from the call's arrival.
+    pub ttl: Duration,
+}
+
+quick_error! {
+    /// Bytes that are not what was expected.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Unreadable {
+        /// What is wrong.
+        Why(text: String) {
+            from()
+            display("{text}")
+        }
+    }
+}
+
+quick_error! {
+    /// Why a call failed.
+    #[derive(Debug)]
+    pub enum ItemsError {
+        /// Nothing was sent: a write has not taken effect.
+        NotSent {
+            display("the store cannot be reached")
+        }
+        /// No whole answer came: a write may have taken effect, or may still.
+        Lost {
+            display("the store's answer was lost")
+        }
+        /// The store refused the call and did nothing.
+        Refused(status: u16) {
+            display("the store answered with status {status}")
+        }
+        /// The answer cannot be read.
+        Unreadable(err: Unreadable) {
+            from()
+            display("the store's answer cannot be read: {err}")
+        }
+    }
+}
+
+/// A call as it goes out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// JSON body, empty for none.
+    pub body: Vec<u8>,
+}
+
+/// How calls and answers look on the wire.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Items under a prefix, after a key.
+    pub range: fn(prefix: &str, after: Option<&str>) -> Call,
+    /// Answer to a range.
+    pub page: fn(&[u8]) -> Result<Page, Unreadable>,
+    /// Changes under a prefix after a revision; waits for the first one.
+    pub watch: fn(prefix: &str, after: u64, wait: Duration) -> Call,
+    /// Answer to a watch.
+    pub changes: fn(&[u8]) -> Result<Changes, Unreadable>,
+    /// A transaction.
+    pub transaction: fn(&Transaction) -> Call,
+    /// Answer to a transaction: the revision.
+    pub committed: fn(&[u8]) -> Result<u64, Unreadable>,
+    /// Asks for a lease.
+    pub grant: fn(Duration) -> Call,
+    /// Answer with a lease.
+    pub granted: fn(&[u8]) -> Result<Granted, Unreadable>,
+    /// Renews a lease.
+    pub renew: fn(u64) -> Call,
+    /// Answer to a renewal: time to live.
+    pub renewed: fn(&[u8]) -> Result<Duration, Unreadable>,
+    /// Ends a lease.
+    pub release: fn(u64) -> Call,
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod error;
+pub mod items;
 
 pub use calls::{Platform, Written};
 pub use error::PlatformError;
