Rollout: endpoints run empty before they load; shutdown: no request is taken in the second half of the grace period

Cause: a load took 2 to 3 s, since the endpoint first finished what it ran while still getting requests: a fleet of nine needed over ten seconds. After SIGTERM a router of a small domain went on getting streams that outlast its grace period. Ruled out: more loads at once (they slow each other), cutting what runs.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,6 +1,6 @@
 //! Which endpoints may serve a request at all.
 
-use super::{Fleet, Wish};
+use super::{Fleet, Named, Wish};
 use control::health::Belief;
 use ids::{EndpointId, ModelId};
 use std::time::Duration;
@@ -52,19 +52,25 @@
             .collect()
     }
 
-    /// Prefers the newest weights once enough endpoints have them; for a while the others serve on beside them, since a
-    /// few endpoints can't take all of the load.
+    /// Leaves out weights that are too old to begin on, and prefers the newest ones once enough endpoints have them; until
+    /// then the others serve on beside them, since a few endpoints can't take all of the load.
     fn weighed(&self, open: Vec<EndpointId>, model: &ModelId, now: Duration) -> Vec<EndpointId> {
-        let Some((newest, since)) = self.wanted.get(model) else {
+        let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
+        let Some(newest) = names.last() else {
             return open;
         };
-        let has = |id: &&EndpointId| self.weights(id, model).is_none_or(|weights| weights >= *newest);
-        let new: Vec<EndpointId> = open.iter().filter(has).cloned().collect();
-        let late = now.saturating_sub(*since) >= self.settings.old_weights;
-        if late || new.len() * 2 > open.len() {
+        let late = |named: &&Named| now.saturating_sub(named.at) >= self.settings.old_weights;
+        let least = names.iter().rev().find(late).map_or(0, |named| named.weights);
+        let with = |least: u64| -> Vec<EndpointId> {
+            let has = |id: &&EndpointId| self.weights(id, model).is_none_or(|weights| weights >= least);
+            open.iter().filter(has).cloned().collect()
+        };
+        let new = with(newest.weights);
+        if new.len() * 2 > open.len() {
             return new;
         }
-        open
+        let allowed = with(least);
+        if allowed.is_empty() { open } else { allowed }
     }
 }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -72,6 +72,16 @@
     pub reason: &'static str,
 }
 
+/// Weights that were named.
+#[derive(Debug, Clone, Copy)]
+struct Named {
+    weights: u64,
+    at: Duration,
+}
+
+/// Names of weights that are remembered of a model: more than are named within any bound on old ones.
+const REMEMBERED: usize = 16;
+
 /// What one router believes of all endpoints.
 pub struct Fleet {
     settings: FleetSettings,
@@ -80,7 +90,7 @@
     placers: HashMap<ServiceId, Placer>,
     meters: HashMap<ServiceId, RetryMeter>,
     loading: BTreeSet<EndpointId>,
-    wanted: HashMap<ModelId, (u64, Duration)>,
+    wanted: HashMap<ModelId, Vec<Named>>,
 }
 
 impl Fleet {
@@ -117,15 +127,19 @@
 
     /// Weights that a model is to be served with.
     pub fn want(&mut self, model: &ModelId, weights: u64, now: Duration) {
-        let newer = self.wanted.get(model).is_none_or(|(known, _)| *known < weights);
-        if newer {
-            self.wanted.insert(model.clone(), (weights, now));
+        let names = self.wanted.entry(model.clone()).or_default();
+        if names.last().is_none_or(|last| last.weights < weights) {
+            names.push(Named { weights, at: now });
+            let old = names.len().saturating_sub(REMEMBERED);
+            names.drain(..old);
         }
     }
 
     /// Weights wanted of each model.
     pub fn wanted(&self) -> impl Iterator<Item = (&ModelId, u64)> {
-        self.wanted.iter().map(|(model, (weights, _))| (model, *weights))
+        self.wanted
+            .iter()
+            .filter_map(|(model, names)| Some((model, names.last()?.weights)))
     }
 
     /// Endpoints that load weights now or are about to; they get no requests.
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -1,8 +1,9 @@
 //! Which endpoint loads new weights next.
 //!
 //! Load pattern: new weights are named every few seconds, before the last ones are in place everywhere. An endpoint that
-//! loads serves nothing; loads get slow when more than a few run at once. So a few endpoints load at a time, always the
-//! newest weights, and the others go on serving the old ones until their turn.
+//! loads serves nothing, and first finishes what it runs, which takes longer than the load itself; loads get slow when
+//! more than a few run at once. So a few endpoints load at a time, always the newest weights, while the next ones
+//! already get no new requests and run empty; the others go on serving the old weights until their turn.
 
 use ids::EndpointId;
 use std::collections::BTreeSet;
@@ -22,8 +23,15 @@
     pub leaving: bool,
 }
 
-/// Endpoints that are to begin loading now, in order. `most` load at once.
-pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>, most: usize) -> Vec<EndpointId> {
+/// Endpoints that take part at once, those that run empty and those that load: twice as many as load, so that one is
+/// always empty when a load ends.
+const TAKING_PART: usize = 4;
+/// An endpoint that isn't empty after this time is ordered to load all the same; it finishes what it runs first.
+const RUN_EMPTY: Duration = Duration::from_millis(1_200);
+
+/// Endpoints that are to take part from now on, in order. At least half of the others' number goes on serving.
+pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>) -> Vec<EndpointId> {
+    let most = TAKING_PART.min(runners.len() / 2).max(1);
     let room = most.saturating_sub(loading.len());
     let mut behind: Vec<&Runner> = runners
         .iter()
@@ -47,6 +55,8 @@
     pub busy: bool,
     /// Orders it has accepted in this life.
     pub orders: u64,
+    /// Requests that run or wait there.
+    pub occupied: u32,
 }
 
 /// An order that was sent and not refused.
@@ -61,7 +71,7 @@
 /// What follows a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoadStep {
-    /// Send an order that expects this count of orders.
+    /// Send an order that expects this count of orders, if there is room for one more load.
     Order {
         /// The count.
         expected: u64,
@@ -72,9 +82,9 @@
     Done,
 }
 
-/// What follows a report of an endpoint that is to load `wanted`. An order that got no answer may be carried out seconds
-/// later; the count that each order expects lets only one of two take effect.
-pub fn load_step(report: &Report, wanted: u64, ordered: Option<Ordered>, now: Duration) -> LoadStep {
+/// What follows a report of an endpoint that is to load `wanted` and has got no new requests for `quiet`. An order that
+/// got no answer may be carried out seconds later; the count that each order expects lets only one of two take effect.
+pub fn load_step(report: &Report, wanted: u64, ordered: Option<Ordered>, quiet: Duration, now: Duration) -> LoadStep {
     if report.busy {
         return LoadStep::Wait;
     }
@@ -82,7 +92,8 @@
         return LoadStep::Done;
     }
     let recent = |order: Ordered| now.saturating_sub(order.at) < REPORT_LAG;
-    if ordered.is_some_and(recent) {
+    let empty = report.occupied == 0 || quiet >= RUN_EMPTY;
+    if ordered.is_some_and(recent) || !empty {
         return LoadStep::Wait;
     }
     LoadStep::Order {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,7 +11,7 @@
 use ids::{EndpointId, Fence, ModelId};
 use rand::RngExt;
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::items::{Change, Item};
@@ -86,6 +86,8 @@
     holder_name: String,
     loading: BTreeSet<EndpointId>,
     holding: Holding,
+    /// Loads that were ordered and have not ended.
+    running: Arc<AtomicUsize>,
     in_touch: bool,
 }
 
@@ -111,6 +113,7 @@
             holder_name,
             loading: BTreeSet::new(),
             holding: Holding::default(),
+            running: Arc::default(),
             in_touch: false,
         }
     }
@@ -137,7 +140,7 @@
             Event::Changed { changes, sent } => {
                 self.answered(now);
                 for change in changes {
-                    self.changed(change, now);
+                    self.changed(&change, now);
                 }
                 self.confirm(sent);
             }
@@ -181,9 +184,9 @@
         }
     }
 
-    fn changed(&mut self, change: Change, now: Duration) {
+    fn changed(&mut self, change: &Change, now: Duration) {
         let prefix = self.shared.dialect.keys.endpoints;
-        let listed = match &change {
+        let listed = match change {
             Change::Written(item) => self.listed(item),
             Change::Removed(key) => endpoint_id(key, prefix).map(ListChange::Removed),
         };
@@ -192,7 +195,7 @@
             self.apply(changed.into_iter().collect(), now);
             return;
         }
-        match &change {
+        match change {
             Change::Written(item) => self.written(item, now),
             Change::Removed(key) => self.removed(key, now),
         }
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -12,8 +12,6 @@
 use std::time::Duration;
 use store::items::{Client, Committed, ItemsError, Transaction, Write};
 
-/// Endpoints that load at once, over the whole deployment: the store of weights serves two at full speed.
-const LOADS: usize = 2;
 /// Longest wait for an answer to a call about the lease; a fifth of the lease.
 const CALL: Duration = Duration::from_millis(600);
 
@@ -59,7 +57,7 @@
         };
         for (model, weights) in wanted {
             let runners = self.runners(&model);
-            for endpoint in next_loads(&runners, weights, &self.loading, LOADS) {
+            for endpoint in next_loads(&runners, weights, &self.loading) {
                 self.start_load(endpoint, &model);
             }
         }
@@ -91,6 +89,7 @@
             name: self.holder_name.clone(),
             entry,
             model: model.clone(),
+            running: self.running.clone(),
         };
         task::spawn(load.run());
     }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -15,8 +15,10 @@
 use async_std::task;
 use dispatch::attempt::Cause;
 use dispatch::site::CallerLimits;
+use futures::future::{Either, select};
 use http::Conn;
 use http::raw::{BodyReader, Framing, HeadError, RawBodyError, RequestHead, Source, request_framing, watch_peer};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -37,7 +39,14 @@
 pub async fn serve_callers(shared: Arc<Shared>, listener: TcpListener) {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let stream = match listener.accept().await {
+        let accept = pin!(listener.accept());
+        let closed = pin!(shared.closed());
+        let accepted = match select(accept, closed).await {
+            Either::Left((accepted, _)) => accepted,
+            // Dropping the listener refuses callers, who then try another router at once.
+            Either::Right(_) => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
                 log::warn!("a caller could not be accepted: {err}");
@@ -120,8 +129,7 @@
             .unwrap_or_default();
         if source.buffered().is_empty() {
             source.shrink();
-            let first = timeout(limits.idle_time, source.fill()).await;
-            if !matches!(first, Ok(Ok(count)) if count > 0) {
+            if !next_request(shared, &mut source, limits.idle_time).await {
                 return;
             }
         }
@@ -136,6 +144,16 @@
     }
 }
 
+/// Waits for the first byte of a request; false if none comes, or none is taken any more.
+async fn next_request(shared: &Shared, source: &mut Source, idle: Duration) -> bool {
+    let fill = pin!(timeout(idle, source.fill()));
+    let closed = pin!(shared.closed());
+    match select(fill, closed).await {
+        Either::Left((filled, _)) => matches!(filled, Ok(Ok(count)) if count > 0),
+        Either::Right(_) => false,
+    }
+}
+
 async fn request(shared: &Arc<Shared>, conn: &Conn, source: &mut Source, limits: CallerLimits) -> Ending {
     let arrived = shared.clock.now();
     let head = match timeout(limits.head_time, source.request_head(limits.head_bytes)).await {
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -12,14 +12,19 @@
 use dispatch::site::EndpointEntry;
 use http::raw::{ExchangeError, HeadError, Headers, connect, exchange};
 use ids::ModelId;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use store::items::Call;
 
 /// Time for the other routers to hear that an endpoint is about to load, before it is ordered to.
 const NOTICE: Duration = Duration::from_millis(60);
-/// Pause between two looks at an endpoint that loads.
-const LOOK: Duration = Duration::from_millis(150);
+/// Pause between two looks at an endpoint.
+const LOOK: Duration = Duration::from_millis(80);
+/// Pause after an order: no load at the sites is faster.
+const FASTEST_LOAD: Duration = Duration::from_millis(600);
+/// Endpoints that load at once, over the whole deployment: the store of weights serves two at full speed.
+const LOADS: usize = 2;
 /// Longest wait for an answer to a report or an order.
 const CALL: Duration = Duration::from_millis(800);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
@@ -39,6 +44,25 @@
     pub entry: Arc<EndpointEntry>,
     /// What.
     pub model: ModelId,
+    /// Loads that run.
+    pub running: Arc<AtomicUsize>,
+}
+
+/// One of the loads that may run at once, until dropped.
+struct LoadSlot(Arc<AtomicUsize>);
+
+impl LoadSlot {
+    fn take(running: &Arc<AtomicUsize>) -> Option<Self> {
+        let before = running.fetch_add(1, Ordering::SeqCst);
+        let slot = Self(running.clone());
+        (before < LOADS).then_some(slot)
+    }
+}
+
+impl Drop for LoadSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Load {
@@ -57,15 +81,24 @@
     /// The weights that are in place in the end; none if this router may not order any more.
     async fn steps(&self) -> Option<u64> {
         let mut ordered = None;
+        let mut slot = None;
+        let began = self.shared.clock.now();
         loop {
             let wanted = self.wanted()?;
             may_order(&self.holder, self.shared.clock.now())?;
             if let Some(report) = self.report().await {
                 let now = self.shared.clock.now();
-                match load_step(&report, wanted, ordered, now) {
+                let quiet = now.saturating_sub(began);
+                match load_step(&report, wanted, ordered, quiet, now) {
                     LoadStep::Done => return report.weights,
                     LoadStep::Wait => {}
-                    LoadStep::Order { expected } => ordered = self.order(wanted, expected).await?,
+                    LoadStep::Order { expected } => {
+                        slot = slot.or_else(|| LoadSlot::take(&self.running));
+                        if slot.is_some() {
+                            ordered = self.order(wanted, expected).await?;
+                            task::sleep(FASTEST_LOAD).await;
+                        }
+                    }
                 }
             }
             task::sleep(LOOK).await;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,8 +16,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long a stopping router goes on accepting: the balancer asks each second and turns away after two refusals.
+/// How long a stopping router goes on taking requests: the balancer asks each second and turns away after two refusals.
+/// What comes later is likely to be cut at the end of the grace period, so it is not taken.
 const NOTICE: Duration = Duration::from_millis(2_600);
+/// Time for requests that crossed the end of the notice.
+const CROSSING: Duration = Duration::from_millis(100);
 /// Part of the grace period that is left when the process ends by itself.
 const SPARE: Duration = Duration::from_millis(600);
 /// How often the end of what is in flight is looked for.
@@ -154,7 +157,10 @@
     loop {
         task::sleep(DRAIN_POLL).await;
         let left = shared.in_flight.load(Ordering::SeqCst);
-        if left == 0 && begun.elapsed() >= NOTICE {
+        if begun.elapsed() >= NOTICE && shared.taking.0.close() {
+            log::info!(in_flight = left; "stopping: no new requests");
+        }
+        if left == 0 && begun.elapsed() >= NOTICE + CROSSING {
             log::info!("stopped");
             return Ok(());
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
@@ -41,6 +41,8 @@
     pub events: Sender<Event>,
     /// Set once a signal to stop has come.
     pub stopping: AtomicBool,
+    /// Closed when no new request is taken any more; nothing is ever sent through it.
+    pub taking: (Sender<()>, Receiver<()>),
     /// Whether the list of endpoints was read once.
     pub listed: AtomicBool,
     /// Requests of which a byte was read and that have not been answered.
@@ -74,6 +76,7 @@
             metrics: Metrics::new(),
             events,
             stopping: AtomicBool::new(false),
+            taking: async_channel::bounded(1),
             listed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
@@ -99,6 +102,12 @@
         self.freshness().holds(bound, now)
     }
 
+    /// Resolves once no new request is taken any more.
+    pub async fn closed(&self) {
+        // Nothing is ever sent: the only outcome is that the channel was closed.
+        let _ = self.taking.1.recv().await;
+    }
+
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
         let known = self.site.load().is_some() && self.listed.load(Ordering::SeqCst);
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -79,7 +79,7 @@
 /// The event's `id`, if it is a number.
 fn number(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?.trim_ascii();
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next_back()?.trim_ascii();
     std::str::from_utf8(id).ok()?.parse().ok()
 }
