Engines: shared prefixes are fetched from and sent to the store of cached prefixes

Cause: engines' memory holds the prefixes of about four seconds beside the requests' own parts, so that every second shared prefix was read again. Ruled out: another home for each prefix (every part already has one engine), pinning (keeps the request's own parts too). Change: a router follows the store's events, tells an engine to fetch what the store holds and to send what it lacks; scopes hold weights and isolated workspace, and each request names the weights it expects.

--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -48,6 +48,12 @@
 }
 
 impl Prompt {
+    /// Parts that other requests may share: all but the last.
+    pub fn shared(&self) -> &[Part] {
+        let last = self.parts.len().saturating_sub(1);
+        &self.parts[..last]
+    }
+
     fn chain(&self, seed: u64) -> PrefixChain {
         let mut blocks = Vec::new();
         let mut levels = Vec::new();
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -82,6 +82,10 @@
         }
     }
 
+    pub(super) fn forget_weights(&mut self, model: &ModelId) {
+        self.weights.retain(|(known, _)| known != model);
+    }
+
     pub(super) fn weights(&self, model: &ModelId) -> Option<u64> {
         let served = self.weights.iter().find(|(known, _)| known == model)?;
         Some(served.1)
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// An endpoint has shown that it serves other weights than it was believed to, and not which.
+    pub fn unsure_weights(&mut self, id: &EndpointId, model: &ModelId) {
+        if let Some(known) = self.known.get_mut(id) {
+            known.forget_weights(model);
+        }
+    }
+
     /// Weights an endpoint is believed to serve a model with.
     pub fn weights(&self, id: &EndpointId, model: &ModelId) -> Option<u64> {
         self.known.get(id)?.weights(model)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | what follows a failed attempt, and what the caller is told |
 //! | [`retries`] | whether the budget that all routers share allows one more attempt |
+//! | [`prefixes`] | what engines exchange with the store of cached prefixes |
 //! | [`holder`] | who gives orders to the endpoints, and since when |
 //! | [`rollout`] | which endpoint loads new weights next |
 
@@ -15,6 +16,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
+pub mod prefixes;
 pub mod retries;
 pub mod rollout;
 pub mod roster;
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -99,6 +99,8 @@
     pub connections: Option<u32>,
     /// Present if its endpoints are model engines.
     pub engine: Option<EngineSpec>,
+    /// Present if it is a store of cached prefixes, which is reached there.
+    pub prefixes: Option<SocketAddr>,
 }
 
 /// A customer.
@@ -216,6 +218,11 @@
         self.services.iter()
     }
 
+    /// The store of cached prefixes, if there is one.
+    pub fn prefix_store(&self) -> Option<SocketAddr> {
+        self.services.values().find_map(|service| service.prefixes)
+    }
+
     /// The route of a request. A port in `host` doesn't count, nor does its case.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 //! A dialect only translates. It never decides: its functions see one message and know nothing of any state.
 
 use dispatch::fleet::{LoadReport, Prompt};
+use dispatch::prefixes::{PrefixEvents, Transfers};
 use dispatch::rollout::Report;
 use dispatch::site::{EndpointEntry, SiteParts};
 use http::raw::{Headers, RequestHead, ResponseHead};
@@ -52,6 +53,10 @@
     pub workspace: Option<&'a WorkspaceId>,
     /// Scope of cached prefixes.
     pub salt: Option<&'a str>,
+    /// Weights that the endpoint must serve the model with; with any other it refuses the request.
+    pub weights: Option<u64>,
+    /// Exchange with the store of cached prefixes.
+    pub transfers: Transfers,
     /// Urgency within the endpoint, 0 the most urgent.
     pub rank: Option<u8>,
     /// Last event of the stream that the caller has.
@@ -63,6 +68,8 @@
 pub struct AnswerFacts {
     /// The request's id, as the endpoint echoes it.
     pub id: Option<String>,
+    /// The endpoint that answers, where it says so.
+    pub endpoint: Option<EndpointId>,
     /// The endpoint's word that it has not run the request.
     pub not_run: bool,
     /// Whether it bears the endpoint's proof that the answer is its own.
@@ -158,6 +165,10 @@
     pub order: fn(&WeightsOrder<'_>) -> (Call, Headers),
     /// Status of an order's answer.
     pub ordered: fn(u16) -> OrderAnswer,
+    /// Asks the store of cached prefixes for events from a number on, and how long it may wait for the first one.
+    pub events: fn(u64, Duration) -> (Call, Headers),
+    /// Its answer.
+    pub told: fn(&[u8]) -> Result<PrefixEvents, Unreadable>,
     /// Asks whether an endpoint of a service is well.
     pub probe: fn(&ServiceId) -> Call,
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -3,6 +3,10 @@
 //! Each answer also proves how fresh the document is, so a watch never waits long: a router that hears nothing for
 //! longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
 
+mod prefixes;
+
+pub use prefixes::follow_prefixes;
+
 use crate::control::{Event, send};
 use crate::shared::Shared;
 use async_std::task;
--- a/crates/gateway/src/link/mod.rs
+++ b/crates/gateway/src/link/mod.rs
@@ -4,6 +4,10 @@
 //! kept. A request that may run once goes over a connection of its own: a kept one may be closed by the endpoint at any
 //! moment, and whether it has read the request could not be told.
 
+mod call;
+
+pub use call::ask;
+
 use crate::metrics::Metrics;
 use dispatch::site::EndpointEntry;
 use futures::FutureExt;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -3,6 +3,7 @@
 use crate::control::orders::may_order;
 use crate::control::{Event, send};
 use crate::dialect::{OrderAnswer, WeightsOrder};
+use crate::link::ask;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task;
@@ -10,12 +11,11 @@
 use dispatch::holder::Holder;
 use dispatch::rollout::{LoadStep, Ordered, Report, load_step};
 use dispatch::site::EndpointEntry;
-use http::raw::{ExchangeError, HeadError, Headers, connect, exchange};
+use http::raw::{ExchangeError, Headers};
 use ids::ModelId;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use store::items::Call;
 
 /// Time for the other routers to hear that an endpoint is about to load, before it is ordered to.
 const NOTICE: Duration = Duration::from_millis(60);
@@ -29,8 +29,6 @@
 const CALL: Duration = Duration::from_millis(800);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
 const LOAD: Duration = Duration::from_secs(8);
-/// Longest answer of an endpoint to such a call, bytes.
-const ANSWER_BYTES: u64 = 1 << 20;
 
 /// One endpoint that is to load a model's newest weights.
 pub struct Load {
@@ -113,7 +111,7 @@
 
     async fn report(&self) -> Option<Report> {
         let call = (self.shared.dialect.report)();
-        let (status, body) = ask(&self.entry, &call, &Headers::default()).await.ok()?;
+        let (status, body) = ask(self.entry.address, &call, &Headers::default(), CALL).await.ok()?;
         if status != 200 {
             return None;
         }
@@ -139,7 +137,7 @@
             fence,
         };
         let (call, headers) = (self.shared.dialect.order)(&order);
-        let answer = ask(&self.entry, &call, &headers).await;
+        let answer = ask(self.entry.address, &call, &headers, CALL).await;
         let outcome = match &answer {
             Ok((status, _)) => (self.shared.dialect.ordered)(*status),
             // It may be carried out later; the count it expects keeps it from undoing a newer one.
@@ -177,7 +175,7 @@
 pub async fn probe(shared: Arc<Shared>, entry: Arc<EndpointEntry>) {
     let asked = shared.clock.now();
     let call = (shared.dialect.probe)(&entry.service);
-    let answer = ask(&entry, &call, &Headers::default()).await;
+    let answer = ask(entry.address, &call, &Headers::default(), CALL).await;
     let now = shared.clock.now();
     let outcome = match answer {
         Ok((200, _)) => Outcome::Answered(now.saturating_sub(asked)),
@@ -187,32 +185,3 @@
     };
     shared.fleet().probed(&entry.id, outcome, now);
 }
-
-/// One call over a connection of its own.
-async fn ask(entry: &EndpointEntry, call: &Call, headers: &Headers) -> Result<(u16, Vec<u8>), ExchangeError> {
-    let asked = async {
-        let mut source = connect(entry.address, CALL).await?;
-        let mut bytes = format!(
-            "{} {} HTTP/1.1\r\nHost: {}\r\n",
-            call.method, call.target, entry.address
-        )
-        .into_bytes();
-        headers.write(&mut bytes);
-        if !call.body.is_empty() {
-            let lines = format!(
-                "Content-Type: application/json\r\nContent-Length: {}\r\n",
-                call.body.len()
-            );
-            bytes.extend_from_slice(lines.as_bytes());
-        }
-        bytes.extend_from_slice(b"Connection: close\r\n\r\n");
-        bytes.extend_from_slice(&call.body);
-        let mut answer = exchange(&mut source, &bytes, call.method, |_| true).await?;
-        let body = answer.body.whole(&mut source, ANSWER_BYTES).await;
-        let body = body.map_err(|_| ExchangeError::Head(HeadError::Cut))?;
-        Ok((answer.head.status, body))
-    };
-    timeout(CALL, asked)
-        .await
-        .unwrap_or(Err(ExchangeError::Head(HeadError::Cut)))
-}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::control::{Control, EVENTS, Event, TICK, send};
 use crate::dialect::Dialect;
-use crate::follow::follow;
+use crate::follow::{follow, follow_prefixes};
 use crate::front::{serve_callers, serve_page};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -129,6 +129,7 @@
     let builder = thread::Builder::new().name("control".to_owned());
     builder.spawn(run).map_err(RunError::Thread)?;
     task::spawn(follow(shared.clone(), ""));
+    task::spawn(follow_prefixes(shared.clone()));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -9,6 +9,7 @@
 use async_std::future::timeout;
 use dispatch::attempt::{self, Cause, Failure, Next, Tried};
 use dispatch::fleet::{Choice, Outcome, Picked, Wish};
+use dispatch::prefixes::Transfers;
 use futures::future::{Either, select};
 use http::Conn;
 use http::raw::{Answer, ExchangeError, Headers, Source, exchange};
@@ -357,11 +358,14 @@
         let caller = self.call.caller;
         let isolated = self.call.workspace.filter(|_| self.call.isolated);
         let salt = self.call.wish.prompt.as_ref().map(|_| salt(picked.weights, isolated));
+        let transfers = self.transfers(salt.as_deref(), picked);
         let forward = Forward {
             endpoint: &picked.endpoint.id,
             left: self.left(),
             workspace: self.call.workspace,
             salt: salt.as_deref(),
+            weights: picked.weights.filter(|_| salt.is_some()),
+            transfers,
             rank: self.call.wish.prompt.as_ref().map(|_| self.call.rank),
             after: self.events.last(),
         };
@@ -378,12 +382,22 @@
         bytes
     }
 
+    /// What the engine exchanges with the store of cached prefixes. Without known weights nothing: parts made under others
+    /// must not get into the same scope.
+    fn transfers(&self, salt: Option<&str>, picked: &Picked) -> Transfers {
+        let (Some(salt), Some(prompt), Some(_)) = (salt, &self.call.wish.prompt, picked.weights) else {
+            return Transfers::default();
+        };
+        let now = self.shared.clock.now();
+        self.shared.prefixes().transfers(salt, prompt.shared(), now)
+    }
+
     async fn judge(&mut self, flight: &mut Flight<'_>, answer: Answer, source: Source) -> Attempted {
         let facts = (self.shared.dialect.facts)(&answer.head);
         self.learn(flight.picked, &facts);
         let status = answer.head.status;
         if facts.not_run || status == 421 {
-            return self.refused(flight, status);
+            return self.refused(flight, status, &facts);
         }
         self.life.on(RequestEvent::HeadArrived);
         let success = (200..300).contains(&status);
@@ -412,14 +426,21 @@
         }
     }
 
-    fn refused(&mut self, flight: &Flight<'_>, status: u16) -> Attempted {
+    fn refused(&mut self, flight: &Flight<'_>, status: u16, facts: &AnswerFacts) -> Attempted {
         self.life.on(RequestEvent::EndpointRefused);
-        if status == 421 {
+        let meant = &flight.picked.endpoint.id;
+        if status == 421 && facts.endpoint.as_ref().is_some_and(|other| other != meant) {
             // Another endpoint has the address now.
             flight.outcome(Outcome::Unreached);
-            self.shared.links.forget(&flight.picked.endpoint.id, None);
+            self.shared.links.forget(meant, None);
             return Attempted::Failed(Failure::Declined);
         }
+        if status == 421
+            && let Some(prompt) = &self.call.wish.prompt
+        {
+            // It serves other weights than it was believed to.
+            self.shared.fleet().unsure_weights(meant, &prompt.model);
+        }
         flight.outcome(Outcome::Declined);
         let full = matches!(status, 429 | 503);
         Attempted::Failed(if full { Failure::Full } else { Failure::Declined })
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
+use dispatch::prefixes::PrefixStore;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
 use ids::Revision;
@@ -33,6 +34,7 @@
     /// What is believed of endpoints; never locked across an await.
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
+    prefixes: Mutex<PrefixStore>,
     /// Connections to endpoints.
     pub links: Links,
     /// Counters.
@@ -72,6 +74,7 @@
             site: ArcSwapOption::empty(),
             fleet: Mutex::new(fleet),
             freshness: Mutex::default(),
+            prefixes: Mutex::default(),
             links: Links::default(),
             metrics: Metrics::new(),
             events,
@@ -93,6 +96,11 @@
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the store of cached prefixes is believed to hold.
+    pub fn prefixes(&self) -> MutexGuard<'_, PrefixStore> {
+        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the document may be relied on to say whose key is good.
     pub fn fresh(&self) -> bool {
         let Some(bound) = self.settings.load().bounds.revoke() else {
