Weights: load slots are used at once, replaced weights cost a request, refused beliefs are corrected

Cause: the first loads waited for empty endpoints while no load ran; a load went on with weights named after its order, before endpoints with older ones; after a refusal for other weights a router believed nothing and sent without naming any.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -16,6 +16,8 @@
     Full,
     /// The endpoint has not run it for another reason: it leaves, loads weights, or is not the one that was meant.
     Declined,
+    /// The endpoint serves other weights than the request names, and has not run it.
+    OtherWeights,
     /// Sent, and the answer is broken, cut, spoilt or another request's: it may have run.
     Broken,
     /// Sent, and no answer in the time for this attempt: it may run still.
@@ -27,7 +29,7 @@
 impl Failure {
     /// Whether the endpoint has certainly not run the request.
     pub fn not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Full | Self::Declined)
+        matches!(self, Self::NotSent | Self::Full | Self::Declined | Self::OtherWeights)
     }
 
     /// Name in logs and counters.
@@ -36,6 +38,7 @@
             Self::NotSent => "not_sent",
             Self::Full => "full",
             Self::Declined => "declined",
+            Self::OtherWeights => "other_weights",
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::Error => "error",
@@ -50,6 +53,8 @@
     pub sent: u32,
     /// Endpoints that could not be connected to.
     pub unreached: u32,
+    /// Times that an endpoint served other weights than it was believed to.
+    pub corrected: u32,
     /// Endpoints that one request may be sent to.
     pub attempts: u32,
     /// Whether it may run more than once.
@@ -71,6 +76,9 @@
 
 /// Endpoints that a request tries in vain to connect to: a third failure in a row is the network's, not an endpoint's.
 const MAX_UNREACHED: u32 = 3;
+/// Beliefs about weights that one request corrects: the first shows that new ones were loaded, the second that they were
+/// loaded in between.
+const MAX_CORRECTED: u32 = 2;
 /// With less time than this left, another attempt only makes work for nobody: it is about the time of one network
 /// round trip and the shortest answers of the sites' services.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
@@ -87,6 +95,9 @@
             Next::Stop
         };
     }
+    if failure == Failure::OtherWeights && tried.corrected > MAX_CORRECTED {
+        return Next::Stop;
+    }
     if tried.sent >= tried.attempts || !(tried.repeatable || failure.not_run()) {
         return Next::Stop;
     }
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -9,6 +9,9 @@
 /// endpoints of the sites answer up to a seventh of some requests with an error of their own.
 const GREY: f64 = 0.35;
 
+/// Time after which answers on older weights are worth less to callers: before it no endpoint could have loaded them.
+const FIRST_USE: Duration = Duration::from_millis(1_200);
+
 /// What is left to choose from.
 pub(super) enum Standing {
     Some(Vec<EndpointId>),
@@ -52,25 +55,26 @@
             .collect()
     }
 
-    /// Leaves out weights that are too old to begin on, and prefers the newest ones once enough endpoints have them; until
-    /// then the others serve on beside them, since a few endpoints can't take all of the load.
+    /// Leaves out weights that are too old to begin on, unless no endpoint has newer ones.
     fn weighed(&self, open: Vec<EndpointId>, model: &ModelId, now: Duration) -> Vec<EndpointId> {
+        let least = self.least_weights(model, now);
+        let has = |id: &&EndpointId| self.weights(id, model).is_none_or(|weights| weights >= least);
+        let allowed: Vec<EndpointId> = open.iter().filter(has).cloned().collect();
+        if allowed.is_empty() { open } else { allowed }
+    }
+
+    /// Oldest weights that a request may begin on.
+    fn least_weights(&self, model: &ModelId, now: Duration) -> u64 {
         let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
-        let Some(newest) = names.last() else {
-            return open;
-        };
         let late = |named: &&Named| now.saturating_sub(named.at) >= self.settings.old_weights;
-        let least = names.iter().rev().find(late).map_or(0, |named| named.weights);
-        let with = |least: u64| -> Vec<EndpointId> {
-            let has = |id: &&EndpointId| self.weights(id, model).is_none_or(|weights| weights >= least);
-            open.iter().filter(has).cloned().collect()
-        };
-        let new = with(newest.weights);
-        if new.len() * 2 > open.len() {
-            return new;
-        }
-        let allowed = with(least);
-        if allowed.is_empty() { open } else { allowed }
+        names.iter().rev().find(late).map_or(0, |named| named.weights)
+    }
+
+    /// Whether newer weights than these were named a while ago.
+    pub(super) fn replaced(&self, model: &ModelId, weights: u64, now: Duration) -> bool {
+        let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
+        let newest = names.last();
+        newest.is_some_and(|named| weights < named.weights && now.saturating_sub(named.at) >= FIRST_USE)
     }
 }
 
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -18,6 +18,9 @@
 const WAITING_TOKENS: f64 = 1_500.0;
 /// What a running request costs a new one, as prompt tokens: each step of the batch takes longer by it.
 const RUNNING_TOKENS: f64 = 60.0;
+/// What weights that were replaced cost a request, as prompt tokens that it would wait for: a fifth of an answer's worth,
+/// against most of it when the first event is later than the objective of some hundred milliseconds.
+const REPLACED_TOKENS: u64 = 12_000;
 /// Requests for each slot that this router may have at an engine; more only wait there behind each other.
 const DEPTH: u32 = 2;
 /// Least speed in the placer's eyes of an engine that fails.
@@ -113,13 +116,15 @@
         let known = self.known.get(id)?;
         let others = known.waiting(now) * WAITING_TOKENS + known.running(now) * RUNNING_TOKENS;
         let weights = known.weights(&prompt.model).unwrap_or_default();
+        let replaced = self.replaced(&prompt.model, weights, now);
+        let penalty = if replaced { REPLACED_TOKENS } else { 0 };
         Some(Candidate {
             endpoint: EndpointKey::from(id),
             incarnation: Incarnation((known.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
-            queued: known.prefill() + others as u64,
+            queued: known.prefill() + others as u64 + penalty,
             speed: (1.0 - known.trouble()).max(LEAST_SPEED),
             weight: 1.0,
         })
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -82,8 +82,13 @@
         }
     }
 
-    pub(super) fn forget_weights(&mut self, model: &ModelId) {
-        self.weights.retain(|(known, _)| known != model);
+    pub(super) fn correct_weights(&mut self, model: &ModelId, newest: Option<u64>) {
+        let listed = self.entry.weights.iter().find(|(known, _)| known == model);
+        let listed = listed.map(|(_, weights)| *weights);
+        if let Some((_, known)) = self.weights.iter_mut().find(|(known, _)| known == model) {
+            let behind = newest.filter(|newest| *known < *newest);
+            *known = behind.or(listed).unwrap_or(*known);
+        }
     }
 
     pub(super) fn weights(&self, model: &ModelId) -> Option<u64> {
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -154,10 +154,13 @@
         }
     }
 
-    /// An endpoint has shown that it serves other weights than it was believed to, and not which.
-    pub fn unsure_weights(&mut self, id: &EndpointId, model: &ModelId) {
+    /// An endpoint refused a request since it serves other weights than it was believed to. It has the newest by now, or
+    /// what its entry says; if that is wrong too, the next request is refused and says so.
+    pub fn other_weights(&mut self, id: &EndpointId, model: &ModelId) {
+        let newest = self.wanted.get(model).and_then(|names| names.last());
+        let newest = newest.map(|named| named.weights);
         if let Some(known) = self.known.get_mut(id) {
-            known.forget_weights(model);
+            known.correct_weights(model, newest);
         }
     }
 
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -26,8 +26,6 @@
 /// Endpoints that take part at once, those that run empty and those that load: twice as many as load, so that one is
 /// always empty when a load ends.
 const TAKING_PART: usize = 4;
-/// An endpoint that isn't empty after this time is ordered to load all the same; it finishes what it runs first.
-const RUN_EMPTY: Duration = Duration::from_millis(1_200);
 
 /// Endpoints that are to take part from now on, in order. At least half of the others' number goes on serving.
 pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>) -> Vec<EndpointId> {
@@ -55,8 +53,6 @@
     pub busy: bool,
     /// Orders it has accepted in this life.
     pub orders: u64,
-    /// Requests that run or wait there.
-    pub occupied: u32,
 }
 
 /// An order that was sent and not refused.
@@ -64,6 +60,8 @@
 pub struct Ordered {
     /// Count of orders it expected.
     pub expected: u64,
+    /// Number of the weights.
+    pub weights: u64,
     /// When it was sent.
     pub at: Duration,
 }
@@ -82,18 +80,19 @@
     Done,
 }
 
-/// What follows a report of an endpoint that is to load `wanted` and has got no new requests for `quiet`. An order that
-/// got no answer may be carried out seconds later; the count that each order expects lets only one of two take effect.
-pub fn load_step(report: &Report, wanted: u64, ordered: Option<Ordered>, quiet: Duration, now: Duration) -> LoadStep {
+/// What follows a report of an endpoint that is to load `wanted`. An order that got no answer may be carried out seconds
+/// later; the count that each order expects lets only one of two take effect. Weights that were named after the order are
+/// another load: endpoints with older ones come first.
+pub fn load_step(report: &Report, wanted: u64, ordered: Option<Ordered>, now: Duration) -> LoadStep {
     if report.busy {
         return LoadStep::Wait;
     }
-    if report.weights.is_some_and(|weights| weights >= wanted) {
+    let goal = ordered.map_or(wanted, |order| order.weights);
+    if report.weights.is_some_and(|weights| weights >= goal) {
         return LoadStep::Done;
     }
     let recent = |order: Ordered| now.saturating_sub(order.at) < REPORT_LAG;
-    let empty = report.occupied == 0 || quiet >= RUN_EMPTY;
-    if ordered.is_some_and(recent) || !empty {
+    if ordered.is_some_and(recent) {
         return LoadStep::Wait;
     }
     LoadStep::Order {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -66,8 +66,7 @@
     fn runners(&self, model: &ModelId) -> Vec<Runner> {
         let fleet = self.shared.fleet();
         let runner = |entry: &Arc<EndpointEntry>| {
-            let listed = || Some(entry.weights.iter().find(|(known, _)| known == model)?.1);
-            let weights = fleet.weights(&entry.id, model).or_else(listed)?;
+            let weights = fleet.weights(&entry.id, model)?;
             Some(Runner {
                 endpoint: entry.id.clone(),
                 weights,
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -80,14 +80,12 @@
     async fn steps(&self) -> Option<u64> {
         let mut ordered = None;
         let mut slot = None;
-        let began = self.shared.clock.now();
         loop {
             let wanted = self.wanted()?;
             may_order(&self.holder, self.shared.clock.now())?;
             if let Some(report) = self.report().await {
                 let now = self.shared.clock.now();
-                let quiet = now.saturating_sub(began);
-                match load_step(&report, wanted, ordered, quiet, now) {
+                match load_step(&report, wanted, ordered, now) {
                     LoadStep::Done => return report.weights,
                     LoadStep::Wait => {}
                     LoadStep::Order { expected } => {
@@ -158,7 +156,7 @@
             "orders: given"
         );
         let sent = matches!(outcome, OrderAnswer::Accepted | OrderAnswer::Holds);
-        Some(sent.then_some(Ordered { expected, at }))
+        Some(sent.then_some(Ordered { expected, weights, at }))
     }
 }
 
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -147,6 +147,8 @@
     avoid: Vec<EndpointId>,
     sent: u32,
     unreached: u32,
+    /// Endpoints that served other weights than they were believed to.
+    corrected: u32,
     /// The last error that an endpoint answered with.
     error: Option<WholeAnswer>,
 }
@@ -168,6 +170,7 @@
             avoid: Vec::new(),
             sent: 0,
             unreached: 0,
+            corrected: 0,
             error: None,
         }
     }
@@ -197,7 +200,12 @@
             self.note(&picked, failure.name());
             let failed = &self.shared.metrics.attempts;
             failed.with_label_values(&[failure.name()]).inc();
-            self.avoid.push(picked.endpoint.id.clone());
+            if failure == Failure::OtherWeights {
+                self.corrected += 1;
+                self.sent -= 1;
+            } else {
+                self.avoid.push(picked.endpoint.id.clone());
+            }
             if !self.again(failure) {
                 return self.give_up(cause(failure));
             }
@@ -242,6 +250,7 @@
         let tried = Tried {
             sent: self.sent,
             unreached: self.unreached,
+            corrected: self.corrected,
             attempts: self.call.route.attempts,
             repeatable: self.repeatable(),
             left: self.left(),
@@ -438,8 +447,8 @@
         if status == 421
             && let Some(prompt) = &self.call.wish.prompt
         {
-            // It serves other weights than it was believed to.
-            self.shared.fleet().unsure_weights(meant, &prompt.model);
+            self.shared.fleet().other_weights(meant, &prompt.model);
+            return Attempted::Failed(Failure::OtherWeights);
         }
         flight.outcome(Outcome::Declined);
         let full = matches!(status, 429 | 503);
@@ -500,7 +509,7 @@
 /// Why a request ends after its last attempt failed.
 fn cause(failure: Failure) -> Cause {
     match failure {
-        Failure::NotSent | Failure::Declined => Cause::NoEndpoint,
+        Failure::NotSent | Failure::Declined | Failure::OtherWeights => Cause::NoEndpoint,
         Failure::Full => Cause::Full,
         Failure::Silent => Cause::Deadline,
         Failure::Broken | Failure::Error => Cause::EndpointFailed,
