Orders: a successor may order at once what its predecessor did not; old weights are left at the start

(1) A router that restarted knew weights only from the moment it read them and went on for 7.5 s with older ones, named long before. (2) Each change of the holder cost 3.3 s without orders, and a lease of 3 s before it, which a rolling restart adds up. Ruled out: a shared clock for naming times (the time of day jumps), the holder serving on after SIGTERM (it may be cut). Change: weights found at the start count as named long ago; the holder's list is written before each order, outlives it, and only endpoints on it wait for their turn; the lease is 2 s.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -19,6 +19,12 @@
     None,
 }
 
+impl Named {
+    fn for_longer(&self, time: Duration, now: Duration) -> bool {
+        self.at.is_none_or(|at| now.saturating_sub(at) >= time)
+    }
+}
+
 impl Fleet {
     pub(super) fn candidates(&self, wish: &Wish<'_>, now: Duration) -> Standing {
         let serving = self.serving(wish);
@@ -66,7 +72,7 @@
     /// Oldest weights that a request may begin on.
     fn least_weights(&self, model: &ModelId, now: Duration) -> u64 {
         let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
-        let late = |named: &&Named| now.saturating_sub(named.at) >= self.settings.old_weights;
+        let late = |named: &&Named| named.for_longer(self.settings.old_weights, now);
         names.iter().rev().find(late).map_or(0, |named| named.weights)
     }
 
@@ -74,7 +80,7 @@
     pub(super) fn replaced(&self, model: &ModelId, weights: u64, now: Duration) -> bool {
         let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
         let newest = names.last();
-        newest.is_some_and(|named| weights < named.weights && now.saturating_sub(named.at) >= FIRST_USE)
+        newest.is_some_and(|named| weights < named.weights && named.for_longer(FIRST_USE, now))
     }
 }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -76,7 +76,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Named {
     weights: u64,
-    at: Duration,
+    /// When; absent if before this router followed the store, which may be long ago.
+    at: Option<Duration>,
 }
 
 /// Names of weights that are remembered of a model: more than are named within any bound on old ones.
@@ -125,11 +126,11 @@
         self.configure(now);
     }
 
-    /// Weights that a model is to be served with.
-    pub fn want(&mut self, model: &ModelId, weights: u64, now: Duration) {
+    /// Weights that a model is to be served with; named at the given time, or some time before this router knew of any.
+    pub fn want(&mut self, model: &ModelId, weights: u64, at: Option<Duration>) {
         let names = self.wanted.entry(model.clone()).or_default();
         if names.last().is_none_or(|last| last.weights < weights) {
-            names.push(Named { weights, at: now });
+            names.push(Named { weights, at });
             let old = names.len().saturating_sub(REMEMBERED);
             names.drain(..old);
         }
--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -2,10 +2,12 @@
 //!
 //! What goes wrong without it: two routers order different weights, or one that was paused goes on where it stopped;
 //! endpoints that don't check generation numbers then change back and forth. So the holder counts its lease from before
-//! it asked for it, on a clock that goes on while its VM is suspended, and stops [`HolderTimes::margin`] before the end; and
-//! a successor waits until the last order of its predecessor must have arrived.
+//! it asked for it, on a clock that goes on while its VM is suspended, and stops [`HolderTimes::margin`] before the end.
+//! Before an order leaves, its endpoint stands in a list in the store that is written on condition that the holder key is
+//! unchanged. So a successor knows which endpoints its predecessor may have ordered last, and leaves [`Turns`] to those.
 
-use ids::Fence;
+use ids::{EndpointId, Fence};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Times of the lease.
@@ -17,8 +19,6 @@
     pub renew: Duration,
     /// Last part of the lease in which no order leaves.
     pub margin: Duration,
-    /// Wait of a new holder before its first order.
-    pub settle: Duration,
     /// Wait before a failed call is repeated.
     pub again: Duration,
 }
@@ -91,8 +91,8 @@
     Free { next: Duration },
     /// The call is under way.
     Asking { until: Duration },
-    /// The key is held; orders may be given from this time on.
-    Holding { fence: Fence, from: Duration },
+    /// The key is held.
+    Holding { fence: Fence },
 }
 
 /// The part of one router in holding the key.
@@ -158,11 +158,11 @@
 
     /// The generation number, while orders may leave. Belongs right before each send: a process can be paused anywhere.
     pub fn may_order(&self, now: Duration) -> Option<Fence> {
-        let Phase::Holding { fence, from } = self.phase else {
+        let Phase::Holding { fence } = self.phase else {
             return None;
         };
         let lasts = self.lease.is_some_and(|lease| now + self.times.margin < lease.end);
-        (lasts && now >= from).then_some(fence)
+        lasts.then_some(fence)
     }
 
     /// The lease that the key hangs on, while it is held.
@@ -220,7 +220,6 @@
         if !matches!(self.phase, Phase::Holding { .. }) {
             self.phase = Phase::Holding {
                 fence: occupant.created,
-                from: now + self.times.settle,
             };
         }
         None
@@ -231,3 +230,22 @@
         self.lease = None;
     }
 }
+
+/// When endpoints were last known to get orders of another holder.
+#[derive(Debug, Clone, Default)]
+pub struct Turns {
+    ordered: BTreeMap<EndpointId, Duration>,
+}
+
+impl Turns {
+    /// Another holder may be giving orders to this endpoint.
+    pub fn other(&mut self, endpoint: &EndpointId, now: Duration) {
+        self.ordered.insert(endpoint.clone(), now);
+    }
+
+    /// Whether the last order of another holder is at least `turn` ago.
+    pub fn may_order(&self, endpoint: &EndpointId, turn: Duration, now: Duration) -> bool {
+        let last = self.ordered.get(endpoint);
+        last.is_none_or(|last| now.saturating_sub(*last) >= turn)
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,12 +5,13 @@
 use crate::dialect::Holding;
 use crate::shared::Shared;
 use async_channel::Receiver;
-use dispatch::holder::{Holder, HolderTimes, Occupant};
+use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
 use ids::{EndpointId, Fence, ModelId};
+use orders::Telling;
 use rand::RngExt;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,19 +25,17 @@
 pub const HOLDER_KEY: &str = "apricotfork/holder";
 /// Key of what the holder tells all routers.
 pub const HOLDING_KEY: &str = "apricotfork/holding";
-/// Time to live of the holder's lease: a holder that dies is replaced this long after its last renewal, and its successor's
-/// first order comes a turn later; together well below the bound on old weights.
-const LEASE: Duration = Duration::from_millis(3_000);
+/// Time to live of the holder's lease: a holder that dies is replaced this long after its last renewal, a fifth of the
+/// bound on old weights.
+const LEASE: Duration = Duration::from_millis(2_000);
 /// Two renewals may fail before the lease ends.
-const RENEW: Duration = Duration::from_millis(900);
+const RENEW: Duration = Duration::from_millis(500);
 /// Last part of the lease without orders: covers the time from the check to the endpoint, and clocks of unequal speed.
-const MARGIN: Duration = Duration::from_millis(600);
-/// Added to the bound on turns before a new holder's first order, for the last order of the old one on its way.
-const TURN_SLACK: Duration = Duration::from_millis(300);
+const MARGIN: Duration = Duration::from_millis(400);
 /// Wait before a failed call for the lease is repeated.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Longest random wait of a router before it asks for the holder key: the first one's write reaches the others within milliseconds.
-const STAGGER: Duration = Duration::from_millis(600);
+const STAGGER: Duration = Duration::from_millis(300);
 
 /// What the control thread hears.
 #[derive(Debug)]
@@ -66,6 +65,13 @@
         /// Model and number of the weights.
         loaded: Option<(ModelId, u64)>,
     },
+    /// A write of the holder's list has ended.
+    Told {
+        /// The generation number it was written under.
+        fence: Fence,
+        /// Whether it is in the store.
+        done: bool,
+    },
     /// Time has passed.
     Tick,
     /// The process is going.
@@ -85,7 +91,11 @@
     holder: Arc<Mutex<Holder>>,
     holder_name: String,
     loading: BTreeSet<EndpointId>,
+    /// When loads ended, to tell it to a successor.
+    ended: BTreeMap<EndpointId, Duration>,
     holding: Holding,
+    telling: Telling,
+    turns: Turns,
     /// Loads that were ordered and have not ended.
     running: Arc<AtomicUsize>,
     in_touch: bool,
@@ -99,7 +109,6 @@
             ttl: LEASE,
             renew: RENEW,
             margin: MARGIN,
-            settle: settings.bounds.turn() + TURN_SLACK,
             again: ASK_AGAIN,
         };
         let holder_name = format!("{}/{:016x}", settings.vm, rand::random::<u64>());
@@ -112,7 +121,10 @@
             holder: Arc::new(Mutex::new(holder)),
             holder_name,
             loading: BTreeSet::new(),
+            ended: BTreeMap::new(),
             holding: Holding::default(),
+            telling: Telling::default(),
+            turns: Turns::default(),
             running: Arc::default(),
             in_touch: false,
         }
@@ -146,6 +158,7 @@
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::Told { fence, done } => self.told_others(fence, done),
             Event::Tick => self.tick(now),
             Event::Stop => self.holder_event(dispatch::holder::Event::Stop),
         }
@@ -174,13 +187,11 @@
         let changes = self.roster.replace(list, now);
         self.apply(changes, now);
         self.shared.listed.store(true, Ordering::SeqCst);
-        for own in [HOLDER_KEY, HOLDING_KEY] {
-            if !rest.iter().any(|item| item.key == own) {
-                self.removed(own, now);
-            }
+        if !rest.iter().any(|item| item.key == HOLDER_KEY) {
+            self.removed(HOLDER_KEY);
         }
         for item in &rest {
-            self.written(item, now);
+            self.written(item, None, now);
         }
     }
 
@@ -196,8 +207,8 @@
             return;
         }
         match change {
-            Change::Written(item) => self.written(item, now),
-            Change::Removed(key) => self.removed(key, now),
+            Change::Written(item) => self.written(item, Some(now), now),
+            Change::Removed(key) => self.removed(key),
         }
     }
 
@@ -239,26 +250,24 @@
         self.shared.metrics.endpoints.set(count as i64);
     }
 
-    fn written(&mut self, item: &Item, now: Duration) {
+    /// An item that was written at the given time, if that is known.
+    fn written(&mut self, item: &Item, at: Option<Duration>, now: Duration) {
         let keys = self.shared.dialect.keys;
         match item.key.as_str() {
             HOLDER_KEY => self.occupied(item),
-            HOLDING_KEY => self.told(item),
+            HOLDING_KEY => self.told(item, now),
             key if key == keys.document => self.document(item),
-            key if key.starts_with(keys.weights) => self.wanted(item, now),
+            key if key.starts_with(keys.weights) => self.wanted(item, at),
             _ => {}
         }
     }
 
-    fn removed(&mut self, key: &str, now: Duration) {
-        match key {
-            HOLDER_KEY => {
-                self.holder_event(dispatch::holder::Event::Seen(None));
-            }
-            HOLDING_KEY => self.shared.fleet().loads(BTreeSet::new()),
-            _ => {}
+    fn removed(&mut self, key: &str) {
+        if key == HOLDER_KEY {
+            // Whatever still loads there refuses requests by itself until it has ended.
+            self.shared.fleet().loads(BTreeSet::new());
+            self.holder_event(dispatch::holder::Event::Seen(None));
         }
-        let _ = now;
     }
 
     fn document(&self, item: &Item) {
@@ -279,11 +288,11 @@
         self.shared.site.store(Some(Arc::new(Site::new(parts))));
     }
 
-    fn wanted(&self, item: &Item, now: Duration) {
+    fn wanted(&self, item: &Item, at: Option<Duration>) {
         match (self.shared.dialect.wanted)(&item.value) {
             Ok(wanted) => {
                 log::info!(model = wanted.model.as_str(), weights = wanted.weights; "weights: wanted");
-                self.shared.fleet().want(&wanted.model, wanted.weights, now);
+                self.shared.fleet().want(&wanted.model, wanted.weights, at);
             }
             Err(err) => log::error!(key = item.key.as_str(), why:% = err; "weights: cannot be read"),
         }
@@ -299,7 +308,7 @@
     }
 
     /// What the holder says of endpoints.
-    fn told(&self, item: &Item) {
+    fn told(&mut self, item: &Item, now: Duration) {
         let holding: Holding = match serde_json::from_slice(&item.value) {
             Ok(holding) => holding,
             Err(err) => {
@@ -307,6 +316,12 @@
                 return;
             }
         };
+        if self.lock_holder().may_order(now) == Some(holding.fence) {
+            return;
+        }
+        for endpoint in holding.loading.iter().chain(&holding.recent) {
+            self.turns.other(endpoint, now);
+        }
         self.believe(&holding);
     }
 
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -1,20 +1,38 @@
 //! The control thread's part in holding the right to give orders, and in giving them.
 
 use super::{Control, Event, HOLDER_KEY, HOLDING_KEY, lock, send};
+use crate::dialect::Holding;
 use crate::orders;
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::holder::{self, Step};
 use dispatch::rollout::{Runner, next_loads};
 use dispatch::site::EndpointEntry;
-use ids::{EndpointId, ModelId};
+use ids::{EndpointId, Fence, ModelId};
 use std::sync::Arc;
 use std::time::Duration;
 use store::items::{Client, Committed, ItemsError, Transaction, Write};
 
+/// Added to the bound on turns, for orders on their way.
+const TURN_SLACK: Duration = Duration::from_millis(300);
+/// Stands for no lease.
+const NO_LEASE: u64 = 0;
 /// Longest wait for an answer to a call about the lease; a fifth of the lease.
 const CALL: Duration = Duration::from_millis(600);
 
+/// The holder's list on its way into the store.
+#[derive(Debug, Default)]
+pub(super) struct Telling {
+    /// Whether a write is under way.
+    under_way: bool,
+    /// Whether the list has changed since.
+    again: bool,
+    /// Loads that begin once that write is done.
+    told: Vec<(EndpointId, ModelId)>,
+    /// Loads that begin with the next write.
+    begin: Vec<(EndpointId, ModelId)>,
+}
+
 impl Control {
     pub(super) fn holder_event(&mut self, event: holder::Event) {
         let now = self.shared.clock.now();
@@ -23,8 +41,10 @@
         let after = self.lock_holder().lease();
         if before != after {
             log::info!(holds = after.is_some(); "orders: the right to give them changed");
-            self.holding = crate::dialect::Holding::default();
+            self.holding = Holding::default();
             self.loading.clear();
+            self.ended.clear();
+            self.telling = Telling::default();
         }
         if let Some(step) = step {
             self.carry_out(step);
@@ -57,10 +77,19 @@
         };
         for (model, weights) in wanted {
             let runners = self.runners(&model);
-            for endpoint in next_loads(&runners, weights, &self.loading) {
-                self.start_load(endpoint, &model);
+            let turn = self.shared.settings.load().bounds.turn() + TURN_SLACK;
+            let free: Vec<Runner> = runners
+                .into_iter()
+                .filter(|runner| self.turns.may_order(&runner.endpoint, turn, now))
+                .collect();
+            for endpoint in next_loads(&free, weights, &self.loading) {
+                self.loading.insert(endpoint.clone());
+                self.telling.begin.push((endpoint, model.clone()));
             }
         }
+        if !self.telling.begin.is_empty() {
+            self.tell();
+        }
     }
 
     fn runners(&self, model: &ModelId) -> Vec<Runner> {
@@ -76,19 +105,16 @@
         self.roster.all().filter_map(runner).collect()
     }
 
-    fn start_load(&mut self, endpoint: EndpointId, model: &ModelId) {
+    fn start_load(&mut self, endpoint: EndpointId, model: ModelId) {
         let Some(entry) = self.roster.get(&endpoint).cloned() else {
-            return;
+            return self.load_ended(endpoint, None);
         };
-        self.loading.insert(endpoint.clone());
-        self.holding.loading.push(endpoint);
-        self.tell();
         let load = orders::Load {
             shared: self.shared.clone(),
             holder: self.holder.clone(),
             name: self.holder_name.clone(),
             entry,
-            model: model.clone(),
+            model,
             running: self.running.clone(),
         };
         task::spawn(load.run());
@@ -98,36 +124,46 @@
         if !self.loading.remove(&endpoint) {
             return;
         }
-        self.holding.loading.retain(|loading| *loading != endpoint);
+        let now = self.shared.clock.now();
+        self.ended.insert(endpoint.clone(), now);
         if let Some((model, weights)) = loaded {
             self.holding.loaded.retain(|(known, ..)| *known != endpoint);
             self.holding.loaded.push((endpoint, model, weights));
         }
-        let now = self.shared.clock.now();
-        let before = self.loading.len();
         self.give_orders(now);
-        if self.loading.len() == before {
-            self.tell();
-        }
+        self.tell();
     }
 
     /// Tells all routers which endpoints load: requests sent there meanwhile would be refused, and some may not be sent
-    /// to a second endpoint.
-    fn tell(&self) {
-        self.believe(&self.holding);
-        let lock = self.lock_holder();
+    /// to a second endpoint. One write at a time, so that an older list never comes after a newer one.
+    fn tell(&mut self) {
+        if self.telling.under_way {
+            self.telling.again = true;
+            return;
+        }
         let now = self.shared.clock.now();
-        let (Some(lease), Some(fence)) = (lock.lease(), lock.may_order(now)) else {
+        let (lease, fence) = {
+            let holder = self.lock_holder();
+            (holder.lease(), holder.may_order(now))
+        };
+        let (Some(_), Some(fence)) = (lease, fence) else {
             return;
         };
-        drop(lock);
+        let turn = self.shared.settings.load().bounds.turn() + TURN_SLACK;
+        self.ended.retain(|_, at| now.saturating_sub(*at) < turn);
+        self.holding.fence = fence;
+        self.holding.loading = self.loading.iter().cloned().collect();
+        self.holding.recent = self.ended.keys().cloned().collect();
+        self.believe(&self.holding);
+        self.telling.under_way = true;
+        self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
         let transaction = Transaction {
             expected: vec![(HOLDER_KEY.to_owned(), fence.0)],
             writes: vec![Write {
                 key: HOLDING_KEY.to_owned(),
                 value,
-                lease,
+                lease: NO_LEASE,
             }],
         };
         let shared = self.shared.clone();
@@ -135,12 +171,32 @@
             let client = Client::new(shared.settings.load().store, shared.dialect.store);
             let told = client.commit(&transaction, CALL).await;
             count(&shared, "tell", told.is_ok());
-            if let Err(err) = told {
+            if let Err(err) = &told {
                 log::warn!(why:% = err; "orders: the other routers could not be told");
             }
+            let done = matches!(told, Ok(Committed::Done(_)));
+            send(&shared, Event::Told { fence, done }).await;
         });
     }
 
+    /// Only what stands in the list may be ordered.
+    pub(super) fn told_others(&mut self, fence: Fence, done: bool) {
+        let own = fence == self.holding.fence;
+        if !own || !std::mem::take(&mut self.telling.under_way) {
+            return;
+        }
+        for (endpoint, model) in std::mem::take(&mut self.telling.told) {
+            if done {
+                self.start_load(endpoint, model);
+            } else {
+                self.loading.remove(&endpoint);
+            }
+        }
+        if std::mem::take(&mut self.telling.again) {
+            self.tell();
+        }
+    }
+
     pub(super) fn probe(&self, now: Duration) {
         let due = self.shared.fleet().due_probes(now);
         for entry in due {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -173,11 +173,16 @@
     pub probe: fn(&ServiceId) -> Call,
 }
 
-/// What the holder tells all routers, as it lies in the store under the product's own key.
+/// What the holder tells all routers, as it lies in the store under the product's own key. It outlives the holder: its
+/// successor must know which endpoints were ordered last.
 #[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Holding {
-    /// Endpoints that load weights now or are about to.
+    /// Generation number of the holder.
+    pub fence: Fence,
+    /// Endpoints that load weights now or are about to. No order leaves for any other one.
     pub loading: Vec<EndpointId>,
+    /// Endpoints whose load has ended lately.
+    pub recent: Vec<EndpointId>,
     /// Endpoints that have loaded, with model and number of the weights.
     pub loaded: Vec<(EndpointId, ModelId, u64)>,
 }
