--- /dev/null
+++ b/crates/dispatch/tests/attempt.rs
@@ -0,0 +1,162 @@
+//! What follows a failed attempt, and whether a refusal is true.
+
+use dispatch::attempt::{Cause, Failure, Next, Tried, next, refusal};
+use lifecycle::request::RequestState;
+use std::time::Duration;
+
+const FRESH: Tried = Tried {
+    sent: 1,
+    unreached: 0,
+    corrected: 0,
+    attempts: 2,
+    repeatable: false,
+    left: Duration::from_millis(500),
+};
+
+/// An endpoint fails a fan command after it may have run it. Sent once more, the fan is started twice.
+#[test]
+fn a_call_that_may_have_run_is_repeated_only_if_it_may_run_twice() {
+    struct Case {
+        tried: Tried,
+        failure: Failure,
+        expected: Next,
+    }
+    let again = Tried {
+        repeatable: true,
+        ..FRESH
+    };
+    let spent = Tried { sent: 2, ..again };
+    let late = Tried {
+        left: Duration::from_millis(10),
+        ..again
+    };
+    let cases = [
+        Case {
+            tried: FRESH,
+            failure: Failure::Broken,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::Silent,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::Error,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::Full,
+            expected: Next::Again,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::Declined,
+            expected: Next::Again,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::OtherWeights,
+            expected: Next::Again,
+        },
+        Case {
+            tried: FRESH,
+            failure: Failure::NotSent,
+            expected: Next::AgainFree,
+        },
+        Case {
+            tried: again,
+            failure: Failure::Broken,
+            expected: Next::Again,
+        },
+        Case {
+            tried: again,
+            failure: Failure::Silent,
+            expected: Next::Again,
+        },
+        Case {
+            tried: again,
+            failure: Failure::Error,
+            expected: Next::Again,
+        },
+        Case {
+            tried: spent,
+            failure: Failure::Error,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: spent,
+            failure: Failure::Full,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: spent,
+            failure: Failure::NotSent,
+            expected: Next::AgainFree,
+        },
+        Case {
+            tried: Tried { unreached: 3, ..FRESH },
+            failure: Failure::NotSent,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: Tried { corrected: 3, ..FRESH },
+            failure: Failure::OtherWeights,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: late,
+            failure: Failure::Broken,
+            expected: Next::Stop,
+        },
+    ];
+    for case in cases {
+        assert_eq!(
+            next(&case.tried, case.failure),
+            case.expected,
+            "{:?} {:?}",
+            case.tried,
+            case.failure
+        );
+    }
+}
+
+/// A caller that is told "not run" asks again. If the call had run, its order is doubled.
+#[test]
+fn only_a_request_of_which_nothing_was_sent_is_refused_as_not_run() {
+    let causes = [
+        Cause::NotReady,
+        Cause::Stale,
+        Cause::NoEndpoint,
+        Cause::Full,
+        Cause::Deadline,
+        Cause::EndpointFailed,
+    ];
+    let promises = [408, 421, 429, 503];
+    for cause in causes {
+        for state in [RequestState::Unknown, RequestState::Sent, RequestState::FirstByte] {
+            let given = refusal(cause, state);
+            let early = matches!(cause, Cause::NotReady | Cause::Stale);
+            assert!(
+                early || !promises.contains(&given.status),
+                "{cause:?} {state:?} {given:?}"
+            );
+            assert!(early || given.retry_after.is_none(), "{cause:?} {state:?} {given:?}");
+        }
+    }
+    for cause in [Cause::NotReady, Cause::Stale, Cause::NoEndpoint, Cause::Full] {
+        let given = refusal(cause, RequestState::Queued);
+        assert_eq!(given.status, 503, "{cause:?}");
+        assert!(given.retry_after.is_some(), "{cause:?}");
+    }
+}
+
+/// A router that has just started or lost the store denies nobody: what it doesn't know may be allowed.
+#[test]
+fn a_router_that_does_not_know_says_so() {
+    for cause in [Cause::NotReady, Cause::Stale] {
+        assert_eq!(refusal(cause, RequestState::Queued).status, 503);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/fleet.rs
@@ -0,0 +1,299 @@
+//! Which endpoint a request goes to.
+
+use dispatch::fleet::{Choice, Fleet, FleetSettings, LoadReport, Outcome, Part, Prompt, Wish};
+use dispatch::retries::RetryLimits;
+use dispatch::site::EndpointEntry;
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+const OLD: Duration = Duration::from_millis(7_500);
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn model() -> ModelId {
+    ModelId::from("grain")
+}
+
+fn service() -> ServiceId {
+    ServiceId::from("pool")
+}
+
+fn entry(id: &str, weights: u64) -> EndpointEntry {
+    EndpointEntry {
+        id: EndpointId::from(id),
+        incarnation: Incarnation(1),
+        service: service(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: DomainId::from("here"),
+        slots: 6,
+        leaving: false,
+        weights: vec![(model(), weights)],
+    }
+}
+
+fn fleet(entries: &[EndpointEntry]) -> Fleet {
+    let mut fleet = Fleet::new(FleetSettings {
+        domain: DomainId::from("here"),
+        retries: RetryLimits {
+            ratio: 0.2,
+            extra: 100,
+            window: Duration::from_secs(10),
+            routers: 0,
+        },
+        old_weights: OLD,
+    });
+    for entry in entries {
+        fleet.serves(&Arc::new(entry.clone()), at(0));
+    }
+    fleet
+}
+
+fn pool(weights: &[u64]) -> Fleet {
+    let entries = weights
+        .iter()
+        .enumerate()
+        .map(|(at, weights)| entry(&format!("e{at}"), *weights));
+    fleet(&entries.collect::<Vec<_>>())
+}
+
+fn prompt(session: u64, own: u64) -> Prompt {
+    Prompt {
+        model: model(),
+        parts: vec![
+            Part { id: 1, tokens: 2_520 },
+            Part {
+                id: session,
+                tokens: 3_780,
+            },
+            Part { id: own, tokens: 2_890 },
+        ],
+        tokens: 9_190,
+        output: 10,
+    }
+}
+
+/// Where a request goes; it is counted there.
+fn send(fleet: &mut Fleet, prompt: Option<&Prompt>, avoid: &[EndpointId], draw: u64, now: Duration) -> Option<String> {
+    let service = service();
+    let wish = Wish {
+        service: &service,
+        avoid,
+        prompt,
+        isolated: None,
+    };
+    match fleet.choose(&wish, draw, now) {
+        Choice::At(picked) => {
+            let endpoint = &picked.endpoint;
+            fleet.begin(&endpoint.id, endpoint.incarnation, picked.prefill);
+            Some(endpoint.id.to_string())
+        }
+        Choice::Full | Choice::Nowhere => None,
+    }
+}
+
+/// Endpoints of a plain service have few slots, and a burst of calls comes within a moment. Sent to whichever answered fastest
+/// last time they would queue up there while the others idle.
+#[test]
+fn a_burst_spreads_over_the_slots() {
+    let mut fleet = pool(&[1, 1, 1]);
+    let mut counts = [0; 3];
+    for draw in 0..18 {
+        let name = send(&mut fleet, None, &[], draw, at(0)).expect("an endpoint");
+        counts[usize::from(name.as_bytes()[1] - b'0')] += 1;
+    }
+    assert_eq!(counts, [6, 6, 6]);
+}
+
+/// Other routers fill an endpoint of which this one sees little. What it reports on an answer keeps new calls away for a while,
+/// then it is tried again.
+#[test]
+fn a_load_report_counts_for_a_moment() {
+    let mut fleet = pool(&[1, 1]);
+    let full = LoadReport { running: 6, waiting: 4 };
+    fleet.reported(&EndpointId::from("e0"), full, at(0));
+    for draw in 0..4 {
+        assert_eq!(send(&mut fleet, None, &[], draw, at(1)).as_deref(), Some("e1"));
+    }
+    fleet.reported(&EndpointId::from("e1"), full, at(3_000));
+    assert_eq!(send(&mut fleet, None, &[], 0, at(3_001)).as_deref(), Some("e0"));
+}
+
+/// An endpoint answers half of its calls with errors while it says that it is well. A caller notices failures for as long
+/// as calls go there.
+#[test]
+fn an_endpoint_that_fails_half_of_its_calls_is_left() {
+    let mut fleet = pool(&[1, 1, 1]);
+    let (grey, now) = (EndpointId::from("e0"), at(0));
+    for round in 0..20 {
+        let outcome = if round % 2 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Answered(at(20))
+        };
+        fleet.outcome(&grey, outcome, now);
+        for sound in ["e1", "e2"] {
+            fleet.outcome(&EndpointId::from(sound), Outcome::Answered(at(20)), now);
+        }
+    }
+    let used: BTreeSet<_> = (0..12)
+        .filter_map(|draw| send(&mut fleet, None, &[], draw, now))
+        .collect();
+    assert!(!used.contains("e0"), "{used:?}");
+    // With nothing else left it is still better than a refusal.
+    let others = [EndpointId::from("e1"), EndpointId::from("e2")];
+    assert_eq!(send(&mut fleet, None, &others, 0, now).as_deref(), Some("e0"));
+}
+
+/// Prompts of one session share thousands of tokens. Every router must send them to the same engine without asking the others, or
+/// each engine reads them anew.
+#[test]
+fn routers_agree_on_a_prefix_home() {
+    let homes = |draw: u64| -> Vec<Option<String>> {
+        let mut fleet = pool(&[1; 9]);
+        (10..40)
+            .map(|session| send(&mut fleet, Some(&prompt(session, draw)), &[], draw, at(0)))
+            .collect()
+    };
+    let (one, other) = (homes(1_000), homes(2_000));
+    let same = one.iter().zip(&other).filter(|(one, other)| one == other).count();
+    assert!(same >= 24, "{same} of 30 sessions have one home");
+    let used: BTreeSet<_> = one.iter().collect();
+    assert!(used.len() >= 6, "sessions spread over {} engines", used.len());
+}
+
+/// One session becomes hot. All of it at its home would queue there for seconds while other engines idle.
+#[test]
+fn a_hot_prefix_spills() {
+    let mut fleet = pool(&[1; 9]);
+    let used: BTreeSet<_> = (0..60)
+        .filter_map(|own| send(&mut fleet, Some(&prompt(7, 100 + own)), &[], own, at(0)))
+        .collect();
+    assert!(used.len() >= 3, "{used:?}");
+}
+
+/// New weights are named and reach one engine after the other. A request that begins on older ones long after is a stale
+/// answer; refusing everything until the last engine has them would be an outage.
+#[test]
+fn old_weights_serve_for_a_while_only() {
+    struct Case {
+        weights: &'static [u64],
+        named: &'static [(u64, Option<u64>)],
+        now: u64,
+        allowed: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            weights: &[1, 1, 2],
+            named: &[(2, Some(0))],
+            now: 7_400,
+            allowed: &["e0", "e1", "e2"],
+        },
+        Case {
+            weights: &[1, 1, 2],
+            named: &[(2, Some(0))],
+            now: 7_500,
+            allowed: &["e2"],
+        },
+        // Each version counts from its own naming.
+        Case {
+            weights: &[1, 2, 3],
+            named: &[(2, Some(0)), (3, Some(4_000))],
+            now: 7_500,
+            allowed: &["e1", "e2"],
+        },
+        // Named before this router followed the store: perhaps long ago.
+        Case {
+            weights: &[1, 1, 2],
+            named: &[(2, None)],
+            now: 0,
+            allowed: &["e2"],
+        },
+        // An answer on old weights is better than none.
+        Case {
+            weights: &[1, 1, 1],
+            named: &[(2, Some(0))],
+            now: 9_000,
+            allowed: &["e0", "e1", "e2"],
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(case.weights);
+        for (weights, at_ms) in case.named {
+            fleet.want(&model(), *weights, at_ms.map(at));
+        }
+        let used: BTreeSet<String> = (0..200)
+            .filter_map(|own| send(&mut fleet, Some(&prompt(own, 1_000 + own)), &[], own * 7, at(case.now)))
+            .collect();
+        let used: Vec<&str> = used.iter().map(String::as_str).collect();
+        assert_eq!(
+            used, case.allowed,
+            "{:?} {:?} at {}",
+            case.weights, case.named, case.now
+        );
+    }
+}
+
+/// An engine that is about to load weights refuses what hasn't started, and some requests may be sent to one engine only.
+#[test]
+fn nothing_goes_to_an_endpoint_that_loads_or_leaves() {
+    let mut leaving = entry("e2", 1);
+    leaving.leaving = true;
+    let mut fleet = fleet(&[entry("e0", 1), entry("e1", 1), leaving]);
+    fleet.loads(BTreeSet::from([EndpointId::from("e0")]));
+    let used: BTreeSet<_> = (0..20)
+        .filter_map(|own| send(&mut fleet, Some(&prompt(own, 100 + own)), &[], own, at(0)))
+        .collect();
+    assert_eq!(used.into_iter().collect::<Vec<_>>(), ["e1"]);
+}
+
+/// An engine refuses a request that names other weights than it serves. Believed to have the old ones it has the newest by
+/// now; believed to have the newest it has restarted with what its entry says.
+#[test]
+fn a_refusal_for_other_weights_corrects_the_belief() {
+    let id = EndpointId::from("e0");
+    let mut fleet = pool(&[1, 1]);
+    fleet.want(&model(), 3, Some(at(0)));
+    fleet.other_weights(&id, &model());
+    assert_eq!(fleet.weights(&id, &model()), Some(3));
+    fleet.other_weights(&id, &model());
+    assert_eq!(fleet.weights(&id, &model()), Some(1));
+}
+
+/// Two connections to an endpoint break in a row: it has crashed. New calls there would only lose time until its entry goes.
+#[test]
+fn a_dead_endpoint_is_probed_and_not_called() {
+    let mut fleet = pool(&[1, 1]);
+    let dead = EndpointId::from("e0");
+    fleet.outcome(&dead, Outcome::Unreached, at(0));
+    fleet.outcome(&dead, Outcome::Unreached, at(10));
+    for draw in 0..8 {
+        assert_eq!(send(&mut fleet, None, &[], draw, at(20)).as_deref(), Some("e1"));
+    }
+    let probes = fleet.due_probes(at(300));
+    assert_eq!(probes.iter().map(|entry| entry.id.as_str()).collect::<Vec<_>>(), ["e0"]);
+    fleet.probed(&dead, Outcome::Answered(at(5)), at(310));
+    let used: BTreeSet<_> = (0..8)
+        .filter_map(|draw| send(&mut fleet, None, &[], draw, at(320)))
+        .collect();
+    assert!(used.contains("e0"), "{used:?}");
+}
+
+/// An endpoint restarts under its old name. What ran in its former life must not be counted in the new one.
+#[test]
+fn another_life_begins_without_load() {
+    let mut fleet = pool(&[1, 1]);
+    let id = EndpointId::from("e0");
+    for _ in 0..6 {
+        fleet.begin(&id, Incarnation(1), 0);
+    }
+    let mut reborn = entry("e0", 1);
+    reborn.incarnation = Incarnation(2);
+    fleet.serves(&Arc::new(reborn), at(10));
+    fleet.end(&id, Incarnation(1));
+    fleet.begin(&EndpointId::from("e1"), Incarnation(1), 0);
+    assert_eq!(send(&mut fleet, None, &[], 0, at(20)).as_deref(), Some("e0"));
+}
--- /dev/null
+++ b/crates/dispatch/tests/holder.rs
@@ -0,0 +1,110 @@
+//! Who may give orders, and when.
+
+use dispatch::holder::{Event, Holder, HolderTimes, Occupant, Step, Turns};
+use ids::{EndpointId, Fence};
+use std::time::Duration;
+
+const TIMES: HolderTimes = HolderTimes {
+    ttl: Duration::from_millis(2_000),
+    renew: Duration::from_millis(500),
+    margin: Duration::from_millis(400),
+    again: Duration::from_millis(500),
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn occupant(name: &str, lease: u64) -> Occupant {
+    Occupant {
+        name: name.to_owned(),
+        created: Fence(40),
+        lease,
+    }
+}
+
+/// Asked for a lease at 100 ms, and sees its own name under the key.
+fn holding() -> Holder {
+    let mut holder = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    holder.on(Event::Seen(None), at(0));
+    assert_eq!(holder.on(Event::Tick, at(100)), Some(Step::Acquire(TIMES.ttl)));
+    let granted = Event::Granted {
+        lease: 7,
+        ttl: TIMES.ttl,
+        asked: at(100),
+    };
+    holder.on(granted, at(110));
+    holder.on(Event::Seen(Some(occupant("me", 7))), at(120));
+    holder
+}
+
+/// The VM of a holder is suspended for seconds. Its lease has lapsed when it goes on, and another router gives orders;
+/// engines that check nothing would change back and forth between the weights of both.
+#[test]
+fn no_order_leaves_once_the_lease_may_have_lapsed() {
+    let mut holder = holding();
+    assert_eq!(holder.may_order(at(200)), Some(Fence(40)));
+    assert_eq!(holder.may_order(at(1_699)), Some(Fence(40)));
+    assert_eq!(holder.may_order(at(1_700)), None);
+    // The renewal counts from when it was asked for, however late its answer comes.
+    let renewed = Event::Renewed {
+        ttl: TIMES.ttl,
+        asked: at(600),
+    };
+    holder.on(renewed, at(1_650));
+    assert_eq!(holder.may_order(at(2_199)), Some(Fence(40)));
+    assert_eq!(holder.may_order(at(2_200)), None);
+    holder.on(Event::Tick, at(9_000));
+    assert_eq!(holder.lease(), None);
+}
+
+#[test]
+fn whoever_does_not_stand_under_the_key_gives_no_orders() {
+    let mut waiting = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    waiting.on(Event::Seen(Some(occupant("other", 3))), at(0));
+    assert_eq!(waiting.on(Event::Tick, at(500)), None);
+    assert_eq!(waiting.may_order(at(500)), None);
+
+    let mut replaced = holding();
+    let step = replaced.on(Event::Seen(Some(occupant("other", 8))), at(300));
+    assert_eq!(step, Some(Step::Release(7)));
+    assert_eq!(replaced.may_order(at(300)), None);
+
+    // The name of an earlier life of this very process's VM under another lease is not its own.
+    let mut restarted = holding();
+    restarted.on(Event::Seen(Some(occupant("me", 6))), at(300));
+    assert_eq!(restarted.may_order(at(300)), None);
+
+    let mut stopped = holding();
+    assert_eq!(stopped.on(Event::Stop, at(300)), Some(Step::Release(7)));
+    stopped.on(Event::Seen(None), at(310));
+    assert_eq!(stopped.on(Event::Tick, at(5_000)), None);
+}
+
+#[test]
+fn the_lease_is_renewed_and_a_failed_claim_repeated() {
+    let mut holder = holding();
+    assert_eq!(holder.on(Event::Tick, at(599)), None);
+    assert_eq!(holder.on(Event::Tick, at(600)), Some(Step::Renew(7)));
+    assert_eq!(holder.on(Event::Tick, at(700)), None);
+
+    let mut failed = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    failed.on(Event::Seen(None), at(0));
+    failed.on(Event::Tick, at(0));
+    failed.on(Event::Failed, at(50));
+    assert_eq!(failed.on(Event::Tick, at(549)), None);
+    assert_eq!(failed.on(Event::Tick, at(550)), Some(Step::Acquire(TIMES.ttl)));
+}
+
+/// A holder is killed right after an order. Its successor holds the key a moment later; its own order to the same
+/// endpoint could cross the last one.
+#[test]
+fn a_successor_leaves_recently_ordered_endpoints_alone() {
+    let turn = at(3_300);
+    let (ordered, other) = (EndpointId::from("a"), EndpointId::from("b"));
+    let mut turns = Turns::default();
+    turns.other(&ordered, at(1_000));
+    assert!(!turns.may_order(&ordered, turn, at(4_299)));
+    assert!(turns.may_order(&ordered, turn, at(4_300)));
+    assert!(turns.may_order(&other, turn, at(1_000)));
+}
--- /dev/null
+++ b/crates/dispatch/tests/rollout.rs
@@ -0,0 +1,160 @@
+//! Which endpoints load new weights, in which order, and what follows their reports.
+
+use dispatch::rollout::{LoadStep, Ordered, Report, Runner, load_step, next_loads};
+use ids::EndpointId;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn runner(name: &str, weights: u64, leaving: bool) -> Runner {
+    Runner {
+        endpoint: EndpointId::from(name),
+        weights,
+        leaving,
+    }
+}
+
+fn ids(names: &[&str]) -> BTreeSet<EndpointId> {
+    names.iter().map(|name| EndpointId::from(*name)).collect()
+}
+
+/// New weights are named before the last ones are in place everywhere. Endpoints with the oldest ones are the first
+/// that may not serve any more; were the newest renewed first, they would fall out one after the other.
+#[test]
+fn the_oldest_load_first_and_most_go_on_serving() {
+    struct Case {
+        runners: Vec<Runner>,
+        loading: &'static [&'static str],
+        expected: &'static [&'static str],
+    }
+    let nine: Vec<Runner> = (0..9).map(|at| runner(&format!("e{at}"), 1 + at % 3, false)).collect();
+    let cases = [
+        Case {
+            runners: nine.clone(),
+            loading: &[],
+            expected: &["e0", "e3", "e6", "e1"],
+        },
+        Case {
+            runners: nine,
+            loading: &["e0", "e3"],
+            expected: &["e6", "e1"],
+        },
+        Case {
+            runners: vec![runner("a", 1, false), runner("b", 1, false), runner("c", 1, false)],
+            loading: &[],
+            expected: &["a"],
+        },
+        Case {
+            runners: vec![runner("a", 1, false)],
+            loading: &[],
+            expected: &["a"],
+        },
+        Case {
+            runners: vec![
+                runner("a", 1, true),
+                runner("b", 4, false),
+                runner("c", 3, false),
+                runner("d", 4, false),
+            ],
+            loading: &[],
+            expected: &["c"],
+        },
+    ];
+    for case in cases {
+        let expected: Vec<EndpointId> = case.expected.iter().map(|name| EndpointId::from(*name)).collect();
+        assert_eq!(next_loads(&case.runners, 4, &ids(case.loading)), expected);
+    }
+}
+
+/// An order gets no answer and is carried out seconds later, after a newer one: the endpoint falls back to old weights. The
+/// count that an order expects prevents it, if it is always the count of the newest report.
+#[test]
+fn an_order_expects_the_count_of_the_newest_report() {
+    struct Case {
+        report: Report,
+        ordered: Option<Ordered>,
+        now: u64,
+        expected: LoadStep,
+    }
+    let idle = Report {
+        weights: Some(1),
+        busy: false,
+        orders: 5,
+    };
+    let order = Some(Ordered {
+        expected: 5,
+        weights: 3,
+        at: Duration::from_secs(1),
+    });
+    let cases = [
+        Case {
+            report: idle,
+            ordered: None,
+            now: 0,
+            expected: LoadStep::Order { expected: 5 },
+        },
+        Case {
+            report: Report { busy: true, ..idle },
+            ordered: None,
+            now: 0,
+            expected: LoadStep::Wait,
+        },
+        // The report may be from before the order.
+        Case {
+            report: idle,
+            ordered: order,
+            now: 1_600,
+            expected: LoadStep::Wait,
+        },
+        Case {
+            report: idle,
+            ordered: order,
+            now: 1_700,
+            expected: LoadStep::Order { expected: 5 },
+        },
+        Case {
+            report: Report { orders: 6, ..idle },
+            ordered: order,
+            now: 1_700,
+            expected: LoadStep::Order { expected: 6 },
+        },
+        Case {
+            report: Report {
+                weights: Some(3),
+                orders: 6,
+                ..idle
+            },
+            ordered: None,
+            now: 0,
+            expected: LoadStep::Order { expected: 6 },
+        },
+        Case {
+            report: Report {
+                weights: Some(3),
+                orders: 6,
+                ..idle
+            },
+            ordered: order,
+            now: 1_100,
+            expected: LoadStep::Done,
+        },
+        Case {
+            report: Report {
+                weights: Some(4),
+                ..idle
+            },
+            ordered: None,
+            now: 0,
+            expected: LoadStep::Done,
+        },
+        Case {
+            report: Report { weights: None, ..idle },
+            ordered: None,
+            now: 0,
+            expected: LoadStep::Order { expected: 5 },
+        },
+    ];
+    for (index, case) in cases.iter().enumerate() {
+        let step = load_step(&case.report, 4, case.ordered, Duration::from_millis(case.now));
+        assert_eq!(step, case.expected, "case {index}");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/roster.rs
@@ -0,0 +1,102 @@
+//! Endpoints in service, through outages of the store.
+
+use dispatch::roster::{ListChange, Roster};
+use dispatch::site::EndpointEntry;
+use ids::{DomainId, EndpointId, Incarnation, ServiceId};
+use std::time::Duration;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn entry(id: &str, leaving: bool) -> EndpointEntry {
+    EndpointEntry {
+        id: EndpointId::from(id),
+        incarnation: Incarnation(1),
+        service: ServiceId::from("fans"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: DomainId::from("here"),
+        slots: 6,
+        leaving,
+        weights: Vec::new(),
+    }
+}
+
+fn removed(id: &str) -> ListChange {
+    ListChange::Removed(EndpointId::from(id))
+}
+
+/// Two endpoints, and a store that was away from 1 s to 6 s.
+fn after_outage() -> Roster {
+    let mut roster = Roster::default();
+    roster.replace(
+        vec![
+            ListChange::Listed(entry("a", false)),
+            ListChange::Listed(entry("b", false)),
+        ],
+        at(0),
+    );
+    roster.store_failed(at(1_000));
+    roster.store_failed(at(5_000));
+    roster.store_answered(at(6_000));
+    roster
+}
+
+fn serving(roster: &Roster) -> Vec<&str> {
+    roster.all().map(|entry| entry.id.as_str()).collect()
+}
+
+/// The store is away for seconds and the leases of healthy endpoints lapse. If their entries counted as gone the moment
+/// it is back, every caller would be refused until all endpoints have registered again.
+#[test]
+fn entries_that_lapsed_during_an_outage_have_time_to_come_back() {
+    let mut roster = after_outage();
+    roster.replace(Vec::new(), at(6_000));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.change(ListChange::Listed(entry("a", false)), at(7_000));
+    roster.tick(at(8_400));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.tick(at(8_500));
+    assert_eq!(serving(&roster), ["a"]);
+}
+
+/// An endpoint is removed while all is well, or said that it leaves: new work must not reach it for more than a moment.
+#[test]
+fn an_entry_that_goes_otherwise_is_gone_at_once() {
+    let mut calm = Roster::default();
+    calm.replace(vec![ListChange::Listed(entry("a", false))], at(0));
+    calm.change(removed("a"), at(100));
+    assert!(serving(&calm).is_empty());
+
+    let mut left = after_outage();
+    left.change(ListChange::Listed(entry("a", true)), at(6_100));
+    left.change(removed("a"), at(6_200));
+    assert_eq!(serving(&left), ["b"]);
+
+    let mut later = after_outage();
+    later.change(removed("b"), at(9_000));
+    assert_eq!(serving(&later), ["a"]);
+}
+
+/// One call fails and the next is answered: no lease lapses in so short a time, so a removal is a removal.
+#[test]
+fn one_failed_call_is_no_outage() {
+    let mut roster = Roster::default();
+    roster.replace(vec![ListChange::Listed(entry("a", false))], at(0));
+    roster.store_failed(at(1_000));
+    roster.store_answered(at(1_300));
+    roster.change(removed("a"), at(1_400));
+    assert!(serving(&roster).is_empty());
+}
+
+/// Another program writes bytes under an endpoint's key that cannot be read. They name no endpoint; the others serve on.
+#[test]
+fn an_entry_that_cannot_be_read_names_no_endpoint() {
+    let mut roster = Roster::default();
+    let list = vec![
+        ListChange::Listed(entry("a", false)),
+        ListChange::Unreadable(EndpointId::from("b")),
+    ];
+    roster.replace(list, at(0));
+    assert_eq!(serving(&roster), ["a"]);
+}
--- /dev/null
+++ b/crates/dispatch/tests/site.rs
@@ -0,0 +1,178 @@
+//! Which route, service and workspace a request belongs to.
+
+use dispatch::site::{Owner, Route, RouteKind, Site, SiteParts, Target, WorkspaceSpec};
+use ids::{Revision, ServiceId, WorkspaceId};
+use std::time::Duration;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![Target {
+            service: ServiceId::from("fans"),
+            weight: 1,
+        }],
+        kind: RouteKind::Idempotent,
+        public: false,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        attempts: 2,
+        rank: 1,
+    }
+}
+
+fn site(routes: Vec<Route>, keys: Option<&[(&str, &str)]>) -> Site {
+    let workspace = |(name, key): &(&str, &str)| {
+        let spec = WorkspaceSpec {
+            id: WorkspaceId::from(*name),
+            rank: None,
+            isolated: false,
+        };
+        (spec, vec![(*key).to_owned()])
+    };
+    Site::new(SiteParts {
+        revision: Revision(7),
+        routes,
+        workspaces: keys.map(|keys| keys.iter().map(workspace).collect()),
+        ..SiteParts::default()
+    })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        expected: Option<&'static str>,
+    }
+    let site = site(
+        vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/"),
+        ],
+        None,
+    );
+    let cases = [
+        Case {
+            host: "a.example",
+            path: "/x/1",
+            expected: Some("short"),
+        },
+        Case {
+            host: "a.example",
+            path: "/x/y/1",
+            expected: Some("long"),
+        },
+        Case {
+            host: "A.Example:8080",
+            path: "/x/y/",
+            expected: Some("long"),
+        },
+        Case {
+            host: "b.example",
+            path: "/x/y/1",
+            expected: Some("other"),
+        },
+        Case {
+            host: "a.example",
+            path: "/x",
+            expected: None,
+        },
+        Case {
+            host: "a.example",
+            path: "/x/../x/y/1",
+            expected: Some("short"),
+        },
+        Case {
+            host: "c.example",
+            path: "/x/1",
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let found = site.route(case.host, case.path).map(|route| route.name.as_str());
+        assert_eq!(found, case.expected, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn a_key_names_its_workspace_unless_the_route_is_public() {
+    struct Case {
+        public: bool,
+        key: Option<&'static str>,
+        expected: Option<Option<&'static str>>,
+    }
+    let cases = [
+        Case {
+            public: false,
+            key: Some("k1"),
+            expected: Some(Some("grain")),
+        },
+        Case {
+            public: false,
+            key: Some("k2"),
+            expected: Some(Some("paper")),
+        },
+        Case {
+            public: false,
+            key: Some("k3"),
+            expected: None,
+        },
+        Case {
+            public: false,
+            key: None,
+            expected: None,
+        },
+        Case {
+            public: true,
+            key: None,
+            expected: Some(None),
+        },
+        Case {
+            public: true,
+            key: Some("k1"),
+            expected: Some(None),
+        },
+    ];
+    let keys = [("grain", "k1"), ("paper", "k2")];
+    for case in cases {
+        let mut asked = route("r", "a", "/");
+        asked.public = case.public;
+        let site = site(vec![asked.clone()], Some(&keys));
+        let owner = match site.owner(&asked, case.key) {
+            Owner::Nobody => Some(None),
+            Owner::Workspace(spec) => Some(Some(spec.id.as_str())),
+            Owner::Unknown => None,
+        };
+        assert_eq!(owner, case.expected, "{:?} {:?}", case.public, case.key);
+    }
+}
+
+#[test]
+fn requests_are_split_by_weight() {
+    let mut split = route("r", "a", "/");
+    split.targets = vec![
+        Target {
+            service: ServiceId::from("old"),
+            weight: 90,
+        },
+        Target {
+            service: ServiceId::from("new"),
+            weight: 10,
+        },
+        Target {
+            service: ServiceId::from("off"),
+            weight: 0,
+        },
+    ];
+    let count = |name: &str| {
+        (0..100)
+            .filter(|draw| split.target(*draw).map(ServiceId::as_str) == Some(name))
+            .count()
+    };
+    assert_eq!([count("old"), count("new"), count("off")], [90, 10, 0]);
+    split.targets.clear();
+    assert_eq!(split.target(3), None);
+}
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -253,6 +253,6 @@
 }
 
 /// The generation number, if an order may leave right now.
-pub(crate) fn may_order(holder: &std::sync::Mutex<holder::Holder>, now: Duration) -> Option<ids::Fence> {
+pub(crate) fn may_order(holder: &std::sync::Mutex<holder::Holder>, now: Duration) -> Option<Fence> {
     lock(holder).may_order(now)
 }
--- /dev/null
+++ b/crates/http/tests/raw.rs
@@ -0,0 +1,283 @@
+//! Heads and bodies with every byte kept, over real sockets.
+
+use async_std::io::WriteExt;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use http::Conn;
+use http::raw::{
+    BodyReader, Framing, FramingError, RawBodyError, RequestHead, ResponseHead, Source, exchange, request_framing,
+    response_framing,
+};
+use std::time::Duration;
+
+/// A connection on whose other end `bytes` are written and then closed.
+async fn source(bytes: &[u8]) -> Source {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut peer = TcpStream::connect(address).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    peer.write_all(bytes).await.expect("written");
+    drop(peer);
+    Source::new(Conn::new(stream))
+}
+
+fn request(text: &str) -> RequestHead {
+    let parsed = RequestHead::parse(text.as_bytes()).expect("a head");
+    parsed.expect("a whole head").0
+}
+
+/// Two parties that disagree on where a body ends take its rest for another request, which nobody sent.
+#[test]
+fn ambiguous_bodies_are_errors() {
+    struct Case {
+        lines: &'static str,
+        expected: Result<Framing, FramingError>,
+    }
+    let cases = [
+        Case {
+            lines: "",
+            expected: Ok(Framing::Length(0)),
+        },
+        Case {
+            lines: "Content-Length: 5\r\n",
+            expected: Ok(Framing::Length(5)),
+        },
+        Case {
+            lines: "Transfer-Encoding: Chunked\r\n",
+            expected: Ok(Framing::Chunked),
+        },
+        Case {
+            lines: "Content-Length: 5\r\nContent-Length: 6\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length: 5\r\nContent-Length: 5\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length: +5\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length: 5, 5\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length: 0x5\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length:\r\n",
+            expected: Err(FramingError::Length),
+        },
+        Case {
+            lines: "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            expected: Err(FramingError::Both),
+        },
+        Case {
+            lines: "Transfer-Encoding: gzip, chunked\r\n",
+            expected: Err(FramingError::Coding),
+        },
+        Case {
+            lines: "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+            expected: Err(FramingError::Coding),
+        },
+    ];
+    for case in cases {
+        let head = request(&format!("POST /x HTTP/1.1\r\nHost: a\r\n{}\r\n", case.lines));
+        assert_eq!(request_framing(&head), case.expected, "{:?}", case.lines);
+    }
+}
+
+#[test]
+fn targets_and_headers_stay_as_they_came() {
+    let head = request("POST /a/../b%2Fc//d?q=%20+;x#f HTTP/1.1\r\nhOsT: a\r\nX-Odd: caf\u{e9}\r\nX-Odd: 2\r\n\r\n");
+    assert_eq!(head.target, "/a/../b%2Fc//d?q=%20+;x#f");
+    assert_eq!(head.path(), "/a/../b%2Fc//d");
+    let names: Vec<&str> = head.headers.iter().map(|(name, _)| name).collect();
+    assert_eq!(names, ["hOsT", "X-Odd", "X-Odd"]);
+    assert_eq!(head.headers.one("host"), Some("a"));
+    assert_eq!(head.headers.one("x-odd"), None);
+}
+
+#[test]
+fn answers_are_framed_by_status_and_method() {
+    struct Case {
+        head: &'static str,
+        method: &'static str,
+        expected: Framing,
+    }
+    let cases = [
+        Case {
+            head: "HTTP/1.1 200 OK\r\n\r\n",
+            method: "GET",
+            expected: Framing::UntilClose,
+        },
+        Case {
+            head: "HTTP/1.1 204 No Content\r\n\r\n",
+            method: "GET",
+            expected: Framing::Length(0),
+        },
+        Case {
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+            method: "HEAD",
+            expected: Framing::Length(0),
+        },
+        Case {
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+            method: "GET",
+            expected: Framing::Length(9),
+        },
+    ];
+    for case in cases {
+        let (head, _) = ResponseHead::parse(case.head.as_bytes())
+            .expect("a head")
+            .expect("a whole one");
+        assert_eq!(
+            response_framing(&head, case.method),
+            Ok(case.expected),
+            "{:?}",
+            case.head
+        );
+    }
+}
+
+/// An endpoint crashes in the middle of its answer. Passed on as whole, a caller acts on half of it.
+#[test]
+fn only_whole_bodies_are_whole() {
+    struct Case {
+        framing: Framing,
+        bytes: &'static [u8],
+        expected: Option<&'static [u8]>,
+    }
+    let cases = [
+        Case {
+            framing: Framing::Length(5),
+            bytes: b"helloNEXT",
+            expected: Some(b"hello"),
+        },
+        Case {
+            framing: Framing::Length(5),
+            bytes: b"hell",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nTrailer: x\r\n\r\n",
+            expected: Some(b"hello"),
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"3\r\nhel\r\n2\r\nlo\r\n",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"3\r\nhelXX2\r\nlo\r\n0\r\n\r\n",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"-3\r\nhel\r\n0\r\n\r\n",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"3\nhel\n0\n\n",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"ffffffffffffffff\r\nhel",
+            expected: None,
+        },
+        Case {
+            framing: Framing::Chunked,
+            bytes: b"0\r\nTrailer: x\r\n",
+            expected: None,
+        },
+        Case {
+            framing: Framing::UntilClose,
+            bytes: b"hello",
+            expected: Some(b"hello"),
+        },
+    ];
+    for case in cases {
+        let body = task::block_on(async {
+            let mut source = source(case.bytes).await;
+            BodyReader::new(case.framing).whole(&mut source, 1_000).await
+        });
+        assert_eq!(
+            body.ok().as_deref(),
+            case.expected,
+            "{:?} {:?}",
+            case.framing,
+            case.bytes
+        );
+    }
+}
+
+#[test]
+fn a_body_beyond_the_limit_is_not_read() {
+    for (framing, bytes) in [
+        (Framing::Length(50), &b""[..]),
+        (Framing::Chunked, &b"8\r\n12345678\r\n8\r\n12345678\r\n0\r\n\r\n"[..]),
+    ] {
+        let body = task::block_on(async {
+            let mut source = source(bytes).await;
+            BodyReader::new(framing).whole(&mut source, 10).await
+        });
+        assert!(matches!(body, Err(RawBodyError::TooLarge)), "{framing:?}");
+    }
+}
+
+/// A caller sends two requests in one segment. The second must be answered too, and byte for byte.
+#[test]
+fn what_follows_a_request_stays_for_the_next_one() {
+    task::block_on(async {
+        let bytes = b"POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /2 HTTP/1.1\r\n\r\n";
+        let mut source = source(bytes).await;
+        let first = source.request_head(1_000).await.expect("a head");
+        let framing = request_framing(&first).expect("a length");
+        let body = BodyReader::new(framing).whole(&mut source, 100).await.expect("a body");
+        assert_eq!((first.target.as_str(), body.as_slice()), ("/1", &b"abc"[..]));
+        assert_eq!(source.request_head(1_000).await.expect("a head").target, "/2");
+    });
+}
+
+/// A late answer of an earlier request comes where the next one is due. Passed on, a caller gets somebody else's.
+#[test]
+fn answers_of_other_requests_are_skipped() {
+    task::block_on(async {
+        let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwrong\
+            HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 5\r\n\r\nright";
+        let mut source = source(bytes).await;
+        let ours = |head: &ResponseHead| head.headers.one("id") == Some("2");
+        let mut answer = exchange(&mut source, b"GET / HTTP/1.1\r\n\r\n", "GET", ours)
+            .await
+            .expect("an answer");
+        let body = answer.body.whole(&mut source, 100).await.expect("a body");
+        assert_eq!(body, b"right");
+        assert!(!answer.clean, "such a connection is not used again");
+    });
+}
+
+/// An endpoint refuses a long request before it has read it, and reads on. Whatever is sent later on that connection would count as
+/// the rest of that body.
+#[test]
+fn an_answer_before_the_request_has_left_soils_the_connection() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut source = http::raw::connect(address, Duration::from_secs(5))
+            .await
+            .expect("a connection");
+        let (mut peer, _) = listener.accept().await.expect("a connection");
+        let refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        peer.write_all(refusal).await.expect("written");
+        // More than the sockets' buffers hold, and the peer reads nothing.
+        let long = vec![b'x'; 64 << 20];
+        let answer = exchange(&mut source, &long, "POST", |_| true).await.expect("an answer");
+        assert_eq!((answer.head.status, answer.clean), (503, false));
+    });
+}
