Orders: as many loads at once as a fifth of the endpoints; changes of the list are gathered

Cause: the grown sites load weights at 18 and 28 of 90 and 140 endpoints at full speed; two at once would take a minute.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -23,13 +23,21 @@
     pub leaving: bool,
 }
 
-/// Endpoints that take part at once, those that run empty and those that load: twice as many as load, so that one is
-/// always empty when a load ends.
-const TAKING_PART: usize = 4;
+/// One in this many of a model's endpoints loads at once: with more, the store of weights serves each more slowly.
+const LOADING_SHARE: usize = 5;
+/// Loads that run at once at least.
+const LEAST_LOADS: usize = 2;
 
-/// Endpoints that are to take part from now on, in order. At least half of the others' number goes on serving.
+/// How many of a model's endpoints may load at once.
+pub fn most_loads(endpoints: usize) -> usize {
+    (endpoints / LOADING_SHARE).max(LEAST_LOADS)
+}
+
+/// Endpoints that are to take part from now on, in order. Twice as many take part as load, so that one has always run empty
+/// when a load ends; at least half of all go on serving.
 pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>) -> Vec<EndpointId> {
-    let most = TAKING_PART.min(runners.len() / 2).max(1);
+    let taking_part = most_loads(runners.len()) * 2;
+    let most = taking_part.min(runners.len() / 2).max(1);
     let room = most.saturating_sub(loading.len());
     let mut behind: Vec<&Runner> = runners
         .iter()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -65,6 +65,8 @@
         /// Model and number of the weights.
         loaded: Option<(ModelId, u64)>,
     },
+    /// The holder's list is to be written.
+    Tell,
     /// A write of the holder's list has ended.
     Told {
         /// The generation number it was written under.
@@ -158,6 +160,7 @@
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::Tell => self.write_list(),
             Event::Told { fence, done } => self.told_others(fence, done),
             Event::Tick => self.tick(now),
             Event::Stop => self.holder_event(dispatch::holder::Event::Stop),
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -6,7 +6,7 @@
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::holder::{self, Step};
-use dispatch::rollout::{Runner, next_loads};
+use dispatch::rollout::{Runner, most_loads, next_loads};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
 use std::sync::Arc;
@@ -15,6 +15,8 @@
 
 /// Added to the bound on turns, for orders on their way.
 const TURN_SLACK: Duration = Duration::from_millis(300);
+/// Time in which changes of the list are gathered: each write is answered to the watch of every router, and priced.
+const GATHER: Duration = Duration::from_millis(40);
 /// Stands for no lease.
 const NO_LEASE: u64 = 0;
 /// Longest wait for an answer to a call about the lease; a fifth of the lease.
@@ -114,8 +116,9 @@
             holder: self.holder.clone(),
             name: self.holder_name.clone(),
             entry,
-            model,
+            most: most_loads(self.runners(&model).len()),
             running: self.running.clone(),
+            model,
         };
         task::spawn(load.run());
     }
@@ -141,12 +144,26 @@
             self.telling.again = true;
             return;
         }
+        self.telling.under_way = true;
+        let shared = self.shared.clone();
+        task::spawn(async move {
+            task::sleep(GATHER).await;
+            send(&shared, Event::Tell).await;
+        });
+    }
+
+    /// Writes the list as it is now.
+    pub(super) fn write_list(&mut self) {
         let now = self.shared.clock.now();
-        let (lease, fence) = {
-            let holder = self.lock_holder();
-            (holder.lease(), holder.may_order(now))
-        };
-        let (Some(_), Some(fence)) = (lease, fence) else {
+        if !self.telling.under_way {
+            return;
+        }
+        let fence = self.lock_holder().may_order(now);
+        let Some(fence) = fence else {
+            // Loads that were never told of don't begin; the next look begins them anew.
+            for (endpoint, _) in std::mem::take(&mut self.telling).begin {
+                self.loading.remove(&endpoint);
+            }
             return;
         };
         let turn = self.shared.settings.load().bounds.turn() + TURN_SLACK;
@@ -155,7 +172,7 @@
         self.holding.loading = self.loading.iter().cloned().collect();
         self.holding.recent = self.ended.keys().cloned().collect();
         self.believe(&self.holding);
-        self.telling.under_way = true;
+        self.telling.again = false;
         self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
         let transaction = Transaction {
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -23,8 +23,6 @@
 const LOOK: Duration = Duration::from_millis(80);
 /// Pause after an order: no load at the sites is faster.
 const FASTEST_LOAD: Duration = Duration::from_millis(600);
-/// Endpoints that load at once, over the whole deployment: the store of weights serves two at full speed.
-const LOADS: usize = 2;
 /// Longest wait for an answer to a report or an order.
 const CALL: Duration = Duration::from_millis(800);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
@@ -44,16 +42,18 @@
     pub model: ModelId,
     /// Loads that run.
     pub running: Arc<AtomicUsize>,
+    /// Loads that may run at once.
+    pub most: usize,
 }
 
 /// One of the loads that may run at once, until dropped.
 struct LoadSlot(Arc<AtomicUsize>);
 
 impl LoadSlot {
-    fn take(running: &Arc<AtomicUsize>) -> Option<Self> {
+    fn take(running: &Arc<AtomicUsize>, most: usize) -> Option<Self> {
         let before = running.fetch_add(1, Ordering::SeqCst);
         let slot = Self(running.clone());
-        (before < LOADS).then_some(slot)
+        (before < most).then_some(slot)
     }
 }
 
@@ -89,7 +89,7 @@
                     LoadStep::Done => return report.weights,
                     LoadStep::Wait => {}
                     LoadStep::Order { expected } => {
-                        slot = slot.or_else(|| LoadSlot::take(&self.running));
+                        slot = slot.or_else(|| LoadSlot::take(&self.running, self.most));
                         if slot.is_some() {
                             ordered = self.order(wanted, expected).await?;
                             task::sleep(FASTEST_LOAD).await;
