Following: few routers of each domain watch the store, the others follow them; the retry budget is split by live routers

Ruled out: longer waits of each watch (the bound on revoked keys), reads in place of watches (priced alike). Change: routers register under leases; two a domain watch, the others ask one of those over tarpc in the same way, by the store's revision; a router that is behind, silent or has lost the store is left. The age that is told with each answer keeps freshness proved.

--- a/crates/control/src/following.rs
+++ b/crates/control/src/following.rs
@@ -26,6 +26,25 @@
     Read(Duration),
 }
 
+/// From whom a router that needs everything hears of changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lead<'a> {
+    /// From the store itself.
+    Store,
+    /// From one of these routers, the first one that answers.
+    Routers(Vec<&'a VmId>),
+}
+
+/// From whom `own` hears, given the routers of its domain. The others are spread over the watchers.
+pub fn lead<'a>(own: &VmId, domain: &DomainId, live: &'a [VmId]) -> Lead<'a> {
+    let watchers = choose(domain.as_str(), live, WATCHERS);
+    if watchers.is_empty() || watchers.contains(&own) {
+        return Lead::Store;
+    }
+    let count = watchers.len();
+    Lead::Routers(choose(own.as_str(), watchers, count))
+}
+
 /// What `own` asks, given the live routers of its domain.
 pub fn follow(own: &VmId, domain: &DomainId, live: &[VmId]) -> Follow {
     let watchers = choose(domain.as_str(), live, WATCHERS);
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -170,6 +170,11 @@
         self.known.get(id)?.weights(model)
     }
 
+    /// Routers that share the retry budget; 0 if that isn't known.
+    pub fn routers(&mut self, count: u32) {
+        self.settings.retries.routers = count;
+    }
+
     /// Endpoints to probe now.
     pub fn due_probes(&mut self, now: Duration) -> Vec<Arc<EndpointEntry>> {
         let due = self.health.due_probes(now);
--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -39,6 +39,8 @@
 pub enum Event {
     /// Time has passed.
     Tick,
+    /// Whether this router is one of the few that try to hold the key: each try costs calls to the store.
+    Candidate(bool),
     /// The holder key as the store has it now.
     Seen(Option<Occupant>),
     /// The store granted a lease, asked for at the given time; the key is being written.
@@ -104,6 +106,7 @@
     lease: Option<Lease>,
     /// Wait before the key is asked for, other for each router, so that they don't all ask at once.
     stagger: Duration,
+    candidate: bool,
     stopped: bool,
 }
 
@@ -116,6 +119,7 @@
             phase: Phase::Idle,
             lease: None,
             stagger,
+            candidate: false,
             stopped: false,
         }
     }
@@ -125,6 +129,7 @@
         self.check(now);
         match event {
             Event::Tick => return self.tick(now),
+            Event::Candidate(candidate) => self.candidate = candidate,
             Event::Seen(occupant) => return self.seen(occupant, now),
             Event::Granted { lease, ttl, asked } => {
                 self.lease = Some(Lease {
@@ -180,7 +185,7 @@
 
     fn tick(&mut self, now: Duration) -> Option<Step> {
         match self.phase {
-            Phase::Free { next } if now >= next && !self.stopped => {
+            Phase::Free { next } if now >= next && self.candidate && !self.stopped => {
                 self.phase = Phase::Asking {
                     until: now + self.times.ttl,
                 };
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -23,6 +23,8 @@
 /// One event of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PrefixEvent {
+    /// Its number.
+    pub number: u64,
     /// Whether the part is held now.
     pub held: bool,
     /// Scope that it was made under.
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -12,9 +12,11 @@
 /// Part of the permitted ratio that is used: requests that callers sent and that never arrived don't count here, and
 /// routers count in other windows than whoever checks.
 const CAUTION: f64 = 0.8;
-/// The fixed rest is split for this many routers; the fleet of either user has a third of that today. Where the fleet is larger than
-/// this, the split is by [`RetryLimits::routers`].
-const ROUTERS: u32 = 40;
+/// Routers that the fixed rest is split for while their number isn't known, which a router learns within two seconds of its
+/// start: more than the larger fleet has.
+const UNKNOWN: u32 = 200;
+/// The rest is split for this many times the known routers: others may have just started.
+const HEADROOM: f64 = 1.25;
 
 /// Limits of the budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,10 +27,22 @@
     pub extra: u32,
     /// The window.
     pub window: Duration,
-    /// Routers, if they are known to be more than is assumed.
+    /// Routers of the deployment; 0 while their number isn't known.
     pub routers: u32,
 }
 
+impl RetryLimits {
+    /// This router's part of the fixed rest.
+    fn own_extra(&self) -> f64 {
+        let routers = if self.routers == 0 {
+            f64::from(UNKNOWN)
+        } else {
+            f64::from(self.routers) * HEADROOM
+        };
+        f64::from(self.extra) / routers
+    }
+}
+
 /// What one router has sent to one service lately.
 #[derive(Debug, Clone, Default)]
 pub struct RetryMeter {
@@ -53,7 +67,7 @@
         self.bucket(limits.window, now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let again: u32 = self.buckets.iter().map(|bucket| bucket.again).sum();
-        let own = f64::from(limits.extra) / f64::from(ROUTERS.max(limits.routers));
+        let own = limits.own_extra();
         let allowed = limits.ratio * CAUTION * f64::from(requests) + own;
         if f64::from(again + 1) > allowed {
             return false;
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -23,9 +23,15 @@
     }
 }
 
+fn candidate() -> Holder {
+    let mut holder = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    holder.on(Event::Candidate(true), at(0));
+    holder
+}
+
 /// Asked for a lease at 100 ms, and sees its own name under the key.
 fn holding() -> Holder {
-    let mut holder = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    let mut holder = candidate();
     holder.on(Event::Seen(None), at(0));
     assert_eq!(holder.on(Event::Tick, at(100)), Some(Step::Acquire(TIMES.ttl)));
     let granted = Event::Granted {
@@ -60,7 +66,7 @@
 
 #[test]
 fn whoever_does_not_stand_under_the_key_gives_no_orders() {
-    let mut waiting = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    let mut waiting = candidate();
     waiting.on(Event::Seen(Some(occupant("other", 3))), at(0));
     assert_eq!(waiting.on(Event::Tick, at(500)), None);
     assert_eq!(waiting.may_order(at(500)), None);
@@ -88,7 +94,7 @@
     assert_eq!(holder.on(Event::Tick, at(600)), Some(Step::Renew(7)));
     assert_eq!(holder.on(Event::Tick, at(700)), None);
 
-    let mut failed = Holder::new("me".to_owned(), TIMES, Duration::ZERO);
+    let mut failed = candidate();
     failed.on(Event::Seen(None), at(0));
     failed.on(Event::Tick, at(0));
     failed.on(Event::Failed, at(50));
--- a/crates/dispatch/tests/prefixes.rs
+++ b/crates/dispatch/tests/prefixes.rs
@@ -17,6 +17,7 @@
 
 fn page(life: u64, gap: bool, held: &[(bool, u64)]) -> PrefixEvents {
     let event = |(held, part): &(bool, u64)| PrefixEvent {
+        number: 1,
         held: *held,
         salt: "3".to_owned(),
         part: *part,
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -9,7 +9,7 @@
     ratio: 0.2,
     extra: 113,
     window: WINDOW,
-    routers: 0,
+    routers: ROUTERS,
 };
 /// Routers of the larger of the two sites.
 const ROUTERS: u32 = 14;
@@ -31,13 +31,25 @@
 /// All routers together stay within the budget, also if each of them has nothing but its part of the fixed rest.
 #[test]
 fn idle_routers_share_the_fixed_rest() {
-    let mut total = 0;
-    for _ in 0..ROUTERS {
-        let mut meter = RetryMeter::default();
-        total += (0..100).filter(|_| meter.again(&LIMITS, Duration::ZERO)).count();
+    for routers in [1, ROUTERS, 125] {
+        for known in [routers, 0] {
+            let limits = RetryLimits {
+                routers: known,
+                ..LIMITS
+            };
+            let mut total = 0;
+            for _ in 0..routers {
+                let mut meter = RetryMeter::default();
+                total += (0..200).filter(|_| meter.again(&limits, Duration::ZERO)).count();
+            }
+            assert!(total <= 113, "{total} attempts of {routers} routers without a request");
+        }
     }
-    assert!(total <= 113, "{total} attempts without a request");
-    assert!(total > 0, "a router without requests may repeat none");
+    let mut meter = RetryMeter::default();
+    assert!(
+        meter.again(&LIMITS, Duration::ZERO),
+        "a router without requests may repeat none"
+    );
 }
 
 quickcheck! {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -42,19 +42,23 @@
 pub enum Event {
     /// A call to the store failed.
     StoreFailed,
-    /// Everything in the store, asked for at the given time.
+    /// Everything in the store.
     Read {
         /// Items in order of keys.
         items: Vec<Item>,
-        /// When the call left.
-        sent: Duration,
+        /// Store revision up to which it is complete.
+        revision: u64,
+        /// When the store held nothing newer.
+        confirmed: Option<Duration>,
     },
-    /// Changes, asked for at the given time.
+    /// Changes.
     Changed {
         /// In their order.
         changes: Vec<Change>,
-        /// When the call left.
-        sent: Duration,
+        /// Store revision up to which they are complete.
+        revision: u64,
+        /// When the store held nothing newer.
+        confirmed: Option<Duration>,
     },
     /// Something of the holder's own.
     Holder(dispatch::holder::Event),
@@ -146,17 +150,27 @@
                 self.roster.store_failed(now);
                 self.in_touch = false;
             }
-            Event::Read { items, sent } => {
+            Event::Read {
+                items,
+                revision,
+                confirmed,
+            } => {
                 self.answered(now);
+                self.shared.relay.replace(&items, revision);
                 self.read(items, now);
-                self.confirm(sent);
+                self.confirm(confirmed);
             }
-            Event::Changed { changes, sent } => {
+            Event::Changed {
+                changes,
+                revision,
+                confirmed,
+            } => {
                 self.answered(now);
-                for change in changes {
-                    self.changed(&change, now);
+                for change in &changes {
+                    self.changed(change, now);
                 }
-                self.confirm(sent);
+                self.confirm(confirmed);
+                self.shared.relay.apply(&changes, revision);
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
@@ -175,10 +189,10 @@
         }
     }
 
-    fn confirm(&self, sent: Duration) {
+    fn confirm(&self, confirmed: Option<Duration>) {
         // Without a document there is nothing that could be fresh.
-        if self.shared.site.load().is_some() {
-            self.shared.freshness().confirm(sent);
+        if let (Some(confirmed), Some(_)) = (confirmed, &*self.shared.site.load()) {
+            self.shared.freshness().confirm(confirmed);
         }
     }
 
@@ -202,7 +216,7 @@
         let prefix = self.shared.dialect.keys.endpoints;
         let listed = match change {
             Change::Written(item) => self.listed(item),
-            Change::Removed(key) => endpoint_id(key, prefix).map(ListChange::Removed),
+            Change::Removed { key, .. } => endpoint_id(key, prefix).map(ListChange::Removed),
         };
         if let Some(listed) = listed {
             let changed = self.roster.change(listed, now);
@@ -211,7 +225,7 @@
         }
         match change {
             Change::Written(item) => self.written(item, Some(now), now),
-            Change::Removed(key) => self.removed(key),
+            Change::Removed { key, .. } => self.removed(key),
         }
     }
 
@@ -347,6 +361,8 @@
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         self.shared.metrics.in_flight.set(in_flight as i64);
         self.probe(now);
+        let watches = self.shared.watches.load(Ordering::SeqCst);
+        self.holder_event(dispatch::holder::Event::Candidate(watches));
         self.holder_event(dispatch::holder::Event::Tick);
         self.give_orders(now);
     }
--- /dev/null
+++ b/crates/gateway/src/follow/members.rs
@@ -0,0 +1,122 @@
+//! Routers of the deployment, as they stand in the store.
+
+use crate::shared::Shared;
+use async_std::task;
+use control::following::{Lead, lead};
+use ids::{DomainId, VmId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use store::items::{Client, Committed, ItemsError, Transaction, Write};
+
+/// Prefix of routers' entries; the VM's id follows.
+pub const PREFIX: &str = "apricotfork/routers/";
+/// Time to live of an entry. A router that is gone for longer is followed by nobody; until then followers notice by
+/// themselves.
+const LEASE: Duration = Duration::from_secs(9);
+/// Time between renewals: two may fail.
+const RENEW: Duration = Duration::from_secs(3);
+/// Wait before a failed call is repeated.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Longest wait for an answer.
+const CALL: Duration = Duration::from_millis(1_000);
+
+/// A router's entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where it answers followers.
+    pub address: SocketAddr,
+}
+
+/// Routers of the own failure domain, and how many there are in all.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Members {
+    near: Vec<(VmId, SocketAddr)>,
+    /// Routers of the deployment.
+    pub all: u32,
+}
+
+impl Members {
+    /// Reads the entries.
+    pub fn read(shared: &Shared) -> Self {
+        let own = shared.settings.load();
+        let relay = shared.relay.lock();
+        let mut members = Self::default();
+        for item in relay.log.under(PREFIX) {
+            let Ok(member) = serde_json::from_slice::<Member>(&item.value) else {
+                log::warn!(key = item.key.as_str(); "router: its entry cannot be read");
+                continue;
+            };
+            members.all += 1;
+            if member.domain == own.domain {
+                let vm = item.key.trim_start_matches(PREFIX);
+                members.near.push((VmId::from(vm), member.address));
+            }
+        }
+        members
+    }
+
+    /// Whom this router follows, the best first; none if it watches the store itself.
+    pub fn leaders(&self, own: &VmId, domain: &DomainId) -> Vec<(VmId, SocketAddr)> {
+        let live: Vec<VmId> = self.near.iter().map(|(vm, _)| vm.clone()).collect();
+        let Lead::Routers(leaders) = lead(own, domain, &live) else {
+            return Vec::new();
+        };
+        let address = |vm: &VmId| self.near.iter().find(|(known, _)| known == vm).cloned();
+        leaders.into_iter().filter_map(address).collect()
+    }
+}
+
+/// Keeps this router's entry in the store until the process ends.
+pub async fn register(shared: Arc<Shared>, address: SocketAddr) {
+    let mut lease = None;
+    loop {
+        let client = Client::new(shared.settings.load().store, shared.dialect.store);
+        let pause = match lease {
+            None => {
+                lease = enter(&shared, &client, address).await.ok().flatten();
+                if lease.is_some() { RENEW } else { AGAIN }
+            }
+            Some(held) => match client.renew(held, CALL).await {
+                Ok(Some(_)) => RENEW,
+                Ok(None) => {
+                    lease = None;
+                    Duration::ZERO
+                }
+                Err(_) => AGAIN,
+            },
+        };
+        if shared.stopping.load(Ordering::SeqCst) {
+            if let Some(held) = lease {
+                // An entry that isn't taken back lapses by itself.
+                drop(client.release(held, CALL).await);
+            }
+            return;
+        }
+        task::sleep(pause).await;
+    }
+}
+
+/// Writes the entry; the lease it hangs on, none if it may not be there.
+async fn enter(shared: &Shared, client: &Client, address: SocketAddr) -> Result<Option<u64>, ItemsError> {
+    let granted = client.grant(LEASE, CALL).await?;
+    let settings = shared.settings.load();
+    let member = Member {
+        domain: settings.domain.clone(),
+        address,
+    };
+    let transaction = Transaction {
+        expected: Vec::new(),
+        writes: vec![Write {
+            key: format!("{PREFIX}{}", settings.vm),
+            value: serde_json::to_vec(&member).expect("a name and an address are always JSON"),
+            lease: granted.lease,
+        }],
+    };
+    let committed = client.commit(&transaction, CALL).await?;
+    Ok(matches!(committed, Committed::Done(_)).then_some(granted.lease))
+}
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,36 +1,59 @@
-//! Follows the store: reads all, then waits for changes, and tells the control thread.
+//! Follows the store, directly or by another router, and tells the control thread.
 //!
-//! Each answer also proves how fresh the document is, so a watch never waits long: a router that hears nothing for
-//! longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
+//! Few routers of a failure domain watch the store; the others follow one of them, since every call to the store is
+//! priced. Each answer also proves how fresh the document is, so nobody waits long for one: a router that hears nothing
+//! for longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
 
+mod members;
 mod prefixes;
+pub mod relay;
 
+pub use members::{Members, register};
 pub use prefixes::follow_prefixes;
 
 use crate::control::{Event, send};
 use crate::shared::Shared;
 use async_std::task;
+use ids::VmId;
+use peers::{Follow, Followed, Leader};
 use rand::RngExt;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
-use store::items::{Client, ItemsError, Watched};
+use store::items::{Change, Client, Item, ItemsError, Watched};
 
-/// How long a watch waits: a third of the bound on revoked keys (5 s at the sites), so that one lost answer is made up
-/// for in time.
-const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a watch of the store waits: what followers get is up to this old, and must reach them within the bound on
+/// configurations, 2 s at the sites.
+const WAIT: Duration = Duration::from_millis(1_000);
 /// How much longer its answer may take: the store's slowest answers at the sites take 0.3 s.
 const GRACE: Duration = Duration::from_millis(800);
+/// How long another router's answer may wait, and how much longer it may take. Together the time after which a router that
+/// falls silent is left.
+const FOLLOW_WAIT: Duration = Duration::from_millis(600);
+const FOLLOW_GRACE: Duration = Duration::from_millis(400);
+/// Longest wait for a connection to another router of the domain.
+const FOLLOW_CONNECT: Duration = Duration::from_millis(300);
+/// A router whose own knowledge is older than this is left: it has lost the store.
+const FOLLOW_AGE: Duration = Duration::from_millis(1_700);
+/// How long a router that was left is not tried again.
+const LEFT_FOR: Duration = Duration::from_secs(3);
 /// Longest wait for a page of the first read.
 const READ: Duration = Duration::from_millis(2_000);
+/// Wait of a router that has read all before it follows anyone: routers that start together have registered by then.
+const SETTLE: Duration = Duration::from_millis(1_200);
 /// First wait after a failed call, doubled with each further one.
 const AGAIN: Duration = Duration::from_millis(50);
 /// Longest wait after a failed call: a router out of touch is back within this time after the store is.
 const AGAIN_MOST: Duration = Duration::from_millis(400);
 
-/// Follows all keys under a prefix until the process ends.
-pub async fn follow(shared: Arc<Shared>, prefix: &'static str) {
-    let mut feed = Feed::new(shared, prefix);
+/// Everything under the store's root: operators' documents, endpoints' entries and the routers' own keys.
+const ROOT: &str = "";
+
+/// Follows the store until the process ends.
+pub async fn follow(shared: Arc<Shared>) {
+    let mut feed = Feed::new(shared);
     loop {
         let result = feed.step().await;
         match result {
@@ -42,34 +65,46 @@
 
 struct Feed {
     shared: Arc<Shared>,
-    prefix: &'static str,
     address: SocketAddr,
     client: Client,
-    /// Store revision to go on from; absent until all was read.
-    revision: Option<u64>,
+    leader: Option<(VmId, Leader)>,
+    /// Routers that were left, and until when.
+    left: HashMap<VmId, Duration>,
     failures: u32,
 }
 
 impl Feed {
-    fn new(shared: Arc<Shared>, prefix: &'static str) -> Self {
+    fn new(shared: Arc<Shared>) -> Self {
         let address = shared.settings.load().store;
         let client = Client::new(address, shared.dialect.store);
         Self {
             shared,
-            prefix,
             address,
             client,
-            revision: None,
+            leader: None,
+            left: HashMap::new(),
             failures: 0,
         }
     }
 
     async fn step(&mut self) -> Result<(), ItemsError> {
         self.move_along();
-        match self.revision {
-            None => self.read().await,
-            Some(revision) => self.watch(revision).await,
+        let revision = self.shared.relay.lock().log.revision();
+        let Some(revision) = revision.filter(|_| !self.shared.forgotten.load(Ordering::SeqCst)) else {
+            self.read().await?;
+            task::sleep(self.settle()).await;
+            return Ok(());
+        };
+        match self.next_leader().await {
+            Some((vm, leader)) => self.follow_leader(vm, leader, revision).await,
+            None => self.watch(revision).await?,
         }
+        Ok(())
+    }
+
+    /// Only a router that has just started waits for the others to register.
+    fn settle(&self) -> Duration {
+        SETTLE.saturating_sub(self.shared.clock.now())
     }
 
     /// Takes over another address of the store after a reload.
@@ -82,34 +117,126 @@
         }
     }
 
+    /// The router to follow now; none if this one watches the store itself.
+    async fn next_leader(&mut self) -> Option<(VmId, Leader)> {
+        let settings = self.shared.settings.load_full();
+        let members = Members::read(&self.shared);
+        self.shared.fleet().routers(members.all);
+        let leaders = members.leaders(&settings.vm, &settings.domain);
+        self.shared.watches.store(leaders.is_empty(), Ordering::SeqCst);
+        let now = self.shared.clock.now();
+        self.left.retain(|_, until| now < *until);
+        let leaders = leaders.into_iter().filter(|(vm, _)| !self.left.contains_key(vm));
+        for (vm, address) in leaders.collect::<Vec<_>>() {
+            if let Some(kept) = self.leader.take_if(|(known, _)| *known == vm) {
+                return Some(kept);
+            }
+            match Leader::connect(address, FOLLOW_CONNECT).await {
+                Ok(leader) => {
+                    log::info!(router = vm.as_str(); "store: followed by another router");
+                    return Some((vm, leader));
+                }
+                Err(err) => self.leave(vm, &err.to_string()),
+            }
+        }
+        None
+    }
+
+    fn leave(&mut self, vm: VmId, why: &str) {
+        log::warn!(router = vm.as_str(), why = why; "store: a router is not followed any more");
+        self.left.insert(vm, self.shared.clock.now() + LEFT_FOR);
+    }
+
+    async fn follow_leader(&mut self, vm: VmId, leader: Leader, revision: u64) {
+        let sent = self.shared.clock.now();
+        let follow = Follow {
+            after: Some(revision),
+            wait_ms: FOLLOW_WAIT.as_millis() as u64,
+        };
+        let followed = leader.follow(follow, FOLLOW_GRACE).await;
+        self.count("follow", followed.is_ok());
+        let followed = match followed {
+            Ok(followed) => followed,
+            Err(err) => return self.leave(vm, &err.to_string()),
+        };
+        let age = followed.age_ms.map(Duration::from_millis);
+        let Some(age) = age.filter(|age| *age <= FOLLOW_AGE) else {
+            return self.leave(vm, "it has lost the store");
+        };
+        if followed.revision < Some(revision) {
+            return self.leave(vm, "it is behind");
+        }
+        self.leader = Some((vm, leader));
+        // The other router's knowledge was this old when it answered, which was after the question left.
+        self.tell(followed, sent.checked_sub(age)).await;
+    }
+
+    async fn tell(&self, followed: Followed, confirmed: Option<Duration>) {
+        let Some(revision) = followed.revision else { return };
+        let items: Vec<Item> = followed.items.into_iter().map(relay::item).collect();
+        let event = if followed.whole {
+            Event::Read {
+                items,
+                revision,
+                confirmed,
+            }
+        } else {
+            let gone = followed.removed.into_iter();
+            let gone = gone.map(|key| Change::Removed { key, revision });
+            Event::Changed {
+                changes: items.into_iter().map(Change::Written).chain(gone).collect(),
+                revision,
+                confirmed,
+            }
+        };
+        self.tell_and_wait(event, revision).await;
+    }
+
     async fn read(&mut self) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
-        let read = self.client.all(self.prefix, READ).await;
+        let read = self.client.all(ROOT, READ).await;
         self.count("range", read.is_ok());
         let (items, revision) = read?;
-        self.revision = Some(revision);
-        send(&self.shared, Event::Read { items, sent }).await;
+        self.shared.forgotten.store(false, Ordering::SeqCst);
+        let event = Event::Read {
+            items,
+            revision,
+            confirmed: Some(sent),
+        };
+        self.tell_and_wait(event, revision).await;
         Ok(())
     }
 
     async fn watch(&mut self, revision: u64) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
-        let watched = self.client.watch(self.prefix, revision, WAIT, GRACE).await;
+        let watched = self.client.watch(ROOT, revision, WAIT, GRACE).await;
         self.count("watch", watched.is_ok());
         match watched? {
             Watched::Changes(changes) => {
-                self.revision = Some(changes.revision.max(revision));
-                let changes = changes.changes;
-                send(&self.shared, Event::Changed { changes, sent }).await;
+                let revision = changes.revision.max(revision);
+                let event = Event::Changed {
+                    changes: changes.changes,
+                    revision,
+                    confirmed: Some(sent),
+                };
+                self.tell_and_wait(event, revision).await;
             }
             Watched::Forgotten => {
                 log::warn!(revision = revision; "store: history forgotten, reading all again");
-                self.revision = None;
+                self.shared.forgotten.store(true, Ordering::SeqCst);
             }
         }
         Ok(())
     }
 
+    /// The control thread must have taken this over before the next call names its revision.
+    async fn tell_and_wait(&self, event: Event, revision: u64) {
+        send(&self.shared, event).await;
+        while self.shared.relay.lock().log.revision() < Some(revision) {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     fn count(&self, call: &str, done: bool) {
         let outcome = if done { "ok" } else { "failed" };
         let calls = &self.shared.metrics.store;
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -1,12 +1,18 @@
-//! Follows the events of the store of cached prefixes.
+//! Follows the events of the store of cached prefixes: directly where this router watches the store, by another router
+//! otherwise, since the store of prefixes answers few at a time.
 
+use super::Members;
 use crate::link::ask;
 use crate::shared::Shared;
 use async_std::task;
+use dispatch::prefixes::PrefixEvents;
+use peers::{Leader, PrefixFollow, PrefixPage};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Least time between two questions: the store holds few of them at a time for all routers, and what it tells is late anyway.
+/// Least time between two questions: what the store tells is late by some hundred milliseconds anyway.
 const PACE: Duration = Duration::from_millis(600);
 /// How long the store may wait for the first event; shorter waits cost as much as a probe.
 const WAIT: Duration = Duration::from_millis(400);
@@ -15,33 +21,97 @@
 
 /// Follows the store until the process ends.
 pub async fn follow_prefixes(shared: Arc<Shared>) {
-    let mut next = 0;
+    let mut position = PrefixFollow::default();
     let mut failing = false;
     loop {
         task::sleep(PACE).await;
         let address = shared.site.load().as_ref().and_then(|site| site.prefix_store());
         shared.prefixes().located(address);
         let Some(address) = address else { continue };
-        let (call, headers) = (shared.dialect.events)(next, WAIT);
-        let page = match ask(address, &call, &headers, WAIT + GRACE).await {
-            Ok((200, body)) => (shared.dialect.told)(&body).map_err(|err| err.to_string()),
-            // The store is there and answers too many at once.
-            Ok((429, _)) => continue,
-            Ok((status, _)) => Err(format!("status {status}")),
-            Err(err) => Err(err.to_string()),
+        let page = if shared.watches.load(Ordering::SeqCst) {
+            ask_store(&shared, address, position.next).await
+        } else {
+            ask_leader(&shared, &position).await
         };
         match page {
-            Ok(page) => {
-                next = page.next;
+            Ok(Some(page)) => {
+                position = PrefixFollow {
+                    life: page.life,
+                    next: page.next,
+                };
                 failing = false;
-                shared.prefixes().told(&page, shared.clock.now());
+                shared.relay.prefixes(&page);
+                shared.prefixes().told(&events(page), shared.clock.now());
             }
+            Ok(None) => {}
             Err(why) => {
                 if !failing {
-                    log::warn!(why:% = why; "prefix store: lost");
+                    log::warn!(why = why.as_str(); "prefix store: lost");
                 }
                 failing = true;
             }
         }
     }
 }
+
+/// A page of the store's; none if it answers too many at once.
+async fn ask_store(shared: &Shared, address: SocketAddr, next: u64) -> Result<Option<PrefixPage>, String> {
+    let (call, headers) = (shared.dialect.events)(next, WAIT);
+    match ask(address, &call, &headers, WAIT + GRACE).await {
+        Ok((200, body)) => {
+            let told = (shared.dialect.told)(&body).map_err(|err| err.to_string())?;
+            Ok(Some(page(told)))
+        }
+        Ok((429, _)) => Ok(None),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(err) => Err(err.to_string()),
+    }
+}
+
+/// A page of a router that asks the store; none if it has none yet.
+async fn ask_leader(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixPage>, String> {
+    let settings = shared.settings.load_full();
+    let leaders = Members::read(shared).leaders(&settings.vm, &settings.domain);
+    let mut why = "no router to ask".to_owned();
+    for (_, address) in leaders {
+        let asked = async {
+            let leader = Leader::connect(address, GRACE).await?;
+            leader.prefixes(*position, GRACE).await
+        };
+        match asked.await {
+            Ok(page) => return Ok((page.life != 0).then_some(page)),
+            Err(err) => why = err.to_string(),
+        }
+    }
+    Err(why)
+}
+
+fn page(told: PrefixEvents) -> PrefixPage {
+    let event = |event: dispatch::prefixes::PrefixEvent| peers::PrefixEvent {
+        number: event.number,
+        held: event.held,
+        salt: event.salt,
+        part: event.part,
+    };
+    PrefixPage {
+        life: told.life,
+        next: told.next,
+        gap: told.gap,
+        events: told.events.into_iter().map(event).collect(),
+    }
+}
+
+fn events(page: PrefixPage) -> PrefixEvents {
+    let event = |event: peers::PrefixEvent| dispatch::prefixes::PrefixEvent {
+        number: event.number,
+        held: event.held,
+        salt: event.salt,
+        part: event.part,
+    };
+    PrefixEvents {
+        life: page.life,
+        next: page.next,
+        gap: page.gap,
+        events: page.events.into_iter().map(event).collect(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow/relay.rs
@@ -0,0 +1,147 @@
+//! What this router knows of the store, for the routers that follow it.
+
+use crate::shared::Shared;
+use async_std::future::timeout;
+use futures::FutureExt;
+use futures::channel::oneshot;
+use peers::{Answer, Follow, Followed, PrefixFollow, PrefixPage, RelayItem};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use store::items::{Change, Item, ItemLog};
+
+/// Longest time that an answer waits, whatever the follower says.
+const MOST_WAIT: Duration = Duration::from_secs(2);
+/// Events of the store of cached prefixes that are kept for followers: several seconds of a grown site.
+const PREFIX_EVENTS: usize = 8_000;
+
+/// The items, and followers that wait for the next change.
+#[derive(Default)]
+pub struct Known {
+    /// The items.
+    pub log: ItemLog,
+    waiting: Vec<oneshot::Sender<()>>,
+    prefixes: PrefixPage,
+}
+
+/// Shared by the control thread, which writes, and by followers' calls.
+#[derive(Default)]
+pub struct Relay(Mutex<Known>);
+
+impl Relay {
+    /// What is known.
+    pub fn lock(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Everything as of a revision.
+    pub fn replace(&self, items: &[Item], revision: u64) {
+        let mut known = self.lock();
+        known.log.replace(items, revision);
+        known.wake();
+    }
+
+    /// Changes up to a revision.
+    pub fn apply(&self, changes: &[Change], revision: u64) {
+        let mut known = self.lock();
+        known.log.apply(changes, revision);
+        known.wake();
+    }
+
+    /// Events of the store of cached prefixes, as they were read.
+    pub fn prefixes(&self, page: &PrefixPage) {
+        let mut known = self.lock();
+        let kept = &mut known.prefixes;
+        if kept.life != page.life || page.gap {
+            *kept = PrefixPage::default();
+            kept.gap = page.gap;
+        }
+        kept.life = page.life;
+        kept.next = page.next;
+        kept.events.extend(page.events.iter().cloned());
+        let old = kept.events.len().saturating_sub(PREFIX_EVENTS);
+        kept.events.drain(..old);
+    }
+}
+
+impl Known {
+    fn wake(&mut self) {
+        for follower in self.waiting.drain(..) {
+            // One that no longer waits asks again.
+            let _ = follower.send(());
+        }
+    }
+
+    fn prefixes_since(&self, follow: &PrefixFollow) -> PrefixPage {
+        let kept = &self.prefixes;
+        let first = kept.events.first().map_or(kept.next, |event| event.number);
+        let gap = follow.life != kept.life || follow.next < first;
+        let newer = kept.events.iter().filter(|event| gap || event.number >= follow.next);
+        PrefixPage {
+            life: kept.life,
+            next: kept.next,
+            gap,
+            events: newer.cloned().collect(),
+        }
+    }
+}
+
+/// Answers followers from what this router knows.
+pub fn answer(shared: &Arc<Shared>) -> Answer {
+    let (items, prefixes) = (shared.clone(), shared.clone());
+    Answer {
+        follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
+        prefixes: Arc::new(move |follow| {
+            let page = prefixes.relay.lock().prefixes_since(&follow);
+            futures::future::ready(page).boxed()
+        }),
+    }
+}
+
+async fn follow_items(shared: Arc<Shared>, follow: Follow) -> Followed {
+    let wait = Duration::from_millis(follow.wait_ms).min(MOST_WAIT);
+    let news = {
+        let mut known = shared.relay.lock();
+        if known.log.has_news(follow.after) {
+            None
+        } else {
+            let (sender, receiver) = oneshot::channel();
+            known.waiting.push(sender);
+            Some(receiver)
+        }
+    };
+    if let Some(news) = news {
+        // Without news the answer still tells how fresh all is.
+        let _ = timeout(wait, news).await;
+    }
+    let since = shared.relay.lock().log.since(follow.after);
+    let age = shared.freshness().age(shared.clock.now());
+    Followed {
+        revision: since.revision,
+        whole: since.whole,
+        items: since.items.into_iter().filter_map(relayed).collect(),
+        removed: since.removed,
+        age_ms: age.map(|age| age.as_millis() as u64),
+    }
+}
+
+/// Values that are no text name nothing that a router could use.
+fn relayed(item: Item) -> Option<RelayItem> {
+    Some(RelayItem {
+        key: item.key,
+        value: String::from_utf8(item.value).ok()?,
+        revision: item.revision,
+        created: item.created,
+        lease: item.lease,
+    })
+}
+
+/// An item as a follower gets it.
+pub fn item(relayed: RelayItem) -> Item {
+    Item {
+        key: relayed.key,
+        value: relayed.value.into_bytes(),
+        revision: relayed.revision,
+        created: relayed.created,
+        lease: relayed.lease,
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,13 +2,15 @@
 
 use crate::control::{Control, EVENTS, Event, TICK, send};
 use crate::dialect::Dialect;
-use crate::follow::{follow, follow_prefixes};
+use crate::follow::relay::answer;
+use crate::follow::{follow, follow_prefixes, register};
 use crate::front::{serve_callers, serve_page};
 use crate::settings::Settings;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use async_std::net::TcpListener;
 use async_std::task;
+use peers::serve_followers;
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,6 +63,8 @@
     pub callers: SocketAddr,
     /// For the balancer's question.
     pub readiness: SocketAddr,
+    /// For other routers.
+    pub peers: SocketAddr,
     /// For counters.
     pub metrics: Option<SocketAddr>,
 }
@@ -77,6 +81,7 @@
 ) -> Result<(), RunError> {
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
+    let peers = listen(settings.peers).await?;
     let metrics = match settings.metrics {
         Some(address) => Some(listen(address).await?),
         None => None,
@@ -84,6 +89,7 @@
     let addresses = Addresses {
         callers: local(&callers, settings.callers),
         readiness: local(&readiness, settings.readiness),
+        peers: local(&peers, settings.peers),
         metrics: metrics
             .as_ref()
             .zip(settings.metrics)
@@ -93,6 +99,8 @@
     let (sender, events) = async_channel::bounded(EVENTS);
     let shared = Arc::new(Shared::new(settings, dialect, sender));
     start_control(&shared, events)?;
+    task::spawn(serve_followers(peers, answer(&shared)));
+    task::spawn(register(shared.clone(), addresses.peers));
     task::spawn(serve_callers(shared.clone(), callers));
     let state = shared.clone();
     task::spawn(serve_page(readiness, move || readiness_page(&state)));
@@ -128,7 +136,7 @@
     let run = move || task::block_on(control.run(events));
     let builder = thread::Builder::new().name("control".to_owned());
     builder.spawn(run).map_err(RunError::Thread)?;
-    task::spawn(follow(shared.clone(), ""));
+    task::spawn(follow(shared.clone()));
     task::spawn(follow_prefixes(shared.clone()));
     let ticking = shared.clone();
     task::spawn(async move {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether callers should be sent here.
     pub readiness: SocketAddr,
+    /// Where other routers follow this one.
+    pub peers: SocketAddr,
     /// Where counters are read.
     pub metrics: Option<SocketAddr>,
     /// The store.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::control::Event;
 use crate::dialect::Dialect;
+use crate::follow::relay::Relay;
 use crate::link::Links;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -41,6 +42,12 @@
     pub metrics: Metrics,
     /// To the control thread.
     pub events: Sender<Event>,
+    /// What is known of the store, for routers that follow this one.
+    pub relay: Relay,
+    /// Whether this router watches the store itself.
+    pub watches: AtomicBool,
+    /// Whether the store's history is gone, so that all must be read again.
+    pub forgotten: AtomicBool,
     /// Set once a signal to stop has come.
     pub stopping: AtomicBool,
     /// Closed when no new request is taken any more; nothing is ever sent through it.
@@ -78,6 +85,9 @@
             links: Links::default(),
             metrics: Metrics::new(),
             events,
+            relay: Relay::default(),
+            watches: AtomicBool::new(false),
+            forgotten: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             taking: async_channel::bounded(1),
             listed: AtomicBool::new(false),
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -128,8 +128,13 @@
 
 /// A call's deadline, without tracing: a trace id would take 100 bytes of each heartbeat.
 pub(crate) fn deadline() -> Context {
+    deadline_in(CALL_TIMEOUT)
+}
+
+/// A deadline after this time, without tracing.
+pub(crate) fn deadline_in(within: Duration) -> Context {
     let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + CALL_TIMEOUT;
+    context.deadline = Instant::now() + within;
     context.trace_context = tarpc::trace::Context::default();
     context
 }
--- /dev/null
+++ b/crates/peers/src/relay.rs
@@ -0,0 +1,217 @@
+//! What routers that follow the store tell those that don't.
+//!
+//! Load pattern: hundreds of routers, each of which would keep a watch on the store. Every change would cost as many
+//! answers, and every call is priced. So few routers of each failure domain watch, and the others follow one of them
+//! in the same way: they name the store's revision that they have and wait for what comes after it.
+
+use crate::link::deadline_in;
+use crate::service::PeerError;
+use crate::socket::{self, Traffic};
+use async_std::net::{TcpListener, TcpStream};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio_serde::formats::Json;
+
+/// Most followers of one router: a domain's routers, twice over.
+const MAX_FOLLOWERS: usize = 256;
+/// A connection without a call for this long is ended.
+const IDLE: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Asks for what comes after a revision.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Follow {
+    /// Store revision up to which all is known; absent if nothing is.
+    pub after: Option<u64>,
+    /// How long the answer may wait for the first change.
+    pub wait_ms: u64,
+}
+
+/// A key's item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayItem {
+    /// The key.
+    pub key: String,
+    /// Its value; in text, since all values that routers read are.
+    pub value: String,
+    /// Store revision of its last change.
+    pub revision: u64,
+    /// Store revision of its creation.
+    pub created: u64,
+    /// The lease it goes with.
+    pub lease: u64,
+}
+
+/// What came after the revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Followed {
+    /// Store revision up to which this is complete; absent if the router knows nothing yet.
+    pub revision: Option<u64>,
+    /// Whether `items` is all there is; otherwise it is what has changed.
+    pub whole: bool,
+    /// Items.
+    pub items: Vec<RelayItem>,
+    /// Keys that have gone.
+    pub removed: Vec<String>,
+    /// How long before this answer the store was known to hold nothing newer, milliseconds.
+    pub age_ms: Option<u64>,
+}
+
+/// Asks for events of the store of cached prefixes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixFollow {
+    /// The store's life that the number belongs to.
+    pub life: u64,
+    /// Number of the first event that is not known.
+    pub next: u64,
+}
+
+/// One event of the store of cached prefixes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixEvent {
+    /// Its number.
+    pub number: u64,
+    /// Whether the part is held now.
+    pub held: bool,
+    /// Scope that it was made under.
+    pub salt: String,
+    /// The part.
+    pub part: u64,
+}
+
+/// Events of the store of cached prefixes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixPage {
+    /// The store's life; 0 if none is known.
+    pub life: u64,
+    /// Number to ask on from.
+    pub next: u64,
+    /// Whether events are missing before these.
+    pub gap: bool,
+    /// In order.
+    pub events: Vec<PrefixEvent>,
+}
+
+// The macro writes items that can't carry comments.
+#[allow(missing_docs)]
+mod calls {
+    use super::{Follow, Followed, PrefixFollow, PrefixPage};
+
+    /// What a router answers to its followers.
+    #[tarpc::service]
+    pub trait Relay {
+        /// What comes after a revision.
+        async fn follow(follow: Follow) -> Followed;
+        /// Events of the store of cached prefixes after a number.
+        async fn prefixes(follow: PrefixFollow) -> PrefixPage;
+    }
+}
+
+use calls::{Relay, RelayClient};
+
+/// One kind of answer.
+type Answers<Q, A> = Arc<dyn Fn(Q) -> BoxFuture<'static, A> + Send + Sync>;
+
+/// Answers a follower.
+#[derive(Clone)]
+pub struct Answer {
+    /// What comes after a revision.
+    pub follow: Answers<Follow, Followed>,
+    /// Events of the store of cached prefixes after a number.
+    pub prefixes: Answers<PrefixFollow, PrefixPage>,
+}
+
+#[derive(Clone)]
+struct Server(Answer);
+
+impl Relay for Server {
+    async fn follow(self, _: Context, follow: Follow) -> Followed {
+        (self.0.follow)(follow).await
+    }
+
+    async fn prefixes(self, _: Context, follow: PrefixFollow) -> PrefixPage {
+        (self.0.prefixes)(follow).await
+    }
+}
+
+/// Answers followers until the process ends.
+pub async fn serve_followers(listener: TcpListener, answer: Answer) {
+    let open = Arc::new(AtomicUsize::new(0));
+    let traffic = Arc::default();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("a follower could not be accepted: {err}");
+                async_std::task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.load(Ordering::Relaxed) >= MAX_FOLLOWERS {
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (open, traffic, answer) = (open.clone(), Arc::clone(&traffic), answer.clone());
+        async_std::task::spawn(async move {
+            serve(stream, &traffic, answer).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, traffic: &Arc<Traffic>, answer: Answer) {
+    let transport = tarpc::serde_transport::new(socket::framed(stream, traffic), Json::default());
+    let mut calls = Box::pin(BaseChannel::with_defaults(transport).execute(Server(answer).serve()));
+    while let Ok(Some(call)) = async_std::future::timeout(IDLE, calls.next()).await {
+        call.await;
+    }
+}
+
+/// A connection to a router that is followed.
+pub struct Leader {
+    client: RelayClient,
+}
+
+impl Leader {
+    /// Connects.
+    ///
+    /// # Errors
+    /// No connection in time.
+    pub async fn connect(address: SocketAddr, within: Duration) -> Result<Self, PeerError> {
+        let stream = async_std::future::timeout(within, TcpStream::connect(address)).await??;
+        let transport = tarpc::serde_transport::new(socket::framed(stream, &Arc::default()), Json::default());
+        let new = RelayClient::new(tarpc::client::Config::default(), transport);
+        async_std::task::spawn(async move {
+            // How a connection ends is seen by its calls.
+            let _ = new.dispatch.await;
+        });
+        Ok(Self { client: new.client })
+    }
+
+    /// What comes after a revision.
+    ///
+    /// # Errors
+    /// The call failed or took longer than it may wait and `grace`.
+    pub async fn follow(&self, follow: Follow, grace: Duration) -> Result<Followed, PeerError> {
+        let within = Duration::from_millis(follow.wait_ms) + grace;
+        let call = self.client.follow(deadline_in(within), follow);
+        Ok(async_std::future::timeout(within, call).await??)
+    }
+
+    /// Events of the store of cached prefixes after a number.
+    ///
+    /// # Errors
+    /// The call failed or took too long.
+    pub async fn prefixes(&self, follow: PrefixFollow, within: Duration) -> Result<PrefixPage, PeerError> {
+        let call = self.client.prefixes(deadline_in(within), follow);
+        Ok(async_std::future::timeout(within, call).await??)
+    }
+}
--- a/crates/store/src/items/mod.rs
+++ b/crates/store/src/items/mod.rs
@@ -4,9 +4,11 @@
 //! difference between a call that was never sent and one whose answer was lost.
 
 mod client;
+mod log;
 mod types;
 
 pub use client::Client;
+pub use log::{ItemLog, Since};
 pub use types::{
     Call, Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Unreadable, Watched, Write,
 };
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -24,7 +24,12 @@
     /// A key was written.
     Written(Item),
     /// A key was removed, or its lease ended.
-    Removed(String),
+    Removed {
+        /// Which.
+        key: String,
+        /// Store revision of the removal.
+        revision: u64,
+    },
 }
 
 /// A page of the items under a prefix. Pages are no snapshot.
