Choice: what was seen of an endpoint's failures fades; late answers make none grey; gaps of the prefix store's events end trust after a while

An endpoint that was left for its failures got no work, so it never showed that it was well; the others carried its load, answered late, and were left in their turn. The store of prefixes drops events that were not asked for in time; each gap dropped all beliefs. Tests: an_endpoint_that_was_left_is_tried_again (red without the fading), late_answers_make_no_endpoint_grey.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -46,7 +46,7 @@
         }
         let sound = |id: &EndpointId| {
             let live = self.health.belief(id) == Belief::Live;
-            live && self.known.get(id).is_some_and(|known| known.trouble() < GREY)
+            live && self.known.get(id).is_some_and(|known| known.trouble(now) < GREY)
         };
         let reachable = |id: &EndpointId| matches!(self.health.belief(id), Belief::Live | Belief::Suspected);
         Standing::Some(best(open, &[&sound, &reachable]))
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -125,7 +125,7 @@
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
             queued: known.prefill() + others as u64 + penalty,
-            speed: (1.0 - known.trouble()).max(LEAST_SPEED),
+            speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
             weight: 1.0,
         })
     }
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -9,7 +9,14 @@
 /// of one endpoint in a few seconds.
 const FADE: f64 = 0.1;
 /// Time in which a load report loses half of its weight: about two answers' time of the sites' slower service.
-const REPORT_HALF: f64 = 0.25;
+const REPORT_HALF: f64 = 1.0;
+
+/// Time in which the share of failures loses half of its weight, seconds: a grey endpoint is tried again after about this
+/// time, and its next failures count at once.
+const TROUBLE_HALF: f64 = 4.0;
+/// What no answer in time counts as a failure: endpoints that are full answer late too, and leaving them for it would fill
+/// the others.
+const SILENT: f64 = 0.3;
 
 /// Load that an endpoint tells on its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -45,8 +52,8 @@
     /// Prompt tokens of this router's requests that have not been read yet.
     prefill: u64,
     report: Option<(LoadReport, Duration)>,
-    /// Share of attempts that failed, running mean.
-    trouble: f64,
+    /// Share of attempts that failed, running mean, and when it last changed.
+    trouble: (f64, Duration),
     /// Seconds until an answer, running mean.
     latency: Option<f64>,
     /// Weights that answers named, which are ahead of the entry.
@@ -61,7 +68,7 @@
             in_flight: 0,
             prefill: 0,
             report: None,
-            trouble: 0.0,
+            trouble: (0.0, Duration::ZERO),
             latency: None,
             weights,
         }
@@ -113,7 +120,7 @@
         self.report = Some((report, now));
     }
 
-    pub(super) fn outcome(&mut self, outcome: Outcome) {
+    pub(super) fn outcome(&mut self, outcome: Outcome, now: Duration) {
         let failed = match outcome {
             Outcome::Answered(after) => {
                 let seconds = after.as_secs_f64();
@@ -122,9 +129,11 @@
                 0.0
             }
             Outcome::Declined => return,
-            Outcome::Failed | Outcome::Broken | Outcome::Unreached | Outcome::Silent => 1.0,
+            Outcome::Silent => SILENT,
+            Outcome::Failed | Outcome::Broken | Outcome::Unreached => 1.0,
         };
-        self.trouble += FADE * (failed - self.trouble);
+        let trouble = self.trouble(now);
+        self.trouble = (trouble + FADE * (failed - trouble), now);
     }
 
     pub(super) fn in_flight(&self) -> u32 {
@@ -135,8 +144,12 @@
         self.prefill
     }
 
-    pub(super) fn trouble(&self) -> f64 {
-        self.trouble
+    /// Share of attempts that fail. What was seen fades, or an endpoint that is left for its failures would get no work,
+    /// succeed in nothing, and be left for ever.
+    pub(super) fn trouble(&self, now: Duration) -> f64 {
+        let (trouble, at) = self.trouble;
+        let age = now.saturating_sub(at).as_secs_f64();
+        trouble * 0.5_f64.powf(age / TROUBLE_HALF)
     }
 
     pub(super) fn latency(&self) -> Option<f64> {
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -228,7 +228,7 @@
     /// What came of an attempt.
     pub fn outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
         if let Some(known) = self.known.get_mut(id) {
-            known.outcome(outcome);
+            known.outcome(outcome, now);
         }
         let event = evidence(id, outcome);
         self.health.on(event, now);
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -49,6 +49,6 @@
         } else {
             CROSSING
         };
-        latency * (1.0 + known.running(now) / slots) + known.trouble() * FAILURE_COST + crossing
+        latency * (1.0 + known.running(now) / slots) + known.trouble(now) * FAILURE_COST + crossing
     }
 }
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -17,6 +17,9 @@
 const SILENT: Duration = Duration::from_millis(1_500);
 /// Parts that are remembered at most, about 100 bytes each: some ten times what the sites' stores hold.
 const MOST_PARTS: usize = 20_000;
+/// How long an event is trusted: the one that says that the part has gone may be among those that were lost. Sending it
+/// again also shows the store that it is in use.
+const TRUSTED: Duration = Duration::from_secs(8);
 /// How long a part counts as sent before an event confirms it: the events' lag and the time until a prompt is read.
 const UNDER_WAY: Duration = Duration::from_millis(1_500);
 
@@ -50,7 +53,8 @@
 enum Held {
     /// An engine was told to send it, at this time.
     Sent(Duration),
-    Confirmed,
+    /// An event said that it is there, at this time.
+    Confirmed(Duration),
 }
 
 /// What to tell an engine about the store.
@@ -91,14 +95,14 @@
     pub fn told(&mut self, page: &PrefixEvents, now: Duration) {
         self.answered = Some(now);
         let count: usize = self.parts.values().map(HashMap::len).sum();
-        if page.life != self.life || page.gap || count > MOST_PARTS {
+        if page.life != self.life || count > MOST_PARTS {
             self.parts.clear();
             self.life = page.life;
         }
         for event in &page.events {
             let scope = self.parts.entry(event.salt.clone()).or_default();
             if event.held {
-                scope.insert(event.part, Held::Confirmed);
+                scope.insert(event.part, Held::Confirmed(now));
             } else {
                 scope.remove(&event.part);
             }
@@ -113,17 +117,19 @@
             return Transfers::default();
         }
         let scope = self.parts.entry(salt.to_owned()).or_default();
-        let holds = |part: &Part| matches!(scope.get(&part.id), Some(Held::Confirmed));
+        let trusted = |at: &Duration| now.saturating_sub(*at) < TRUSTED;
+        let holds = |part: &Part| matches!(scope.get(&part.id), Some(Held::Confirmed(_)));
         let fetch = shared.iter().any(holds);
         let sent = |part: &Part| match scope.get(&part.id) {
-            Some(Held::Confirmed) => true,
+            Some(Held::Confirmed(at)) => trusted(at),
             Some(Held::Sent(at)) => now.saturating_sub(*at) < UNDER_WAY,
             None => false,
         };
         let missing: Vec<u64> = shared.iter().filter(|part| !sent(part)).map(|part| part.id).collect();
         let save = !missing.is_empty();
         for part in missing {
-            scope.insert(part, Held::Sent(now));
+            let there = matches!(scope.get(&part), Some(Held::Confirmed(_)));
+            scope.insert(part, if there { Held::Confirmed(now) } else { Held::Sent(now) });
         }
         Transfers {
             fetch: self.address.filter(|_| fetch),
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -148,6 +148,37 @@
     assert_eq!(send(&mut fleet, None, &others, 0, now).as_deref(), Some("e0"));
 }
 
+/// An endpoint failed and was left; it gets no work, so it cannot show that it is well again. While it is left for ever the
+/// others carry its load, slow down, and are left in their turn.
+#[test]
+fn an_endpoint_that_was_left_is_tried_again() {
+    let mut fleet = pool(&[1, 1]);
+    let grey = EndpointId::from("e0");
+    for _ in 0..20 {
+        fleet.outcome(&grey, Outcome::Failed, at(0));
+        fleet.outcome(&EndpointId::from("e1"), Outcome::Answered(at(20)), at(0));
+    }
+    assert_eq!(send(&mut fleet, None, &[], 0, at(10)).as_deref(), Some("e1"));
+    let used: BTreeSet<_> = (0..40)
+        .filter_map(|draw| send(&mut fleet, None, &[], draw, at(20_000)))
+        .collect();
+    assert!(used.contains("e0"), "{used:?}");
+}
+
+/// Engines answer late under load, all of them. None is left for that.
+#[test]
+fn late_answers_make_no_endpoint_grey() {
+    let mut fleet = pool(&[1, 1]);
+    for _ in 0..50 {
+        fleet.outcome(&EndpointId::from("e0"), Outcome::Silent, at(0));
+        fleet.outcome(&EndpointId::from("e0"), Outcome::Answered(at(400)), at(0));
+    }
+    let used: BTreeSet<_> = (0..40)
+        .filter_map(|own| send(&mut fleet, Some(&prompt(own, 99)), &[], own, at(10)))
+        .collect();
+    assert_eq!(used.len(), 2, "{used:?}");
+}
+
 /// Prompts of one session share thousands of tokens. Every router must send them to the same engine without asking the others, or
 /// each engine reads them anew.
 #[test]
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -14,6 +14,10 @@
 
 /// Least time between two questions: what the store tells is late by some hundred milliseconds anyway.
 const PACE: Duration = Duration::from_millis(600);
+/// Least time while a page brings many events: the store keeps only the newest, several hundred of them.
+const BUSY_PACE: Duration = Duration::from_millis(150);
+/// Events of a page from which on the store counts as busy.
+const MANY: usize = 150;
 /// How long the store may wait for the first event; shorter waits cost as much as a probe.
 const WAIT: Duration = Duration::from_millis(400);
 /// How much longer its answer may take.
@@ -23,8 +27,9 @@
 pub async fn follow_prefixes(shared: Arc<Shared>) {
     let mut position = PrefixFollow::default();
     let mut failing = false;
+    let mut pace = PACE;
     loop {
-        task::sleep(PACE).await;
+        task::sleep(pace).await;
         let address = shared.site.load().as_ref().and_then(|site| site.prefix_store());
         shared.prefixes().located(address);
         let Some(address) = address else { continue };
@@ -40,6 +45,7 @@
                     next: page.next,
                 };
                 failing = false;
+                pace = if page.events.len() >= MANY { BUSY_PACE } else { PACE };
                 shared.relay.prefixes(&page);
                 shared.prefixes().told(&events(page), shared.clock.now());
             }
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -51,9 +51,8 @@
     pub fn prefixes(&self, page: &PrefixPage) {
         let mut known = self.lock();
         let kept = &mut known.prefixes;
-        if kept.life != page.life || page.gap {
+        if kept.life != page.life {
             *kept = PrefixPage::default();
-            kept.gap = page.gap;
         }
         kept.life = page.life;
         kept.next = page.next;
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -27,6 +27,9 @@
 /// Share of the time that is left after which a request that may run twice is tried elsewhere, if it may be: enough for
 /// an answer that is merely slow, and the second endpoint still has more than half of the time.
 const PATIENCE: f64 = 0.45;
+/// The same for streams: an engine that is full answers late, and what it has read of the prompt by then would be read
+/// again elsewhere.
+const STREAM_PATIENCE: f64 = 0.65;
 
 /// How a request ended.
 pub enum Finish {
@@ -325,7 +328,8 @@
     fn patience(&self) -> Duration {
         let another = self.repeatable() && self.sent < self.call.route.attempts;
         if another {
-            return self.left().mul_f64(PATIENCE);
+            let streams = self.call.route.kind.streams();
+            return self.left().mul_f64(if streams { STREAM_PATIENCE } else { PATIENCE });
         }
         self.left()
     }
