--- a/crates/apricotfork/src/arguments.rs
+++ b/crates/apricotfork/src/arguments.rs
@@ -65,7 +65,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
-    /// the file; a document is told from settings by its sections
+    /// the file; a document is told from settings by its sections, a gateway's settings by `readiness`
     #[argh(positional)]
     pub file: PathBuf,
 }
--- a/crates/apricotfork/src/check.rs
+++ b/crates/apricotfork/src/check.rs
@@ -16,11 +16,21 @@
     };
     if is_document(&text) {
         report(config::parse(&text).map(|_| "document"))
+    } else if is_gateway(&text) {
+        report(gateway::read_settings(&text).map(|_| "gateway settings"))
     } else {
         report(read_settings(&text).map(|_| "settings"))
     }
 }
 
+/// Only a gateway's settings say where the balancer asks.
+fn is_gateway(text: &str) -> bool {
+    let Ok(Value::Object(fields)) = serde_json::from_str(text) else {
+        return false;
+    };
+    fields.contains_key("readiness")
+}
+
 /// A document's fields are sections, which are objects; settings have `operators` too, as an address.
 fn is_document(text: &str) -> bool {
     let Ok(Value::Object(fields)) = serde_json::from_str(text) else {
--- a/crates/apricotfork/tests/check_command.rs
+++ b/crates/apricotfork/tests/check_command.rs
@@ -104,3 +104,58 @@
         check(case);
     }
 }
+
+/// What the users' platform makes of `deploy/settings.json`, with `change` made to it.
+fn gateway_settings(change: impl Fn(&mut Value)) -> String {
+    let mut settings = json!({
+        "vm": "front-1", "domain": "lahore", "callers": "10.1.0.30:8782", "readiness": "10.1.0.30:8789",
+        "peers": "10.1.0.30:7340", "metrics": "10.1.0.30:9464", "store": "10.200.1.7:8784",
+        "bounds": {"revoke_ms": 5000, "weights_ms": 10000, "turn_ms": 3000, "retry_ratio": 0.2, "retry_extra": 108,
+            "retry_window_s": 10, "grace_s": 8},
+    });
+    change(&mut settings);
+    settings.to_string()
+}
+
+#[test]
+fn settings_of_a_gateway_are_checked() {
+    let cases = [
+        Case {
+            name: "good",
+            text: gateway_settings(|_| ()),
+            exit: 0,
+            says: &["gateway settings: no errors"],
+        },
+        Case {
+            name: "a field of a newer platform",
+            text: gateway_settings(|all| all["shade"] = json!("green")),
+            exit: 0,
+            says: &["no errors"],
+        },
+        Case {
+            name: "no bounds",
+            text: gateway_settings(|all| all["bounds"] = json!({})),
+            exit: 0,
+            says: &["no errors"],
+        },
+        Case {
+            name: "no store",
+            text: gateway_settings(|all| all["store"] = Value::Null),
+            exit: 1,
+            says: &["store"],
+        },
+        Case {
+            name: "bounds out of range",
+            text: gateway_settings(|all| all["bounds"] = json!({"revoke_ms": 0, "retry_ratio": -1, "grace_s": 0})),
+            exit: 1,
+            says: &["bounds.revoke_ms", "bounds.retry_ratio", "bounds.grace_s"],
+        },
+        Case {
+            name: "an unknown level",
+            text: gateway_settings(|all| all["log_level"] = json!("loud")),
+            exit: 1,
+            says: &["log_level"],
+        },
+    ];
+    cases.iter().for_each(check);
+}
--- a/crates/control/tests/following.rs
+++ b/crates/control/tests/following.rs
@@ -1,7 +1,8 @@
 //! What one failure domain asks of the platform.
 
-use control::following::{Follow, READ_EVERY, WATCHERS, follow};
+use control::following::{Follow, Lead, READ_EVERY, WATCHERS, follow, lead};
 use ids::{DomainId, VmId};
+use std::collections::BTreeMap;
 
 /// A fleet grows. If each router watched, each change would hit the platform with as many calls as there are routers.
 #[test]
@@ -37,3 +38,28 @@
         Follow::Watch
     );
 }
+
+/// A domain grows, and every router needs every change. Two of them watch the store; were all others to follow the same one, it would
+/// carry the domain alone, and its death would send all of them to the store at once.
+#[test]
+fn routers_that_do_not_watch_are_spread_over_those_that_do() {
+    let domain = DomainId::from("lahore");
+    for size in [1_usize, 2, 3, 30, 95] {
+        let live: Vec<VmId> = (0..size).map(|number| VmId::from(format!("vm-{number}"))).collect();
+        let mut followers: BTreeMap<&VmId, usize> = BTreeMap::new();
+        let mut watching = 0;
+        for own in &live {
+            match lead(own, &domain, &live) {
+                Lead::Store => watching += 1,
+                Lead::Routers(leaders) => {
+                    assert_eq!(leaders.len(), WATCHERS, "each has a second choice");
+                    assert!(leaders.iter().all(|leader| lead(leader, &domain, &live) == Lead::Store));
+                    *followers.entry(leaders[0]).or_default() += 1;
+                }
+            }
+        }
+        assert_eq!(watching, size.min(WATCHERS), "of {size}");
+        let most = followers.values().max().copied().unwrap_or_default();
+        assert!(most <= size * 2 / 3 + 1, "{most} of {size} follow one router");
+    }
+}
