--- a/crates/apricotfork/src/gateway_command.rs
+++ b/crates/apricotfork/src/gateway_command.rs
@@ -1,7 +1,7 @@
 //! `apricotfork gateway`.
 
 use crate::arguments::Gateway;
-use crate::{exit, logs};
+use crate::{exit, logs, settings};
 use async_channel::Sender;
 use async_std::task;
 use futures::StreamExt;
@@ -19,18 +19,9 @@
 
 /// Runs a router until it is told to stop.
 pub fn run(args: &Gateway) -> ExitCode {
-    let text = match std::fs::read_to_string(&args.settings) {
-        Ok(text) => text,
-        Err(err) => return exit::failed(format_args!("{}: {err}", args.settings.display())),
-    };
-    let settings = match read_settings(&text) {
-        Ok(settings) => settings,
-        Err(problems) => {
-            for problem in &problems {
-                eprintln!("{}: {problem}", args.settings.display());
-            }
-            return exit::refused(format_args!("{} errors in the settings", problems.len()));
-        }
+    let (settings, text) = match settings::read(&args.settings, read_settings) {
+        Ok(read) => read,
+        Err(code) => return code,
     };
     if let Err(err) = logs::start_lines(&settings.log_level) {
         return exit::failed(err);
--- a/crates/apricotfork/src/main.rs
+++ b/crates/apricotfork/src/main.rs
@@ -7,6 +7,7 @@
 mod gateway_command;
 mod logs;
 mod serve;
+mod settings;
 mod status;
 
 use arguments::{Arguments, Command};
--- a/crates/apricotfork/src/serve.rs
+++ b/crates/apricotfork/src/serve.rs
@@ -1,7 +1,7 @@
 //! `apricotfork serve`.
 
 use crate::arguments::Serve;
-use crate::{exit, logs};
+use crate::{exit, logs, settings};
 use async_std::task;
 use futures::StreamExt;
 use router::{Addresses, RunError, Settings, read_settings};
@@ -12,18 +12,9 @@
 
 /// Runs a router until it is told to stop.
 pub fn run(args: &Serve) -> ExitCode {
-    let text = match std::fs::read_to_string(&args.settings) {
-        Ok(text) => text,
-        Err(err) => return exit::failed(format_args!("{}: {err}", args.settings.display())),
-    };
-    let settings = match read_settings(&text) {
-        Ok(settings) => settings,
-        Err(problems) => {
-            for problem in &problems {
-                eprintln!("{}: {problem}", args.settings.display());
-            }
-            return exit::refused(format_args!("{} errors in the settings", problems.len()));
-        }
+    let (settings, _) = match settings::read(&args.settings, read_settings) {
+        Ok(read) => read,
+        Err(code) => return code,
     };
     if let Err(err) = logs::start(&settings.log) {
         return exit::failed(err);
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -1,23 +1,19 @@
 //! Attempts of one request, one after the other.
 
 use super::Call;
+use super::flight::Flight;
 use super::record::Record;
 use super::relay::Relay;
-use crate::dialect::{AnswerFacts, Forward};
+use super::wait::{Waited, wait};
+use crate::dialect::AnswerFacts;
 use crate::link::Link;
 use crate::shared::Shared;
-use async_std::future::timeout;
 use dispatch::attempt::{self, Cause, Failure, Next, Tried};
 use dispatch::fleet::{Choice, Outcome, Picked, Wish};
-use dispatch::prefixes::Transfers;
-use futures::future::{Either, select};
-use http::Conn;
 use http::raw::{Answer, ExchangeError, Headers, Source, exchange};
 use ids::EndpointId;
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Repeat, Request, RequestEvent, RequestState, RequestStep};
-use std::future::Future;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::caller::Ran;
@@ -70,74 +66,6 @@
     Failed(Failure),
 }
 
-/// How a wait ended.
-pub(super) enum Waited<T> {
-    Done(T),
-    CallerGone,
-    TimeOver,
-}
-
-/// Waits for `future`, for the caller to go, or for the time to be over.
-pub(super) async fn wait<T>(conn: &Conn, within: Duration, future: impl Future<Output = T>) -> Waited<T> {
-    let gone = pin!(conn.peer_gone());
-    let future = pin!(future);
-    match timeout(within, select(future, gone)).await {
-        Ok(Either::Left((done, _))) => Waited::Done(done),
-        Ok(Either::Right(_)) => Waited::CallerGone,
-        Err(_) => Waited::TimeOver,
-    }
-}
-
-/// A request in flight at an endpoint; counted there until dropped.
-pub(super) struct Flight<'a> {
-    shared: &'a Shared,
-    pub(super) picked: &'a Picked,
-    pub(super) began: Duration,
-    read: bool,
-}
-
-impl<'a> Flight<'a> {
-    fn new(shared: &'a Shared, picked: &'a Picked) -> Self {
-        let entry = &picked.endpoint;
-        shared.fleet().begin(&entry.id, entry.incarnation, picked.prefill);
-        Self {
-            shared,
-            picked,
-            began: shared.clock.now(),
-            read: false,
-        }
-    }
-
-    /// The endpoint has read the prompt, or will never read it.
-    pub(super) fn prompt_read(&mut self) {
-        if !self.read {
-            self.read = true;
-            let entry = &self.picked.endpoint;
-            self.shared
-                .fleet()
-                .prefilled(&entry.id, entry.incarnation, self.picked.prefill);
-        }
-    }
-
-    pub(super) fn outcome(&self, outcome: Outcome) {
-        let now = self.shared.clock.now();
-        self.shared.fleet().outcome(&self.picked.endpoint.id, outcome, now);
-    }
-
-    pub(super) fn answered(&self) {
-        let after = self.shared.clock.now().saturating_sub(self.began);
-        self.outcome(Outcome::Answered(after));
-    }
-}
-
-impl Drop for Flight<'_> {
-    fn drop(&mut self) {
-        self.prompt_read();
-        let entry = &self.picked.endpoint;
-        self.shared.fleet().end(&entry.id, entry.incarnation);
-    }
-}
-
 /// The attempts of one request.
 pub(super) struct Attempts<'a> {
     pub(super) shared: &'a Arc<Shared>,
@@ -366,45 +294,6 @@
         }
     }
 
-    /// The request as it goes to the endpoint.
-    fn bytes(&self, picked: &Picked) -> Vec<u8> {
-        let caller = self.call.caller;
-        let isolated = self.call.workspace.filter(|_| self.call.isolated);
-        let salt = self.call.wish.prompt.as_ref().map(|_| salt(picked.weights, isolated));
-        let transfers = self.transfers(salt.as_deref(), picked);
-        let forward = Forward {
-            endpoint: &picked.endpoint.id,
-            left: self.left(),
-            workspace: self.call.workspace,
-            salt: salt.as_deref(),
-            weights: picked.weights.filter(|_| salt.is_some()),
-            transfers,
-            rank: self.call.wish.prompt.as_ref().map(|_| self.call.rank),
-            after: self.events.last(),
-        };
-        let headers = (self.shared.dialect.forward)(&caller.head.headers, &forward);
-        let line = format!("{} {} HTTP/1.1\r\n", caller.head.method, caller.head.target);
-        let mut bytes = line.into_bytes();
-        headers.write(&mut bytes);
-        let bodied = !caller.body.is_empty() || !matches!(caller.head.method.as_str(), "GET" | "HEAD" | "DELETE");
-        if bodied {
-            bytes.extend_from_slice(format!("Content-Length: {}\r\n", caller.body.len()).as_bytes());
-        }
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&caller.body);
-        bytes
-    }
-
-    /// What the engine exchanges with the store of cached prefixes. Without known weights nothing: parts made under others
-    /// must not get into the same scope.
-    fn transfers(&self, salt: Option<&str>, picked: &Picked) -> Transfers {
-        let (Some(salt), Some(prompt), Some(_)) = (salt, &self.call.wish.prompt, picked.weights) else {
-            return Transfers::default();
-        };
-        let now = self.shared.clock.now();
-        self.shared.prefixes().transfers(salt, prompt.shared(), now)
-    }
-
     async fn judge(&mut self, flight: &mut Flight<'_>, answer: Answer, source: Source) -> Attempted {
         let facts = (self.shared.dialect.facts)(&answer.head);
         self.learn(flight.picked, &facts);
@@ -519,12 +408,3 @@
         Failure::Broken | Failure::Error => Cause::EndpointFailed,
     }
 }
-
-/// Scope of cached prefixes: weights must not mix, and an isolated workspace's prefixes are its own.
-fn salt(weights: Option<u64>, isolated: Option<&ids::WorkspaceId>) -> String {
-    let weights = weights.map_or_else(|| "any".to_owned(), |weights| weights.to_string());
-    match isolated {
-        Some(workspace) => format!("{weights}/{workspace}"),
-        None => weights,
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/serve/flight.rs
@@ -0,0 +1,55 @@
+//! One request in flight at one endpoint.
+
+use crate::shared::Shared;
+use dispatch::fleet::{Outcome, Picked};
+use std::time::Duration;
+
+/// A request in flight at an endpoint; counted there until dropped.
+pub(super) struct Flight<'a> {
+    shared: &'a Shared,
+    pub(super) picked: &'a Picked,
+    pub(super) began: Duration,
+    read: bool,
+}
+
+impl<'a> Flight<'a> {
+    pub(super) fn new(shared: &'a Shared, picked: &'a Picked) -> Self {
+        let entry = &picked.endpoint;
+        shared.fleet().begin(&entry.id, entry.incarnation, picked.prefill);
+        Self {
+            shared,
+            picked,
+            began: shared.clock.now(),
+            read: false,
+        }
+    }
+
+    /// The endpoint has read the prompt, or will never read it.
+    pub(super) fn prompt_read(&mut self) {
+        if !self.read {
+            self.read = true;
+            let entry = &self.picked.endpoint;
+            self.shared
+                .fleet()
+                .prefilled(&entry.id, entry.incarnation, self.picked.prefill);
+        }
+    }
+
+    pub(super) fn outcome(&self, outcome: Outcome) {
+        let now = self.shared.clock.now();
+        self.shared.fleet().outcome(&self.picked.endpoint.id, outcome, now);
+    }
+
+    pub(super) fn answered(&self) {
+        let after = self.shared.clock.now().saturating_sub(self.began);
+        self.outcome(Outcome::Answered(after));
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let entry = &self.picked.endpoint;
+        self.shared.fleet().end(&entry.id, entry.incarnation);
+    }
+}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,9 +1,12 @@
 //! One request: whose it is, where it goes, and what the caller gets.
 
 mod attempts;
+mod flight;
+mod outgoing;
 mod record;
 mod relay;
 pub mod reply;
+mod wait;
 
 use crate::dialect::CallerWish;
 use crate::shared::Shared;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,6 +1,8 @@
 //! A stream on its way from an endpoint to the caller, event by event.
 
-use super::attempts::{Attempted, Attempts, Finish, Flight, Waited, wait};
+use super::attempts::{Attempted, Attempts, Finish};
+use super::flight::Flight;
+use super::wait::{Waited, wait};
 use super::{closes, reply};
 use crate::dialect::AnswerFacts;
 use async_std::future::timeout;
