Configuration: a document that cannot be read confirms nothing; what nobody read of services goes

Cause: a router that could not read the newest document went on counting its old one as fresh: a key that the newest one takes away would have been served.

--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -81,24 +81,9 @@
     }
 }
 
-/// What engines of a service are like.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EngineSpec {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that fit the memory.
-    pub tokens: u64,
-    /// Models that are served.
-    pub models: Vec<ModelId>,
-}
-
 /// A service of the document.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServiceSpec {
-    /// Connections that one endpoint accepts from all routers.
-    pub connections: Option<u32>,
-    /// Present if its endpoints are model engines.
-    pub engine: Option<EngineSpec>,
     /// Present if it is a store of cached prefixes, which is reached there.
     pub prefixes: Option<SocketAddr>,
 }
@@ -208,16 +193,6 @@
         self.limits
     }
 
-    /// A service.
-    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
-        self.services.get(id)
-    }
-
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &ServiceSpec)> {
-        self.services.iter()
-    }
-
     /// The store of cached prefixes, if there is one.
     pub fn prefix_store(&self) -> Option<SocketAddr> {
         self.services.values().find_map(|service| service.prefixes)
@@ -241,11 +216,6 @@
         let place = key.and_then(|key| keys.get(key));
         place.map_or(Owner::Unknown, |place| Owner::Workspace(&self.workspaces[*place]))
     }
-
-    /// Whether keys decide about anything.
-    pub fn has_keys(&self) -> bool {
-        self.keys.is_some()
-    }
 }
 
 type Workspaces = (Vec<WorkspaceSpec>, Option<HashMap<String, usize>>);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -104,6 +104,8 @@
     turns: Turns,
     /// Loads that were ordered and have not ended.
     running: Arc<AtomicUsize>,
+    /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
+    readable: bool,
     in_touch: bool,
 }
 
@@ -132,6 +134,7 @@
             telling: Telling::default(),
             turns: Turns::default(),
             running: Arc::default(),
+            readable: false,
             in_touch: false,
         }
     }
@@ -190,8 +193,7 @@
     }
 
     fn confirm(&self, confirmed: Option<Duration>) {
-        // Without a document there is nothing that could be fresh.
-        if let (Some(confirmed), Some(_)) = (confirmed, &*self.shared.site.load()) {
+        if let Some(confirmed) = confirmed.filter(|_| self.readable) {
             self.shared.freshness().confirm(confirmed);
         }
     }
@@ -287,8 +289,10 @@
         }
     }
 
-    fn document(&self, item: &Item) {
-        let parts = match (self.shared.dialect.document)(&item.value) {
+    fn document(&mut self, item: &Item) {
+        let read = (self.shared.dialect.document)(&item.value);
+        self.readable = read.is_ok();
+        let parts = match read {
             Ok(parts) => parts,
             Err(err) => {
                 log::error!(why:% = err; "configuration: cannot be read, the last one stays in force");
