--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -4,6 +4,7 @@
 //! notices a doubled order. Only three things prove that a call has not run: no byte of it was sent, the endpoint says
 //! so, or it is another endpoint than the one that was meant and says that.
 
+use crate::site::RouteKind;
 use lifecycle::request::RequestState;
 use std::time::Duration;
 
@@ -104,6 +105,31 @@
     Next::Again
 }
 
+/// Share of the time that is left after which a request that may run twice is tried elsewhere: enough for an answer that is
+/// merely slow, and the second endpoint still has more than half of the time.
+const PATIENCE: f64 = 0.45;
+/// The same for streams: an engine that is full answers late, and what it has read of the prompt by then would be read
+/// again elsewhere.
+const STREAM_PATIENCE: f64 = 0.65;
+/// Silence within a stream after which another endpoint goes on with it. Callers of the sites wait two seconds; an engine
+/// that preempts a request needs some hundred milliseconds to read it in again.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// How long an attempt that was just sent may take until its answer begins. One that can't be followed by another has all
+/// the time that is left: silence is no reason to end it sooner.
+pub fn patience(kind: RouteKind, tried: &Tried) -> Duration {
+    if !tried.repeatable || tried.sent >= tried.attempts {
+        return tried.left;
+    }
+    let share = if kind.streams() { STREAM_PATIENCE } else { PATIENCE };
+    tried.left.mul_f64(share)
+}
+
+/// How long a stream that has begun may be silent before another endpoint goes on with it, where that may be.
+pub fn silence(kind: RouteKind, left: Duration) -> Duration {
+    if kind.repeatable() { left.min(SILENCE) } else { left }
+}
+
 /// Why a request ends without an endpoint's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -1,6 +1,7 @@
 //! What follows a failed attempt, and whether a refusal is true.
 
-use dispatch::attempt::{Cause, Failure, Next, Tried, next, refusal};
+use dispatch::attempt::{Cause, Failure, Next, Tried, next, patience, refusal, silence};
+use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
 use std::time::Duration;
 
@@ -160,3 +161,70 @@
         assert_eq!(refusal(cause, RequestState::Queued).status, 503);
     }
 }
+
+/// An endpoint falls silent. A read is asked of another one while there is time for it; a fan command is waited for to the end, since
+/// it may be running.
+#[test]
+fn silence_ends_only_what_may_go_on_elsewhere() {
+    struct Case {
+        kind: RouteKind,
+        sent: u32,
+        first_ms: u64,
+        within_ms: u64,
+    }
+    let resumable = RouteKind::Stream { resumable: true };
+    let note = RouteKind::Stream { resumable: false };
+    let cases = [
+        Case {
+            kind: RouteKind::Idempotent,
+            sent: 1,
+            first_ms: 1_800,
+            within_ms: 1_200,
+        },
+        Case {
+            kind: RouteKind::Idempotent,
+            sent: 2,
+            first_ms: 4_000,
+            within_ms: 1_200,
+        },
+        Case {
+            kind: resumable,
+            sent: 1,
+            first_ms: 2_600,
+            within_ms: 1_200,
+        },
+        Case {
+            kind: note,
+            sent: 1,
+            first_ms: 4_000,
+            within_ms: 4_000,
+        },
+        Case {
+            kind: RouteKind::Once,
+            sent: 1,
+            first_ms: 4_000,
+            within_ms: 4_000,
+        },
+    ];
+    let left = Duration::from_secs(4);
+    for case in cases {
+        let tried = Tried {
+            sent: case.sent,
+            repeatable: case.kind.repeatable(),
+            left,
+            ..FRESH
+        };
+        assert_eq!(
+            patience(case.kind, &tried),
+            Duration::from_millis(case.first_ms),
+            "{:?}",
+            case.kind
+        );
+        assert_eq!(
+            silence(case.kind, left),
+            Duration::from_millis(case.within_ms),
+            "{:?}",
+            case.kind
+        );
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -126,8 +126,6 @@
 /// Keys of the site in the store.
 #[derive(Debug, Clone, Copy)]
 pub struct StoreKeys {
-    /// Prefix of all that operators write.
-    pub operators: &'static str,
     /// The operators' document.
     pub document: &'static str,
     /// Prefix of wanted weights.
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -20,12 +20,6 @@
 
 /// Longest answer that is not streamed, bytes.
 const ANSWER_BYTES: u64 = 8 << 20;
-/// Share of the time that is left after which a request that may run twice is tried elsewhere, if it may be: enough for
-/// an answer that is merely slow, and the second endpoint still has more than half of the time.
-const PATIENCE: f64 = 0.45;
-/// The same for streams: an engine that is full answers late, and what it has read of the prompt by then would be read
-/// again elsewhere.
-const STREAM_PATIENCE: f64 = 0.65;
 
 /// How a request ended.
 pub enum Finish {
@@ -178,15 +172,7 @@
         if self.life.ended() {
             return false;
         }
-        let tried = Tried {
-            sent: self.sent,
-            unreached: self.unreached,
-            corrected: self.corrected,
-            attempts: self.call.route.attempts,
-            repeatable: self.repeatable(),
-            left: self.left(),
-        };
-        match attempt::next(&tried, failure) {
+        match attempt::next(&self.tried(), failure) {
             Next::AgainFree => true,
             Next::Stop => false,
             Next::Again => {
@@ -226,7 +212,7 @@
             return Attempted::Ended(self.give_up(Cause::EndpointFailed));
         }
         self.sent += 1;
-        let within = self.patience();
+        let within = attempt::patience(self.call.route.kind, &self.tried());
         let conn = self.call.caller.conn.clone();
         match wait(&conn, within, self.exchange(picked, link)).await {
             Waited::Done(Ok((answer, source))) => self.judge(&mut flight, answer, source).await,
@@ -252,14 +238,15 @@
         Attempted::Failed(Failure::Silent)
     }
 
-    /// How long this attempt may take until its answer begins.
-    fn patience(&self) -> Duration {
-        let another = self.repeatable() && self.sent < self.call.route.attempts;
-        if another {
-            let streams = self.call.route.kind.streams();
-            return self.left().mul_f64(if streams { STREAM_PATIENCE } else { PATIENCE });
+    fn tried(&self) -> Tried {
+        Tried {
+            sent: self.sent,
+            unreached: self.unreached,
+            corrected: self.corrected,
+            attempts: self.call.route.attempts,
+            repeatable: self.repeatable(),
+            left: self.left(),
         }
-        self.left()
     }
 
     async fn link(&self, picked: &Picked) -> Waited<Result<Link, ExchangeError>> {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -7,15 +7,10 @@
 use crate::dialect::AnswerFacts;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
-use dispatch::attempt::{Cause, Failure};
+use dispatch::attempt::{self, Cause, Failure};
 use dispatch::fleet::Outcome;
 use http::raw::{Answer, Source};
 use lifecycle::request::RequestEvent;
-use std::time::Duration;
-
-/// Silence within a stream after which another endpoint goes on with it, where that may be. Callers of the sites wait
-/// two seconds; an engine that preempts a request needs some hundred milliseconds to read it in again.
-const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Passes one endpoint's part of a stream on.
 pub(super) struct Relay<'r, 'a, 'f> {
@@ -48,7 +43,7 @@
     pub(super) async fn run(mut self, mut answer: Answer, mut source: Source, facts: &AnswerFacts) -> Attempted {
         let conn = self.attempts.call.caller.conn.clone();
         loop {
-            let within = self.patience();
+            let within = attempt::silence(self.attempts.call.route.kind, self.attempts.left());
             match wait(&conn, within, answer.body.part(&mut source)).await {
                 Waited::Done(Ok(Some(part))) => {
                     let whole = self.attempts.events.push(&part);
@@ -71,14 +66,6 @@
         }
     }
 
-    fn patience(&self) -> Duration {
-        let left = self.attempts.left();
-        if self.attempts.call.route.kind.repeatable() {
-            return left.min(SILENCE);
-        }
-        left
-    }
-
     fn silent(self) -> Attempted {
         self.flight.outcome(Outcome::Silent);
         self.attempts.events.broke();
