One copy each: own calls over HTTP, prefix events, the probe, the isolated workspace

The store's client and calls to endpoints each built a request and read its whole answer: http::raw::Call does both. Events of the store of prefixes stood as two sets of types, copied field by field each way: peers uses those of dispatch. Probe and report were the same call. The isolated workspace was derived in two places from a flag; the history's loss lay in shared state that one task used. Behaviour as before; a call's own header lines now stand before its length, and one without a body says its length is 0 unless it is a GET, as the store's calls did.

--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -8,6 +8,7 @@
 //! one that is wrongly believed missing is sent once more.
 
 use crate::fleet::Part;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,7 +25,7 @@
 const UNDER_WAY: Duration = Duration::from_millis(1_500);
 
 /// One event of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixEvent {
     /// Its number.
     pub number: u64,
@@ -37,9 +38,9 @@
 }
 
 /// A page of events.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixEvents {
-    /// The store's life; another one begins empty.
+    /// The store's life; another one begins empty. 0 if none is known.
     pub life: u64,
     /// Number to ask on from.
     pub next: u64,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use dispatch::rollout::Report;
 use dispatch::site::{EndpointEntry, SiteParts};
 use http::raw::{Headers, RequestHead, ResponseHead};
-use ids::{EndpointId, Fence, ModelId, ServiceId, WorkspaceId};
+use ids::{EndpointId, Fence, ModelId, WorkspaceId};
 use quick_error::quick_error;
 use std::time::Duration;
 use store::items::{Call, Codec, Unreadable};
@@ -155,7 +155,7 @@
     pub facts: fn(&ResponseHead) -> AnswerFacts,
     /// Header lines of an answer for the caller.
     pub answer: fn(&Headers) -> Headers,
-    /// Asks an engine for a report.
+    /// Asks an endpoint for a report. Any answer shows that it is reached, without a slot, for which its health path would wait.
     pub report: fn() -> Call,
     /// An engine's report on a model.
     pub reported: fn(&[u8], &ModelId) -> Result<Report, Unreadable>,
@@ -167,8 +167,6 @@
     pub events: fn(u64, Duration) -> (Call, Headers),
     /// Its answer.
     pub told: fn(&[u8]) -> Result<PrefixEvents, Unreadable>,
-    /// Asks whether an endpoint of a service is well.
-    pub probe: fn(&ServiceId) -> Call,
 }
 
 /// What the holder tells all routers, as it lies in the store under the product's own key. It outlives the holder: its
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -70,6 +70,8 @@
     leader: Option<(VmId, Leader)>,
     /// Routers that were left, and until when.
     left: HashMap<VmId, Duration>,
+    /// Whether the store's history is gone, so that all must be read again.
+    forgotten: bool,
     failures: u32,
 }
 
@@ -83,6 +85,7 @@
             client,
             leader: None,
             left: HashMap::new(),
+            forgotten: false,
             failures: 0,
         }
     }
@@ -90,7 +93,7 @@
     async fn step(&mut self) -> Result<(), ItemsError> {
         self.move_along();
         let revision = self.shared.relay.lock().log.revision();
-        let Some(revision) = revision.filter(|_| !self.shared.forgotten.load(Ordering::SeqCst)) else {
+        let Some(revision) = revision.filter(|_| !self.forgotten) else {
             self.read().await?;
             task::sleep(self.settle()).await;
             return Ok(());
@@ -197,7 +200,7 @@
         let read = self.client.all(ROOT, READ).await;
         self.count("range", read.is_ok());
         let (items, revision) = read?;
-        self.shared.forgotten.store(false, Ordering::SeqCst);
+        self.forgotten = false;
         let event = Event::Read {
             items,
             revision,
@@ -223,7 +226,7 @@
             }
             Watched::Forgotten => {
                 log::warn!(revision = revision; "store: history forgotten, reading all again");
-                self.shared.forgotten.store(true, Ordering::SeqCst);
+                self.forgotten = true;
             }
         }
         Ok(())
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -6,7 +6,7 @@
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::prefixes::PrefixEvents;
-use peers::{Leader, PrefixFollow, PrefixPage};
+use peers::{Leader, PrefixFollow};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -47,7 +47,7 @@
                 failing = false;
                 pace = if page.events.len() >= MANY { BUSY_PACE } else { PACE };
                 shared.relay.prefixes(&page);
-                shared.prefixes().told(&events(page), shared.clock.now());
+                shared.prefixes().told(&page, shared.clock.now());
             }
             Ok(None) => {}
             Err(why) => {
@@ -61,12 +61,12 @@
 }
 
 /// A page of the store's; none if it answers too many at once.
-async fn ask_store(shared: &Shared, address: SocketAddr, next: u64) -> Result<Option<PrefixPage>, String> {
+async fn ask_store(shared: &Shared, address: SocketAddr, next: u64) -> Result<Option<PrefixEvents>, String> {
     let (call, headers) = (shared.dialect.events)(next, WAIT);
     match ask(address, &call, &headers, WAIT + GRACE).await {
         Ok((200, body)) => {
             let told = (shared.dialect.told)(&body).map_err(|err| err.to_string())?;
-            Ok(Some(page(told)))
+            Ok(Some(told))
         }
         Ok((429, _)) => Ok(None),
         Ok((status, _)) => Err(format!("status {status}")),
@@ -75,7 +75,7 @@
 }
 
 /// A page of a router that asks the store; none if it has none yet.
-async fn ask_leader(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixPage>, String> {
+async fn ask_leader(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixEvents>, String> {
     let settings = shared.settings.load_full();
     let leaders = Members::read(shared).leaders(&settings.vm, &settings.domain);
     let mut why = "no router to ask".to_owned();
@@ -91,33 +91,3 @@
     }
     Err(why)
 }
-
-fn page(told: PrefixEvents) -> PrefixPage {
-    let event = |event: dispatch::prefixes::PrefixEvent| peers::PrefixEvent {
-        number: event.number,
-        held: event.held,
-        salt: event.salt,
-        part: event.part,
-    };
-    PrefixPage {
-        life: told.life,
-        next: told.next,
-        gap: told.gap,
-        events: told.events.into_iter().map(event).collect(),
-    }
-}
-
-fn events(page: PrefixPage) -> PrefixEvents {
-    let event = |event: peers::PrefixEvent| dispatch::prefixes::PrefixEvent {
-        number: event.number,
-        held: event.held,
-        salt: event.salt,
-        part: event.part,
-    };
-    PrefixEvents {
-        life: page.life,
-        next: page.next,
-        gap: page.gap,
-        events: page.events.into_iter().map(event).collect(),
-    }
-}
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -2,9 +2,10 @@
 
 use crate::shared::Shared;
 use async_std::future::timeout;
+use dispatch::prefixes::PrefixEvents;
 use futures::FutureExt;
 use futures::channel::oneshot;
-use peers::{Answer, Follow, Followed, PrefixFollow, PrefixPage, RelayItem};
+use peers::{Answer, Follow, Followed, PrefixFollow, RelayItem};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::items::{Change, Item, ItemLog};
@@ -20,7 +21,7 @@
     /// The items.
     pub log: ItemLog,
     waiting: Vec<oneshot::Sender<()>>,
-    prefixes: PrefixPage,
+    prefixes: PrefixEvents,
 }
 
 /// Shared by the control thread, which writes, and by followers' calls.
@@ -48,11 +49,11 @@
     }
 
     /// Events of the store of cached prefixes, as they were read.
-    pub fn prefixes(&self, page: &PrefixPage) {
+    pub fn prefixes(&self, page: &PrefixEvents) {
         let mut known = self.lock();
         let kept = &mut known.prefixes;
         if kept.life != page.life {
-            *kept = PrefixPage::default();
+            *kept = PrefixEvents::default();
         }
         kept.life = page.life;
         kept.next = page.next;
@@ -70,12 +71,12 @@
         }
     }
 
-    fn prefixes_since(&self, follow: &PrefixFollow) -> PrefixPage {
+    fn prefixes_since(&self, follow: &PrefixFollow) -> PrefixEvents {
         let kept = &self.prefixes;
         let first = kept.events.first().map_or(kept.next, |event| event.number);
         let gap = follow.life != kept.life || follow.next < first;
         let newer = kept.events.iter().filter(|event| gap || event.number >= follow.next);
-        PrefixPage {
+        PrefixEvents {
             life: kept.life,
             next: kept.next,
             gap,
--- a/crates/gateway/src/link/call.rs
+++ b/crates/gateway/src/link/call.rs
@@ -1,10 +1,9 @@
 //! Calls of the router's own to endpoints.
 
 use async_std::future::timeout;
-use http::raw::{ExchangeError, HeadError, Headers, connect, exchange};
+use http::raw::{Call, ExchangeError, HeadError, Headers, connect};
 use std::net::SocketAddr;
 use std::time::Duration;
-use store::items::Call;
 
 /// Longest answer to such a call, bytes.
 const ANSWER_BYTES: u64 = 4 << 20;
@@ -19,23 +18,12 @@
     headers: &Headers,
     within: Duration,
 ) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let mut headers = headers.clone();
+    headers.push("Connection", "close");
     let asked = async {
-        let mut source = connect(to, within).await?;
-        let mut bytes = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, to).into_bytes();
-        headers.write(&mut bytes);
-        if !call.body.is_empty() {
-            let lines = format!(
-                "Content-Type: application/json\r\nContent-Length: {}\r\n",
-                call.body.len()
-            );
-            bytes.extend_from_slice(lines.as_bytes());
-        }
-        bytes.extend_from_slice(b"Connection: close\r\n\r\n");
-        bytes.extend_from_slice(&call.body);
-        let mut answer = exchange(&mut source, &bytes, call.method, |_| true).await?;
-        let body = answer.body.whole(&mut source, ANSWER_BYTES).await;
-        let body = body.map_err(|_| ExchangeError::Head(HeadError::Cut))?;
-        Ok((answer.head.status, body))
+        let source = connect(to, within).await?;
+        let called = call.send(source, to, &headers, ANSWER_BYTES).await?;
+        Ok((called.status, called.body))
     };
     timeout(within, asked)
         .await
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -172,7 +172,7 @@
 /// Asks an endpoint that failed whether it is back.
 pub async fn probe(shared: Arc<Shared>, entry: Arc<EndpointEntry>) {
     let asked = shared.clock.now();
-    let call = (shared.dialect.probe)(&entry.service);
+    let call = (shared.dialect.report)();
     let answer = ask(entry.address, &call, &Headers::default(), CALL).await;
     let now = shared.clock.now();
     let outcome = match answer {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -152,12 +152,11 @@
     }
 
     fn choose(&self) -> Result<Picked, Cause> {
-        let isolated = self.call.workspace.filter(|_| self.call.isolated);
         let wish = Wish {
             service: self.call.service,
             avoid: &self.avoid,
             prompt: self.call.wish.prompt.as_ref(),
-            isolated,
+            isolated: self.call.isolated,
         };
         let now = self.shared.clock.now();
         match self.shared.fleet().choose(&wish, rand::random(), now) {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -57,8 +57,8 @@
     pub service: &'a ServiceId,
     /// Its workspace.
     pub workspace: Option<&'a WorkspaceId>,
-    /// Whether that shares no cached prefix.
-    pub isolated: bool,
+    /// The same, if it shares no cached prefix.
+    pub isolated: Option<&'a WorkspaceId>,
     /// Urgency, 0 the most urgent.
     pub rank: u8,
     /// When it must be answered.
@@ -141,7 +141,7 @@
         route,
         service,
         workspace: owner.map(|spec| &spec.id),
-        isolated: owner.is_some_and(|spec| spec.isolated),
+        isolated: owner.filter(|spec| spec.isolated).map(|spec| &spec.id),
         rank: owner.and_then(|spec| spec.rank).unwrap_or(route.rank),
         deadline: caller.arrived + patience,
     })
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -10,8 +10,12 @@
     /// The request as it goes to the endpoint.
     pub(super) fn bytes(&self, picked: &Picked) -> Vec<u8> {
         let caller = self.call.caller;
-        let isolated = self.call.workspace.filter(|_| self.call.isolated);
-        let salt = self.call.wish.prompt.as_ref().map(|_| salt(picked.weights, isolated));
+        let salt = self
+            .call
+            .wish
+            .prompt
+            .as_ref()
+            .map(|_| salt(picked.weights, self.call.isolated));
         let transfers = self.transfers(salt.as_deref(), picked);
         let forward = Forward {
             endpoint: &picked.endpoint.id,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -46,8 +46,6 @@
     pub relay: Relay,
     /// Whether this router watches the store itself.
     pub watches: AtomicBool,
-    /// Whether the store's history is gone, so that all must be read again.
-    pub forgotten: AtomicBool,
     /// Set once a signal to stop has come.
     pub stopping: AtomicBool,
     /// Closed when no new request is taken any more; nothing is ever sent through it.
@@ -87,7 +85,6 @@
             events,
             relay: Relay::default(),
             watches: AtomicBool::new(false),
-            forgotten: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             taking: async_channel::bounded(1),
             listed: AtomicBool::new(false),
--- a/crates/http/src/raw/mod.rs
+++ b/crates/http/src/raw/mod.rs
@@ -5,12 +5,14 @@
 //! came, heads are parsed by `httparse` and bodies are framed here.
 
 mod body;
+mod call;
 mod exchange;
 mod framing;
 mod head;
 mod source;
 
 pub use body::{BodyReader, RawBodyError};
+pub use call::{Call, Called};
 pub use exchange::{Answer, ExchangeError, connect, exchange, watch_peer};
 pub use framing::{Framing, FramingError, request_framing, response_framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::service::PeerError;
 use crate::socket::{self, Traffic};
 use async_std::net::{TcpListener, TcpStream};
+use dispatch::prefixes::PrefixEvents;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -74,36 +75,10 @@
     pub next: u64,
 }
 
-/// One event of the store of cached prefixes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PrefixEvent {
-    /// Its number.
-    pub number: u64,
-    /// Whether the part is held now.
-    pub held: bool,
-    /// Scope that it was made under.
-    pub salt: String,
-    /// The part.
-    pub part: u64,
-}
-
-/// Events of the store of cached prefixes.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PrefixPage {
-    /// The store's life; 0 if none is known.
-    pub life: u64,
-    /// Number to ask on from.
-    pub next: u64,
-    /// Whether events are missing before these.
-    pub gap: bool,
-    /// In order.
-    pub events: Vec<PrefixEvent>,
-}
-
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, PrefixFollow, PrefixPage};
+    use super::{Follow, Followed, PrefixEvents, PrefixFollow};
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -111,7 +86,7 @@
         /// What comes after a revision.
         async fn follow(follow: Follow) -> Followed;
         /// Events of the store of cached prefixes after a number.
-        async fn prefixes(follow: PrefixFollow) -> PrefixPage;
+        async fn prefixes(follow: PrefixFollow) -> PrefixEvents;
     }
 }
 
@@ -126,7 +101,7 @@
     /// What comes after a revision.
     pub follow: Answers<Follow, Followed>,
     /// Events of the store of cached prefixes after a number.
-    pub prefixes: Answers<PrefixFollow, PrefixPage>,
+    pub prefixes: Answers<PrefixFollow, PrefixEvents>,
 }
 
 #[derive(Clone)]
@@ -137,7 +112,7 @@
         (self.0.follow)(follow).await
     }
 
-    async fn prefixes(self, _: Context, follow: PrefixFollow) -> PrefixPage {
+    async fn prefixes(self, _: Context, follow: PrefixFollow) -> PrefixEvents {
         (self.0.prefixes)(follow).await
     }
 }
@@ -210,7 +185,7 @@
     ///
     /// # Errors
     /// The call failed or took too long.
-    pub async fn prefixes(&self, follow: PrefixFollow, within: Duration) -> Result<PrefixPage, PeerError> {
+    pub async fn prefixes(&self, follow: PrefixFollow, within: Duration) -> Result<PrefixEvents, PeerError> {
         let call = self.client.prefixes(deadline_in(within), follow);
         Ok(async_std::future::timeout(within, call).await??)
     }
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -3,7 +3,7 @@
 use super::{Call, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Watched};
 use async_std::future::timeout;
 use async_std::sync::Mutex;
-use http::raw::{ExchangeError, Source, connect, exchange};
+use http::raw::{Headers, Source, connect};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -131,11 +131,12 @@
             Some(source) => source,
             None => self.open(until).await?,
         };
-        let bytes = self.bytes(call);
-        match timeout(left(until), converse(source, &bytes, call.method)).await {
-            Ok(Ok((status, body, source))) => {
-                *kept = source;
-                Ok((status, body))
+        let headers = Headers::default();
+        let sent = call.send(source, self.address, &headers, ANSWER_BYTES);
+        match timeout(left(until), sent).await {
+            Ok(Ok(called)) => {
+                *kept = called.kept;
+                Ok((called.status, called.body))
             }
             Ok(Err(_)) | Err(_) => Err(ItemsError::Lost),
         }
@@ -145,32 +146,6 @@
         let source = connect(self.address, left(until).min(CONNECT)).await;
         source.map_err(|_| ItemsError::NotSent)
     }
-
-    fn bytes(&self, call: &Call) -> Vec<u8> {
-        let mut bytes = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, self.address).into_bytes();
-        if !call.body.is_empty() {
-            let lines = format!(
-                "Content-Type: application/json\r\nContent-Length: {}\r\n",
-                call.body.len()
-            );
-            bytes.extend_from_slice(lines.as_bytes());
-        } else if call.method != "GET" {
-            bytes.extend_from_slice(b"Content-Length: 0\r\n");
-        }
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&call.body);
-        bytes
-    }
-}
-
-type Answered = (u16, Vec<u8>, Option<Source>);
-
-async fn converse(mut source: Source, bytes: &[u8], method: &str) -> Result<Answered, ExchangeError> {
-    let mut answer = exchange(&mut source, bytes, method, |_| true).await?;
-    let body = answer.body.whole(&mut source, ANSWER_BYTES).await;
-    let body = body.map_err(|_| http::raw::HeadError::Cut)?;
-    let keeps = answer.clean && answer.head.keeps();
-    Ok((answer.head.status, body, keeps.then_some(source)))
 }
 
 fn expect_ok(status: u16) -> Result<(), ItemsError> {
--- a/crates/store/src/items/mod.rs
+++ b/crates/store/src/items/mod.rs
@@ -8,7 +8,8 @@
 mod types;
 
 pub use client::Client;
+pub use http::raw::Call;
 pub use log::{ItemLog, Since};
 pub use types::{
-    Call, Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Unreadable, Watched, Write,
+    Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Unreadable, Watched, Write,
 };
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -1,5 +1,6 @@
 //! Values of the service and the codec that brings them to the wire.
 
+use http::raw::Call;
 use quick_error::quick_error;
 use std::time::Duration;
 
@@ -137,17 +138,6 @@
     }
 }
 
-/// A call as it goes out.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Call {
-    /// HTTP method.
-    pub method: &'static str,
-    /// Path and query.
-    pub target: String,
-    /// JSON body, empty for none.
-    pub body: Vec<u8>,
-}
-
 /// How calls and answers look on the wire.
 #[derive(Debug, Clone, Copy)]
 pub struct Codec {
