Prefixes: all stores are used, always asked, and told of in few bytes by routers with wide links

A trial counted what routers tell engines: four in five were told to fetch nothing, and followers' questions for prefix events ran into their time limit 1,273 times in 16 s: as whole events in JSON they fill the 10 Mbit/s of the small VMs that were followed. Besides, the document names three stores, and only the first one was used.

Change: each prefix has its place in one of the stores by rendezvous; an engine is always told to ask there; routers tell each other 32-bit keys of what changed; only routers with at least half of the domain's widest link are followed; one kept connection and one call for all stores.

What is left binds by rollouts of weights: engines that run empty and load, and cold caches after.

--- a/crates/control/src/following.rs
+++ b/crates/control/src/following.rs
@@ -35,6 +35,17 @@
     Routers(Vec<&'a VmId>),
 }
 
+/// Routers with less than this share of their domain's widest link are followed by nobody. A dozen followers take some
+/// 2 Mbit/s, which fills the link of a small VM: its followers hear too late, and its callers wait.
+const WIDE: f64 = 0.5;
+
+/// The routers of a domain whose links bear being followed. `links` are in Mbit/s, 0 for all where they are unknown.
+pub fn wide(links: &[(VmId, f64)]) -> Vec<VmId> {
+    let widest = links.iter().map(|(_, link)| *link).fold(0.0, f64::max);
+    let wide = links.iter().filter(|(_, link)| *link >= widest * WIDE);
+    wide.map(|(vm, _)| vm.clone()).collect()
+}
+
 /// From whom `own` hears, given the routers of its domain. The others are spread over the watchers.
 pub fn lead<'a>(own: &VmId, domain: &DomainId, live: &'a [VmId]) -> Lead<'a> {
     let watchers = choose(domain.as_str(), live, WATCHERS);
--- a/crates/control/tests/following.rs
+++ b/crates/control/tests/following.rs
@@ -1,6 +1,6 @@
 //! What one failure domain asks of the platform.
 
-use control::following::{Follow, Lead, READ_EVERY, WATCHERS, follow, lead};
+use control::following::{Follow, Lead, READ_EVERY, WATCHERS, follow, lead, wide};
 use ids::{DomainId, VmId};
 use std::collections::BTreeMap;
 
@@ -63,3 +63,46 @@
         assert!(most <= size * 2 / 3 + 1, "{most} of {size} follow one router");
     }
 }
+
+/// The small VMs of a domain have links of 10 Mbit/s. One of them is followed by a dozen routers: its link fills up, they hear
+/// too late of what engines may share, and its callers wait.
+#[test]
+fn routers_with_narrow_links_are_not_followed() {
+    struct Case {
+        links: &'static [f64],
+        followed: &'static [usize],
+    }
+    let cases = [
+        Case {
+            links: &[10.0, 200.0, 10.0, 200.0],
+            followed: &[1, 3],
+        },
+        Case {
+            links: &[10.0, 10.0],
+            followed: &[0, 1],
+        },
+        Case {
+            links: &[0.0, 0.0, 0.0],
+            followed: &[0, 1, 2],
+        },
+        Case {
+            links: &[400.0, 700.0],
+            followed: &[0, 1],
+        },
+        Case {
+            links: &[],
+            followed: &[],
+        },
+    ];
+    for case in cases {
+        let vm = |number: usize| VmId::from(format!("vm-{number}"));
+        let links: Vec<(VmId, f64)> = case
+            .links
+            .iter()
+            .enumerate()
+            .map(|(at, link)| (vm(at), *link))
+            .collect();
+        let followed: Vec<VmId> = case.followed.iter().map(|at| vm(*at)).collect();
+        assert_eq!(wide(&links), followed, "{:?}", case.links);
+    }
+}
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -1,17 +1,22 @@
-//! What the store of cached prefixes holds, as far as its events tell.
+//! What the stores of cached prefixes hold, as far as their events tell, and which one keeps a prefix.
 //!
 //! Load pattern: engines' memory holds the prefixes of a few seconds; what yields is read again by the next request, at the
 //! price of a prompt's whole length. The store holds many times more. It is filled by engines that are told to, so each
 //! shared part should be sent there once, and nothing that nobody else will ask for: it drops the least recently used.
 //!
-//! Events come late and with gaps. A part that is wrongly believed to be there costs an engine a vain question of a millisecond;
-//! one that is wrongly believed missing is sent once more.
+//! A site may have several stores. Each prefix has its place in one of them, by the same hash at every router, so that together
+//! they hold as much as they have room for; were one used alone, it would drop within seconds what the others have room for.
+//!
+//! Events come late and with gaps, and latest to routers that hear of them by others. An engine is always told to ask the place
+//! of its prefix: a vain question costs it a millisecond, reading 6,000 tokens again 75. Events only say what need not be sent.
 
 use crate::fleet::Part;
+use placement::{EndpointKey, score};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// A store that has not answered for this long is left alone: an engine that asks a dead one waits for some hundred
 /// milliseconds.
@@ -24,21 +29,32 @@
 /// How long a part counts as sent before an event confirms it: the events' lag and the time until a prompt is read.
 const UNDER_WAY: Duration = Duration::from_millis(1_500);
 
-/// One event of the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Stands for a part within a scope, in 32 bits: routers tell each other hundreds of them a second over links of 10 Mbit/s. Two of
+/// the sites' 20,000 parts share a key with a chance of one in twenty; one of them is then sent too seldom.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartKey(pub u32);
+
+impl PartKey {
+    /// The key of a part that was made under a scope.
+    pub fn new(salt: &str, part: u64) -> Self {
+        let hash = xxh3_64_with_seed(salt.as_bytes(), part);
+        Self((hash >> u32::BITS) as u32)
+    }
+}
+
+/// One event of a store.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PrefixEvent {
     /// Its number.
     pub number: u64,
     /// Whether the part is held now.
     pub held: bool,
-    /// Scope that it was made under.
-    pub salt: String,
-    /// The part.
-    pub part: u64,
+    /// The part, and the scope that it was made under.
+    pub part: PartKey,
 }
 
 /// A page of events.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PrefixEvents {
     /// The store's life; another one begins empty. 0 if none is known.
     pub life: u64,
@@ -67,13 +83,59 @@
     pub save: Option<SocketAddr>,
 }
 
-/// Beliefs about the store.
+/// Beliefs about all stores of a site.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixStores(BTreeMap<SocketAddr, PrefixStore>);
+
+impl PrefixStores {
+    /// Where the stores are; new ones are believed empty.
+    pub fn located(&mut self, addresses: &[SocketAddr]) {
+        self.0.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            let store = self.0.entry(*address).or_default();
+            store.located(Some(*address));
+        }
+    }
+
+    /// A store answered. One that the document doesn't name any more is not believed.
+    pub fn told(&mut self, address: SocketAddr, page: &PrefixEvents, now: Duration) {
+        if let Some(store) = self.0.get_mut(&address) {
+            store.told(page, now);
+        }
+    }
+
+    /// Whether a store has answered lately.
+    pub fn alive(&self, address: SocketAddr, now: Duration) -> bool {
+        self.0.get(&address).is_some_and(|store| store.alive(now))
+    }
+
+    /// The stores, each with its life and the number of the first event that is not known.
+    pub fn positions(&self) -> impl Iterator<Item = (SocketAddr, u64, u64)> {
+        self.0.iter().map(|(address, store)| (*address, store.life, store.next))
+    }
+
+    /// What to tell the engine that gets a prompt of these shared parts.
+    pub fn transfers(&mut self, salt: &str, shared: &[Part], now: Duration) -> Transfers {
+        let Some(last) = shared.last() else {
+            return Transfers::default();
+        };
+        let place = |address: &SocketAddr| score(last.id, EndpointKey(xxh3_64(address.to_string().as_bytes())));
+        let alive = self.0.iter_mut().filter(|(_, store)| store.alive(now));
+        let Some((_, store)) = alive.max_by_key(|(address, _)| place(address)) else {
+            return Transfers::default();
+        };
+        store.transfers(salt, shared, now)
+    }
+}
+
+/// Beliefs about one store.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixStore {
     address: Option<SocketAddr>,
     life: u64,
+    next: u64,
     answered: Option<Duration>,
-    parts: HashMap<String, HashMap<u64, Held>>,
+    parts: HashMap<PartKey, Held>,
 }
 
 impl PrefixStore {
@@ -87,53 +149,47 @@
         }
     }
 
-    /// Where the store is.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.address
+    fn alive(&self, now: Duration) -> bool {
+        self.answered.is_some_and(|at| now.saturating_sub(at) < SILENT)
     }
 
     /// The store answered.
     pub fn told(&mut self, page: &PrefixEvents, now: Duration) {
         self.answered = Some(now);
-        let count: usize = self.parts.values().map(HashMap::len).sum();
-        if page.life != self.life || count > MOST_PARTS {
+        self.next = page.next;
+        if page.life != self.life || self.parts.len() > MOST_PARTS {
             self.parts.clear();
             self.life = page.life;
         }
         for event in &page.events {
-            let scope = self.parts.entry(event.salt.clone()).or_default();
             if event.held {
-                scope.insert(event.part, Held::Confirmed(now));
+                self.parts.insert(event.part, Held::Confirmed(now));
             } else {
-                scope.remove(&event.part);
+                self.parts.remove(&event.part);
             }
         }
-        self.parts.retain(|_, scope| !scope.is_empty());
     }
 
     /// What to tell the engine that gets a prompt of these shared parts.
     pub fn transfers(&mut self, salt: &str, shared: &[Part], now: Duration) -> Transfers {
-        let alive = self.answered.is_some_and(|at| now.saturating_sub(at) < SILENT);
-        if !alive || shared.is_empty() {
+        if !self.alive(now) || shared.is_empty() {
             return Transfers::default();
         }
-        let scope = self.parts.entry(salt.to_owned()).or_default();
-        let trusted = |at: &Duration| now.saturating_sub(*at) < TRUSTED;
-        let holds = |part: &Part| matches!(scope.get(&part.id), Some(Held::Confirmed(_)));
-        let fetch = shared.iter().any(holds);
-        let sent = |part: &Part| match scope.get(&part.id) {
-            Some(Held::Confirmed(at)) => trusted(at),
+        let sent = |part: &PartKey| match self.parts.get(part) {
+            Some(Held::Confirmed(at)) => now.saturating_sub(*at) < TRUSTED,
             Some(Held::Sent(at)) => now.saturating_sub(*at) < UNDER_WAY,
             None => false,
         };
-        let missing: Vec<u64> = shared.iter().filter(|part| !sent(part)).map(|part| part.id).collect();
+        let keys = shared.iter().map(|part| PartKey::new(salt, part.id));
+        let missing: Vec<PartKey> = keys.filter(|key| !sent(key)).collect();
         let save = !missing.is_empty();
         for part in missing {
-            let there = matches!(scope.get(&part), Some(Held::Confirmed(_)));
-            scope.insert(part, if there { Held::Confirmed(now) } else { Held::Sent(now) });
+            let there = matches!(self.parts.get(&part), Some(Held::Confirmed(_)));
+            let held = if there { Held::Confirmed(now) } else { Held::Sent(now) };
+            self.parts.insert(part, held);
         }
         Transfers {
-            fetch: self.address.filter(|_| fetch),
+            fetch: self.address,
             save: self.address.filter(|_| save),
         }
     }
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -193,9 +193,9 @@
         self.limits
     }
 
-    /// The store of cached prefixes, if there is one.
-    pub fn prefix_store(&self) -> Option<SocketAddr> {
-        self.services.values().find_map(|service| service.prefixes)
+    /// The stores of cached prefixes.
+    pub fn prefix_stores(&self) -> Vec<SocketAddr> {
+        self.services.values().filter_map(|service| service.prefixes).collect()
     }
 
     /// The route of a request. A port in `host` doesn't count, nor does its case.
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use async_std::task;
-use control::following::{Lead, lead};
+use control::following::{Lead, lead, wide};
 use ids::{DomainId, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -24,18 +24,21 @@
 const CALL: Duration = Duration::from_millis(1_000);
 
 /// A router's entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its failure domain.
     pub domain: DomainId,
     /// Where it answers followers.
     pub address: SocketAddr,
+    /// Its VM's link, Mbit/s; 0 where all VMs are alike.
+    #[serde(default)]
+    pub link: f64,
 }
 
 /// Routers of the own failure domain, and how many there are in all.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Members {
-    near: Vec<(VmId, SocketAddr)>,
+    near: Vec<(VmId, Member)>,
     /// Routers of the deployment.
     pub all: u32,
 }
@@ -54,7 +57,7 @@
             members.all += 1;
             if member.domain == own.domain {
                 let vm = item.key.trim_start_matches(PREFIX);
-                members.near.push((VmId::from(vm), member.address));
+                members.near.push((VmId::from(vm), member));
             }
         }
         members
@@ -62,12 +65,14 @@
 
     /// Whom this router follows, the best first; none if it watches the store itself.
     pub fn leaders(&self, own: &VmId, domain: &DomainId) -> Vec<(VmId, SocketAddr)> {
-        let live: Vec<VmId> = self.near.iter().map(|(vm, _)| vm.clone()).collect();
-        let Lead::Routers(leaders) = lead(own, domain, &live) else {
+        let links: Vec<(VmId, f64)> = self.near.iter().map(|(vm, member)| (vm.clone(), member.link)).collect();
+        let followed = wide(&links);
+        let Lead::Routers(leaders) = lead(own, domain, &followed) else {
             return Vec::new();
         };
-        let address = |vm: &VmId| self.near.iter().find(|(known, _)| known == vm).cloned();
-        leaders.into_iter().filter_map(address).collect()
+        let member = |vm: &VmId| self.near.iter().find(|(known, _)| known == vm);
+        let leaders = leaders.into_iter().filter_map(member);
+        leaders.map(|(vm, member)| (vm.clone(), member.address)).collect()
     }
 }
 
@@ -108,6 +113,7 @@
     let member = Member {
         domain: settings.domain.clone(),
         address,
+        link: settings.link_mbps.unwrap_or_default(),
     };
     let transaction = Transaction {
         expected: Vec::new(),
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -1,69 +1,101 @@
-//! Follows the events of the store of cached prefixes: directly where this router watches the store, by another router
-//! otherwise, since the store of prefixes answers few at a time.
+//! Follows the events of the stores of cached prefixes: directly where this router watches the site's store, by another
+//! router otherwise, since a store of prefixes answers few at a time.
 
-use super::Members;
+use super::{Members, relay};
 use crate::link::ask;
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::prefixes::PrefixEvents;
-use peers::{Leader, PrefixFollow};
+use ids::VmId;
+use peers::{Leader, PeerError, PrefixFollow, PrefixPage};
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Least time between two questions: what the store tells is late by some hundred milliseconds anyway.
+/// Least time between two questions: what a store tells is late by some hundred milliseconds anyway.
 const PACE: Duration = Duration::from_millis(600);
-/// Least time while a page brings many events: the store keeps only the newest, several hundred of them.
+/// Least time while a page brings many events: a store keeps only the newest, several hundred of them.
 const BUSY_PACE: Duration = Duration::from_millis(150);
-/// Events of a page from which on the store counts as busy.
+/// Events of a page from which on a store counts as busy.
 const MANY: usize = 150;
-/// How long the store may wait for the first event; shorter waits cost as much as a probe.
+/// How long a store may wait for the first event; shorter waits cost as much as a probe.
 const WAIT: Duration = Duration::from_millis(400);
 /// How much longer its answer may take.
 const GRACE: Duration = Duration::from_millis(400);
+/// Longest wait for another router's answer. The first one may hold some thousand parts.
+const FOLLOW: Duration = Duration::from_millis(1_000);
 
-/// Follows the store until the process ends.
+/// Stores that are being watched. Each has a task of its own, so that a silent one does not hold up the others' events.
+#[derive(Clone, Default)]
+struct Watches(Arc<Mutex<HashSet<SocketAddr>>>);
+
+impl Watches {
+    fn lock(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the stores until the process ends.
 pub async fn follow_prefixes(shared: Arc<Shared>) {
-    let mut position = PrefixFollow::default();
-    let mut failing = false;
-    let mut pace = PACE;
+    let watches = Watches::default();
+    let mut leader = None;
     loop {
-        task::sleep(pace).await;
-        let address = shared.site.load().as_ref().and_then(|site| site.prefix_store());
-        shared.prefixes().located(address);
-        let Some(address) = address else { continue };
-        let page = if shared.watches.load(Ordering::SeqCst) {
-            ask_store(&shared, address, position.next).await
-        } else {
-            ask_leader(&shared, &position).await
-        };
-        match page {
+        task::sleep(PACE).await;
+        let stores = shared.site.load().as_ref().map(|site| site.prefix_stores());
+        let stores = stores.unwrap_or_default();
+        shared.prefixes().located(&stores);
+        shared.relay.keep_prefixes(&stores);
+        if !shared.watches.load(Ordering::SeqCst) {
+            follow_leader(&shared, &mut leader).await;
+            continue;
+        }
+        for store in stores {
+            if watches.lock().insert(store) {
+                task::spawn(watch(shared.clone(), watches.clone(), store));
+            }
+        }
+    }
+}
+
+fn positions(shared: &Shared) -> Vec<PrefixFollow> {
+    let prefixes = shared.prefixes();
+    let follow = |(store, life, next)| PrefixFollow { store, life, next };
+    prefixes.positions().map(follow).collect()
+}
+
+/// Asks one store again and again, while this router is to watch and the document names the store.
+async fn watch(shared: Arc<Shared>, watches: Watches, store: SocketAddr) {
+    let mut failing = false;
+    while shared.watches.load(Ordering::SeqCst) {
+        let position = positions(&shared).into_iter().find(|follow| follow.store == store);
+        let Some(position) = position else { break };
+        let mut pace = PACE;
+        match ask_store(&shared, &position).await {
             Ok(Some(page)) => {
-                position = PrefixFollow {
-                    life: page.life,
-                    next: page.next,
-                };
                 failing = false;
                 pace = if page.events.len() >= MANY { BUSY_PACE } else { PACE };
-                shared.relay.prefixes(&page);
-                shared.prefixes().told(&page, shared.clock.now());
+                shared.relay.prefixes(store, &page);
+                shared.prefixes().told(store, &page, shared.clock.now());
             }
             Ok(None) => {}
             Err(why) => {
                 if !failing {
-                    log::warn!(why = why.as_str(); "prefix store: lost");
+                    log::warn!(store:% = store, why = why.as_str(); "prefix store: lost");
                 }
                 failing = true;
             }
         }
+        task::sleep(pace).await;
     }
+    watches.lock().remove(&store);
 }
 
-/// A page of the store's; none if it answers too many at once.
-async fn ask_store(shared: &Shared, address: SocketAddr, next: u64) -> Result<Option<PrefixEvents>, String> {
-    let (call, headers) = (shared.dialect.events)(next, WAIT);
-    match ask(address, &call, &headers, WAIT + GRACE).await {
+/// A page of a store's; none if it answers too many at once.
+async fn ask_store(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixEvents>, String> {
+    let (call, headers) = (shared.dialect.events)(position.next, WAIT);
+    match ask(position.store, &call, &headers, WAIT + GRACE).await {
         Ok((200, body)) => {
             let told = (shared.dialect.told)(&body).map_err(|err| err.to_string())?;
             Ok(Some(told))
@@ -74,20 +106,37 @@
     }
 }
 
-/// A page of a router that asks the store; none if it has none yet.
-async fn ask_leader(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixEvents>, String> {
+/// Asks a router that watches; the connection that answered is kept.
+async fn follow_leader(shared: &Shared, kept: &mut Option<(VmId, Leader)>) {
     let settings = shared.settings.load_full();
     let leaders = Members::read(shared).leaders(&settings.vm, &settings.domain);
-    let mut why = "no router to ask".to_owned();
-    for (_, address) in leaders {
-        let asked = async {
-            let leader = Leader::connect(address, GRACE).await?;
-            leader.prefixes(*position, GRACE).await
-        };
-        match asked.await {
-            Ok(page) => return Ok((page.life != 0).then_some(page)),
-            Err(err) => why = err.to_string(),
+    for (vm, address) in leaders {
+        let known = kept.take().filter(|(known, _)| *known == vm);
+        match ask_leader(shared, known.map(|(_, leader)| leader), address).await {
+            Ok((leader, pages)) => {
+                *kept = Some((vm, leader));
+                let now = shared.clock.now();
+                for page in pages {
+                    let told = relay::events(&page);
+                    shared.relay.prefixes(page.store, &told);
+                    shared.prefixes().told(page.store, &told, now);
+                }
+                return;
+            }
+            Err(err) => log::debug!(router = vm.as_str(), why:% = err; "prefix store: a router does not answer"),
         }
     }
-    Err(why)
+}
+
+async fn ask_leader(
+    shared: &Shared,
+    known: Option<Leader>,
+    address: SocketAddr,
+) -> Result<(Leader, Vec<PrefixPage>), PeerError> {
+    let leader = match known {
+        Some(leader) => leader,
+        None => Leader::connect(address, FOLLOW).await?,
+    };
+    let pages = leader.prefixes(positions(shared), FOLLOW).await?;
+    Ok((leader, pages))
 }
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -2,17 +2,19 @@
 
 use crate::shared::Shared;
 use async_std::future::timeout;
-use dispatch::prefixes::PrefixEvents;
+use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
 use futures::FutureExt;
 use futures::channel::oneshot;
-use peers::{Answer, Follow, Followed, PrefixFollow, RelayItem};
+use peers::{Answer, Follow, Followed, PrefixFollow, PrefixPage, RelayItem};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::items::{Change, Item, ItemLog};
 
 /// Longest time that an answer waits, whatever the follower says.
 const MOST_WAIT: Duration = Duration::from_secs(2);
-/// Events of the store of cached prefixes that are kept for followers: several seconds of a grown site.
+/// Events of each store of cached prefixes that are kept for followers: several seconds of a grown site.
 const PREFIX_EVENTS: usize = 8_000;
 
 /// The items, and followers that wait for the next change.
@@ -21,7 +23,7 @@
     /// The items.
     pub log: ItemLog,
     waiting: Vec<oneshot::Sender<()>>,
-    prefixes: PrefixEvents,
+    prefixes: BTreeMap<SocketAddr, PrefixEvents>,
 }
 
 /// Shared by the control thread, which writes, and by followers' calls.
@@ -48,10 +50,15 @@
         known.wake();
     }
 
-    /// Events of the store of cached prefixes, as they were read.
-    pub fn prefixes(&self, page: &PrefixEvents) {
+    /// Stores of cached prefixes that the document names; what is known of others goes.
+    pub fn keep_prefixes(&self, stores: &[SocketAddr]) {
+        self.lock().prefixes.retain(|store, _| stores.contains(store));
+    }
+
+    /// Events of a store of cached prefixes, as they were read.
+    pub fn prefixes(&self, store: SocketAddr, page: &PrefixEvents) {
         let mut known = self.lock();
-        let kept = &mut known.prefixes;
+        let kept = known.prefixes.entry(store).or_default();
         if kept.life != page.life {
             *kept = PrefixEvents::default();
         }
@@ -71,17 +78,24 @@
         }
     }
 
-    fn prefixes_since(&self, follow: &PrefixFollow) -> PrefixEvents {
-        let kept = &self.prefixes;
+    fn prefixes_since(&self, follow: &PrefixFollow) -> Option<PrefixPage> {
+        let kept = self.prefixes.get(&follow.store)?;
         let first = kept.events.first().map_or(kept.next, |event| event.number);
         let gap = follow.life != kept.life || follow.next < first;
         let newer = kept.events.iter().filter(|event| gap || event.number >= follow.next);
-        PrefixEvents {
+        // What became of a part last is what counts.
+        let states: BTreeMap<PartKey, bool> = newer.map(|event| (event.part, event.held)).collect();
+        let parts = |wanted: bool| {
+            let parts = states.iter().filter(move |(_, held)| **held == wanted);
+            parts.map(|(part, _)| *part).collect()
+        };
+        Some(PrefixPage {
+            store: follow.store,
             life: kept.life,
             next: kept.next,
-            gap,
-            events: newer.cloned().collect(),
-        }
+            held: parts(true),
+            gone: parts(false),
+        })
     }
 }
 
@@ -91,8 +105,16 @@
     Answer {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
-            let page = prefixes.relay.lock().prefixes_since(&follow);
-            futures::future::ready(page).boxed()
+            let now = prefixes.clock.now();
+            // What a silent store told last says nothing of now: engines would wait for it in vain.
+            let alive = |follow: &&PrefixFollow| prefixes.prefixes().alive(follow.store, now);
+            let asked: Vec<&PrefixFollow> = follow.iter().filter(alive).collect();
+            let known = prefixes.relay.lock();
+            let pages = asked
+                .into_iter()
+                .filter_map(|follow| known.prefixes_since(follow))
+                .collect();
+            futures::future::ready(pages).boxed()
         }),
     }
 }
@@ -145,3 +167,22 @@
         lease: relayed.lease,
     }
 }
+
+/// A page as a follower gets it, as events that came right before its end.
+pub fn events(page: &PrefixPage) -> PrefixEvents {
+    let number = page.next.saturating_sub(1);
+    let event = |held: bool| {
+        move |part: &PartKey| PrefixEvent {
+            number,
+            held,
+            part: *part,
+        }
+    };
+    let gone = page.gone.iter().map(event(false));
+    PrefixEvents {
+        life: page.life,
+        next: page.next,
+        gap: false,
+        events: gone.chain(page.held.iter().map(event(true))).collect(),
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
+    /// This VM's link, Mbit/s; absent where all VMs are alike.
+    pub link_mbps: Option<f64>,
     /// Bounds that the site promises its users.
     #[serde(default)]
     pub bounds: Bounds,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,7 +11,7 @@
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
-use dispatch::prefixes::PrefixStore;
+use dispatch::prefixes::PrefixStores;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
 use ids::Revision;
@@ -35,7 +35,7 @@
     /// What is believed of endpoints; never locked across an await.
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
-    prefixes: Mutex<PrefixStore>,
+    prefixes: Mutex<PrefixStores>,
     /// Connections to endpoints.
     pub links: Links,
     /// Counters.
@@ -103,8 +103,8 @@
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What the store of cached prefixes is believed to hold.
-    pub fn prefixes(&self) -> MutexGuard<'_, PrefixStore> {
+    /// What the stores of cached prefixes are believed to hold.
+    pub fn prefixes(&self) -> MutexGuard<'_, PrefixStores> {
         self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -8,7 +8,7 @@
 use crate::service::PeerError;
 use crate::socket::{self, Traffic};
 use async_std::net::{TcpListener, TcpStream};
-use dispatch::prefixes::PrefixEvents;
+use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -66,27 +66,45 @@
     pub age_ms: Option<u64>,
 }
 
-/// Asks for events of the store of cached prefixes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Asks for events of a store of cached prefixes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixFollow {
+    /// Where the store is.
+    pub store: SocketAddr,
     /// The store's life that the number belongs to.
     pub life: u64,
     /// Number of the first event that is not known.
     pub next: u64,
 }
 
+/// What has changed in one store of cached prefixes. Keys only: as whole events, with scopes and identifiers in text, they
+/// filled a link of 10 Mbit/s, and followers heard nothing in time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixPage {
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// The store's life.
+    pub life: u64,
+    /// Number to ask on from.
+    pub next: u64,
+    /// Parts that it holds by now.
+    pub held: Vec<PartKey>,
+    /// Parts that it has dropped.
+    pub gone: Vec<PartKey>,
+}
+
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, PrefixEvents, PrefixFollow};
+    use super::{Follow, Followed, PrefixFollow, PrefixPage};
 
     /// What a router answers to its followers.
     #[tarpc::service]
     pub trait Relay {
         /// What comes after a revision.
         async fn follow(follow: Follow) -> Followed;
-        /// Events of the store of cached prefixes after a number.
-        async fn prefixes(follow: PrefixFollow) -> PrefixEvents;
+        /// Events of stores of cached prefixes, of each after a number.
+        async fn prefixes(follow: Vec<PrefixFollow>) -> Vec<PrefixPage>;
     }
 }
 
@@ -100,8 +118,8 @@
 pub struct Answer {
     /// What comes after a revision.
     pub follow: Answers<Follow, Followed>,
-    /// Events of the store of cached prefixes after a number.
-    pub prefixes: Answers<PrefixFollow, PrefixEvents>,
+    /// Events of stores of cached prefixes, of each after a number.
+    pub prefixes: Answers<Vec<PrefixFollow>, Vec<PrefixPage>>,
 }
 
 #[derive(Clone)]
@@ -112,7 +130,7 @@
         (self.0.follow)(follow).await
     }
 
-    async fn prefixes(self, _: Context, follow: PrefixFollow) -> PrefixEvents {
+    async fn prefixes(self, _: Context, follow: Vec<PrefixFollow>) -> Vec<PrefixPage> {
         (self.0.prefixes)(follow).await
     }
 }
@@ -181,11 +199,11 @@
         Ok(async_std::future::timeout(within, call).await??)
     }
 
-    /// Events of the store of cached prefixes after a number.
+    /// Events of stores of cached prefixes, of each after a number. A store that the other router has no word of is left out.
     ///
     /// # Errors
     /// The call failed or took too long.
-    pub async fn prefixes(&self, follow: PrefixFollow, within: Duration) -> Result<PrefixEvents, PeerError> {
+    pub async fn prefixes(&self, follow: Vec<PrefixFollow>, within: Duration) -> Result<Vec<PrefixPage>, PeerError> {
         let call = self.client.prefixes(deadline_in(within), follow);
         Ok(async_std::future::timeout(within, call).await??)
     }
