Choice: engines with new weights get a third more than their share while others have old ones

Cause: a penalty of 150 ms for replaced weights sent nearly all prompts to the first few engines with new weights, from routers that don't see how full these are. Ruled out: other routers' load seen in time; a router meets an engine once in ten seconds or more. Change: as many prompts prefer new weights as these engines have room for, drawn by their prefix so that it stays together.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,6 +1,6 @@
 //! Which endpoints may serve a request at all.
 
-use super::{Fleet, Named, Wish};
+use super::{Fleet, Named, Prompt, Wish};
 use control::health::Belief;
 use ids::{EndpointId, ModelId};
 use std::time::Duration;
@@ -12,6 +12,10 @@
 /// Time after which answers on older weights are worth less to callers: before it no endpoint could have loaded them.
 const FIRST_USE: Duration = Duration::from_millis(1_200);
 
+/// How much more work an engine with new weights gets than its share while others still have old ones. Answers on old weights lose
+/// a fifth of their worth for callers, late ones up to nine tenths.
+const MORE_WORK: f64 = 0.3;
+
 /// What is left to choose from.
 pub(super) enum Standing {
     Some(Vec<EndpointId>),
@@ -37,7 +41,7 @@
             .cloned()
             .collect();
         let open = match wish.prompt {
-            Some(prompt) => self.weighed(open, &prompt.model, now),
+            Some(prompt) => self.renewed(self.weighed(open, &prompt.model, now), prompt, now),
             None => open,
         };
         let open = match wish.prompt {
@@ -88,12 +92,31 @@
         names.iter().rev().find(late).map_or(0, |named| named.weights)
     }
 
-    /// Whether newer weights than these were named a while ago.
-    pub(super) fn replaced(&self, model: &ModelId, weights: u64, now: Duration) -> bool {
-        let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
-        let newest = names.last();
-        newest.is_some_and(|named| weights < named.weights && named.for_longer(FIRST_USE, now))
+    /// Leaves out engines with replaced weights for as many prompts as the others have room for. Were they left out for all, the
+    /// first engines with new weights would get the whole pool's requests, from routers that don't see how full they are.
+    fn renewed(&self, open: Vec<EndpointId>, prompt: &Prompt, now: Duration) -> Vec<EndpointId> {
+        let names = self.wanted.get(&prompt.model).map_or(&[][..], Vec::as_slice);
+        let newest = names.last().filter(|named| named.for_longer(FIRST_USE, now));
+        let Some(newest) = newest.map(|named| named.weights) else {
+            return open;
+        };
+        let has = |id: &&EndpointId| self.weights(id, &prompt.model).is_none_or(|weights| weights >= newest);
+        let renewed: Vec<EndpointId> = open.iter().filter(has).cloned().collect();
+        if renewed.is_empty() || prompt.draw() >= preferred(renewed.len(), open.len()) {
+            return open;
+        }
+        renewed
+    }
+}
+
+/// How many of those that would otherwise go to an engine with old weights go to one with new ones, while `renewed` of `all` have
+/// these.
+fn preferred(renewed: usize, all: usize) -> f64 {
+    let old = all.saturating_sub(renewed);
+    if old == 0 {
+        return 1.0;
     }
+    MORE_WORK * renewed as f64 / old as f64
 }
 
 /// The candidates that pass the first test that any of them passes.
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -18,9 +18,6 @@
 const WAITING_TOKENS: f64 = 1_500.0;
 /// What a running request costs a new one, as prompt tokens: each step of the batch takes longer by it.
 const RUNNING_TOKENS: f64 = 60.0;
-/// What weights that were replaced cost a request, as prompt tokens that it would wait for: a fifth of an answer's worth,
-/// against most of it when the first event is later than the objective of some hundred milliseconds.
-const REPLACED_TOKENS: u64 = 12_000;
 /// Prompt tokens that an engine of the sites reads in the time that one generated token takes of a full batch: a step of some
 /// 5 ms for 12 to 24 tokens, and 82 prompt tokens a millisecond.
 const GENERATED_TOKENS: u64 = 20;
@@ -31,6 +28,9 @@
 /// Bits of an incarnation's number that are left to the weights: an engine drops its cache for new ones.
 const WEIGHTS_BITS: u32 = 16;
 
+/// Seed of the number that is drawn for a prefix.
+const DRAW: u64 = 0xd4a3;
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -65,6 +65,14 @@
         self.output * GENERATED_TOKENS > self.tokens
     }
 
+    /// A number from 0 to 1 that is drawn for the innermost shared prefix, the same at every router, so that its requests stay
+    /// together.
+    pub(super) fn draw(&self) -> f64 {
+        let last = self.shared().last().or(self.parts.last());
+        let hash = last.map_or(0, |part| xxh3_64_with_seed(&part.id.to_le_bytes(), DRAW));
+        hash as f64 / u64::MAX as f64
+    }
+
     fn chain(&self, seed: u64) -> PrefixChain {
         let mut blocks = Vec::new();
         let mut levels = Vec::new();
@@ -124,15 +132,13 @@
         let known = self.known.get(id)?;
         let others = known.waiting(now) * WAITING_TOKENS + known.running(now) * RUNNING_TOKENS;
         let weights = known.weights(&prompt.model).unwrap_or_default();
-        let replaced = self.replaced(&prompt.model, weights, now);
-        let penalty = if replaced { REPLACED_TOKENS } else { 0 };
         Some(Candidate {
             endpoint: EndpointKey::from(id),
             incarnation: Incarnation((known.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
-            queued: known.prefill() + others as u64 + penalty,
+            queued: known.prefill() + others as u64,
             speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
             weight: 1.0,
         })
