Choice: routers of a domain tell each other endpoints' loads

Cause: a router of the grown sites meets each engine once in ten seconds and more, so that a load report, which counts for a second, is nearly always too old; spilled requests went to engines drawn blindly. Ruled out: polling engines (720 probes a second over four domains).

--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -1,7 +1,9 @@
 //! One endpoint as a router knows it.
 
 use crate::site::EndpointEntry;
-use ids::ModelId;
+use ids::{EndpointId, ModelId};
+use placement::EndpointKey;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +29,39 @@
     pub waiting: u32,
 }
 
+/// A load report that routers tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadNews {
+    /// Whose.
+    pub endpoint: ShortKey,
+    /// The report.
+    pub report: LoadReport,
+    /// When an endpoint's answer told it, to this router or another.
+    pub told: Duration,
+}
+
+/// Stands for an endpoint between routers, in 32 bits: a domain's routers tell each other hundreds of reports a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShortKey(pub u32);
+
+impl From<&EndpointId> for ShortKey {
+    fn from(id: &EndpointId) -> Self {
+        Self((EndpointKey::from(id).0 >> u32::BITS) as u32)
+    }
+}
+
+/// The newest report, and how it was heard of.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Heard {
+    pub(super) report: LoadReport,
+    /// When an endpoint's answer told it.
+    pub(super) told: Duration,
+    /// When this router heard of it.
+    pub(super) heard: Duration,
+    /// Whether the answer was to this router.
+    pub(super) own: bool,
+}
+
 /// What came of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -51,7 +86,7 @@
     in_flight: u32,
     /// Prompt tokens of this router's requests that have not been read yet.
     prefill: u64,
-    report: Option<(LoadReport, Duration)>,
+    report: Option<Heard>,
     /// Share of attempts that failed, running mean, and when it last changed.
     trouble: (f64, Duration),
     /// Seconds until an answer, running mean.
@@ -116,8 +151,15 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    pub(super) fn reported(&mut self, report: LoadReport, now: Duration) {
-        self.report = Some((report, now));
+    /// Keeps the newest report, by when it was told.
+    pub(super) fn reported(&mut self, heard: Heard) {
+        if self.report.is_none_or(|known| known.told <= heard.told) {
+            self.report = Some(heard);
+        }
+    }
+
+    pub(super) fn report(&self) -> Option<&Heard> {
+        self.report.as_ref()
     }
 
     pub(super) fn outcome(&mut self, outcome: Outcome, now: Duration) {
@@ -168,8 +210,8 @@
     }
 
     fn faded(&self, now: Duration, count: impl Fn(LoadReport) -> u32) -> f64 {
-        let Some((report, at)) = self.report else { return 0.0 };
-        let age = now.saturating_sub(at).as_secs_f64();
-        f64::from(count(report)) * 0.5_f64.powf(age / REPORT_HALF)
+        let Some(known) = self.report else { return 0.0 };
+        let age = now.saturating_sub(known.told).as_secs_f64();
+        f64::from(count(known.report)) * 0.5_f64.powf(age / REPORT_HALF)
     }
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -11,14 +11,14 @@
 mod plain;
 
 pub use engines::{Part, Prompt};
-pub use known::{LoadReport, Outcome};
+pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
 
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use candidates::Standing;
 use control::health::{self, EndpointHealth};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId};
-use known::Known;
+use known::{Heard, Known};
 use placement::Placer;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -225,7 +225,40 @@
     /// An endpoint told its load.
     pub fn reported(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
         if let Some(known) = self.known.get_mut(id) {
-            known.reported(report, now);
+            known.reported(Heard {
+                report,
+                told: now,
+                heard: now,
+                own: true,
+            });
+        }
+    }
+
+    /// Reports that this router has heard of after `since`; only those of its own answers, or all.
+    pub fn load_news(&self, since: Duration, own: bool) -> Vec<LoadNews> {
+        let news = self.known.iter().filter_map(|(id, known)| Some((id, known.report()?)));
+        let news = news.filter(|(_, heard)| heard.heard > since && (heard.own || !own));
+        let news = news.map(|(id, heard)| LoadNews {
+            endpoint: ShortKey::from(id),
+            report: heard.report,
+            told: heard.told,
+        });
+        news.collect()
+    }
+
+    /// Another router told what it heard. A router meets an endpoint of a large pool once in ten seconds; its neighbours
+    /// together meet it several times a second.
+    pub fn hear_loads(&mut self, news: &[LoadNews], now: Duration) {
+        let news: HashMap<ShortKey, &LoadNews> = news.iter().map(|news| (news.endpoint, news)).collect();
+        for (id, known) in &mut self.known {
+            if let Some(news) = news.get(&ShortKey::from(id)) {
+                known.reported(Heard {
+                    report: news.report,
+                    told: news.told,
+                    heard: now,
+                    own: false,
+                });
+            }
         }
     }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -4,6 +4,7 @@
 //! priced. Each answer also proves how fresh the document is, so nobody waits long for one: a router that hears nothing
 //! for longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
 
+pub mod loads;
 mod members;
 mod prefixes;
 pub mod relay;
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -1,7 +1,7 @@
 //! Follows the events of the stores of cached prefixes: directly where this router watches the site's store, by another
 //! router otherwise, since a store of prefixes answers few at a time.
 
-use super::{Members, relay};
+use super::{Members, loads, relay};
 use crate::link::ask;
 use crate::shared::Shared;
 use async_std::task;
@@ -16,6 +16,8 @@
 
 /// Least time between two questions: what a store tells is late by some hundred milliseconds anyway.
 const PACE: Duration = Duration::from_millis(600);
+/// Time between two questions to another router: what it tells of endpoints' loads is worth little after a second.
+const FOLLOW_PACE: Duration = Duration::from_millis(400);
 /// Least time while a page brings many events: a store keeps only the newest, several hundred of them.
 const BUSY_PACE: Duration = Duration::from_millis(150);
 /// Events of a page from which on a store counts as busy.
@@ -37,12 +39,21 @@
     }
 }
 
+/// A connection to the router that is followed.
+struct Kept {
+    vm: VmId,
+    leader: Leader,
+    /// When it was asked last.
+    last: Duration,
+}
+
 /// Follows the stores until the process ends.
 pub async fn follow_prefixes(shared: Arc<Shared>) {
     let watches = Watches::default();
     let mut leader = None;
     loop {
-        task::sleep(PACE).await;
+        let pace = if leader.is_some() { FOLLOW_PACE } else { PACE };
+        task::sleep(pace).await;
         let stores = shared.site.load().as_ref().map(|site| site.prefix_stores());
         let stores = stores.unwrap_or_default();
         shared.prefixes().located(&stores);
@@ -107,14 +118,19 @@
 }
 
 /// Asks a router that watches; the connection that answered is kept.
-async fn follow_leader(shared: &Shared, kept: &mut Option<(VmId, Leader)>) {
+async fn follow_leader(shared: &Shared, kept: &mut Option<Kept>) {
     let settings = shared.settings.load_full();
     let leaders = Members::read(shared).leaders(&settings.vm, &settings.domain);
     for (vm, address) in leaders {
-        let known = kept.take().filter(|(known, _)| *known == vm);
-        match ask_leader(shared, known.map(|(_, leader)| leader), address).await {
-            Ok((leader, pages)) => {
-                *kept = Some((vm, leader));
+        let known = kept.take().filter(|known| known.vm == vm);
+        let last = known.as_ref().map(|known| known.last).unwrap_or_default();
+        match ask_leader(shared, known.map(|known| known.leader), address, last).await {
+            Ok((leader, pages, asked)) => {
+                *kept = Some(Kept {
+                    vm,
+                    leader,
+                    last: asked,
+                });
                 let now = shared.clock.now();
                 for page in pages {
                     let told = relay::events(&page);
@@ -132,11 +148,19 @@
     shared: &Shared,
     known: Option<Leader>,
     address: SocketAddr,
-) -> Result<(Leader, Vec<PrefixPage>), PeerError> {
+    last: Duration,
+) -> Result<(Leader, Vec<PrefixPage>, Duration), PeerError> {
     let leader = match known {
         Some(leader) => leader,
         None => Leader::connect(address, FOLLOW).await?,
     };
-    let pages = leader.prefixes(positions(shared), FOLLOW).await?;
-    Ok((leader, pages))
+    let asked = shared.clock.now();
+    loads::exchange(shared, &leader, last).await?;
+    let follow = positions(shared);
+    let pages = if follow.is_empty() {
+        Vec::new()
+    } else {
+        leader.prefixes(follow, FOLLOW).await?
+    };
+    Ok((leader, pages, asked))
 }
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::service::PeerError;
 use crate::socket::{self, Traffic};
 use async_std::net::{TcpListener, TcpStream};
+use dispatch::fleet::ShortKey;
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -93,10 +94,23 @@
     pub gone: Vec<PartKey>,
 }
 
+/// An endpoint's load report on its way between routers: key, requests that run, requests that wait, age in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadTold(pub ShortKey, pub u32, pub u32, pub u64);
+
+/// A router's load reports for the one it follows, which answers with those of others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadExchange {
+    /// How long ago the last exchange was; what was heard since is told.
+    pub last_ms: u64,
+    /// Reports of answers that the router got itself.
+    pub own: Vec<LoadTold>,
+}
+
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, PrefixFollow, PrefixPage};
+    use super::{Follow, Followed, LoadExchange, LoadTold, PrefixFollow, PrefixPage};
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -105,6 +119,8 @@
         async fn follow(follow: Follow) -> Followed;
         /// Events of stores of cached prefixes, of each after a number.
         async fn prefixes(follow: Vec<PrefixFollow>) -> Vec<PrefixPage>;
+        /// Load reports of endpoints, both ways.
+        async fn loads(exchange: LoadExchange) -> Vec<LoadTold>;
     }
 }
 
@@ -120,6 +136,8 @@
     pub follow: Answers<Follow, Followed>,
     /// Events of stores of cached prefixes, of each after a number.
     pub prefixes: Answers<Vec<PrefixFollow>, Vec<PrefixPage>>,
+    /// Load reports of endpoints, both ways.
+    pub loads: Answers<LoadExchange, Vec<LoadTold>>,
 }
 
 #[derive(Clone)]
@@ -133,6 +151,10 @@
     async fn prefixes(self, _: Context, follow: Vec<PrefixFollow>) -> Vec<PrefixPage> {
         (self.0.prefixes)(follow).await
     }
+
+    async fn loads(self, _: Context, exchange: LoadExchange) -> Vec<LoadTold> {
+        (self.0.loads)(exchange).await
+    }
 }
 
 /// Answers followers until the process ends.
@@ -207,4 +229,13 @@
         let call = self.client.prefixes(deadline_in(within), follow);
         Ok(async_std::future::timeout(within, call).await??)
     }
+
+    /// Exchanges load reports of endpoints.
+    ///
+    /// # Errors
+    /// The call failed or took too long.
+    pub async fn loads(&self, exchange: LoadExchange, within: Duration) -> Result<Vec<LoadTold>, PeerError> {
+        let call = self.client.loads(deadline_in(within), exchange);
+        Ok(async_std::future::timeout(within, call).await??)
+    }
 }
