Rollout: a load that cannot begin is given up and postponed

Cause: engines that crashed or fell silent stay listed for seconds, have the oldest weights and so came first. The sound ones kept old weights and were left out for them: 51 of 95 engines in use. Ruled out: lost order answers (37, all carried out). Change: two reports in a row that cannot be had, or an order that is refused for good, end a load; that endpoint waits 3 s.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -7,7 +7,7 @@
 //! weights.
 
 use ids::EndpointId;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How long a report may lag behind its endpoint, and so how long after an order an unchanged report proves nothing.
@@ -131,3 +131,35 @@
         expected: report.orders,
     }
 }
+
+/// Reports in a row that may fail before a load is given up: one may be lost, and each takes up to a second.
+const MOST_MISSES: u32 = 2;
+/// How long an endpoint whose load failed is not ordered again. A crashed one's entry goes within this time, or it is back.
+const POSTPONED: Duration = Duration::from_secs(3);
+
+/// Whether a load is given up after this many reports in a row that could not be had.
+pub fn gives_up(misses: u32) -> bool {
+    misses >= MOST_MISSES
+}
+
+/// Endpoints whose loads failed lately.
+///
+/// Load pattern: a quarter of the engines crash or fall silent while weights are loaded. They stay listed for seconds, have the
+/// oldest weights, and so come first. Without a pause they take up all the room for loads, the others keep old weights, and are
+/// left out in the end for those.
+#[derive(Debug, Clone, Default)]
+pub struct Postponed(BTreeMap<EndpointId, Duration>);
+
+impl Postponed {
+    /// A load failed.
+    pub fn failed(&mut self, endpoint: EndpointId, now: Duration) {
+        self.0.retain(|_, at| now.saturating_sub(*at) < POSTPONED);
+        self.0.insert(endpoint, now);
+    }
+
+    /// Whether an endpoint may be ordered to load.
+    pub fn may_load(&self, endpoint: &EndpointId, now: Duration) -> bool {
+        let failed = self.0.get(endpoint);
+        failed.is_none_or(|at| now.saturating_sub(*at) >= POSTPONED)
+    }
+}
--- a/crates/dispatch/tests/rollout.rs
+++ b/crates/dispatch/tests/rollout.rs
@@ -1,6 +1,6 @@
 //! Which endpoints load new weights, in which order, and what follows their reports.
 
-use dispatch::rollout::{LoadStep, Ordered, Report, Runner, load_step, next_loads};
+use dispatch::rollout::{LoadStep, Ordered, Postponed, Report, Runner, gives_up, load_step, next_loads};
 use ids::EndpointId;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -218,3 +218,27 @@
         assert_eq!(step, case.expected, "case {index}");
     }
 }
+
+/// A quarter of the engines crash while weights are loaded, and stay listed for seconds with the oldest ones. Tried again and again
+/// they take up all the room for loads, and the sound ones are left out for their old weights in the end: an outage.
+#[test]
+fn endpoints_whose_loads_fail_wait_behind_the_others() {
+    let crashed = ids(&["e0", "e1", "e2", "e3"]);
+    let runners: Vec<Runner> = (0..12).map(|at| runner(&format!("e{at:x}"), 1, false)).collect();
+    let mut postponed = Postponed::default();
+    let at = Duration::from_millis;
+    for endpoint in &crashed {
+        postponed.failed(endpoint.clone(), at(1_000));
+    }
+    let begin = |postponed: &Postponed, now: u64| {
+        let may = |runner: &&Runner| postponed.may_load(&runner.endpoint, at(now));
+        let free: Vec<Runner> = runners.iter().filter(may).cloned().collect();
+        next_loads(&free, 2, &BTreeSet::new()).begin
+    };
+    let first = begin(&postponed, 1_000);
+    assert!(!first.is_empty() && first.iter().all(|endpoint| !crashed.contains(endpoint)));
+    // One that is back gets its turn.
+    assert_eq!(begin(&postponed, 4_000)[0], EndpointId::from("e0"));
+    assert!(!gives_up(1), "one report may be lost");
+    assert!(gives_up(2));
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
+use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
 use ids::{EndpointId, Fence, ModelId};
@@ -102,6 +103,7 @@
     holding: Holding,
     telling: Telling,
     turns: Turns,
+    postponed: Postponed,
     /// Loads that were ordered and have not ended.
     running: Arc<AtomicUsize>,
     /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
@@ -133,6 +135,7 @@
             holding: Holding::default(),
             telling: Telling::default(),
             turns: Turns::default(),
+            postponed: Postponed::default(),
             running: Arc::default(),
             readable: false,
             in_touch: false,
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -86,6 +86,7 @@
             let free: Vec<Runner> = runners
                 .into_iter()
                 .filter(|runner| self.turns.may_order(&runner.endpoint, turn, now))
+                .filter(|runner| self.postponed.may_load(&runner.endpoint, now))
                 .collect();
             let turn = next_loads(&free, weights, &self.loading);
             self.telling.coming.extend(turn.coming);
@@ -134,9 +135,12 @@
         }
         let now = self.shared.clock.now();
         self.ended.insert(endpoint.clone(), now);
-        if let Some((model, weights)) = loaded {
-            self.holding.loaded.retain(|(known, ..)| *known != endpoint);
-            self.holding.loaded.push((endpoint, model, weights));
+        match loaded {
+            Some((model, weights)) => {
+                self.holding.loaded.retain(|(known, ..)| *known != endpoint);
+                self.holding.loaded.push((endpoint, model, weights));
+            }
+            None => self.postponed.failed(endpoint, now),
         }
         self.give_orders(now);
         self.tell();
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use dispatch::fleet::Outcome;
 use dispatch::holder::Holder;
-use dispatch::rollout::{LoadStep, Ordered, Report, load_step};
+use dispatch::rollout::{LoadStep, Ordered, Report, gives_up, load_step};
 use dispatch::site::EndpointEntry;
 use http::raw::{ExchangeError, Headers};
 use ids::ModelId;
@@ -81,10 +81,16 @@
     async fn steps(&self) -> Option<u64> {
         let mut ordered = None;
         let mut slot = None;
+        let mut misses = 0;
         loop {
             let wanted = self.wanted()?;
             may_order(&self.holder, self.shared.clock.now())?;
-            if let Some(report) = self.report().await {
+            let report = self.report().await;
+            misses = if report.is_some() { 0 } else { misses + 1 };
+            if gives_up(misses) {
+                return None;
+            }
+            if let Some(report) = report {
                 let now = self.shared.clock.now();
                 match load_step(&report, wanted, ordered, now) {
                     LoadStep::Done => return report.weights,
@@ -123,7 +129,8 @@
         }
     }
 
-    /// Sends an order, if this router may still give any. `None` if not; then nothing more is done.
+    /// Sends an order. `None` if this router may not give any more, or the endpoint refuses it for good; then nothing more is
+    /// done.
     async fn order(&self, weights: u64, expected: u64) -> Option<Option<Ordered>> {
         let at = self.shared.clock.now();
         let fence = may_order(&self.holder, at)?;
@@ -156,6 +163,10 @@
             outcome = name(outcome);
             "orders: given"
         );
+        if outcome == OrderAnswer::Refused {
+            // Another endpoint has the address by now, or this one will never take the order.
+            return None;
+        }
         let sent = matches!(outcome, OrderAnswer::Accepted | OrderAnswer::Holds);
         Some(sent.then_some(Ordered { expected, weights, at }))
     }
