Overload: a share of streamed requests is refused at once while first events are typically late

Ruled out: unequal queues (all engines had them); the retry budget. Change: each router keeps the typical ratio of first events to the objective, by kind; beyond 1 it refuses a share, at most half, with 503 'overloaded' and one second to come back.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -153,6 +153,8 @@
     NoEndpoint,
     /// The endpoints are full.
     Full,
+    /// First events are late, and this request is one of those that are too many.
+    Overloaded,
     /// The deadline has passed.
     Deadline,
     /// An attempt failed after its bytes had left.
@@ -175,6 +177,8 @@
 const RETRY_UNREADY: Duration = Duration::from_millis(500);
 /// When callers come back to full endpoints: about the time in which a third of the running streams of either site end.
 const RETRY_FULL: Duration = Duration::from_millis(300);
+/// When callers come back whose request was one too many: queues of a second are worked off by then, since half as many come in.
+const RETRY_OVERLOADED: Duration = Duration::from_millis(1_000);
 /// When callers come back where no endpoint could be reached: a crashed one is replaced or noticed within this time.
 const RETRY_UNREACHED: Duration = Duration::from_millis(250);
 
@@ -191,13 +195,14 @@
         Cause::SlowCaller => 408,
         Cause::BodyTooLarge => 413,
         Cause::HeadTooLarge => 431,
-        Cause::NotReady | Cause::Stale => 503,
+        Cause::NotReady | Cause::Stale | Cause::Overloaded => 503,
         Cause::NoEndpoint | Cause::Full if untouched => 503,
         Cause::NoEndpoint | Cause::Full | Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
         (503, Cause::Full) => Some(RETRY_FULL),
+        (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
         (503, Cause::NoEndpoint) => Some(RETRY_UNREACHED),
         (503, _) => Some(RETRY_UNREADY),
         _ => None,
@@ -223,6 +228,7 @@
             Self::NoRoute => "no_route",
             Self::NoEndpoint => "no_endpoint",
             Self::Full => "full",
+            Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::EndpointFailed => "endpoint_failed",
         }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
 
+use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use candidates::Standing;
@@ -93,6 +94,7 @@
     loading: BTreeSet<EndpointId>,
     coming: BTreeSet<EndpointId>,
     wanted: HashMap<ModelId, Vec<Named>>,
+    pressures: HashMap<(ServiceId, Duration), Pressure>,
 }
 
 impl Fleet {
@@ -107,6 +109,7 @@
             loading: BTreeSet::new(),
             coming: BTreeSet::new(),
             wanted: HashMap::new(),
+            pressures: HashMap::new(),
         }
     }
 
@@ -277,6 +280,19 @@
         self.health.on(event, now);
     }
 
+    /// The first event of a streamed answer came this long after its request was sent, or has not come by then.
+    pub fn waited(&mut self, service: &ServiceId, objective: Duration, waited: Duration, now: Duration) {
+        let pressure = self.pressures.entry((service.clone(), objective)).or_default();
+        pressure.waited(waited, objective, now);
+    }
+
+    /// Whether a request for a streamed answer is refused at once, since answers of its kind are late; `draw` is uniform over all
+    /// numbers.
+    pub fn refuses(&self, service: &ServiceId, objective: Duration, draw: u64, now: Duration) -> bool {
+        let pressure = self.pressures.get(&(service.clone(), objective));
+        pressure.is_some_and(|pressure| pressure.refuses(draw, now))
+    }
+
     /// A request's first attempt at a service.
     pub fn first_attempt(&mut self, service: &ServiceId, now: Duration) {
         let window = self.settings.retries.window;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | what follows a failed attempt, and what the caller is told |
 //! | [`retries`] | whether the budget that all routers share allows one more attempt |
+//! | [`pressure`] | how many requests are refused at once while first events are late |
 //! | [`prefixes`] | what engines exchange with the store of cached prefixes |
 //! | [`holder`] | who gives orders to the endpoints, and since when |
 //! | [`rollout`] | which endpoint loads new weights next |
@@ -17,6 +18,7 @@
 pub mod freshness;
 pub mod holder;
 pub mod prefixes;
+pub mod pressure;
 pub mod retries;
 pub mod rollout;
 pub mod roster;
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -132,6 +132,7 @@
         Cause::Stale,
         Cause::NoEndpoint,
         Cause::Full,
+        Cause::Overloaded,
         Cause::Deadline,
         Cause::EndpointFailed,
     ];
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -102,6 +102,9 @@
 
     /// Tries until the request has ended.
     pub(super) async fn run(&mut self) -> Finish {
+        if self.too_many() {
+            return self.give_up(Cause::Overloaded);
+        }
         loop {
             let picked = match self.choose() {
                 Ok(picked) => picked,
@@ -137,6 +140,25 @@
         }
     }
 
+    /// Whether this request is one of those that are too many for first events to be in time.
+    fn too_many(&self) -> bool {
+        let now = self.shared.clock.now();
+        let (kind, objective) = (self.call.route.kind, self.call.route.objective);
+        let fleet = self.shared.fleet();
+        kind.streams() && fleet.refuses(self.call.service, objective, rand::random(), now)
+    }
+
+    /// The first event has come, or the wait for it has ended.
+    pub(super) fn waited(&self, began: Duration) {
+        if self.begun || !self.call.route.kind.streams() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let waited = now.saturating_sub(began);
+        let objective = self.call.route.objective;
+        self.shared.fleet().waited(self.call.service, objective, waited, now);
+    }
+
     fn note(&mut self, picked: &Picked, outcome: &str) {
         let now = self.shared.clock.now();
         self.record.tried(&picked.endpoint.id, picked.reason, outcome, now);
@@ -220,8 +242,12 @@
                 self.life.on(RequestEvent::SendFailed);
                 Attempted::Failed(Failure::Broken)
             }
-            Waited::CallerGone => Attempted::Ended(self.gone()),
+            Waited::CallerGone => {
+                self.waited(flight.began);
+                Attempted::Ended(self.gone())
+            }
             Waited::TimeOver => {
+                self.waited(flight.began);
                 flight.outcome(Outcome::Silent);
                 self.silent()
             }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -57,7 +57,10 @@
                 }
                 Waited::Done(Ok(None)) => return self.finish(&answer, source, facts).await,
                 Waited::Done(Err(_)) => return self.attempts.broke(self.flight),
-                Waited::CallerGone => return Attempted::Ended(self.attempts.gone()),
+                Waited::CallerGone => {
+                    self.attempts.waited(self.flight.began);
+                    return Attempted::Ended(self.attempts.gone());
+                }
                 Waited::TimeOver if self.attempts.left().is_zero() => {
                     return Attempted::Ended(self.attempts.give_up(Cause::Deadline));
                 }
@@ -77,6 +80,7 @@
         if self.attempts.begun {
             return;
         }
+        self.attempts.waited(self.flight.began);
         self.flight.prompt_read();
         self.flight.answered();
         self.attempts.record.first_byte(self.attempts.shared);
