--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -195,9 +195,9 @@
         Cause::SlowCaller => 408,
         Cause::BodyTooLarge => 413,
         Cause::HeadTooLarge => 431,
-        Cause::NotReady | Cause::Stale | Cause::Overloaded => 503,
-        Cause::NoEndpoint | Cause::Full if untouched => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::EndpointFailed => 502,
+        Cause::NotReady | Cause::Stale => 503,
+        Cause::NoEndpoint | Cause::Full | Cause::Overloaded if untouched => 503,
+        Cause::NoEndpoint | Cause::Full | Cause::Overloaded | Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -148,7 +148,13 @@
             assert!(early || given.retry_after.is_none(), "{cause:?} {state:?} {given:?}");
         }
     }
-    for cause in [Cause::NotReady, Cause::Stale, Cause::NoEndpoint, Cause::Full] {
+    for cause in [
+        Cause::NotReady,
+        Cause::Stale,
+        Cause::NoEndpoint,
+        Cause::Full,
+        Cause::Overloaded,
+    ] {
         let given = refusal(cause, RequestState::Queued);
         assert_eq!(given.status, 503, "{cause:?}");
         assert!(given.retry_after.is_some(), "{cause:?}");
