Prefixes: an isolated workspace's stay with their outermost part

Cause: some 24 of 81 workspaces are isolated, with four outermost parts each under every weights; their sessions lay in three stores, so engines read each of these parts, 2,520 tokens, up to three times. Ruled out: placing all prefixes by the outermost part; four parts would fill one store or two. Change: the place of an isolated workspace's prefix is drawn by workspace and outermost part.

--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -11,6 +11,7 @@
 //! of its prefix: a vain question costs it a millisecond, reading 6,000 tokens again 75. Events only say what need not be sent.
 
 use crate::fleet::Part;
+use ids::WorkspaceId;
 use placement::{EndpointKey, score};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -114,12 +115,22 @@
         self.0.iter().map(|(address, store)| (*address, store.life, store.next))
     }
 
-    /// What to tell the engine that gets a prompt of these shared parts.
-    pub fn transfers(&mut self, salt: &str, shared: &[Part], now: Duration) -> Transfers {
-        let Some(last) = shared.last() else {
+    /// What to tell the engine that gets a prompt of these shared parts, made under a scope. Each innermost part has its own place;
+    /// but those of an isolated workspace stay with the outermost one, which that workspace's few requests would otherwise make
+    /// engines read once for each store.
+    pub fn transfers(
+        &mut self,
+        salt: &str,
+        isolated: Option<&WorkspaceId>,
+        shared: &[Part],
+        now: Duration,
+    ) -> Transfers {
+        let [first, ..] = shared else {
             return Transfers::default();
         };
-        let place = |address: &SocketAddr| score(last.id, EndpointKey(xxh3_64(address.to_string().as_bytes())));
+        let innermost = shared.last().unwrap_or(first).id;
+        let kept_by = isolated.map_or(innermost, |own| xxh3_64_with_seed(own.as_str().as_bytes(), first.id));
+        let place = |address: &SocketAddr| score(kept_by, EndpointKey(xxh3_64(address.to_string().as_bytes())));
         let alive = self.0.iter_mut().filter(|(_, store)| store.alive(now));
         let Some((_, store)) = alive.max_by_key(|(address, _)| place(address)) else {
             return Transfers::default();
--- a/crates/dispatch/tests/prefixes.rs
+++ b/crates/dispatch/tests/prefixes.rs
@@ -2,6 +2,7 @@
 
 use dispatch::fleet::Part;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents, PrefixStore, PrefixStores, Transfers};
+use ids::WorkspaceId;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -112,7 +113,7 @@
 /// Where each of a hundred sessions' prefixes is kept.
 fn places(stores: &mut PrefixStores, now: u64) -> Vec<Option<SocketAddr>> {
     let session = |id| [SHARED[0], Part { id, tokens: 3_780 }];
-    let place = |id| stores.transfers("3", &session(id), at(now)).fetch;
+    let place = |id| stores.transfers("3", None, &session(id), at(now)).fetch;
     (100..200).map(place).collect()
 }
 
@@ -164,3 +165,25 @@
             .all(|place| *place == Some(addresses[1]))
     );
 }
+
+/// An isolated workspace asks seldom, and shares its outermost part with nobody. With its sessions spread over three stores that part
+/// was read by engines once for each store and anew with all weights; so they stay together, and workspaces are spread.
+#[test]
+fn an_isolated_workspaces_sessions_stay_together() {
+    let addresses = stores(3);
+    let mut stores = PrefixStores::default();
+    stores.located(&addresses);
+    for address in &addresses {
+        stores.told(*address, &page(1, false, &[]), at(0));
+    }
+    let mut used = std::collections::BTreeSet::new();
+    for workspace in ["paper", "wheat", "bags", "rice", "ink", "glue"].map(WorkspaceId::from) {
+        let salt = format!("3/{workspace}");
+        let session = |id| [SHARED[0], Part { id, tokens: 3_780 }];
+        let place = |id| stores.transfers(&salt, Some(&workspace), &session(id), at(10)).fetch;
+        let places: std::collections::BTreeSet<_> = (100..200).map(place).collect();
+        assert_eq!(places.len(), 1, "{workspace}");
+        used.extend(places);
+    }
+    assert!(used.len() > 1, "all workspaces in {used:?}");
+}
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -47,7 +47,8 @@
             return Transfers::default();
         };
         let now = self.shared.clock.now();
-        self.shared.prefixes().transfers(salt, prompt.shared(), now)
+        let isolated = self.call.isolated;
+        self.shared.prefixes().transfers(salt, isolated, prompt.shared(), now)
     }
 }
 
