Choice: endpoints are borrowed, not copied by name

What earlier work left: each choice copied the names of all candidates up to six times. No decision changed; the tests are as they were. 6,800 endpoints need a choice among fewer.

--- /dev/null
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -0,0 +1,79 @@
+//! Time of one choice of an engine, by the size of the pool: `cargo run --release -p dispatch --example choice_cost`.
+
+use dispatch::fleet::{Choice, Fleet, FleetSettings, Part, Prompt, Wish};
+use dispatch::retries::RetryLimits;
+use dispatch::site::EndpointEntry;
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const CHOICES: u64 = 5_000;
+
+fn main() {
+    for endpoints in [12, 90, 140, 1_000, 6_800] {
+        let mut fleet = pool(endpoints);
+        let mut times: Vec<Duration> = (0..CHOICES).map(|number| choose(&mut fleet, number)).collect();
+        times.sort();
+        let at = |share: f64| times[(share * CHOICES as f64) as usize].as_secs_f64() * 1e6;
+        println!(
+            "{endpoints} endpoints: median {:.1} µs, 99 % {:.1} µs",
+            at(0.5),
+            at(0.99)
+        );
+    }
+}
+
+fn pool(endpoints: u64) -> Fleet {
+    let mut fleet = Fleet::new(FleetSettings {
+        domain: DomainId::from("here"),
+        retries: RetryLimits {
+            ratio: 0.2,
+            extra: 100,
+            window: Duration::from_secs(10),
+            routers: 100,
+        },
+        old_weights: Duration::from_secs(9),
+    });
+    for number in 0..endpoints {
+        let entry = EndpointEntry {
+            id: EndpointId::from(format!("i-{number:010x}")),
+            incarnation: Incarnation(1),
+            service: ServiceId::from("pool"),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: DomainId::from(format!("d{}", number % 4)),
+            slots: 24,
+            leaving: false,
+            weights: vec![(ModelId::from("grain"), 1 + number % 2)],
+        };
+        fleet.serves(&Arc::new(entry), Duration::ZERO);
+    }
+    fleet.want(&ModelId::from("grain"), 2, Some(Duration::ZERO));
+    fleet
+}
+
+fn choose(fleet: &mut Fleet, number: u64) -> Duration {
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = Prompt {
+        model: ModelId::from("grain"),
+        parts: vec![
+            part(1 + number % 4, 2_520),
+            part(10 + number % 2_000, 3_780),
+            part(10_000 + number, 2_890),
+        ],
+        tokens: 9_190,
+        output: 50,
+    };
+    let service = ServiceId::from("pool");
+    let wish = Wish {
+        service: &service,
+        avoid: &[],
+        prompt: Some(&prompt),
+        isolated: None,
+    };
+    let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let begun = Instant::now();
+    let choice = fleet.choose(&wish, draw, Duration::from_millis(2_000 + number));
+    let took = begun.elapsed();
+    assert!(matches!(choice, Choice::At(_)));
+    took
+}
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,8 +1,9 @@
 //! Which endpoints may serve a request at all.
 
+use super::known::Known;
 use super::{Fleet, Named, Prompt, Wish};
 use control::health::Belief;
-use ids::{EndpointId, ModelId};
+use ids::ModelId;
 use std::time::Duration;
 
 /// An endpoint that fails a larger share of its attempts than this gets work only if no better one is left. Sound
@@ -16,9 +17,10 @@
 /// a fifth of their worth for callers, late ones up to nine tenths.
 const MORE_WORK: f64 = 0.3;
 
-/// What is left to choose from.
-pub(super) enum Standing {
-    Some(Vec<EndpointId>),
+/// What is left to choose from. Endpoints are borrowed all the way: a large pool has hundreds, and copying their names several
+/// times took most of a choice.
+pub(super) enum Standing<'a> {
+    Some(Vec<&'a Known>),
     Full,
     None,
 }
@@ -30,59 +32,49 @@
 }
 
 impl Fleet {
-    pub(super) fn candidates(&self, wish: &Wish<'_>, now: Duration) -> Standing {
-        let serving = self.serving(wish);
-        if serving.is_empty() {
+    pub(super) fn candidates(&self, wish: &Wish<'_>, now: Duration) -> Standing<'_> {
+        let mut open: Vec<&Known> = self.serving(wish).collect();
+        if open.is_empty() {
             return Standing::None;
         }
-        let open: Vec<EndpointId> = serving
-            .iter()
-            .filter(|id| !self.loading.contains(*id))
-            .cloned()
-            .collect();
-        let open = match wish.prompt {
-            Some(prompt) => self.renewed(self.weighed(open, &prompt.model, now), prompt, now),
-            None => open,
-        };
-        let open = match wish.prompt {
-            Some(prompt) if prompt.mostly_generates() => self.staying(open),
-            _ => open,
-        };
+        open.retain(|known| !self.loading.contains(&known.entry.id));
+        if let Some(prompt) = wish.prompt {
+            self.weighed(&mut open, prompt, now);
+            self.renewed(&mut open, prompt, now);
+            self.staying(&mut open, prompt);
+        }
         if open.is_empty() {
             // Those that load weights are back within a second or two.
             return Standing::Full;
         }
-        let sound = |id: &EndpointId| {
-            let live = self.health.belief(id) == Belief::Live;
-            live && self.known.get(id).is_some_and(|known| known.trouble(now) < GREY)
-        };
-        let reachable = |id: &EndpointId| matches!(self.health.belief(id), Belief::Live | Belief::Suspected);
-        Standing::Some(best(open, &[&sound, &reachable]))
+        let belief = |known: &Known| self.health.belief(&known.entry.id);
+        let sound = |known: &Known| belief(known) == Belief::Live && known.trouble(now) < GREY;
+        let reachable = |known: &Known| matches!(belief(known), Belief::Live | Belief::Suspected);
+        if !prefer(&mut open, sound) {
+            prefer(&mut open, reachable);
+        }
+        Standing::Some(open)
     }
 
-    fn serving(&self, wish: &Wish<'_>) -> Vec<EndpointId> {
+    fn serving(&self, wish: &Wish<'_>) -> impl Iterator<Item = &Known> {
         self.known
             .values()
             .filter(|known| known.entry.service == *wish.service && !known.entry.leaving)
             .filter(|known| !wish.avoid.contains(&known.entry.id))
-            .map(|known| known.entry.id.clone())
-            .collect()
     }
 
     /// Leaves out endpoints that load soon, unless there are no others: an endpoint finishes what it runs before it loads, and
     /// serves nobody else while its last long answers are generated, for some seconds.
-    fn staying(&self, open: Vec<EndpointId>) -> Vec<EndpointId> {
-        let stays = |id: &&EndpointId| !self.coming.contains(*id);
-        let staying: Vec<EndpointId> = open.iter().filter(stays).cloned().collect();
-        if staying.is_empty() { open } else { staying }
+    fn staying(&self, open: &mut Vec<&Known>, prompt: &Prompt) {
+        if prompt.mostly_generates() {
+            prefer(open, |known| !self.coming.contains(&known.entry.id));
+        }
     }
 
     /// Leaves out weights that are too old to begin on, unless no endpoint has newer ones.
-    fn weighed(&self, open: Vec<EndpointId>, model: &ModelId, now: Duration) -> Vec<EndpointId> {
-        let least = self.least_weights(model, now);
-        let has = |id: &&EndpointId| self.weights(id, model).is_none_or(|weights| weights >= least);
-        let allowed: Vec<EndpointId> = open.iter().filter(has).cloned().collect();
-        if allowed.is_empty() { open } else { allowed }
+    fn weighed(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
+        let least = self.least_weights(&prompt.model, now);
+        prefer(open, |known| known.serves(&prompt.model, least));
     }
 
     /// Oldest weights that a request may begin on.
@@ -94,18 +86,16 @@
 
     /// Leaves out engines with replaced weights for as many prompts as the others have room for. Were they left out for all, the
     /// first engines with new weights would get the whole pool's requests, from routers that don't see how full they are.
-    fn renewed(&self, open: Vec<EndpointId>, prompt: &Prompt, now: Duration) -> Vec<EndpointId> {
+    fn renewed(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
         let names = self.wanted.get(&prompt.model).map_or(&[][..], Vec::as_slice);
         let newest = names.last().filter(|named| named.for_longer(FIRST_USE, now));
         let Some(newest) = newest.map(|named| named.weights) else {
-            return open;
+            return;
         };
-        let has = |id: &&EndpointId| self.weights(id, &prompt.model).is_none_or(|weights| weights >= newest);
-        let renewed: Vec<EndpointId> = open.iter().filter(has).cloned().collect();
-        if renewed.is_empty() || prompt.draw() >= preferred(renewed.len(), open.len()) {
-            return open;
+        let renewed = open.iter().filter(|known| known.serves(&prompt.model, newest)).count();
+        if prompt.draw() < preferred(renewed, open.len()) {
+            prefer(open, |known| known.serves(&prompt.model, newest));
         }
-        renewed
     }
 }
 
@@ -119,13 +109,11 @@
     MORE_WORK * renewed as f64 / old as f64
 }
 
-/// The candidates that pass the first test that any of them passes.
-fn best(all: Vec<EndpointId>, tests: &[&dyn Fn(&EndpointId) -> bool]) -> Vec<EndpointId> {
-    for test in tests {
-        let passed: Vec<EndpointId> = all.iter().filter(|id| test(id)).cloned().collect();
-        if !passed.is_empty() {
-            return passed;
-        }
+/// Keeps those that pass a test, if any does; tells whether one did.
+fn prefer(open: &mut Vec<&Known>, test: impl Fn(&Known) -> bool) -> bool {
+    let any = open.iter().any(|known| test(known));
+    if any {
+        open.retain(|known| test(known));
     }
-    all
+    any
 }
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -3,9 +3,10 @@
 //! Load pattern: prompts that share long nested prefixes, over engines whose memory holds a part of them. The placer ranks engines by
 //! hashes of the nested levels and weighs what would have to be read again against what waits there.
 
+use super::known::Known;
 use super::{Choice, Fleet, Picked, Wish};
-use ids::{EndpointId, Incarnation, ModelId};
-use placement::{Candidate, EndpointKey, Placer, PrefixChain};
+use ids::{Incarnation, ModelId};
+use placement::{Candidate, Placer, PrefixChain};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -95,45 +96,47 @@
 
 impl Fleet {
     pub(super) fn choose_engine(
-        &mut self,
+        &self,
+        placer: &mut Placer,
         wish: &Wish<'_>,
-        prompt: &Prompt,
-        ids: &[EndpointId],
+        mut open: Vec<&Known>,
         draw: u64,
         now: Duration,
     ) -> Choice {
+        let Some(prompt) = wish.prompt else {
+            return Choice::Nowhere;
+        };
         let chain = prompt.chain(seed(wish));
-        let mut candidates: Vec<Candidate> = ids.iter().filter_map(|id| self.candidate(id, prompt, now)).collect();
-        candidates.sort_by_key(|candidate| candidate.endpoint);
-        let placer = self.placers.entry(wish.service.clone()).or_insert_with(placer);
+        open.sort_by_key(|known| known.key);
+        let candidates: Vec<Candidate> = open.iter().map(|known| self.candidate(known, prompt, now)).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
             return Choice::Full;
         };
-        let chosen = candidates[pick.index].endpoint;
-        let incarnation = candidates[pick.index].incarnation;
-        let Some(known) = ids
-            .iter()
-            .filter_map(|id| self.known.get(id))
-            .find(|known| EndpointKey::from(&known.entry.id) == chosen)
-        else {
-            return Choice::Nowhere;
-        };
+        let Candidate {
+            endpoint, incarnation, ..
+        } = candidates[pick.index];
+        let known = open[pick.index];
         let picked = Picked {
             endpoint: known.entry.clone(),
             weights: known.weights(&prompt.model),
             prefill: prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK),
             reason: reason(pick.reason),
         };
-        placer.learn(chosen, incarnation, &chain, pick.cached.min(chain.blocks().len()), now);
+        placer.learn(
+            endpoint,
+            incarnation,
+            &chain,
+            pick.cached.min(chain.blocks().len()),
+            now,
+        );
         Choice::At(picked)
     }
 
-    fn candidate(&self, id: &EndpointId, prompt: &Prompt, now: Duration) -> Option<Candidate> {
-        let known = self.known.get(id)?;
+    fn candidate(&self, known: &Known, prompt: &Prompt, now: Duration) -> Candidate {
         let others = known.waiting(now) * WAITING_TOKENS + known.running(now) * RUNNING_TOKENS;
         let weights = known.weights(&prompt.model).unwrap_or_default();
-        Some(Candidate {
-            endpoint: EndpointKey::from(id),
+        Candidate {
+            endpoint: known.key,
             incarnation: Incarnation((known.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
@@ -141,7 +144,7 @@
             queued: known.prefill() + others as u64,
             speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
             weight: 1.0,
-        })
+        }
     }
 }
 
@@ -151,7 +154,7 @@
         .map_or(0, |workspace| xxh3_64_with_seed(workspace.as_str().as_bytes(), 1))
 }
 
-fn placer() -> Placer {
+pub(super) fn placer() -> Placer {
     Placer::builder().tokens(BLOCK as u32).rate(PREFILL_RATE).build()
 }
 
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -1,7 +1,7 @@
 //! One endpoint as a router knows it.
 
 use crate::site::EndpointEntry;
-use ids::{EndpointId, ModelId};
+use ids::ModelId;
 use placement::EndpointKey;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -44,9 +44,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ShortKey(pub u32);
 
-impl From<&EndpointId> for ShortKey {
-    fn from(id: &EndpointId) -> Self {
-        Self((EndpointKey::from(id).0 >> u32::BITS) as u32)
+impl From<EndpointKey> for ShortKey {
+    fn from(key: EndpointKey) -> Self {
+        Self((key.0 >> u32::BITS) as u32)
     }
 }
 
@@ -82,6 +82,8 @@
 #[derive(Debug)]
 pub(super) struct Known {
     pub(super) entry: Arc<EndpointEntry>,
+    /// Its id in hashes.
+    pub(super) key: EndpointKey,
     /// Requests of this router there.
     in_flight: u32,
     /// Prompt tokens of this router's requests that have not been read yet.
@@ -99,6 +101,7 @@
     pub(super) fn new(entry: Arc<EndpointEntry>) -> Self {
         let weights = entry.weights.clone();
         Self {
+            key: EndpointKey::from(&entry.id),
             entry,
             in_flight: 0,
             prefill: 0,
@@ -138,6 +141,11 @@
         Some(served.1)
     }
 
+    /// Whether it has these weights of a model or newer ones, as far as is known.
+    pub(super) fn serves(&self, model: &ModelId, least: u64) -> bool {
+        self.weights(model).is_none_or(|weights| weights >= least)
+    }
+
     pub(super) fn begin(&mut self, prefill: u64) {
         self.in_flight += 1;
         self.prefill += prefill;
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -192,15 +192,26 @@
 
     /// Chooses an endpoint; `draw` is uniform over all numbers.
     pub fn choose(&mut self, wish: &Wish<'_>, draw: u64, now: Duration) -> Choice {
-        let standing = self.candidates(wish, now);
-        let ids = match standing {
-            Standing::Some(ids) => ids,
-            Standing::Full => return Choice::Full,
-            Standing::None => return Choice::Nowhere,
-        };
-        match wish.prompt {
-            Some(prompt) => self.choose_engine(wish, prompt, &ids, draw, now),
-            None => self.choose_plain(&ids, draw, now),
+        if wish.prompt.is_none() {
+            return self.choose_from(wish, now, |open| self.choose_plain(&open, draw, now));
+        }
+        // Taken out, since the choice borrows what is known of endpoints.
+        let mut placer = self.placers.remove(wish.service).unwrap_or_else(engines::placer);
+        let choice = self.choose_from(wish, now, |open| self.choose_engine(&mut placer, wish, open, draw, now));
+        self.placers.insert(wish.service.clone(), placer);
+        choice
+    }
+
+    fn choose_from<'a>(
+        &'a self,
+        wish: &Wish<'_>,
+        now: Duration,
+        choose: impl FnOnce(Vec<&'a Known>) -> Choice,
+    ) -> Choice {
+        match self.candidates(wish, now) {
+            Standing::Some(open) => choose(open),
+            Standing::Full => Choice::Full,
+            Standing::None => Choice::Nowhere,
         }
     }
 
@@ -239,10 +250,13 @@
 
     /// Reports that this router has heard of after `since`; only those of its own answers, or all.
     pub fn load_news(&self, since: Duration, own: bool) -> Vec<LoadNews> {
-        let news = self.known.iter().filter_map(|(id, known)| Some((id, known.report()?)));
+        let news = self
+            .known
+            .values()
+            .filter_map(|known| Some((known.key, known.report()?)));
         let news = news.filter(|(_, heard)| heard.heard > since && (heard.own || !own));
-        let news = news.map(|(id, heard)| LoadNews {
-            endpoint: ShortKey::from(id),
+        let news = news.map(|(key, heard)| LoadNews {
+            endpoint: ShortKey::from(key),
             report: heard.report,
             told: heard.told,
         });
@@ -253,8 +267,8 @@
     /// together meet it several times a second.
     pub fn hear_loads(&mut self, news: &[LoadNews], now: Duration) {
         let news: HashMap<ShortKey, &LoadNews> = news.iter().map(|news| (news.endpoint, news)).collect();
-        for (id, known) in &mut self.known {
-            if let Some(news) = news.get(&ShortKey::from(id)) {
+        for known in self.known.values_mut() {
+            if let Some(news) = news.get(&ShortKey::from(known.key)) {
                 known.reported(Heard {
                     report: news.report,
                     told: news.told,
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -3,8 +3,8 @@
 //! Load pattern: endpoints of unequal speed with a handful of slots. What counts is when an endpoint would answer: its
 //! usual time, longer by what runs and waits there for each slot.
 
+use super::known::Known;
 use super::{Choice, Fleet, Picked};
-use ids::EndpointId;
 use std::time::Duration;
 
 /// Time until an answer that is assumed before the first one came, seconds.
@@ -17,17 +17,17 @@
 const TIE: f64 = 0.002;
 
 impl Fleet {
-    pub(super) fn choose_plain(&self, ids: &[EndpointId], draw: u64, now: Duration) -> Choice {
-        let costs: Vec<f64> = ids.iter().map(|id| self.plain_cost(id, now)).collect();
+    pub(super) fn choose_plain(&self, open: &[&Known], draw: u64, now: Duration) -> Choice {
+        let costs: Vec<f64> = open.iter().map(|known| self.plain_cost(known, now)).collect();
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
-        let near: Vec<&EndpointId> = ids
+        let near: Vec<&Known> = open
             .iter()
             .zip(&costs)
             .filter(|(_, cost)| **cost <= least + TIE)
-            .map(|(id, _)| id)
+            .map(|(known, _)| *known)
             .collect();
         let index = usize::try_from(draw % near.len().max(1) as u64).unwrap_or_default();
-        let Some(known) = near.get(index).and_then(|id| self.known.get(*id)) else {
+        let Some(known) = near.get(index) else {
             return Choice::Nowhere;
         };
         Choice::At(Picked {
@@ -38,10 +38,7 @@
         })
     }
 
-    fn plain_cost(&self, id: &EndpointId, now: Duration) -> f64 {
-        let Some(known) = self.known.get(id) else {
-            return f64::INFINITY;
-        };
+    fn plain_cost(&self, known: &Known, now: Duration) -> f64 {
         let latency = known.latency().unwrap_or(FIRST_LATENCY);
         let slots = f64::from(known.entry.slots.max(1));
         let crossing = if known.entry.domain == self.settings.domain {
