Old weights are left one after the other; a lost watch delays a document as little as before

Now prompts leave them over the second half of the time, by their prefix. Answers of the store were lost to both watchers; a watch after the new pause of 200 ms took up to 2.0 s to be given up, and a follower waited 0.6 s for a router that had lost the store. Now that watch waits 200 ms less, and a router that has lost the store says so at once. Ruled out: the holder (orders went out in time), the store's history.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -71,16 +71,19 @@
         }
     }
 
-    /// Leaves out weights that are too old to begin on, unless no endpoint has newer ones.
+    /// Leaves out weights that are too old to begin on, unless no endpoint has newer ones. Prompts leave them one after the other
+    /// over the second half of the time that is allowed. Were it at one moment, engines with old weights would have queues of
+    /// seconds at that moment, and begin on what waits there long after it.
     fn weighed(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let least = self.least_weights(&prompt.model, now);
+        let after = self.settings.old_weights.mul_f64((1.0 + prompt.draw()) / 2.0);
+        let least = self.least_weights(&prompt.model, after, now);
         prefer(open, |known| known.serves(&prompt.model, least));
     }
 
-    /// Oldest weights that a request may begin on.
-    fn least_weights(&self, model: &ModelId, now: Duration) -> u64 {
+    /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
+    fn least_weights(&self, model: &ModelId, after: Duration, now: Duration) -> u64 {
         let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
-        let late = |named: &&Named| named.for_longer(self.settings.old_weights, now);
+        let late = |named: &&Named| named.for_longer(after, now);
         names.iter().rev().find(late).map_or(0, |named| named.weights)
     }
 
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -475,3 +475,44 @@
         );
     }
 }
+
+/// Engines with old weights have queues of seconds, and all prompts leave them at one moment: what waits there begins on weights that
+/// are too old by then. So prompts leave them one after the other, and the queues are short when the last ones go.
+#[test]
+fn prompts_leave_old_weights_one_after_the_other() {
+    struct Case {
+        now: u64,
+        least: usize,
+        most: usize,
+    }
+    let cases = [
+        Case {
+            now: 3_700,
+            least: 600,
+            most: 900,
+        },
+        Case {
+            now: 5_600,
+            least: 250,
+            most: 450,
+        },
+        Case {
+            now: 7_500,
+            least: 0,
+            most: 0,
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(&[2, 1, 1, 1, 1]);
+        fleet.want(&model(), 2, Some(at(0)));
+        let old = (0..1_000).filter(|session| {
+            let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(case.now));
+            let used = used.map(EndpointId::from).expect("an endpoint");
+            fleet.end(&used, Incarnation(1));
+            fleet.prefilled(&used, Incarnation(1), 20_000);
+            fleet.weights(&used, &model()) == Some(1)
+        });
+        let old = old.count();
+        assert!((case.least..=case.most).contains(&old), "{old} at {}", case.now);
+    }
+}
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -29,8 +29,8 @@
 /// configurations, 2 s at the sites.
 const WAIT: Duration = Duration::from_millis(1_000);
 /// Pause after a watch that brought changes. Endpoints' entries change ten times a second while weights are loaded; each change
-/// would end a watch of each router that keeps one, and every watch is priced. All bounds on what routers have heard are 2 s or
-/// more.
+/// would end a watch of each router that keeps one, and every watch is priced. The watch after it waits that much shorter, so that
+/// one whose answer is lost delays a change as long as ever: documents must be in force within 2 s at the sites.
 const GATHER: Duration = Duration::from_millis(200);
 /// How much longer its answer may take: the store's slowest answers at the sites take 0.3 s.
 const GRACE: Duration = Duration::from_millis(800);
@@ -75,6 +75,8 @@
     leader: Option<(VmId, Leader)>,
     /// Routers that were left, and until when.
     left: HashMap<VmId, Duration>,
+    /// Pause before the next watch.
+    paused: Duration,
     /// Whether the store's history is gone, so that all must be read again.
     forgotten: bool,
     failures: u32,
@@ -90,6 +92,7 @@
             client,
             leader: None,
             left: HashMap::new(),
+            paused: Duration::ZERO,
             forgotten: false,
             failures: 0,
         }
@@ -216,8 +219,9 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<(), ItemsError> {
+        let paused = std::mem::take(&mut self.paused);
         let sent = self.shared.clock.now();
-        let watched = self.client.watch(ROOT, revision, WAIT, GRACE).await;
+        let watched = self.client.watch(ROOT, revision, WAIT - paused, GRACE).await;
         self.count("watch", watched.is_ok());
         match watched? {
             Watched::Changes(changes) => {
@@ -229,6 +233,7 @@
                 };
                 self.tell_and_wait(event, revision).await;
                 task::sleep(GATHER).await;
+                self.paused = GATHER;
             }
             Watched::Forgotten => {
                 log::warn!(revision = revision; "store: history forgotten, reading all again");
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -1,6 +1,6 @@
 //! What this router knows of the store, for the routers that follow it.
 
-use super::loads;
+use super::{FOLLOW_AGE, loads};
 use crate::shared::Shared;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
@@ -122,7 +122,14 @@
 }
 
 async fn follow_items(shared: Arc<Shared>, follow: Follow) -> Followed {
-    let wait = Duration::from_millis(follow.wait_ms).min(MOST_WAIT);
+    let now = shared.clock.now();
+    let stale = shared.freshness().age(now).is_none_or(|age| age > FOLLOW_AGE);
+    // A follower leaves a router that has lost the store. Were it told after a wait, it would hear of a change that much later.
+    let wait = if stale {
+        Duration::ZERO
+    } else {
+        Duration::from_millis(follow.wait_ms).min(MOST_WAIT)
+    };
     let news = {
         let mut known = shared.relay.lock();
         if known.log.has_news(follow.after) {
