Weights: a request that would begin on old ones after the bound is refused

What is ruled out: entries without weights, a late word of the new weights, a request that waited in the engine. Test: nothing_begins_on_old_weights_after_the_bound, red without it.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -33,6 +33,7 @@
             routers: 100,
         },
         old_weights: Duration::from_secs(9),
+        last_weights: Duration::from_secs(11),
     });
     for number in 0..endpoints {
         let entry = EndpointEntry {
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -40,6 +40,7 @@
         open.retain(|known| !self.loading.contains(&known.entry.id));
         if let Some(prompt) = wish.prompt {
             self.weighed(&mut open, prompt, now);
+            self.bounded(&mut open, prompt, now);
             self.renewed(&mut open, prompt, now);
             self.staying(&mut open, prompt);
         }
@@ -80,6 +81,20 @@
         prefer(open, |known| known.serves(&prompt.model, least));
     }
 
+    /// Leaves out weights that nobody may begin on any more, even if no others are left: callers come back when there are. Weights
+    /// that were named before this router followed the store may be new, so they don't count.
+    fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
+        let names = self.wanted.get(&prompt.model).map_or(&[][..], Vec::as_slice);
+        let over = |named: &&Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
+        if let Some(least) = names.iter().rev().find(over) {
+            open.retain(|known| {
+                known
+                    .weights(&prompt.model)
+                    .is_some_and(|weights| weights >= least.weights)
+            });
+        }
+    }
+
     /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
     fn least_weights(&self, model: &ModelId, after: Duration, now: Duration) -> u64 {
         let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -34,6 +34,8 @@
     pub retries: RetryLimits,
     /// How long requests may begin on older weights after newer ones were named.
     pub old_weights: Duration,
+    /// How long any request may: from then on an answer on them is worth nothing.
+    pub last_weights: Duration,
 }
 
 /// What a request asks of its endpoint.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -45,6 +45,7 @@
             routers: 0,
         },
         old_weights: OLD,
+        last_weights: at(9_500),
     });
     for entry in entries {
         fleet.serves(&Arc::new(entry.clone()), at(0));
@@ -516,3 +517,38 @@
         assert!((case.least..=case.most).contains(&old), "{old} at {}", case.now);
     }
 }
+
+/// The holder of orders dies in the middle of a rollout, and the engines that have the new weights fill up or go. A request that begins
+/// on the old ones after the bound is a stale answer, worth nothing to its caller; it is refused, and comes back.
+#[test]
+fn nothing_begins_on_old_weights_after_the_bound() {
+    struct Case {
+        named: Option<u64>,
+        now: u64,
+        served: bool,
+    }
+    let cases = [
+        Case {
+            named: Some(0),
+            now: 9_400,
+            served: true,
+        },
+        Case {
+            named: Some(0),
+            now: 9_500,
+            served: false,
+        },
+        // A router that has just started doesn't know when they were named.
+        Case {
+            named: None,
+            now: 9_500,
+            served: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(&[1, 1]);
+        fleet.want(&model(), 2, case.named.map(at));
+        let sent = send(&mut fleet, Some(&prompt(7, 8)), &[], 1, at(case.now));
+        assert_eq!(sent.is_some(), case.served, "named {:?}, at {}", case.named, case.now);
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,10 @@
 /// named, and a request may wait inside an endpoint before it begins.
 const OLD_WEIGHTS: f64 = 0.75;
 
+/// Share of that bound after which a request is refused rather than begun on old weights: a request takes up to a few hundred
+/// milliseconds to begin, and the router heard of the new ones after they were named.
+const LAST_WEIGHTS: f64 = 0.95;
+
 /// Shared by all tasks.
 pub struct Shared {
     /// Settings in force; they may be reloaded.
@@ -71,6 +75,7 @@
                 routers: 0,
             },
             old_weights: bounds.weights().mul_f64(OLD_WEIGHTS),
+            last_weights: bounds.weights().mul_f64(LAST_WEIGHTS),
         });
         Self {
             settings: ArcSwap::from_pointee(settings),
