Dispatch: one fading, one list of named weights, a store's hash kept

Read again: the half-life stood three times (load reports, failures, lateness), the list of a model's named weights four times, and every request formatted and hashed the address of each store of prefixes to rank them. Now fade::left, Fleet::names, and the hash is made where the address is set. No decision changes; the tests are as they were.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -84,7 +84,7 @@
     /// Leaves out weights that nobody may begin on any more, even if no others are left: callers come back when there are. Weights
     /// that were named before this router followed the store may be new, so they don't count.
     fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let names = self.wanted.get(&prompt.model).map_or(&[][..], Vec::as_slice);
+        let names = self.names(&prompt.model);
         let over = |named: &&Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
         if let Some(least) = names.iter().rev().find(over) {
             open.retain(|known| {
@@ -97,16 +97,21 @@
 
     /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
     fn least_weights(&self, model: &ModelId, after: Duration, now: Duration) -> u64 {
-        let names = self.wanted.get(model).map_or(&[][..], Vec::as_slice);
         let late = |named: &&Named| named.for_longer(after, now);
-        names.iter().rev().find(late).map_or(0, |named| named.weights)
+        self.names(model)
+            .iter()
+            .rev()
+            .find(late)
+            .map_or(0, |named| named.weights)
     }
 
     /// Leaves out engines with replaced weights for as many prompts as the others have room for. Were they left out for all, the
     /// first engines with new weights would get the whole pool's requests, from routers that don't see how full they are.
     fn renewed(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let names = self.wanted.get(&prompt.model).map_or(&[][..], Vec::as_slice);
-        let newest = names.last().filter(|named| named.for_longer(FIRST_USE, now));
+        let newest = self
+            .names(&prompt.model)
+            .last()
+            .filter(|named| named.for_longer(FIRST_USE, now));
         let Some(newest) = newest.map(|named| named.weights) else {
             return;
         };
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -1,5 +1,6 @@
 //! One endpoint as a router knows it.
 
+use crate::fade;
 use crate::site::EndpointEntry;
 use ids::ModelId;
 use placement::EndpointKey;
@@ -198,8 +199,7 @@
     /// succeed in nothing, and be left for ever.
     pub(super) fn trouble(&self, now: Duration) -> f64 {
         let (trouble, at) = self.trouble;
-        let age = now.saturating_sub(at).as_secs_f64();
-        trouble * 0.5_f64.powf(age / TROUBLE_HALF)
+        trouble * fade::left(now.saturating_sub(at), TROUBLE_HALF)
     }
 
     pub(super) fn latency(&self) -> Option<f64> {
@@ -219,7 +219,6 @@
 
     fn faded(&self, now: Duration, count: impl Fn(LoadReport) -> u32) -> f64 {
         let Some(known) = self.report else { return 0.0 };
-        let age = now.saturating_sub(known.told).as_secs_f64();
-        f64::from(count(known.report)) * 0.5_f64.powf(age / REPORT_HALF)
+        f64::from(count(known.report)) * fade::left(now.saturating_sub(known.told), REPORT_HALF)
     }
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -167,8 +167,7 @@
     /// An endpoint refused a request since it serves other weights than it was believed to. It has the newest by now, or
     /// what its entry says; if that is wrong too, the next request is refused and says so.
     pub fn other_weights(&mut self, id: &EndpointId, model: &ModelId) {
-        let newest = self.wanted.get(model).and_then(|names| names.last());
-        let newest = newest.map(|named| named.weights);
+        let newest = self.names(model).last().map(|named| named.weights);
         if let Some(known) = self.known.get_mut(id) {
             known.correct_weights(model, newest);
         }
@@ -321,6 +320,11 @@
         self.meters.entry(service.clone()).or_default().again(&limits, now)
     }
 
+    /// Weights of a model that were named, the newest last.
+    fn names(&self, model: &ModelId) -> &[Named] {
+        self.wanted.get(model).map_or(&[], Vec::as_slice)
+    }
+
     fn life(&mut self, id: &EndpointId, incarnation: Incarnation) -> Option<&mut Known> {
         let known = self.known.get_mut(id)?;
         (known.entry.incarnation == incarnation).then_some(known)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`rollout`] | which endpoint loads new weights next |
 
 pub mod attempt;
+mod fade;
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -130,9 +130,8 @@
         };
         let innermost = shared.last().unwrap_or(first).id;
         let kept_by = isolated.map_or(innermost, |own| xxh3_64_with_seed(own.as_str().as_bytes(), first.id));
-        let place = |address: &SocketAddr| score(kept_by, EndpointKey(xxh3_64(address.to_string().as_bytes())));
-        let alive = self.0.iter_mut().filter(|(_, store)| store.alive(now));
-        let Some((_, store)) = alive.max_by_key(|(address, _)| place(address)) else {
+        let alive = self.0.values_mut().filter(|store| store.alive(now));
+        let Some(store) = alive.max_by_key(|store| score(kept_by, store.key)) else {
             return Transfers::default();
         };
         store.transfers(salt, shared, now)
@@ -143,6 +142,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct PrefixStore {
     address: Option<SocketAddr>,
+    /// Its address in hashes, kept since every request ranks all stores by it.
+    key: EndpointKey,
     life: u64,
     next: u64,
     answered: Option<Duration>,
@@ -153,8 +154,10 @@
     /// Where the store is, if there is one; another one is believed empty.
     pub fn located(&mut self, address: Option<SocketAddr>) {
         if address != self.address {
+            let text = address.map(|address| address.to_string()).unwrap_or_default();
             *self = Self {
                 address,
+                key: EndpointKey(xxh3_64(text.as_bytes())),
                 ..Self::default()
             };
         }
--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -8,6 +8,7 @@
 //! A router judges by the first events of its own requests, of which it sees a fair sample. Each kind of request is judged by its
 //! own objective, since engines admit the more urgent first.
 
+use crate::fade;
 use std::time::Duration;
 
 /// Time in which an observation loses half of its weight, seconds: a router of the larger sites sees some five first events in it.
@@ -59,7 +60,6 @@
     }
 
     fn fade(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        0.5_f64.powf(age / HALF)
+        fade::left(now.saturating_sub(self.at), HALF)
     }
 }
--- a/crates/placement/src/placer/candidate.rs
+++ b/crates/placement/src/placer/candidate.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Stands for an endpoint in hashes, the same at every router.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, From, Into)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, From, Into)]
 pub struct EndpointKey(pub u64);
 
 impl From<&EndpointId> for EndpointKey {
