--- a/crates/apricotfork/src/logs/lines.rs
+++ b/crates/apricotfork/src/logs/lines.rs
@@ -78,9 +78,10 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let json = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (_, Some(truth)) => truth.into(),
+        let json = match (value.to_u64(), value.to_i64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (_, _, Some(truth)) => truth.into(),
             _ => value.to_string().into(),
         };
         self.0.insert(key.to_string(), json);
--- a/crates/apricotfork/src/logs/mod.rs
+++ b/crates/apricotfork/src/logs/mod.rs
@@ -51,10 +51,8 @@
     // The settings' check knows the same levels.
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     let appender = Appender::builder().build("console", Box::new(console));
-    // tarpc tells of each call, which is a heartbeat or its answer.
-    let peers = Logger::builder().build("tarpc", level.min(LevelFilter::Warn));
     let root = Root::builder().appender("console").build(level);
-    log4rs::init_config(Config::builder().appender(appender).logger(peers).build(root)?)?;
+    log4rs::init_config(Config::builder().appender(appender).logger(calls(level)).build(root)?)?;
     Ok(())
 }
 
@@ -64,6 +62,12 @@
     let level = level.parse().unwrap_or(LevelFilter::Info);
     let appender = Appender::builder().build("lines", Box::new(Lines::start()?));
     let root = Root::builder().appender("lines").build(level);
-    log4rs::init_config(Config::builder().appender(appender).build(root)?)?;
+    log4rs::init_config(Config::builder().appender(appender).logger(calls(level)).build(root)?)?;
     Ok(())
 }
+
+/// tarpc writes two or three lines for each call between routers. Those would be nine in ten of a quiet router's lines, and what is
+/// kept of its log would reach back seconds instead of minutes.
+fn calls(level: LevelFilter) -> Logger {
+    Logger::builder().build("tarpc", level.min(LevelFilter::Warn))
+}
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,7 +1,8 @@
 //! Which endpoints may serve a request at all.
 
 use super::known::Known;
-use super::{Fleet, Named, Prompt, Wish};
+use super::names::{Named, Names};
+use super::{Fleet, Prompt, Wish};
 use control::health::Belief;
 use ids::ModelId;
 use std::time::Duration;
@@ -25,12 +26,6 @@
     None,
 }
 
-impl Named {
-    fn for_longer(&self, time: Duration, now: Duration) -> bool {
-        self.at.is_none_or(|at| now.saturating_sub(at) >= time)
-    }
-}
-
 impl Fleet {
     pub(super) fn candidates(&self, wish: &Wish<'_>, now: Duration) -> Standing<'_> {
         let mut open: Vec<&Known> = self.serving(wish).collect();
@@ -84,9 +79,8 @@
     /// Leaves out weights that nobody may begin on any more, even if no others are left: callers come back when there are. Weights
     /// that were named before this router followed the store may be new, so they don't count.
     fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let names = self.names(&prompt.model);
-        let over = |named: &&Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
-        if let Some(least) = names.iter().rev().find(over) {
+        let over = |named: &Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
+        if let Some(least) = self.newest_that(&prompt.model, over) {
             open.retain(|known| {
                 known
                     .weights(&prompt.model)
@@ -97,21 +91,20 @@
 
     /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
     fn least_weights(&self, model: &ModelId, after: Duration, now: Duration) -> u64 {
-        let late = |named: &&Named| named.for_longer(after, now);
-        self.names(model)
-            .iter()
-            .rev()
-            .find(late)
-            .map_or(0, |named| named.weights)
+        let named = self.newest_that(model, |named| named.for_longer(after, now));
+        named.map_or(0, |named| named.weights)
+    }
+
+    /// The newest weights of a model that a test holds for.
+    fn newest_that(&self, model: &ModelId, test: impl Fn(&Named) -> bool) -> Option<&Named> {
+        self.wanted.get(model)?.newest_that(test)
     }
 
     /// Leaves out engines with replaced weights for as many prompts as the others have room for. Were they left out for all, the
     /// first engines with new weights would get the whole pool's requests, from routers that don't see how full they are.
     fn renewed(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let newest = self
-            .names(&prompt.model)
-            .last()
-            .filter(|named| named.for_longer(FIRST_USE, now));
+        let newest = self.wanted.get(&prompt.model).and_then(Names::newest);
+        let newest = newest.filter(|named| named.for_longer(FIRST_USE, now));
         let Some(newest) = newest.map(|named| named.weights) else {
             return;
         };
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -8,10 +8,12 @@
 mod candidates;
 mod engines;
 mod known;
+mod names;
 mod plain;
 
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
+pub use names::Behind;
 
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
@@ -20,6 +22,7 @@
 use control::health::{self, EndpointHealth};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId};
 use known::{Heard, Known};
+use names::Names;
 use placement::Placer;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -75,17 +78,6 @@
     pub reason: &'static str,
 }
 
-/// Weights that were named.
-#[derive(Debug, Clone, Copy)]
-struct Named {
-    weights: u64,
-    /// When; absent if before this router followed the store, which may be long ago.
-    at: Option<Duration>,
-}
-
-/// Names of weights that are remembered of a model: more than are named within any bound on old ones.
-const REMEMBERED: usize = 16;
-
 /// What one router believes of all endpoints.
 pub struct Fleet {
     settings: FleetSettings,
@@ -95,7 +87,7 @@
     meters: HashMap<ServiceId, RetryMeter>,
     loading: BTreeSet<EndpointId>,
     coming: BTreeSet<EndpointId>,
-    wanted: HashMap<ModelId, Vec<Named>>,
+    wanted: HashMap<ModelId, Names>,
     pressures: HashMap<(ServiceId, Duration), Pressure>,
 }
 
@@ -135,19 +127,14 @@
 
     /// Weights that a model is to be served with; named at the given time, or some time before this router knew of any.
     pub fn want(&mut self, model: &ModelId, weights: u64, at: Option<Duration>) {
-        let names = self.wanted.entry(model.clone()).or_default();
-        if names.last().is_none_or(|last| last.weights < weights) {
-            names.push(Named { weights, at });
-            let old = names.len().saturating_sub(REMEMBERED);
-            names.drain(..old);
-        }
+        self.wanted.entry(model.clone()).or_default().name(weights, at);
     }
 
     /// Weights wanted of each model.
     pub fn wanted(&self) -> impl Iterator<Item = (&ModelId, u64)> {
         self.wanted
             .iter()
-            .filter_map(|(model, names)| Some((model, names.last()?.weights)))
+            .filter_map(|(model, names)| Some((model, names.newest()?.weights)))
     }
 
     /// Endpoints that load weights now or are about to, which get no requests, and those that come next, which get no long
@@ -167,7 +154,8 @@
     /// An endpoint refused a request since it serves other weights than it was believed to. It has the newest by now, or
     /// what its entry says; if that is wrong too, the next request is refused and says so.
     pub fn other_weights(&mut self, id: &EndpointId, model: &ModelId) {
-        let newest = self.names(model).last().map(|named| named.weights);
+        let newest = self.wanted.get(model).and_then(Names::newest);
+        let newest = newest.map(|named| named.weights);
         if let Some(known) = self.known.get_mut(id) {
             known.correct_weights(model, newest);
         }
@@ -320,9 +308,10 @@
         self.meters.entry(service.clone()).or_default().again(&limits, now)
     }
 
-    /// Weights of a model that were named, the newest last.
-    fn names(&self, model: &ModelId) -> &[Named] {
-        self.wanted.get(model).map_or(&[], Vec::as_slice)
+    /// How far weights of a model are behind the newest, for logs.
+    pub fn behind(&self, model: &ModelId, weights: u64, now: Duration) -> Behind {
+        let names = self.wanted.get(model);
+        names.map_or(Behind::No, |names| names.behind(weights, now))
     }
 
     fn life(&mut self, id: &EndpointId, incarnation: Incarnation) -> Option<&mut Known> {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -315,7 +315,14 @@
     fn wanted(&self, item: &Item, at: Option<Duration>) {
         match (self.shared.dialect.wanted)(&item.value) {
             Ok(wanted) => {
-                log::info!(model = wanted.model.as_str(), weights = wanted.weights; "weights: wanted");
+                let unheard = at.and_then(|at| self.shared.freshness().age(at));
+                log::info!(
+                    model = wanted.model.as_str(),
+                    weights = wanted.weights,
+                    // Absent in a router that read them when it started: they may have been named long before.
+                    unheard_ms = unheard.map_or(-1, |age| age.as_millis() as i64);
+                    "weights: wanted"
+                );
                 self.shared.fleet().want(&wanted.model, wanted.weights, at);
             }
             Err(err) => log::error!(key = item.key.as_str(), why:% = err; "weights: cannot be read"),
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -9,7 +9,7 @@
 use crate::link::Link;
 use crate::shared::Shared;
 use dispatch::attempt::{self, Cause, Failure, Next, Tried};
-use dispatch::fleet::{Choice, Outcome, Picked, Wish};
+use dispatch::fleet::{Behind, Choice, Outcome, Picked, Wish};
 use http::raw::{Answer, ExchangeError, Headers, Source, exchange};
 use ids::EndpointId;
 use lifecycle::events::EventSplitter;
@@ -233,6 +233,7 @@
             return Attempted::Ended(self.give_up(Cause::EndpointFailed));
         }
         self.sent += 1;
+        self.record.weights = self.behind(picked);
         let within = attempt::patience(self.call.route.kind, &self.tried());
         let conn = self.call.caller.conn.clone();
         match wait(&conn, within, self.exchange(picked, link)).await {
@@ -254,6 +255,14 @@
         }
     }
 
+    /// Weights that an attempt names, and how far they are behind.
+    fn behind(&self, picked: &Picked) -> Option<(u64, Behind)> {
+        let prompt = self.call.wish.prompt.as_ref()?;
+        let weights = picked.weights?;
+        let now = self.shared.clock.now();
+        Some((weights, self.shared.fleet().behind(&prompt.model, weights, now)))
+    }
+
     /// The endpoint has not answered in the time for this attempt.
     fn silent(&mut self) -> Attempted {
         if self.left().is_zero() {
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -1,6 +1,7 @@
 //! What is written down of a request: one line, and counters.
 
 use crate::shared::Shared;
+use dispatch::fleet::Behind;
 use ids::{EndpointId, Revision, WorkspaceId};
 use std::fmt::Write;
 use std::time::Duration;
@@ -17,6 +18,8 @@
     pub revision: Revision,
     /// Age of that document's last confirmation.
     pub age: Option<Duration>,
+    /// Weights that the last attempt named, and how far they were behind when it was sent.
+    pub weights: Option<(u64, Behind)>,
     arrived: Duration,
     first: Option<Duration>,
     tries: String,
@@ -31,6 +34,7 @@
             workspace: None,
             revision: Revision(0),
             age: None,
+            weights: None,
             arrived,
             first: None,
             tries: String::new(),
@@ -62,6 +66,7 @@
         }
         let total = shared.clock.now().saturating_sub(self.arrived);
         shared.metrics.requests.with_label_values(&[&self.route, outcome]).inc();
+        let (weights, behind) = self.weights.map_or((0, Behind::No), |weights| weights);
         log::info!(
             id = self.id.as_str(),
             route = self.route.as_str(),
@@ -71,9 +76,20 @@
             first_ms = self.first.unwrap_or_default().as_millis() as u64,
             total_ms = total.as_millis() as u64,
             tries = self.tries.as_str(),
+            weights = weights,
+            behind_ms = behind_ms(behind),
             revision = self.revision.0,
             age_ms = self.age.unwrap_or_default().as_millis() as u64;
             "request"
         );
     }
 }
+
+/// How far weights are behind, in a log line: -1 stands for an unknown time.
+fn behind_ms(behind: Behind) -> i64 {
+    match behind {
+        Behind::No => 0,
+        Behind::For(time) => time.as_millis() as i64,
+        Behind::Unknown => -1,
+    }
+}
