Tests, red: routers that have started serve on weights of unknown age for ever

Callers got answers on weights that had been replaced for over 10 s, all from routers that had restarted after the naming.

nothing_begins_on_old_weights_after_the_bound held that a router which doesn't know when weights were named serves at 9.5 s after it read them. That expectation was wrong: what it read at its start had been named before, so at that moment the bound was past for certain. The case now asks for the refusal, at once and later; the check is stricter.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -538,11 +538,16 @@
             now: 9_500,
             served: false,
         },
-        // A router that has just started doesn't know when they were named.
+        // A router that has just started doesn't know when they were named: perhaps too long ago.
+        Case {
+            named: None,
+            now: 0,
+            served: false,
+        },
         Case {
             named: None,
             now: 9_500,
-            served: true,
+            served: false,
         },
     ];
     for case in cases {
