Weights: a name has an age that holds, also at a router that has started or was away

Callers saw: answers on weights that had been replaced 10 to 14 s before, from routers that had been killed and were back.

Cause: the store tells which weights were named, not when. A router that read a name at its start kept it without a time, and the bound on old weights passed over names without one. Of the same class, found by the model test: a router that heard late (frozen, cut off) counted from when it heard; and one that missed a name in between, since followers get the newest value only, took the age of the next one for it.

Change: a name is at least as old as the first word of it and at most as old as the store's last word without it; what is unknown counts as too old. While that matters, a router asks up to four others, half of its own failure domain, how old names are, and takes in those it missed. Prompts still leave old weights by the lesser age, so that a late word doesn't move them all at once.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -1,6 +1,6 @@
 //! Time of one choice of an engine, by the size of the pool: `cargo run --release -p dispatch --example choice_cost`.
 
-use dispatch::fleet::{Choice, Fleet, FleetSettings, Part, Prompt, Wish};
+use dispatch::fleet::{Choice, Fleet, FleetSettings, NameAge, Part, Prompt, Wish};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
@@ -48,7 +48,11 @@
         };
         fleet.serves(&Arc::new(entry), Duration::ZERO);
     }
-    fleet.want(&ModelId::from("grain"), 2, Some(Duration::ZERO));
+    let age = NameAge {
+        least: Duration::ZERO,
+        most: Some(Duration::ZERO),
+    };
+    fleet.want(&ModelId::from("grain"), 2, age, Duration::ZERO);
     fleet
 }
 
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -77,9 +77,9 @@
     }
 
     /// Leaves out weights that nobody may begin on any more, even if no others are left: callers come back when there are. Weights
-    /// that were named before this router followed the store may be new, so they don't count.
+    /// of which this router can't tell when they were named may be past that: routers that had restarted served on them for ever.
     fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let over = |named: &Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
+        let over = |named: &Named| named.maybe_for_longer(self.settings.last_weights, now);
         if let Some(least) = self.newest_that(&prompt.model, over) {
             open.retain(|known| {
                 known
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
-pub use names::Behind;
+pub use names::{Behind, NameAge};
 
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
@@ -125,9 +125,34 @@
         self.configure(now);
     }
 
-    /// Weights that a model is to be served with; named at the given time, or some time before this router knew of any.
-    pub fn want(&mut self, model: &ModelId, weights: u64, at: Option<Duration>) {
-        self.wanted.entry(model.clone()).or_default().name(weights, at);
+    /// Weights that a model is to be served with, which were named so long ago.
+    pub fn want(&mut self, model: &ModelId, weights: u64, age: NameAge, now: Duration) {
+        self.wanted.entry(model.clone()).or_default().name(weights, age, now);
+    }
+
+    /// Another router tells how long ago weights were named; whether that made clear what was vague. Newer ones than the store
+    /// told this router are left out.
+    pub fn told_age(&mut self, model: &ModelId, weights: u64, age: NameAge, now: Duration) -> bool {
+        let names = self.wanted.get_mut(model);
+        names.is_some_and(|names| names.told(weights, age, now))
+    }
+
+    /// How long ago weights were named.
+    pub fn name_ages(&self, now: Duration) -> Vec<(ModelId, u64, NameAge)> {
+        let names = self.wanted.iter().flat_map(|(model, names)| {
+            let ages = names.all().iter().map(move |named| (named.weights, named.age(now)));
+            ages.map(|(weights, age)| (model.clone(), weights, age))
+        });
+        names.collect()
+    }
+
+    /// Whether an endpoint has old weights, and another router's word could tell much better for how long it may serve.
+    pub fn vague_names(&self, now: Duration) -> bool {
+        let bound = self.settings.last_weights;
+        self.wanted.iter().any(|(model, names)| {
+            let mut served = self.known.values().filter_map(|known| known.weights(model));
+            served.any(|weights| names.vague_after(weights, bound, now))
+        })
     }
 
     /// Weights wanted of each model.
--- a/crates/dispatch/src/fleet/names.rs
+++ b/crates/dispatch/src/fleet/names.rs
@@ -1,21 +1,99 @@
-//! Weights that were named for a model, and since when.
+//! Weights that were named for a model, and how long ago.
+//!
+//! What goes wrong without an age that holds: the store tells which weights were named, not when. A router that has just started finds
+//! the name there, and one that was frozen or cut off hears of it late. Counted from then, the name is younger than it is, and callers
+//! get answers on weights that were replaced long before. So a name has two ages: it is at least as old as the first word of it that
+//! some router had, and at most as old as the last word of the store without it. What is not known counts as too old.
 
 use std::time::Duration;
 
 /// Names of weights that are remembered of a model: more than are named within any bound on old ones.
 const REMEMBERED: usize = 16;
 
+/// A difference between the two ages that is not worth a question to another router: routers in touch have a word of the store
+/// that is one to two seconds old.
+const LOOSE: Duration = Duration::from_millis(2_500);
+
+/// How long ago weights were named.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NameAge {
+    /// At least so long ago.
+    pub least: Duration,
+    /// At most so long ago; absent if this router can't tell.
+    pub most: Option<Duration>,
+}
+
+/// Something that was so old at a time, and gets older.
+#[derive(Debug, Clone, Copy)]
+struct Aged {
+    age: Duration,
+    at: Duration,
+}
+
+impl Aged {
+    fn age(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.at)
+    }
+}
+
 /// Weights that were named.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Named {
     pub(super) weights: u64,
-    /// When; absent if before this router followed the store, which may be long ago.
-    pub(super) at: Option<Duration>,
+    least: Aged,
+    most: Option<Aged>,
 }
 
 impl Named {
+    fn new(weights: u64, age: NameAge, now: Duration) -> Self {
+        let aged = |age| Aged { age, at: now };
+        Self {
+            weights,
+            least: aged(age.least),
+            most: age.most.map(aged),
+        }
+    }
+
+    pub(super) fn age(&self, now: Duration) -> NameAge {
+        NameAge {
+            least: self.least.age(now),
+            most: self.most.map(|most| most.age(now)),
+        }
+    }
+
+    /// Whether they were named so long ago, as far as this router can tell; what it can't tell counts as long ago.
     pub(super) fn for_longer(&self, time: Duration, now: Duration) -> bool {
-        self.at.is_none_or(|at| now.saturating_sub(at) >= time)
+        let age = self.age(now);
+        age.most.is_none() || age.least >= time
+    }
+
+    /// Whether they may have been named so long ago.
+    pub(super) fn maybe_for_longer(&self, time: Duration, now: Duration) -> bool {
+        self.age(now).most.is_none_or(|most| most >= time)
+    }
+
+    /// Whether another router's word could make the age much clearer.
+    fn vague(&self, now: Duration) -> bool {
+        let age = self.age(now);
+        age.most.is_none_or(|most| most.saturating_sub(age.least) > LOOSE)
+    }
+
+    fn stands_for(&mut self, older: &Self, now: Duration) {
+        let (own, older) = (self.age(now), older.age(now));
+        let most = own.most.zip(older.most).map(|(own, older)| own.max(older));
+        let least = own.least.max(older.least);
+        *self = Self::new(self.weights, NameAge { least, most }, now);
+    }
+
+    /// Takes in what another router knows: both are right, so the narrower bound of each side holds.
+    fn narrow(&mut self, told: NameAge, now: Duration) {
+        let own = self.age(now);
+        let most = match (own.most, told.most) {
+            (Some(own), Some(told)) => Some(own.min(told)),
+            (own, told) => own.or(told),
+        };
+        let least = own.least.max(told.least);
+        *self = Self::new(self.weights, NameAge { least, most }, now);
     }
 }
 
@@ -24,7 +102,7 @@
 pub enum Behind {
     /// They are the newest, as far as this router knows.
     No,
-    /// Newer ones have been named for this long.
+    /// Newer ones have been named for this long at least.
     For(Duration),
     /// Newer ones have been named, and this router doesn't know since when.
     Unknown,
@@ -36,11 +114,40 @@
 
 impl Names {
     /// Weights were named; others than newer ones change nothing.
-    pub(super) fn name(&mut self, weights: u64, at: Option<Duration>) {
+    pub(super) fn name(&mut self, weights: u64, age: NameAge, now: Duration) {
         if self.0.last().is_none_or(|last| last.weights < weights) {
-            self.0.push(Named { weights, at });
-            let old = self.0.len().saturating_sub(REMEMBERED);
-            self.0.drain(..old);
+            self.0.push(Named::new(weights, age, now));
+            self.forget(now);
+        }
+    }
+
+    /// Forgets the oldest names; the first that stays stands for them, and takes their age.
+    fn forget(&mut self, now: Duration) {
+        while self.0.len() > REMEMBERED {
+            let oldest = self.0.remove(0);
+            self.0[0].stands_for(&oldest, now);
+        }
+    }
+
+    /// Another router tells how long ago these weights were named; whether that made clear what was vague. Names in between that
+    /// this router missed are taken in: a name's greatest age holds for whatever was named since the one before it, so without them
+    /// a narrower age of a newer name would let engines serve that are further behind. Newer names come from the store.
+    pub(super) fn told(&mut self, weights: u64, age: NameAge, now: Duration) -> bool {
+        if self.newest().is_none_or(|newest| newest.weights < weights) {
+            return false;
+        }
+        match self.0.binary_search_by_key(&weights, |named| named.weights) {
+            Ok(index) => {
+                let named = &mut self.0[index];
+                let vague = named.vague(now);
+                named.narrow(age, now);
+                vague && !named.vague(now)
+            }
+            Err(index) => {
+                self.0.insert(index, Named::new(weights, age, now));
+                self.forget(now);
+                false
+            }
         }
     }
 
@@ -48,18 +155,30 @@
         self.0.last()
     }
 
+    pub(super) fn all(&self) -> &[Named] {
+        &self.0
+    }
+
     /// The newest that a test holds for.
     pub(super) fn newest_that(&self, test: impl Fn(&Named) -> bool) -> Option<&Named> {
         self.0.iter().rev().find(|named| test(named))
     }
 
+    /// Whether another router's word on weights newer than these could make their age much clearer, as long as that matters: nothing
+    /// clears up an age that is past `bound` at least.
+    pub(super) fn vague_after(&self, weights: u64, bound: Duration, now: Duration) -> bool {
+        let newer = self.0.iter().filter(|named| named.weights > weights);
+        let mut young = newer.filter(|named| named.age(now).least < bound);
+        young.any(|named| named.vague(now))
+    }
+
     /// How far `weights` are behind: the first newer ones count.
     pub(super) fn behind(&self, weights: u64, now: Duration) -> Behind {
         let newer = self.0.iter().find(|named| named.weights > weights);
-        match newer.map(|named| named.at) {
+        match newer.map(|named| named.age(now)) {
             None => Behind::No,
-            Some(Some(at)) => Behind::For(now.saturating_sub(at)),
-            Some(None) => Behind::Unknown,
+            Some(NameAge { most: None, .. }) => Behind::Unknown,
+            Some(NameAge { least, .. }) => Behind::For(least),
         }
     }
 }
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use dispatch::fleet::{Choice, Fleet, FleetSettings, LoadReport, Outcome, Part, Prompt, Wish};
+use dispatch::fleet::{Choice, Fleet, FleetSettings, LoadReport, NameAge, Outcome, Part, Prompt, Wish};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
@@ -61,6 +61,15 @@
     fleet(&entries.collect::<Vec<_>>())
 }
 
+/// New weights are named at a time that the router saw, or before it knew of any.
+fn name(fleet: &mut Fleet, weights: u64, named: Option<Duration>) {
+    let age = NameAge {
+        least: Duration::ZERO,
+        most: named.map(|_| Duration::ZERO),
+    };
+    fleet.want(&model(), weights, age, named.unwrap_or_default());
+}
+
 fn prompt(session: u64, own: u64) -> Prompt {
     Prompt {
         model: model(),
@@ -255,7 +264,7 @@
     for case in cases {
         let mut fleet = pool(case.weights);
         for (weights, at_ms) in case.named {
-            fleet.want(&model(), *weights, at_ms.map(at));
+            name(&mut fleet, *weights, at_ms.map(at));
         }
         let used: BTreeSet<String> = (0..200)
             .filter_map(|own| send(&mut fleet, Some(&prompt(own, 1_000 + own)), &[], own * 7, at(case.now)))
@@ -345,7 +354,7 @@
 fn a_refusal_for_other_weights_corrects_the_belief() {
     let id = EndpointId::from("e0");
     let mut fleet = pool(&[1, 1]);
-    fleet.want(&model(), 3, Some(at(0)));
+    name(&mut fleet, 3, Some(at(0)));
     fleet.other_weights(&id, &model());
     assert_eq!(fleet.weights(&id, &model()), Some(3));
     fleet.other_weights(&id, &model());
@@ -460,7 +469,7 @@
     ];
     for case in cases {
         let mut fleet = pool(case.weights);
-        fleet.want(&model(), 2, Some(at(0)));
+        name(&mut fleet, 2, Some(at(0)));
         let renewed = (0..1_000).filter(|session| {
             let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(2_000));
             let used = used.map(EndpointId::from).expect("an endpoint");
@@ -505,7 +514,7 @@
     ];
     for case in cases {
         let mut fleet = pool(&[2, 1, 1, 1, 1]);
-        fleet.want(&model(), 2, Some(at(0)));
+        name(&mut fleet, 2, Some(at(0)));
         let old = (0..1_000).filter(|session| {
             let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(case.now));
             let used = used.map(EndpointId::from).expect("an endpoint");
@@ -552,7 +561,7 @@
     ];
     for case in cases {
         let mut fleet = pool(&[1, 1]);
-        fleet.want(&model(), 2, case.named.map(at));
+        name(&mut fleet, 2, case.named.map(at));
         let sent = send(&mut fleet, Some(&prompt(7, 8)), &[], 1, at(case.now));
         assert_eq!(sent.is_some(), case.served, "named {:?}, at {}", case.named, case.now);
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Holding;
 use crate::shared::Shared;
 use async_channel::Receiver;
+use dispatch::fleet::NameAge;
 use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
@@ -213,7 +214,7 @@
             self.removed(HOLDER_KEY);
         }
         for item in &rest {
-            self.written(item, None, now);
+            self.written(item, now);
         }
     }
 
@@ -229,7 +230,7 @@
             return;
         }
         match change {
-            Change::Written(item) => self.written(item, Some(now), now),
+            Change::Written(item) => self.written(item, now),
             Change::Removed { key, .. } => self.removed(key),
         }
     }
@@ -272,14 +273,13 @@
         self.shared.metrics.endpoints.set(count as i64);
     }
 
-    /// An item that was written at the given time, if that is known.
-    fn written(&mut self, item: &Item, at: Option<Duration>, now: Duration) {
+    fn written(&mut self, item: &Item, now: Duration) {
         let keys = self.shared.dialect.keys;
         match item.key.as_str() {
             HOLDER_KEY => self.occupied(item),
             HOLDING_KEY => self.told(item, now),
             key if key == keys.document => self.document(item),
-            key if key.starts_with(keys.weights) => self.wanted(item, at),
+            key if key.starts_with(keys.weights) => self.wanted(item, now),
             _ => {}
         }
     }
@@ -312,18 +312,22 @@
         self.shared.site.store(Some(Arc::new(Site::new(parts))));
     }
 
-    fn wanted(&self, item: &Item, at: Option<Duration>) {
+    fn wanted(&self, item: &Item, now: Duration) {
         match (self.shared.dialect.wanted)(&item.value) {
             Ok(wanted) => {
-                let unheard = at.and_then(|at| self.shared.freshness().age(at));
+                // The store's last word without this name is how old it is at most; a router that has just started had none.
+                let unheard = self.shared.freshness().age(now);
                 log::info!(
                     model = wanted.model.as_str(),
                     weights = wanted.weights,
-                    // Absent in a router that read them when it started: they may have been named long before.
                     unheard_ms = unheard.map_or(-1, |age| age.as_millis() as i64);
                     "weights: wanted"
                 );
-                self.shared.fleet().want(&wanted.model, wanted.weights, at);
+                let age = NameAge {
+                    least: Duration::ZERO,
+                    most: unheard,
+                };
+                self.shared.fleet().want(&wanted.model, wanted.weights, age, now);
             }
             Err(err) => log::error!(key = item.key.as_str(), why:% = err; "weights: cannot be read"),
         }
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -4,6 +4,7 @@
 use async_std::task;
 use control::following::{Lead, lead, wide};
 use ids::{DomainId, VmId};
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,12 +36,11 @@
     pub link: f64,
 }
 
-/// Routers of the own failure domain, and how many there are in all.
+/// Routers of the own failure domain, and those of the others.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Members {
     near: Vec<(VmId, Member)>,
-    /// Routers of the deployment.
-    pub all: u32,
+    far: Vec<(VmId, Member)>,
 }
 
 impl Members {
@@ -54,15 +54,32 @@
                 log::warn!(key = item.key.as_str(); "router: its entry cannot be read");
                 continue;
             };
-            members.all += 1;
-            if member.domain == own.domain {
-                let vm = item.key.trim_start_matches(PREFIX);
-                members.near.push((VmId::from(vm), member));
-            }
+            let vm = VmId::from(item.key.trim_start_matches(PREFIX));
+            let side = if member.domain == own.domain {
+                &mut members.near
+            } else {
+                &mut members.far
+            };
+            side.push((vm, member));
         }
         members
     }
 
+    /// Routers of the deployment.
+    pub fn count(&self) -> u32 {
+        (self.near.len() + self.far.len()) as u32
+    }
+
+    /// Addresses of some other routers, drawn at random: half of them of the own failure domain, as far as there are, and the rest of
+    /// others, since a whole domain may have lost its routers at once.
+    pub fn some_others(&self, own: &VmId, count: usize) -> Vec<SocketAddr> {
+        let mut random = rand::rng();
+        let others = self.near.iter().filter(|(vm, _)| vm != own);
+        let mut drawn = others.sample(&mut random, count / 2);
+        drawn.extend(self.far.iter().sample(&mut random, count - drawn.len()));
+        drawn.into_iter().map(|(_, member)| member.address).collect()
+    }
+
     /// Whom this router follows, the best first; none if it watches the store itself.
     pub fn leaders(&self, own: &VmId, domain: &DomainId) -> Vec<(VmId, SocketAddr)> {
         let links: Vec<(VmId, f64)> = self.near.iter().map(|(vm, member)| (vm.clone(), member.link)).collect();
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod loads;
 mod members;
+mod names;
 mod prefixes;
 pub mod relay;
 
 pub use members::{Members, register};
+pub use names::learn_names;
 pub use prefixes::follow_prefixes;
 
 use crate::control::{Event, send};
@@ -132,7 +134,7 @@
     async fn next_leader(&mut self) -> Option<(VmId, Leader)> {
         let settings = self.shared.settings.load_full();
         let members = Members::read(&self.shared);
-        self.shared.fleet().routers(members.all);
+        self.shared.fleet().routers(members.count());
         let leaders = members.leaders(&settings.vm, &settings.domain);
         self.shared.watches.store(leaders.is_empty(), Ordering::SeqCst);
         let now = self.shared.clock.now();
--- /dev/null
+++ b/crates/gateway/src/follow/names.rs
@@ -0,0 +1,94 @@
+//! Since when weights are named, asked of other routers.
+//!
+//! The store tells which weights were named, not when, and a router that has just started, or was cut off, has not seen it. Until it
+//! knows, it lets nobody begin on weights that may have been replaced too long ago; a neighbour that heard the naming can
+//! tell it how long engines with old weights may still serve.
+
+use super::Members;
+use crate::shared::Shared;
+use async_std::task;
+use dispatch::fleet::NameAge;
+use futures::future::join_all;
+use ids::ModelId;
+use peers::{Leader, NameTold, PeerError};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between two looks whether an answer is needed: callers are refused meanwhile.
+const LOOK: Duration = Duration::from_millis(200);
+/// Longest pause while nobody knows, doubled with each question: a rollout takes several seconds, and after the loss of all routers
+/// there is nobody to tell.
+const LOOK_MOST: Duration = Duration::from_millis(1_600);
+/// Longest wait for a connection, and for an answer, which is there at once.
+const CALL: Duration = Duration::from_millis(300);
+/// Routers that are asked at once: two thirds may have gone at the same moment, and one that knows is enough.
+const ASKED: usize = 4;
+
+/// Asks other routers while an endpoint has weights of which this one doesn't know how long they may serve; until the process ends.
+pub async fn learn_names(shared: Arc<Shared>) {
+    let mut pause = LOOK;
+    loop {
+        task::sleep(pause).await;
+        if shared.fleet().vague_names(shared.clock.now()) {
+            ask(&shared).await;
+            pause = (pause * 2).min(LOOK_MOST);
+        } else {
+            pause = LOOK;
+        }
+    }
+}
+
+/// What this router tells another.
+pub fn answer(shared: &Shared) -> Vec<NameTold> {
+    let ages = shared.fleet().name_ages(shared.clock.now());
+    let told = |(model, weights, age): (ModelId, u64, NameAge)| NameTold {
+        model,
+        weights,
+        least_ms: age.least.as_millis() as u64,
+        most_ms: age.most.map(|most| most.as_millis() as u64),
+    };
+    ages.into_iter().map(told).collect()
+}
+
+async fn ask(shared: &Shared) {
+    let settings = shared.settings.load_full();
+    let others = Members::read(shared).some_others(&settings.vm, ASKED);
+    join_all(others.into_iter().map(|address| ask_one(shared, address))).await;
+}
+
+async fn ask_one(shared: &Shared, address: SocketAddr) {
+    let sent = shared.clock.now();
+    match names(address).await {
+        Ok(told) => hear(shared, &told, sent),
+        // Others are asked as well, and again.
+        Err(err) => log::debug!(router:% = address, why:% = err; "weights: a router does not tell their age"),
+    }
+}
+
+async fn names(address: SocketAddr) -> Result<Vec<NameTold>, PeerError> {
+    let other = Leader::connect(address, CALL).await?;
+    other.names(CALL).await
+}
+
+/// An answer may have been under way since the question left.
+fn hear(shared: &Shared, told: &[NameTold], sent: Duration) {
+    let now = shared.clock.now();
+    let under_way = now.saturating_sub(sent);
+    let mut fleet = shared.fleet();
+    for name in told {
+        let age = NameAge {
+            least: Duration::from_millis(name.least_ms),
+            most: name.most_ms.map(|most| Duration::from_millis(most) + under_way),
+        };
+        if fleet.told_age(&name.model, name.weights, age, now) {
+            log::info!(
+                model = name.model.as_str(),
+                weights = name.weights,
+                least_ms = name.least_ms,
+                most_ms = age.most.unwrap_or_default().as_millis() as u64;
+                "weights: another router told how long ago they were named"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -1,6 +1,6 @@
 //! What this router knows of the store, for the routers that follow it.
 
-use super::{FOLLOW_AGE, loads};
+use super::{FOLLOW_AGE, loads, names};
 use crate::shared::Shared;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
@@ -102,7 +102,8 @@
 
 /// Answers followers from what this router knows.
 pub fn answer(shared: &Arc<Shared>) -> Answer {
-    let (items, prefixes, fleet) = (shared.clone(), shared.clone(), shared.clone());
+    let (items, prefixes) = (shared.clone(), shared.clone());
+    let (fleet, known) = (shared.clone(), shared.clone());
     Answer {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -118,6 +119,7 @@
             futures::future::ready(pages).boxed()
         }),
         loads: Arc::new(move |question| futures::future::ready(loads::answer(&fleet, &question)).boxed()),
+        names: Arc::new(move |()| futures::future::ready(names::answer(&known)).boxed()),
     }
 }
 
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -12,6 +12,7 @@
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use ids::ModelId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -107,10 +108,23 @@
     pub own: Vec<LoadTold>,
 }
 
+/// How long ago weights were named, as far as a router can tell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NameTold {
+    /// The model.
+    pub model: ModelId,
+    /// Number of the weights.
+    pub weights: u64,
+    /// At least so long before this answer, milliseconds.
+    pub least_ms: u64,
+    /// At most so long, milliseconds; absent if the router can't tell.
+    pub most_ms: Option<u64>,
+}
+
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, LoadExchange, LoadTold, PrefixFollow, PrefixPage};
+    use super::{Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage};
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -121,6 +135,8 @@
         async fn prefixes(follow: Vec<PrefixFollow>) -> Vec<PrefixPage>;
         /// Load reports of endpoints, both ways.
         async fn loads(exchange: LoadExchange) -> Vec<LoadTold>;
+        /// How long ago weights were named lately.
+        async fn names() -> Vec<NameTold>;
     }
 }
 
@@ -138,6 +154,8 @@
     pub prefixes: Answers<Vec<PrefixFollow>, Vec<PrefixPage>>,
     /// Load reports of endpoints, both ways.
     pub loads: Answers<LoadExchange, Vec<LoadTold>>,
+    /// How long ago weights were named lately.
+    pub names: Answers<(), Vec<NameTold>>,
 }
 
 #[derive(Clone)]
@@ -155,6 +173,10 @@
     async fn loads(self, _: Context, exchange: LoadExchange) -> Vec<LoadTold> {
         (self.0.loads)(exchange).await
     }
+
+    async fn names(self, _: Context) -> Vec<NameTold> {
+        (self.0.names)(()).await
+    }
 }
 
 /// Answers followers until the process ends.
@@ -238,4 +260,13 @@
         let call = self.client.loads(deadline_in(within), exchange);
         Ok(async_std::future::timeout(within, call).await??)
     }
+
+    /// How long ago weights were named lately.
+    ///
+    /// # Errors
+    /// The call failed or took too long.
+    pub async fn names(&self, within: Duration) -> Result<Vec<NameTold>, PeerError> {
+        let call = self.client.names(deadline_in(within));
+        Ok(async_std::future::timeout(within, call).await??)
+    }
 }
