Orders: the list of a dead holder keeps no requests away

Callers saw refusals as full from routers that had started after the holder of the right to give orders died, for as long as nobody wrote another list; engines that it named served nothing there.

Cause, of the incident's class: the list read at the start was taken for the word of a holder that lives. Routers that lived cleared it when the right lapsed. Change: the list's loads are believed while the right is held under the list's own generation number; whom it says to have been ordered counts for the turns as before.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -105,6 +105,10 @@
     telling: Telling,
     turns: Turns,
     postponed: Postponed,
+    /// Generation number of whoever holds the right to give orders.
+    occupant: Option<Fence>,
+    /// What a holder said last; of a dead one only who was ordered counts.
+    told: Holding,
     /// Loads that were ordered and have not ended.
     running: Arc<AtomicUsize>,
     /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
@@ -137,6 +141,8 @@
             telling: Telling::default(),
             turns: Turns::default(),
             postponed: Postponed::default(),
+            occupant: None,
+            told: Holding::default(),
             running: Arc::default(),
             readable: false,
             in_touch: false,
@@ -286,8 +292,8 @@
 
     fn removed(&mut self, key: &str) {
         if key == HOLDER_KEY {
-            // Whatever still loads there refuses requests by itself until it has ended.
-            self.shared.fleet().loads(BTreeSet::new(), BTreeSet::new());
+            self.occupant = None;
+            self.believe_loads();
             self.holder_event(dispatch::holder::Event::Seen(None));
         }
     }
@@ -339,6 +345,8 @@
             created: Fence(item.created),
             lease: item.lease,
         };
+        self.occupant = Some(occupant.created);
+        self.believe_loads();
         self.holder_event(dispatch::holder::Event::Seen(Some(occupant)));
     }
 
@@ -357,15 +365,29 @@
         for endpoint in holding.loading.iter().chain(&holding.recent) {
             self.turns.other(endpoint, now);
         }
-        self.believe(&holding);
+        self.believe(holding);
     }
 
-    fn believe(&self, holding: &Holding) {
+    fn believe(&mut self, holding: Holding) {
+        {
+            let mut fleet = self.shared.fleet();
+            for (endpoint, model, weights) in &holding.loaded {
+                fleet.serves_weights(endpoint, model, *weights);
+            }
+        }
+        self.told = holding;
+        self.believe_loads();
+    }
+
+    /// The list stays in the store when its holder dies, and whoever starts later reads it there. Believed, it would keep requests away
+    /// from engines that serve, until some holder writes another one. Whatever still loads then refuses requests by itself.
+    fn believe_loads(&self) {
         let mut fleet = self.shared.fleet();
-        let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
-        fleet.loads(set(&holding.loading), set(&holding.coming));
-        for (endpoint, model, weights) in &holding.loaded {
-            fleet.serves_weights(endpoint, model, *weights);
+        if self.occupant == Some(self.told.fence) {
+            let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
+            fleet.loads(set(&self.told.loading), set(&self.told.coming));
+        } else {
+            fleet.loads(BTreeSet::new(), BTreeSet::new());
         }
     }
 
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -181,7 +181,7 @@
         self.holding.loading = self.loading.iter().cloned().collect();
         self.holding.coming.clone_from(&self.telling.coming);
         self.holding.recent = self.ended.keys().cloned().collect();
-        self.believe(&self.holding);
+        self.believe(self.holding.clone());
         self.telling.again = false;
         self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
