Test, red: an engine with old weights is used up to the bound, however long requests wait there

Requests are sent on replaced weights up to 9.5 s after newer ones were named, and some wait 0.5 to 2 s inside a full engine: they begin after the bound of 10 s. The table asks that such an engine is left earlier, by what late first events, its load report and this router's unread prompts let expect.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -557,3 +557,69 @@
         assert_eq!(sent.is_some(), case.served, "named {:?}, at {}", case.named, case.now);
     }
 }
+
+/// Engines with old weights are full, and what is sent there waits a second and more inside the engine. Sent before the bound and begun
+/// after it, the answer is worth nothing to its caller; so an engine is left earlier by the wait that is to be expected there.
+#[test]
+fn an_engine_with_old_weights_is_left_earlier_by_the_wait_there() {
+    struct Case {
+        what: &'static str,
+        seen: fn(&mut Fleet, &EndpointId),
+        now: u64,
+        used: &'static [&'static str],
+    }
+    let late: fn(&mut Fleet, &EndpointId) = |fleet, id| fleet.outcome(id, Outcome::Answered(at(1_400)), at(8_600));
+    let cases = [
+        Case {
+            what: "idle",
+            seen: |_, _| {},
+            now: 8_700,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "first events late",
+            seen: late,
+            now: 8_700,
+            used: &["e1"],
+        },
+        Case {
+            what: "first events late, long before the bound",
+            seen: late,
+            now: 7_900,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "first events late a while ago",
+            seen: |fleet, id| fleet.outcome(id, Outcome::Answered(at(1_400)), at(5_000)),
+            now: 8_700,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "many wait by its report",
+            seen: |fleet, id| {
+                let running = 12;
+                fleet.reported(id, LoadReport { running, waiting: 60 }, at(8_600));
+            },
+            now: 8_700,
+            used: &["e1"],
+        },
+        Case {
+            what: "prompts of this router aren't read yet",
+            seen: |fleet, id| fleet.begin(id, Incarnation(1), 90_000),
+            now: 8_700,
+            used: &["e1"],
+        },
+    ];
+    let ids = ["e0", "e1"].map(EndpointId::from);
+    for case in cases {
+        // Each engine is asked with the other one out of the way: a full one has work only if it is the last.
+        let used = ["e0", "e1"].into_iter().filter(|name| {
+            let mut fleet = pool(&[1, 1]);
+            fleet.want(&model(), 2, Some(at(0)));
+            (case.seen)(&mut fleet, &ids[0]);
+            let others: Vec<EndpointId> = ids.iter().filter(|id| id.as_str() != *name).cloned().collect();
+            send(&mut fleet, Some(&prompt(7, 8)), &others, 1, at(case.now)).is_some()
+        });
+        assert_eq!(used.collect::<Vec<_>>(), case.used, "{}", case.what);
+    }
+}
