Dispatch: an engine on replaced weights is left earlier by the wait expected there

Cause: the choice leaves replaced weights at 9.5 s, and supposes that a request begins within some hundred milliseconds. Under a burst on fewer engines it waits 0.5 to 2 s in the engine's queue.

Change: the age of the newer weights is taken for the moment at which the request will begin. The wait is what is ahead of it to be read, by load reports and this router's own prompts, and no less than first events at this engine came late lately, faded by half a second by second.

So this lessens the waste; it doesn't keep the bound. VERSION as a whole is covered by requests of unknown age, another fault.

Why it holds: the table replays late first events, long queues by report, and unread prompts at one engine beside an idle one; the full one is left and the idle one serves.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -76,17 +76,10 @@
         prefer(open, |known| known.serves(&prompt.model, least));
     }
 
-    /// Leaves out weights that nobody may begin on any more, even if no others are left: callers come back when there are. Weights
-    /// that were named before this router followed the store may be new, so they don't count.
+    /// Leaves out weights on which a request would begin after the bound, even if no others are left: callers come back when there are.
     fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
-        let over = |named: &Named| named.at.is_some() && named.for_longer(self.settings.last_weights, now);
-        if let Some(least) = self.newest_that(&prompt.model, over) {
-            open.retain(|known| {
-                known
-                    .weights(&prompt.model)
-                    .is_some_and(|weights| weights >= least.weights)
-            });
-        }
+        let model = &prompt.model;
+        open.retain(|known| self.may_begin(model, known.weights(model), now + known.wait(now)));
     }
 
     /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
@@ -96,7 +89,7 @@
     }
 
     /// The newest weights of a model that a test holds for.
-    fn newest_that(&self, model: &ModelId, test: impl Fn(&Named) -> bool) -> Option<&Named> {
+    pub(super) fn newest_that(&self, model: &ModelId, test: impl Fn(&Named) -> bool) -> Option<&Named> {
         self.wanted.get(model)?.newest_that(test)
     }
 
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -14,7 +14,7 @@
 /// and keeps a chain of 10,000 tokens at 40 hashes.
 const BLOCK: u64 = 256;
 /// Tokens a second that an engine of the sites reads of a prompt.
-const PREFILL_RATE: f64 = 80_000.0;
+pub(super) const PREFILL_RATE: f64 = 80_000.0;
 /// Prompt tokens that are assumed for each request that waits inside an engine, whoever sent it: the sites' mean.
 const WAITING_TOKENS: f64 = 1_500.0;
 /// What a running request costs a new one, as prompt tokens: each step of the batch takes longer by it.
@@ -133,7 +133,6 @@
     }
 
     fn candidate(&self, known: &Known, prompt: &Prompt, now: Duration) -> Candidate {
-        let others = known.waiting(now) * WAITING_TOKENS + known.running(now) * RUNNING_TOKENS;
         let weights = known.weights(&prompt.model).unwrap_or_default();
         Candidate {
             endpoint: known.key,
@@ -141,13 +140,21 @@
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
-            queued: known.prefill() + others as u64,
+            queued: known.queued(now),
             speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
             weight: 1.0,
         }
     }
 }
 
+impl Known {
+    /// What is ahead of a new request there, as prompt tokens.
+    pub(super) fn queued(&self, now: Duration) -> u64 {
+        let others = self.waiting(now) * WAITING_TOKENS + self.running(now) * RUNNING_TOKENS;
+        self.prefill() + others as u64
+    }
+}
+
 /// Prefixes of an isolated workspace have homes of their own.
 fn seed(wish: &Wish<'_>) -> u64 {
     wish.isolated
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -21,6 +21,10 @@
 /// the others.
 const SILENT: f64 = 0.3;
 
+/// Time in which a late answer loses half of its weight, seconds: queues of one to two seconds are worked off in about that time
+/// once requests go elsewhere.
+const LATE_HALF: f64 = 1.0;
+
 /// Load that an endpoint tells on its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -94,6 +98,8 @@
     trouble: (f64, Duration),
     /// Seconds until an answer, running mean.
     latency: Option<f64>,
+    /// Longest time until an answer, faded, and when it last changed.
+    late: (Duration, Duration),
     /// Weights that answers named, which are ahead of the entry.
     weights: Vec<(ModelId, u64)>,
 }
@@ -109,6 +115,7 @@
             report: None,
             trouble: (0.0, Duration::ZERO),
             latency: None,
+            late: (Duration::ZERO, Duration::ZERO),
             weights,
         }
     }
@@ -174,6 +181,7 @@
     pub(super) fn outcome(&mut self, outcome: Outcome, now: Duration) {
         let failed = match outcome {
             Outcome::Answered(after) => {
+                self.late = (after.max(self.late(now)), now);
                 let seconds = after.as_secs_f64();
                 let mean = self.latency.unwrap_or(seconds);
                 self.latency = Some(mean + FADE * (seconds - mean));
@@ -206,6 +214,13 @@
         self.latency
     }
 
+    /// How late answers came lately. An engine admits urgent requests first, so a quick answer doesn't show that its queue is short:
+    /// what was seen fades instead.
+    pub(super) fn late(&self, now: Duration) -> Duration {
+        let (late, at) = self.late;
+        late.mul_f64(fade::left(now.saturating_sub(at), LATE_HALF))
+    }
+
     /// Requests expected to run there, whoever sent them.
     pub(super) fn running(&self, now: Duration) -> f64 {
         let told = self.faded(now, |report| report.running + report.waiting);
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! has in flight itself, and how its own attempts went; endpoints of one prompt's prefix are found by hashing, so that
 //! routers agree without talking.
 
+mod begin;
 mod candidates;
 mod engines;
 mod known;
