--- a/crates/dispatch/src/fleet/begin.rs
+++ b/crates/dispatch/src/fleet/begin.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 impl Fleet {
-    /// Whether a request may begin on these weights at the given time. Weights that were named before this router followed the store
-    /// may be new, so they don't count.
+    /// Whether a request may begin on these weights at the given time. Newer weights of which this router can't tell when they were
+    /// named may be past the bound: routers that had restarted served on older ones for ever.
     pub fn may_begin(&self, model: &ModelId, weights: Option<u64>, at: Duration) -> bool {
-        let over = |named: &Named| named.at.is_some() && named.for_longer(self.settings.last_weights, at);
+        let over = |named: &Named| named.maybe_for_longer(self.settings.last_weights, at);
         let least = self.newest_that(model, over);
         least.is_none_or(|least| weights.is_some_and(|weights| weights >= least.weights))
     }
