Dispatch, gateway: what waits on replaced weights is taken back at the bound

Callers saw: answers begun on weights that had been replaced for over 10 s, from requests that were sent 8.4 to 9.4 s after the naming, or at 5 to 7 s and left to wait 3 to 5 s where the route allows one endpoint. The answer was worth nothing by then.

Cause: once sent, nothing bounded the wait but patience and deadline. Weights may even be named while a request waits.

Ruled out: that such requests had begun in time and were only late to show it. That the choice alone could avoid it: waits of up to 4.8 s, and newer names, aren't known when a request is sent.

Change: until the first event of an attempt at a model's stream the wait looks every 100 ms whether the weights that it named are still good to begin on, by the same test as the choice. If not, the connection is closed. What may be sent again goes on at another endpoint within attempts, budget and deadline; the rest ends at once with 502, never as not run. Nothing is sent where connecting outlasted the bound. An answer that isn't streamed shows no begin and is left alone; one that has begun goes on.

Why it holds: choice and wait ask one function, with the greatest age that this router can't exclude, so no wait outlives what the choice would refuse by more than a look.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -23,6 +23,8 @@
     Broken,
     /// Sent, and no answer in the time for this attempt: it may run still.
     Silent,
+    /// Sent, and taken back since its weights became too old to begin on: it may run still.
+    Outdated,
     /// The endpoint ran it and answered with an error of its own.
     Error,
 }
@@ -42,6 +44,7 @@
             Self::OtherWeights => "other_weights",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::Outdated => "outdated",
             Self::Error => "error",
         }
     }
@@ -125,6 +128,47 @@
     tried.left.mul_f64(share)
 }
 
+/// Pause after which a wait for a first event looks again whether its weights are too old by now. Newer ones may be named, or a router may hear
+/// how old they are, at any moment of it. It is a fifth of the time between the end of the wait and the bound itself, in which the endpoint
+/// has to notice that it was left.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// An attempt whose first event has not come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unbegun {
+    /// Whether its first event shows that it begins, which must not be too late: that of a stream from a model's engine. Of an answer
+    /// that isn't streamed nobody can tell when it began.
+    pub shows: bool,
+    /// Whether its weights are new enough to begin on now.
+    pub may_begin: bool,
+    /// What is left of the time for this attempt.
+    pub left: Duration,
+}
+
+/// How the wait for a first event goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// This long, then ask again.
+    For(Duration),
+    /// The time for this attempt is over.
+    Over,
+    /// Take the request back: what it begins with now is worth nothing to the caller.
+    TakeBack,
+}
+
+/// How the wait for a first event goes on. Without it a request waits in a full engine's queue past the bound on its weights, for up to
+/// five seconds, and its caller waits for an answer that is worth nothing.
+pub fn unbegun(attempt: &Unbegun) -> Wait {
+    if attempt.left.is_zero() {
+        return Wait::Over;
+    }
+    if attempt.shows && !attempt.may_begin {
+        return Wait::TakeBack;
+    }
+    let pause = if attempt.shows { LOOK } else { attempt.left };
+    Wait::For(pause.min(attempt.left))
+}
+
 /// How long a stream that has begun may be silent before another endpoint goes on with it, where that may be.
 pub fn silence(kind: RouteKind, left: Duration) -> Duration {
     if kind.repeatable() { left.min(SILENCE) } else { left }
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -1,6 +1,6 @@
 //! What follows a failed attempt, and whether a refusal is true.
 
-use dispatch::attempt::{Cause, Failure, Next, Tried, next, patience, refusal, silence};
+use dispatch::attempt::{Cause, Failure, Next, Tried, Unbegun, Wait, next, patience, refusal, silence, unbegun};
 use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
 use std::time::Duration;
@@ -82,6 +82,21 @@
             failure: Failure::Error,
             expected: Next::Again,
         },
+        Case {
+            tried: FRESH,
+            failure: Failure::Outdated,
+            expected: Next::Stop,
+        },
+        Case {
+            tried: again,
+            failure: Failure::Outdated,
+            expected: Next::Again,
+        },
+        Case {
+            tried: spent,
+            failure: Failure::Outdated,
+            expected: Next::Stop,
+        },
         Case {
             tried: spent,
             failure: Failure::Error,
@@ -235,3 +250,69 @@
         );
     }
 }
+
+/// Weights are replaced while a request waits in a full engine's queue. Left there it begins after the bound, and its caller has waited
+/// for seconds for an answer that is worth nothing; so the wait looks again and again whether the weights are still good.
+#[test]
+fn a_wait_on_old_weights_ends_at_the_bound() {
+    struct Case {
+        shows: bool,
+        may_begin: bool,
+        left_ms: u64,
+        expected: Wait,
+    }
+    let cases = [
+        Case {
+            shows: true,
+            may_begin: true,
+            left_ms: 2_000,
+            expected: Wait::For(Duration::from_millis(100)),
+        },
+        Case {
+            shows: true,
+            may_begin: true,
+            left_ms: 30,
+            expected: Wait::For(Duration::from_millis(30)),
+        },
+        Case {
+            shows: true,
+            may_begin: true,
+            left_ms: 0,
+            expected: Wait::Over,
+        },
+        Case {
+            shows: true,
+            may_begin: false,
+            left_ms: 2_000,
+            expected: Wait::TakeBack,
+        },
+        // What the caller is told at the end of the time doesn't hang on the weights' age.
+        Case {
+            shows: true,
+            may_begin: false,
+            left_ms: 0,
+            expected: Wait::Over,
+        },
+        // It may have begun long ago.
+        Case {
+            shows: false,
+            may_begin: false,
+            left_ms: 2_000,
+            expected: Wait::For(Duration::from_millis(2_000)),
+        },
+        Case {
+            shows: false,
+            may_begin: false,
+            left_ms: 0,
+            expected: Wait::Over,
+        },
+    ];
+    for case in cases {
+        let attempt = Unbegun {
+            shows: case.shows,
+            may_begin: case.may_begin,
+            left: Duration::from_millis(case.left_ms),
+        };
+        assert_eq!(unbegun(&attempt), case.expected, "{attempt:?}");
+    }
+}
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -4,16 +4,18 @@
 use super::flight::Flight;
 use super::record::Record;
 use super::relay::Relay;
-use super::wait::{Waited, wait};
+use super::wait::{Outdated, Waited, wait};
 use crate::dialect::AnswerFacts;
 use crate::link::Link;
 use crate::shared::Shared;
-use dispatch::attempt::{self, Cause, Failure, Next, Tried};
+use dispatch::attempt::{self, Cause, Failure, Next, Tried, Unbegun, Wait};
 use dispatch::fleet::{Behind, Choice, Outcome, Picked, Wish};
 use http::raw::{Answer, ExchangeError, Headers, Source, exchange};
 use ids::EndpointId;
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Repeat, Request, RequestEvent, RequestState, RequestStep};
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use wire::caller::Ran;
@@ -229,14 +231,24 @@
             Waited::CallerGone => return Attempted::Ended(self.gone()),
             Waited::TimeOver => return Attempted::Ended(self.give_up(Cause::Deadline)),
         };
+        if self.outdated(picked) {
+            // Connecting took longer than its weights are good for, and nothing was sent.
+            return Attempted::Failed(Failure::NotSent);
+        }
         if self.life.on(RequestEvent::SendStarts) != RequestStep::Send {
             return Attempted::Ended(self.give_up(Cause::EndpointFailed));
         }
         self.sent += 1;
         self.record.weights = self.behind(picked);
         let within = attempt::patience(self.call.route.kind, &self.tried());
-        let conn = self.call.caller.conn.clone();
-        match wait(&conn, within, self.exchange(picked, link)).await {
+        let waited = match self.unbegun(picked, within, self.exchange(picked, link)).await {
+            Ok(waited) => waited,
+            Err(Outdated) => {
+                self.life.on(RequestEvent::SendFailed);
+                return self.taken_back(&flight);
+            }
+        };
+        match waited {
             Waited::Done(Ok((answer, source))) => self.judge(&mut flight, answer, source).await,
             Waited::Done(Err(_)) => {
                 flight.outcome(Outcome::Broken);
@@ -255,6 +267,54 @@
         }
     }
 
+    /// Waits for what an endpoint sends before its first event. A request must not stay in the queue of an engine whose weights have
+    /// become too old: the caller would wait for an answer that is worth nothing. Dropping the wait closes the connection, on which the engine
+    /// drops the request.
+    pub(super) async fn unbegun<T>(
+        &self,
+        picked: &Picked,
+        within: Duration,
+        future: impl Future<Output = T>,
+    ) -> Result<Waited<T>, Outdated> {
+        let conn = self.call.caller.conn.clone();
+        let mut future = pin!(future);
+        let until = self.shared.clock.now() + within;
+        loop {
+            let attempt = Unbegun {
+                shows: self.shows_begin(),
+                may_begin: !self.outdated(picked),
+                left: until.saturating_sub(self.shared.clock.now()),
+            };
+            let pause = match attempt::unbegun(&attempt) {
+                Wait::For(pause) => pause,
+                Wait::Over => return Ok(Waited::TimeOver),
+                Wait::TakeBack => return Err(Outdated),
+            };
+            match wait(&conn, pause, future.as_mut()).await {
+                Waited::TimeOver => {}
+                ended => return Ok(ended),
+            }
+        }
+    }
+
+    /// Whether the first event of an answer tells that the request has begun.
+    fn shows_begin(&self) -> bool {
+        self.call.route.kind.streams() && self.call.wish.prompt.is_some()
+    }
+
+    /// Whether the weights that an attempt names are too old to begin on by now.
+    fn outdated(&self, picked: &Picked) -> bool {
+        let now = self.shared.clock.now();
+        let prompt = self.call.wish.prompt.as_ref();
+        prompt.is_some_and(|prompt| !self.shared.fleet().may_begin(&prompt.model, picked.weights, now))
+    }
+
+    /// The request was taken back from a queue. That tells of its endpoint that first events are late there, and nothing of its health.
+    pub(super) fn taken_back(&self, flight: &Flight<'_>) -> Attempted {
+        self.waited(flight.began);
+        Attempted::Failed(Failure::Outdated)
+    }
+
     /// Weights that an attempt names, and how far they are behind.
     fn behind(&self, picked: &Picked) -> Option<(u64, Behind)> {
         let prompt = self.call.wish.prompt.as_ref()?;
@@ -426,6 +486,6 @@
         Failure::NotSent | Failure::Declined | Failure::OtherWeights => Cause::NoEndpoint,
         Failure::Full => Cause::Full,
         Failure::Silent => Cause::Deadline,
-        Failure::Broken | Failure::Error => Cause::EndpointFailed,
+        Failure::Broken | Failure::Outdated | Failure::Error => Cause::EndpointFailed,
     }
 }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -2,7 +2,7 @@
 
 use super::attempts::{Attempted, Attempts, Finish};
 use super::flight::Flight;
-use super::wait::{Waited, wait};
+use super::wait::{Outdated, Waited, wait};
 use super::{closes, reply};
 use crate::dialect::AnswerFacts;
 use async_std::future::timeout;
@@ -42,14 +42,26 @@
 
     pub(super) async fn run(mut self, mut answer: Answer, mut source: Source, facts: &AnswerFacts) -> Attempted {
         let conn = self.attempts.call.caller.conn.clone();
+        // Whether this endpoint has begun: another one may have sent the events so far.
+        let mut begun = false;
         loop {
             let within = attempt::silence(self.attempts.call.route.kind, self.attempts.left());
-            match wait(&conn, within, answer.body.part(&mut source)).await {
+            let part = answer.body.part(&mut source);
+            let waited = if begun {
+                wait(&conn, within, part).await
+            } else {
+                match self.attempts.unbegun(self.flight.picked, within, part).await {
+                    Ok(waited) => waited,
+                    Err(Outdated) => return self.taken_back(),
+                }
+            };
+            match waited {
                 Waited::Done(Ok(Some(part))) => {
                     let whole = self.attempts.events.push(&part);
                     if whole.count == 0 {
                         continue;
                     }
+                    begun = true;
                     self.first_event();
                     if self.write(&answer, &whole.bytes, false).await == Written::Gone {
                         return Attempted::Ended(self.attempts.gone());
@@ -76,6 +88,12 @@
         Attempted::Failed(Failure::Silent)
     }
 
+    fn taken_back(self) -> Attempted {
+        self.attempts.events.broke();
+        self.attempts.life.on(RequestEvent::AnswerBroke);
+        self.attempts.taken_back(self.flight)
+    }
+
     fn first_event(&mut self) {
         if self.attempts.begun {
             return;
--- a/crates/gateway/src/serve/wait.rs
+++ b/crates/gateway/src/serve/wait.rs
@@ -14,6 +14,10 @@
     TimeOver,
 }
 
+/// The wait was ended since the weights that the request names became too old to begin on.
+#[derive(Debug)]
+pub(super) struct Outdated;
+
 /// Waits for `future`, for the caller to go, or for the time to be over.
 pub(super) async fn wait<T>(conn: &Conn, within: Duration, future: impl Future<Output = T>) -> Waited<T> {
     let gone = pin!(conn.peer_gone());
