Dispatch: the pace of one load is decided without I/O

When an endpoint is looked at, ordered, ordered again and given up was spread over the task that makes the calls, where no test reached it. It moves into dispatch::loading unchanged; the task carries out what that says. The line for an order says "unanswered" where it said "accepted" with status 0, and "taken" for orders that are carried out or hold.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,12 +12,14 @@
 //! | [`prefixes`] | what engines exchange with the store of cached prefixes |
 //! | [`holder`] | who gives orders to the endpoints, and since when |
 //! | [`rollout`] | which endpoint loads new weights next |
+//! | [`loading`] | when one endpoint is ordered to load, once more or no more |
 
 pub mod attempt;
 mod fade;
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
+pub mod loading;
 pub mod prefixes;
 pub mod pressure;
 pub mod retries;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -9,7 +9,8 @@
 use async_std::task;
 use dispatch::fleet::Outcome;
 use dispatch::holder::Holder;
-use dispatch::rollout::{LoadStep, Ordered, Report, gives_up, load_step};
+use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
+use dispatch::rollout::{Ordered, Report};
 use dispatch::site::EndpointEntry;
 use http::raw::{ExchangeError, Headers};
 use ids::ModelId;
@@ -20,11 +21,7 @@
 /// Time for the other routers to hear that an endpoint is about to load, before it is ordered to: they look at the store again
 /// 200 ms after the last change.
 const NOTICE: Duration = Duration::from_millis(220);
-/// Pause between two looks at an endpoint.
-const LOOK: Duration = Duration::from_millis(80);
-/// Pause after an order: no load at the sites is faster.
-const FASTEST_LOAD: Duration = Duration::from_millis(600);
-/// Longest wait for an answer to a report or an order.
+/// Longest wait for a report.
 const CALL: Duration = Duration::from_millis(800);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
 const LOAD: Duration = Duration::from_secs(8);
@@ -79,32 +76,28 @@
 
     /// The weights that are in place in the end; none if this router may not order any more.
     async fn steps(&self) -> Option<u64> {
-        let mut ordered = None;
+        let mut loading = Loading::default();
         let mut slot = None;
-        let mut misses = 0;
         loop {
             let wanted = self.wanted()?;
             may_order(&self.holder, self.shared.clock.now())?;
             let report = self.report().await;
-            misses = if report.is_some() { 0 } else { misses + 1 };
-            if gives_up(misses) {
-                return None;
+            let mut next = loading.looked(report, wanted, self.shared.clock.now());
+            if let Next::Order { expected } = next {
+                slot = slot.or_else(|| LoadSlot::take(&self.running, self.most));
+                next = if slot.is_some() {
+                    let (sent, outcome) = self.order(wanted, expected).await?;
+                    loading.answered(sent, outcome)
+                } else {
+                    loading.no_room()
+                };
             }
-            if let Some(report) = report {
-                let now = self.shared.clock.now();
-                match load_step(&report, wanted, ordered, now) {
-                    LoadStep::Done => return report.weights,
-                    LoadStep::Wait => {}
-                    LoadStep::Order { expected } => {
-                        slot = slot.or_else(|| LoadSlot::take(&self.running, self.most));
-                        if slot.is_some() {
-                            ordered = self.order(wanted, expected).await?;
-                            task::sleep(FASTEST_LOAD).await;
-                        }
-                    }
-                }
+            match next {
+                Next::Done(weights) => return Some(weights),
+                Next::Stop => return None,
+                Next::Look(pause) => task::sleep(pause).await,
+                Next::Order { .. } => {}
             }
-            task::sleep(LOOK).await;
         }
     }
 
@@ -129,9 +122,8 @@
         }
     }
 
-    /// Sends an order. `None` if this router may not give any more, or the endpoint refuses it for good; then nothing more is
-    /// done.
-    async fn order(&self, weights: u64, expected: u64) -> Option<Option<Ordered>> {
+    /// Sends an order. `None` if this router may not give any more.
+    async fn order(&self, weights: u64, expected: u64) -> Option<(Ordered, OrderOutcome)> {
         let at = self.shared.clock.now();
         let fence = may_order(&self.holder, at)?;
         let order = WeightsOrder {
@@ -143,12 +135,16 @@
             fence,
         };
         let (call, headers) = (self.shared.dialect.order)(&order);
-        let answer = ask(self.entry.address, &call, &headers, CALL).await;
+        let answer = ask(self.entry.address, &call, &headers, ANSWER).await;
         let outcome = match &answer {
-            Ok((status, _)) => (self.shared.dialect.ordered)(*status),
-            // It may be carried out later; the count it expects keeps it from undoing a newer one.
-            Err(ExchangeError::NotSent) => OrderAnswer::Conflict,
-            Err(_) => OrderAnswer::Accepted,
+            Ok((status, _)) => match (self.shared.dialect.ordered)(*status) {
+                OrderAnswer::Accepted | OrderAnswer::Holds => OrderOutcome::Taken,
+                OrderAnswer::Conflict => OrderOutcome::Conflict,
+                // Another endpoint has the address by now, or this one will never take the order.
+                OrderAnswer::Refused => OrderOutcome::Refused,
+            },
+            Err(ExchangeError::NotSent) => OrderOutcome::Conflict,
+            Err(_) => OrderOutcome::Unanswered,
         };
         let status = answer.map_or(0, |(status, _)| status);
         let orders = &self.shared.metrics.orders;
@@ -163,21 +159,16 @@
             outcome = name(outcome);
             "orders: given"
         );
-        if outcome == OrderAnswer::Refused {
-            // Another endpoint has the address by now, or this one will never take the order.
-            return None;
-        }
-        let sent = matches!(outcome, OrderAnswer::Accepted | OrderAnswer::Holds);
-        Some(sent.then_some(Ordered { expected, weights, at }))
+        Some((Ordered { expected, weights, at }, outcome))
     }
 }
 
-fn name(answer: OrderAnswer) -> &'static str {
-    match answer {
-        OrderAnswer::Accepted => "accepted",
-        OrderAnswer::Holds => "holds",
-        OrderAnswer::Conflict => "conflict",
-        OrderAnswer::Refused => "refused",
+fn name(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Taken => "taken",
+        OrderOutcome::Unanswered => "unanswered",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Refused => "refused",
     }
 }
 
