Orders: one without an answer is repeated at once, while its list is young

Nine engines had no new weights at the bound, and callers got answers on old ones.

Cause: an order without an answer was taken for one that is carried out.

Change: the answer is awaited for 0.3 s, then the endpoint is looked at and ordered once more with the count it reports. If the first order was taken after all, the second one is refused for its count, and the load goes on.

So an order leaves only within 0.4 s of the list, which is written once more if it is older, and only under the generation number under which its endpoint was listed. The slack on turns grows from 0.3 to 0.6 s.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -236,6 +236,17 @@
     }
 }
 
+/// How long after its list was sent to the store the holder may order what stands there. Without a bound, an order that is repeated
+/// seconds later would reach an endpoint that a successor takes for free: it counts its turn from when it heard of the list.
+pub const LISTED_FOR: Duration = Duration::from_millis(400);
+/// Added to a turn: the age of the list when an order leaves, and a packet that is sent once more.
+pub const TURN_SLACK: Duration = Duration::from_millis(600);
+
+/// Whether an endpoint may be ordered that stands in the list which was sent to the store at the given time.
+pub fn listed(sent: Option<Duration>, now: Duration) -> bool {
+    sent.is_some_and(|sent| now.saturating_sub(sent) < LISTED_FOR)
+}
+
 /// When endpoints were last known to get orders of another holder.
 #[derive(Debug, Clone, Default)]
 pub struct Turns {
--- a/crates/dispatch/src/loading.rs
+++ b/crates/dispatch/src/loading.rs
@@ -7,8 +7,8 @@
 const LOOK: Duration = Duration::from_millis(80);
 /// Pause after an order: no load at the sites is faster.
 const FASTEST_LOAD: Duration = Duration::from_millis(600);
-/// Longest wait for the answer to an order.
-pub const ANSWER: Duration = Duration::from_millis(800);
+/// Longest wait for the answer to an order. A sound endpoint answers within a few ms, or 200 ms more if a packet is lost.
+pub const ANSWER: Duration = Duration::from_millis(300);
 
 /// What is to be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,7 +42,10 @@
 /// One endpoint that is to load.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Loading {
+    /// The order that it is believed to carry out.
     ordered: Option<Ordered>,
+    /// The first order without an answer since.
+    unanswered: Option<Ordered>,
     misses: u32,
 }
 
@@ -71,13 +74,27 @@
     }
 
     /// What came of an order that was sent at `sent.at`.
+    ///
+    /// Load pattern: half of the orders get no answer and are carried out seconds later, while every endpoint still has to load.
+    /// Such an order is repeated at once: both expect the same count, so only one of the two takes effect, and the place of a load
+    /// doesn't stay unused for seconds.
     pub fn answered(&mut self, sent: Ordered, outcome: OrderOutcome) -> Next {
         match outcome {
-            OrderOutcome::Refused => return Next::Stop,
-            // It may be carried out later; the count it expects keeps it from undoing a newer one.
-            OrderOutcome::Taken | OrderOutcome::Unanswered => self.ordered = Some(sent),
-            OrderOutcome::Conflict => self.ordered = None,
+            OrderOutcome::Refused => Next::Stop,
+            OrderOutcome::Taken => {
+                self.ordered = Some(sent);
+                self.unanswered = None;
+                Next::Look(FASTEST_LOAD + LOOK)
+            }
+            OrderOutcome::Unanswered => {
+                self.unanswered = self.unanswered.or(Some(sent));
+                Next::Look(Duration::ZERO)
+            }
+            // The first one was taken, though its answer was lost: only what is reported from now on tells of it.
+            OrderOutcome::Conflict => {
+                self.ordered = self.unanswered.take().map(|first| Ordered { at: sent.at, ..first });
+                Next::Look(FASTEST_LOAD + LOOK)
+            }
         }
-        Next::Look(FASTEST_LOAD + LOOK)
     }
 }
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -1,6 +1,6 @@
 //! Who may give orders, and when.
 
-use dispatch::holder::{Event, Holder, HolderTimes, Occupant, Step, Turns};
+use dispatch::holder::{Event, Holder, HolderTimes, LISTED_FOR, Occupant, Step, TURN_SLACK, Turns, listed};
 use ids::{EndpointId, Fence};
 use std::time::Duration;
 
@@ -114,3 +114,14 @@
     assert!(turns.may_order(&ordered, turn, at(4_300)));
     assert!(turns.may_order(&other, turn, at(1_000)));
 }
+
+/// An order leaves a second after its endpoint was listed. A successor counts its turn from the list, so it may order the same
+/// endpoint too early.
+#[test]
+fn an_order_leaves_only_while_its_list_is_young() {
+    assert!(!listed(None, at(0)));
+    assert!(listed(Some(at(1_000)), at(1_399)));
+    assert!(!listed(Some(at(1_000)), at(1_400)));
+    // What is left of the slack covers the order's way.
+    assert!(LISTED_FOR + at(200) <= TURN_SLACK);
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A pool of engines whose weights a holder renews, simulated without I/O in steps of 10 ms.
 
-use dispatch::holder::Turns;
+use dispatch::holder::{TURN_SLACK, Turns, listed};
 use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
 use dispatch::rollout::{Ordered, Report, Runner, most_loads, next_loads};
 use ids::EndpointId;
@@ -14,9 +14,12 @@
 const REPORT_AGE: u64 = 300;
 /// From the decision that an endpoint takes part to the first look at it: the list is written, and the other routers hear of it.
 const NOTICE: u64 = 270;
-/// How long a successor leaves those alone that its predecessor may have ordered, and within which two holders may not take turns.
-const TURN: Duration = Duration::from_millis(3_300);
+/// Within this time two holders may not order one engine, ms.
 const TURN_BOUND: u64 = 3_000;
+/// How long it takes to write the list once more.
+const WRITE: u64 = 50;
+/// How long a successor leaves those alone that its predecessor may have ordered.
+const TURN: Duration = Duration::from_millis(TURN_BOUND).saturating_add(TURN_SLACK);
 
 /// What comes over the pool.
 #[derive(Debug, Clone, Default)]
@@ -237,6 +240,8 @@
 
     fn look(&mut self, id: &EndpointId, wanted: u64, now: u64) {
         let room = self.parts.values().filter(|part| part.ordered).count() < most_loads(self.engines.len());
+        let sent = Duration::from_millis(self.told);
+        let fresh = listed(Some(sent), Duration::from_millis(now));
         let part = self.parts.get_mut(id).expect("it takes part");
         let engine = self.engines.get_mut(id).expect("it was listed");
         let at = Duration::from_millis(now);
@@ -249,6 +254,10 @@
         };
         if let Next::Order { expected } = next {
             if room || part.ordered {
+                if !fresh {
+                    part.look = now + WRITE;
+                    return self.tell(now);
+                }
                 part.ordered = true;
                 self.orders += 1;
                 let crossed = |(holder, at): (u64, u64)| holder != self.holder && now < at + TURN_BOUND;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod orders;
 
 use crate::dialect::Holding;
+use crate::orders::Listed;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
@@ -70,6 +71,8 @@
         /// Model and number of the weights.
         loaded: Option<(ModelId, u64)>,
     },
+    /// The holder's list is to be written again, since it is too old for an order.
+    List,
     /// The holder's list is to be written.
     Tell,
     /// A write of the holder's list has ended.
@@ -102,6 +105,8 @@
     ended: BTreeMap<EndpointId, Duration>,
     holding: Holding,
     telling: Telling,
+    /// When the list was sent that the store has.
+    listed: Arc<Listed>,
     turns: Turns,
     postponed: Postponed,
     /// Loads that were ordered and have not ended.
@@ -134,6 +139,7 @@
             ended: BTreeMap::new(),
             holding: Holding::default(),
             telling: Telling::default(),
+            listed: Arc::default(),
             turns: Turns::default(),
             postponed: Postponed::default(),
             running: Arc::default(),
@@ -180,6 +186,7 @@
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::List => self.tell(),
             Event::Tell => self.write_list(),
             Event::Told { fence, done } => self.told_others(fence, done),
             Event::Tick => self.tick(now),
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -5,7 +5,7 @@
 use crate::orders;
 use crate::shared::Shared;
 use async_std::task;
-use dispatch::holder::{self, Step};
+use dispatch::holder::{self, Step, TURN_SLACK};
 use dispatch::rollout::{Runner, most_loads, next_loads};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
@@ -13,8 +13,6 @@
 use std::time::Duration;
 use store::items::{Client, Committed, ItemsError, Transaction, Write};
 
-/// Added to the bound on turns, for orders on their way.
-const TURN_SLACK: Duration = Duration::from_millis(300);
 /// Time in which changes of the list are gathered: each write is answered to the watch of every router, and priced.
 const GATHER: Duration = Duration::from_millis(40);
 /// Stands for no lease.
@@ -29,6 +27,8 @@
     under_way: bool,
     /// Whether the list has changed since.
     again: bool,
+    /// When that write left.
+    sent: Duration,
     /// Loads that begin once that write is done.
     told: Vec<(EndpointId, ModelId)>,
     /// Loads that begin with the next write.
@@ -49,6 +49,7 @@
             self.loading.clear();
             self.ended.clear();
             self.telling = Telling::default();
+            self.listed.clear();
         }
         if let Some(step) = step {
             self.carry_out(step);
@@ -120,6 +121,8 @@
         let load = orders::Load {
             shared: self.shared.clone(),
             holder: self.holder.clone(),
+            fence: self.holding.fence,
+            listed: self.listed.clone(),
             name: self.holder_name.clone(),
             entry,
             most: most_loads(self.runners(&model).len()),
@@ -148,7 +151,7 @@
 
     /// Tells all routers which endpoints load: requests sent there meanwhile would be refused, and some may not be sent
     /// to a second endpoint. One write at a time, so that an older list never comes after a newer one.
-    fn tell(&mut self) {
+    pub(super) fn tell(&mut self) {
         if self.telling.under_way {
             self.telling.again = true;
             return;
@@ -183,6 +186,7 @@
         self.holding.recent = self.ended.keys().cloned().collect();
         self.believe(&self.holding);
         self.telling.again = false;
+        self.telling.sent = now;
         self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
         let transaction = Transaction {
@@ -212,6 +216,9 @@
         if !own || !std::mem::take(&mut self.telling.under_way) {
             return;
         }
+        if done {
+            self.listed.told(self.telling.sent);
+        }
         for (endpoint, model) in std::mem::take(&mut self.telling.told) {
             if done {
                 self.start_load(endpoint, model);
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -8,13 +8,13 @@
 use async_std::future::timeout;
 use async_std::task;
 use dispatch::fleet::Outcome;
-use dispatch::holder::Holder;
+use dispatch::holder::{Holder, listed};
 use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
 use dispatch::rollout::{Ordered, Report};
 use dispatch::site::EndpointEntry;
 use http::raw::{ExchangeError, Headers};
-use ids::ModelId;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use ids::{Fence, ModelId};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 const NOTICE: Duration = Duration::from_millis(220);
 /// Longest wait for a report.
 const CALL: Duration = Duration::from_millis(800);
+/// Pause between two looks at whether the list is in the store.
+const LISTED_LOOK: Duration = Duration::from_millis(10);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
 const LOAD: Duration = Duration::from_secs(8);
 
@@ -32,6 +34,10 @@
     pub shared: Arc<Shared>,
     /// The right to give orders.
     pub holder: Arc<Mutex<Holder>>,
+    /// The generation number under which the endpoint was listed: under another one it may stand in no list.
+    pub fence: Fence,
+    /// The list that it stands in.
+    pub listed: Arc<Listed>,
     /// Who orders.
     pub name: String,
     /// Where.
@@ -44,6 +50,27 @@
     pub most: usize,
 }
 
+/// When the list was sent that the store has now.
+#[derive(Debug, Default)]
+pub struct Listed(AtomicU64);
+
+impl Listed {
+    /// The store has the list that was sent then.
+    pub fn told(&self, sent: Duration) {
+        self.0.store(sent.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// The store has no list of this holder.
+    pub fn clear(&self) {
+        self.0.store(0, Ordering::SeqCst);
+    }
+
+    fn sent(&self) -> Option<Duration> {
+        let sent = self.0.load(Ordering::SeqCst);
+        (sent > 0).then(|| Duration::from_millis(sent))
+    }
+}
+
 /// One of the loads that may run at once, until dropped.
 struct LoadSlot(Arc<AtomicUsize>);
 
@@ -80,12 +107,12 @@
         let mut slot = None;
         loop {
             let wanted = self.wanted()?;
-            may_order(&self.holder, self.shared.clock.now())?;
+            self.may_order()?;
             let report = self.report().await;
             let mut next = loading.looked(report, wanted, self.shared.clock.now());
             if let Next::Order { expected } = next {
                 slot = slot.or_else(|| LoadSlot::take(&self.running, self.most));
-                next = if slot.is_some() {
+                next = if slot.is_some() && self.is_listed().await {
                     let (sent, outcome) = self.order(wanted, expected).await?;
                     loading.answered(sent, outcome)
                 } else {
@@ -101,6 +128,27 @@
         }
     }
 
+    /// The generation number, while this load may order.
+    fn may_order(&self) -> Option<Fence> {
+        let fence = may_order(&self.holder, self.shared.clock.now());
+        fence.filter(|fence| *fence == self.fence)
+    }
+
+    /// Whether the list is young enough for an order. It is written again if it is not.
+    async fn is_listed(&self) -> bool {
+        let young = || listed(self.listed.sent(), self.shared.clock.now());
+        if young() {
+            return true;
+        }
+        send(&self.shared, Event::List).await;
+        let again = async {
+            while !young() {
+                task::sleep(LISTED_LOOK).await;
+            }
+        };
+        timeout(CALL, again).await.is_ok()
+    }
+
     fn wanted(&self) -> Option<u64> {
         let fleet = self.shared.fleet();
         let wanted = fleet.wanted().find(|(model, _)| **model == self.model);
@@ -125,7 +173,7 @@
     /// Sends an order. `None` if this router may not give any more.
     async fn order(&self, weights: u64, expected: u64) -> Option<(Ordered, OrderOutcome)> {
         let at = self.shared.clock.now();
-        let fence = may_order(&self.holder, at)?;
+        let fence = self.may_order()?;
         let order = WeightsOrder {
             endpoint: &self.entry.id,
             model: &self.model,
