Holder tests: an earlier life's lease, no candidate left, and how long a lost holder keeps others waiting

Fail: a_restarted_router_gives_back_what_its_earlier_life_held, others_ask_for_the_key_if_no_candidate_does, and two cases of weights_are_in_place_within_the_bound with lost holders (simulated). The times of the lease move beside the decisions that use them.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -23,6 +23,17 @@
     pub again: Duration,
 }
 
+/// Times for sites that let requests begin on old weights for ten seconds.
+pub const TIMES: HolderTimes = HolderTimes {
+    // A holder that dies is replaced this long after its last renewal, a fifth of that bound.
+    ttl: Duration::from_millis(2_000),
+    // Two renewals may fail before the lease ends.
+    renew: Duration::from_millis(500),
+    // Covers the time from the check to the endpoint, and clocks of unequal speed.
+    margin: Duration::from_millis(400),
+    again: Duration::from_millis(500),
+};
+
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Occupant {
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -1,16 +1,9 @@
 //! Who may give orders, and when.
 
-use dispatch::holder::{Event, Holder, HolderTimes, LISTED_FOR, Occupant, Step, TURN_SLACK, Turns, listed};
+use dispatch::holder::{Event, Holder, LISTED_FOR, Occupant, Step, TIMES, TURN_SLACK, Turns, listed};
 use ids::{EndpointId, Fence};
 use std::time::Duration;
 
-const TIMES: HolderTimes = HolderTimes {
-    ttl: Duration::from_millis(2_000),
-    renew: Duration::from_millis(500),
-    margin: Duration::from_millis(400),
-    again: Duration::from_millis(500),
-};
-
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -125,3 +118,59 @@
     // What is left of the slack covers the order's way.
     assert!(LISTED_FOR + at(200) <= TURN_SLACK);
 }
+
+/// The VM of the holder is restarted at once. Nobody may order until the lease of its earlier life lapses, two seconds in which
+/// engines keep old weights. The new life knows that the earlier one is over, since both would listen at the same addresses.
+#[test]
+fn a_restarted_router_gives_back_what_its_earlier_life_held() {
+    struct Case {
+        seen: &'static [Option<(&'static str, u64)>],
+        expected: &'static [Option<Step>],
+    }
+    let cases = [
+        Case {
+            seen: &[Some(("vm-1/old", 3))],
+            expected: &[Some(Step::Release(3))],
+        },
+        Case {
+            seen: &[Some(("vm-2/old", 3))],
+            expected: &[None],
+        },
+        // Another VM's name that begins alike.
+        Case {
+            seen: &[Some(("vm-1/1/old", 3))],
+            expected: &[None],
+        },
+        // Two processes are given one name by mistake: they must not take the key from each other again and again.
+        Case {
+            seen: &[None, Some(("vm-1/other", 3))],
+            expected: &[None, None],
+        },
+        Case {
+            seen: &[Some(("vm-1/old", 3)), None, Some(("vm-1/other", 4))],
+            expected: &[Some(Step::Release(3)), None, None],
+        },
+    ];
+    for (index, case) in cases.iter().enumerate() {
+        let mut holder = Holder::new("vm-1/new".to_owned(), TIMES, Duration::ZERO);
+        for (seen, expected) in case.seen.iter().zip(case.expected) {
+            let occupant = seen.map(|(name, lease)| occupant(name, lease));
+            assert_eq!(&holder.on(Event::Seen(occupant), at(0)), expected, "case {index}");
+        }
+    }
+}
+
+/// All routers that watch the store are killed together. The others hear of the free key from routers that are back, and none of
+/// them asks for it: no weights are ordered until one that watches is there.
+#[test]
+fn others_ask_for_the_key_if_no_candidate_does() {
+    let mut holder = Holder::new("vm-1/me".to_owned(), TIMES, at(100));
+    holder.on(Event::Seen(None), at(0));
+    assert_eq!(holder.on(Event::Tick, at(1_099)), None);
+    assert_eq!(holder.on(Event::Tick, at(1_100)), Some(Step::Acquire(TIMES.ttl)));
+
+    let mut taken = Holder::new("vm-1/me".to_owned(), TIMES, at(100));
+    taken.on(Event::Seen(None), at(0));
+    taken.on(Event::Seen(Some(occupant("vm-2/it", 3))), at(500));
+    assert_eq!(taken.on(Event::Tick, at(5_000)), None);
+}
--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use dispatch::holder::TIMES;
 use support::{Pool, Trouble};
 
+/// From the end of a lost holder's lease to its successor's: the watch of the store, and the wait before the key is asked for, ms.
+const ASKING: u64 = 200;
 /// How long after new weights were named requests may begin on older ones, ms.
 const BOUND: u64 = 10_000;
 
@@ -17,7 +20,7 @@
         engines: 9,
         named: every(4, 1),
         answers: 1_200,
-        vacant: 2_200,
+        vacant: TIMES.ttl.as_millis() as u64 + ASKING,
         ..Trouble::default()
     };
     let cases = [
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,7 +6,7 @@
 use crate::orders::Listed;
 use crate::shared::Shared;
 use async_channel::Receiver;
-use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
+use dispatch::holder::{Holder, Occupant, TIMES, Turns};
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
@@ -27,15 +27,6 @@
 pub const HOLDER_KEY: &str = "apricotfork/holder";
 /// Key of what the holder tells all routers.
 pub const HOLDING_KEY: &str = "apricotfork/holding";
-/// Time to live of the holder's lease: a holder that dies is replaced this long after its last renewal, a fifth of the
-/// bound on old weights.
-const LEASE: Duration = Duration::from_millis(2_000);
-/// Two renewals may fail before the lease ends.
-const RENEW: Duration = Duration::from_millis(500);
-/// Last part of the lease without orders: covers the time from the check to the endpoint, and clocks of unequal speed.
-const MARGIN: Duration = Duration::from_millis(400);
-/// Wait before a failed call for the lease is repeated.
-const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Longest random wait of a router before it asks for the holder key: the first one's write reaches the others within milliseconds.
 const STAGGER: Duration = Duration::from_millis(300);
 
@@ -118,15 +109,9 @@
     /// Nothing is known yet.
     pub fn new(shared: Arc<Shared>) -> Self {
         let settings = shared.settings.load();
-        let times = HolderTimes {
-            ttl: LEASE,
-            renew: RENEW,
-            margin: MARGIN,
-            again: ASK_AGAIN,
-        };
         let holder_name = format!("{}/{:016x}", settings.vm, rand::random::<u64>());
         let stagger = STAGGER.mul_f64(rand::rng().random_range(0.0..1.0));
-        let holder = Holder::new(holder_name.clone(), times, stagger);
+        let holder = Holder::new(holder_name.clone(), TIMES, stagger);
         drop(settings);
         Self {
             shared,
