Holder: a restarted router gives back the lease of its earlier life

Seen: a killed holder is back after half a second, and for up to 1.5 s more nobody may order, until the earlier life's lease lapses.

Change: a process that finds the key under its own VM's name at its first look ends that lease. Others are then candidates at once.

Why it holds: both lives listen at the same addresses, and this one listens before it looks, so the earlier one is over. Only the first look counts, or two routers with one name would take the key from each other for ever. Turns of holders at one endpoint are as before: whoever comes next leaves the listed ones alone.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -37,7 +37,7 @@
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Occupant {
-    /// The process that holds it; another one after each start.
+    /// The process that holds it: its VM, a slash and a part of its own, another one after each start.
     pub name: String,
     /// Store revision at which the key was created, which only grows: the generation number.
     pub created: Fence,
@@ -118,6 +118,8 @@
     /// Wait before the key is asked for, other for each router, so that they don't all ask at once.
     stagger: Duration,
     candidate: bool,
+    /// Whether the key was seen since this process started.
+    seen: bool,
     stopped: bool,
 }
 
@@ -131,6 +133,7 @@
             lease: None,
             stagger,
             candidate: false,
+            seen: false,
             stopped: false,
         }
     }
@@ -218,6 +221,7 @@
     }
 
     fn seen(&mut self, occupant: Option<Occupant>, now: Duration) -> Option<Step> {
+        let first = !std::mem::replace(&mut self.seen, true);
         let Some(occupant) = occupant else {
             if !matches!(self.phase, Phase::Asking { .. } | Phase::Free { .. }) {
                 self.let_go();
@@ -231,7 +235,15 @@
         if !own {
             let held = self.lease.map(|lease| Step::Release(lease.id));
             self.let_go();
-            return held;
+            // An earlier life of this VM that was killed can't give its lease back, and nobody would order until it lapses. That
+            // life is over: it listened where this process does. Only the first look tells of it: two routers that were given one
+            // name by mistake would take the key from each other for ever.
+            let earlier = first && vm(&occupant.name) == vm(&self.name);
+            return if earlier {
+                Some(Step::Release(occupant.lease))
+            } else {
+                held
+            };
         }
         if !matches!(self.phase, Phase::Holding { .. }) {
             self.phase = Phase::Holding {
@@ -247,6 +259,11 @@
     }
 }
 
+/// The VM of a process's name, which ends in a part of its own.
+fn vm(name: &str) -> &str {
+    name.rsplit_once('/').map_or(name, |(vm, _)| vm)
+}
+
 /// How long after its list was sent to the store the holder may order what stands there. Without a bound, an order that is repeated
 /// seconds later would reach an endpoint that a successor takes for free: it counts its turn from when it heard of the list.
 pub const LISTED_FOR: Duration = Duration::from_millis(400);
