Holder: routers that don't watch the store ask for the key if no candidate does

Only the two routers a domain that watch the store ask for the right to order. If they are all killed together nobody does until one of them is back and knows whom it follows. Now the others ask too, 1.5 s after the candidates: that is longer than a router that has just started takes to know which it is, so routers that start together don't all ask.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -34,6 +34,10 @@
     again: Duration::from_millis(500),
 };
 
+/// How much later than candidates the others ask for a free key. A router that has just started knows after 1.2 s whether it is a
+/// candidate; were this shorter, all routers of a deployment would ask when they start together.
+const SPARE: Duration = Duration::from_millis(1_500);
+
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Occupant {
@@ -50,7 +54,7 @@
 pub enum Event {
     /// Time has passed.
     Tick,
-    /// Whether this router is one of the few that try to hold the key: each try costs calls to the store.
+    /// Whether this router is one of the few that try to hold the key first: each try costs calls to the store.
     Candidate(bool),
     /// The holder key as the store has it now.
     Seen(Option<Occupant>),
@@ -199,7 +203,7 @@
 
     fn tick(&mut self, now: Duration) -> Option<Step> {
         match self.phase {
-            Phase::Free { next } if now >= next && self.candidate && !self.stopped => {
+            Phase::Free { next } if now >= self.turn(next) && !self.stopped => {
                 self.phase = Phase::Asking {
                     until: now + self.times.ttl,
                 };
@@ -214,6 +218,11 @@
         }
     }
 
+    /// When a free key is asked for that candidates ask for at the given time.
+    fn turn(&self, next: Duration) -> Duration {
+        if self.candidate { next } else { next + SPARE }
+    }
+
     fn renew(&mut self, now: Duration) -> Option<Step> {
         let lease = self.lease.as_mut().filter(|lease| now >= lease.renew)?;
         lease.renew = now + self.times.renew;
