--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -8,24 +8,23 @@
 use async_std::future::timeout;
 use async_std::task;
 use dispatch::fleet::Outcome;
-use dispatch::holder::Holder;
-use dispatch::rollout::{LoadStep, Ordered, Report, gives_up, load_step};
+use dispatch::holder::{Holder, listed};
+use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
+use dispatch::rollout::{Ordered, Report};
 use dispatch::site::EndpointEntry;
 use http::raw::{ExchangeError, Headers};
-use ids::ModelId;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use ids::{Fence, ModelId};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Time for the other routers to hear that an endpoint is about to load, before it is ordered to: they look at the store again
 /// 200 ms after the last change.
 const NOTICE: Duration = Duration::from_millis(220);
-/// Pause between two looks at an endpoint.
-const LOOK: Duration = Duration::from_millis(80);
-/// Pause after an order: no load at the sites is faster.
-const FASTEST_LOAD: Duration = Duration::from_millis(600);
-/// Longest wait for an answer to a report or an order.
+/// Longest wait for a report.
 const CALL: Duration = Duration::from_millis(800);
+/// Pause between two looks at whether the list is in the store.
+const LISTED_LOOK: Duration = Duration::from_millis(10);
 /// Longest time for one load, of which a sound one takes less than two seconds; after it another endpoint gets its turn.
 const LOAD: Duration = Duration::from_secs(8);
 
@@ -35,32 +34,36 @@
     pub shared: Arc<Shared>,
     /// The right to give orders.
     pub holder: Arc<Mutex<Holder>>,
+    /// The generation number under which the endpoint was listed: under another one it may stand in no list.
+    pub fence: Fence,
+    /// The list that it stands in.
+    pub listed: Arc<Listed>,
     /// Who orders.
     pub name: String,
     /// Where.
     pub entry: Arc<EndpointEntry>,
     /// What.
     pub model: ModelId,
-    /// Loads that run.
-    pub running: Arc<AtomicUsize>,
-    /// Loads that may run at once.
-    pub most: usize,
 }
 
-/// One of the loads that may run at once, until dropped.
-struct LoadSlot(Arc<AtomicUsize>);
+/// When the list was sent that the store has now.
+#[derive(Debug, Default)]
+pub struct Listed(AtomicU64);
 
-impl LoadSlot {
-    fn take(running: &Arc<AtomicUsize>, most: usize) -> Option<Self> {
-        let before = running.fetch_add(1, Ordering::SeqCst);
-        let slot = Self(running.clone());
-        (before < most).then_some(slot)
+impl Listed {
+    /// The store has the list that was sent then.
+    pub fn told(&self, sent: Duration) {
+        self.0.store(sent.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// The store has no list of this holder.
+    pub fn clear(&self) {
+        self.0.store(0, Ordering::SeqCst);
     }
-}
 
-impl Drop for LoadSlot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+    fn sent(&self) -> Option<Duration> {
+        let sent = self.0.load(Ordering::SeqCst);
+        (sent > 0).then(|| Duration::from_millis(sent))
     }
 }
 
@@ -79,35 +82,50 @@
 
     /// The weights that are in place in the end; none if this router may not order any more.
     async fn steps(&self) -> Option<u64> {
-        let mut ordered = None;
-        let mut slot = None;
-        let mut misses = 0;
+        let mut loading = Loading::default();
         loop {
             let wanted = self.wanted()?;
-            may_order(&self.holder, self.shared.clock.now())?;
+            self.may_order()?;
             let report = self.report().await;
-            misses = if report.is_some() { 0 } else { misses + 1 };
-            if gives_up(misses) {
-                return None;
+            let mut next = loading.looked(report, wanted, self.shared.clock.now());
+            if let Next::Order { expected } = next {
+                next = if self.is_listed().await {
+                    let (sent, outcome) = self.order(wanted, expected).await?;
+                    loading.answered(sent, outcome)
+                } else {
+                    loading.unlisted()
+                };
             }
-            if let Some(report) = report {
-                let now = self.shared.clock.now();
-                match load_step(&report, wanted, ordered, now) {
-                    LoadStep::Done => return report.weights,
-                    LoadStep::Wait => {}
-                    LoadStep::Order { expected } => {
-                        slot = slot.or_else(|| LoadSlot::take(&self.running, self.most));
-                        if slot.is_some() {
-                            ordered = self.order(wanted, expected).await?;
-                            task::sleep(FASTEST_LOAD).await;
-                        }
-                    }
-                }
+            match next {
+                Next::Done(weights) => return Some(weights),
+                Next::Stop => return None,
+                Next::Look(pause) => task::sleep(pause).await,
+                Next::Order { .. } => {}
             }
-            task::sleep(LOOK).await;
         }
     }
 
+    /// The generation number, while this load may order.
+    fn may_order(&self) -> Option<Fence> {
+        let fence = may_order(&self.holder, self.shared.clock.now());
+        fence.filter(|fence| *fence == self.fence)
+    }
+
+    /// Whether the list is young enough for an order. It is written again if it is not.
+    async fn is_listed(&self) -> bool {
+        let young = || listed(self.listed.sent(), self.shared.clock.now());
+        if young() {
+            return true;
+        }
+        send(&self.shared, Event::List).await;
+        let again = async {
+            while !young() {
+                task::sleep(LISTED_LOOK).await;
+            }
+        };
+        timeout(CALL, again).await.is_ok()
+    }
+
     fn wanted(&self) -> Option<u64> {
         let fleet = self.shared.fleet();
         let wanted = fleet.wanted().find(|(model, _)| **model == self.model);
@@ -129,11 +147,10 @@
         }
     }
 
-    /// Sends an order. `None` if this router may not give any more, or the endpoint refuses it for good; then nothing more is
-    /// done.
-    async fn order(&self, weights: u64, expected: u64) -> Option<Option<Ordered>> {
+    /// Sends an order. `None` if this router may not give any more.
+    async fn order(&self, weights: u64, expected: u64) -> Option<(Ordered, OrderOutcome)> {
         let at = self.shared.clock.now();
-        let fence = may_order(&self.holder, at)?;
+        let fence = self.may_order()?;
         let order = WeightsOrder {
             endpoint: &self.entry.id,
             model: &self.model,
@@ -143,12 +160,16 @@
             fence,
         };
         let (call, headers) = (self.shared.dialect.order)(&order);
-        let answer = ask(self.entry.address, &call, &headers, CALL).await;
+        let answer = ask(self.entry.address, &call, &headers, ANSWER).await;
         let outcome = match &answer {
-            Ok((status, _)) => (self.shared.dialect.ordered)(*status),
-            // It may be carried out later; the count it expects keeps it from undoing a newer one.
-            Err(ExchangeError::NotSent) => OrderAnswer::Conflict,
-            Err(_) => OrderAnswer::Accepted,
+            Ok((status, _)) => match (self.shared.dialect.ordered)(*status) {
+                OrderAnswer::Accepted | OrderAnswer::Holds => OrderOutcome::Taken,
+                OrderAnswer::Conflict => OrderOutcome::Conflict,
+                // Another endpoint has the address by now, or this one will never take the order.
+                OrderAnswer::Refused => OrderOutcome::Refused,
+            },
+            Err(ExchangeError::NotSent) => OrderOutcome::Conflict,
+            Err(_) => OrderOutcome::Unanswered,
         };
         let status = answer.map_or(0, |(status, _)| status);
         let orders = &self.shared.metrics.orders;
@@ -163,21 +184,16 @@
             outcome = name(outcome);
             "orders: given"
         );
-        if outcome == OrderAnswer::Refused {
-            // Another endpoint has the address by now, or this one will never take the order.
-            return None;
-        }
-        let sent = matches!(outcome, OrderAnswer::Accepted | OrderAnswer::Holds);
-        Some(sent.then_some(Ordered { expected, weights, at }))
+        Some((Ordered { expected, weights, at }, outcome))
     }
 }
 
-fn name(answer: OrderAnswer) -> &'static str {
-    match answer {
-        OrderAnswer::Accepted => "accepted",
-        OrderAnswer::Holds => "holds",
-        OrderAnswer::Conflict => "conflict",
-        OrderAnswer::Refused => "refused",
+fn name(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Taken => "taken",
+        OrderOutcome::Unanswered => "unanswered",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Refused => "refused",
     }
 }
 
