Orders: a holder tells on whom earlier holders ordered within the last turn

Found by reading: with a lease that a restarted router gives back at once, two holders can be lost within one turn. The third knows the list in the store only, which is the second's; a router that started in between would order an engine that the first had just ordered. Each holder now tells those orders on with their age, so that no turn grows longer by being told on.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -292,9 +292,20 @@
 }
 
 impl Turns {
-    /// Another holder may be giving orders to this endpoint.
-    pub fn other(&mut self, endpoint: &EndpointId, now: Duration) {
-        self.ordered.insert(endpoint.clone(), now);
+    /// Another holder may have given orders to this endpoint until then.
+    pub fn other(&mut self, endpoint: &EndpointId, until: Duration) {
+        let last = self.ordered.entry(endpoint.clone()).or_default();
+        *last = until.max(*last);
+    }
+
+    /// Endpoints that other holders may have ordered within the last turn, and how long ago. A holder tells them with its own: two
+    /// that are lost within a turn would otherwise be followed by one that started in between and knows the second one's list only.
+    pub fn lately(&self, turn: Duration, now: Duration) -> impl Iterator<Item = (&EndpointId, Duration)> {
+        let ages = self
+            .ordered
+            .iter()
+            .map(move |(id, last)| (id, now.saturating_sub(*last)));
+        ages.filter(move |(_, age)| *age < turn)
     }
 
     /// Whether the last order of another holder is at least `turn` ago.
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -181,3 +181,23 @@
     taken.on(Event::Seen(Some(occupant("vm-2/it", 3))), at(500));
     assert_eq!(taken.on(Event::Tick, at(5_000)), None);
 }
+
+/// Two holders are lost within one turn. The third has started after the first one's list was replaced by the second's; were it to
+/// know only that one, it would order an engine that the first has just ordered, and the two orders would undo each other.
+#[test]
+fn what_an_earlier_holder_ordered_is_told_on() {
+    let (engine, turn) = (EndpointId::from("e1"), Duration::from_millis(3_000));
+    let mut second = Turns::default();
+    second.other(&engine, Duration::from_millis(1_000));
+    let now = Duration::from_millis(2_000);
+    let mut third = Turns::default();
+    for (endpoint, age) in second.lately(turn, now) {
+        third.other(endpoint, now - age);
+    }
+    assert!(!third.may_order(&engine, turn, Duration::from_millis(3_999)));
+    assert!(third.may_order(&engine, turn, Duration::from_millis(4_000)));
+    // An older word changes nothing.
+    third.other(&engine, Duration::from_millis(500));
+    assert!(!third.may_order(&engine, turn, Duration::from_millis(3_999)));
+    assert_eq!(second.lately(turn, Duration::from_millis(4_000)).count(), 0);
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -354,6 +354,10 @@
         for endpoint in holding.loading.iter().chain(&holding.recent) {
             self.turns.other(endpoint, now);
         }
+        for (endpoint, age) in &holding.before {
+            self.turns
+                .other(endpoint, now.saturating_sub(Duration::from_millis(*age)));
+        }
         self.believe(holding);
     }
 
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -183,6 +183,8 @@
         self.holding.loading = self.loading.iter().cloned().collect();
         self.holding.coming.clone_from(&self.telling.coming);
         self.holding.recent = self.ended.keys().cloned().collect();
+        let before = self.turns.lately(turn, now);
+        self.holding.before = before.map(|(id, age)| (id.clone(), age.as_millis() as u64)).collect();
         self.believe(self.holding.clone());
         self.telling.again = false;
         self.telling.sent = now;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -182,6 +182,9 @@
     pub coming: Vec<EndpointId>,
     /// Endpoints whose load has ended lately.
     pub recent: Vec<EndpointId>,
+    /// Endpoints that earlier holders ordered lately, and how many milliseconds ago.
+    #[serde(default)]
+    pub before: Vec<(EndpointId, u64)>,
     /// Endpoints that have loaded, with model and number of the weights.
     pub loaded: Vec<(EndpointId, ModelId, u64)>,
 }
