Dispatch tests: what holds when weights, lost answers and two lost holders come together

The case asked for ten seconds at every engine. That was wrong: an engine that was ordered without an answer at 8.9 s by a holder lost at 9.0 may not be ordered by the next one before 11.9, by the rule on turns, and then still finishes what it runs and loads. It's replaced by a test of its own over 40 schedules of two losses, of 9 and 12 engines: never more than half of the pool past the bound, where callers aren't sent.

--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// How long after new weights were named requests may begin on older ones, ms.
+pub const BOUND: u64 = 10_000;
 const STEP: u64 = 10;
 /// A load by itself, and how many run at full speed.
 const LOAD: u64 = 760;
@@ -130,6 +132,8 @@
     pub orders: u64,
     /// Orders that two holders gave to one engine within a turn.
     pub crossed: u64,
+    /// Most engines whose weights were past the bound at one time: callers aren't sent there.
+    pub past: usize,
 }
 
 impl Pool {
@@ -153,6 +157,7 @@
             vacant: 0,
             orders: 0,
             crossed: 0,
+            past: 0,
         }
     }
 
@@ -162,6 +167,7 @@
         let end = self.trouble.named.last().unwrap_or(&0) + 60_000;
         for now in (0..end).step_by(STEP as usize) {
             self.step(now);
+            self.past = self.past.max(self.count_past(now));
             let oldest = self.engines.values().map(|engine| engine.weights).min().unwrap_or(0);
             let named = self.trouble.named.clone();
             let missing = (2..).zip(named).find(|(weights, _)| *weights > oldest);
@@ -171,6 +177,16 @@
         slowest
     }
 
+    fn count_past(&self, now: u64) -> usize {
+        let named = &self.trouble.named;
+        let past = |engine: &&Engine| {
+            named
+                .get(engine.weights as usize - 1)
+                .is_some_and(|at| now > at + BOUND)
+        };
+        self.engines.values().filter(past).count()
+    }
+
     fn step(&mut self, now: u64) {
         let loads = self.engines.values().filter(|engine| engine.loads(now)).count() as u64;
         let full = most_full(self.engines.len()) as u64;
