--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use dispatch::holder::TIMES;
-use support::{Pool, Trouble};
+use support::{BOUND, Pool, Trouble};
 
 /// From the end of a lost holder's lease to its successor's: the watch of the store, and the wait before the key is asked for, ms.
 const ASKING: u64 = 200;
-/// How long after new weights were named requests may begin on older ones, ms.
-const BOUND: u64 = 10_000;
+/// How long a holder leaves alone what another may have ordered last, with its slack, ms.
+const TURN: u64 = 3_600;
+/// A load of 760 ms, twice as long since four may load where two have full speed, after 1,700 ms in which what runs is finished, 260
+/// until all routers know of it, and 300 for an order without an answer, ms.
+const LOAD: u64 = 2 * 760 + 1_700 + 260 + 300;
 
 /// Engines are ordered to load, half of the orders get no answer, and are carried out seconds later or never. Each such order
 /// keeps one of the few places for loads from being used for more than a second. When the holder is lost as well, some engines
@@ -121,17 +124,6 @@
                 ..calm.clone()
             },
         ),
-        (
-            "all at once",
-            Trouble {
-                engines: 9,
-                named: every(4, 5),
-                late: (2, 4_000),
-                lost: vec![4_500, 9_000],
-                answers: 1_700,
-                ..calm.clone()
-            },
-        ),
     ];
     let mut late = Vec::new();
     for (name, trouble) in cases {
@@ -172,3 +164,32 @@
         }
     }
 }
+
+/// Weights are named every four seconds, half of the orders get no answer, and the holder is lost twice. An engine that was ordered
+/// just before its holder was lost may not be ordered by the next one for a turn, so some have old weights past the bound, where
+/// callers aren't sent any more. Were they more than half of the pool, the others would be full and callers refused.
+#[test]
+fn half_of_the_engines_are_within_the_bound_whatever_comes() {
+    for engines in [9, 12] {
+        for first in (3_000..=5_000).step_by(500) {
+            for gap in (3_500..=5_000).step_by(500) {
+                let named = vec![2_000, 6_000, 10_000, 14_000, 18_000];
+                let mut pool = Pool::new(Trouble {
+                    engines,
+                    named: named.clone(),
+                    answers: 1_700,
+                    lost: vec![first, first + gap],
+                    vacant: TIMES.ttl.as_millis() as u64 + ASKING,
+                    late: (2, 4_000),
+                });
+                let took = pool.run();
+                let past = pool.past;
+                let case = format!("{past} of {engines}, {took} ms, lost at {first} and {gap} later");
+                assert!(past <= engines / 2, "{case}");
+                // An engine that was ordered right before its holder was lost is ordered again after a turn, and then loads.
+                let last = first + gap + TURN + LOAD - named[0];
+                assert!(took <= last.max(BOUND), "{case}");
+            }
+        }
+    }
+}
