Roster: an outage counts from the last word of the store, also for routers that follow others

Callers of seven of thirteen routers were not offered an endpoint for 0.5 s after the store had been silent for 2.4 s, though it lived and was back in the list in the same life.

Cause: entries that lapse during an outage have 2.5 s to come back, but an outage counted from the first call of one's own that failed. A router that follows others takes up calls of its own only when those have lost the store, 1.7 s later; one that watches gives up a silent watch after 1.8 s. A short outage is over by then, so the removals that it brought were believed. Ruled out: the endpoint itself (same life) and the routers that watch the store (those kept it).

Change: a failed call tells when it left, and a router whose followed routers have all lost the store tells since when those heard nothing; 2 s without a word are an outage too. One lost answer to a watch, 1.9 s, is none: leases last three heartbeats of 1.2 s, of which at least two must be missed. What counted as an outage before still does.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -16,6 +16,9 @@
 const REGISTER_AGAIN: Duration = Duration::from_millis(2_500);
 /// Failing calls for shorter than this are no outage: leases of endpoints last for several heartbeats of a second.
 const OUTAGE: Duration = Duration::from_millis(700);
+/// Nothing heard for this long is an outage too, however late the first call failed: a lease lapses after three heartbeats of 1.2 s at
+/// the sites, the last of which may have just been due. One lost answer to a watch is heard of again after 1.9 s.
+const SILENCE: Duration = Duration::from_millis(2_000);
 
 /// What changed in the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +46,7 @@
     entries: BTreeMap<EndpointId, Arc<EndpointEntry>>,
     missing: BTreeMap<EndpointId, Duration>,
     failing: Option<Duration>,
+    silent: Option<Duration>,
     returned: Option<Duration>,
 }
 
@@ -67,10 +71,16 @@
         self.failing.get_or_insert(now);
     }
 
+    /// Nothing was heard of the store since then: a call that has failed left at that time, or all routers that this one follows
+    /// have lost the store.
+    pub fn store_unheard(&mut self, since: Duration) {
+        self.silent = Some(self.silent.map_or(since, |silent| silent.min(since)));
+    }
+
     /// A call to the store was answered. Comes before the changes that it brought.
     pub fn store_answered(&mut self, now: Duration) {
-        let Some(since) = self.failing.take() else { return };
-        if now.saturating_sub(since) >= OUTAGE {
+        let lasted = |since: Option<Duration>, least| since.is_some_and(|since| now.saturating_sub(since) >= least);
+        if lasted(self.failing.take(), OUTAGE) || lasted(self.silent.take(), SILENCE) {
             self.returned = Some(now);
         }
     }
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -89,6 +89,53 @@
     assert!(serving(&roster).is_empty());
 }
 
+/// The store falls silent right after a watch has left, which is given up long after, and entries lapse. A router that follows
+/// others hears of it even later. If an outage counted from the failed call only, all callers would be refused when the store is back.
+#[test]
+fn an_outage_counts_from_when_nothing_was_heard() {
+    struct Case {
+        why: &'static str,
+        unheard: u64,
+        failed: u64,
+        answered: u64,
+        serves: bool,
+    }
+    let cases = [
+        Case {
+            why: "a watch that left as the store fell silent was given up late",
+            unheard: 1_000,
+            failed: 2_800,
+            answered: 3_400,
+            serves: true,
+        },
+        Case {
+            why: "the routers that were followed have lost the store",
+            unheard: 1_000,
+            failed: 2_900,
+            answered: 3_000,
+            serves: true,
+        },
+        Case {
+            why: "one answer to a watch was lost, in which time no lease lapses",
+            unheard: 1_000,
+            failed: 2_800,
+            answered: 2_860,
+            serves: false,
+        },
+    ];
+    for case in cases {
+        let mut roster = Roster::default();
+        roster.replace(vec![ListChange::Listed(entry("a", false))], at(0));
+        roster.store_failed(at(case.failed));
+        roster.store_unheard(at(case.unheard));
+        roster.store_answered(at(case.answered));
+        roster.change(removed("a"), at(case.answered));
+        assert_eq!(!serving(&roster).is_empty(), case.serves, "{}", case.why);
+        roster.tick(at(case.answered + 2_500));
+        assert!(serving(&roster).is_empty(), "{}", case.why);
+    }
+}
+
 /// Another program writes bytes under an endpoint's key that cannot be read. They name no endpoint; the others serve on.
 #[test]
 fn an_entry_that_cannot_be_read_names_no_endpoint() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -42,7 +42,10 @@
 #[derive(Debug)]
 pub enum Event {
     /// A call to the store failed.
-    StoreFailed,
+    StoreFailed {
+        /// When it left, or since when the routers that were followed have heard nothing.
+        unheard: Duration,
+    },
     /// Everything in the store.
     Read {
         /// Items in order of keys.
@@ -152,8 +155,9 @@
     fn on(&mut self, event: Event) {
         let now = self.shared.clock.now();
         match event {
-            Event::StoreFailed => {
+            Event::StoreFailed { unheard } => {
                 self.roster.store_failed(now);
+                self.roster.store_unheard(unheard);
                 self.in_touch = false;
             }
             Event::Read {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -77,6 +77,10 @@
     left: HashMap<VmId, Duration>,
     /// Pause before the next watch.
     paused: Duration,
+    /// When the last call to the store left.
+    asked: Duration,
+    /// Since when routers that this one has left had heard nothing of the store.
+    unheard: Option<Duration>,
     /// Whether the store's history is gone, so that all must be read again.
     forgotten: bool,
     failures: u32,
@@ -93,6 +97,8 @@
             leader: None,
             left: HashMap::new(),
             paused: Duration::ZERO,
+            asked: Duration::ZERO,
+            unheard: None,
             forgotten: false,
             failures: 0,
         }
@@ -108,7 +114,10 @@
         };
         match self.next_leader().await {
             Some((vm, leader)) => self.follow_leader(vm, leader, revision).await,
-            None => self.watch(revision).await?,
+            None => {
+                self.tell_unheard().await;
+                self.watch(revision).await?;
+            }
         }
         Ok(())
     }
@@ -118,6 +127,14 @@
         SETTLE.saturating_sub(self.shared.clock.now())
     }
 
+    /// Entries may have lapsed while the routers heard nothing that this one has followed so far. Were its own next call the first to
+    /// tell of an outage, a short one would be over by then, and living endpoints would be taken for gone.
+    async fn tell_unheard(&mut self) {
+        if let Some(unheard) = self.unheard.take() {
+            send(&self.shared, Event::StoreFailed { unheard }).await;
+        }
+    }
+
     /// Takes over another address of the store after a reload.
     fn move_along(&mut self) {
         let address = self.shared.settings.load().store;
@@ -172,12 +189,14 @@
         };
         let age = followed.age_ms.map(Duration::from_millis);
         let Some(age) = age.filter(|age| *age <= FOLLOW_AGE) else {
+            self.unheard = age.and_then(|age| sent.checked_sub(age)).or(self.unheard);
             return self.leave(vm, "it has lost the store");
         };
         if followed.revision < Some(revision) {
             return self.leave(vm, "it is behind");
         }
         self.leader = Some((vm, leader));
+        self.unheard = None;
         // The other router's knowledge was this old when it answered, which was after the question left.
         self.tell(followed, sent.checked_sub(age)).await;
     }
@@ -205,6 +224,7 @@
 
     async fn read(&mut self) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
+        self.asked = sent;
         let read = self.client.all(ROOT, READ).await;
         self.count("range", read.is_ok());
         let (items, revision) = read?;
@@ -221,6 +241,7 @@
     async fn watch(&mut self, revision: u64) -> Result<(), ItemsError> {
         let paused = std::mem::take(&mut self.paused);
         let sent = self.shared.clock.now();
+        self.asked = sent;
         let watched = self.client.watch(ROOT, revision, WAIT - paused, GRACE).await;
         self.count("watch", watched.is_ok());
         match watched? {
@@ -262,7 +283,7 @@
             log::warn!(why:% = err; "store: lost");
         }
         self.failures += 1;
-        send(&self.shared, Event::StoreFailed).await;
+        send(&self.shared, Event::StoreFailed { unheard: self.asked }).await;
         let most = (AGAIN * 2_u32.saturating_pow(self.failures - 1)).min(AGAIN_MOST);
         let share = rand::rng().random_range(0.5..1.0);
         task::sleep(most.mul_f64(share)).await;
