--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Holding;
 use crate::shared::Shared;
 use async_channel::Receiver;
+use dispatch::fleet::NameAge;
 use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
@@ -104,6 +105,10 @@
     telling: Telling,
     turns: Turns,
     postponed: Postponed,
+    /// Generation number of whoever holds the right to give orders.
+    occupant: Option<Fence>,
+    /// What a holder said last; of a dead one only who was ordered counts.
+    told: Holding,
     /// Loads that were ordered and have not ended.
     running: Arc<AtomicUsize>,
     /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
@@ -136,6 +141,8 @@
             telling: Telling::default(),
             turns: Turns::default(),
             postponed: Postponed::default(),
+            occupant: None,
+            told: Holding::default(),
             running: Arc::default(),
             readable: false,
             in_touch: false,
@@ -213,7 +220,7 @@
             self.removed(HOLDER_KEY);
         }
         for item in &rest {
-            self.written(item, None, now);
+            self.written(item, now);
         }
     }
 
@@ -229,7 +236,7 @@
             return;
         }
         match change {
-            Change::Written(item) => self.written(item, Some(now), now),
+            Change::Written(item) => self.written(item, now),
             Change::Removed { key, .. } => self.removed(key),
         }
     }
@@ -272,22 +279,21 @@
         self.shared.metrics.endpoints.set(count as i64);
     }
 
-    /// An item that was written at the given time, if that is known.
-    fn written(&mut self, item: &Item, at: Option<Duration>, now: Duration) {
+    fn written(&mut self, item: &Item, now: Duration) {
         let keys = self.shared.dialect.keys;
         match item.key.as_str() {
             HOLDER_KEY => self.occupied(item),
             HOLDING_KEY => self.told(item, now),
             key if key == keys.document => self.document(item),
-            key if key.starts_with(keys.weights) => self.wanted(item, at),
+            key if key.starts_with(keys.weights) => self.wanted(item, now),
             _ => {}
         }
     }
 
     fn removed(&mut self, key: &str) {
         if key == HOLDER_KEY {
-            // Whatever still loads there refuses requests by itself until it has ended.
-            self.shared.fleet().loads(BTreeSet::new(), BTreeSet::new());
+            self.occupant = None;
+            self.believe_loads();
             self.holder_event(dispatch::holder::Event::Seen(None));
         }
     }
@@ -312,18 +318,22 @@
         self.shared.site.store(Some(Arc::new(Site::new(parts))));
     }
 
-    fn wanted(&self, item: &Item, at: Option<Duration>) {
+    fn wanted(&self, item: &Item, now: Duration) {
         match (self.shared.dialect.wanted)(&item.value) {
             Ok(wanted) => {
-                let unheard = at.and_then(|at| self.shared.freshness().age(at));
+                // The store's last word without this name is how old it is at most; a router that has just started had none.
+                let unheard = self.shared.freshness().age(now);
                 log::info!(
                     model = wanted.model.as_str(),
                     weights = wanted.weights,
-                    // Absent in a router that read them when it started: they may have been named long before.
                     unheard_ms = unheard.map_or(-1, |age| age.as_millis() as i64);
                     "weights: wanted"
                 );
-                self.shared.fleet().want(&wanted.model, wanted.weights, at);
+                let age = NameAge {
+                    least: Duration::ZERO,
+                    most: unheard,
+                };
+                self.shared.fleet().want(&wanted.model, wanted.weights, age, now);
             }
             Err(err) => log::error!(key = item.key.as_str(), why:% = err; "weights: cannot be read"),
         }
@@ -335,6 +345,8 @@
             created: Fence(item.created),
             lease: item.lease,
         };
+        self.occupant = Some(occupant.created);
+        self.believe_loads();
         self.holder_event(dispatch::holder::Event::Seen(Some(occupant)));
     }
 
@@ -353,15 +365,29 @@
         for endpoint in holding.loading.iter().chain(&holding.recent) {
             self.turns.other(endpoint, now);
         }
-        self.believe(&holding);
+        self.believe(holding);
     }
 
-    fn believe(&self, holding: &Holding) {
+    fn believe(&mut self, holding: Holding) {
+        {
+            let mut fleet = self.shared.fleet();
+            for (endpoint, model, weights) in &holding.loaded {
+                fleet.serves_weights(endpoint, model, *weights);
+            }
+        }
+        self.told = holding;
+        self.believe_loads();
+    }
+
+    /// The list stays in the store when its holder dies, and whoever starts later reads it there. Believed, it would keep requests away
+    /// from engines that serve, until some holder writes another one. Whatever still loads then refuses requests by itself.
+    fn believe_loads(&self) {
         let mut fleet = self.shared.fleet();
-        let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
-        fleet.loads(set(&holding.loading), set(&holding.coming));
-        for (endpoint, model, weights) in &holding.loaded {
-            fleet.serves_weights(endpoint, model, *weights);
+        if self.occupant == Some(self.told.fence) {
+            let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
+            fleet.loads(set(&self.told.loading), set(&self.told.coming));
+        } else {
+            fleet.loads(BTreeSet::new(), BTreeSet::new());
         }
     }
 
