--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,10 +3,11 @@
 pub mod orders;
 
 use crate::dialect::Holding;
+use crate::orders::Listed;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::fleet::NameAge;
-use dispatch::holder::{Holder, HolderTimes, Occupant, Turns};
+use dispatch::holder::{Holder, Occupant, TIMES, Turns};
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
@@ -14,7 +15,7 @@
 use orders::Telling;
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::items::{Change, Item};
@@ -27,15 +28,6 @@
 pub const HOLDER_KEY: &str = "apricotfork/holder";
 /// Key of what the holder tells all routers.
 pub const HOLDING_KEY: &str = "apricotfork/holding";
-/// Time to live of the holder's lease: a holder that dies is replaced this long after its last renewal, a fifth of the
-/// bound on old weights.
-const LEASE: Duration = Duration::from_millis(2_000);
-/// Two renewals may fail before the lease ends.
-const RENEW: Duration = Duration::from_millis(500);
-/// Last part of the lease without orders: covers the time from the check to the endpoint, and clocks of unequal speed.
-const MARGIN: Duration = Duration::from_millis(400);
-/// Wait before a failed call for the lease is repeated.
-const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Longest random wait of a router before it asks for the holder key: the first one's write reaches the others within milliseconds.
 const STAGGER: Duration = Duration::from_millis(300);
 
@@ -43,7 +35,10 @@
 #[derive(Debug)]
 pub enum Event {
     /// A call to the store failed.
-    StoreFailed,
+    StoreFailed {
+        /// When it left, or since when the routers that were followed have heard nothing.
+        unheard: Duration,
+    },
     /// Everything in the store.
     Read {
         /// Items in order of keys.
@@ -71,6 +66,8 @@
         /// Model and number of the weights.
         loaded: Option<(ModelId, u64)>,
     },
+    /// The holder's list is to be written again, since it is too old for an order.
+    List,
     /// The holder's list is to be written.
     Tell,
     /// A write of the holder's list has ended.
@@ -103,14 +100,14 @@
     ended: BTreeMap<EndpointId, Duration>,
     holding: Holding,
     telling: Telling,
+    /// When the list was sent that the store has.
+    listed: Arc<Listed>,
     turns: Turns,
     postponed: Postponed,
     /// Generation number of whoever holds the right to give orders.
     occupant: Option<Fence>,
     /// What a holder said last; of a dead one only who was ordered counts.
     told: Holding,
-    /// Loads that were ordered and have not ended.
-    running: Arc<AtomicUsize>,
     /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
     readable: bool,
     in_touch: bool,
@@ -120,15 +117,9 @@
     /// Nothing is known yet.
     pub fn new(shared: Arc<Shared>) -> Self {
         let settings = shared.settings.load();
-        let times = HolderTimes {
-            ttl: LEASE,
-            renew: RENEW,
-            margin: MARGIN,
-            again: ASK_AGAIN,
-        };
         let holder_name = format!("{}/{:016x}", settings.vm, rand::random::<u64>());
         let stagger = STAGGER.mul_f64(rand::rng().random_range(0.0..1.0));
-        let holder = Holder::new(holder_name.clone(), times, stagger);
+        let holder = Holder::new(holder_name.clone(), TIMES, stagger);
         drop(settings);
         Self {
             shared,
@@ -139,11 +130,11 @@
             ended: BTreeMap::new(),
             holding: Holding::default(),
             telling: Telling::default(),
+            listed: Arc::default(),
             turns: Turns::default(),
             postponed: Postponed::default(),
             occupant: None,
             told: Holding::default(),
-            running: Arc::default(),
             readable: false,
             in_touch: false,
         }
@@ -159,8 +150,9 @@
     fn on(&mut self, event: Event) {
         let now = self.shared.clock.now();
         match event {
-            Event::StoreFailed => {
+            Event::StoreFailed { unheard } => {
                 self.roster.store_failed(now);
+                self.roster.store_unheard(unheard);
                 self.in_touch = false;
             }
             Event::Read {
@@ -187,6 +179,7 @@
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::List => self.tell(),
             Event::Tell => self.write_list(),
             Event::Told { fence, done } => self.told_others(fence, done),
             Event::Tick => self.tick(now),
@@ -365,6 +358,10 @@
         for endpoint in holding.loading.iter().chain(&holding.recent) {
             self.turns.other(endpoint, now);
         }
+        for (endpoint, age) in &holding.before {
+            self.turns
+                .other(endpoint, now.saturating_sub(Duration::from_millis(*age)));
+        }
         self.believe(holding);
     }
 
