--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -23,10 +23,26 @@
     pub again: Duration,
 }
 
+/// Times for sites that let requests begin on old weights for ten seconds.
+pub const TIMES: HolderTimes = HolderTimes {
+    // A holder that dies is replaced this long after its last renewal, a seventh of that bound: with two seconds, a pool of nine
+    // whose holder is lost twice in a rollout has old weights past it.
+    ttl: Duration::from_millis(1_500),
+    // Three renewals may fail before the lease ends. One counts as a tenth of a call.
+    renew: Duration::from_millis(300),
+    // Covers the time from the check to the endpoint, and clocks of unequal speed.
+    margin: Duration::from_millis(400),
+    again: Duration::from_millis(500),
+};
+
+/// How much later than candidates the others ask for a free key. A router that has just started knows after 1.2 s whether it is a
+/// candidate; were this shorter, all routers of a deployment would ask when they start together.
+const SPARE: Duration = Duration::from_millis(1_500);
+
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Occupant {
-    /// The process that holds it; another one after each start.
+    /// The process that holds it: its VM, a slash and a part of its own, another one after each start.
     pub name: String,
     /// Store revision at which the key was created, which only grows: the generation number.
     pub created: Fence,
@@ -39,7 +55,7 @@
 pub enum Event {
     /// Time has passed.
     Tick,
-    /// Whether this router is one of the few that try to hold the key: each try costs calls to the store.
+    /// Whether this router is one of the few that try to hold the key first: each try costs calls to the store.
     Candidate(bool),
     /// The holder key as the store has it now.
     Seen(Option<Occupant>),
@@ -107,6 +123,8 @@
     /// Wait before the key is asked for, other for each router, so that they don't all ask at once.
     stagger: Duration,
     candidate: bool,
+    /// Whether the key was seen since this process started.
+    seen: bool,
     stopped: bool,
 }
 
@@ -120,6 +138,7 @@
             lease: None,
             stagger,
             candidate: false,
+            seen: false,
             stopped: false,
         }
     }
@@ -185,7 +204,7 @@
 
     fn tick(&mut self, now: Duration) -> Option<Step> {
         match self.phase {
-            Phase::Free { next } if now >= next && self.candidate && !self.stopped => {
+            Phase::Free { next } if now >= self.turn(next) && !self.stopped => {
                 self.phase = Phase::Asking {
                     until: now + self.times.ttl,
                 };
@@ -200,6 +219,11 @@
         }
     }
 
+    /// When a free key is asked for that candidates ask for at the given time.
+    fn turn(&self, next: Duration) -> Duration {
+        if self.candidate { next } else { next + SPARE }
+    }
+
     fn renew(&mut self, now: Duration) -> Option<Step> {
         let lease = self.lease.as_mut().filter(|lease| now >= lease.renew)?;
         lease.renew = now + self.times.renew;
@@ -207,6 +231,7 @@
     }
 
     fn seen(&mut self, occupant: Option<Occupant>, now: Duration) -> Option<Step> {
+        let first = !std::mem::replace(&mut self.seen, true);
         let Some(occupant) = occupant else {
             if !matches!(self.phase, Phase::Asking { .. } | Phase::Free { .. }) {
                 self.let_go();
@@ -220,7 +245,15 @@
         if !own {
             let held = self.lease.map(|lease| Step::Release(lease.id));
             self.let_go();
-            return held;
+            // An earlier life of this VM that was killed can't give its lease back, and nobody would order until it lapses. That
+            // life is over: it listened where this process does. Only the first look tells of it: two routers that were given one
+            // name by mistake would take the key from each other for ever.
+            let earlier = first && vm(&occupant.name) == vm(&self.name);
+            return if earlier {
+                Some(Step::Release(occupant.lease))
+            } else {
+                held
+            };
         }
         if !matches!(self.phase, Phase::Holding { .. }) {
             self.phase = Phase::Holding {
@@ -236,6 +269,22 @@
     }
 }
 
+/// The VM of a process's name, which ends in a part of its own.
+fn vm(name: &str) -> &str {
+    name.rsplit_once('/').map_or(name, |(vm, _)| vm)
+}
+
+/// How long after its list was sent to the store the holder may order what stands there. Without a bound, an order that is repeated
+/// seconds later would reach an endpoint that a successor takes for free: it counts its turn from when it heard of the list.
+pub const LISTED_FOR: Duration = Duration::from_millis(400);
+/// Added to a turn: the age of the list when an order leaves, and a packet that is sent once more.
+pub const TURN_SLACK: Duration = Duration::from_millis(600);
+
+/// Whether an endpoint may be ordered that stands in the list which was sent to the store at the given time.
+pub fn listed(sent: Option<Duration>, now: Duration) -> bool {
+    sent.is_some_and(|sent| now.saturating_sub(sent) < LISTED_FOR)
+}
+
 /// When endpoints were last known to get orders of another holder.
 #[derive(Debug, Clone, Default)]
 pub struct Turns {
@@ -243,9 +292,20 @@
 }
 
 impl Turns {
-    /// Another holder may be giving orders to this endpoint.
-    pub fn other(&mut self, endpoint: &EndpointId, now: Duration) {
-        self.ordered.insert(endpoint.clone(), now);
+    /// Another holder may have given orders to this endpoint until then.
+    pub fn other(&mut self, endpoint: &EndpointId, until: Duration) {
+        let last = self.ordered.entry(endpoint.clone()).or_default();
+        *last = until.max(*last);
+    }
+
+    /// Endpoints that other holders may have ordered within the last turn, and how long ago. A holder tells them with its own: two
+    /// that are lost within a turn would otherwise be followed by one that started in between and knows the second one's list only.
+    pub fn lately(&self, turn: Duration, now: Duration) -> impl Iterator<Item = (&EndpointId, Duration)> {
+        let ages = self
+            .ordered
+            .iter()
+            .map(move |(id, last)| (id, now.saturating_sub(*last)));
+        ages.filter(move |(_, age)| *age < turn)
     }
 
     /// Whether the last order of another holder is at least `turn` ago.
