--- /dev/null
+++ b/crates/dispatch/src/loading.rs
@@ -0,0 +1,100 @@
+//! The way of one endpoint to new weights: when it is looked at, ordered, and given up.
+
+use crate::rollout::{LoadStep, Ordered, Report, gives_up, load_step};
+use std::time::Duration;
+
+/// Pause between two looks at an endpoint.
+const LOOK: Duration = Duration::from_millis(80);
+/// Pause after an order: no load at the sites is faster.
+const FASTEST_LOAD: Duration = Duration::from_millis(600);
+/// Longest wait for the answer to an order. A sound endpoint answers within a few ms, or 200 ms more if a packet is lost.
+pub const ANSWER: Duration = Duration::from_millis(300);
+
+/// What is to be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Ask for a report after a pause.
+    Look(Duration),
+    /// Order the newest weights, once the list of those that load is young; see [`crate::holder::listed`].
+    Order {
+        /// Count of orders that the order expects.
+        expected: u64,
+    },
+    /// These weights are in place.
+    Done(u64),
+    /// The load has failed.
+    Stop,
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being carried out, or what it asks for holds.
+    Taken,
+    /// No answer came: it may have been taken, or may be carried out seconds later.
+    Unanswered,
+    /// Another order is in progress or came first, or the order never left.
+    Conflict,
+    /// Refused for good.
+    Refused,
+}
+
+/// One endpoint that is to load.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Loading {
+    /// The order that it is believed to carry out.
+    ordered: Option<Ordered>,
+    /// The first order without an answer since.
+    unanswered: Option<Ordered>,
+    misses: u32,
+}
+
+impl Loading {
+    /// A report has come, or could not be had.
+    pub fn looked(&mut self, report: Option<Report>, wanted: u64, now: Duration) -> Next {
+        let Some(report) = report else {
+            self.misses += 1;
+            return if gives_up(self.misses) {
+                Next::Stop
+            } else {
+                Next::Look(LOOK)
+            };
+        };
+        self.misses = 0;
+        match load_step(&report, wanted, self.ordered, now) {
+            LoadStep::Done => report.weights.map_or(Next::Stop, Next::Done),
+            LoadStep::Wait => Next::Look(LOOK),
+            LoadStep::Order { expected } => Next::Order { expected },
+        }
+    }
+
+    /// An order could not be given, since the list could not be written.
+    pub fn unlisted(&self) -> Next {
+        Next::Look(LOOK)
+    }
+
+    /// What came of an order that was sent at `sent.at`.
+    ///
+    /// Load pattern: half of the orders get no answer and are carried out seconds later, while every endpoint still has to load.
+    /// Such an order is repeated at once: both expect the same count, so only one of the two takes effect, and the place of a load
+    /// doesn't stay unused for seconds.
+    pub fn answered(&mut self, sent: Ordered, outcome: OrderOutcome) -> Next {
+        match outcome {
+            OrderOutcome::Refused => Next::Stop,
+            OrderOutcome::Taken => {
+                self.ordered = Some(sent);
+                self.unanswered = None;
+                Next::Look(FASTEST_LOAD + LOOK)
+            }
+            OrderOutcome::Unanswered => {
+                self.unanswered = self.unanswered.or(Some(sent));
+                Next::Look(Duration::ZERO)
+            }
+            // The first one was taken, though its answer was lost: only what is reported from now on tells of it.
+            OrderOutcome::Conflict => {
+                self.ordered = self.unanswered.take().map(|first| Ordered { at: sent.at, ..first });
+                Next::Look(FASTEST_LOAD + LOOK)
+            }
+        }
+    }
+}
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Which endpoint a request goes to.
 
-use dispatch::fleet::{Choice, Fleet, FleetSettings, LoadReport, Outcome, Part, Prompt, Wish};
+use dispatch::fleet::{Choice, Fleet, FleetSettings, LoadReport, NameAge, Outcome, Part, Prompt, Wish};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
@@ -61,6 +61,15 @@
     fleet(&entries.collect::<Vec<_>>())
 }
 
+/// New weights are named at a time that the router saw, or before it knew of any.
+fn name(fleet: &mut Fleet, weights: u64, named: Option<Duration>) {
+    let age = NameAge {
+        least: Duration::ZERO,
+        most: named.map(|_| Duration::ZERO),
+    };
+    fleet.want(&model(), weights, age, named.unwrap_or_default());
+}
+
 fn prompt(session: u64, own: u64) -> Prompt {
     Prompt {
         model: model(),
@@ -255,7 +264,7 @@
     for case in cases {
         let mut fleet = pool(case.weights);
         for (weights, at_ms) in case.named {
-            fleet.want(&model(), *weights, at_ms.map(at));
+            name(&mut fleet, *weights, at_ms.map(at));
         }
         let used: BTreeSet<String> = (0..200)
             .filter_map(|own| send(&mut fleet, Some(&prompt(own, 1_000 + own)), &[], own * 7, at(case.now)))
@@ -345,7 +354,7 @@
 fn a_refusal_for_other_weights_corrects_the_belief() {
     let id = EndpointId::from("e0");
     let mut fleet = pool(&[1, 1]);
-    fleet.want(&model(), 3, Some(at(0)));
+    name(&mut fleet, 3, Some(at(0)));
     fleet.other_weights(&id, &model());
     assert_eq!(fleet.weights(&id, &model()), Some(3));
     fleet.other_weights(&id, &model());
@@ -460,7 +469,7 @@
     ];
     for case in cases {
         let mut fleet = pool(case.weights);
-        fleet.want(&model(), 2, Some(at(0)));
+        name(&mut fleet, 2, Some(at(0)));
         let renewed = (0..1_000).filter(|session| {
             let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(2_000));
             let used = used.map(EndpointId::from).expect("an endpoint");
@@ -505,7 +514,7 @@
     ];
     for case in cases {
         let mut fleet = pool(&[2, 1, 1, 1, 1]);
-        fleet.want(&model(), 2, Some(at(0)));
+        name(&mut fleet, 2, Some(at(0)));
         let old = (0..1_000).filter(|session| {
             let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(case.now));
             let used = used.map(EndpointId::from).expect("an endpoint");
@@ -538,17 +547,88 @@
             now: 9_500,
             served: false,
         },
-        // A router that has just started doesn't know when they were named.
+        // A router that has just started doesn't know when they were named: perhaps too long ago.
+        Case {
+            named: None,
+            now: 0,
+            served: false,
+        },
         Case {
             named: None,
             now: 9_500,
-            served: true,
+            served: false,
         },
     ];
     for case in cases {
         let mut fleet = pool(&[1, 1]);
-        fleet.want(&model(), 2, case.named.map(at));
+        name(&mut fleet, 2, case.named.map(at));
         let sent = send(&mut fleet, Some(&prompt(7, 8)), &[], 1, at(case.now));
         assert_eq!(sent.is_some(), case.served, "named {:?}, at {}", case.named, case.now);
     }
 }
+
+/// Engines with old weights are full, and what is sent there waits a second and more inside the engine. Sent before the bound and begun
+/// after it, the answer is worth nothing to its caller; so an engine is left earlier by the wait that is to be expected there.
+#[test]
+fn an_engine_with_old_weights_is_left_earlier_by_the_wait_there() {
+    struct Case {
+        what: &'static str,
+        seen: fn(&mut Fleet, &EndpointId),
+        now: u64,
+        used: &'static [&'static str],
+    }
+    let late: fn(&mut Fleet, &EndpointId) = |fleet, id| fleet.outcome(id, Outcome::Answered(at(1_400)), at(8_600));
+    let cases = [
+        Case {
+            what: "idle",
+            seen: |_, _| {},
+            now: 8_700,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "first events late",
+            seen: late,
+            now: 8_700,
+            used: &["e1"],
+        },
+        Case {
+            what: "first events late, long before the bound",
+            seen: late,
+            now: 7_900,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "first events late a while ago",
+            seen: |fleet, id| fleet.outcome(id, Outcome::Answered(at(1_400)), at(5_000)),
+            now: 8_700,
+            used: &["e0", "e1"],
+        },
+        Case {
+            what: "many wait by its report",
+            seen: |fleet, id| {
+                let running = 12;
+                fleet.reported(id, LoadReport { running, waiting: 60 }, at(8_600));
+            },
+            now: 8_700,
+            used: &["e1"],
+        },
+        Case {
+            what: "prompts of this router aren't read yet",
+            seen: |fleet, id| fleet.begin(id, Incarnation(1), 90_000),
+            now: 8_700,
+            used: &["e1"],
+        },
+    ];
+    let ids = ["e0", "e1"].map(EndpointId::from);
+    for case in cases {
+        // Each engine is asked with the other one out of the way: a full one has work only if it is the last.
+        let used = ["e0", "e1"].into_iter().filter(|asked| {
+            let mut fleet = pool(&[1, 1]);
+            name(&mut fleet, 2, Some(at(0)));
+            (case.seen)(&mut fleet, &ids[0]);
+            let others: Vec<EndpointId> = ids.iter().filter(|id| id.as_str() != *asked).cloned().collect();
+            send(&mut fleet, Some(&prompt(7, 8)), &others, 1, at(case.now)).is_some()
+        });
+        assert_eq!(used.collect::<Vec<_>>(), case.used, "{}", case.what);
+    }
+}
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -5,21 +5,19 @@
 use crate::orders;
 use crate::shared::Shared;
 use async_std::task;
-use dispatch::holder::{self, Step};
-use dispatch::rollout::{Runner, most_loads, next_loads};
+use dispatch::holder::{self, Step, TURN_SLACK};
+use dispatch::rollout::{Runner, next_loads};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
 use std::sync::Arc;
 use std::time::Duration;
 use store::items::{Client, Committed, ItemsError, Transaction, Write};
 
-/// Added to the bound on turns, for orders on their way.
-const TURN_SLACK: Duration = Duration::from_millis(300);
 /// Time in which changes of the list are gathered: each write is answered to the watch of every router, and priced.
 const GATHER: Duration = Duration::from_millis(40);
 /// Stands for no lease.
 const NO_LEASE: u64 = 0;
-/// Longest wait for an answer to a call about the lease; a fifth of the lease.
+/// Longest wait for an answer to a call about the lease: twice the store's slowest answers.
 const CALL: Duration = Duration::from_millis(600);
 
 /// The holder's list on its way into the store.
@@ -29,6 +27,8 @@
     under_way: bool,
     /// Whether the list has changed since.
     again: bool,
+    /// When that write left.
+    sent: Duration,
     /// Loads that begin once that write is done.
     told: Vec<(EndpointId, ModelId)>,
     /// Loads that begin with the next write.
@@ -49,6 +49,8 @@
             self.loading.clear();
             self.ended.clear();
             self.telling = Telling::default();
+            self.listed.clear();
+            self.give_orders(now);
         }
         if let Some(step) = step {
             self.carry_out(step);
@@ -120,10 +122,10 @@
         let load = orders::Load {
             shared: self.shared.clone(),
             holder: self.holder.clone(),
+            fence: self.holding.fence,
+            listed: self.listed.clone(),
             name: self.holder_name.clone(),
             entry,
-            most: most_loads(self.runners(&model).len()),
-            running: self.running.clone(),
             model,
         };
         task::spawn(load.run());
@@ -148,7 +150,7 @@
 
     /// Tells all routers which endpoints load: requests sent there meanwhile would be refused, and some may not be sent
     /// to a second endpoint. One write at a time, so that an older list never comes after a newer one.
-    fn tell(&mut self) {
+    pub(super) fn tell(&mut self) {
         if self.telling.under_way {
             self.telling.again = true;
             return;
@@ -181,8 +183,11 @@
         self.holding.loading = self.loading.iter().cloned().collect();
         self.holding.coming.clone_from(&self.telling.coming);
         self.holding.recent = self.ended.keys().cloned().collect();
-        self.believe(&self.holding);
+        let before = self.turns.lately(turn, now);
+        self.holding.before = before.map(|(id, age)| (id.clone(), age.as_millis() as u64)).collect();
+        self.believe(self.holding.clone());
         self.telling.again = false;
+        self.telling.sent = now;
         self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
         let transaction = Transaction {
@@ -212,6 +217,9 @@
         if !own || !std::mem::take(&mut self.telling.under_way) {
             return;
         }
+        if done {
+            self.listed.told(self.telling.sent);
+        }
         for (endpoint, model) in std::mem::take(&mut self.telling.told) {
             if done {
                 self.start_load(endpoint, model);
