--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -201,3 +201,54 @@
     assert!(!third.may_order(&engine, turn, Duration::from_millis(3_999)));
     assert_eq!(second.lately(turn, Duration::from_millis(4_000)).count(), 0);
 }
+
+/// The answer to a claim is lost, and the claim was not carried out: the key stays free and the watch tells nothing. Were the router to
+/// wait for a word that never comes, nobody would give orders where it is the only one, and engines would keep old weights.
+#[test]
+fn a_lost_claim_is_made_again() {
+    let mut holder = Holder::new("vm-1/a".to_owned(), TIMES, at(0));
+    holder.on(Event::Candidate(true), at(0));
+    holder.on(Event::Seen(None), at(0));
+    assert!(matches!(holder.on(Event::Tick, at(0)), Some(Step::Acquire(_))));
+    let granted = Event::Granted {
+        lease: 7,
+        ttl: TIMES.ttl,
+        asked: at(1),
+    };
+    holder.on(granted, at(20));
+    assert!(asks_again(&mut holder, 200));
+}
+
+/// The store ends a lease; the watch tells that the key has gone before the answer to the renewal does. The late answer must not
+/// make the router forget that the key is free.
+#[test]
+fn the_end_of_a_lease_that_is_told_twice_leaves_the_key_free() {
+    let mut holder = Holder::new("vm-1/a".to_owned(), TIMES, at(0));
+    holder.on(Event::Candidate(true), at(0));
+    holder.on(Event::Seen(None), at(0));
+    holder.on(Event::Tick, at(0));
+    let granted = Event::Granted {
+        lease: 7,
+        ttl: TIMES.ttl,
+        asked: at(1),
+    };
+    holder.on(granted, at(20));
+    let own = Occupant {
+        name: "vm-1/a".to_owned(),
+        created: Fence(5),
+        lease: 7,
+    };
+    holder.on(Event::Seen(Some(own)), at(30));
+    assert!(matches!(holder.on(Event::Tick, at(400)), Some(Step::Renew(7))));
+    holder.on(Event::Seen(None), at(500));
+    holder.on(Event::Lapsed, at(501));
+    assert!(asks_again(&mut holder, 600));
+}
+
+/// Whether the router asks for the key within ten seconds.
+fn asks_again(holder: &mut Holder, from: u64) -> bool {
+    (from..from + 10_000).step_by(200).any(|ms| {
+        holder.on(Event::Candidate(true), at(ms));
+        matches!(holder.on(Event::Tick, at(ms)), Some(Step::Acquire(_)))
+    })
+}
--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -136,7 +136,7 @@
 /// what the two want, and the rule on holders is broken.
 #[test]
 fn no_engine_gets_orders_of_two_holders_within_a_turn() {
-    for (engines, every) in [(9, 0), (9, 2), (12, 3)] {
+    for (engines, every) in [(9, 0), (9, 1), (9, 2), (12, 3)] {
         for (lost, vacant) in (2_300..8_000)
             .step_by(190)
             .flat_map(|lost| [(lost, 400), (lost, 1_600)])
@@ -161,27 +161,29 @@
 
 /// Weights are named every four seconds, half of the orders get no answer, and the holder is lost twice. An engine that was ordered
 /// just before its holder was lost may not be ordered by the next one for a turn, so some have old weights past the bound, where
-/// callers aren't sent any more. Were they more than half of the pool, the others would be full and callers refused.
+/// callers aren't sent any more. Were they more than half of the pool, the others would be full and callers refused; and at half as
+/// long again after the naming the last one must have its weights, as the site promises.
 #[test]
 fn half_of_the_engines_are_within_the_bound_whatever_comes() {
+    let mut losses = vec![(4_500, 4_500)];
+    for first in (3_000..=5_000).step_by(250) {
+        losses.extend((3_500..=5_000).step_by(250).map(|gap| (first, gap)));
+    }
     for engines in [9, 12] {
-        for first in (3_000..=5_000).step_by(500) {
-            for gap in (3_500..=5_000).step_by(500) {
-                let mut pool = Pool::new(Trouble {
-                    engines,
-                    named: vec![2_000, 6_000, 10_000, 14_000, 18_000],
-                    answers: 1_700,
-                    lost: vec![first, first + gap],
-                    vacant: TIMES.ttl.as_millis() as u64 + ASKING,
-                    late: (2, 4_000),
-                });
-                let took = pool.run();
-                let past = pool.past;
-                assert!(
-                    past <= engines / 2,
-                    "{past} of {engines}, {took} ms, lost at {first} and {gap} later"
-                );
-            }
+        for (first, gap) in &losses {
+            let mut pool = Pool::new(Trouble {
+                engines,
+                named: vec![2_000, 6_000, 10_000, 14_000, 18_000],
+                answers: 1_700,
+                lost: vec![*first, first + gap],
+                vacant: TIMES.ttl.as_millis() as u64 + ASKING,
+                late: (2, 4_000),
+            });
+            let took = pool.run();
+            let past = pool.past;
+            let case = format!("{past} of {engines}, {took} ms, lost at {first} and {gap} later");
+            assert!(past <= engines / 2, "{case}");
+            assert!(took <= BOUND * 3 / 2, "{case}");
         }
     }
 }
