Holder: a free key is asked for again whatever answer is lost

Change: when the own lease ends, a router that was asking asks again, and one that knows the key to be free still knows it; the end of a lease counts for that lease only.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -77,8 +77,8 @@
         /// When the call left.
         asked: Duration,
     },
-    /// The store doesn't have the lease any more.
-    Lapsed,
+    /// The store doesn't have this lease any more.
+    Lapsed(u64),
     /// This router is going.
     Stop,
 }
@@ -169,7 +169,9 @@
                     };
                 }
             }
-            Event::Lapsed => self.let_go(),
+            // The watch may have told it before, and the key may be free or another lease asked for by now.
+            Event::Lapsed(lease) if self.lease() == Some(lease) => self.let_go(),
+            Event::Lapsed(_) => {}
             Event::Stop => {
                 self.stopped = true;
                 let held = self.lease.map(|lease| Step::Release(lease.id));
@@ -197,9 +199,16 @@
 
     fn check(&mut self, now: Duration) {
         let over = self.lease.is_some_and(|lease| now >= lease.end);
-        if over {
-            self.let_go();
+        if !over {
+            return;
         }
+        self.lease = None;
+        self.phase = match self.phase {
+            Phase::Idle | Phase::Holding { .. } => Phase::Idle,
+            Phase::Free { next } => Phase::Free { next },
+            // The claim's answer was lost, or the claim: then the key is still free, and no word of it will come.
+            Phase::Asking { .. } => Phase::Free { next: now },
+        };
     }
 
     fn tick(&mut self, now: Duration) -> Option<Step> {
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -239,10 +239,10 @@
         lease: 7,
     };
     holder.on(Event::Seen(Some(own)), at(30));
-    assert!(matches!(holder.on(Event::Tick, at(400)), Some(Step::Renew(7))));
-    holder.on(Event::Seen(None), at(500));
-    holder.on(Event::Lapsed, at(501));
-    assert!(asks_again(&mut holder, 600));
+    assert!(matches!(holder.on(Event::Tick, at(600)), Some(Step::Renew(7))));
+    holder.on(Event::Seen(None), at(700));
+    holder.on(Event::Lapsed(7), at(701));
+    assert!(asks_again(&mut holder, 800));
 }
 
 /// Whether the router asks for the key within ten seconds.
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -275,7 +275,7 @@
     count(shared, "renew", renewed.is_ok());
     let event = match renewed {
         Ok(Some(ttl)) => holder::Event::Renewed { ttl, asked },
-        Ok(None) => holder::Event::Lapsed,
+        Ok(None) => holder::Event::Lapsed(lease),
         // The lease goes on until it ends by the own clock.
         Err(_) => return,
     };
