Orders: what has loaded is told with the engine's life

Callers' requests were refused by engines that had crashed after a load and were back with the weights they had before: the holder's list, believed again with each write and at each router's start, said that they had the newest, so requests named those, and the holder did not order them.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod orders;
 
-use crate::dialect::Holding;
+use crate::dialect::{Holding, Loaded};
 use crate::orders::Listed;
 use crate::shared::Shared;
 use async_channel::Receiver;
@@ -11,7 +11,7 @@
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
-use ids::{EndpointId, Fence, ModelId};
+use ids::{EndpointId, Fence};
 use orders::Telling;
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
@@ -63,8 +63,8 @@
     LoadEnded {
         /// Where.
         endpoint: EndpointId,
-        /// Model and number of the weights.
-        loaded: Option<(ModelId, u64)>,
+        /// What is in place.
+        loaded: Option<Loaded>,
     },
     /// The holder's list is to be written again, since it is too old for an order.
     List,
@@ -368,14 +368,21 @@
     fn believe(&mut self, holding: Holding) {
         {
             let mut fleet = self.shared.fleet();
-            for (endpoint, model, weights) in &holding.loaded {
-                fleet.serves_weights(endpoint, model, *weights);
+            for loaded in holding.loaded.iter().filter(|loaded| self.lives(loaded)) {
+                fleet.serves_weights(&loaded.endpoint, &loaded.model, loaded.weights);
             }
         }
         self.told = holding;
         self.believe_loads();
     }
 
+    /// Whether an endpoint is in the life in which it loaded weights. Were an earlier life's believed, requests would name weights that
+    /// it refuses, and it would not be ordered to load.
+    fn lives(&self, loaded: &Loaded) -> bool {
+        let entry = self.roster.get(&loaded.endpoint);
+        entry.is_some_and(|entry| entry.incarnation == loaded.life)
+    }
+
     /// The list stays in the store when its holder dies, and whoever starts later reads it there. Believed, it would keep requests away
     /// from engines that serve, until some holder writes another one. Whatever still loads then refuses requests by itself.
     fn believe_loads(&self) {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -1,7 +1,7 @@
 //! The control thread's part in holding the right to give orders, and in giving them.
 
 use super::{Control, Event, HOLDER_KEY, HOLDING_KEY, lock, send};
-use crate::dialect::Holding;
+use crate::dialect::{Holding, Loaded};
 use crate::orders;
 use crate::shared::Shared;
 use async_std::task;
@@ -131,16 +131,16 @@
         task::spawn(load.run());
     }
 
-    pub(super) fn load_ended(&mut self, endpoint: EndpointId, loaded: Option<(ModelId, u64)>) {
+    pub(super) fn load_ended(&mut self, endpoint: EndpointId, loaded: Option<Loaded>) {
         if !self.loading.remove(&endpoint) {
             return;
         }
         let now = self.shared.clock.now();
         self.ended.insert(endpoint.clone(), now);
         match loaded {
-            Some((model, weights)) => {
-                self.holding.loaded.retain(|(known, ..)| *known != endpoint);
-                self.holding.loaded.push((endpoint, model, weights));
+            Some(loaded) => {
+                self.holding.loaded.retain(|known| known.endpoint != endpoint);
+                self.holding.loaded.push(loaded);
             }
             None => self.postponed.failed(endpoint, now),
         }
@@ -185,6 +185,9 @@
         self.holding.recent = self.ended.keys().cloned().collect();
         let before = self.turns.lately(turn, now);
         self.holding.before = before.map(|(id, age)| (id.clone(), age.as_millis() as u64)).collect();
+        let mut loaded = std::mem::take(&mut self.holding.loaded);
+        loaded.retain(|loaded| self.lives(loaded));
+        self.holding.loaded = loaded;
         self.believe(self.holding.clone());
         self.telling.again = false;
         self.telling.sent = now;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use dispatch::rollout::Report;
 use dispatch::site::{EndpointEntry, SiteParts};
 use http::raw::{Headers, RequestHead, ResponseHead};
-use ids::{EndpointId, Fence, ModelId, WorkspaceId};
+use ids::{EndpointId, Fence, Incarnation, ModelId, WorkspaceId};
 use quick_error::quick_error;
 use std::time::Duration;
 use store::items::{Call, Codec, Unreadable};
@@ -185,6 +185,19 @@
     /// Endpoints that earlier holders ordered lately, and how many milliseconds ago.
     #[serde(default)]
     pub before: Vec<(EndpointId, u64)>,
-    /// Endpoints that have loaded, with model and number of the weights.
-    pub loaded: Vec<(EndpointId, ModelId, u64)>,
+    /// Endpoints that have loaded.
+    pub loaded: Vec<Loaded>,
+}
+
+/// Weights that an endpoint has loaded.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Loaded {
+    /// Where.
+    pub endpoint: EndpointId,
+    /// In which of its lives: the next one begins with the weights that it had before.
+    pub life: Incarnation,
+    /// The model.
+    pub model: ModelId,
+    /// Number of the weights.
+    pub weights: u64,
 }
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::control::orders::may_order;
 use crate::control::{Event, send};
-use crate::dialect::{OrderAnswer, WeightsOrder};
+use crate::dialect::{Loaded, OrderAnswer, WeightsOrder};
 use crate::link::ask;
 use crate::shared::Shared;
 use async_std::future::timeout;
@@ -72,7 +72,12 @@
     pub async fn run(self) {
         task::sleep(NOTICE).await;
         let loaded = timeout(LOAD, self.steps()).await.unwrap_or_default();
-        let loaded = loaded.map(|weights| (self.model.clone(), weights));
+        let loaded = loaded.map(|weights| Loaded {
+            endpoint: self.entry.id.clone(),
+            life: self.entry.incarnation,
+            model: self.model.clone(),
+            weights,
+        });
         if loaded.is_none() {
             log::warn!(endpoint = self.entry.id.as_str(); "orders: a load has not ended in time or could not begin");
         }
