Following: changes and their freshness are told in one step

A router noted that it was fresh before it kept the changes for its followers, and answered them with the changes and the freshness read one after the other. In between a follower got the old items as fresh: a name of weights acknowledged during an outage would seem that much younger to it, and a key taken away good for longer. Both sides now take the two under one lock. Ruled out: swapping the two writes, since followers that are woken first would see an old age and leave their router. No test: the core has no such window, and the two lines can't be stopped between from outside.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -174,8 +174,8 @@
                 for change in &changes {
                     self.changed(change, now);
                 }
-                self.confirm(confirmed);
-                self.shared.relay.apply(&changes, revision);
+                let shared = &self.shared;
+                shared.relay.apply(&changes, revision, || self.confirm(confirmed));
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -44,10 +44,12 @@
         known.wake();
     }
 
-    /// Changes up to a revision.
-    pub fn apply(&self, changes: &[Change], revision: u64) {
+    /// Changes up to a revision. `confirm` notes how fresh that is: in one step with the changes, or a follower could be told
+    /// the new freshness with the old items, and take a key or weights for good that were replaced during an outage.
+    pub fn apply(&self, changes: &[Change], revision: u64, confirm: impl FnOnce()) {
         let mut known = self.lock();
         known.log.apply(changes, revision);
+        confirm();
         known.wake();
     }
 
@@ -146,8 +148,13 @@
         // Without news the answer still tells how fresh all is.
         let _ = timeout(wait, news).await;
     }
-    let since = shared.relay.lock().log.since(follow.after);
-    let age = shared.freshness().age(shared.clock.now());
+    let (since, age) = {
+        let known = shared.relay.lock();
+        (
+            known.log.since(follow.after),
+            shared.freshness().age(shared.clock.now()),
+        )
+    };
     Followed {
         revision: since.revision,
         whole: since.whole,
