Orders: whom another holder ordered last is heard before the right is used

A followed page, or a whole read, was taken in by its keys: the right to order came before the list of whoever had had it in between, and since orders begin as soon as the right is had, an endpoint could be ordered that this other holder had just ordered. Two orders within a turn undo each other.

Change: items are taken in as they were written, and what was heard since an endpoint was chosen is looked at once more before the list is written. No test of its own: it takes a router whose feed hangs while two others follow each other as holders; the soak of weights checks turns with processes.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -204,7 +204,9 @@
     /// All there is: what is absent has gone.
     fn read(&mut self, items: Vec<Item>, now: Duration) {
         let prefix = self.shared.dialect.keys.endpoints;
-        let (entries, rest): (Vec<Item>, Vec<Item>) = items.into_iter().partition(|item| item.key.starts_with(prefix));
+        let (entries, mut rest): (Vec<Item>, Vec<Item>) =
+            items.into_iter().partition(|item| item.key.starts_with(prefix));
+        rest.sort_by_key(|item| item.revision);
         let list = entries.iter().filter_map(|item| self.listed(item)).collect();
         let changes = self.roster.replace(list, now);
         self.apply(changes, now);
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -163,6 +163,19 @@
         });
     }
 
+    /// Takes endpoints back that another holder may have ordered, as was heard since they were chosen: two orders within a turn
+    /// would undo each other.
+    fn leave_alone(&mut self, turn: Duration, now: Duration) {
+        let (turns, loading) = (&self.turns, &mut self.loading);
+        self.telling.begin.retain(|(endpoint, _)| {
+            let free = turns.may_order(endpoint, turn, now);
+            if !free {
+                loading.remove(endpoint);
+            }
+            free
+        });
+    }
+
     /// Writes the list as it is now.
     pub(super) fn write_list(&mut self) {
         let now = self.shared.clock.now();
@@ -178,6 +191,7 @@
             return;
         };
         let turn = self.shared.settings.load().bounds.turn() + TURN_SLACK;
+        self.leave_alone(turn, now);
         self.ended.retain(|_, at| now.saturating_sub(*at) < turn);
         self.holding.fence = fence;
         self.holding.loading = self.loading.iter().cloned().collect();
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -205,7 +205,9 @@
 
     async fn tell(&self, followed: Followed, confirmed: Option<Duration>) {
         let Some(revision) = followed.revision else { return };
-        let items: Vec<Item> = followed.items.into_iter().map(relay::item).collect();
+        let mut items: Vec<Item> = followed.items.into_iter().map(relay::item).collect();
+        // Taken in by their keys, the right to give orders would come before the list of whoever had it last.
+        items.sort_by_key(|item| item.revision);
         let event = if followed.whole {
             Event::Read {
                 items,
