Orders: a load that ends since the right is in doubt bars no engine

When the store doesn't answer renewals for 0.8 s, every load under way ends, and its engine was barred for 3 s as if it had failed; the holder's own list, heard in that state, counted as another's and barred it for 3.6 s. Engines that did nothing wrong got their weights later. Now only a load that ends while this router may order counts as failed, and the own list is known by its generation number for as long as the key is held.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -184,11 +184,17 @@
 
     /// The generation number, while orders may leave. Belongs right before each send: a process can be paused anywhere.
     pub fn may_order(&self, now: Duration) -> Option<Fence> {
+        let fence = self.fence()?;
+        let lasts = self.lease.is_some_and(|lease| now + self.times.margin < lease.end);
+        lasts.then_some(fence)
+    }
+
+    /// The generation number, while the key is held; orders may leave for a shorter time.
+    pub fn fence(&self) -> Option<Fence> {
         let Phase::Holding { fence } = self.phase else {
             return None;
         };
-        let lasts = self.lease.is_some_and(|lease| now + self.times.margin < lease.end);
-        lasts.then_some(fence)
+        Some(fence)
     }
 
     /// The lease that the key hangs on, while it is held.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -354,7 +354,7 @@
                 return;
             }
         };
-        if self.lock_holder().may_order(now) == Some(holding.fence) {
+        if self.lock_holder().fence() == Some(holding.fence) {
             return;
         }
         for endpoint in holding.loading.iter().chain(&holding.recent) {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -142,6 +142,8 @@
                 self.holding.loaded.retain(|known| known.endpoint != endpoint);
                 self.holding.loaded.push(loaded);
             }
+            // Without the right to order, the failure is this router's.
+            None if self.lock_holder().may_order(now).is_none() => {}
             None => self.postponed.failed(endpoint, now),
         }
         self.give_orders(now);
