Orders: an endpoint that never answers is ordered ever more slowly; spare candidates wait longer

Routers that don't watch the store ask for a free key 2.5 s after the candidates instead of 1.5: at the start of a large deployment claim, watch and follow take about as long as the gap was.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -36,8 +36,9 @@
 };
 
 /// How much later than candidates the others ask for a free key. A router that has just started knows after 1.2 s whether it is a
-/// candidate; were this shorter, all routers of a deployment would ask when they start together.
-const SPARE: Duration = Duration::from_millis(1_500);
+/// candidate, and a candidate's claim reaches the others within a second more; were this shorter, all routers of a deployment
+/// would ask when they start together.
+const SPARE: Duration = Duration::from_millis(2_500);
 
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/dispatch/src/loading.rs
+++ b/crates/dispatch/src/loading.rs
@@ -10,6 +10,20 @@
 /// Longest wait for the answer to an order. A sound endpoint answers within a few ms, or 200 ms more if a packet is lost.
 pub const ANSWER: Duration = Duration::from_millis(300);
 
+/// Orders in a row that are repeated at once: with half of them unanswered, seven in eight endpoints have answered by then.
+const AT_ONCE: u32 = 2;
+/// Longest pause before another order: about the time of a load, which the endpoint may be busy with.
+const REPEAT_MOST: Duration = Duration::from_millis(1_200);
+
+/// Pause after this many orders in a row without an answer. An endpoint that reports and never answers an order would be ordered
+/// three times a second for as long as a load may take, and each order has the list written anew, which all routers read.
+fn repeat_pause(silent: u32) -> Duration {
+    let Some(more) = silent.checked_sub(AT_ONCE + 1) else {
+        return Duration::ZERO;
+    };
+    (ANSWER * 2_u32.saturating_pow(more)).min(REPEAT_MOST)
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
@@ -46,6 +60,8 @@
     ordered: Option<Ordered>,
     /// The first order without an answer since.
     unanswered: Option<Ordered>,
+    /// Orders without an answer in a row.
+    silent: u32,
     misses: u32,
 }
 
@@ -84,11 +100,13 @@
             OrderOutcome::Taken => {
                 self.ordered = Some(sent);
                 self.unanswered = None;
+                self.silent = 0;
                 Next::Look(FASTEST_LOAD + LOOK)
             }
             OrderOutcome::Unanswered => {
                 self.unanswered = self.unanswered.or(Some(sent));
-                Next::Look(Duration::ZERO)
+                self.silent += 1;
+                Next::Look(repeat_pause(self.silent))
             }
             // The first one was taken, though its answer was lost: only what is reported from now on tells of it.
             OrderOutcome::Conflict => {
--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -3,6 +3,9 @@
 mod support;
 
 use dispatch::holder::TIMES;
+use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
+use dispatch::rollout::{Ordered, Report};
+use std::time::Duration;
 use support::{BOUND, Pool, Trouble};
 
 /// From the end of a lost holder's lease to its successor's: the watch of the store, and the wait before the key is asked for, ms.
@@ -187,3 +190,35 @@
         }
     }
 }
+
+/// An engine reports and never answers an order. Ordered again at once each time it would get some twenty orders until its load is given
+/// up, each with a write of the list that all routers read.
+#[test]
+fn an_engine_that_never_answers_is_ordered_ever_more_slowly() {
+    let (limit, mut now, mut orders) = (Duration::from_secs(8), Duration::ZERO, 0);
+    let mut loading = Loading::default();
+    let report = Report {
+        weights: Some(1),
+        busy: false,
+        orders: 0,
+    };
+    while now < limit {
+        let mut next = loading.looked(Some(report), 2, now);
+        if let Next::Order { expected } = next {
+            orders += 1;
+            let sent = Ordered {
+                expected,
+                weights: 2,
+                at: now,
+            };
+            now += ANSWER;
+            next = loading.answered(sent, OrderOutcome::Unanswered);
+        }
+        let Next::Look(pause) = next else {
+            panic!("{next:?}");
+        };
+        now += pause.max(Duration::from_millis(1));
+    }
+    // Two at once, then with pauses of 0.3, 0.6 and 1.2 s.
+    assert!((6..=9).contains(&orders), "{orders}");
+}
