--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -6,7 +6,7 @@
 use dispatch::loading::{ANSWER, Loading, Next, OrderOutcome};
 use dispatch::rollout::{Ordered, Report};
 use std::time::Duration;
-use support::{BOUND, Pool, Trouble};
+use support::pool::{BOUND, Pool, Trouble};
 
 /// From the end of a lost holder's lease to its successor's: the watch of the store, and the wait before the key is asked for, ms.
 const ASKING: u64 = 200;
