Calls of the router's own that are given up are reset

What a user could see: two holders of the right to give orders order one engine within a turn. An order waits 0.3 s for its answer; given up, its connection was closed in the ordinary way, and the kernel went on sending unacknowledged bytes again for up to 2 s (TCP_USER_TIMEOUT). On a lossy link the order could arrive a second and more after the list that allows it, while a successor counts its turn from the list.

A copy that has left already can still arrive: this bounds what is sent, not what the network delays.

--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -2,12 +2,14 @@
 
 use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
+use socket2::SockRef;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 /// A connection; clones share the socket and the counters.
 #[derive(Debug, Clone)]
@@ -56,6 +58,15 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Whether the connection is reset when its last clone is dropped, in place of an ordinary end.
+    ///
+    /// After an ordinary end the kernel goes on sending what the peer has not acknowledged, so that a request may still arrive
+    /// long after its sender gave it up. After a reset nothing more of it is sent.
+    pub fn reset_at_end(&self, reset: bool) {
+        // Fails only if the connection has failed already, which sends nothing more either.
+        let _ = SockRef::from(&self.stream).set_linger(reset.then_some(Duration::ZERO));
+    }
+
     /// Resolves once there is anything to read: bytes, the end of the connection or an error.
     pub async fn readable(&self) {
         let mut byte = [0];
