Tests, red: a random play of the right to give orders finds a lease that is not the key's

What callers would see: engines ordered by two routers at once, going back and forth between weights.

Found: with the claims of one router under way thrice (the failure of the first is heard while the second is asked for, so that a third is asked for), the third lease is granted when the second holds. It takes the second's place, the key's own is no longer renewed, and orders leave after it has lapsed.

--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -252,3 +252,21 @@
         matches!(holder.on(Event::Tick, at(ms)), Some(Step::Acquire(_)))
     })
 }
+
+/// A claim fails and the router asks again; the word of the failure is late, so that it asks a third time while the second claim holds.
+/// The third lease is granted then. Were it taken for the one that the key hangs on, the router would renew it while the key's own
+/// lapses, and give orders beside a successor.
+#[test]
+fn a_lease_that_is_granted_late_is_not_the_keys() {
+    let mut holder = holding();
+    let granted = Event::Granted {
+        lease: 8,
+        ttl: TIMES.ttl,
+        asked: at(600),
+    };
+    assert_eq!(holder.on(granted, at(650)), Some(Step::Release(8)));
+    assert_eq!(holder.lease(), Some(7));
+    assert_eq!(holder.may_order(at(1_699)), Some(Fence(40)));
+    assert_eq!(holder.may_order(at(1_700)), None);
+    assert_eq!(holder.on(Event::Tick, at(700)), Some(Step::Renew(7)));
+}
