Holder: a lease that is granted while the key is held doesn't take the place of the key's own

What callers would see: two routers ordering engines at once, which go back and forth between weights.

Cause: a claim's failure bears no number. Heard late, while the next claim is asked for, it makes the router ask once more; the lease granted to that one replaced the lease under which the key was seen meanwhile. The router renewed the wrong lease, the key's own lapsed, and orders went on until the watch told so.

Ruled out: the renewal's answer that bears no lease either (a renewal leaves only while the key is held, so that it is older than any lease granted later); the time of the claim (counted from when it was asked for).

Change: such a lease is given back. The claim that follows under it is refused, as the key is there, or finds no lease.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -151,6 +151,9 @@
             Event::Tick => return self.tick(now),
             Event::Candidate(candidate) => self.candidate = candidate,
             Event::Seen(occupant) => return self.seen(occupant, now),
+            // The failure of an earlier claim was heard late, so that one too many was made. The key hangs on the lease it was seen
+            // under; were this one renewed in its place, orders would go on after the key's has lapsed.
+            Event::Granted { lease, .. } if self.lease().is_some() => return Some(Step::Release(lease)),
             Event::Granted { lease, ttl, asked } => {
                 self.lease = Some(Lease {
                     id: lease,
