Tests, red: an outage of the store that two calls told of ends twice

What callers would see: requests that fail at an endpoint which was removed up to a second too long ago.

--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -147,3 +147,17 @@
     roster.replace(list, at(0));
     assert_eq!(serving(&roster), ["a"]);
 }
+
+/// The store is back after an outage that two calls told of. Its second answer must not count as another return: an endpoint that is
+/// removed later would go on getting work.
+#[test]
+fn an_outage_ends_once() {
+    let mut roster = Roster::default();
+    roster.replace(vec![ListChange::Listed(entry("a", false))], at(0));
+    roster.store_failed(at(1_200));
+    roster.store_unheard(at(1_000));
+    roster.store_answered(at(6_000));
+    roster.store_answered(at(7_000));
+    roster.change(removed("a"), at(8_600));
+    assert!(serving(&roster).is_empty());
+}
