Roster: an outage of the store ends with its first answer

What callers would see: requests that fail at an endpoint which was removed up to a second too long ago.

Cause: when the failing calls had lasted long enough, the silence was not looked at and so not forgotten (the second half of an "or"). The next answer, a second later, was taken for the return from another outage, and removals counted as lapses from then on again.

Before: an_outage_ends_once red.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -80,7 +80,9 @@
     /// A call to the store was answered. Comes before the changes that it brought.
     pub fn store_answered(&mut self, now: Duration) {
         let lasted = |since: Option<Duration>, least| since.is_some_and(|since| now.saturating_sub(since) >= least);
-        if lasted(self.failing.take(), OUTAGE) || lasted(self.silent.take(), SILENCE) {
+        // Both are over: one that was kept would make the next answer another return, and removals would count as lapses for longer.
+        let (failing, silent) = (self.failing.take(), self.silent.take());
+        if lasted(failing, OUTAGE) || lasted(silent, SILENCE) {
             self.returned = Some(now);
         }
     }
