Tests, red: endpoints are let go of when the store is away twice in a row

What callers would see: every request refused during a second outage that begins within 2.5 s of the first one's end.

--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -161,3 +161,33 @@
     roster.change(removed("a"), at(8_600));
     assert!(serving(&roster).is_empty());
 }
+
+/// The store is back for a second and away again, before endpoints whose leases had lapsed could register. Were they let go of
+/// meanwhile, every caller would be refused until the store is back for good.
+#[test]
+fn endpoints_outlive_two_outages_in_a_row() {
+    let mut roster = after_outage();
+    roster.replace(Vec::new(), at(6_000));
+    roster.store_failed(at(7_000));
+    roster.store_unheard(at(6_900));
+    roster.tick(at(8_600));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.store_answered(at(12_000));
+    roster.replace(Vec::new(), at(12_000));
+    roster.tick(at(12_200));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.change(ListChange::Listed(entry("a", false)), at(14_000));
+    roster.tick(at(14_500));
+    assert_eq!(serving(&roster), ["a"]);
+}
+
+/// A call fails while endpoints have time to come back, and the next one is answered: that is no further outage.
+#[test]
+fn a_failed_call_gives_no_more_time_to_come_back() {
+    let mut roster = after_outage();
+    roster.replace(Vec::new(), at(6_000));
+    roster.store_failed(at(8_300));
+    roster.store_answered(at(8_600));
+    roster.tick(at(8_600));
+    assert!(serving(&roster).is_empty());
+}
