Roster: endpoints have their time to register again after the last of several outages

What callers would see: every request refused during a second outage of the store that begins within 2.5 s of the first one's end.

Cause: what lapsed in the first outage was let go of 2.5 s after its end, also while the store was away again and nobody could register.

Change: nothing is let go of while calls to the store fail, and the time begins anew with the return from an outage. A failed call that is no outage gives no more time (a_failed_call_gives_no_more_time_to_come_back).

Before: endpoints_outlive_two_outages_in_a_row and drain_model red. Left: an outage below a second within these 2.5 s can't be told from a failed call, and may let go of an endpoint that lives.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -84,6 +84,10 @@
         let (failing, silent) = (self.failing.take(), self.silent.take());
         if lasted(failing, OUTAGE) || lasted(silent, SILENCE) {
             self.returned = Some(now);
+            // Those that had not registered when the store went away again could not do so since.
+            self.missing
+                .values_mut()
+                .for_each(|until| *until = now + REGISTER_AGAIN);
         }
     }
 
@@ -116,9 +120,9 @@
         changes
     }
 
-    /// Lets go of what is still missing.
+    /// Lets go of what is still missing. While calls to the store fail, endpoints that live can't register: nothing is let go of.
     pub fn tick(&mut self, now: Duration) -> Vec<RosterChange> {
-        let due = |until: &Duration| now >= *until;
+        let due = |until: &Duration| self.failing.is_none() && now >= *until;
         let gone: Vec<EndpointId> = self
             .missing
             .iter()
