--- a/crates/dispatch/tests/drain_model.rs
+++ b/crates/dispatch/tests/drain_model.rs
@@ -232,6 +232,9 @@
             } else {
                 assert!(got.is_none() || unsure, "{at} is not there at {now}, but gets work");
             }
+            // What it said last before its entry went was no lapse.
+            let kept = self.roster.get(&id(at)).is_some_and(|known| known.leaving);
+            assert!(!kept || truth.entry.is_some(), "{at} has left at {now} and is kept");
             let leaving = truth.entry.as_ref().is_some_and(|entry| entry.leaving);
             let left = truth.lapsed.as_ref().is_some_and(|(entry, _)| entry.leaving);
             assert!(
