--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -80,8 +80,14 @@
     /// A call to the store was answered. Comes before the changes that it brought.
     pub fn store_answered(&mut self, now: Duration) {
         let lasted = |since: Option<Duration>, least| since.is_some_and(|since| now.saturating_sub(since) >= least);
-        if lasted(self.failing.take(), OUTAGE) || lasted(self.silent.take(), SILENCE) {
+        // Both are over: one that was kept would make the next answer another return, and removals would count as lapses for longer.
+        let (failing, silent) = (self.failing.take(), self.silent.take());
+        if lasted(failing, OUTAGE) || lasted(silent, SILENCE) {
             self.returned = Some(now);
+            // Those that had not registered when the store went away again could not do so since.
+            self.missing
+                .values_mut()
+                .for_each(|until| *until = now + REGISTER_AGAIN);
         }
     }
 
@@ -114,9 +120,9 @@
         changes
     }
 
-    /// Lets go of what is still missing.
+    /// Lets go of what is still missing. While calls to the store fail, endpoints that live can't register: nothing is let go of.
     pub fn tick(&mut self, now: Duration) -> Vec<RosterChange> {
-        let due = |until: &Duration| now >= *until;
+        let due = |until: &Duration| self.failing.is_none() && now >= *until;
         let gone: Vec<EndpointId> = self
             .missing
             .iter()
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -147,3 +147,47 @@
     roster.replace(list, at(0));
     assert_eq!(serving(&roster), ["a"]);
 }
+
+/// The store is back after an outage that two calls told of. Its second answer must not count as another return: an endpoint that is
+/// removed later would go on getting work.
+#[test]
+fn an_outage_ends_once() {
+    let mut roster = Roster::default();
+    roster.replace(vec![ListChange::Listed(entry("a", false))], at(0));
+    roster.store_failed(at(1_200));
+    roster.store_unheard(at(1_000));
+    roster.store_answered(at(6_000));
+    roster.store_answered(at(7_000));
+    roster.change(removed("a"), at(8_600));
+    assert!(serving(&roster).is_empty());
+}
+
+/// The store is back for a second and away again, before endpoints whose leases had lapsed could register. Were they let go of
+/// meanwhile, every caller would be refused until the store is back for good.
+#[test]
+fn endpoints_outlive_two_outages_in_a_row() {
+    let mut roster = after_outage();
+    roster.replace(Vec::new(), at(6_000));
+    roster.store_failed(at(7_000));
+    roster.store_unheard(at(6_900));
+    roster.tick(at(8_600));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.store_answered(at(12_000));
+    roster.replace(Vec::new(), at(12_000));
+    roster.tick(at(12_200));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.change(ListChange::Listed(entry("a", false)), at(14_000));
+    roster.tick(at(14_500));
+    assert_eq!(serving(&roster), ["a"]);
+}
+
+/// A call fails while endpoints have time to come back, and the next one is answered: that is no further outage.
+#[test]
+fn a_failed_call_gives_no_more_time_to_come_back() {
+    let mut roster = after_outage();
+    roster.replace(Vec::new(), at(6_000));
+    roster.store_failed(at(8_300));
+    roster.store_answered(at(8_600));
+    roster.tick(at(8_600));
+    assert!(serving(&roster).is_empty());
+}
