--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -36,6 +36,13 @@
 pub enum RosterChange {
     /// In service, newly or with other properties.
     Serves(Arc<EndpointEntry>),
+    /// Its entry is missing and may have lapsed in an outage: it stays in service until then.
+    Missing {
+        /// Which.
+        id: EndpointId,
+        /// Until when.
+        until: Duration,
+    },
     /// Gone.
     Gone(EndpointId),
 }
@@ -48,6 +55,7 @@
     failing: Option<Duration>,
     silent: Option<Duration>,
     returned: Option<Duration>,
+    lasted: Option<Duration>,
 }
 
 impl Roster {
@@ -61,6 +69,16 @@
         self.entries.values()
     }
 
+    /// How many are in service though their entries are missing.
+    pub fn missing(&self) -> usize {
+        self.missing.len()
+    }
+
+    /// When the store's last outage ended, and how long nothing had been heard of it, as far as this router can tell.
+    pub fn outage(&self) -> Option<(Duration, Duration)> {
+        self.returned.zip(self.lasted)
+    }
+
     /// An endpoint.
     pub fn get(&self, id: &EndpointId) -> Option<&Arc<EndpointEntry>> {
         self.entries.get(id)
@@ -84,6 +102,7 @@
         let (failing, silent) = (self.failing.take(), self.silent.take());
         if lasted(failing, OUTAGE) || lasted(silent, SILENCE) {
             self.returned = Some(now);
+            self.lasted = silent.or(failing).map(|since| now.saturating_sub(since));
             // Those that had not registered when the store went away again could not do so since.
             self.missing
                 .values_mut()
@@ -152,8 +171,8 @@
         let entry = self.entries.get(&id)?;
         // One that said it leaves has not lapsed by the outage.
         if let (Some(until), false) = (self.grace(now), entry.leaving) {
-            self.missing.entry(id).or_insert(until);
-            return None;
+            let until = *self.missing.entry(id.clone()).or_insert(until);
+            return Some(RosterChange::Missing { id, until });
         }
         self.missing.remove(&id);
         self.entries.remove(&id);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -263,6 +263,17 @@
                         "endpoint: listed"
                     );
                 }
+                RosterChange::Missing { id, until } => {
+                    let outage = self.roster.outage();
+                    let (returned, silent) = outage.unwrap_or_default();
+                    log::warn!(
+                        endpoint = id.as_str(),
+                        kept_ms = until.saturating_sub(now).as_millis() as u64,
+                        returned_ms = now.saturating_sub(returned).as_millis() as u64,
+                        silent_ms = silent.as_millis() as u64;
+                        "endpoint: missing, kept as lapsed in an outage"
+                    );
+                }
                 RosterChange::Gone(id) => {
                     self.shared.links.forget(&id, None);
                     self.shared.fleet().gone(&id, now);
@@ -272,6 +283,7 @@
         }
         let count = self.roster.all().count();
         self.shared.metrics.endpoints.set(count as i64);
+        self.shared.metrics.missing.set(self.roster.missing() as i64);
     }
 
     fn written(&mut self, item: &Item, now: Duration) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub age: IntGauge,
     /// Endpoints in service.
     pub endpoints: IntGauge,
+    /// Endpoints in service whose entries are missing.
+    pub missing: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -63,6 +65,7 @@
             revision: gauge("config_revision", "Revision of the document in force"),
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
+            missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
             first,
             registry,
