Roster: a break in a router's own answers is no outage of the store

Callers saw: requests ran at endpoints that had left, 12 s after their entry went at routers that had been cut off from the store, and 2 to 3 s after it at routers that followed such. Cause: the router took its own silence, or that of the routers it followed, for an outage of the store. After an outage entries of living endpoints have lapsed and stay in service for 2.5 s; so an entry that had been removed behind the cut did, too. Worse, a followed router counted as lost as soon as its last call had left 1.7 s before, which is so for a third of each quiet second. Ruled out: notices lost on the way (none was written), waits of the request (sent within 9 ms), endpoints that came back (never listed again). Change: dispatch::uptime keeps since when the store is known to answer without a break in which a lease can end, from this router's calls, from those of the router it follows, and from other routers that are asked when entries are missing after a break. What is missing is kept only while living endpoints may still register, counted from the earliest known answer, and at most 3 s from the last answer that was overdue. Followed routers tell when the store answered them last; nothing waits longer than 1.5 s after that, then the store is asked without a wait. Ages in a followed router's answer count from the end of its wait. Why it holds: the store's uptime is a fact that any router can witness; without a witness the time is bounded by the last overdue answer.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`site`] | which service a request belongs to, and whose it is |
 //! | [`freshness`] | whether the configuration may still be relied on for keys |
+//! | [`uptime`] | since when the store is known to answer |
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | what follows a failed attempt, and what the caller is told |
@@ -26,3 +27,4 @@
 pub mod rollout;
 pub mod roster;
 pub mod site;
+pub mod uptime;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -2,23 +2,26 @@
 //!
 //! Load pattern: entries live under leases that the endpoints renew. When the store is away, leases of healthy
 //! endpoints lapse; were their entries believed gone at once, all endpoints would vanish in the moment the store comes
-//! back and every caller would be refused. So what is missing right after an outage stays in service for as long as a
-//! living endpoint needs to register again.
+//! back and every caller would be refused. So what is missing after a break in the store's answers stays in service for as long as
+//! a living endpoint needs to register again, unless another router shows that the store was not away.
 
 use crate::site::EndpointEntry;
+use crate::uptime::{Span, Uptime};
 use ids::{EndpointId, ServiceId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Time after the store's return in which a living endpoint has registered again: the users state about two seconds,
 /// to which a quarter is added for the watch's way here.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2_500);
-/// Failing calls for shorter than this are no outage: leases of endpoints last for several heartbeats of a second.
+/// Time after a call went unanswered in which this router must have the list right again: the store may have been back, or the
+/// router's path to it, right after that call.
+const RESTORED: Duration = Duration::from_millis(3_000);
+
+/// Failing calls for longer than this, while living endpoints register, are a further outage: those that had not registered yet could not
+/// do so since.
 const OUTAGE: Duration = Duration::from_millis(700);
-/// Nothing heard for this long is an outage too, however late the first call failed: a lease lapses after three heartbeats of 1.2 s at
-/// the sites, the last of which may have just been due. One lost answer to a watch is heard of again after 1.9 s.
-const SILENCE: Duration = Duration::from_millis(2_000);
 
 /// What changed in the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,7 +43,7 @@
     Missing {
         /// Which.
         id: EndpointId,
-        /// Until when.
+        /// Until when at most.
         until: Duration,
     },
     /// Gone.
@@ -51,11 +54,11 @@
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
     entries: BTreeMap<EndpointId, Arc<EndpointEntry>>,
-    missing: BTreeMap<EndpointId, Duration>,
+    /// Those whose entries went and may have lapsed.
+    missing: BTreeSet<EndpointId>,
+    uptime: Uptime,
+    /// When the first answer was due of the calls that have failed since the last answer.
     failing: Option<Duration>,
-    silent: Option<Duration>,
-    returned: Option<Duration>,
-    lasted: Option<Duration>,
 }
 
 impl Roster {
@@ -74,9 +77,9 @@
         self.missing.len()
     }
 
-    /// When the store's last outage ended, and how long nothing had been heard of it, as far as this router can tell.
-    pub fn outage(&self) -> Option<(Duration, Duration)> {
-        self.returned.zip(self.lasted)
+    /// Since when the store is known to answer.
+    pub fn uptime(&self) -> &Uptime {
+        &self.uptime
     }
 
     /// An endpoint.
@@ -84,30 +87,27 @@
         self.entries.get(id)
     }
 
-    /// A call to the store failed.
-    pub fn store_failed(&mut self, now: Duration) {
-        self.failing.get_or_insert(now);
+    /// A call to the store failed, whose answer was due then.
+    pub fn store_failed(&mut self, due: Duration) {
+        self.failing.get_or_insert(due);
+        self.uptime.failed(due);
     }
 
-    /// Nothing was heard of the store since then: a call that has failed left at that time, or all routers that this one follows
-    /// have lost the store.
-    pub fn store_unheard(&mut self, since: Duration) {
-        self.silent = Some(self.silent.map_or(since, |silent| silent.min(since)));
+    /// The store answered this router, or one that it follows. Comes before the changes that the last answer brought.
+    pub fn store_answered(&mut self, answers: Span) {
+        let failing = self.failing.take();
+        let further = |due: Duration| due + OUTAGE <= answers.until && self.kept_until(due).is_some();
+        if failing.is_some_and(further) {
+            self.uptime.resumed(answers);
+        } else {
+            self.uptime.answered(answers);
+        }
     }
 
-    /// A call to the store was answered. Comes before the changes that it brought.
-    pub fn store_answered(&mut self, now: Duration) {
-        let lasted = |since: Option<Duration>, least| since.is_some_and(|since| now.saturating_sub(since) >= least);
-        // Both are over: one that was kept would make the next answer another return, and removals would count as lapses for longer.
-        let (failing, silent) = (self.failing.take(), self.silent.take());
-        if lasted(failing, OUTAGE) || lasted(silent, SILENCE) {
-            self.returned = Some(now);
-            self.lasted = silent.or(failing).map(|since| now.saturating_sub(since));
-            // Those that had not registered when the store went away again could not do so since.
-            self.missing
-                .values_mut()
-                .for_each(|until| *until = now + REGISTER_AGAIN);
-        }
+    /// The store answered another router. Returns what is gone by that: its entry went while the store answered.
+    pub fn store_witnessed(&mut self, answers: Span, now: Duration) -> Vec<RosterChange> {
+        self.uptime.witness(answers);
+        self.tick(now)
     }
 
     /// One change of the list.
@@ -139,22 +139,19 @@
         changes
     }
 
-    /// Lets go of what is still missing. While calls to the store fail, endpoints that live can't register: nothing is let go of.
+    /// Drops what is still missing. While calls to the store fail, endpoints that live can't register: nothing is dropped.
     pub fn tick(&mut self, now: Duration) -> Vec<RosterChange> {
-        let due = |until: &Duration| self.failing.is_none() && now >= *until;
-        let gone: Vec<EndpointId> = self
-            .missing
-            .iter()
-            .filter(|(_, until)| due(until))
-            .map(|(id, _)| id.clone())
-            .collect();
-        gone.into_iter()
-            .map(|id| {
-                self.missing.remove(&id);
-                self.entries.remove(&id);
-                RosterChange::Gone(id)
-            })
-            .collect()
+        if self.failing.is_some() || self.kept_until(now).is_some() {
+            return Vec::new();
+        }
+        let gone = std::mem::take(&mut self.missing);
+        gone.into_iter().map(|id| self.drop_entry(id)).collect()
+    }
+
+    fn drop_entry(&mut self, id: EndpointId) -> RosterChange {
+        self.missing.remove(&id);
+        self.entries.remove(&id);
+        RosterChange::Gone(id)
     }
 
     fn list(&mut self, entry: EndpointEntry) -> Option<RosterChange> {
@@ -169,18 +166,23 @@
 
     fn remove(&mut self, id: EndpointId, now: Duration) -> Option<RosterChange> {
         let entry = self.entries.get(&id)?;
-        // One that said it leaves has not lapsed by the outage.
-        if let (Some(until), false) = (self.grace(now), entry.leaving) {
-            let until = *self.missing.entry(id.clone()).or_insert(until);
-            return Some(RosterChange::Missing { id, until });
+        // One that said it leaves has not lapsed in an outage.
+        if entry.leaving {
+            return Some(self.drop_entry(id));
         }
-        self.missing.remove(&id);
-        self.entries.remove(&id);
-        Some(RosterChange::Gone(id))
+        let Some(until) = self.kept_until(now) else {
+            return Some(self.drop_entry(id));
+        };
+        let new = self.missing.insert(id.clone());
+        new.then_some(RosterChange::Missing { id, until })
     }
 
-    fn grace(&self, now: Duration) -> Option<Duration> {
-        let until = self.returned? + REGISTER_AGAIN;
+    /// Until when an endpoint stays in service whose entry is missing, if it may have lapsed. What is missing after the store
+    /// has answered for long enough was removed, or did not live to register again.
+    fn kept_until(&self, now: Duration) -> Option<Duration> {
+        let registered = self.uptime.last_break()?.until + REGISTER_AGAIN;
+        let overdue = self.uptime.overdue_at();
+        let until = overdue.map_or(registered, |overdue| registered.min(overdue + RESTORED));
         (now < until).then_some(until)
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
+use dispatch::uptime::Span;
 use ids::{EndpointId, Fence};
 use orders::Telling;
 use rand::RngExt;
@@ -36,9 +37,11 @@
 pub enum Event {
     /// A call to the store failed.
     StoreFailed {
-        /// When it left, or since when the routers that were followed have heard nothing.
-        unheard: Duration,
+        /// When its answer was due.
+        due: Duration,
     },
+    /// Another router tells when the store answered it.
+    StoreWitnessed(Span),
     /// Everything in the store.
     Read {
         /// Items in order of keys.
@@ -47,6 +50,8 @@
         revision: u64,
         /// When the store held nothing newer.
         confirmed: Option<Duration>,
+        /// When the store answered, this router or the one that it follows.
+        answers: Span,
     },
     /// Changes.
     Changed {
@@ -56,6 +61,8 @@
         revision: u64,
         /// When the store held nothing newer.
         confirmed: Option<Duration>,
+        /// When the store answered, this router or the one that it follows.
+        answers: Span,
     },
     /// Something of the holder's own.
     Holder(dispatch::holder::Event),
@@ -150,17 +157,29 @@
     fn on(&mut self, event: Event) {
         let now = self.shared.clock.now();
         match event {
-            Event::StoreFailed { unheard } => {
-                self.roster.store_failed(now);
-                self.roster.store_unheard(unheard);
+            Event::StoreFailed { due } => {
+                self.roster.store_failed(due);
                 self.in_touch = false;
             }
+            Event::StoreWitnessed(answers) => {
+                let gone = self.roster.store_witnessed(answers, now);
+                *self.shared.uptime() = *self.roster.uptime();
+                if !gone.is_empty() {
+                    log::info!(
+                        endpoints = gone.len(),
+                        from_ms = now.saturating_sub(answers.from).as_millis() as u64;
+                        "store: it answered another router all the while, what is missing was removed"
+                    );
+                    self.apply(gone, now);
+                }
+            }
             Event::Read {
                 items,
                 revision,
                 confirmed,
+                answers,
             } => {
-                self.answered(now);
+                self.answered(answers);
                 self.shared.relay.replace(&items, revision);
                 self.read(items, now);
                 self.confirm(confirmed);
@@ -169,8 +188,9 @@
                 changes,
                 revision,
                 confirmed,
+                answers,
             } => {
-                self.answered(now);
+                self.answered(answers);
                 for change in &changes {
                     self.changed(change, now);
                 }
@@ -187,15 +207,17 @@
         }
     }
 
-    fn answered(&mut self, now: Duration) {
-        self.roster.store_answered(now);
+    fn answered(&mut self, answers: Span) {
+        self.roster.store_answered(answers);
         if !self.in_touch {
             self.in_touch = true;
             log::info!("store: in touch");
         }
     }
 
+    /// Tells followers how current all is, and requests how fresh the document is.
     fn confirm(&self, confirmed: Option<Duration>) {
+        *self.shared.uptime() = *self.roster.uptime();
         if let Some(confirmed) = confirmed.filter(|_| self.readable) {
             self.shared.freshness().confirm(confirmed);
         }
@@ -264,13 +286,12 @@
                     );
                 }
                 RosterChange::Missing { id, until } => {
-                    let outage = self.roster.outage();
-                    let (returned, silent) = outage.unwrap_or_default();
+                    let gap = self.roster.uptime().last_break();
+                    let silent = gap.map(|gap| gap.until.saturating_sub(gap.from));
                     log::warn!(
                         endpoint = id.as_str(),
                         kept_ms = until.saturating_sub(now).as_millis() as u64,
-                        returned_ms = now.saturating_sub(returned).as_millis() as u64,
-                        silent_ms = silent.as_millis() as u64;
+                        silent_ms = silent.unwrap_or_default().as_millis() as u64;
                         "endpoint: missing, kept as lapsed in an outage"
                     );
                 }
@@ -283,7 +304,9 @@
         }
         let count = self.roster.all().count();
         self.shared.metrics.endpoints.set(count as i64);
-        self.shared.metrics.missing.set(self.roster.missing() as i64);
+        let missing = self.roster.missing();
+        self.shared.metrics.missing.set(missing as i64);
+        self.shared.unproven(missing > 0);
     }
 
     fn written(&mut self, item: &Item, now: Duration) {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -9,14 +9,17 @@
 mod names;
 mod prefixes;
 pub mod relay;
+mod uptime;
 
 pub use members::{Members, register};
 pub use names::learn_names;
 pub use prefixes::follow_prefixes;
+pub use uptime::witness_uptime;
 
 use crate::control::{Event, send};
 use crate::shared::Shared;
 use async_std::task;
+use dispatch::uptime::Span;
 use ids::VmId;
 use peers::{Follow, Followed, Leader};
 use rand::RngExt;
@@ -36,14 +39,21 @@
 const GATHER: Duration = Duration::from_millis(200);
 /// How much longer its answer may take: the store's slowest answers at the sites take 0.3 s.
 const GRACE: Duration = Duration::from_millis(800);
+/// The same while the store does not answer: the sooner its return is known, the better it is known which entries may have lapsed.
+const LOST_GRACE: Duration = Duration::from_millis(600);
 /// How long another router's answer may wait, and how much longer it may take. Together the time after which a router that
 /// falls silent is left.
 const FOLLOW_WAIT: Duration = Duration::from_millis(600);
 const FOLLOW_GRACE: Duration = Duration::from_millis(400);
 /// Longest wait for a connection to another router of the domain.
 const FOLLOW_CONNECT: Duration = Duration::from_millis(300);
-/// A router whose own knowledge is older than this is left: it has lost the store.
-const FOLLOW_AGE: Duration = Duration::from_millis(1_700);
+/// Time after the store's last answer in which a router has the next one, or has lost the store: then it is followed no more, and asks the
+/// store without waiting for changes. A watch, the pause after it and the store's slowest answer fit in.
+const CURRENT: Duration = Duration::from_millis(1_500);
+/// Least wait for another router's news; it would be asked all the time if what is known were nearly too old.
+const FOLLOW_LEAST: Duration = Duration::from_millis(100);
+/// How much longer another router's answer may take if what is known is nearly too old.
+const FOLLOW_SPARE: Duration = Duration::from_millis(200);
 /// How long a router that was left is not tried again.
 const LEFT_FOR: Duration = Duration::from_secs(3);
 /// Longest wait for a page of the first read.
@@ -79,10 +89,8 @@
     left: HashMap<VmId, Duration>,
     /// Pause before the next watch.
     paused: Duration,
-    /// When the last call to the store left.
-    asked: Duration,
-    /// Since when routers that this one has left had heard nothing of the store.
-    unheard: Option<Duration>,
+    /// When the answer to the last call to the store was due.
+    due: Duration,
     /// Whether the store's history is gone, so that all must be read again.
     forgotten: bool,
     failures: u32,
@@ -99,8 +107,7 @@
             leader: None,
             left: HashMap::new(),
             paused: Duration::ZERO,
-            asked: Duration::ZERO,
-            unheard: None,
+            due: Duration::ZERO,
             forgotten: false,
             failures: 0,
         }
@@ -114,29 +121,31 @@
             task::sleep(self.settle()).await;
             return Ok(());
         };
+        let left = self.current_for();
+        if left.is_zero() {
+            return self.watch(revision, Duration::ZERO, LOST_GRACE).await;
+        }
         match self.next_leader().await {
             Some((vm, leader)) => self.follow_leader(vm, leader, revision).await,
             None => {
-                self.tell_unheard().await;
-                self.watch(revision).await?;
+                let wait = (WAIT - std::mem::take(&mut self.paused)).min(self.current_for());
+                self.watch(revision, wait, GRACE).await?;
             }
         }
         Ok(())
     }
 
+    /// How long what is known of the store stays current.
+    fn current_for(&self) -> Duration {
+        let age = self.shared.uptime().age(self.shared.clock.now());
+        CURRENT.saturating_sub(age.unwrap_or(CURRENT))
+    }
+
     /// Only a router that has just started waits for the others to register.
     fn settle(&self) -> Duration {
         SETTLE.saturating_sub(self.shared.clock.now())
     }
 
-    /// Entries may have lapsed while the routers heard nothing that this one has followed so far. Were its own next call the first to
-    /// tell of an outage, a short one would be over by then, and living endpoints would be taken for gone.
-    async fn tell_unheard(&mut self) {
-        if let Some(unheard) = self.unheard.take() {
-            send(&self.shared, Event::StoreFailed { unheard }).await;
-        }
-    }
-
     /// Takes over another address of the store after a reload.
     fn move_along(&mut self) {
         let address = self.shared.settings.load().store;
@@ -179,31 +188,36 @@
 
     async fn follow_leader(&mut self, vm: VmId, leader: Leader, revision: u64) {
         let sent = self.shared.clock.now();
+        let left = self.current_for();
+        let wait = left.saturating_sub(FOLLOW_SPARE).clamp(FOLLOW_LEAST, FOLLOW_WAIT);
         let follow = Follow {
             after: Some(revision),
-            wait_ms: FOLLOW_WAIT.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
         };
-        let followed = leader.follow(follow, FOLLOW_GRACE).await;
+        let grace = left.saturating_sub(wait).clamp(FOLLOW_SPARE, FOLLOW_GRACE);
+        let followed = leader.follow(follow, grace).await;
         self.count("follow", followed.is_ok());
         let followed = match followed {
             Ok(followed) => followed,
             Err(err) => return self.leave(vm, &err.to_string()),
         };
-        let age = followed.age_ms.map(Duration::from_millis);
-        let Some(age) = age.filter(|age| *age <= FOLLOW_AGE) else {
-            self.unheard = age.and_then(|age| sent.checked_sub(age)).or(self.unheard);
+        let now = self.shared.clock.now();
+        // The answer was made after the question left and had waited there.
+        let made = sent + Duration::from_millis(followed.waited_ms);
+        let answers = followed.answers.and_then(|told| uptime::span(told, made, now));
+        let Some(answers) = answers.filter(|answers| now < answers.until + CURRENT) else {
             return self.leave(vm, "it has lost the store");
         };
         if followed.revision < Some(revision) {
             return self.leave(vm, "it is behind");
         }
         self.leader = Some((vm, leader));
-        self.unheard = None;
-        // The other router's knowledge was this old when it answered, which was after the question left.
-        self.tell(followed, sent.checked_sub(age)).await;
+        let age = followed.age_ms.map(Duration::from_millis);
+        let confirmed = age.and_then(|age| made.checked_sub(age));
+        self.tell(followed, confirmed, answers).await;
     }
 
-    async fn tell(&self, followed: Followed, confirmed: Option<Duration>) {
+    async fn tell(&self, followed: Followed, confirmed: Option<Duration>, answers: Span) {
         let Some(revision) = followed.revision else { return };
         let mut items: Vec<Item> = followed.items.into_iter().map(relay::item).collect();
         // Taken in by their keys, the right to give orders would come before the list of whoever had it last.
@@ -213,6 +227,7 @@
                 items,
                 revision,
                 confirmed,
+                answers,
             }
         } else {
             let gone = followed.removed.into_iter();
@@ -221,6 +236,7 @@
                 changes: items.into_iter().map(Change::Written).chain(gone).collect(),
                 revision,
                 confirmed,
+                answers,
             }
         };
         self.tell_and_wait(event, revision).await;
@@ -228,7 +244,7 @@
 
     async fn read(&mut self) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
-        self.asked = sent;
+        self.due = sent;
         let read = self.client.all(ROOT, READ).await;
         self.count("range", read.is_ok());
         let (items, revision) = read?;
@@ -237,16 +253,22 @@
             items,
             revision,
             confirmed: Some(sent),
+            answers: self.answered(),
         };
         self.tell_and_wait(event, revision).await;
         Ok(())
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<(), ItemsError> {
-        let paused = std::mem::take(&mut self.paused);
+    /// The store has just answered.
+    fn answered(&self) -> Span {
+        let now = self.shared.clock.now();
+        Span { from: now, until: now }
+    }
+
+    async fn watch(&mut self, revision: u64, wait: Duration, grace: Duration) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
-        self.asked = sent;
-        let watched = self.client.watch(ROOT, revision, WAIT - paused, GRACE).await;
+        self.due = sent + wait;
+        let watched = self.client.watch(ROOT, revision, wait, grace).await;
         self.count("watch", watched.is_ok());
         match watched? {
             Watched::Changes(changes) => {
@@ -255,6 +277,7 @@
                     changes: changes.changes,
                     revision,
                     confirmed: Some(sent),
+                    answers: self.answered(),
                 };
                 self.tell_and_wait(event, revision).await;
                 task::sleep(GATHER).await;
@@ -287,7 +310,9 @@
             log::warn!(why:% = err; "store: lost");
         }
         self.failures += 1;
-        send(&self.shared, Event::StoreFailed { unheard: self.asked }).await;
+        // A call that was refused at once was not yet due.
+        let due = self.due.min(self.shared.clock.now());
+        send(&self.shared, Event::StoreFailed { due }).await;
         let most = (AGAIN * 2_u32.saturating_pow(self.failures - 1)).min(AGAIN_MOST);
         let share = rand::rng().random_range(0.5..1.0);
         task::sleep(most.mul_f64(share)).await;
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -1,6 +1,6 @@
 //! What this router knows of the store, for the routers that follow it.
 
-use super::{FOLLOW_AGE, loads, names};
+use super::{CURRENT, loads, names, uptime};
 use crate::shared::Shared;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
@@ -105,7 +105,7 @@
 /// Answers followers from what this router knows.
 pub fn answer(shared: &Arc<Shared>) -> Answer {
     let (items, prefixes) = (shared.clone(), shared.clone());
-    let (fleet, known) = (shared.clone(), shared.clone());
+    let (fleet, known, store) = (shared.clone(), shared.clone(), shared.clone());
     Answer {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -122,18 +122,15 @@
         }),
         loads: Arc::new(move |question| futures::future::ready(loads::answer(&fleet, &question)).boxed()),
         names: Arc::new(move |()| futures::future::ready(names::answer(&known)).boxed()),
+        uptime: Arc::new(move |()| futures::future::ready(uptime::answer(&store)).boxed()),
     }
 }
 
 async fn follow_items(shared: Arc<Shared>, follow: Follow) -> Followed {
-    let now = shared.clock.now();
-    let stale = shared.freshness().age(now).is_none_or(|age| age > FOLLOW_AGE);
-    // A follower leaves a router that has lost the store. Were it told after a wait, it would hear of a change that much later.
-    let wait = if stale {
-        Duration::ZERO
-    } else {
-        Duration::from_millis(follow.wait_ms).min(MOST_WAIT)
-    };
+    let asked = shared.clock.now();
+    // A follower leaves a router that has lost the store. Were it told later than that, it would learn of a change that much later.
+    let current = CURRENT.saturating_sub(shared.uptime().age(asked).unwrap_or(CURRENT));
+    let wait = Duration::from_millis(follow.wait_ms).min(MOST_WAIT).min(current);
     let news = {
         let mut known = shared.relay.lock();
         if known.log.has_news(follow.after) {
@@ -148,11 +145,13 @@
         // Without news the answer still tells how fresh all is.
         let _ = timeout(wait, news).await;
     }
-    let (since, age) = {
+    let waited = shared.clock.now().saturating_sub(asked);
+    let (since, age, answers) = {
         let known = shared.relay.lock();
         (
             known.log.since(follow.after),
             shared.freshness().age(shared.clock.now()),
+            uptime::answer(&shared),
         )
     };
     Followed {
@@ -161,6 +160,8 @@
         items: since.items.into_iter().filter_map(relayed).collect(),
         removed: since.removed,
         age_ms: age.map(|age| age.as_millis() as u64),
+        answers,
+        waited_ms: waited.as_millis() as u64,
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use dispatch::prefixes::PrefixStores;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
+use dispatch::uptime::Uptime;
 use ids::Revision;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -39,6 +40,7 @@
     /// What is believed of endpoints; never locked across an await.
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
+    uptime: Mutex<Uptime>,
     prefixes: Mutex<PrefixStores>,
     /// Connections to endpoints.
     pub links: Links,
@@ -54,6 +56,10 @@
     pub stopping: AtomicBool,
     /// Closed when no new request is taken any more; nothing is ever sent through it.
     pub taking: (Sender<()>, Receiver<()>),
+    /// Whether endpoints are in service whose entries are missing.
+    missing: AtomicBool,
+    /// Signals that entries are missing; it has room for one signal.
+    pub missed: (Sender<()>, Receiver<()>),
     /// Whether the list of endpoints was read once.
     pub listed: AtomicBool,
     /// Requests of which a byte was read and that have not been answered.
@@ -84,6 +90,7 @@
             site: ArcSwapOption::empty(),
             fleet: Mutex::new(fleet),
             freshness: Mutex::default(),
+            uptime: Mutex::default(),
             prefixes: Mutex::default(),
             links: Links::default(),
             metrics: Metrics::new(),
@@ -92,6 +99,8 @@
             watches: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             taking: async_channel::bounded(1),
+            missing: AtomicBool::new(false),
+            missed: async_channel::bounded(1),
             listed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
@@ -108,6 +117,25 @@
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Since when the store is known to answer; written by the control thread.
+    pub fn uptime(&self) -> MutexGuard<'_, Uptime> {
+        self.uptime.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes whether endpoints are in service whose entries are missing.
+    pub fn unproven(&self, missing: bool) {
+        self.missing.store(missing, Ordering::SeqCst);
+        if missing {
+            // A signal that is there already is enough.
+            let _ = self.missed.0.try_send(());
+        }
+    }
+
+    /// Whether endpoints are in service whose entries are missing.
+    pub fn has_missing(&self) -> bool {
+        self.missing.load(Ordering::SeqCst)
+    }
+
     /// What the stores of cached prefixes are believed to hold.
     pub fn prefixes(&self) -> MutexGuard<'_, PrefixStores> {
         self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -22,7 +22,7 @@
 pub use message::{About, Beat, Summary};
 pub use news::{Event, LoadReport, Offered, Published};
 pub use relay::{
-    Answer, Follow, Followed, Leader, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, RelayItem,
+    Answer, Follow, Followed, Leader, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, RelayItem, SpanTold,
     serve_followers,
 };
 pub use service::PeerError;
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -53,6 +53,15 @@
     pub lease: u64,
 }
 
+/// A time in which the store answered a router without a break, in ages when it is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpanTold {
+    /// Age of the first answer, milliseconds.
+    pub from_ms: u64,
+    /// Age of the last answer, milliseconds.
+    pub until_ms: u64,
+}
+
 /// What came after the revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Followed {
@@ -66,6 +75,10 @@
     pub removed: Vec<String>,
     /// How long before this answer the store was known to hold nothing newer, milliseconds.
     pub age_ms: Option<u64>,
+    /// Since when the store answers the router; absent if it never did.
+    pub answers: Option<SpanTold>,
+    /// How long the answer waited for a change, milliseconds. The ages count from its end.
+    pub waited_ms: u64,
 }
 
 /// Asks for events of a store of cached prefixes.
@@ -124,7 +137,7 @@
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage};
+    use super::{Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, SpanTold};
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -137,6 +150,8 @@
         async fn loads(exchange: LoadExchange) -> Vec<LoadTold>;
         /// How long ago weights were named lately.
         async fn names() -> Vec<NameTold>;
+        /// Since when the store answers the router.
+        async fn uptime() -> Option<SpanTold>;
     }
 }
 
@@ -156,6 +171,8 @@
     pub loads: Answers<LoadExchange, Vec<LoadTold>>,
     /// How long ago weights were named lately.
     pub names: Answers<(), Vec<NameTold>>,
+    /// Since when the store answers the router.
+    pub uptime: Answers<(), Option<SpanTold>>,
 }
 
 #[derive(Clone)]
@@ -177,6 +194,10 @@
     async fn names(self, _: Context) -> Vec<NameTold> {
         (self.0.names)(()).await
     }
+
+    async fn uptime(self, _: Context) -> Option<SpanTold> {
+        (self.0.uptime)(()).await
+    }
 }
 
 /// Answers followers until the process ends.
@@ -269,4 +290,13 @@
         let call = self.client.names(deadline_in(within));
         Ok(async_std::future::timeout(within, call).await??)
     }
+
+    /// Since when the store answers the router; absent if it never did.
+    ///
+    /// # Errors
+    /// The call failed or took too long.
+    pub async fn uptime(&self, within: Duration) -> Result<Option<SpanTold>, PeerError> {
+        let call = self.client.uptime(deadline_in(within));
+        Ok(async_std::future::timeout(within, call).await??)
+    }
 }
