Control: a holder's list is believed for as long as its lease may hold

Callers saw: prompts refused as full at a router that is cut off from the store, for as long as it is, though their engines serve. Cause: the list of engines that load was believed until the holder's key or list changed, and a router that gets no answers never learns of either. The belief had a source and no age. Ruled out: the holder's death alone (the_list_of_a_dead_holder_keeps_no_requests_away covers it). Change: at each tick the list counts only if the store answered this router, or the one that it follows, within 3 s: the lease lasts for 1.5 s and in touch answers are 1.5 s old at most. Engines that still load refuse by themselves. Before: a_list_that_may_be_out_of_date_keeps_no_requests_away read 503 4 s after the cut; now 200.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -29,6 +29,8 @@
 pub const HOLDER_KEY: &str = "apricotfork/holder";
 /// Key of what the holder tells all routers.
 pub const HOLDING_KEY: &str = "apricotfork/holding";
+/// Time after the store's last answer in which the holder's list is believed: its lease may have ended by then, and its loads with it.
+const LIST_AGE: Duration = Duration::from_millis(3_000);
 /// Longest random wait of a router before it asks for the holder key: the first one's write reaches the others within milliseconds.
 const STAGGER: Duration = Duration::from_millis(300);
 
@@ -421,10 +423,13 @@
     }
 
     /// The list stays in the store when its holder dies, and whoever starts later reads it there. Believed, it would keep requests away
-    /// from engines that serve, until some holder writes another one. Whatever still loads then refuses requests by itself.
+    /// from engines that serve, until some holder writes another one. Whatever still loads then refuses requests by itself. So it does
+    /// where the store's answers stay away, and with them the word that a load has ended.
     fn believe_loads(&self) {
+        let age = self.roster.uptime().age(self.shared.clock.now());
+        let known = age.is_some_and(|age| age < LIST_AGE);
         let mut fleet = self.shared.fleet();
-        if self.occupant == Some(self.told.fence) {
+        if known && self.occupant == Some(self.told.fence) {
             let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
             fleet.loads(set(&self.told.loading), set(&self.told.coming));
         } else {
@@ -437,6 +442,7 @@
         if !gone.is_empty() {
             self.apply(gone, now);
         }
+        self.believe_loads();
         self.shared.links.sweep();
         let age = self.shared.freshness().age(now).unwrap_or_default();
         self.shared.metrics.age.set(age.as_millis() as i64);
