Relay: an entry that is no text any more is told to followers as removed

Callers saw: requests at an endpoint whose entry another program had overwritten, from routers that follow others, while routers that watch the store had dropped it. Found by reading for beliefs whose rule for 'not told' is 'unchanged'. Cause: values that are no text were left out of the answer, so that the follower kept the entry it had. Change: their keys are told as removed. Before: followers_drop_an_endpoint_whose_entry_turns_unreadable, 16 requests reached it 2 s later; now none.

--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -154,26 +154,38 @@
             uptime::answer(&shared),
         )
     };
+    let mut removed = since.removed;
+    let mut items = Vec::with_capacity(since.items.len());
+    for item in since.items {
+        // A value that is no text names nothing that a router could use; left out, the one before it would stay in force.
+        match relayed(item) {
+            Ok(item) => items.push(item),
+            Err(key) => removed.push(key),
+        }
+    }
     Followed {
         revision: since.revision,
         whole: since.whole,
-        items: since.items.into_iter().filter_map(relayed).collect(),
-        removed: since.removed,
+        items,
+        removed,
         age_ms: age.map(|age| age.as_millis() as u64),
         answers,
         waited_ms: waited.as_millis() as u64,
     }
 }
 
-/// Values that are no text name nothing that a router could use.
-fn relayed(item: Item) -> Option<RelayItem> {
-    Some(RelayItem {
-        key: item.key,
-        value: String::from_utf8(item.value).ok()?,
-        revision: item.revision,
-        created: item.created,
-        lease: item.lease,
-    })
+/// An item for a follower, or its key if its value is no text.
+fn relayed(item: Item) -> Result<RelayItem, String> {
+    match String::from_utf8(item.value) {
+        Ok(value) => Ok(RelayItem {
+            key: item.key,
+            value,
+            revision: item.revision,
+            created: item.created,
+            lease: item.lease,
+        }),
+        Err(_) => Err(item.key),
+    }
 }
 
 /// An item as a follower gets it.
