Follow: another address of the store is read from its beginning

Callers saw: nothing of a document, key or endpoint that changed after the store's address had been changed in the settings, if the new address counts its revisions from less than the old one had reached. Cause: the watch went on at the new address from the old one's revision: a belief whose source had changed. Change: all is read again, as when the history is gone.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -146,13 +146,14 @@
         SETTLE.saturating_sub(self.shared.clock.now())
     }
 
-    /// Takes over another address of the store after a reload.
+    /// Takes over another address of the store after a reload. Its revisions need not continue those of the one before.
     fn move_along(&mut self) {
         let address = self.shared.settings.load().store;
         if address != self.address {
             log::info!(from:% = self.address, to:% = address; "store: another address");
             self.address = address;
             self.client = Client::new(address, self.shared.dialect.store);
+            self.forgotten = true;
         }
     }
 
