--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Other settings are in force; how many routers share the retry budget stays as it is known.
+    pub fn reload(&mut self, settings: FleetSettings) {
+        let routers = self.settings.retries.routers;
+        self.settings = settings;
+        self.settings.retries.routers = routers;
+    }
+
     /// An endpoint serves, newly or with other properties.
     pub fn serves(&mut self, entry: &Arc<EndpointEntry>, now: Duration) {
         let known = self.known.get_mut(&entry.id);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -153,7 +153,7 @@
 async fn wait_for_stop(shared: &Shared, told: &Receiver<Told>) {
     while let Ok(Told::Settings(settings)) = told.recv().await {
         log::info!(store:% = settings.store; "settings reloaded");
-        shared.settings.store(Arc::new(*settings));
+        shared.reload(*settings);
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,7 +17,7 @@
 use dispatch::uptime::Uptime;
 use ids::Revision;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Share of the bound on old weights after which none are begun on: routers hear of new weights later than they were
 /// named, and a request may wait inside an endpoint before it begins.
@@ -71,18 +71,7 @@
 impl Shared {
     /// The state of a router that has just started.
     pub fn new(settings: Settings, dialect: Dialect, events: Sender<Event>) -> Self {
-        let bounds = &settings.bounds;
-        let fleet = Fleet::new(FleetSettings {
-            domain: settings.domain.clone(),
-            retries: RetryLimits {
-                ratio: bounds.retry_ratio,
-                extra: bounds.retry_extra,
-                window: bounds.retry_window(),
-                routers: 0,
-            },
-            old_weights: bounds.weights().mul_f64(OLD_WEIGHTS),
-            last_weights: bounds.weights().mul_f64(LAST_WEIGHTS),
-        });
+        let fleet = Fleet::new(fleet_settings(&settings));
         Self {
             settings: ArcSwap::from_pointee(settings),
             dialect,
@@ -107,6 +96,12 @@
         }
     }
 
+    /// Other settings are in force. Addresses to listen on stay as they are.
+    pub fn reload(&self, settings: Settings) {
+        self.fleet().reload(fleet_settings(&settings));
+        self.settings.store(Arc::new(settings));
+    }
+
     /// What is believed of endpoints.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
@@ -167,3 +162,18 @@
         self.site.load().as_ref().map_or(Revision(0), |site| site.revision())
     }
 }
+
+fn fleet_settings(settings: &Settings) -> FleetSettings {
+    let bounds = &settings.bounds;
+    FleetSettings {
+        domain: settings.domain.clone(),
+        retries: RetryLimits {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            window: bounds.retry_window(),
+            routers: 0,
+        },
+        old_weights: bounds.weights().mul_f64(OLD_WEIGHTS),
+        last_weights: bounds.weights().mul_f64(LAST_WEIGHTS),
+    }
+}
