--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Reports that this router has heard of after `since`; only those of its own answers, or all.
+    /// Reports that this router has received after `since`; only those of its own answers, or all.
     pub fn load_news(&self, since: Duration, own: bool) -> Vec<LoadNews> {
         let news = self
             .known
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,7 +24,7 @@
 const OLD_WEIGHTS: f64 = 0.75;
 
 /// Share of that bound after which a request is refused rather than begun on old weights: a request takes up to a few hundred
-/// milliseconds to begin, and the router heard of the new ones after they were named.
+/// milliseconds to begin, and the router learned of the new ones after they were named.
 const LAST_WEIGHTS: f64 = 0.95;
 
 /// Shared by all tasks.
