Prefix store: a prefix is sent only with a shorter own part

Cause: an engine that is told to send a prompt's parts sends the prompt's own part along.

Change: shared parts that the store lacks are sent only if they are longer than the prompt's own part.

--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -123,6 +123,7 @@
         salt: &str,
         isolated: Option<&WorkspaceId>,
         shared: &[Part],
+        own: u64,
         now: Duration,
     ) -> Transfers {
         let [first, ..] = shared else {
@@ -134,7 +135,7 @@
         let Some(store) = alive.max_by_key(|store| score(kept_by, store.key)) else {
             return Transfers::default();
         };
-        store.transfers(salt, shared, now)
+        store.transfers(salt, shared, own, now)
     }
 }
 
@@ -185,7 +186,7 @@
     }
 
     /// What to tell the engine that gets a prompt of these shared parts.
-    pub fn transfers(&mut self, salt: &str, shared: &[Part], now: Duration) -> Transfers {
+    pub fn transfers(&mut self, salt: &str, shared: &[Part], own: u64, now: Duration) -> Transfers {
         if !self.alive(now) || shared.is_empty() {
             return Transfers::default();
         }
@@ -194,10 +195,11 @@
             Some(Held::Sent(at)) => now.saturating_sub(*at) < UNDER_WAY,
             None => false,
         };
-        let keys = shared.iter().map(|part| PartKey::new(salt, part.id));
-        let missing: Vec<PartKey> = keys.filter(|key| !sent(key)).collect();
-        let save = !missing.is_empty();
-        for part in missing {
+        let keys = shared.iter().map(|part| (PartKey::new(salt, part.id), part.tokens));
+        let missing: Vec<(PartKey, u64)> = keys.filter(|(key, _)| !sent(key)).collect();
+        let tokens: u64 = missing.iter().map(|(_, tokens)| tokens).sum();
+        let save = tokens > 0 && tokens >= own;
+        for (part, _) in missing.into_iter().filter(|_| save) {
             let there = matches!(self.parts.get(&part), Some(Held::Confirmed(_)));
             let held = if there { Held::Confirmed(now) } else { Held::Sent(now) };
             self.parts.insert(part, held);
--- a/crates/dispatch/tests/prefixes.rs
+++ b/crates/dispatch/tests/prefixes.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 const SHARED: [Part; 2] = [Part { id: 1, tokens: 2_520 }, Part { id: 2, tokens: 3_780 }];
+/// Tokens of the part that no other request has.
+const OWN: u64 = 100;
 
 fn address() -> SocketAddr {
     "127.0.0.1:7".parse().expect("an address")
@@ -45,7 +47,11 @@
         fetch: there(fetch),
         save: there(save),
     };
-    assert_eq!(store.transfers(salt, &SHARED, at(now)), expected, "{salt} at {now}");
+    assert_eq!(
+        store.transfers(salt, &SHARED, OWN, at(now)),
+        expected,
+        "{salt} at {now}"
+    );
 }
 
 /// Every request sends its prefix to the store: parts that nobody asks for again push out the shared ones, and engines
@@ -95,6 +101,47 @@
     check(&mut store, "3", 16_100, true, false);
 }
 
+/// An engine sends a prompt's own part along, which nobody asks for: it would take the room of shared parts in the store.
+#[test]
+fn a_prefix_is_sent_only_with_a_shorter_own_part() {
+    struct Case {
+        own: u64,
+        held: &'static [(bool, u64)],
+        save: bool,
+    }
+    let cases = [
+        Case {
+            own: 6_300,
+            held: &[],
+            save: true,
+        },
+        Case {
+            own: 6_301,
+            held: &[],
+            save: false,
+        },
+        Case {
+            own: 3_000,
+            held: &[(true, 1)],
+            save: true,
+        },
+        Case {
+            own: 3_000,
+            held: &[(true, 2)],
+            save: false,
+        },
+    ];
+    for case in cases {
+        let mut store = store(&[page(1, false, case.held)]);
+        let transfers = store.transfers("3", &SHARED, case.own, at(0));
+        assert_eq!(transfers.save.is_some(), case.save, "own {}", case.own);
+        assert!(transfers.fetch.is_some());
+        // What was not sent is not taken for sent.
+        let next = store.transfers("3", &SHARED, 0, at(10));
+        assert_eq!(next.save.is_some(), !case.save, "own {}, then", case.own);
+    }
+}
+
 /// An engine that asks a dead store waits for some hundred milliseconds before it reads the prompt itself.
 #[test]
 fn a_silent_store_is_left_alone() {
@@ -114,7 +161,7 @@
 /// Where each of a hundred sessions' prefixes is kept.
 fn places(stores: &mut PrefixStores, now: u64) -> Vec<Option<SocketAddr>> {
     let session = |id| [SHARED[0], Part { id, tokens: 3_780 }];
-    let place = |id| stores.transfers("3", None, &session(id), at(now)).fetch;
+    let place = |id| stores.transfers("3", None, &session(id), OWN, at(now)).fetch;
     (100..200).map(place).collect()
 }
 
@@ -181,7 +228,11 @@
     for workspace in ["paper", "wheat", "bags", "rice", "ink", "glue"].map(WorkspaceId::from) {
         let salt = format!("3/{workspace}");
         let session = |id| [SHARED[0], Part { id, tokens: 3_780 }];
-        let place = |id| stores.transfers(&salt, Some(&workspace), &session(id), at(10)).fetch;
+        let place = |id| {
+            stores
+                .transfers(&salt, Some(&workspace), &session(id), OWN, at(10))
+                .fetch
+        };
         let places: std::collections::BTreeSet<_> = (100..200).map(place).collect();
         assert_eq!(places.len(), 1, "{workspace}");
         used.extend(places);
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -48,7 +48,10 @@
         };
         let now = self.shared.clock.now();
         let isolated = self.call.isolated;
-        self.shared.prefixes().transfers(salt, isolated, prompt.shared(), now)
+        let own = prompt.parts.last().map_or(0, |part| part.tokens);
+        self.shared
+            .prefixes()
+            .transfers(salt, isolated, prompt.shared(), own, now)
     }
 }
 
