Request lines: prompt, what is expected to be read of it, prefix, longest pause

A chat is late when its engine reads four pieces of prompts in a row between its tokens: an event carries four tokens, and each waits for a piece.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::Call;
 use super::flight::Flight;
-use super::record::Record;
+use super::record::{PromptNote, Record};
 use super::relay::Relay;
 use super::wait::{Outdated, Waited, wait};
 use crate::dialect::AnswerFacts;
@@ -166,6 +166,16 @@
         self.record.tried(&picked.endpoint.id, picked.reason, outcome, now);
     }
 
+    fn note_prompt(&mut self, picked: &Picked) {
+        if let Some(prompt) = &self.call.wish.prompt {
+            self.record.prompt = PromptNote {
+                tokens: prompt.tokens,
+                read: picked.prefill,
+                prefix: prompt.shared().last().map_or(0, |part| part.id),
+            };
+        }
+    }
+
     /// Time until the deadline.
     pub(super) fn left(&self) -> Duration {
         self.call.deadline.saturating_sub(self.shared.clock.now())
@@ -240,6 +250,7 @@
         }
         self.sent += 1;
         self.record.weights = self.behind(picked);
+        self.note_prompt(picked);
         let within = attempt::patience(self.call.route.kind, &self.tried());
         let waited = match self.unbegun(picked, within, self.exchange(picked, link)).await {
             Ok(waited) => waited,
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -20,11 +20,27 @@
     pub age: Option<Duration>,
     /// Weights that the last attempt named, and how far they were behind when it was sent.
     pub weights: Option<(u64, Behind)>,
+    /// Its prompt, if it has one.
+    pub prompt: PromptNote,
     arrived: Duration,
     first: Option<Duration>,
+    /// When the last part of a streamed answer came, and the longest pause between two.
+    part: Option<Duration>,
+    pause: Duration,
     tries: String,
 }
 
+/// What tells how long an endpoint reads a prompt, in tokens.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PromptNote {
+    /// The prompt.
+    pub tokens: u64,
+    /// What the last attempt's endpoint was expected to read of it.
+    pub read: u64,
+    /// Id of its innermost part that others share; 0 if there is none.
+    pub prefix: u64,
+}
+
 impl Record {
     /// A request whose first byte was read at `arrived`.
     pub fn new(arrived: Duration) -> Self {
@@ -35,8 +51,11 @@
             revision: Revision(0),
             age: None,
             weights: None,
+            prompt: PromptNote::default(),
             arrived,
             first: None,
+            part: None,
+            pause: Duration::ZERO,
             tries: String::new(),
         }
     }
@@ -59,6 +78,14 @@
         }
     }
 
+    /// A part of a streamed answer came.
+    pub fn part(&mut self, shared: &Shared) {
+        let now = shared.clock.now();
+        let last = self.part.replace(now);
+        let pause = last.map_or(Duration::ZERO, |last| now.saturating_sub(last));
+        self.pause = self.pause.max(pause);
+    }
+
     /// The request has ended.
     pub fn end(&mut self, shared: &Shared, status: u16, outcome: &str) {
         if status < 300 || self.first.is_none() {
@@ -74,8 +101,12 @@
             status = status,
             outcome = outcome,
             first_ms = self.first.unwrap_or_default().as_millis() as u64,
+            pause_ms = self.pause.as_millis() as u64,
             total_ms = total.as_millis() as u64,
             tries = self.tries.as_str(),
+            prompt = self.prompt.tokens,
+            read = self.prompt.read,
+            prefix = format!("{:x}", self.prompt.prefix).as_str(),
             weights = weights,
             behind_ms = behind_ms(behind),
             revision = self.revision.0,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -63,6 +63,7 @@
                     }
                     begun = true;
                     self.first_event();
+                    self.attempts.record.part(self.attempts.shared);
                     if self.write(&answer, &whole.bytes, false).await == Written::Gone {
                         return Attempted::Ended(self.attempts.gone());
                     }
