--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Tokens of a block in the placer's eyes. Engines keep blocks of 16; this is fine enough for parts of hundreds of tokens
-/// and keeps a chain of 10,000 tokens at 40 hashes.
-const BLOCK: u64 = 256;
+/// Tokens of a block in the placer's eyes: fine enough for parts of a hundred tokens, which are most of a short prompt's, and coarse
+/// enough for few hashes a prompt.
+const BLOCK: u64 = 32;
 /// Tokens a second that an engine of the sites reads of a prompt.
 pub(super) const PREFILL_RATE: f64 = 80_000.0;
 /// Prompt tokens that are assumed for each request that waits inside an engine, whoever sent it: the sites' mean.
@@ -79,7 +79,7 @@
         let mut levels = Vec::new();
         let mut last = seed;
         let mut tokens = 0;
-        for part in &self.parts {
+        for part in self.shared() {
             last = xxh3_64_with_seed(&part.id.to_le_bytes(), last);
             tokens += part.tokens;
             while (blocks.len() as u64) < tokens / BLOCK {
@@ -88,8 +88,6 @@
             }
             levels.push(blocks.len());
         }
-        // The last part is the request's own: nobody else looks for it.
-        levels.pop();
         PrefixChain::from_hashes(seed, blocks, &levels)
     }
 }
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dispatch::fleet::{LoadReport, Outcome};
+use dispatch::fleet::{Fleet, LoadReport, Outcome, Part, Prompt};
 use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -157,13 +157,13 @@
     let mut fleet = pool(&[1, 1]);
     let id = EndpointId::from("e0");
     for _ in 0..6 {
-        fleet.begin(&id, Incarnation(1), 0);
+        fleet.begin(&id, Incarnation(1), 0, at(0));
     }
     let mut reborn = entry("e0", 1);
     reborn.incarnation = Incarnation(2);
     fleet.serves(&Arc::new(reborn), at(10));
     fleet.end(&id, Incarnation(1));
-    fleet.begin(&EndpointId::from("e1"), Incarnation(1), 0);
+    fleet.begin(&EndpointId::from("e1"), Incarnation(1), 0, at(0));
     assert_eq!(send(&mut fleet, None, &[], 0, at(20)).as_deref(), Some("e0"));
 }
 
@@ -216,3 +216,52 @@
         assert_eq!(passed_on.iter().any(|news| news.report == full), case.used == "e1");
     }
 }
+
+/// A short prompt's prefix has fewer tokens than a coarse block: its requests go anywhere, and each engine reads it.
+#[test]
+fn short_prompts_stay_where_their_prefix_is() {
+    let mut fleet = pool(&[1; 8]);
+    let mut moved = 0;
+    for session in 0..50 {
+        let short = Prompt {
+            parts: vec![
+                Part { id: 1, tokens: 119 },
+                Part {
+                    id: session,
+                    tokens: 79,
+                },
+                Part { id: 9, tokens: 628 },
+            ],
+            tokens: 826,
+            output: 73,
+            ..prompt(session, 9)
+        };
+        let mut used = BTreeSet::new();
+        for draw in 0..6_u64 {
+            let now = at(1_000 * draw);
+            let name = send(
+                &mut fleet,
+                Some(&short),
+                &[],
+                draw.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                now,
+            )
+            .expect("an endpoint");
+            fleet.prefilled(&EndpointId::from(name.as_str()), Incarnation(1), now);
+            fleet.end(&EndpointId::from(name.as_str()), Incarnation(1));
+            used.insert(name);
+        }
+        moved += used.len() - 1;
+    }
+    assert!(moved <= 5, "{moved} times to another endpoint");
+}
+
+/// An engine that reads a long prompt of another router answers nobody, and so tells nobody how long its queue is.
+#[test]
+fn an_endpoint_where_requests_wait_too_long_is_left() {
+    let mut fleet = pool(&[1, 1]);
+    let first = send(&mut fleet, Some(&prompt(7, 8)), &[], 0, at(0)).expect("an endpoint");
+    let home = |fleet: &mut Fleet, now| send(fleet, Some(&prompt(7, 9)), &[], 0, at(now));
+    assert_eq!(home(&mut fleet, 100).as_ref(), Some(&first));
+    assert_ne!(home(&mut fleet, 2_000).as_ref(), Some(&first));
+}
