Load news: routers tell each other what their requests wait for

Cause: endpoints tell their load on answers only.

Change: a request that waits longer than its prompt takes to be read counts as a queue of that length; each router tells the others, over tarpc and within 10 ms, the prompt tokens that its requests wait for at each endpoint (all of them each time, so a lost word is made good by the next). A word holds for 1.2 s and is repeated after 0.5 s. At most 32 routers are told, of the own failure domain first.

--- a/crates/dispatch/src/fleet/begin.rs
+++ b/crates/dispatch/src/fleet/begin.rs
@@ -18,14 +18,12 @@
         let least = self.newest_that(model, over);
         least.is_none_or(|least| weights.is_some_and(|weights| weights >= least.weights))
     }
-}
 
-impl Known {
     /// How long a request that is sent there now must be expected to wait before it begins: as long as what waits there takes to be read,
     /// and no less than first events came late lately. The prompt itself is left out: it is read within the time that the bound
     /// leaves for that.
-    pub(super) fn wait(&self, now: Duration) -> Duration {
-        let reading = self.queued(now) as f64 / PREFILL_RATE;
-        self.late(now).max(Duration::from_secs_f64(reading))
+    pub(super) fn wait(&self, known: &Known, now: Duration) -> Duration {
+        let reading = self.queued(known, now) as f64 / PREFILL_RATE;
+        known.late(now).max(Duration::from_secs_f64(reading))
     }
 }
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -79,7 +79,7 @@
     /// Leaves out weights on which a request would begin after the bound, even if no others are left: callers come back when there are.
     fn bounded(&self, open: &mut Vec<&Known>, prompt: &Prompt, now: Duration) {
         let model = &prompt.model;
-        open.retain(|known| self.may_begin(model, known.weights(model), now + known.wait(now)));
+        open.retain(|known| self.may_begin(model, known.weights(model), now + self.wait(known, now)));
     }
 
     /// Oldest weights that a request may begin on which leaves old ones this long after newer ones were named.
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -4,7 +4,7 @@
 //! hashes of the nested levels and weighs what would have to be read again against what waits there.
 
 use super::known::Known;
-use super::{Choice, Fleet, Picked, Wish};
+use super::{Choice, Fleet, Picked, ShortKey, Wish};
 use ids::{Incarnation, ModelId};
 use placement::{Candidate, Placer, PrefixChain};
 use std::time::Duration;
@@ -130,6 +130,15 @@
         Choice::At(picked)
     }
 
+    /// What is ahead of a new request there, as prompt tokens.
+    pub(super) fn queued(&self, known: &Known, now: Duration) -> u64 {
+        let held_up = known.held_up(PREFILL_RATE, now).as_secs_f64() * PREFILL_RATE;
+        let told = self.others.tokens(ShortKey::from(known.key), now) as f64;
+        let reported = known.waiting(now) * WAITING_TOKENS;
+        let others = told.max(reported).max(held_up) + known.running(now) * RUNNING_TOKENS;
+        known.prefill() + others as u64
+    }
+
     fn candidate(&self, known: &Known, prompt: &Prompt, now: Duration) -> Candidate {
         let weights = known.weights(&prompt.model).unwrap_or_default();
         Candidate {
@@ -138,21 +147,13 @@
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
-            queued: known.queued(now),
+            queued: self.queued(known, now),
             speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
             weight: 1.0,
         }
     }
 }
 
-impl Known {
-    /// What is ahead of a new request there, as prompt tokens.
-    pub(super) fn queued(&self, now: Duration) -> u64 {
-        let others = self.waiting(now) * WAITING_TOKENS + self.running(now) * RUNNING_TOKENS;
-        self.prefill() + others as u64
-    }
-}
-
 /// Prefixes of an isolated workspace have homes of their own.
 fn seed(wish: &Wish<'_>) -> u64 {
     wish.isolated
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -84,6 +84,13 @@
     Silent,
 }
 
+/// A request of this router whose prompt its endpoint has not read.
+#[derive(Debug, Clone, Copy)]
+struct Unread {
+    since: Duration,
+    tokens: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct Known {
     pub(super) entry: Arc<EndpointEntry>,
@@ -91,8 +98,8 @@
     pub(super) key: EndpointKey,
     /// Requests of this router there.
     in_flight: u32,
-    /// Prompt tokens of this router's requests that have not been read yet.
-    prefill: u64,
+    /// This router's requests there whose prompts have not been read, the oldest first.
+    unread: Vec<Unread>,
     report: Option<Heard>,
     /// Share of attempts that failed, running mean, and when it last changed.
     trouble: (f64, Duration),
@@ -111,7 +118,7 @@
             key: EndpointKey::from(&entry.id),
             entry,
             in_flight: 0,
-            prefill: 0,
+            unread: Vec::new(),
             report: None,
             trouble: (0.0, Duration::ZERO),
             latency: None,
@@ -154,13 +161,19 @@
         self.weights(model).is_none_or(|weights| weights >= least)
     }
 
-    pub(super) fn begin(&mut self, prefill: u64) {
+    pub(super) fn begin(&mut self, prefill: u64, now: Duration) {
         self.in_flight += 1;
-        self.prefill += prefill;
+        self.unread.push(Unread {
+            since: now,
+            tokens: prefill,
+        });
     }
 
-    pub(super) fn prefilled(&mut self, prefill: u64) {
-        self.prefill = self.prefill.saturating_sub(prefill);
+    pub(super) fn prefilled(&mut self, since: Duration) {
+        let place = self.unread.iter().position(|unread| unread.since == since);
+        if let Some(place) = place {
+            self.unread.remove(place);
+        }
     }
 
     pub(super) fn end(&mut self) {
@@ -199,8 +212,20 @@
         self.in_flight
     }
 
+    /// Prompt tokens of this router's requests there that have not been read.
     pub(super) fn prefill(&self) -> u64 {
-        self.prefill
+        self.unread.iter().map(|unread| unread.tokens).sum()
+    }
+
+    /// How much longer this router's requests have waited there than their own prompts take to be read at `rate` tokens a second.
+    pub(super) fn held_up(&self, rate: f64, now: Duration) -> Duration {
+        let mut ahead = 0;
+        let held_up = self.unread.iter().map(|unread| {
+            ahead += unread.tokens;
+            let reading = Duration::from_secs_f64(ahead as f64 / rate);
+            now.saturating_sub(unread.since).saturating_sub(reading)
+        });
+        held_up.max().unwrap_or_default()
     }
 
     /// Share of attempts that fail. What was seen fades, or an endpoint that is left for its failures would get no work,
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! has in flight itself, and how its own attempts went; endpoints of one prompt's prefix are found by hashing, so that
 //! routers agree without talking.
 
+mod backlogs;
 mod begin;
 mod candidates;
 mod engines;
@@ -12,6 +13,7 @@
 mod names;
 mod plain;
 
+pub use backlogs::Backlog;
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
 pub use names::{Behind, NameAge};
@@ -19,9 +21,10 @@
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
+use backlogs::Backlogs;
 use candidates::Standing;
 use control::health::{self, EndpointHealth};
-use ids::{EndpointId, Incarnation, ModelId, ServiceId};
+use ids::{EndpointId, Incarnation, ModelId, ServiceId, VmId};
 use known::{Heard, Known};
 use names::Names;
 use placement::Placer;
@@ -90,6 +93,7 @@
     coming: BTreeSet<EndpointId>,
     wanted: HashMap<ModelId, Names>,
     pressures: HashMap<(ServiceId, Duration), Pressure>,
+    others: Backlogs,
 }
 
 impl Fleet {
@@ -105,6 +109,7 @@
             coming: BTreeSet::new(),
             wanted: HashMap::new(),
             pressures: HashMap::new(),
+            others: Backlogs::default(),
         }
     }
 
@@ -237,17 +242,17 @@
         }
     }
 
-    /// A request was sent to an endpoint.
-    pub fn begin(&mut self, id: &EndpointId, incarnation: Incarnation, prefill: u64) {
+    /// A request was sent to an endpoint, which has this many prompt tokens of it to read.
+    pub fn begin(&mut self, id: &EndpointId, incarnation: Incarnation, prefill: u64, now: Duration) {
         if let Some(known) = self.life(id, incarnation) {
-            known.begin(prefill);
+            known.begin(prefill, now);
         }
     }
 
-    /// The endpoint has read a request's prompt, or will never read it.
-    pub fn prefilled(&mut self, id: &EndpointId, incarnation: Incarnation, prefill: u64) {
+    /// The endpoint has read the prompt of a request that was sent at `began`, or will never read it.
+    pub fn prefilled(&mut self, id: &EndpointId, incarnation: Incarnation, began: Duration) {
         if let Some(known) = self.life(id, incarnation) {
-            known.prefilled(prefill);
+            known.prefilled(began);
         }
     }
 
@@ -258,6 +263,21 @@
         }
     }
 
+    /// What this router tells the others of its requests.
+    pub fn own_backlog(&self) -> Backlog {
+        let known = self.known.values().filter(|known| known.prefill() > 0);
+        Backlog {
+            tokens: known
+                .map(|known| (ShortKey::from(known.key), known.prefill()))
+                .collect(),
+        }
+    }
+
+    /// Another router told all of its backlogs.
+    pub fn hear_backlog(&mut self, router: &VmId, told: &Backlog, now: Duration) {
+        self.others.hear(router, told, now);
+    }
+
     /// An endpoint told its load.
     pub fn reported(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
         if let Some(known) = self.known.get_mut(id) {
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -103,7 +103,7 @@
     match fleet.choose(&wish, draw, now) {
         Choice::At(picked) => {
             let endpoint = &picked.endpoint;
-            fleet.begin(&endpoint.id, endpoint.incarnation, picked.prefill);
+            fleet.begin(&endpoint.id, endpoint.incarnation, picked.prefill, now);
             Some(endpoint.id.to_string())
         }
         Choice::Full | Choice::Nowhere => None,
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -70,6 +70,12 @@
         (self.near.len() + self.far.len()) as u32
     }
 
+    /// Addresses of the other routers, of the own failure domain first, at most so many.
+    pub fn others(&self, own: &VmId, most: usize) -> Vec<SocketAddr> {
+        let others = self.near.iter().chain(&self.far).filter(|(vm, _)| vm != own);
+        others.take(most).map(|(_, member)| member.address).collect()
+    }
+
     /// Addresses of some other routers, drawn at random: half of them of the own failure domain, as far as there are, and the rest of
     /// others, since a whole domain may have lost its routers at once.
     pub fn some_others(&self, own: &VmId, count: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -4,6 +4,7 @@
 //! priced. Each answer also proves how fresh the document is, so nobody waits long for one: a router that hears nothing
 //! for longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
 
+mod backlogs;
 pub mod loads;
 mod members;
 mod names;
@@ -11,6 +12,7 @@
 pub mod relay;
 mod uptime;
 
+pub use backlogs::tell_backlogs;
 pub use members::{Members, register};
 pub use names::learn_names;
 pub use prefixes::follow_prefixes;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::control::{Control, EVENTS, Event, TICK, send};
 use crate::dialect::Dialect;
 use crate::follow::relay::answer;
-use crate::follow::{follow, follow_prefixes, learn_names, register, witness_uptime};
+use crate::follow::{follow, follow_prefixes, learn_names, register, tell_backlogs, witness_uptime};
 use crate::front::{serve_callers, serve_page};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -140,6 +140,7 @@
     task::spawn(follow_prefixes(shared.clone()));
     task::spawn(learn_names(shared.clone()));
     task::spawn(witness_uptime(shared.clone()));
+    task::spawn(tell_backlogs(shared.clone()));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
--- a/crates/gateway/src/serve/flight.rs
+++ b/crates/gateway/src/serve/flight.rs
@@ -15,11 +15,17 @@
 impl<'a> Flight<'a> {
     pub(super) fn new(shared: &'a Shared, picked: &'a Picked) -> Self {
         let entry = &picked.endpoint;
-        shared.fleet().begin(&entry.id, entry.incarnation, picked.prefill);
+        let began = shared.clock.now();
+        shared
+            .fleet()
+            .begin(&entry.id, entry.incarnation, picked.prefill, began);
+        if picked.prefill > 0 {
+            shared.waits_changed();
+        }
         Self {
             shared,
             picked,
-            began: shared.clock.now(),
+            began,
             read: false,
         }
     }
@@ -29,9 +35,10 @@
         if !self.read {
             self.read = true;
             let entry = &self.picked.endpoint;
-            self.shared
-                .fleet()
-                .prefilled(&entry.id, entry.incarnation, self.picked.prefill);
+            self.shared.fleet().prefilled(&entry.id, entry.incarnation, self.began);
+            if self.picked.prefill > 0 {
+                self.shared.waits_changed();
+            }
         }
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -60,6 +60,8 @@
     missing: AtomicBool,
     /// Signals that entries are missing; it has room for one signal.
     pub missed: (Sender<()>, Receiver<()>),
+    /// Signals that requests wait for an endpoint, or no more; it has room for one signal.
+    pub waits: (Sender<()>, Receiver<()>),
     /// Whether the list of endpoints was read once.
     pub listed: AtomicBool,
     /// Requests of which a byte was read and that have not been answered.
@@ -90,6 +92,7 @@
             taking: async_channel::bounded(1),
             missing: AtomicBool::new(false),
             missed: async_channel::bounded(1),
+            waits: async_channel::bounded(1),
             listed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
@@ -126,6 +129,12 @@
         }
     }
 
+    /// Notes that what requests wait for at endpoints has changed.
+    pub fn waits_changed(&self) {
+        // A signal that is there already is enough.
+        let _ = self.waits.0.try_send(());
+    }
+
     /// Whether endpoints are in service whose entries are missing.
     pub fn has_missing(&self) -> bool {
         self.missing.load(Ordering::SeqCst)
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -22,8 +22,8 @@
 pub use message::{About, Beat, Summary};
 pub use news::{Event, LoadReport, Offered, Published};
 pub use relay::{
-    Answer, Follow, Followed, Leader, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, RelayItem, SpanTold,
-    serve_followers,
+    Answer, BacklogTold, Follow, Followed, Leader, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage,
+    RelayItem, SpanTold, serve_followers,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -12,7 +12,7 @@
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
-use ids::ModelId;
+use ids::{ModelId, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -121,6 +121,15 @@
     pub own: Vec<LoadTold>,
 }
 
+/// Prompt tokens that a router's requests wait to have read: all that there are at the time, by endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BacklogTold {
+    /// Whose requests.
+    pub router: VmId,
+    /// Endpoints with a backlog, and its prompt tokens.
+    pub backlogs: Vec<(ShortKey, u64)>,
+}
+
 /// How long ago weights were named, as far as a router can tell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NameTold {
@@ -137,7 +146,7 @@
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, SpanTold};
+    use super::{BacklogTold, Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, SpanTold};
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -148,6 +157,8 @@
         async fn prefixes(follow: Vec<PrefixFollow>) -> Vec<PrefixPage>;
         /// Load reports of endpoints, both ways.
         async fn loads(exchange: LoadExchange) -> Vec<LoadTold>;
+        /// What another router's requests wait for.
+        async fn backlog(told: BacklogTold);
         /// How long ago weights were named lately.
         async fn names() -> Vec<NameTold>;
         /// Since when the store answers the router.
@@ -169,6 +180,8 @@
     pub prefixes: Answers<Vec<PrefixFollow>, Vec<PrefixPage>>,
     /// Load reports of endpoints, both ways.
     pub loads: Answers<LoadExchange, Vec<LoadTold>>,
+    /// What another router's requests wait for.
+    pub backlog: Answers<BacklogTold, ()>,
     /// How long ago weights were named lately.
     pub names: Answers<(), Vec<NameTold>>,
     /// Since when the store answers the router.
@@ -191,6 +204,10 @@
         (self.0.loads)(exchange).await
     }
 
+    async fn backlog(self, _: Context, told: BacklogTold) {
+        (self.0.backlog)(told).await;
+    }
+
     async fn names(self, _: Context) -> Vec<NameTold> {
         (self.0.names)(()).await
     }
@@ -282,6 +299,15 @@
         Ok(async_std::future::timeout(within, call).await??)
     }
 
+    /// Tells what this router's requests wait for.
+    ///
+    /// # Errors
+    /// The call failed or took too long.
+    pub async fn backlog(&self, told: BacklogTold, within: Duration) -> Result<(), PeerError> {
+        let call = self.client.backlog(deadline_in(within), told);
+        Ok(async_std::future::timeout(within, call).await??)
+    }
+
     /// How long ago weights were named lately.
     ///
     /// # Errors
