Placement: two lanes, for long prompts and for long answers

Cause: most late chats are late for a pause, not for their first token (see the request lines).

Change: a part of the endpoints, ranked by hash, is for long answers, the others for long prompts; an endpoint of the other lane costs 8,000 prompt tokens of waiting and is no home. The part follows the prompt tokens read for either kind in the last 20 s, times 0.7; routers tell each other their sums with the backlogs, so that they agree; one that has just started assumes a third.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -52,6 +52,22 @@
         Standing::Some(open)
     }
 
+    /// Endpoints that a prompt had better stay away from: those for long answers if it is long, and the others if its answer is.
+    pub(super) fn apart(&self, wish: &Wish<'_>, prompt: &Prompt, now: Duration) -> impl Fn(&Known) -> bool {
+        let sound = |known: &&Known| {
+            let id = &known.entry.id;
+            !self.loading.contains(id) && self.health.belief(id) == Belief::Live && known.trouble(now) < GREY
+        };
+        let everywhere = Wish { avoid: &[], ..*wish };
+        let all = self.serving(&everywhere).filter(sound).collect();
+        let own = self.lanes.get(wish.service);
+        let mut reads = own.map(|own| own.reads(now)).unwrap_or_default();
+        reads.add(&self.others.reads(wish.service));
+        let lane = reads.lane(all, |known| self.coming.contains(&known.entry.id));
+        let generates = prompt.mostly_generates();
+        move |known| !lane.is_empty() && lane.contains(&known.key) != generates
+    }
+
     fn serving(&self, wish: &Wish<'_>) -> impl Iterator<Item = &Known> {
         self.known
             .values()
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -29,6 +29,11 @@
 /// Bits of an incarnation's number that are left to the weights: an engine drops its cache for new ones.
 const WEIGHTS_BITS: u32 = 16;
 
+/// What waits more at the endpoints of its own lane before a prompt goes to those of the other, as prompt tokens.
+const APART_TOKENS: u64 = 8_000;
+/// Share of homes that endpoints of the other lane get.
+const APART_WEIGHT: f64 = 0.001;
+
 /// Seed of the number that is drawn for a prefix.
 const DRAW: u64 = 0xd4a3;
 
@@ -106,7 +111,9 @@
         };
         let chain = prompt.chain(seed(wish));
         open.sort_by_key(|known| known.key);
-        let candidates: Vec<Candidate> = open.iter().map(|known| self.candidate(known, prompt, now)).collect();
+        let apart = self.apart(wish, prompt, now);
+        let candidate = |known: &&Known| self.candidate(known, prompt, apart(known), now);
+        let candidates: Vec<Candidate> = open.iter().map(candidate).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
             return Choice::Full;
         };
@@ -139,7 +146,7 @@
         known.prefill() + others as u64
     }
 
-    fn candidate(&self, known: &Known, prompt: &Prompt, now: Duration) -> Candidate {
+    fn candidate(&self, known: &Known, prompt: &Prompt, apart: bool, now: Duration) -> Candidate {
         let weights = known.weights(&prompt.model).unwrap_or_default();
         Candidate {
             endpoint: known.key,
@@ -147,9 +154,9 @@
             near: known.entry.domain == self.settings.domain,
             in_flight: known.in_flight(),
             limit: known.entry.slots.max(1) * DEPTH,
-            queued: self.queued(known, now),
+            queued: self.queued(known, now) + if apart { APART_TOKENS } else { 0 },
             speed: (1.0 - known.trouble(now)).max(LEAST_SPEED),
-            weight: 1.0,
+            weight: if apart { APART_WEIGHT } else { 1.0 },
         }
     }
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -10,12 +10,14 @@
 mod candidates;
 mod engines;
 mod known;
+pub(crate) mod lanes;
 mod names;
 mod plain;
 
 pub use backlogs::Backlog;
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
+pub use lanes::Reads;
 pub use names::{Behind, NameAge};
 
 use crate::pressure::Pressure;
@@ -26,6 +28,7 @@
 use control::health::{self, EndpointHealth};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, VmId};
 use known::{Heard, Known};
+use lanes::Fading;
 use names::Names;
 use placement::Placer;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -94,6 +97,7 @@
     wanted: HashMap<ModelId, Names>,
     pressures: HashMap<(ServiceId, Duration), Pressure>,
     others: Backlogs,
+    lanes: HashMap<ServiceId, Fading>,
 }
 
 impl Fleet {
@@ -110,6 +114,7 @@
             wanted: HashMap::new(),
             pressures: HashMap::new(),
             others: Backlogs::default(),
+            lanes: HashMap::new(),
         }
     }
 
@@ -226,6 +231,10 @@
         let mut placer = self.placers.remove(wish.service).unwrap_or_else(engines::placer);
         let choice = self.choose_from(wish, now, |open| self.choose_engine(&mut placer, wish, open, draw, now));
         self.placers.insert(wish.service.clone(), placer);
+        if let (Choice::At(picked), Some(prompt)) = (&choice, wish.prompt) {
+            let lanes = self.lanes.entry(wish.service.clone()).or_default();
+            lanes.count(prompt, picked.prefill, now);
+        }
         choice
     }
 
@@ -264,12 +273,16 @@
     }
 
     /// What this router tells the others of its requests.
-    pub fn own_backlog(&self) -> Backlog {
+    pub fn own_backlog(&self, now: Duration) -> Backlog {
         let known = self.known.values().filter(|known| known.prefill() > 0);
+        let reads = self.lanes.iter();
         Backlog {
             tokens: known
                 .map(|known| (ShortKey::from(known.key), known.prefill()))
                 .collect(),
+            reads: reads
+                .map(|(service, lanes)| (service.clone(), lanes.reads(now)))
+                .collect(),
         }
     }
 
--- a/crates/dispatch/tests/crowd.rs
+++ b/crates/dispatch/tests/crowd.rs
@@ -39,3 +39,44 @@
     assert!(told.paused_chats * 2 < alone.paused_chats, "{told:?}, {alone:?}");
     assert!(told.late_verdicts + told.late_chats <= 5, "{told:?}");
 }
+
+/// With two lanes a router alone moves prefixes between them as it sees other shares than the others, and engines read them again.
+#[test]
+fn routers_that_agree_on_the_lanes_read_less_again() {
+    let alone = over_seeds(&Load { news: false, ..LOAD });
+    let told = over_seeds(&LOAD);
+    assert!(told.read_again < alone.read_again * 3 / 4, "{told:?}, {alone:?}");
+}
+
+/// Long answers stop for as long as their engine reads a long prompt.
+#[test]
+fn long_answers_are_not_held_up_by_long_prompts() {
+    struct Case {
+        what: &'static str,
+        load: Load,
+    }
+    let cases = [
+        Case {
+            what: "a busy hour",
+            load: LOAD,
+        },
+        Case {
+            what: "routers that have just started",
+            load: Load { seconds: 5, ..LOAD },
+        },
+        Case {
+            what: "a smaller pool",
+            load: Load {
+                engines: 5,
+                verdicts: 9.0,
+                chats: 22.0,
+                ..LOAD
+            },
+        },
+    ];
+    for Case { what, load } in cases {
+        let served = over_seeds(&load);
+        assert!(served.paused_chats * 200 <= served.chats, "{what}: {served:?}");
+        assert!(served.late_verdicts * 50 <= served.verdicts, "{what}: {served:?}");
+    }
+}
--- a/crates/dispatch/tests/support/crowd.rs
+++ b/crates/dispatch/tests/support/crowd.rs
@@ -251,7 +251,7 @@
             return;
         }
         for from in due {
-            let told = self.fleets[from].own_backlog();
+            let told = self.fleets[from].own_backlog(at(now));
             let name = VmId::from(format!("router-{from}").as_str());
             for (to, fleet) in self.fleets.iter_mut().enumerate() {
                 if to != from {
--- a/crates/gateway/src/follow/backlogs.rs
+++ b/crates/gateway/src/follow/backlogs.rs
@@ -40,7 +40,7 @@
             looked = Some(now);
             find(&shared, &mut told);
         }
-        let backlog = shared.fleet().own_backlog();
+        let backlog = shared.fleet().own_backlog(now);
         if backlog.tokens.is_empty() && idle {
             continue;
         }
@@ -50,6 +50,7 @@
             let news = BacklogTold {
                 router: router.clone(),
                 backlogs: backlog.tokens.clone(),
+                reads: backlog.reads.clone(),
             };
             // Only the newest word counts; a receiver that is gone is replaced with the next look.
             let _ = sender.force_send(news);
@@ -98,6 +99,7 @@
     let now = shared.clock.now();
     let backlog = Backlog {
         tokens: told.backlogs.clone(),
+        reads: told.reads.clone(),
     };
     shared.fleet().hear_backlog(&told.router, &backlog, now);
 }
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -8,11 +8,11 @@
 use crate::service::PeerError;
 use crate::socket::{self, Traffic};
 use async_std::net::{TcpListener, TcpStream};
-use dispatch::fleet::ShortKey;
+use dispatch::fleet::{Reads, ShortKey};
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
-use ids::{ModelId, VmId};
+use ids::{ModelId, ServiceId, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -128,6 +128,8 @@
     pub router: VmId,
     /// Endpoints with a backlog, and its prompt tokens.
     pub backlogs: Vec<(ShortKey, u64)>,
+    /// What the router's requests have had read lately, of each service.
+    pub reads: Vec<(ServiceId, Reads)>,
 }
 
 /// How long ago weights were named, as far as a router can tell.
