Rollout: endpoints with long answers load last

Change: among endpoints of the same weights those of the lane of long answers are ordered last. By their turn the answers have moved away.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -6,7 +6,9 @@
 //! get no long answers, so that they run empty within a second when their turn comes; the others go on serving the old
 //! weights.
 
+use crate::fleet::lanes::rank;
 use ids::EndpointId;
+use placement::EndpointKey;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -58,7 +60,13 @@
     pub coming: Vec<EndpointId>,
 }
 
-/// Whose turn it is. At least two thirds of all go on serving, unless there are fewer than three.
+/// Brings endpoints into the order in which those of the same weights load: those that generate long answers come last. They take longest
+/// to run empty, and their answers move away while the others load.
+pub fn in_load_order(runners: &mut [Runner]) {
+    runners.sort_by_cached_key(|runner| rank(EndpointKey::from(&runner.endpoint)));
+}
+
+/// Whose turn it is, in the order of `runners` among those of the same weights. At least two thirds of all go on serving, unless there are fewer than three.
 pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>) -> Turn {
     let room = taking_part(runners.len()).saturating_sub(loading.len());
     let mut behind: Vec<&Runner> = runners
@@ -66,7 +74,7 @@
         .filter(|runner| !runner.leaving && runner.weights < wanted && !loading.contains(&runner.endpoint))
         .collect();
     // The oldest first: they are the first that may not serve any more.
-    behind.sort_by(|one, other| (one.weights, &one.endpoint).cmp(&(other.weights, &other.endpoint)));
+    behind.sort_by_key(|runner| runner.weights);
     let mut order = behind.into_iter().map(|runner| runner.endpoint.clone());
     let begin = order.by_ref().take(room).collect();
     let coming = order.take(coming(runners.len())).collect();
--- a/crates/dispatch/tests/rollout.rs
+++ b/crates/dispatch/tests/rollout.rs
@@ -1,9 +1,13 @@
 //! Which endpoints load new weights, in which order, and what follows their reports.
 
-use dispatch::rollout::{LoadStep, Ordered, Postponed, Report, Runner, gives_up, load_step, next_loads};
-use ids::EndpointId;
+mod support;
+
+use dispatch::fleet::Prompt;
+use dispatch::rollout::{LoadStep, Ordered, Postponed, Report, Runner, gives_up, in_load_order, load_step, next_loads};
+use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
 use std::time::Duration;
+use support::fleet::{at, pool, prompt, send};
 
 fn runner(name: &str, weights: u64, leaving: bool) -> Runner {
     Runner {
@@ -242,3 +246,24 @@
     assert!(!gives_up(1), "one report may be lost");
     assert!(gives_up(2));
 }
+
+/// Endpoints with long answers take seconds to run empty; ordered first, they stand idle for most of the rollout.
+#[test]
+fn endpoints_with_long_answers_load_last() {
+    let mut runners: Vec<Runner> = (0..9).map(|at| runner(&format!("e{at}"), 1, false)).collect();
+    in_load_order(&mut runners);
+    let mut load = pool(&[1; 9]);
+    let answers = (0..200).filter_map(|session| {
+        let long = Prompt {
+            output: 600,
+            ..prompt(session, 8)
+        };
+        let name = send(&mut load, Some(&long), &[], session, at(0))?;
+        load.prefilled(&EndpointId::from(name.as_str()), Incarnation(1), at(0));
+        load.end(&EndpointId::from(name.as_str()), Incarnation(1));
+        Some(name)
+    });
+    let used: BTreeSet<EndpointId> = answers.map(|name| EndpointId::from(name.as_str())).collect();
+    let last = runners[9 - used.len()..].iter().map(|runner| runner.endpoint.clone());
+    assert_eq!(used, last.collect());
+}
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -6,7 +6,7 @@
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::holder::{self, Step, TURN_SLACK};
-use dispatch::rollout::{Runner, next_loads};
+use dispatch::rollout::{Runner, in_load_order, next_loads};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
 use std::sync::Arc;
@@ -112,7 +112,9 @@
                 leaving: entry.leaving,
             })
         };
-        self.roster.all().filter_map(runner).collect()
+        let mut runners: Vec<Runner> = self.roster.all().filter_map(runner).collect();
+        in_load_order(&mut runners);
+        runners
     }
 
     fn start_load(&mut self, endpoint: EndpointId, model: ModelId) {
