Links: reports and prefix events over kept connections

Change: calls that may be repeated go over one kept connection for each load and each watched store; if the peer has closed it, the call is made once more on a new one.

--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -2,7 +2,7 @@
 //! router otherwise, since a store of prefixes answers few at a time.
 
 use super::{Members, loads, relay};
-use crate::link::ask;
+use crate::link::Line;
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::prefixes::PrefixEvents;
@@ -79,11 +79,12 @@
 /// Asks one store again and again, while this router is to watch and the document names the store.
 async fn watch(shared: Arc<Shared>, watches: Watches, store: SocketAddr) {
     let mut failing = false;
+    let mut line = Line::new(store);
     while shared.watches.load(Ordering::SeqCst) {
         let position = positions(&shared).into_iter().find(|follow| follow.store == store);
         let Some(position) = position else { break };
         let mut pace = PACE;
-        match ask_store(&shared, &position).await {
+        match ask_store(&shared, &mut line, &position).await {
             Ok(Some(page)) => {
                 failing = false;
                 pace = if page.events.len() >= MANY { BUSY_PACE } else { PACE };
@@ -104,9 +105,13 @@
 }
 
 /// A page of a store's; none if it answers too many at once.
-async fn ask_store(shared: &Shared, position: &PrefixFollow) -> Result<Option<PrefixEvents>, String> {
+async fn ask_store(
+    shared: &Shared,
+    line: &mut Line,
+    position: &PrefixFollow,
+) -> Result<Option<PrefixEvents>, String> {
     let (call, headers) = (shared.dialect.events)(position.next, WAIT);
-    match ask(position.store, &call, &headers, WAIT + GRACE).await {
+    match line.ask(&call, &headers, WAIT + GRACE).await {
         Ok((200, body)) => {
             let told = (shared.dialect.told)(&body).map_err(|err| err.to_string())?;
             Ok(Some(told))
--- a/crates/gateway/src/link/mod.rs
+++ b/crates/gateway/src/link/mod.rs
@@ -6,7 +6,7 @@
 
 mod call;
 
-pub use call::ask;
+pub use call::{Line, ask};
 
 use crate::metrics::Metrics;
 use dispatch::site::EndpointEntry;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -3,7 +3,7 @@
 use crate::control::orders::may_order;
 use crate::control::{Event, send};
 use crate::dialect::{Loaded, OrderAnswer, WeightsOrder};
-use crate::link::ask;
+use crate::link::{Line, ask};
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task;
@@ -88,10 +88,11 @@
     /// The weights that are in place in the end; none if this router may not order any more.
     async fn steps(&self) -> Option<u64> {
         let mut loading = Loading::default();
+        let mut line = Line::new(self.entry.address);
         loop {
             let wanted = self.wanted()?;
             self.may_order()?;
-            let report = self.report().await;
+            let report = self.report(&mut line).await;
             let mut next = loading.looked(report, wanted, self.shared.clock.now());
             if let Next::Order { expected } = next {
                 next = if self.is_listed().await {
@@ -137,9 +138,9 @@
         wanted.map(|(_, weights)| weights)
     }
 
-    async fn report(&self) -> Option<Report> {
+    async fn report(&self, line: &mut Line) -> Option<Report> {
         let call = (self.shared.dialect.report)();
-        let (status, body) = ask(self.entry.address, &call, &Headers::default(), CALL).await.ok()?;
+        let (status, body) = line.ask(&call, &Headers::default(), CALL).await.ok()?;
         if status != 200 {
             return None;
         }
