--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -47,11 +47,6 @@
         self.0.insert(router.clone(), told);
     }
 
-    /// Routers that told something lately.
-    pub(super) fn count(&self) -> usize {
-        self.0.len()
-    }
-
     /// What other routers' requests have had read lately of a service.
     pub(super) fn reads(&self, service: &ServiceId) -> Reads {
         let mut sum = Reads::default();
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -55,10 +55,6 @@
         let own = self.lanes.get(wish.service);
         let mut reads = own.map(|own| own.reads(now)).unwrap_or_default();
         reads.add(&self.others.reads(wish.service));
-        // A router hears of some of the others only.
-        let heard = self.others.count() + 1;
-        let routers = (self.settings.retries.routers as usize).max(heard);
-        reads.answers *= routers as f64 / heard as f64;
         let lane = reads.lane(all, |known| self.coming.contains(&known.entry.id));
         let generates = prompt.mostly_generates();
         move |known| !lane.is_empty() && lane.contains(&known.key) != generates
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -125,7 +125,6 @@
             endpoint: known.entry.clone(),
             weights: known.weights(&prompt.model),
             prefill: prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK),
-            generates: prompt.mostly_generates(),
             reason: reason(pick.reason),
         };
         placer.learn(
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -81,8 +81,6 @@
     pub weights: Option<u64>,
     /// Prompt tokens it is expected to read.
     pub prefill: u64,
-    /// Whether its answer takes longer than reading its prompt.
-    pub generates: bool,
     /// Why it was chosen, for logs.
     pub reason: &'static str,
 }
@@ -267,16 +265,6 @@
         }
     }
 
-    /// A long answer of a service begins, or has ended.
-    pub fn generates(&mut self, service: &ServiceId, begins: bool, now: Duration) {
-        let lanes = self.lanes.entry(service.clone()).or_default();
-        if begins {
-            lanes.begins(now);
-        } else {
-            lanes.ended(now);
-        }
-    }
-
     /// A request has left an endpoint.
     pub fn end(&mut self, id: &EndpointId, incarnation: Incarnation) {
         if let Some(known) = self.life(id, incarnation) {
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -34,7 +34,6 @@
             endpoint: known.entry.clone(),
             weights: None,
             prefill: 0,
-            generates: false,
             reason: "soonest",
         })
     }
--- a/crates/dispatch/tests/crowd.rs
+++ b/crates/dispatch/tests/crowd.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use dispatch::fleet::Prompt;
+use std::collections::BTreeSet;
 use support::crowd::{Load, Served, play};
+use support::fleet::{at, entry, fleet, prompt, send};
 
 const LOAD: Load = Load {
     routers: 12,
@@ -80,3 +83,19 @@
         assert!(served.late_verdicts * 50 <= served.verdicts, "{what}: {served:?}");
     }
 }
+
+/// A tenth of a large pool whose engines have few slots is full of long answers, and callers wait for a slot.
+#[test]
+fn engines_of_few_slots_share_all_long_answers() {
+    let mut used = BTreeSet::new();
+    let entries = (0..40).map(|at| entry(&format!("e{at}"), 1));
+    let mut fleet = fleet(&entries.collect::<Vec<_>>());
+    for session in 0..200 {
+        let long = Prompt {
+            output: 600,
+            ..prompt(session, 8)
+        };
+        used.extend(send(&mut fleet, Some(&long), &[], session, at(session)));
+    }
+    assert!(used.len() > 30, "{}", used.len());
+}
--- a/crates/dispatch/tests/rollout.rs
+++ b/crates/dispatch/tests/rollout.rs
@@ -4,10 +4,11 @@
 
 use dispatch::fleet::Prompt;
 use dispatch::rollout::{LoadStep, Ordered, Postponed, Report, Runner, gives_up, in_load_order, load_step, next_loads};
+use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
 use std::time::Duration;
-use support::fleet::{at, pool, prompt, send};
+use support::fleet::{at, entry, fleet, prompt, send};
 
 fn runner(name: &str, weights: u64, leaving: bool) -> Runner {
     Runner {
@@ -252,7 +253,11 @@
 fn endpoints_with_long_answers_load_last() {
     let mut runners: Vec<Runner> = (0..9).map(|at| runner(&format!("e{at}"), 1, false)).collect();
     in_load_order(&mut runners);
-    let mut load = pool(&[1; 9]);
+    let entry = |at| EndpointEntry {
+        slots: 64,
+        ..entry(&format!("e{at}"), 1)
+    };
+    let mut load = fleet(&(0..9).map(entry).collect::<Vec<_>>());
     let answers = (0..200).filter_map(|session| {
         let long = Prompt {
             output: 600,
--- a/crates/dispatch/tests/support/crowd.rs
+++ b/crates/dispatch/tests/support/crowd.rs
@@ -193,9 +193,6 @@
         };
         let entry = Arc::clone(&picked.endpoint);
         self.fleets[router].begin(&entry.id, entry.incarnation, picked.prefill, at(now));
-        if picked.generates {
-            self.fleets[router].generates(&service, true, at(now));
-        }
         self.news.push((now + NEWS, router));
         let engine = self.engines.get_mut(&entry.id).expect("it was listed");
         let left = engine.lacks(&prompt);
@@ -239,11 +236,7 @@
                 self.served.chats += usize::from(chat);
                 self.served.verdicts += usize::from(!chat);
                 self.served.paused_chats += usize::from(chat && ended.paused);
-                let fleet = &mut self.fleets[ended.router];
-                fleet.end(&ended.picked.endpoint.id, Incarnation(1));
-                if chat {
-                    fleet.generates(&service(), false, at(now));
-                }
+                self.fleets[ended.router].end(&ended.picked.endpoint.id, Incarnation(1));
             }
         }
     }
--- a/crates/gateway/src/serve/flight.rs
+++ b/crates/gateway/src/serve/flight.rs
@@ -19,9 +19,6 @@
         shared
             .fleet()
             .begin(&entry.id, entry.incarnation, picked.prefill, began);
-        if picked.generates {
-            shared.fleet().generates(&entry.service, true, began);
-        }
         if picked.prefill > 0 {
             shared.waits_changed();
         }
@@ -60,11 +57,6 @@
     fn drop(&mut self) {
         self.prompt_read();
         let entry = &self.picked.endpoint;
-        let now = self.shared.clock.now();
-        let mut fleet = self.shared.fleet();
-        fleet.end(&entry.id, entry.incarnation);
-        if self.picked.generates {
-            fleet.generates(&entry.service, false, now);
-        }
+        self.shared.fleet().end(&entry.id, entry.incarnation);
     }
 }
