--- a/crates/dispatch/src/fleet/lanes.rs
+++ b/crates/dispatch/src/fleet/lanes.rs
@@ -1,8 +1,8 @@
 //! Which endpoints read long prompts, and which ones generate long answers.
 //!
-//! Load pattern: prompts of thousands of tokens among short ones with long answers. An engine reads prompts one after the other, so a
-//! short one behind two long ones is late, whatever its own length. Routers don't see each other's choices in time to avoid that; kept
-//! apart by hash, they need not.
+//! Load pattern: prompts of thousands of tokens among short ones with long answers. An engine reads a piece of a prompt between two tokens
+//! of the answers that it generates, so a long prompt, or several in a row, stops all of these for longer than their callers accept.
+//! Routers don't see each other's choices in time to avoid that; kept apart by hash, they need not.
 
 use super::Prompt;
 use super::known::Known;
@@ -23,7 +23,7 @@
 };
 /// Share of what is read below which a kind of request gets no endpoints of its own.
 const RARE: f64 = 0.05;
-/// Weight of long answers.
+/// Endpoints of the lane of long answers for its share of what is read: its prompts are short, and so is the wait behind one of them.
 const WEIGHT: f64 = 0.7;
 /// Endpoints with fewer slots than this are not divided: long answers fill the slots of a few endpoints long before their prompts take up
 /// the time of those.
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -66,7 +66,8 @@
     runners.sort_by_cached_key(|runner| rank(EndpointKey::from(&runner.endpoint)));
 }
 
-/// Whose turn it is, in the order of `runners` among those of the same weights. At least two thirds of all go on serving, unless there are fewer than three.
+/// Whose turn it is, in the order of `runners` among those of the same weights. At least two thirds of all go on serving, unless
+/// there are fewer than three.
 pub fn next_loads(runners: &[Runner], wanted: u64, loading: &BTreeSet<EndpointId>) -> Turn {
     let room = taking_part(runners.len()).saturating_sub(loading.len());
     let mut behind: Vec<&Runner> = runners
