--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -345,7 +345,13 @@
         if !none && parts.revision <= old {
             return;
         }
-        log::info!(revision = parts.revision.0, before = old.0, routes = parts.routes.len(); "configuration: in force");
+        log::info!(
+            revision = parts.revision.0,
+            before = old.0,
+            routes = parts.routes.len(),
+            bytes = item.value.len();
+            "configuration: in force"
+        );
         self.shared.metrics.revision.set(parts.revision.0 as i64);
         self.shared.site.store(Some(Arc::new(Site::new(parts))));
     }
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -283,7 +283,7 @@
     let committed = client.commit(&transaction, CALL).await;
     count(shared, "claim", committed.is_ok());
     // Success shows by the watch, with the generation number; so does a write whose answer was lost.
-    if matches!(committed, Ok(Committed::Done(_)) | Err(ItemsError::Lost)) {
+    if matches!(committed, Ok(Committed::Done(_)) | Err(ItemsError::Lost(_))) {
         return;
     }
     send(shared, Event::Holder(holder::Event::Failed)).await;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -23,7 +23,7 @@
 use async_std::task;
 use dispatch::uptime::Span;
 use ids::VmId;
-use peers::{Follow, Followed, Leader};
+use peers::{Follow, Followed, Leader, PeerError};
 use rand::RngExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -202,7 +202,12 @@
         self.count("follow", followed.is_ok());
         let followed = match followed {
             Ok(followed) => followed,
-            Err(err) => return self.leave(vm, &err.to_string()),
+            Err(err) => {
+                if let PeerError::Late(received) = err {
+                    self.given_up("router", received);
+                }
+                return self.leave(vm, &err.to_string());
+            }
         };
         let now = self.shared.clock.now();
         // The answer was made after the question left and had waited there.
@@ -308,7 +313,15 @@
         calls.with_label_values(&[call, outcome]).inc();
     }
 
+    fn given_up(&self, sender: &str, received: u64) {
+        let bytes = &self.shared.metrics.given_up;
+        bytes.with_label_values(&[sender]).inc_by(received);
+    }
+
     async fn failed(&mut self, err: &ItemsError) {
+        if let ItemsError::Lost(received) = err {
+            self.given_up("store", *received);
+        }
         if self.failures == 0 {
             log::warn!(why:% = err; "store: lost");
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
     pub store: IntCounterVec,
+    /// Bytes of answers that had arrived when they were given up, by who sent them (the store or a router).
+    pub given_up: IntCounterVec,
     /// Orders to endpoints by outcome.
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
@@ -60,6 +62,11 @@
                 "Calls to the store by kind and outcome",
                 &["call", "outcome"],
             ),
+            given_up: counters(
+                "given_up_bytes_total",
+                "Bytes that had arrived of answers that were given up, by sender",
+                &["sender"],
+            ),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
             revision: gauge("config_revision", "Revision of the document in force"),
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -255,6 +255,7 @@
 /// A connection to a router that is followed.
 pub struct Leader {
     client: RelayClient,
+    traffic: Arc<Traffic>,
 }
 
 impl Leader {
@@ -264,13 +265,20 @@
     /// No connection in time.
     pub async fn connect(address: SocketAddr, within: Duration) -> Result<Self, PeerError> {
         let stream = async_std::future::timeout(within, TcpStream::connect(address)).await??;
-        let transport = tarpc::serde_transport::new(socket::framed(stream, &Arc::default()), Json::default());
+        let traffic = Arc::default();
+        let transport = tarpc::serde_transport::new(socket::framed(stream, &traffic), Json::default());
         let new = RelayClient::new(tarpc::client::Config::default(), transport);
         async_std::task::spawn(async move {
             // How a connection ends is seen by its calls.
             let _ = new.dispatch.await;
         });
-        Ok(Self { client: new.client })
+        let client = new.client;
+        Ok(Self { client, traffic })
+    }
+
+    /// Bytes that have arrived.
+    fn received(&self) -> u64 {
+        self.traffic.received.load(Ordering::Relaxed)
     }
 
     /// What comes after a revision.
@@ -279,8 +287,10 @@
     /// The call failed or took longer than it may wait and `grace`.
     pub async fn follow(&self, follow: Follow, grace: Duration) -> Result<Followed, PeerError> {
         let within = Duration::from_millis(follow.wait_ms) + grace;
+        let before = self.received();
         let call = self.client.follow(deadline_in(within), follow);
-        Ok(async_std::future::timeout(within, call).await??)
+        let answered = async_std::future::timeout(within, call).await;
+        Ok(answered.map_err(|_| PeerError::Late(self.received() - before))??)
     }
 
     /// Events of stores of cached prefixes, of each after a number. A store that the other router has no word of is left out.
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -51,6 +51,10 @@
             display("no answer in time")
             from(async_std::future::TimeoutError)
         }
+        /// No whole answer in time.
+        Late(received: u64) {
+            display("no answer in time, {received} bytes of it had arrived")
+        }
         /// Someone else answers at the peer's address.
         Stranger {
             display("another router answers at this address")
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -132,13 +132,15 @@
             None => self.open(until).await?,
         };
         let headers = Headers::default();
+        let conn = source.conn().clone();
+        let before = conn.received();
         let sent = call.send(source, self.address, &headers, ANSWER_BYTES);
         match timeout(left(until), sent).await {
             Ok(Ok(called)) => {
                 *kept = called.kept;
                 Ok((called.status, called.body))
             }
-            Ok(Err(_)) | Err(_) => Err(ItemsError::Lost),
+            Ok(Err(_)) | Err(_) => Err(ItemsError::Lost(conn.received() - before)),
         }
     }
 
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -123,8 +123,8 @@
             display("the store cannot be reached")
         }
         /// No whole answer came: a write may have taken effect, or may still.
-        Lost {
-            display("the store's answer was lost")
+        Lost(received: u64) {
+            display("the store's answer was lost, {received} bytes of it had arrived")
         }
         /// The store refused the call and did nothing.
         Refused(status: u16) {
