--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -39,12 +39,12 @@
 /// would end a watch of each router that keeps one, and every watch is priced. The watch after it waits that much shorter, so that
 /// one whose answer is lost delays a change as long as ever: documents must be in force within 2 s at the sites.
 const GATHER: Duration = Duration::from_millis(200);
-/// How much longer its answer may take: the store's slowest answers at the sites take 0.3 s.
+/// How much longer its answer may take to begin.
 const GRACE: Duration = Duration::from_millis(800);
 /// The same while the store does not answer: the sooner its return is known, the better it is known which entries may have lapsed.
 const LOST_GRACE: Duration = Duration::from_millis(600);
-/// How long another router's answer may wait, and how much longer it may take. Together the time after which a router that
-/// falls silent is left.
+/// How long another router's answer may wait, and how much longer it may take to begin. Together the time after which a router
+/// that falls silent is left.
 const FOLLOW_WAIT: Duration = Duration::from_millis(600);
 const FOLLOW_GRACE: Duration = Duration::from_millis(400);
 /// Longest wait for a connection to another router of the domain.
@@ -54,11 +54,11 @@
 const CURRENT: Duration = Duration::from_millis(1_500);
 /// Least wait for another router's news; it would be asked all the time if what is known were nearly too old.
 const FOLLOW_LEAST: Duration = Duration::from_millis(100);
-/// How much longer another router's answer may take if what is known is nearly too old.
+/// How much longer another router's answer may take to begin if what is known is nearly too old.
 const FOLLOW_SPARE: Duration = Duration::from_millis(200);
 /// How long a router that was left is not tried again.
 const LEFT_FOR: Duration = Duration::from_secs(3);
-/// Longest wait for a page of the first read.
+/// Longest wait for a page of the first read to begin.
 const READ: Duration = Duration::from_millis(2_000);
 /// Wait of a router that has read all before it follows anyone: routers that start together have registered by then.
 const SETTLE: Duration = Duration::from_millis(1_200);
@@ -213,7 +213,8 @@
         // The answer was made after the question left and had waited there.
         let made = sent + Duration::from_millis(followed.waited_ms);
         let answers = followed.answers.and_then(|told| uptime::span(told, made, now));
-        let Some(answers) = answers.filter(|answers| now < answers.until + CURRENT) else {
+        // A slow link says nothing of the other router, so only what was so when it answered counts.
+        let Some(answers) = answers.filter(|answers| made < answers.until + CURRENT) else {
             return self.leave(vm, "it has lost the store");
         };
         if followed.revision < Some(revision) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod conn;
+mod progress;
 pub mod raw;
 mod reply;
 mod server;
@@ -14,6 +15,7 @@
 
 pub use client::{Client, SendError};
 pub use conn::Conn;
+pub use progress::progressing;
 pub use reply::{BodyError, Reply};
 pub use server::{Limits, ReadError, Serving, read_body, serve};
 pub use sse::{Piece, PieceError, Pieces};
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -12,6 +12,7 @@
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use http::progressing;
 use ids::{ModelId, ServiceId, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
 const MAX_FOLLOWERS: usize = 256;
 /// A connection without a call for this long is ended.
 const IDLE: Duration = Duration::from_secs(30);
+/// Longest time in which an answer arrives once it has begun to.
+const LONGEST_ANSWER: Duration = Duration::from_secs(10);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -284,12 +287,12 @@
     /// What comes after a revision.
     ///
     /// # Errors
-    /// The call failed or took longer than it may wait and `grace`.
+    /// The call failed, or no answer began to arrive within its wait and `grace`, or stalled after that.
     pub async fn follow(&self, follow: Follow, grace: Duration) -> Result<Followed, PeerError> {
         let within = Duration::from_millis(follow.wait_ms) + grace;
         let before = self.received();
-        let call = self.client.follow(deadline_in(within), follow);
-        let answered = async_std::future::timeout(within, call).await;
+        let call = self.client.follow(deadline_in(within + LONGEST_ANSWER), follow);
+        let answered = progressing(within, || self.received(), call).await;
         Ok(answered.map_err(|_| PeerError::Late(self.received() - before))??)
     }
 
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -1,8 +1,8 @@
 //! Calls over kept connections.
 
 use super::{Call, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Watched};
-use async_std::future::timeout;
 use async_std::sync::Mutex;
+use http::progressing;
 use http::raw::{Headers, Source, connect};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,7 +12,8 @@
 /// Longest wait for a connection; within a region one stands after a few milliseconds.
 const CONNECT: Duration = Duration::from_millis(700);
 
-/// A client with one kept connection; calls go one after the other.
+/// A client with one kept connection; calls go one after the other. Time limits of calls hold until an answer begins to arrive, and
+/// for its whole only while it stalls.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
@@ -135,7 +136,7 @@
         let conn = source.conn().clone();
         let before = conn.received();
         let sent = call.send(source, self.address, &headers, ANSWER_BYTES);
-        match timeout(left(until), sent).await {
+        match progressing(left(until), || conn.received(), sent).await {
             Ok(Ok(called)) => {
                 *kept = called.kept;
                 Ok((called.status, called.body))
