--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -196,6 +196,7 @@
         let follow = Follow {
             after: Some(revision),
             wait_ms: wait.as_millis() as u64,
+            unpacks: true,
         };
         let grace = left.saturating_sub(wait).clamp(FOLLOW_SPARE, FOLLOW_GRACE);
         let followed = leader.follow(follow, grace).await;
@@ -220,15 +221,20 @@
         if followed.revision < Some(revision) {
             return self.leave(vm, "it is behind");
         }
-        self.leader = Some((vm, leader));
         let age = followed.age_ms.map(Duration::from_millis);
         let confirmed = age.and_then(|age| made.checked_sub(age));
-        self.tell(followed, confirmed, answers).await;
+        match self.tell(followed, confirmed, answers).await {
+            Ok(()) => self.leader = Some((vm, leader)),
+            Err(err) => self.leave(vm, &err.to_string()),
+        }
     }
 
-    async fn tell(&self, followed: Followed, confirmed: Option<Duration>, answers: Span) {
-        let Some(revision) = followed.revision else { return };
-        let mut items: Vec<Item> = followed.items.into_iter().map(relay::item).collect();
+    async fn tell(&self, followed: Followed, confirmed: Option<Duration>, answers: Span) -> Result<(), PeerError> {
+        let Some(revision) = followed.revision else {
+            return Ok(());
+        };
+        let items = followed.items.into_iter().map(relay::item);
+        let mut items = items.collect::<Result<Vec<Item>, PeerError>>()?;
         // Taken in by their keys, the right to give orders would come before the list of whoever had it last.
         items.sort_by_key(|item| item.revision);
         let event = if followed.whole {
@@ -249,6 +255,7 @@
             }
         };
         self.tell_and_wait(event, revision).await;
+        Ok(())
     }
 
     async fn read(&mut self) -> Result<(), ItemsError> {
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -6,7 +6,7 @@
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
 use futures::FutureExt;
 use futures::channel::oneshot;
-use peers::{Answer, Follow, Followed, PrefixFollow, PrefixPage, RelayItem};
+use peers::{Answer, Follow, Followed, PACKED_FROM, PeerError, PrefixFollow, PrefixPage, RelayItem, pack, unpack};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,6 +24,8 @@
     /// The items.
     pub log: ItemLog,
     waiting: Vec<oneshot::Sender<()>>,
+    /// Packed values of large items, each with its item's revision.
+    packed: BTreeMap<String, (u64, String)>,
     prefixes: BTreeMap<SocketAddr, PrefixEvents>,
 }
 
@@ -41,6 +43,7 @@
     pub fn replace(&self, items: &[Item], revision: u64) {
         let mut known = self.lock();
         known.log.replace(items, revision);
+        known.drop_packed();
         known.wake();
     }
 
@@ -49,6 +52,7 @@
     pub fn apply(&self, changes: &[Change], revision: u64, confirm: impl FnOnce()) {
         let mut known = self.lock();
         known.log.apply(changes, revision);
+        known.drop_packed();
         confirm();
         known.wake();
     }
@@ -74,6 +78,35 @@
 }
 
 impl Known {
+    /// The item's value packed, which is done once for all followers; none if it is small or can't be packed.
+    fn packed(&mut self, item: &Item) -> Option<String> {
+        if item.value.len() < PACKED_FROM {
+            return None;
+        }
+        if let Some((revision, packed)) = self.packed.get(&item.key)
+            && *revision == item.revision
+        {
+            return Some(packed.clone());
+        }
+        match pack(&item.value) {
+            Ok(packed) => {
+                let kept = (item.revision, packed.clone());
+                self.packed.insert(item.key.clone(), kept);
+                Some(packed)
+            }
+            Err(err) => {
+                log::warn!(key = item.key.as_str(), why:% = err; "a value is told as it is");
+                None
+            }
+        }
+    }
+
+    /// Forgets packed values of keys that have gone.
+    fn drop_packed(&mut self) {
+        let log = &self.log;
+        self.packed.retain(|key, _| log.under(key).any(|item| item.key == *key));
+    }
+
     fn wake(&mut self) {
         for follower in self.waiting.drain(..) {
             // One that no longer waits asks again.
@@ -151,23 +184,21 @@
         let _ = timeout(wait, news).await;
     }
     let waited = shared.clock.now().saturating_sub(asked);
-    let (since, age, answers) = {
-        let known = shared.relay.lock();
-        (
-            known.log.since(follow.after),
-            shared.freshness().age(shared.clock.now()),
-            uptime::answer(&shared),
-        )
-    };
+    let mut known = shared.relay.lock();
+    let since = known.log.since(follow.after);
+    let age = shared.freshness().age(shared.clock.now());
+    let answers = uptime::answer(&shared);
     let mut removed = since.removed;
     let mut items = Vec::with_capacity(since.items.len());
     for item in since.items {
+        let packed = follow.unpacks.then(|| known.packed(&item)).flatten();
         // A value that is no text names nothing that a router could use; left out, the one before it would stay in force.
-        match relayed(item) {
+        match relayed(item, packed) {
             Ok(item) => items.push(item),
             Err(key) => removed.push(key),
         }
     }
+    drop(known);
     Followed {
         revision: since.revision,
         whole: since.whole,
@@ -180,28 +211,39 @@
 }
 
 /// An item for a follower, or its key if its value is no text.
-fn relayed(item: Item) -> Result<RelayItem, String> {
-    match String::from_utf8(item.value) {
-        Ok(value) => Ok(RelayItem {
-            key: item.key,
-            value,
-            revision: item.revision,
-            created: item.created,
-            lease: item.lease,
-        }),
-        Err(_) => Err(item.key),
-    }
+fn relayed(item: Item, packed: Option<String>) -> Result<RelayItem, String> {
+    let is_packed = packed.is_some();
+    let value = match packed {
+        Some(packed) => packed,
+        None => String::from_utf8(item.value).map_err(|_| item.key.clone())?,
+    };
+    Ok(RelayItem {
+        key: item.key,
+        value,
+        packed: is_packed,
+        revision: item.revision,
+        created: item.created,
+        lease: item.lease,
+    })
 }
 
 /// An item as a follower gets it.
-pub fn item(relayed: RelayItem) -> Item {
-    Item {
+///
+/// # Errors
+/// Its packed value can't be read.
+pub fn item(relayed: RelayItem) -> Result<Item, PeerError> {
+    let value = if relayed.packed {
+        unpack(&relayed.value)?
+    } else {
+        relayed.value.into_bytes()
+    };
+    Ok(Item {
         key: relayed.key,
-        value: relayed.value.into_bytes(),
+        value,
         revision: relayed.revision,
         created: relayed.created,
         lease: relayed.lease,
-    }
+    })
 }
 
 /// A page as a follower gets it, as events that came right before its end.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,6 +10,7 @@
 mod link;
 mod message;
 mod news;
+mod pack;
 mod packed;
 mod relay;
 mod server;
@@ -21,6 +22,7 @@
 pub use link::{CALL_TIMEOUT, LONGEST_BACKOFF};
 pub use message::{About, Beat, Summary};
 pub use news::{Event, LoadReport, Offered, Published};
+pub use pack::{PACKED_FROM, pack, unpack};
 pub use relay::{
     Answer, BacklogTold, Follow, Followed, Leader, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage,
     RelayItem, SpanTold, serve_followers,
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -39,6 +39,9 @@
     pub after: Option<u64>,
     /// How long the answer may wait for the first change.
     pub wait_ms: u64,
+    /// Whether packed values are understood.
+    #[serde(default)]
+    pub unpacks: bool,
 }
 
 /// A key's item.
@@ -48,6 +51,9 @@
     pub key: String,
     /// Its value; in text, since all values that routers read are.
     pub value: String,
+    /// Whether the text is the value [packed](crate::pack).
+    #[serde(default)]
+    pub packed: bool,
     /// Store revision of its last change.
     pub revision: u64,
     /// Store revision of its creation.
