--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio_serde::formats::Json;
@@ -293,57 +294,65 @@
     /// What comes after a revision.
     ///
     /// # Errors
-    /// The call failed, or no answer began to arrive within its wait and `grace`, or stalled after that.
+    /// The call failed, or no answer began to arrive within its wait and `grace`.
     pub async fn follow(&self, follow: Follow, grace: Duration) -> Result<Followed, PeerError> {
         let within = Duration::from_millis(follow.wait_ms) + grace;
-        let before = self.received();
-        let call = self.client.follow(deadline_in(within + LONGEST_ANSWER), follow);
-        let answered = progressing(within, || self.received(), call).await;
-        Ok(answered.map_err(|_| PeerError::Late(self.received() - before))??)
+        self.answer(within, self.client.follow(latest(within), follow)).await
     }
 
     /// Events of stores of cached prefixes, of each after a number. A store that the other router has no word of is left out.
     ///
     /// # Errors
-    /// The call failed or took too long.
+    /// The call failed, or no answer began to arrive in time.
     pub async fn prefixes(&self, follow: Vec<PrefixFollow>, within: Duration) -> Result<Vec<PrefixPage>, PeerError> {
-        let call = self.client.prefixes(deadline_in(within), follow);
-        Ok(async_std::future::timeout(within, call).await??)
+        self.answer(within, self.client.prefixes(latest(within), follow)).await
     }
 
     /// Exchanges load reports of endpoints.
     ///
     /// # Errors
-    /// The call failed or took too long.
+    /// The call failed, or no answer began to arrive in time.
     pub async fn loads(&self, exchange: LoadExchange, within: Duration) -> Result<Vec<LoadTold>, PeerError> {
-        let call = self.client.loads(deadline_in(within), exchange);
-        Ok(async_std::future::timeout(within, call).await??)
+        self.answer(within, self.client.loads(latest(within), exchange)).await
     }
 
     /// Tells what this router's requests wait for.
     ///
     /// # Errors
-    /// The call failed or took too long.
+    /// The call failed, or no answer began to arrive in time.
     pub async fn backlog(&self, told: BacklogTold, within: Duration) -> Result<(), PeerError> {
-        let call = self.client.backlog(deadline_in(within), told);
-        Ok(async_std::future::timeout(within, call).await??)
+        self.answer(within, self.client.backlog(latest(within), told)).await
     }
 
     /// How long ago weights were named lately.
     ///
     /// # Errors
-    /// The call failed or took too long.
+    /// The call failed, or no answer began to arrive in time.
     pub async fn names(&self, within: Duration) -> Result<Vec<NameTold>, PeerError> {
-        let call = self.client.names(deadline_in(within));
-        Ok(async_std::future::timeout(within, call).await??)
+        self.answer(within, self.client.names(latest(within))).await
     }
 
     /// Since when the store answers the router; absent if it never did.
     ///
     /// # Errors
-    /// The call failed or took too long.
+    /// The call failed, or no answer began to arrive in time.
     pub async fn uptime(&self, within: Duration) -> Result<Option<SpanTold>, PeerError> {
-        let call = self.client.uptime(deadline_in(within));
-        Ok(async_std::future::timeout(within, call).await??)
+        self.answer(within, self.client.uptime(latest(within))).await
+    }
+
+    /// Waits for an answer that begins to arrive within a time and does not stall after that.
+    async fn answer<T>(
+        &self,
+        within: Duration,
+        call: impl Future<Output = Result<T, RpcError>>,
+    ) -> Result<T, PeerError> {
+        let before = self.received();
+        let answered = progressing(within, || self.received(), call).await;
+        Ok(answered.map_err(|_| PeerError::Late(self.received() - before))??)
     }
 }
+
+/// Until when the other router may work on a call, and its answer may arrive.
+fn latest(within: Duration) -> Context {
+    deadline_in(within + LONGEST_ANSWER)
+}
