--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -109,6 +109,8 @@
     late: (Duration, Duration),
     /// Weights that answers named, which are ahead of the entry.
     weights: Vec<(ModelId, u64)>,
+    /// Requests a second that it takes from all routers together, as its last answer named them.
+    pub(super) rate: Option<f64>,
 }
 
 impl Known {
@@ -124,6 +126,7 @@
             latency: None,
             late: (Duration::ZERO, Duration::ZERO),
             weights,
+            rate: None,
         }
     }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -303,6 +303,19 @@
         }
     }
 
+    /// An answer of an endpoint named the requests a second that it takes from all routers together, or none; whether that is new.
+    pub fn named_rate(&mut self, id: &EndpointId, rate: Option<f64>) -> bool {
+        let Some(known) = self.known.get_mut(id) else {
+            return false;
+        };
+        std::mem::replace(&mut known.rate, rate) != rate
+    }
+
+    /// Endpoints that name a rate.
+    pub fn rated(&self) -> usize {
+        self.known.values().filter(|known| known.rate.is_some()).count()
+    }
+
     /// Reports that this router has received after `since`; only those of its own answers, or all.
     pub fn load_news(&self, since: Duration, own: bool) -> Vec<LoadNews> {
         let news = self
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -64,7 +64,7 @@
 }
 
 /// What an answer's head tells.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
     /// The request's id, as the endpoint echoes it.
     pub id: Option<String>,
@@ -82,6 +82,8 @@
     pub weights: Option<u64>,
     /// How long the endpoint keeps the connection without a request.
     pub keep_alive: Option<Duration>,
+    /// Requests a second that the endpoint takes from all routers together; absent while it is not in need.
+    pub rate: Option<f64>,
 }
 
 /// Weights that a model is to be served with.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub endpoints: IntGauge,
     /// Endpoints in service whose entries are missing.
     pub missing: IntGauge,
+    /// Endpoints that name a rate.
+    pub rated: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -73,6 +75,10 @@
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
             missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
+            rated: gauge(
+                "endpoints_rated",
+                "Endpoints that name the requests a second that they take",
+            ),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
             first,
             registry,
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -418,6 +418,20 @@
         if let (Some(prompt), Some(weights)) = (&self.call.wish.prompt, facts.weights) {
             fleet.serves_weights(id, &prompt.model, weights);
         }
+        // A refusal without a rate says nothing of the need.
+        let tells = facts.rate.is_some() || !facts.not_run;
+        if tells && fleet.named_rate(id, facts.rate) {
+            let rated = fleet.rated();
+            drop(fleet);
+            self.shared.metrics.rated.set(rated as i64);
+            log::info!(
+                endpoint = id.as_str(),
+                // -1: it names none any more.
+                rate = facts.rate.unwrap_or(-1.0),
+                rated = rated;
+                "endpoint: names a rate"
+            );
+        }
     }
 
     fn refused(&mut self, flight: &Flight<'_>, status: u16, facts: &AnswerFacts) -> Attempted {
