--- a/crates/control/src/rendezvous.rs
+++ b/crates/control/src/rendezvous.rs
@@ -40,7 +40,8 @@
     choose(domain.as_str(), live, CANDIDATES).contains(&own)
 }
 
-fn weight(key: &str, router: &VmId) -> u64 {
+/// A router's weight for `key`.
+pub fn weight(key: &str, router: &VmId) -> u64 {
     let mut text = Vec::with_capacity(key.len() + 1 + router.as_str().len());
     text.extend_from_slice(key.as_bytes());
     text.push(0);
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -197,6 +197,8 @@
     NoEndpoint,
     /// The endpoints are full.
     Full,
+    /// Endpoints take no more for now; when to come back.
+    Limited(Duration),
     /// First events are late, and this request is one of those that are too many.
     Overloaded,
     /// The deadline has passed.
@@ -240,12 +242,13 @@
         Cause::BodyTooLarge => 413,
         Cause::HeadTooLarge => 431,
         Cause::NotReady | Cause::Stale => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::Overloaded if untouched => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::Overloaded | Cause::EndpointFailed => 502,
+        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::Overloaded if untouched => 503,
+        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::Overloaded | Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
         (503, Cause::Full) => Some(RETRY_FULL),
+        (503, Cause::Limited(after)) => Some(after.max(RETRY_UNREACHED)),
         (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
         (503, Cause::NoEndpoint) => Some(RETRY_UNREACHED),
         (503, _) => Some(RETRY_UNREADY),
@@ -272,6 +275,7 @@
             Self::NoRoute => "no_route",
             Self::NoEndpoint => "no_endpoint",
             Self::Full => "full",
+            Self::Limited(_) => "limited",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::EndpointFailed => "endpoint_failed",
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -2,7 +2,7 @@
 
 use super::known::Known;
 use super::names::Named;
-use super::{Fleet, Prompt, Wish};
+use super::{Fleet, Prompt, ShortKey, Wish};
 use control::health::Belief;
 use ids::ModelId;
 use std::time::Duration;
@@ -16,6 +16,8 @@
 pub(super) enum Standing<'a> {
     Some(Vec<&'a Known>),
     Full,
+    /// They get as much as they take; when to come back.
+    Limited(Duration),
     None,
 }
 
@@ -26,6 +28,9 @@
             return Standing::None;
         }
         open.retain(|known| !self.loading.contains(&known.entry.id));
+        if let Some(after) = self.limited(&mut open, now) {
+            return Standing::Limited(after);
+        }
         if let Some(prompt) = wish.prompt {
             self.weighed(&mut open, prompt, now);
             self.bounded(&mut open, prompt, now);
@@ -67,6 +72,16 @@
             .filter(|known| !wish.avoid.contains(&known.entry.id))
     }
 
+    /// Leaves out endpoints that take no request from this router now; when to come back if there are no others.
+    fn limited(&self, open: &mut Vec<&Known>, now: Duration) -> Option<Duration> {
+        let after = open
+            .iter()
+            .map(|known| self.rates.after(ShortKey::from(known.key), now));
+        let after = after.min();
+        open.retain(|known| self.rates.allow(ShortKey::from(known.key), now));
+        after.filter(|_| open.is_empty())
+    }
+
     /// Leaves out endpoints that load soon, unless there are no others: an endpoint finishes what it runs before it loads, and
     /// serves nobody else while its last long answers are generated, for some seconds.
     fn staying(&self, open: &mut Vec<&Known>, prompt: &Prompt) {
--- a/crates/dispatch/src/fleet/known.rs
+++ b/crates/dispatch/src/fleet/known.rs
@@ -109,8 +109,6 @@
     late: (Duration, Duration),
     /// Weights that answers named, which are ahead of the entry.
     weights: Vec<(ModelId, u64)>,
-    /// Requests a second that it takes from all routers together, as its last answer named them.
-    pub(super) rate: Option<f64>,
 }
 
 impl Known {
@@ -126,7 +124,6 @@
             latency: None,
             late: (Duration::ZERO, Duration::ZERO),
             weights,
-            rate: None,
         }
     }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -13,12 +13,14 @@
 pub(crate) mod lanes;
 mod names;
 mod plain;
+mod rates;
 
 pub use backlogs::Backlog;
 pub use engines::{Part, Prompt};
 pub use known::{LoadNews, LoadReport, Outcome, ShortKey};
 pub use lanes::Reads;
 pub use names::{Behind, NameAge};
+pub use rates::RateNews;
 
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
@@ -31,6 +33,7 @@
 use lanes::Fading;
 use names::Names;
 use placement::Placer;
+use rates::Rates;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +71,8 @@
     At(Picked),
     /// All endpoints that could serve it are full.
     Full,
+    /// Endpoints that could serve it take no more for now; the caller had better come back after this time.
+    Limited(Duration),
     /// No endpoint that could serve it is in service.
     Nowhere,
 }
@@ -98,6 +103,7 @@
     pressures: HashMap<(ServiceId, Duration), Pressure>,
     others: Backlogs,
     lanes: HashMap<ServiceId, Fading>,
+    rates: Rates,
 }
 
 impl Fleet {
@@ -115,6 +121,7 @@
             pressures: HashMap::new(),
             others: Backlogs::default(),
             lanes: HashMap::new(),
+            rates: Rates::default(),
         }
     }
 
@@ -131,7 +138,9 @@
         match known {
             Some(known) if known.entry.incarnation == entry.incarnation => known.update(entry.clone()),
             _ => {
-                self.known.insert(entry.id.clone(), Known::new(entry.clone()));
+                let known = Known::new(entry.clone());
+                self.rates.forget(ShortKey::from(known.key), now);
+                self.known.insert(entry.id.clone(), known);
             }
         }
         self.configure(now);
@@ -139,7 +148,9 @@
 
     /// An endpoint is gone.
     pub fn gone(&mut self, id: &EndpointId, now: Duration) {
-        self.known.remove(id);
+        if let Some(known) = self.known.remove(id) {
+            self.rates.forget(ShortKey::from(known.key), now);
+        }
         self.configure(now);
     }
 
@@ -214,6 +225,11 @@
         self.settings.retries.routers = count;
     }
 
+    /// The routers that share the rates of endpoints, of which `own` is this one.
+    pub fn members(&mut self, own: &VmId, routers: &[VmId]) {
+        self.rates.routers(own, routers);
+    }
+
     /// Endpoints to probe now.
     pub fn due_probes(&mut self, now: Duration) -> Vec<Arc<EndpointEntry>> {
         let due = self.health.due_probes(now);
@@ -224,6 +240,16 @@
 
     /// Chooses an endpoint; `draw` is uniform over all numbers.
     pub fn choose(&mut self, wish: &Wish<'_>, draw: u64, now: Duration) -> Choice {
+        let choice = self.choose_any(wish, draw, now);
+        if let Choice::At(picked) = &choice
+            && let Some(known) = self.known.get(&picked.endpoint.id)
+        {
+            self.rates.take(ShortKey::from(known.key), now);
+        }
+        choice
+    }
+
+    fn choose_any(&mut self, wish: &Wish<'_>, draw: u64, now: Duration) -> Choice {
         if wish.prompt.is_none() {
             return self.choose_from(wish, now, |open| self.choose_plain(&open, draw, now));
         }
@@ -247,6 +273,7 @@
         match self.candidates(wish, now) {
             Standing::Some(open) => choose(open),
             Standing::Full => Choice::Full,
+            Standing::Limited(after) => Choice::Limited(after),
             Standing::None => Choice::Nowhere,
         }
     }
@@ -304,16 +331,35 @@
     }
 
     /// An answer of an endpoint named the requests a second that it takes from all routers together, or none; whether that is new.
-    pub fn named_rate(&mut self, id: &EndpointId, rate: Option<f64>) -> bool {
-        let Some(known) = self.known.get_mut(id) else {
+    pub fn named_rate(&mut self, id: &EndpointId, rate: Option<f64>, now: Duration) -> bool {
+        let Some(known) = self.known.get(id) else {
             return false;
         };
-        std::mem::replace(&mut known.rate, rate) != rate
+        let news = RateNews {
+            endpoint: ShortKey::from(known.key),
+            rate,
+            told: now,
+        };
+        self.rates.hear(news, now)
+    }
+
+    /// Other routers were told this by endpoints; whether any of it is new.
+    pub fn hear_rates(&mut self, news: &[RateNews], now: Duration) -> bool {
+        let mut new = false;
+        for news in news {
+            new |= self.rates.hear(*news, now);
+        }
+        new
+    }
+
+    /// What endpoints told lately of their rates, for other routers.
+    pub fn rate_news(&self, now: Duration) -> Vec<RateNews> {
+        self.rates.news(now)
     }
 
     /// Endpoints that name a rate.
     pub fn rated(&self) -> usize {
-        self.known.values().filter(|known| known.rate.is_some()).count()
+        self.rates.count()
     }
 
     /// Reports that this router has received after `since`; only those of its own answers, or all.
--- a/crates/gateway/src/follow/backlogs.rs
+++ b/crates/gateway/src/follow/backlogs.rs
@@ -5,8 +5,8 @@
 use async_channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::task;
-use dispatch::fleet::Backlog;
-use peers::{BacklogTold, Leader, PeerError};
+use dispatch::fleet::{Backlog, RateNews};
+use peers::{BacklogTold, Leader, PeerError, RateTold};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,16 +41,21 @@
             find(&shared, &mut told);
         }
         let backlog = shared.fleet().own_backlog(now);
-        if backlog.tokens.is_empty() && idle {
+        let rates = shared.fleet().rate_news(now);
+        let nothing = backlog.tokens.is_empty() && rates.is_empty();
+        if nothing && idle {
             continue;
         }
-        idle = backlog.tokens.is_empty();
+        idle = nothing;
+        let rate = |news: &RateNews| RateTold(news.endpoint, news.rate, age(news.told, now));
+        let rates: Vec<RateTold> = rates.iter().map(rate).collect();
         let router = shared.settings.load().vm.clone();
         for sender in told.values() {
             let news = BacklogTold {
                 router: router.clone(),
                 backlogs: backlog.tokens.clone(),
                 reads: backlog.reads.clone(),
+                rates: rates.clone(),
             };
             // Only the newest word counts; a receiver that is gone is replaced with the next look.
             let _ = sender.force_send(news);
@@ -101,5 +106,24 @@
         tokens: told.backlogs.clone(),
         reads: told.reads.clone(),
     };
-    shared.fleet().hear_backlog(&told.router, &backlog, now);
+    // Taken for as old as it can be: news that comes back must not count as newer than what it repeats.
+    let rate = |RateTold(endpoint, rate, age): &RateTold| RateNews {
+        endpoint: *endpoint,
+        rate: *rate,
+        told: now.saturating_sub(Duration::from_millis(*age) + CALL),
+    };
+    let rates: Vec<RateNews> = told.rates.iter().map(rate).collect();
+    let mut fleet = shared.fleet();
+    fleet.hear_backlog(&told.router, &backlog, now);
+    if fleet.hear_rates(&rates, now) {
+        let rated = fleet.rated();
+        drop(fleet);
+        shared.metrics.rated.set(rated as i64);
+        log::info!(router = told.router.as_str(), rated = rated; "endpoint: another router was told a rate");
+        shared.waits_changed();
+    }
+}
+
+fn age(told: Duration, now: Duration) -> u64 {
+    now.saturating_sub(told).as_millis() as u64
 }
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -3,6 +3,7 @@
 use crate::shared::Shared;
 use async_std::task;
 use control::following::{Lead, lead, wide};
+use control::rendezvous;
 use ids::{DomainId, VmId};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -70,10 +71,21 @@
         (self.near.len() + self.far.len()) as u32
     }
 
+    /// Ids of the routers of the deployment.
+    pub fn ids(&self) -> Vec<VmId> {
+        self.near.iter().chain(&self.far).map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Addresses of the other routers, of the own failure domain first, at most so many.
     pub fn others(&self, own: &VmId, most: usize) -> Vec<SocketAddr> {
-        let others = self.near.iter().chain(&self.far).filter(|(vm, _)| vm != own);
-        others.take(most).map(|(_, member)| member.address).collect()
+        let near = self.near.iter().filter(|(vm, _)| vm != own).take(most);
+        let mut others: Vec<SocketAddr> = near.map(|(_, member)| member.address).collect();
+        // Another order at each router, so that news passes between all domains.
+        let mut far: Vec<&(VmId, Member)> = self.far.iter().collect();
+        far.sort_by_cached_key(|(vm, _)| rendezvous::weight(own.as_str(), vm));
+        let left = most - others.len();
+        others.extend(far.into_iter().take(left).map(|(_, member)| member.address));
+        others
     }
 
     /// Addresses of some other routers, drawn at random: half of them of the own failure domain, as far as there are, and the rest of
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -163,7 +163,11 @@
     async fn next_leader(&mut self) -> Option<(VmId, Leader)> {
         let settings = self.shared.settings.load_full();
         let members = Members::read(&self.shared);
-        self.shared.fleet().routers(members.count());
+        {
+            let mut fleet = self.shared.fleet();
+            fleet.routers(members.count());
+            fleet.members(&settings.vm, &members.ids());
+        }
         let leaders = members.leaders(&settings.vm, &settings.domain);
         self.shared.watches.store(leaders.is_empty(), Ordering::SeqCst);
         let now = self.shared.clock.now();
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -196,6 +196,7 @@
         match self.shared.fleet().choose(&wish, rand::random(), now) {
             Choice::At(picked) => Ok(picked),
             Choice::Full => Err(Cause::Full),
+            Choice::Limited(after) => Err(Cause::Limited(after)),
             Choice::Nowhere => Err(Cause::NoEndpoint),
         }
     }
@@ -411,16 +412,17 @@
 
     fn learn(&self, picked: &Picked, facts: &AnswerFacts) {
         let id = &picked.endpoint.id;
+        let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         if let Some(load) = facts.load {
-            fleet.reported(id, load, self.shared.clock.now());
+            fleet.reported(id, load, now);
         }
         if let (Some(prompt), Some(weights)) = (&self.call.wish.prompt, facts.weights) {
             fleet.serves_weights(id, &prompt.model, weights);
         }
         // A refusal without a rate says nothing of the need.
         let tells = facts.rate.is_some() || !facts.not_run;
-        if tells && fleet.named_rate(id, facts.rate) {
+        if tells && fleet.named_rate(id, facts.rate, now) {
             let rated = fleet.rated();
             drop(fleet);
             self.shared.metrics.rated.set(rated as i64);
@@ -431,6 +433,7 @@
                 rated = rated;
                 "endpoint: names a rate"
             );
+            self.shared.waits_changed();
         }
     }
 
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -140,8 +140,15 @@
     pub backlogs: Vec<(ShortKey, u64)>,
     /// What the router's requests have had read lately, of each service.
     pub reads: Vec<(ServiceId, Reads)>,
+    /// Rates that endpoints named lately.
+    #[serde(default)]
+    pub rates: Vec<RateTold>,
 }
 
+/// What an endpoint said of the requests a second that it takes, on its way between routers: key, rate or none any more, age in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RateTold(pub ShortKey, pub Option<f64>, pub u64);
+
 /// How long ago weights were named, as far as a router can tell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NameTold {
