--- a/crates/dispatch/tests/rates.rs
+++ b/crates/dispatch/tests/rates.rs
@@ -208,7 +208,7 @@
         world.answer(case, now);
         world.hear(case, now);
         for router in 0..case.routers {
-            if (ms + router as u64 * 37) % REPEAT == 0 {
+            if (ms + router as u64 * 37).is_multiple_of(REPEAT) {
                 world.tell(case, router, now);
             }
         }
