Store eras: what is known of the store is ordered by era and revision

What callers would see: after the store has come back from a copy, some routers never hear of a configuration, of keys that are taken away or of endpoints that leave.

Cause: bare revisions. They go back and are given out again, so a watch that goes on from the last one may be answered as if nothing had happened in between, and a follower leaves a router that has noticed, since it is 'behind'.

Change: Position (era, revision) is the one type in the log of items, the client, the feed and the relay. Followers in an earlier era are told everything. Messages of routers that know no eras count as of the receiver's, and a store that names none is in era 0, as before.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use store::items::{Change, Item};
+use store::items::{Change, Item, Position};
 
 /// Events that wait for the control thread at most; a feed that is faster waits.
 pub const EVENTS: usize = 256;
@@ -48,8 +48,8 @@
     Read {
         /// Items in order of keys.
         items: Vec<Item>,
-        /// Store revision up to which it is complete.
-        revision: u64,
+        /// Position of the store up to which it is complete.
+        position: Position,
         /// When the store held nothing newer.
         confirmed: Option<Duration>,
         /// When the store answered, this router or the one that it follows.
@@ -59,8 +59,8 @@
     Changed {
         /// In their order.
         changes: Vec<Change>,
-        /// Store revision up to which they are complete.
-        revision: u64,
+        /// Position of the store up to which they are complete.
+        position: Position,
         /// When the store held nothing newer.
         confirmed: Option<Duration>,
         /// When the store answered, this router or the one that it follows.
@@ -177,18 +177,18 @@
             }
             Event::Read {
                 items,
-                revision,
+                position,
                 confirmed,
                 answers,
             } => {
                 self.answered(answers);
-                self.shared.relay.replace(&items, revision);
+                self.shared.relay.replace(&items, position);
                 self.read(items, now);
                 self.confirm(confirmed);
             }
             Event::Changed {
                 changes,
-                revision,
+                position,
                 confirmed,
                 answers,
             } => {
@@ -197,7 +197,7 @@
                     self.changed(change, now);
                 }
                 let shared = &self.shared;
-                shared.relay.apply(&changes, revision, || self.confirm(confirmed));
+                shared.relay.apply(&changes, position, || self.confirm(confirmed));
             }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -30,7 +30,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use store::items::{Change, Client, Item, ItemsError, Watched};
+use store::items::{Change, Client, Item, ItemsError, Position, Watched};
 
 /// How long a watch of the store waits: what followers get is up to this old, and must reach them within the bound on
 /// configurations, 2 s at the sites.
@@ -117,21 +117,21 @@
 
     async fn step(&mut self) -> Result<(), ItemsError> {
         self.move_along();
-        let revision = self.shared.relay.lock().log.revision();
-        let Some(revision) = revision.filter(|_| !self.forgotten) else {
+        let known = self.shared.relay.lock().log.position();
+        let Some(known) = known.filter(|_| !self.forgotten) else {
             self.read().await?;
             task::sleep(self.settle()).await;
             return Ok(());
         };
         let left = self.current_for();
         if left.is_zero() {
-            return self.watch(revision, Duration::ZERO, LOST_GRACE).await;
+            return self.watch(known, Duration::ZERO, LOST_GRACE).await;
         }
         match self.next_leader().await {
-            Some((vm, leader)) => self.follow_leader(vm, leader, revision).await,
+            Some((vm, leader)) => self.follow_leader(vm, leader, known).await,
             None => {
                 let wait = (WAIT - std::mem::take(&mut self.paused)).min(self.current_for());
-                self.watch(revision, wait, GRACE).await?;
+                self.watch(known, wait, GRACE).await?;
             }
         }
         Ok(())
@@ -193,12 +193,13 @@
         self.left.insert(vm, self.shared.clock.now() + LEFT_FOR);
     }
 
-    async fn follow_leader(&mut self, vm: VmId, leader: Leader, revision: u64) {
+    async fn follow_leader(&mut self, vm: VmId, leader: Leader, known: Position) {
         let sent = self.shared.clock.now();
         let left = self.current_for();
         let wait = left.saturating_sub(FOLLOW_SPARE).clamp(FOLLOW_LEAST, FOLLOW_WAIT);
         let follow = Follow {
-            after: Some(revision),
+            after: Some(known.revision),
+            era: Some(known.era),
             wait_ms: wait.as_millis() as u64,
             unpacks: true,
         };
@@ -222,21 +223,28 @@
         let Some(answers) = answers.filter(|answers| made < answers.until + CURRENT) else {
             return self.leave(vm, "it has lost the store");
         };
-        if followed.revision < Some(revision) {
+        let position = followed.revision.map(|revision| Position {
+            era: followed.era.unwrap_or(known.era),
+            revision,
+        });
+        let Some(position) = position.filter(|position| *position >= known) else {
             return self.leave(vm, "it is behind");
-        }
+        };
         let age = followed.age_ms.map(Duration::from_millis);
         let confirmed = age.and_then(|age| made.checked_sub(age));
-        match self.tell(followed, confirmed, answers).await {
+        match self.tell(followed, position, confirmed, answers).await {
             Ok(()) => self.leader = Some((vm, leader)),
             Err(err) => self.leave(vm, &err.to_string()),
         }
     }
 
-    async fn tell(&self, followed: Followed, confirmed: Option<Duration>, answers: Span) -> Result<(), PeerError> {
-        let Some(revision) = followed.revision else {
-            return Ok(());
-        };
+    async fn tell(
+        &self,
+        followed: Followed,
+        position: Position,
+        confirmed: Option<Duration>,
+        answers: Span,
+    ) -> Result<(), PeerError> {
         let items = followed.items.into_iter().map(relay::item);
         let mut items = items.collect::<Result<Vec<Item>, PeerError>>()?;
         // Taken in by their keys, the right to give orders would come before the list of whoever had it last.
@@ -244,21 +252,22 @@
         let event = if followed.whole {
             Event::Read {
                 items,
-                revision,
+                position,
                 confirmed,
                 answers,
             }
         } else {
             let gone = followed.removed.into_iter();
+            let revision = position.revision;
             let gone = gone.map(|key| Change::Removed { key, revision });
             Event::Changed {
                 changes: items.into_iter().map(Change::Written).chain(gone).collect(),
-                revision,
+                position,
                 confirmed,
                 answers,
             }
         };
-        self.tell_and_wait(event, revision).await;
+        self.tell_and_wait(event, position).await;
         Ok(())
     }
 
@@ -267,15 +276,15 @@
         self.due = sent;
         let read = self.client.all(ROOT, READ).await;
         self.count("range", read.is_ok());
-        let (items, revision) = read?;
+        let (items, position) = read?;
         self.forgotten = false;
         let event = Event::Read {
             items,
-            revision,
+            position,
             confirmed: Some(sent),
             answers: self.answered(),
         };
-        self.tell_and_wait(event, revision).await;
+        self.tell_and_wait(event, position).await;
         Ok(())
     }
 
@@ -285,36 +294,48 @@
         Span { from: now, until: now }
     }
 
-    async fn watch(&mut self, revision: u64, wait: Duration, grace: Duration) -> Result<(), ItemsError> {
+    async fn watch(&mut self, known: Position, wait: Duration, grace: Duration) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
         self.due = sent + wait;
-        let watched = self.client.watch(ROOT, revision, wait, grace).await;
+        let watched = self.client.watch(ROOT, known, wait, grace).await;
         self.count("watch", watched.is_ok());
         match watched? {
             Watched::Changes(changes) => {
-                let revision = changes.revision.max(revision);
+                let position = Position {
+                    revision: changes.revision.max(known.revision),
+                    ..known
+                };
                 let event = Event::Changed {
                     changes: changes.changes,
-                    revision,
+                    position,
                     confirmed: Some(sent),
                     answers: self.answered(),
                 };
-                self.tell_and_wait(event, revision).await;
+                self.tell_and_wait(event, position).await;
                 task::sleep(GATHER).await;
                 self.paused = GATHER;
             }
             Watched::Forgotten => {
-                log::warn!(revision = revision; "store: history forgotten, reading all again");
+                log::warn!(revision = known.revision; "store: history forgotten, reading all again");
+                self.forgotten = true;
+            }
+            Watched::Restored(era) => {
+                log::warn!(
+                    era = known.era,
+                    revision = known.revision,
+                    now = era;
+                    "store: it came back from a copy, reading all again"
+                );
                 self.forgotten = true;
             }
         }
         Ok(())
     }
 
-    /// The control thread must have taken this over before the next call names its revision.
-    async fn tell_and_wait(&self, event: Event, revision: u64) {
+    /// The control thread must have taken this over before the next call names its position.
+    async fn tell_and_wait(&self, event: Event, position: Position) {
         send(&self.shared, event).await;
-        while self.shared.relay.lock().log.revision() < Some(revision) {
+        while self.shared.relay.lock().log.position() < Some(position) {
             task::sleep(Duration::from_millis(1)).await;
         }
     }
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use store::items::{Change, Item, ItemLog};
+use store::items::{Change, Item, ItemLog, Position};
 
 /// Longest time that an answer waits, whatever the follower says.
 const MOST_WAIT: Duration = Duration::from_secs(2);
@@ -39,19 +39,20 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Everything as of a revision.
-    pub fn replace(&self, items: &[Item], revision: u64) {
+    /// Everything as of a position.
+    pub fn replace(&self, items: &[Item], position: Position) {
         let mut known = self.lock();
-        known.log.replace(items, revision);
-        known.drop_packed();
+        known.log.replace(items, position);
+        // In another era a revision stands for another value.
+        known.packed.clear();
         known.wake();
     }
 
-    /// Changes up to a revision. `confirm` notes how fresh that is: in one step with the changes, or a follower could be told
+    /// Changes up to a position. `confirm` notes how fresh that is: in one step with the changes, or a follower could be told
     /// the new freshness with the old items, and take a key or weights for good that were replaced during an outage.
-    pub fn apply(&self, changes: &[Change], revision: u64, confirm: impl FnOnce()) {
+    pub fn apply(&self, changes: &[Change], position: Position, confirm: impl FnOnce()) {
         let mut known = self.lock();
-        known.log.apply(changes, revision);
+        known.log.apply(changes, position);
         known.drop_packed();
         confirm();
         known.wake();
@@ -169,15 +170,17 @@
     // A follower leaves a router that has lost the store. Were it told later than that, it would learn of a change that much later.
     let current = CURRENT.saturating_sub(shared.uptime().age(asked).unwrap_or(CURRENT));
     let wait = Duration::from_millis(follow.wait_ms).min(MOST_WAIT).min(current);
-    let news = {
+    let (after, news) = {
         let mut known = shared.relay.lock();
-        if known.log.has_news(follow.after) {
+        let after = after(&follow, known.log.position());
+        let news = if known.log.has_news(after) {
             None
         } else {
             let (sender, receiver) = oneshot::channel();
             known.waiting.push(sender);
             Some(receiver)
-        }
+        };
+        (after, news)
     };
     if let Some(news) = news {
         // Without news the answer still tells how fresh all is.
@@ -185,7 +188,7 @@
     }
     let waited = shared.clock.now().saturating_sub(asked);
     let mut known = shared.relay.lock();
-    let since = known.log.since(follow.after);
+    let since = known.log.since(after);
     let age = shared.freshness().age(shared.clock.now());
     let answers = uptime::answer(&shared);
     let mut removed = since.removed;
@@ -200,7 +203,8 @@
     }
     drop(known);
     Followed {
-        revision: since.revision,
+        revision: since.position.map(|position| position.revision),
+        era: since.position.map(|position| position.era),
         whole: since.whole,
         items,
         removed,
@@ -210,6 +214,15 @@
     }
 }
 
+/// What a follower knows. One that knows no eras is taken to be in this router's.
+fn after(follow: &Follow, own: Option<Position>) -> Option<Position> {
+    let own = own.map(|position| position.era);
+    follow.after.map(|revision| Position {
+        era: follow.era.or(own).unwrap_or_default(),
+        revision,
+    })
+}
+
 /// An item for a follower, or its key if its value is no text.
 fn relayed(item: Item, packed: Option<String>) -> Result<RelayItem, String> {
     let is_packed = packed.is_some();
--- a/crates/http/src/raw/call.rs
+++ b/crates/http/src/raw/call.rs
@@ -19,6 +19,8 @@
 pub struct Called {
     /// Status.
     pub status: u16,
+    /// Header lines.
+    pub headers: Headers,
     /// Body.
     pub body: Vec<u8>,
     /// The connection, if it may carry another call.
@@ -62,6 +64,7 @@
         let keeps = answer.clean && answer.head.keeps();
         Ok(Called {
             status: answer.head.status,
+            headers: answer.head.headers,
             body,
             kept: keeps.then_some(source),
         })
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -38,6 +38,9 @@
 pub struct Follow {
     /// Store revision up to which all is known; absent if nothing is.
     pub after: Option<u64>,
+    /// The store's era of that revision; absent from routers that know no eras.
+    #[serde(default)]
+    pub era: Option<u64>,
     /// How long the answer may wait for the first change.
     pub wait_ms: u64,
     /// Whether packed values are understood.
@@ -77,6 +80,9 @@
 pub struct Followed {
     /// Store revision up to which this is complete; absent if the router knows nothing yet.
     pub revision: Option<u64>,
+    /// The store's era of that revision; absent from routers that know no eras.
+    #[serde(default)]
+    pub era: Option<u64>,
     /// Whether `items` is all there is; otherwise it is what has changed.
     pub whole: bool,
     /// Items.
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -1,6 +1,6 @@
 //! Calls over kept connections.
 
-use super::{Call, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Watched};
+use super::{Call, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Position, Transaction, Watched};
 use async_std::sync::Mutex;
 use http::progressing;
 use http::raw::{Headers, Source, connect};
@@ -12,6 +12,13 @@
 /// Longest wait for a connection; within a region one stands after a few milliseconds.
 const CONNECT: Duration = Duration::from_millis(700);
 
+/// A whole answer.
+struct Answer {
+    status: u16,
+    era: u64,
+    body: Vec<u8>,
+}
+
 /// A client with one kept connection; calls go one after the other. Time limits of calls hold until an answer begins to arrive, and
 /// for its whole only while it stalls.
 #[derive(Debug)]
@@ -31,52 +38,63 @@
         }
     }
 
-    /// All items under a prefix, and the store's revision before the first page was read: a watch that begins there
+    /// All items under a prefix, and the store's position before the first page was read: a watch that begins there
     /// misses nothing, since pages are no snapshot.
     ///
     /// # Errors
-    /// A page could not be read.
-    pub async fn all(&self, prefix: &str, within: Duration) -> Result<(Vec<Item>, u64), ItemsError> {
-        let first = self.page(prefix, None, within).await?;
-        let revision = first.revision;
+    /// A page could not be read, or the store came back from a copy between two pages.
+    pub async fn all(&self, prefix: &str, within: Duration) -> Result<(Vec<Item>, Position), ItemsError> {
+        let (first, era) = self.page(prefix, None, within).await?;
+        let position = Position {
+            era,
+            revision: first.revision,
+        };
         let mut items = first.items;
         let mut more = first.more;
         while more {
             let Some(last) = items.last().map(|item| item.key.clone()) else {
                 break;
             };
-            let page = self.page(prefix, Some(&last), within).await?;
+            let (page, era) = self.page(prefix, Some(&last), within).await?;
+            if era != position.era {
+                return Err(ItemsError::Restored);
+            }
             more = page.more && !page.items.is_empty();
             items.extend(page.items);
         }
-        Ok((items, revision))
+        Ok((items, position))
     }
 
-    async fn page(&self, prefix: &str, after: Option<&str>, within: Duration) -> Result<Page, ItemsError> {
-        let (status, body) = self.call(&(self.codec.range)(prefix, after), within).await?;
-        expect_ok(status)?;
-        Ok((self.codec.page)(&body)?)
+    /// A page, and the era that it was read in.
+    async fn page(&self, prefix: &str, after: Option<&str>, within: Duration) -> Result<(Page, u64), ItemsError> {
+        let answer = self.call(&(self.codec.range)(prefix, after), within).await?;
+        expect_ok(answer.status)?;
+        Ok(((self.codec.page)(&answer.body)?, answer.era))
     }
 
-    /// Waits for changes under a prefix after a revision.
+    /// Waits for changes under a prefix after a position.
     ///
     /// # Errors
     /// No answer came within `wait` and `grace`, or the store refused.
     pub async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Position,
         wait: Duration,
         grace: Duration,
     ) -> Result<Watched, ItemsError> {
-        let (status, body) = self
-            .call(&(self.codec.watch)(prefix, after, wait), wait + grace)
-            .await?;
-        if status == 410 {
+        let call = (self.codec.watch)(prefix, after.revision, wait);
+        let answer = self.call(&call, wait + grace).await?;
+        if answer.status != 410 {
+            expect_ok(answer.status)?;
+        }
+        if answer.era != after.era {
+            return Ok(Watched::Restored(answer.era));
+        }
+        if answer.status == 410 {
             return Ok(Watched::Forgotten);
         }
-        expect_ok(status)?;
-        let changes: Changes = (self.codec.changes)(&body)?;
+        let changes: Changes = (self.codec.changes)(&answer.body)?;
         Ok(Watched::Changes(changes))
     }
 
@@ -85,9 +103,9 @@
     /// # Errors
     /// The outcome is known only for [`ItemsError::NotSent`] and [`ItemsError::Refused`]: nothing was done.
     pub async fn commit(&self, transaction: &Transaction, within: Duration) -> Result<Committed, ItemsError> {
-        let (status, body) = self.call(&(self.codec.transaction)(transaction), within).await?;
-        match status {
-            200 => Ok(Committed::Done((self.codec.committed)(&body)?)),
+        let answer = self.call(&(self.codec.transaction)(transaction), within).await?;
+        match answer.status {
+            200 => Ok(Committed::Done((self.codec.committed)(&answer.body)?)),
             404 => Ok(Committed::NoLease),
             412 => Ok(Committed::Conflict),
             status => Err(ItemsError::Refused(status)),
@@ -99,9 +117,9 @@
     /// # Errors
     /// None was granted, or the answer was lost; then it lapses by itself.
     pub async fn grant(&self, ttl: Duration, within: Duration) -> Result<Granted, ItemsError> {
-        let (status, body) = self.call(&(self.codec.grant)(ttl), within).await?;
-        expect_ok(status)?;
-        Ok((self.codec.granted)(&body)?)
+        let answer = self.call(&(self.codec.grant)(ttl), within).await?;
+        expect_ok(answer.status)?;
+        Ok((self.codec.granted)(&answer.body)?)
     }
 
     /// Renews a lease; `None` if it has ended.
@@ -109,12 +127,12 @@
     /// # Errors
     /// It may or may not have been renewed.
     pub async fn renew(&self, lease: u64, within: Duration) -> Result<Option<Duration>, ItemsError> {
-        let (status, body) = self.call(&(self.codec.renew)(lease), within).await?;
-        if status == 404 {
+        let answer = self.call(&(self.codec.renew)(lease), within).await?;
+        if answer.status == 404 {
             return Ok(None);
         }
-        expect_ok(status)?;
-        Ok(Some((self.codec.renewed)(&body)?))
+        expect_ok(answer.status)?;
+        Ok(Some((self.codec.renewed)(&answer.body)?))
     }
 
     /// Ends a lease.
@@ -125,7 +143,7 @@
         self.call(&(self.codec.release)(lease), within).await.map(|_| ())
     }
 
-    async fn call(&self, call: &Call, within: Duration) -> Result<(u16, Vec<u8>), ItemsError> {
+    async fn call(&self, call: &Call, within: Duration) -> Result<Answer, ItemsError> {
         let until = Instant::now() + within;
         let mut kept = self.kept.lock().await;
         let source = match kept.take() {
@@ -139,7 +157,11 @@
         match progressing(left(until), || conn.received(), sent).await {
             Ok(Ok(called)) => {
                 *kept = called.kept;
-                Ok((called.status, called.body))
+                Ok(Answer {
+                    status: called.status,
+                    era: (self.codec.era)(&called.headers),
+                    body: called.body,
+                })
             }
             Ok(Err(_)) | Err(_) => Err(ItemsError::Lost(conn.received() - before)),
         }
--- a/crates/store/src/items/log.rs
+++ b/crates/store/src/items/log.rs
@@ -1,6 +1,6 @@
 //! What a router knows of the service, for those that follow it: the items, and what changed after a revision.
 
-use super::{Change, Item};
+use super::{Change, Item, Position};
 use std::collections::BTreeMap;
 
 /// Removed keys that are remembered; whoever is further behind gets everything.
@@ -9,19 +9,19 @@
 /// The items as of a revision, with the removals that led there.
 #[derive(Debug, Clone, Default)]
 pub struct ItemLog {
-    /// Revision up to which all is known.
-    revision: Option<u64>,
+    /// Position up to which all is known.
+    position: Option<Position>,
     /// Removals are known after this revision.
     floor: u64,
     items: BTreeMap<String, Item>,
     removed: BTreeMap<u64, Vec<String>>,
 }
 
-/// What came after a revision.
+/// What came after a position.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Since {
-    /// Revision up to which this is complete.
-    pub revision: Option<u64>,
+    /// Position up to which this is complete.
+    pub position: Option<Position>,
     /// Whether `items` is all there is.
     pub whole: bool,
     /// Items.
@@ -31,9 +31,9 @@
 }
 
 impl ItemLog {
-    /// Revision up to which all is known.
-    pub fn revision(&self) -> Option<u64> {
-        self.revision
+    /// Position up to which all is known.
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
     /// Items under a prefix.
@@ -43,16 +43,16 @@
             .take_while(move |item| item.key.starts_with(prefix))
     }
 
-    /// Everything as of a revision. What was known of removals doesn't matter any more.
-    pub fn replace(&mut self, items: &[Item], revision: u64) {
+    /// Everything as of a position. What was known of removals doesn't matter any more.
+    pub fn replace(&mut self, items: &[Item], position: Position) {
         self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         self.removed.clear();
-        self.floor = revision;
-        self.revision = Some(revision);
+        self.floor = position.revision;
+        self.position = Some(position);
     }
 
-    /// Changes up to a revision.
-    pub fn apply(&mut self, changes: &[Change], revision: u64) {
+    /// Changes up to a position of the same era.
+    pub fn apply(&mut self, changes: &[Change], position: Position) {
         for change in changes {
             match change {
                 Change::Written(item) => {
@@ -64,7 +64,7 @@
                 }
             }
         }
-        self.revision = self.revision.max(Some(revision));
+        self.position = self.position.max(Some(position));
         while self.removed.len() > REMOVALS {
             if let Some((oldest, _)) = self.removed.pop_first() {
                 self.floor = self.floor.max(oldest);
@@ -72,16 +72,18 @@
         }
     }
 
-    /// Whether anything came after a revision.
-    pub fn has_news(&self, after: Option<u64>) -> bool {
-        self.revision > after
+    /// Whether anything came after a position.
+    pub fn has_news(&self, after: Option<Position>) -> bool {
+        self.position > after
     }
 
-    /// What came after a revision.
-    pub fn since(&self, after: Option<u64>) -> Since {
-        let Some(after) = after.filter(|after| *after >= self.floor) else {
+    /// What came after a position.
+    pub fn since(&self, after: Option<Position>) -> Since {
+        let era = self.position.map(|position| position.era);
+        let after = after.filter(|after| Some(after.era) == era && after.revision >= self.floor);
+        let Some(Position { revision: after, .. }) = after else {
             return Since {
-                revision: self.revision,
+                position: self.position,
                 whole: true,
                 items: self.items.values().cloned().collect(),
                 removed: Vec::new(),
@@ -91,7 +93,7 @@
         let gone = self.removed.range(after + 1..).flat_map(|(_, keys)| keys);
         let gone = gone.filter(|key| !self.items.contains_key(*key));
         Since {
-            revision: self.revision,
+            position: self.position,
             whole: false,
             items: newer.cloned().collect(),
             removed: gone.cloned().collect(),
--- a/crates/store/src/items/mod.rs
+++ b/crates/store/src/items/mod.rs
@@ -11,5 +11,6 @@
 pub use http::raw::Call;
 pub use log::{ItemLog, Since};
 pub use types::{
-    Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Transaction, Unreadable, Watched, Write,
+    Change, Changes, Codec, Committed, Granted, Item, ItemsError, Page, Position, Transaction, Unreadable, Watched,
+    Write,
 };
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -1,9 +1,21 @@
 //! Values of the service and the codec that brings them to the wire.
 
-use http::raw::Call;
+use http::raw::{Call, Headers};
 use quick_error::quick_error;
 use std::time::Duration;
 
+/// How far the service's history is known.
+///
+/// A service that comes back from a copy has lost what was written since, and gives those revisions out again: they say
+/// nothing without the era, which rises each time. A service that names no era stays in era 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// How often the service has come back from a copy.
+    pub era: u64,
+    /// Its revision in that era.
+    pub revision: u64,
+}
+
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -60,6 +72,8 @@
     Changes(Changes),
     /// The service has dropped that part of its history: all must be read again.
     Forgotten,
+    /// The service has come back from a copy, in this era: all must be read again.
+    Restored(u64),
 }
 
 /// A write within a transaction.
@@ -126,6 +140,10 @@
         Lost(received: u64) {
             display("the store's answer was lost, {received} bytes of it had arrived")
         }
+        /// The store came back from a copy while it was read.
+        Restored {
+            display("the store came back from a copy while it was read")
+        }
         /// The store refused the call and did nothing.
         Refused(status: u16) {
             display("the store answered with status {status}")
@@ -141,6 +159,8 @@
 /// How calls and answers look on the wire.
 #[derive(Debug, Clone, Copy)]
 pub struct Codec {
+    /// The era that an answer was given in.
+    pub era: fn(&Headers) -> u64,
     /// Items under a prefix, after a key.
     pub range: fn(prefix: &str, after: Option<&str>) -> Call,
     /// Answer to a range.
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -1,7 +1,7 @@
 //! What a router tells those that follow it.
 
 use std::collections::BTreeMap;
-use store::items::{Change, Item, ItemLog, Since};
+use store::items::{Change, Item, ItemLog, Position, Since};
 
 fn item(key: &str, revision: u64) -> Item {
     Item {
@@ -20,12 +20,17 @@
     }
 }
 
+/// A position in the era of these tests.
+fn at(revision: u64) -> Position {
+    Position { era: 3, revision }
+}
+
 /// A router with `a` and `b` as of 5, then `c` written, `a` removed and `b` changed.
 fn log() -> ItemLog {
     let mut log = ItemLog::default();
-    log.replace(&[item("a", 3), item("b", 5)], 5);
-    log.apply(&[Change::Written(item("c", 6)), removed("a", 7)], 7);
-    log.apply(&[Change::Written(item("b", 8))], 8);
+    log.replace(&[item("a", 3), item("b", 5)], at(5));
+    log.apply(&[Change::Written(item("c", 6)), removed("a", 7)], at(7));
+    log.apply(&[Change::Written(item("b", 8))], at(8));
     log
 }
 
@@ -79,12 +84,17 @@
     ];
     let log = log();
     for case in cases {
-        let since = log.since(case.after);
+        let since = log.since(case.after.map(at));
         let items: Vec<&str> = since.items.iter().map(|item| item.key.as_str()).collect();
         assert_eq!(items, case.items, "{:?}", case.after);
         assert_eq!(since.removed, case.removed, "{:?}", case.after);
-        assert_eq!((since.whole, since.revision), (case.whole, Some(8)), "{:?}", case.after);
-        assert_eq!(log.has_news(case.after), case.after != Some(8));
+        assert_eq!(
+            (since.whole, since.position),
+            (case.whole, Some(at(8))),
+            "{:?}",
+            case.after
+        );
+        assert_eq!(log.has_news(case.after.map(at)), case.after != Some(8));
     }
 }
 
@@ -92,7 +102,7 @@
 #[test]
 fn followers_end_with_the_same_items() {
     let mut leader = ItemLog::default();
-    leader.replace(&[item("k0", 1)], 1);
+    leader.replace(&[item("k0", 1)], at(1));
     let mut follower: BTreeMap<String, u64> = BTreeMap::from([("k0".to_owned(), 1)]);
     let mut known = 1;
     for revision in 2..400 {
@@ -102,14 +112,14 @@
         } else {
             Change::Written(item(&key, revision))
         };
-        leader.apply(&[change], revision);
+        leader.apply(&[change], at(revision));
         if revision % 5 != 0 {
             continue;
         }
-        follow(&mut follower, leader.since(Some(known)));
+        follow(&mut follower, leader.since(Some(at(known))));
         known = revision;
     }
-    follow(&mut follower, leader.since(Some(known)));
+    follow(&mut follower, leader.since(Some(at(known))));
     let all = leader.since(None).items.into_iter();
     let expected: BTreeMap<String, u64> = all.map(|item| (item.key, item.revision)).collect();
     assert_eq!(follower, expected);
@@ -119,3 +129,18 @@
     follower.retain(|key, _| !since.removed.contains(key));
     follower.extend(since.items.into_iter().map(|item| (item.key, item.revision)));
 }
+
+/// A follower of another era has other items under the same revisions: it is told everything, and never that it is ahead.
+#[test]
+fn a_follower_of_an_earlier_era_is_told_everything() {
+    let mut log = log();
+    log.replace(&[item("a", 3)], Position { era: 4, revision: 4 });
+    for revision in [1, 4, 8] {
+        let after = Some(at(revision));
+        assert!(log.has_news(after), "{revision}");
+        let since = log.since(after);
+        assert!(since.whole, "{revision}");
+        assert_eq!(since.items, [item("a", 3)], "{revision}");
+    }
+    assert!(!log.has_news(Some(Position { era: 5, revision: 1 })));
+}
