Store eras: endpoints that left don't come back with an older list, and living ones stay

What callers would see: after the store has come back from a copy, requests go to endpoints that leave or are gone, whose entries it shows as they were; and endpoints whose entries are lost vanish at once.

Cause: the list was believed as it is. A life that leaves or is gone does not come back; what is missing may be lost, as after an outage.

Change: leaving holds for a life, whatever the store says later. For 10 s after the return an entry of a life that is gone names no endpoint until it is written again. One log line with both eras and revisions, store_restored_total.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -7,7 +7,7 @@
 
 use crate::site::EndpointEntry;
 use crate::uptime::{Span, Uptime};
-use ids::{EndpointId, ServiceId};
+use ids::{EndpointId, Incarnation, ServiceId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,11 @@
 /// router's path to it, right after that call.
 const RESTORED: Duration = Duration::from_millis(3_000);
 
+/// Time after the store came back from a copy in which it may list endpoints that had gone: their entries lapse after three heartbeats.
+const STALE: Duration = Duration::from_secs(10);
+/// How long it is remembered that an endpoint is gone.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
 /// Failing calls for longer than this, while living endpoints register, are a further outage: those that had not registered yet could not
 /// do so since.
 const OUTAGE: Duration = Duration::from_millis(700);
@@ -59,6 +64,10 @@
     uptime: Uptime,
     /// When the first answer was due of the calls that have failed since the last answer.
     failing: Option<Duration>,
+    /// When the store came back from a copy last.
+    restored: Option<Duration>,
+    /// Lives of endpoints that are gone, and since when.
+    gone: BTreeMap<EndpointId, (Incarnation, Duration)>,
 }
 
 impl Roster {
@@ -104,9 +113,19 @@
         }
     }
 
+    /// The store came back from a copy, and has answered. Entries of living endpoints may be lost, as after an outage.
+    pub fn store_restored(&mut self, answers: Span) {
+        self.failing = None;
+        self.uptime.resumed(answers);
+        self.restored = Some(answers.until);
+    }
+
     /// The store answered another router. Returns what is gone by that: its entry went while the store answered.
     pub fn store_witnessed(&mut self, answers: Span, now: Duration) -> Vec<RosterChange> {
-        self.uptime.witness(answers);
+        // Whoever has not noticed that the store came back from a copy would take lost entries for removed ones.
+        if !self.restored_within(REGISTER_AGAIN, now) {
+            self.uptime.witness(answers);
+        }
         self.tick(now)
     }
 
@@ -115,6 +134,7 @@
         match change {
             ListChange::Listed(entry) => {
                 self.missing.remove(&entry.id);
+                self.gone.remove(&entry.id);
                 self.list(entry)
             }
             ListChange::Unreadable(id) | ListChange::Removed(id) => self.remove(id, now),
@@ -122,7 +142,10 @@
     }
 
     /// The whole list as it is now.
-    pub fn replace(&mut self, list: Vec<ListChange>, now: Duration) -> Vec<RosterChange> {
+    pub fn replace(&mut self, mut list: Vec<ListChange>, now: Duration) -> Vec<RosterChange> {
+        if self.restored_within(STALE, now) {
+            list.retain(|change| !self.is_stale(change));
+        }
         let named = |change: &ListChange| match change {
             ListChange::Listed(entry) => entry.id.clone(),
             ListChange::Unreadable(id) | ListChange::Removed(id) => id.clone(),
@@ -145,17 +168,37 @@
             return Vec::new();
         }
         let gone = std::mem::take(&mut self.missing);
-        gone.into_iter().map(|id| self.drop_entry(id)).collect()
+        gone.into_iter().map(|id| self.drop_entry(id, now)).collect()
     }
 
-    fn drop_entry(&mut self, id: EndpointId) -> RosterChange {
+    fn drop_entry(&mut self, id: EndpointId, now: Duration) -> RosterChange {
         self.missing.remove(&id);
-        self.entries.remove(&id);
+        self.gone
+            .retain(|_, (_, since)| now.saturating_sub(*since) < REMEMBERED);
+        if let Some(entry) = self.entries.remove(&id) {
+            self.gone.insert(id.clone(), (entry.incarnation, now));
+        }
         RosterChange::Gone(id)
     }
 
-    fn list(&mut self, entry: EndpointEntry) -> Option<RosterChange> {
+    fn restored_within(&self, time: Duration, now: Duration) -> bool {
+        self.restored
+            .is_some_and(|restored| now.saturating_sub(restored) < time)
+    }
+
+    /// Whether a store that came back from a copy lists a life that is gone. One that isn't writes its entry again.
+    fn is_stale(&self, change: &ListChange) -> bool {
+        let ListChange::Listed(entry) = change else {
+            return false;
+        };
+        let gone = self.gone.get(&entry.id);
+        gone.is_some_and(|(life, _)| *life == entry.incarnation)
+    }
+
+    fn list(&mut self, mut entry: EndpointEntry) -> Option<RosterChange> {
         let known = self.entries.get(&entry.id);
+        // A life that leaves doesn't come back, whatever an older copy of the store says.
+        entry.leaving |= known.is_some_and(|known| known.leaving && known.incarnation == entry.incarnation);
         if known.is_some_and(|known| **known == entry) {
             return None;
         }
@@ -168,10 +211,10 @@
         let entry = self.entries.get(&id)?;
         // One that said it leaves has not lapsed in an outage.
         if entry.leaving {
-            return Some(self.drop_entry(id));
+            return Some(self.drop_entry(id, now));
         }
         let Some(until) = self.kept_until(now) else {
-            return Some(self.drop_entry(id));
+            return Some(self.drop_entry(id, now));
         };
         let new = self.missing.insert(id.clone());
         new.then_some(RosterChange::Missing { id, until })
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -1,6 +1,6 @@
 //! Endpoints in service, through outages of the store.
 
-use dispatch::roster::{ListChange, Roster};
+use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::EndpointEntry;
 use dispatch::uptime::Span;
 use ids::{DomainId, EndpointId, Incarnation, ServiceId};
@@ -306,3 +306,40 @@
     roster.tick(at(8_600));
     assert!(serving(&roster).is_empty());
 }
+
+/// The store comes back from a copy: what has gone or leaves must not be taken for new, and what lives must not be dropped since its
+/// entry is lost.
+#[test]
+fn an_older_list_brings_nobody_back() {
+    let mut roster = Roster::default();
+    let list = |ids: &[&str]| {
+        ids.iter()
+            .map(|id| ListChange::Listed(entry(id, false)))
+            .collect::<Vec<_>>()
+    };
+    let leaving = ListChange::Listed(entry("leaves", true));
+    roster.store_answered(answer(1_000));
+    roster.replace(list(&["stays", "leaves", "goes"]), at(1_000));
+    for second in 2..=13 {
+        roster.store_answered(answer(second * 1_000));
+    }
+    roster.change(leaving, at(13_000));
+    roster.change(removed("goes"), at(13_000));
+    roster.change(ListChange::Listed(entry("young", false)), at(13_000));
+    let open = |roster: &Roster| {
+        let open = roster.all().filter(|entry| !entry.leaving);
+        open.map(|entry| entry.id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(open(&roster), ["stays", "young"]);
+    roster.store_restored(answer(14_000));
+    roster.replace(list(&["stays", "leaves", "goes"]), at(14_000));
+    assert_eq!(open(&roster), ["stays", "young"]);
+    // Another router that has not noticed.
+    assert!(roster.store_witnessed(span(1_000, 14_100), at(14_200)).is_empty());
+    assert_eq!(open(&roster), ["stays", "young"]);
+    // What lives writes its entry again.
+    roster.change(ListChange::Listed(entry("goes", false)), at(15_000));
+    assert_eq!(open(&roster), ["goes", "stays", "young"]);
+    let gone = roster.tick(at(17_000));
+    assert_eq!(gone, [RosterChange::Gone(EndpointId::from("young"))]);
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -181,7 +181,11 @@
                 confirmed,
                 answers,
             } => {
-                self.answered(answers);
+                let before = self.shared.relay.lock().log.position();
+                match before.filter(|before| before.era != position.era) {
+                    Some(before) => self.restored(before, position, answers),
+                    None => self.answered(answers),
+                }
                 self.shared.relay.replace(&items, position);
                 self.read(items, now);
                 self.confirm(confirmed);
@@ -217,6 +221,20 @@
         }
     }
 
+    /// The store came back from a copy: what it shows may be older than what is known.
+    fn restored(&mut self, before: Position, now: Position, answers: Span) {
+        self.roster.store_restored(answers);
+        self.in_touch = true;
+        self.shared.metrics.restored.inc();
+        log::warn!(
+            era = before.era,
+            revision = before.revision,
+            now_era = now.era,
+            now_revision = now.revision;
+            "store: in touch, it came back from a copy"
+        );
+    }
+
     /// Tells followers how current all is, and requests how fresh the document is.
     fn confirm(&self, confirmed: Option<Duration>) {
         *self.shared.uptime() = *self.roster.uptime();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and histograms, as prometheus shows them.
 
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// Bounds of the time to first byte, seconds: around the objectives of routes, which lie between 0.1 and 1.2 s.
 const FIRST_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 2.0, 5.0];
@@ -30,6 +32,8 @@
     pub endpoints: IntGauge,
     /// Endpoints in service whose entries are missing.
     pub missing: IntGauge,
+    /// Times that the store came back from a copy.
+    pub restored: IntCounter,
     /// Endpoints that name a rate.
     pub rated: IntGauge,
     /// Requests in flight.
@@ -53,6 +57,9 @@
             registry.register(Box::new(gauge.clone())).expect("a name used once");
             gauge
         };
+        let restored = IntCounter::new("store_restored_total", "Times that the store came back from a copy");
+        let restored = restored.expect("a valid counter");
+        registry.register(Box::new(restored.clone())).expect("a name used once");
         let options = HistogramOpts::new("first_byte_seconds", "Time until the answer's first byte, by route");
         let first = HistogramVec::new(options.buckets(FIRST_BOUNDS.into()), &["route"]).expect("a valid histogram");
         registry.register(Box::new(first.clone())).expect("a name used once");
@@ -75,6 +82,7 @@
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
             missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
+            restored,
             rated: gauge(
                 "endpoints_rated",
                 "Endpoints that name the requests a second that they take",
