Store eras: routers register again when the store has come back from a copy

What callers would see: routers that others don't know of: the retry budget and rates are split among too few, and nobody follows those that watch.

Cause: a lost entry was noticed only by a renewal that gets 404; a lease's number that is given out again is renewed for ever, for its new owner.

Change: the control thread signals the return, and the entry is written under a new lease at once.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -226,6 +226,8 @@
         self.roster.store_restored(answers);
         self.in_touch = true;
         self.shared.metrics.restored.inc();
+        // A signal that is there already is enough.
+        let _ = self.shared.restored.0.try_send(());
         log::warn!(
             era = before.era,
             revision = before.revision,
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -1,7 +1,7 @@
 //! Routers of the deployment, as they stand in the store.
 
 use crate::shared::Shared;
-use async_std::task;
+use async_std::future::timeout;
 use control::following::{Lead, lead, wide};
 use control::rendezvous;
 use ids::{DomainId, VmId};
@@ -137,7 +137,11 @@
             }
             return;
         }
-        task::sleep(pause).await;
+        if timeout(pause, shared.restored.1.recv()).await.is_ok() {
+            // The lease may be gone, or its number given to another.
+            log::info!("store: the router's entry is written again");
+            lease = None;
+        }
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -60,6 +60,8 @@
     missing: AtomicBool,
     /// Signals that entries are missing; it has room for one signal.
     pub missed: (Sender<()>, Receiver<()>),
+    /// Signals that the store came back from a copy, without this router's entry; it has room for one signal.
+    pub restored: (Sender<()>, Receiver<()>),
     /// Signals that requests wait for an endpoint, or no more; it has room for one signal.
     pub waits: (Sender<()>, Receiver<()>),
     /// Whether the list of endpoints was read once.
@@ -92,6 +94,7 @@
             taking: async_channel::bounded(1),
             missing: AtomicBool::new(false),
             missed: async_channel::bounded(1),
+            restored: async_channel::bounded(1),
             waits: async_channel::bounded(1),
             listed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
