Store eras: an older document proves nothing

What callers would see: a key that was taken away is served for as long as the store shows the document before, at routers that missed the newest one.

Cause: any document that could be read confirmed that the one in force is the newest.

Change: only a document that is not older than the one in force confirms it; the log says what the store shows. Routers serve on until the bound on revoked keys is over.

Open: a router that starts between return and rewriting knows nothing newer, and believes what it reads.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -117,8 +117,9 @@
     occupant: Option<Fence>,
     /// What a holder said last; of a dead one only who was ordered counts.
     told: Holding,
-    /// Whether the newest document could be read. One that could not may take keys away, so it confirms nothing.
-    readable: bool,
+    /// Whether the document in the store could be read and is not older than the one in force. Any other confirms nothing: one that can't be
+    /// read may take keys away, and a store that shows an older one has lost what came after it.
+    current: bool,
     in_touch: bool,
 }
 
@@ -144,7 +145,7 @@
             postponed: Postponed::default(),
             occupant: None,
             told: Holding::default(),
-            readable: false,
+            current: false,
             in_touch: false,
         }
     }
@@ -240,7 +241,7 @@
     /// Tells followers how current all is, and requests how fresh the document is.
     fn confirm(&self, confirmed: Option<Duration>) {
         *self.shared.uptime() = *self.roster.uptime();
-        if let Some(confirmed) = confirmed.filter(|_| self.readable) {
+        if let Some(confirmed) = confirmed.filter(|_| self.current) {
             self.shared.freshness().confirm(confirmed);
         }
     }
@@ -352,7 +353,8 @@
 
     fn document(&mut self, item: &Item) {
         let read = (self.shared.dialect.document)(&item.value);
-        self.readable = read.is_ok();
+        let old = self.shared.revision();
+        self.current = read.as_ref().is_ok_and(|parts| parts.revision >= old);
         let parts = match read {
             Ok(parts) => parts,
             Err(err) => {
@@ -360,9 +362,11 @@
                 return;
             }
         };
-        let old = self.shared.revision();
         let none = self.shared.site.load().is_none();
         if !none && parts.revision <= old {
+            if !self.current {
+                log::warn!(revision = parts.revision.0, in_force = old.0; "configuration: the store shows an older one");
+            }
             return;
         }
         log::info!(
