Store eras: generation numbers of orders rise over eras

What callers would see: two leaders' orders at one endpoint in turn, or endpoints that refuse all orders, so that old weights stay in place.

Cause: the number is the revision at which the leader's key was created, and revisions go back.

Change: the era stands above the revision's 40 bits, in a number of 53 bits at most; the list of loads is written on condition of the bare revision, as before. In era 0 numbers are what they were. In a rolling upgrade routers of both versions must not lead in turn: an older one would give lower numbers.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -40,12 +40,27 @@
 /// would ask when they start together.
 const SPARE: Duration = Duration::from_millis(2_500);
 
+/// Bits of a generation number that hold a revision; the store's era stands above them. Endpoints read numbers of up to 53 bits.
+const REVISION_BITS: u32 = 40;
+/// The last era that a number can hold.
+const LAST_ERA: u64 = (1 << (53 - REVISION_BITS)) - 1;
+
+/// The generation number of a key that was created at a revision of an era. It rises though revisions go back in the next era.
+pub fn fence(era: u64, created: u64) -> Fence {
+    Fence((era.min(LAST_ERA) << REVISION_BITS) | created)
+}
+
+/// The revision at which the key of a generation number was created.
+pub fn created(fence: Fence) -> u64 {
+    fence.0 & ((1 << REVISION_BITS) - 1)
+}
+
 /// The holder key's contents as last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Occupant {
     /// The process that holds it: its VM, a slash and a part of its own, another one after each start.
     pub name: String,
-    /// Store revision at which the key was created, which only grows: the generation number.
+    /// The generation number, by when the key was created: it only grows.
     pub created: Fence,
     /// The lease it hangs on.
     pub lease: u64,
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -1,6 +1,8 @@
 //! Who may give orders, and when.
 
-use dispatch::holder::{Event, Holder, HolderTimes, LISTED_FOR, Occupant, Step, TURN_SLACK, Turns, listed};
+use dispatch::holder::{
+    Event, Holder, HolderTimes, LISTED_FOR, Occupant, Step, TURN_SLACK, Turns, created, fence, listed,
+};
 use ids::{EndpointId, Fence};
 use std::time::Duration;
 
@@ -270,3 +272,16 @@
     assert_eq!(holder.may_order(at(1_700)), None);
     assert_eq!(holder.on(Event::Tick, at(700)), Some(Step::Renew(7)));
 }
+
+/// Generation numbers that fall with the store's revisions make a late order of the former leader the newer one.
+#[test]
+fn generation_numbers_rise_over_eras() {
+    let rising = [(0, 1), (0, 900_000), (1, 1), (1, 5), (2, 3), (8_000, 1)];
+    let fences: Vec<Fence> = rising.iter().map(|(era, created)| fence(*era, *created)).collect();
+    assert!(fences.is_sorted_by(|left, right| left < right), "{fences:?}");
+    for ((_, revision), fence) in rising.iter().zip(&fences) {
+        assert_eq!(created(*fence), *revision);
+        assert!(fence.0 < 1 << 53, "{fence:?} is a whole number to every reader of JSON");
+    }
+    assert_eq!(fence(0, 41), Fence(41));
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,7 +7,7 @@
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::fleet::NameAge;
-use dispatch::holder::{Holder, Occupant, TIMES, Turns};
+use dispatch::holder::{Holder, Occupant, TIMES, Turns, fence};
 use dispatch::rollout::Postponed;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
@@ -402,9 +402,11 @@
     }
 
     fn occupied(&mut self, item: &Item) {
+        let position = self.shared.relay.lock().log.position();
+        let era = position.map_or(0, |position| position.era);
         let occupant = Occupant {
             name: String::from_utf8_lossy(&item.value).into_owned(),
-            created: Fence(item.created),
+            created: fence(era, item.created),
             lease: item.lease,
         };
         self.occupant = Some(occupant.created);
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -5,7 +5,7 @@
 use crate::orders;
 use crate::shared::Shared;
 use async_std::task;
-use dispatch::holder::{self, Step, TURN_SLACK};
+use dispatch::holder::{self, Step, TURN_SLACK, created};
 use dispatch::rollout::{Runner, in_load_order, next_loads};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
@@ -212,7 +212,7 @@
         self.telling.told = std::mem::take(&mut self.telling.begin);
         let value = serde_json::to_vec(&self.holding).expect("a list of names is always JSON");
         let transaction = Transaction {
-            expected: vec![(HOLDER_KEY.to_owned(), fence.0)],
+            expected: vec![(HOLDER_KEY.to_owned(), created(fence))],
             writes: vec![Write {
                 key: HOLDING_KEY.to_owned(),
                 value,
