Store eras: a router that starts asks others which document is the newest

What callers would see: keys that were taken away are served by routers that start, or come back from a cut, while the store shows the document before.

Cause: what such a router reads first is the newest that it knows.

Nobody's answer counts as none: after the loss of all routers there is nobody who knows better. Older routers don't know the question, and count as silent.

Tests: a_router_that_starts_asks_the_others_for_the_newest_document; with the question taken out it served at once (200 for 503).

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -12,7 +12,7 @@
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::Site;
 use dispatch::uptime::Span;
-use ids::{EndpointId, Fence};
+use ids::{EndpointId, Fence, Revision};
 use orders::Telling;
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,6 +66,13 @@
         /// When the store answered, this router or the one that it follows.
         answers: Span,
     },
+    /// Other routers told which document is the newest that they know.
+    DocumentTold {
+        /// None if nobody answered.
+        newest: Option<Revision>,
+        /// When the store held nothing newer than what was read.
+        confirmed: Duration,
+    },
     /// Something of the holder's own.
     Holder(dispatch::holder::Event),
     /// A load has ended, with the weights that are in place now, if it succeeded.
@@ -117,9 +124,10 @@
     occupant: Option<Fence>,
     /// What a holder said last; of a dead one only who was ordered counts.
     told: Holding,
-    /// Whether the document in the store could be read and is not older than the one in force. Any other confirms nothing: one that can't be
-    /// read may take keys away, and a store that shows an older one has lost what came after it.
-    current: bool,
+    /// The document in the store, if it could be read: one that could not may take keys away.
+    shown: Option<Revision>,
+    /// The newest document that other routers told of.
+    newest: Option<Revision>,
     in_touch: bool,
 }
 
@@ -145,7 +153,8 @@
             postponed: Postponed::default(),
             occupant: None,
             told: Holding::default(),
-            current: false,
+            shown: None,
+            newest: None,
             in_touch: false,
         }
     }
@@ -204,6 +213,17 @@
                 let shared = &self.shared;
                 shared.relay.apply(&changes, position, || self.confirm(confirmed));
             }
+            Event::DocumentTold { newest, confirmed } => {
+                self.newest = self.newest.max(newest);
+                if !self.is_current() {
+                    log::warn!(
+                        shown = self.shown.unwrap_or_default().0,
+                        newest = newest.unwrap_or_default().0;
+                        "configuration: another router has a newer one than the store"
+                    );
+                }
+                self.confirm(Some(confirmed));
+            }
             Event::Holder(event) => self.holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
             Event::List => self.tell(),
@@ -241,11 +261,18 @@
     /// Tells followers how current all is, and requests how fresh the document is.
     fn confirm(&self, confirmed: Option<Duration>) {
         *self.shared.uptime() = *self.roster.uptime();
-        if let Some(confirmed) = confirmed.filter(|_| self.current) {
+        if let Some(confirmed) = confirmed.filter(|_| self.is_current()) {
             self.shared.freshness().confirm(confirmed);
         }
     }
 
+    /// Whether the store shows a document that is not older than any that is known. One that came back from a copy has lost those that came
+    /// after it, and its answers confirm nothing.
+    fn is_current(&self) -> bool {
+        let known = self.newest.max(Some(self.shared.revision()));
+        self.shown.is_some() && self.shown >= known
+    }
+
     /// All there is: what is absent has gone.
     fn read(&mut self, items: Vec<Item>, now: Duration) {
         let prefix = self.shared.dialect.keys.endpoints;
@@ -354,7 +381,7 @@
     fn document(&mut self, item: &Item) {
         let read = (self.shared.dialect.document)(&item.value);
         let old = self.shared.revision();
-        self.current = read.as_ref().is_ok_and(|parts| parts.revision >= old);
+        self.shown = read.as_ref().ok().map(|parts| parts.revision);
         let parts = match read {
             Ok(parts) => parts,
             Err(err) => {
@@ -364,7 +391,7 @@
         };
         let none = self.shared.site.load().is_none();
         if !none && parts.revision <= old {
-            if !self.current {
+            if !self.is_current() {
                 log::warn!(revision = parts.revision.0, in_force = old.0; "configuration: the store shows an older one");
             }
             return;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -5,6 +5,7 @@
 //! for longer than the bound on revoked keys has to refuse. A short wait also shows a connection that has gone silent.
 
 mod backlogs;
+mod documents;
 pub mod loads;
 mod members;
 mod names;
@@ -278,13 +279,23 @@
         self.count("range", read.is_ok());
         let (items, position) = read?;
         self.forgotten = false;
+        let known = self.shared.relay.lock().log.position();
+        let misled = known.is_none_or(|known| known.era != position.era);
         let event = Event::Read {
             items,
             position,
-            confirmed: Some(sent),
+            confirmed: (!misled).then_some(sent),
             answers: self.answered(),
         };
         self.tell_and_wait(event, position).await;
+        if misled {
+            let newest = documents::newest(&self.shared).await;
+            let event = Event::DocumentTold {
+                newest,
+                confirmed: sent,
+            };
+            send(&self.shared, event).await;
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -1,6 +1,6 @@
 //! What this router knows of the store, for the routers that follow it.
 
-use super::{CURRENT, backlogs, loads, names, uptime};
+use super::{CURRENT, backlogs, documents, loads, names, uptime};
 use crate::shared::Shared;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
@@ -140,7 +140,7 @@
 pub fn answer(shared: &Arc<Shared>) -> Answer {
     let (items, prefixes) = (shared.clone(), shared.clone());
     let (fleet, known, store) = (shared.clone(), shared.clone(), shared.clone());
-    let waits = shared.clone();
+    let (waits, site) = (shared.clone(), shared.clone());
     Answer {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -162,6 +162,7 @@
         }),
         names: Arc::new(move |()| futures::future::ready(names::answer(&known)).boxed()),
         uptime: Arc::new(move |()| futures::future::ready(uptime::answer(&store)).boxed()),
+        document: Arc::new(move |()| futures::future::ready(documents::answer(&site)).boxed()),
     }
 }
 
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -13,7 +13,7 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::progressing;
-use ids::{ModelId, ServiceId, VmId};
+use ids::{ModelId, Revision, ServiceId, VmId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -171,7 +171,9 @@
 // The macro writes items that can't carry comments.
 #[allow(missing_docs)]
 mod calls {
-    use super::{BacklogTold, Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, SpanTold};
+    use super::{
+        BacklogTold, Follow, Followed, LoadExchange, LoadTold, NameTold, PrefixFollow, PrefixPage, Revision, SpanTold,
+    };
 
     /// What a router answers to its followers.
     #[tarpc::service]
@@ -188,6 +190,8 @@
         async fn names() -> Vec<NameTold>;
         /// Since when the store answers the router.
         async fn uptime() -> Option<SpanTold>;
+        /// The document that the router has in force.
+        async fn document() -> Option<Revision>;
     }
 }
 
@@ -211,6 +215,8 @@
     pub names: Answers<(), Vec<NameTold>>,
     /// Since when the store answers the router.
     pub uptime: Answers<(), Option<SpanTold>>,
+    /// The document that the router has in force.
+    pub document: Answers<(), Option<Revision>>,
 }
 
 #[derive(Clone)]
@@ -240,6 +246,10 @@
     async fn uptime(self, _: Context) -> Option<SpanTold> {
         (self.0.uptime)(()).await
     }
+
+    async fn document(self, _: Context) -> Option<Revision> {
+        (self.0.document)(()).await
+    }
 }
 
 /// Answers followers until the process ends.
@@ -353,6 +363,14 @@
         self.answer(within, self.client.uptime(latest(within))).await
     }
 
+    /// The document that the router has in force; absent if it has none.
+    ///
+    /// # Errors
+    /// The call failed, or no answer began to arrive in time.
+    pub async fn document(&self, within: Duration) -> Result<Option<Revision>, PeerError> {
+        self.answer(within, self.client.document(latest(within))).await
+    }
+
     /// Waits for an answer that begins to arrive within a time and does not stall after that.
     async fn answer<T>(
         &self,
