Store eras: only an older list is not believed about leaving

Leaving now holds against what a store that came back from a copy lists, for 10 s, and an endpoint's own word ends it.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -145,6 +145,7 @@
     pub fn replace(&mut self, mut list: Vec<ListChange>, now: Duration) -> Vec<RosterChange> {
         if self.restored_within(STALE, now) {
             list.retain(|change| !self.is_stale(change));
+            list.iter_mut().for_each(|change| self.keep_leaving(change));
         }
         let named = |change: &ListChange| match change {
             ListChange::Listed(entry) => entry.id.clone(),
@@ -195,10 +196,17 @@
         gone.is_some_and(|(life, _)| *life == entry.incarnation)
     }
 
-    fn list(&mut self, mut entry: EndpointEntry) -> Option<RosterChange> {
+    /// A life that leaves goes on leaving, whatever an older copy of the store says.
+    fn keep_leaving(&self, change: &mut ListChange) {
+        if let ListChange::Listed(entry) = change
+            && let Some(known) = self.entries.get(&entry.id)
+        {
+            entry.leaving |= known.leaving && known.incarnation == entry.incarnation;
+        }
+    }
+
+    fn list(&mut self, entry: EndpointEntry) -> Option<RosterChange> {
         let known = self.entries.get(&entry.id);
-        // A life that leaves doesn't come back, whatever an older copy of the store says.
-        entry.leaving |= known.is_some_and(|known| known.leaving && known.incarnation == entry.incarnation);
         if known.is_some_and(|known| **known == entry) {
             return None;
         }
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -342,4 +342,7 @@
     assert_eq!(open(&roster), ["goes", "stays", "young"]);
     let gone = roster.tick(at(17_000));
     assert_eq!(gone, [RosterChange::Gone(EndpointId::from("young"))]);
+    // An endpoint that changes its mind says so by itself.
+    roster.change(ListChange::Listed(entry("leaves", false)), at(18_000));
+    assert_eq!(open(&roster), ["goes", "leaves", "stays"]);
 }
