Placement: other routers' backlogs are added up once, not for each endpoint twice

Each choice looked at what up to 32 other routers had told, for every endpoint, twice. Ranks of lanes are hashed once an endpoint, not in each comparison.

--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -140,7 +140,7 @@
     /// What is ahead of a new request there, as prompt tokens.
     pub(super) fn queued(&self, known: &Known, now: Duration) -> u64 {
         let held_up = known.held_up(PREFILL_RATE, now).as_secs_f64() * PREFILL_RATE;
-        let told = self.others.tokens(ShortKey::from(known.key), now) as f64;
+        let told = self.others.tokens(ShortKey::from(known.key)) as f64;
         let reported = known.waiting(now) * WAITING_TOKENS;
         let others = told.max(reported).max(held_up) + known.running(now) * RUNNING_TOKENS;
         known.prefill() + others as u64
--- a/crates/dispatch/src/fleet/lanes.rs
+++ b/crates/dispatch/src/fleet/lanes.rs
@@ -100,7 +100,7 @@
             return Vec::new();
         }
         let count = self.generating_lane(all.len());
-        all.sort_by_key(|known| (coming(known), Reverse(rank(known.key))));
+        all.sort_by_cached_key(|known| (coming(known), Reverse(rank(known.key))));
         all.iter().take(count).map(|known| known.key).collect()
     }
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -240,6 +240,7 @@
 
     /// Chooses an endpoint; `draw` is uniform over all numbers.
     pub fn choose(&mut self, wish: &Wish<'_>, draw: u64, now: Duration) -> Choice {
+        self.others.add_up(now);
         let choice = self.choose_any(wish, draw, now);
         if let Choice::At(picked) = &choice
             && let Some(known) = self.known.get(&picked.endpoint.id)
