Placement: one test of soundness, and 'prefer' for endpoints that name a rate

The test 'live and not grey' stood twice in candidates.rs, and Fleet::limited had its own way of leaving endpoints out, which reckoned when each takes the next request also while others were open. It calls 'prefer' now, and reckons that only if none is.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -41,9 +41,8 @@
             return Standing::Full;
         }
         let belief = |known: &Known| self.health.belief(&known.entry.id);
-        let sound = |known: &Known| belief(known) == Belief::Live && known.trouble(now) < GREY;
         let reachable = |known: &Known| matches!(belief(known), Belief::Live | Belief::Suspected);
-        if !prefer(&mut open, sound) {
+        if !prefer(&mut open, |known| self.is_sound(known, now)) {
             prefer(&mut open, reachable);
         }
         Standing::Some(open)
@@ -51,10 +50,7 @@
 
     /// Endpoints that a prompt had better stay away from: those for long answers if it is long, and the others if its answer is.
     pub(super) fn apart(&self, wish: &Wish<'_>, prompt: &Prompt, now: Duration) -> impl Fn(&Known) -> bool {
-        let sound = |known: &&Known| {
-            let id = &known.entry.id;
-            !self.loading.contains(id) && self.health.belief(id) == Belief::Live && known.trouble(now) < GREY
-        };
+        let sound = |known: &&Known| !self.loading.contains(&known.entry.id) && self.is_sound(known, now);
         let everywhere = Wish { avoid: &[], ..*wish };
         let all = self.serving(&everywhere).filter(sound).collect();
         let own = self.lanes.get(wish.service);
@@ -74,12 +70,19 @@
 
     /// Leaves out endpoints that take no request from this router now; when to come back if there are no others.
     fn limited(&self, open: &mut Vec<&Known>, now: Duration) -> Option<Duration> {
+        let allowed = |known: &Known| self.rates.allow(ShortKey::from(known.key), now);
+        if self.rates.count() == 0 || prefer(open, allowed) {
+            return None;
+        }
         let after = open
             .iter()
             .map(|known| self.rates.after(ShortKey::from(known.key), now));
-        let after = after.min();
-        open.retain(|known| self.rates.allow(ShortKey::from(known.key), now));
-        after.filter(|_| open.is_empty())
+        after.min()
+    }
+
+    /// Whether an endpoint is reached and fails few of its attempts.
+    fn is_sound(&self, known: &Known, now: Duration) -> bool {
+        self.health.belief(&known.entry.id) == Belief::Live && known.trouble(now) < GREY
     }
 
     /// Leaves out endpoints that load soon, unless there are no others: an endpoint finishes what it runs before it loads, and
