--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -25,7 +25,7 @@
         let (name, prefix) = (random >> 36, random >> 20 & 0xffff_ffff);
         write!(
             text,
-            r#"{{"name":"r-{name:x}","host":"devo6.example","path_prefix":"/{prefix:x}/","kind":"safe","timeout_ms":800}},"#
+            r#"{{"name":"r-{name:x}","host":"site.example","prefix":"/{prefix:x}/","kind":"idempotent","timeout":800}},"#
         )
         .expect("written");
     }
@@ -46,7 +46,7 @@
 fn messages_of_older_routers_are_understood() {
     let follow: Follow = serde_json::from_str(r#"{"after":7,"wait_ms":600}"#).expect("a question");
     assert!(!follow.unpacks);
-    let item = r#"{"key":"op/config","value":"{}","revision":7,"created":1,"lease":0}"#;
+    let item = r#"{"key":"documents/newest","value":"{}","revision":7,"created":1,"lease":0}"#;
     let item: RelayItem = serde_json::from_str(item).expect("an item");
     assert!(!item.packed);
 }
