Followers' questions: one function asks some other routers

They call ask_others now, and share its limits. The log lines are what they were; the time from which an answer counts is taken once for all four, a moment earlier.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -9,6 +9,7 @@
 pub mod loads;
 mod members;
 mod names;
+mod others;
 mod prefixes;
 pub mod relay;
 mod uptime;
--- a/crates/gateway/src/follow/names.rs
+++ b/crates/gateway/src/follow/names.rs
@@ -4,14 +4,12 @@
 //! knows, it lets nobody begin on weights that may have been replaced too long ago; a neighbour that heard the naming can
 //! tell it how long engines with old weights may still serve.
 
-use super::Members;
+use super::others::{CALL, ask_others};
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::fleet::NameAge;
-use futures::future::join_all;
 use ids::ModelId;
-use peers::{Leader, NameTold, PeerError};
-use std::net::SocketAddr;
+use peers::{Leader, NameTold};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,10 +18,6 @@
 /// Longest pause while nobody knows, doubled with each question: a rollout takes several seconds, and after the loss of all routers
 /// there is nobody to tell.
 const LOOK_MOST: Duration = Duration::from_millis(1_600);
-/// Longest wait for a connection, and for an answer, which is there at once.
-const CALL: Duration = Duration::from_millis(300);
-/// Routers that are asked at once: two thirds may have gone at the same moment, and one that knows is enough.
-const ASKED: usize = 4;
 
 /// Asks other routers while an endpoint has weights of which this one doesn't know how long they may serve; until the process ends.
 pub async fn learn_names(shared: Arc<Shared>) {
@@ -52,23 +46,12 @@
 }
 
 async fn ask(shared: &Shared) {
-    let settings = shared.settings.load_full();
-    let others = Members::read(shared).some_others(&settings.vm, ASKED);
-    join_all(others.into_iter().map(|address| ask_one(shared, address))).await;
-}
-
-async fn ask_one(shared: &Shared, address: SocketAddr) {
     let sent = shared.clock.now();
-    match names(address).await {
-        Ok(told) => hear(shared, &told, sent),
-        // Others are asked as well, and again.
-        Err(err) => log::debug!(router:% = address, why:% = err; "weights: a router does not tell their age"),
-    }
-}
-
-async fn names(address: SocketAddr) -> Result<Vec<NameTold>, PeerError> {
-    let other = Leader::connect(address, CALL).await?;
-    other.names(CALL).await
+    let question = |other: Leader| async move {
+        hear(shared, &other.names(CALL).await?, sent);
+        Ok(())
+    };
+    ask_others(shared, "weights: a router does not tell their age", question).await;
 }
 
 /// An answer may have been under way since the question left.
--- a/crates/gateway/src/follow/uptime.rs
+++ b/crates/gateway/src/follow/uptime.rs
@@ -3,21 +3,15 @@
 //! An entry that is missing after a break in this router's answers has lapsed if the store was away, and was removed if only this router, or
 //! the one that it follows, was cut off. A router that the store answered all the while tells the one from the other.
 
-use super::Members;
+use super::others::{CALL, ask_others};
 use crate::control::{Event, send};
 use crate::shared::Shared;
 use async_std::task;
 use dispatch::uptime::Span;
-use futures::future::join_all;
-use peers::{Leader, PeerError, SpanTold};
-use std::net::SocketAddr;
+use peers::{Leader, SpanTold};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait for a connection, and for an answer, which is there at once.
-const CALL: Duration = Duration::from_millis(300);
-/// Routers that are asked at once. They are drawn anew each time: those of one failure domain may all be cut off.
-const ASKED: usize = 4;
 /// Questions after a break at most: after a real outage nobody can show that there was none.
 const ROUNDS: usize = 3;
 /// Pause between two questions.
@@ -55,26 +49,13 @@
 }
 
 async fn ask(shared: &Shared) {
-    let settings = shared.settings.load_full();
-    let others = Members::read(shared).some_others(&settings.vm, ASKED);
-    join_all(others.into_iter().map(|address| ask_one(shared, address))).await;
-}
-
-async fn ask_one(shared: &Shared, address: SocketAddr) {
     let sent = shared.clock.now();
-    match uptime(address).await {
-        Ok(told) => {
-            let span = told.and_then(|told| span(told, sent, shared.clock.now()));
-            if let Some(span) = span {
-                send(shared, Event::StoreWitnessed(span)).await;
-            }
+    let question = |other: Leader| async move {
+        let told = other.uptime(CALL).await?;
+        if let Some(span) = told.and_then(|told| span(told, sent, shared.clock.now())) {
+            send(shared, Event::StoreWitnessed(span)).await;
         }
-        // Others are asked as well.
-        Err(err) => log::debug!(router:% = address, why:% = err; "store: a router does not tell its uptime"),
-    }
-}
-
-async fn uptime(address: SocketAddr) -> Result<Option<SpanTold>, PeerError> {
-    let other = Leader::connect(address, CALL).await?;
-    other.uptime(CALL).await
+        Ok(())
+    };
+    ask_others(shared, "store: a router does not tell its uptime", question).await;
 }
