Freshness: a restored store proves nothing until the document is written again

Reads in the new era confirmed the older document, since nobody knew of a newer one.

No router can know what a backup lacks, not even one that was connected until the store failed. So a read in a new era confirms nothing until the document is written in that era, or 2.5 s have passed since the first read. A router that starts can't tell a new era from an old one: the lease holder records the verified era in the store (one write an era), and a backup holds an earlier one. An age that was confirmed in an earlier era is no longer relayed with the items of the new one.

Not covered: a restore to before the first record, with all routers restarted before the document is written.

--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -11,13 +11,25 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Freshness {
     confirmed: Option<Duration>,
+    /// The store's era in which it was confirmed.
+    era: u64,
+}
+
+/// Evidence that the known configuration is current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Confirmation {
+    /// The store answered a call that was sent at this time.
+    Store(Duration),
+    /// Another router had this confirmed at this time, in the era of the data that it sent.
+    Router(Duration),
 }
 
 impl Freshness {
     /// Records that a call sent at `sent` returned every write acknowledged before then. An older call whose response
     /// arrives late changes nothing.
-    pub fn confirm(&mut self, sent: Duration) {
+    pub fn confirm(&mut self, sent: Duration, era: u64) {
         self.confirmed = self.confirmed.max(Some(sent));
+        self.era = self.era.max(era);
     }
 
     /// Whether the configuration contains every write that was acknowledged more than `bound` ago.
@@ -26,6 +38,12 @@
             .is_some_and(|confirmed| now.saturating_sub(confirmed) < bound)
     }
 
+    /// Time since the newest confirmation, if it was made in this era. A confirmation of an earlier era says nothing
+    /// about the contents of a store that was restored since.
+    pub fn age_in(&self, era: u64, now: Duration) -> Option<Duration> {
+        self.age(now).filter(|_| self.era == era)
+    }
+
     /// Time since the newest confirmation.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.saturating_sub(confirmed))
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`site`] | which service a request goes to, and which workspace owns it |
 //! | [`freshness`] | whether the configuration is recent enough to check API keys |
+//! | [`era_check`] | whether a restored store holds the newest document |
 //! | [`uptime`] | how long the store has been available |
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
@@ -17,6 +18,7 @@
 
 pub mod attempt;
 mod decay;
+pub mod era_check;
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
--- a/crates/dispatch/tests/freshness.rs
+++ b/crates/dispatch/tests/freshness.rs
@@ -55,7 +55,7 @@
     for case in cases {
         let mut freshness = Freshness::default();
         for sent in case.sent {
-            freshness.confirm(at(*sent));
+            freshness.confirm(at(*sent), 0);
         }
         assert_eq!(
             freshness.is_fresh(BOUND, at(case.now)),
@@ -66,3 +66,14 @@
         );
     }
 }
+
+/// A follower that took an age confirmed before a restore for the age of the restored items would use a revoked key.
+#[test]
+fn an_age_confirmed_in_an_earlier_era_is_not_relayed() {
+    let mut freshness = Freshness::default();
+    freshness.confirm(at(1_000), 1);
+    assert_eq!(freshness.age_in(2, at(1_500)), None);
+    assert_eq!(freshness.age(at(1_500)), Some(at(500)));
+    freshness.confirm(at(1_400), 2);
+    assert_eq!(freshness.age_in(2, at(1_500)), Some(at(100)));
+}
--- a/crates/dispatch/tests/freshness_model.rs
+++ b/crates/dispatch/tests/freshness_model.rs
@@ -1,5 +1,6 @@
 //! Model test of freshness: random delays, freezes and restarts of routers, compared with a simple model of the store.
 
+use dispatch::era_check::{EraCheck, EraView, REWRITE_TIME};
 use dispatch::freshness::Freshness;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::time::Duration;
@@ -25,6 +26,10 @@
     Follow(usize, usize, Delays),
     Freeze(usize, u64),
     Restart(usize),
+    /// The store returns from a backup of this age; the operator writes the newest document again after a delay.
+    Restore(u64, u64),
+    /// A router records the era that it has verified in the store.
+    Record(usize),
 }
 
 impl Arbitrary for Action {
@@ -34,7 +39,9 @@
         let delay = |random: &mut Gen| {
             [below(random, 30), below(random, 30), below(random, 6_000)][usize::arbitrary(random) % 3]
         };
-        match below(random, 20) {
+        match below(random, 24) {
+            20 => Self::Restore(below(random, 10_000), below(random, REWRITE_TIME.as_millis() as u64)),
+            21 => Self::Record(router(random)),
             0..=3 => Self::Write(delay(random)),
             4 => Self::Freeze(router(random), below(random, 8_000)),
             5 => Self::Restart(router(random)),
@@ -44,9 +51,35 @@
     }
 }
 
+/// Contents of the store.
+#[derive(Clone, Copy)]
+struct Contents {
+    /// Number of writes of the document.
+    writes: usize,
+    /// Revision of the last change.
+    revision: u64,
+    /// Revision of the document's last write.
+    document: u64,
+    /// The era recorded as verified.
+    recorded: u64,
+}
+
+/// A response of the store or of another router.
+#[derive(Clone, Copy)]
+struct Response {
+    due: u64,
+    contents: Contents,
+    era: u64,
+    /// Age that another router confirmed; none in a response of the store.
+    relayed: Option<u64>,
+}
+
 #[derive(Default)]
 struct Router {
     freshness: Freshness,
+    era_check: EraCheck,
+    /// The last contents of the store that it has read, and their era.
+    read: Option<(Contents, u64)>,
     /// Number of writes that it has received.
     received: usize,
     /// The latest time up to which it has received every write.
@@ -63,13 +96,17 @@
     sent: u64,
     delays: Delays,
     arrives: u64,
-    /// When the response arrives, the number of writes that it contains, and their age.
-    response: Option<(u64, usize, u64)>,
+    response: Option<Response>,
 }
 
-#[derive(Default)]
 struct Model {
     now: u64,
+    contents: Contents,
+    era: u64,
+    /// Earlier contents with their times, for backups.
+    history: Vec<(u64, Contents)>,
+    /// When the operator writes the newest document again.
+    rewrite: Option<u64>,
     /// When each write was acknowledged.
     acknowledged: Vec<u64>,
     routers: Vec<Router>,
@@ -80,7 +117,19 @@
     fn on(&mut self, next: Action) {
         let now = self.now;
         let (from, upstream, delays) = match next {
-            Action::Write(delay) => return self.acknowledged.push(now + delay),
+            Action::Write(delay) => {
+                self.acknowledged.push(now + delay);
+                return self.write_document();
+            }
+            Action::Restore(age, delay) => return self.restore(age, delay),
+            Action::Record(at) => {
+                let verified = self.routers[at].era_check.verified() == Some(self.era);
+                if verified && self.routers[at].frozen_until <= now {
+                    let recorded = self.era;
+                    self.change(|contents| contents.recorded = recorded);
+                }
+                return;
+            }
             Action::Freeze(at, time) => return self.routers[at].frozen_until = now + time,
             Action::Restart(at) => {
                 let incarnation = self.routers[at].incarnation + 1;
@@ -107,14 +156,48 @@
         }
     }
 
+    fn change(&mut self, write: impl FnOnce(&mut Contents)) {
+        self.contents.revision += 1;
+        write(&mut self.contents);
+        self.history.push((self.now, self.contents));
+    }
+
+    fn write_document(&mut self) {
+        let writes = self.acknowledged.len();
+        self.change(|contents| {
+            contents.writes = writes;
+            contents.document = contents.revision;
+        });
+    }
+
+    fn restore(&mut self, age: u64, delay: u64) {
+        let backup = self.history.iter().rfind(|(at, _)| *at + age <= self.now);
+        self.contents = backup.unwrap_or(&self.history[0]).1;
+        self.era += 1;
+        self.history.push((self.now, self.contents));
+        self.rewrite = Some(self.now + delay);
+    }
+
     /// The response of the store or of a running router; `None` if that router has lost the store.
-    fn respond(&self, upstream: Option<usize>) -> Option<(usize, u64)> {
+    fn respond(&self, upstream: Option<usize>, delay: u64) -> Option<Response> {
+        let due = self.now + delay;
         let Some(upstream) = upstream else {
-            return Some((self.acknowledged.len(), 0));
+            return Some(Response {
+                due,
+                contents: self.contents,
+                era: self.era,
+                relayed: None,
+            });
         };
         let upstream = &self.routers[upstream];
-        let age = upstream.freshness.age(ms(self.now))?.as_millis() as u64;
-        (age <= FOLLOW_AGE).then_some((upstream.received, age))
+        let (contents, era) = upstream.read?;
+        let age = upstream.freshness.age_in(era, ms(self.now))?.as_millis() as u64;
+        (age <= FOLLOW_AGE).then_some(Response {
+            due,
+            contents,
+            era,
+            relayed: Some(age),
+        })
     }
 
     fn deliver_calls(&mut self) {
@@ -123,31 +206,51 @@
         for mut call in std::mem::take(&mut self.calls) {
             let frozen = |at: usize| self.routers[at].frozen_until > now;
             if call.response.is_none() && call.arrives <= now && !call.upstream.is_some_and(frozen) {
-                let Some((writes, age)) = self.respond(call.upstream) else {
+                let Some(response) = self.respond(call.upstream, call.delays.1) else {
                     continue;
                 };
-                call.response = Some((now + call.delays.1, writes, age));
+                call.response = Some(response);
             }
             match call.response {
-                Some((due, writes, age)) if due <= now && !frozen(call.from) => self.receive(&call, writes, age),
+                Some(response) if response.due <= now && !frozen(call.from) => self.receive(&call, response),
                 _ => pending.push(call),
             }
         }
         self.calls = pending;
     }
 
-    fn receive(&mut self, call: &Call, writes: usize, age: u64) {
+    fn receive(&mut self, call: &Call, response: Response) {
+        let now = ms(self.now);
         let router = &mut self.routers[call.from];
-        let Some(confirmed) = call
-            .sent
-            .checked_sub(age)
-            .filter(|_| router.incarnation == call.incarnation)
-        else {
+        let position = |contents: Contents, era: u64| (era, contents.revision);
+        let before = router.read.map(|(contents, era)| position(contents, era));
+        let (contents, era) = (response.contents, response.era);
+        if router.incarnation != call.incarnation || Some(position(contents, era)) < before {
+            return;
+        }
+        router.read = Some((contents, era));
+        let is_current = contents.writes >= router.received;
+        router.received = router.received.max(contents.writes);
+        let confirmed = match response.relayed {
+            Some(age) => {
+                router.era_check.verify(era);
+                call.sent.checked_sub(age)
+            }
+            None => {
+                let view = EraView {
+                    era,
+                    document: Some(contents.document),
+                    recorded: Some(contents.recorded),
+                };
+                let verified = router.era_check.is_verified(view, ms(call.sent), now);
+                verified.then_some(call.sent)
+            }
+        };
+        let Some(confirmed) = confirmed.filter(|_| is_current) else {
             return;
         };
-        router.received = router.received.max(writes);
         router.complete_until = router.complete_until.max(Some(confirmed));
-        router.freshness.confirm(ms(confirmed));
+        router.freshness.confirm(ms(confirmed), era);
     }
 
     /// Checks frozen routers too, since a router may admit a request right after it resumes.
@@ -178,16 +281,31 @@
 }
 
 fn run(actions: Vec<(u64, Action)>) -> Result<bool, String> {
+    // The deployment has run before: without a record of the era, a router takes its start for the first one.
+    let contents = Contents {
+        writes: 0,
+        revision: 1,
+        document: 1,
+        recorded: 1,
+    };
     let mut model = Model {
         now: 10_000,
+        contents,
+        era: 1,
+        history: vec![(0, contents)],
+        rewrite: None,
+        acknowledged: Vec::new(),
         routers: (0..ROUTERS).map(|_| Router::default()).collect(),
-        ..Model::default()
+        calls: Vec::new(),
     };
     for (pause, next) in actions {
         model.on(next);
         let end = model.now + pause % 400;
         while model.now < end {
             model.now += STEP;
+            if model.rewrite.take_if(|at| *at <= model.now).is_some() {
+                model.write_document();
+            }
             model.deliver_calls();
             model.check()?;
         }
@@ -195,8 +313,8 @@
     Ok(true)
 }
 
-/// Responses are delayed and reordered, and routers follow one another, freeze and restart. A router that considers its
-/// configuration fresh must not lack a write that was acknowledged longer than the bound ago: otherwise it would accept
+/// Responses are delayed and reordered, routers follow one another, freeze and restart, and the store is restored from backups. A
+/// router that considers its configuration fresh must not lack a write that was acknowledged longer than the bound ago: otherwise it would accept
 /// a revoked key.
 #[test]
 fn a_fresh_configuration_contains_all_writes_older_than_the_bound() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,7 +7,9 @@
 use crate::orders::ListSentAt;
 use crate::shared::Shared;
 use async_channel::Receiver;
+use dispatch::era_check::{EraCheck, EraView};
 use dispatch::fleet::TargetAge;
+use dispatch::freshness::Confirmation;
 use dispatch::holder::{ForeignOrders, Holder, HolderRecord, TIMES, fence};
 use dispatch::rollout::LoadBackoff;
 use dispatch::roster::{ListChange, Roster, RosterChange};
@@ -30,6 +32,8 @@
 pub const HOLDER_KEY: &str = "apricotfork/holder";
 /// Key of the load list.
 pub const LOAD_LIST_KEY: &str = "apricotfork/holding";
+/// Key under which the lease holder records the verified era of the store.
+pub const ERA_KEY: &str = "apricotfork/era";
 /// Time after the store's last response during which the load list is used. Later the lease, and with it the loads, may
 /// have ended.
 const LIST_MAX_AGE: Duration = Duration::from_millis(3_000);
@@ -53,8 +57,8 @@
         items: Vec<Item>,
         /// Position in the store's history that the items are complete up to.
         position: Position,
-        /// When the store was known to hold nothing newer.
-        confirmed: Option<Duration>,
+        /// Evidence that the store held nothing newer.
+        confirmed: Option<Confirmation>,
         /// Period in which the store answered this router or the one that it follows.
         uptime: Span,
     },
@@ -64,8 +68,8 @@
         changes: Vec<Change>,
         /// Position in the store's history that the changes are complete up to.
         position: Position,
-        /// When the store was known to hold nothing newer.
-        confirmed: Option<Duration>,
+        /// Evidence that the store held nothing newer.
+        confirmed: Option<Confirmation>,
         /// Period in which the store answered this router or the one that it follows.
         uptime: Span,
     },
@@ -73,8 +77,8 @@
     PeerDocument {
         /// Newest revision that any of them has; none if no router answered.
         newest: Option<Revision>,
-        /// When the store was known to hold nothing newer than what was read.
-        confirmed: Duration,
+        /// When the call that read the store was sent.
+        sent: Duration,
     },
     /// An event of the order lease.
     Holder(dispatch::holder::Event),
@@ -132,6 +136,13 @@
     stored_revision: Option<Revision>,
     /// Newest revision that other routers reported.
     peer_revision: Option<Revision>,
+    era_check: EraCheck,
+    /// The era that a lease holder recorded in the store as verified.
+    recorded_era: Option<u64>,
+    /// When this router, as lease holder, last sent such a record.
+    era_record_sent: Option<Duration>,
+    /// Store revision of the document's last write.
+    document_written: Option<u64>,
     store_reachable: bool,
 }
 
@@ -159,6 +170,10 @@
             holder_list: LoadList::default(),
             stored_revision: None,
             peer_revision: None,
+            era_check: EraCheck::default(),
+            recorded_era: None,
+            era_record_sent: None,
+            document_written: None,
             store_reachable: false,
         }
     }
@@ -195,14 +210,14 @@
                 confirmed,
                 uptime,
             } => {
-                let before = self.shared.relay.lock().log.position();
+                let before = self.position();
                 match before.filter(|before| before.era != position.era) {
                     Some(before) => self.store_restored(before, position, uptime),
                     None => self.store_answered(uptime),
                 }
                 self.shared.relay.replace(&items, position);
                 self.apply_snapshot(items, now);
-                self.confirm_freshness(confirmed);
+                self.confirm_freshness(confirmed, position.era, now);
             }
             Event::Changes {
                 changes,
@@ -214,12 +229,11 @@
                 for change in &changes {
                     self.apply_change(change, now);
                 }
-                let shared = &self.shared;
-                shared
-                    .relay
-                    .apply(&changes, position, || self.confirm_freshness(confirmed));
+                let shared = self.shared.clone();
+                let confirm = || self.confirm_freshness(confirmed, position.era, now);
+                shared.relay.apply(&changes, position, confirm);
             }
-            Event::PeerDocument { newest, confirmed } => {
+            Event::PeerDocument { newest, sent } => {
                 self.peer_revision = self.peer_revision.max(newest);
                 if !self.document_is_current() {
                     log::warn!(
@@ -228,7 +242,8 @@
                         "configuration: another router has a newer revision than the store"
                     );
                 }
-                self.confirm_freshness(Some(confirmed));
+                let era = self.position().map_or(0, |position| position.era);
+                self.confirm_freshness(Some(Confirmation::Store(sent)), era, now);
             }
             Event::Holder(event) => self.on_holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
@@ -264,12 +279,42 @@
         );
     }
 
+    /// Position of the last read of the store.
+    fn position(&self) -> Option<Position> {
+        self.shared.relay.lock().log.position()
+    }
+
     /// Records that the contents were current at this time, for followers and for requests.
-    fn confirm_freshness(&self, confirmed: Option<Duration>) {
+    fn confirm_freshness(&mut self, confirmed: Option<Confirmation>, era: u64, now: Duration) {
         *self.shared.uptime() = *self.roster.uptime();
+        let confirmed = confirmed.and_then(|confirmed| self.verify_era(confirmed, era, now));
         if let Some(confirmed) = confirmed.filter(|_| self.document_is_current()) {
-            self.shared.freshness().confirm(confirmed);
+            self.shared.freshness().confirm(confirmed, era);
+        }
+    }
+
+    /// The time up to which the contents are complete; none if the store may lack documents that a restore lost.
+    fn verify_era(&mut self, confirmed: Confirmation, era: u64, now: Duration) -> Option<Duration> {
+        let before = self.era_check.verified();
+        let at = match confirmed {
+            Confirmation::Router(at) => {
+                self.era_check.verify(era);
+                Some(at)
+            }
+            Confirmation::Store(sent) => {
+                let view = EraView {
+                    era,
+                    document: self.document_written,
+                    recorded: self.recorded_era,
+                };
+                self.era_check.is_verified(view, sent, now).then_some(sent)
+            }
+        };
+        let after = self.era_check.verified();
+        if before != after {
+            log::info!(era = era, recorded = self.recorded_era.unwrap_or_default(); "configuration: era verified");
         }
+        at
     }
 
     /// Whether the document in the store is at least as new as any known document. A store that was restored from a
@@ -293,6 +338,8 @@
         if !rest.iter().any(|item| item.key == HOLDER_KEY) {
             self.item_removed(HOLDER_KEY);
         }
+        self.recorded_era = None;
+        self.document_written = None;
         for item in &rest {
             self.item_written(item, now);
         }
@@ -371,6 +418,7 @@
         match item.key.as_str() {
             HOLDER_KEY => self.read_holder(item),
             LOAD_LIST_KEY => self.read_load_list(item, now),
+            ERA_KEY => self.read_recorded_era(item),
             key if key == keys.document => self.read_document(item),
             key if key.starts_with(keys.weights) => self.read_weights(item, now),
             _ => {}
@@ -385,7 +433,17 @@
         }
     }
 
+    fn read_recorded_era(&mut self, item: &Item) {
+        let era = String::from_utf8_lossy(&item.value).parse();
+        if let Err(err) = &era {
+            log::error!(why:% = err; "store: cannot parse the recorded era");
+        }
+        // An unreadable record must not look like a first start, which needs no verification.
+        self.recorded_era = Some(era.unwrap_or_default());
+    }
+
     fn read_document(&mut self, item: &Item) {
+        self.document_written = Some(item.revision);
         let read = (self.shared.dialect.parse_document)(&item.value);
         let old = self.shared.revision();
         self.stored_revision = read.as_ref().ok().map(|parts| parts.revision);
@@ -441,8 +499,7 @@
     }
 
     fn read_holder(&mut self, item: &Item) {
-        let position = self.shared.relay.lock().log.position();
-        let era = position.map_or(0, |position| position.era);
+        let era = self.position().map_or(0, |position| position.era);
         let record = HolderRecord {
             name: String::from_utf8_lossy(&item.value).into_owned(),
             created: fence(era, item.created),
@@ -526,6 +583,7 @@
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
         self.on_holder_event(dispatch::holder::Event::Tick);
         self.queue_loads(now);
+        self.record_era(now);
     }
 
     fn lock_holder(&self) -> MutexGuard<'_, Holder> {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -1,6 +1,6 @@
 //! Acquires and renews the order lease, and schedules the lease holder's orders.
 
-use super::{Control, Event, HOLDER_KEY, LOAD_LIST_KEY, lock, send};
+use super::{Control, ERA_KEY, Event, HOLDER_KEY, LOAD_LIST_KEY, lock, send};
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders;
 use crate::shared::Shared;
@@ -21,6 +21,9 @@
 /// Longest wait for the response to a call about the lease: twice the store's longest response time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time after which a record of the verified era that has not appeared in the store is written again.
+const RECORD_RETRY: Duration = Duration::from_secs(3);
+
 /// A pending write of the load list.
 #[derive(Debug, Default)]
 pub(super) struct ListWrite {
@@ -255,6 +258,39 @@
         }
     }
 
+    /// Records the verified era in the store, once per era, for routers that start later.
+    pub(super) fn record_era(&mut self, now: Duration) {
+        let Some(fence) = self.lock_holder().may_order(now) else {
+            return;
+        };
+        let era = self.position().map_or(0, |position| position.era);
+        let is_due = self.era_record_sent.is_none_or(|sent| now >= sent + RECORD_RETRY);
+        let is_recorded = era == 0 || self.recorded_era == Some(era);
+        if is_recorded || !is_due || self.era_check.verified() != Some(era) || !self.document_is_current() {
+            return;
+        }
+        self.era_record_sent = Some(now);
+        let transaction = Transaction {
+            expected: vec![(HOLDER_KEY.to_owned(), created(fence))],
+            writes: vec![Write {
+                key: ERA_KEY.to_owned(),
+                value: era.to_string().into_bytes(),
+                lease: NO_LEASE,
+            }],
+        };
+        let shared = self.shared.clone();
+        task::spawn(async move {
+            let client = Client::new(shared.settings.load().store, shared.dialect.store);
+            let committed = client.commit(&transaction, CALL_TIMEOUT).await;
+            count(&shared, "era", committed.is_ok());
+            match committed {
+                Ok(CommitOutcome::Done(_)) => log::info!(era = era; "store: verified era recorded"),
+                Ok(outcome) => log::warn!(era = era, outcome:? = outcome; "store: verified era not recorded"),
+                Err(err) => log::warn!(era = era, why:% = err; "store: cannot record the verified era"),
+            }
+        });
+    }
+
     pub(super) fn probe(&self, now: Duration) {
         let due = self.shared.fleet().due_probes(now);
         for entry in due {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -24,6 +24,7 @@
 use crate::control::{Event, send};
 use crate::shared::Shared;
 use async_std::task;
+use dispatch::freshness::Confirmation;
 use dispatch::uptime::Span;
 use ids::VmId;
 use peers::{Follow, FollowResponse, PeerError, Upstream};
@@ -242,7 +243,9 @@
             return self.drop_upstream(vm, "its data is older");
         };
         let age = response.age_ms.map(Duration::from_millis);
-        let confirmed = age.and_then(|age| answered_at.checked_sub(age));
+        let confirmed = age
+            .and_then(|age| answered_at.checked_sub(age))
+            .map(Confirmation::Router);
         match self.send_followed(response, position, confirmed, uptime).await {
             Ok(()) => self.upstream = Some((vm, upstream)),
             Err(err) => self.drop_upstream(vm, &err.to_string()),
@@ -253,7 +256,7 @@
         &self,
         response: FollowResponse,
         position: Position,
-        confirmed: Option<Duration>,
+        confirmed: Option<Confirmation>,
         uptime: Span,
     ) -> Result<(), PeerError> {
         let items = response.items.into_iter().map(relay::from_relay_item);
@@ -294,16 +297,13 @@
         let event = Event::Snapshot {
             items,
             position,
-            confirmed: (!unverified).then_some(sent),
+            confirmed: (!unverified).then_some(Confirmation::Store(sent)),
             uptime: self.uptime_now(),
         };
         self.send_and_wait(event, position).await;
         if unverified {
             let newest = documents::newest(&self.shared).await;
-            let event = Event::PeerDocument {
-                newest,
-                confirmed: sent,
-            };
+            let event = Event::PeerDocument { newest, sent };
             send(&self.shared, event).await;
         }
         Ok(())
@@ -329,7 +329,7 @@
                 let event = Event::Changes {
                     changes: changes.changes,
                     position,
-                    confirmed: Some(sent),
+                    confirmed: Some(Confirmation::Store(sent)),
                     uptime: self.uptime_now(),
                 };
                 self.send_and_wait(event, position).await;
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -196,7 +196,8 @@
     let waited = shared.clock.now().saturating_sub(asked);
     let mut state = shared.relay.lock();
     let since = state.log.since(after);
-    let age = shared.freshness().age(shared.clock.now());
+    let era = since.position.map_or(0, |position| position.era);
+    let age = shared.freshness().age_in(era, shared.clock.now());
     let answers = uptime::response(&shared);
     let mut removed = since.removed;
     let mut items = Vec::with_capacity(since.items.len());
