Try: a successor takes over the loads of its predecessor

A lease holder that is lost in a rollout leaves a third of the engines loading, and its successor ordered another third: 5 of 9 loaded at once (handover, red before). It now lists those as adopted, counts them, and reads their reports until they have ended.

--- a/crates/dispatch/tests/loading.rs
+++ b/crates/dispatch/tests/loading.rs
@@ -227,3 +227,57 @@
     // Two without a pause, then with pauses of 0.3, 0.6 and 1.2 s.
     assert!((6..=9).contains(&orders), "{orders}");
 }
+
+/// Without an end, a load that the previous holder never ordered would keep an endpoint from serving.
+#[test]
+fn an_adopted_load_ends_with_the_weights_or_without_an_order() {
+    struct Case {
+        name: &'static str,
+        weights: u64,
+        busy: bool,
+        after_ms: u64,
+        next: Next,
+    }
+    let poll = Next::Poll(Duration::from_millis(80));
+    let cases = [
+        Case {
+            name: "the endpoint loads",
+            weights: 1,
+            busy: true,
+            after_ms: 5_000,
+            next: poll,
+        },
+        Case {
+            name: "it has loaded",
+            weights: 2,
+            busy: false,
+            after_ms: 100,
+            next: Next::Done(2),
+        },
+        Case {
+            name: "its report may be older than the order",
+            weights: 1,
+            busy: false,
+            after_ms: 100,
+            next: poll,
+        },
+        Case {
+            name: "it executes no order",
+            weights: 1,
+            busy: false,
+            after_ms: 800,
+            next: Next::Order { expected: 4 },
+        },
+    ];
+    for case in cases {
+        let adopted_at = Duration::from_secs(10);
+        let mut loading = Loading::adopted(2, adopted_at);
+        let report = Report {
+            weights: Some(case.weights),
+            busy: case.busy,
+            orders: 4,
+        };
+        let now = adopted_at + Duration::from_millis(case.after_ms);
+        assert_eq!(loading.on_report(Some(report), 2, now), case.next, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -119,6 +119,8 @@
     holder: Arc<Mutex<Holder>>,
     holder_name: String,
     loading: BTreeSet<EndpointId>,
+    /// Those of `loading` that an earlier lease holder ordered.
+    adopted: BTreeSet<EndpointId>,
     /// When loads ended. The load list names these endpoints for the next lease holder.
     load_ends: BTreeMap<EndpointId, Duration>,
     own_list: LoadList,
@@ -160,6 +162,7 @@
             holder: Arc::new(Mutex::new(holder)),
             holder_name,
             loading: BTreeSet::new(),
+            adopted: BTreeSet::new(),
             load_ends: BTreeMap::new(),
             own_list: LoadList::default(),
             list_write: ListWrite::default(),
@@ -560,8 +563,9 @@
         let is_recent = age.is_some_and(|age| age < LIST_MAX_AGE);
         let mut fleet = self.shared.fleet();
         if is_recent && self.holder_fence == Some(self.holder_list.fence) {
-            let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
-            fleet.set_loading(set(&self.holder_list.loading), set(&self.holder_list.upcoming));
+            let list = &self.holder_list;
+            let loading = list.loading.iter().chain(&list.adopted).cloned().collect();
+            fleet.set_loading(loading, list.upcoming.iter().cloned().collect());
         } else {
             fleet.set_loading(BTreeSet::new(), BTreeSet::new());
         }
