--- a/crates/dispatch/src/loading.rs
+++ b/crates/dispatch/src/loading.rs
@@ -68,19 +68,6 @@
 }
 
 impl Loading {
-    /// State of a load that an earlier lease holder may have ordered before `now`. It ends when the endpoint has the
-    /// target weights, or when reports show that no order is being executed, which [`Next::Order`] tells.
-    pub fn adopted(target: u64, now: Duration) -> Self {
-        Self {
-            ordered: Some(SentOrder {
-                expected: 0,
-                weights: target,
-                at: now,
-            }),
-            ..Self::default()
-        }
-    }
-
     /// Handles a report, or `None` if it could not be fetched.
     pub fn on_report(&mut self, report: Option<Report>, target: u64, now: Duration) -> Next {
         let Some(report) = report else {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -37,9 +37,6 @@
 /// Time after the store's last response during which the load list is used. Later the lease, and with it the loads, may
 /// have ended.
 const LIST_MAX_AGE: Duration = Duration::from_millis(3_000);
-/// Time after the end of the order lease during which its last load list is used. Loads in progress continue without
-/// the holder, and last about this long; a successor writes its own list within this time.
-const ORPHANED_LIST_TIME: Duration = Duration::from_millis(1_500);
 /// Longest random delay before a router tries to acquire the order lease. The first router's write reaches the others
 /// within milliseconds.
 const MAX_STAGGER: Duration = Duration::from_millis(300);
@@ -122,8 +119,6 @@
     holder: Arc<Mutex<Holder>>,
     holder_name: String,
     loading: BTreeSet<EndpointId>,
-    /// Those of `loading` that an earlier lease holder ordered.
-    adopted: BTreeSet<EndpointId>,
     /// When loads ended. The load list names these endpoints for the next lease holder.
     load_ends: BTreeMap<EndpointId, Duration>,
     own_list: LoadList,
@@ -136,8 +131,6 @@
     holder_fence: Option<Fence>,
     /// Last load list that a lease holder wrote. Once the holder has left, only the endpoints that it ordered matter.
     holder_list: LoadList,
-    /// Until when that list is used although its holder has lost the lease.
-    list_until: Duration,
     /// Revision of the document in the store. None if it could not be parsed: such a document may revoke keys, so it
     /// confirms nothing.
     stored_revision: Option<Revision>,
@@ -167,7 +160,6 @@
             holder: Arc::new(Mutex::new(holder)),
             holder_name,
             loading: BTreeSet::new(),
-            adopted: BTreeSet::new(),
             load_ends: BTreeMap::new(),
             own_list: LoadList::default(),
             list_write: ListWrite::default(),
@@ -176,7 +168,6 @@
             load_backoff: LoadBackoff::default(),
             holder_fence: None,
             holder_list: LoadList::default(),
-            list_until: Duration::ZERO,
             stored_revision: None,
             peer_revision: None,
             era_check: EraCheck::default(),
@@ -436,7 +427,8 @@
 
     fn item_removed(&mut self, key: &str) {
         if key == HOLDER_KEY {
-            self.set_holder_fence(None);
+            self.holder_fence = None;
+            self.update_loading();
             self.on_holder_event(dispatch::holder::Event::KeyObserved(None));
         }
     }
@@ -513,16 +505,9 @@
             created: fence(era, item.created),
             lease: item.lease,
         };
-        self.set_holder_fence(Some(record.created));
-        self.on_holder_event(dispatch::holder::Event::KeyObserved(Some(record)));
-    }
-
-    fn set_holder_fence(&mut self, fence: Option<Fence>) {
-        if self.holder_fence != fence && self.holder_fence == Some(self.holder_list.fence) {
-            self.list_until = self.shared.clock.now() + ORPHANED_LIST_TIME;
-        }
-        self.holder_fence = fence;
+        self.holder_fence = Some(record.created);
         self.update_loading();
+        self.on_holder_event(dispatch::holder::Event::KeyObserved(Some(record)));
     }
 
     /// Reads a load list that a lease holder wrote.
@@ -555,7 +540,6 @@
             }
         }
         self.holder_list = list;
-        self.list_until = Duration::ZERO;
         self.update_loading();
     }
 
@@ -567,25 +551,20 @@
         entry.is_some_and(|entry| entry.incarnation == loaded.incarnation)
     }
 
-    /// Marks the endpoints of the load list as loading, while its holder has the lease and for a short time after, and
-    /// only while the store responds. The list remains in the store when its holder fails, and routers that start later
-    /// read it. If they used it, they would avoid working engines until another holder writes a list. While the store
-    /// does not respond, the end of a load would go unnoticed. Ignoring the list is safe, because endpoints that are
-    /// still loading reject requests, but a request that may be sent only once fails there.
+    /// Marks the endpoints of the load list as loading, but only while its holder has the lease and the store responds.
+    /// The list remains in the store when its holder fails, and routers that start later read it. If they used it, they
+    /// would avoid working engines until another holder writes a list. While the store does not respond, the end of a
+    /// load would go unnoticed. Ignoring the list is safe, because endpoints that are still loading reject requests.
     fn update_loading(&self) {
-        let now = self.shared.clock.now();
-        let age = self.roster.uptime().age(now);
+        let age = self.roster.uptime().age(self.shared.clock.now());
         let is_recent = age.is_some_and(|age| age < LIST_MAX_AGE);
-        let list = &self.holder_list;
-        let is_held = self.holder_fence == Some(list.fence);
         let mut fleet = self.shared.fleet();
-        if !is_recent || !(is_held || now < self.list_until) {
-            return fleet.set_loading(BTreeSet::new(), BTreeSet::new());
+        if is_recent && self.holder_fence == Some(self.holder_list.fence) {
+            let set = |ids: &[EndpointId]| ids.iter().cloned().collect();
+            fleet.set_loading(set(&self.holder_list.loading), set(&self.holder_list.upcoming));
+        } else {
+            fleet.set_loading(BTreeSet::new(), BTreeSet::new());
         }
-        let loading = list.loading.iter().chain(&list.adopted).cloned().collect();
-        // Nobody orders the endpoints that load next until there is another holder.
-        let upcoming = list.upcoming.iter().filter(|_| is_held).cloned().collect();
-        fleet.set_loading(loading, upcoming);
     }
 
     fn tick(&mut self, now: Duration) {
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -9,7 +9,6 @@
 use dispatch::rollout::{LoadCandidate, plan_loads, sort_by_load_order};
 use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Fence, ModelId};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use store::items::{Client, CommitOutcome, ItemsError, Transaction, Write};
@@ -52,11 +51,9 @@
             log::info!(holds = after.is_some(); "orders: lease changed");
             self.own_list = LoadList::default();
             self.loading.clear();
-            self.adopted.clear();
             self.load_ends.clear();
             self.list_write = ListWrite::default();
             self.list_sent.clear();
-            self.adopt_loads(now);
             self.queue_loads(now);
         }
         if let Some(step) = step {
@@ -81,8 +78,15 @@
         if self.lock_holder().may_order(now).is_none() {
             return;
         }
+        let targets: Vec<(ModelId, u64)> = {
+            let fleet = self.shared.fleet();
+            fleet
+                .targets()
+                .map(|(model, weights)| (model.clone(), weights))
+                .collect()
+        };
         self.list_write.upcoming.clear();
-        for (model, weights) in self.targets() {
+        for (model, weights) in targets {
             let runners = self.load_candidates(&model);
             let delay = self.shared.settings.load().bounds.turn() + HANDOVER_SLACK;
             let free: Vec<LoadCandidate> = runners
@@ -117,56 +121,18 @@
         runners
     }
 
-    /// Takes over the loads that the previous lease holder may have ordered. Each of them keeps an endpoint from serving
-    /// and takes a share of the weight store. If they didn't count, a pool whose holder is lost in a rollout would have
-    /// two thirds of its endpoints loading, and requests would be sent to endpoints that reject them.
-    fn adopt_loads(&mut self, now: Duration) {
-        let Some(fence) = self.lock_holder().may_order(now) else {
-            return;
-        };
-        let listed = self.holder_list.loading.iter().chain(&self.holder_list.adopted);
-        let listed: BTreeSet<EndpointId> = listed.cloned().collect();
-        for (model, weights) in self.targets() {
-            let outdated = self.load_candidates(&model).into_iter();
-            let outdated = outdated.filter(|runner| runner.weights < weights && listed.contains(&runner.endpoint));
-            for LoadCandidate { endpoint, .. } in outdated {
-                if self.loading.insert(endpoint.clone()) {
-                    self.adopted.insert(endpoint.clone());
-                    self.spawn_load(endpoint, model.clone(), fence, true);
-                }
-            }
-        }
-        if !self.adopted.is_empty() {
-            log::info!(endpoints = self.adopted.len(); "orders: taking over loads of the previous holder");
-            self.schedule_list_write();
-        }
-    }
-
-    fn targets(&self) -> Vec<(ModelId, u64)> {
-        let fleet = self.shared.fleet();
-        fleet
-            .targets()
-            .map(|(model, weights)| (model.clone(), weights))
-            .collect()
-    }
-
     fn start_load(&mut self, endpoint: EndpointId, model: ModelId) {
-        self.spawn_load(endpoint, model, self.own_list.fence, false);
-    }
-
-    fn spawn_load(&mut self, endpoint: EndpointId, model: ModelId, fence: Fence, adopted: bool) {
         let Some(entry) = self.roster.get(&endpoint).cloned() else {
             return self.load_ended(endpoint, None);
         };
         let load = orders::LoadTask {
             shared: self.shared.clone(),
             holder: self.holder.clone(),
-            fence,
+            fence: self.own_list.fence,
             list_sent: self.list_sent.clone(),
             holder_name: self.holder_name.clone(),
             entry,
             model,
-            adopted,
         };
         task::spawn(load.run());
     }
@@ -176,18 +142,14 @@
             return;
         }
         let now = self.shared.clock.now();
-        let adopted = self.adopted.remove(&endpoint);
-        if !adopted {
-            self.load_ends.insert(endpoint.clone(), now);
-        }
+        self.load_ends.insert(endpoint.clone(), now);
         match loaded {
             Some(loaded) => {
                 self.own_list.loaded.retain(|known| known.endpoint != endpoint);
                 self.own_list.loaded.push(loaded);
             }
-            // The load failed because this router lost the order lease, or an order of the previous holder was not
-            // executed. The endpoint needs no backoff.
-            None if adopted || self.lock_holder().may_order(now).is_none() => {}
+            // The load failed because this router lost the order lease, so the endpoint needs no backoff.
+            None if self.lock_holder().may_order(now).is_none() => {}
             None => self.load_backoff.record_failure(endpoint, now),
         }
         self.queue_loads(now);
@@ -241,8 +203,7 @@
         self.drop_foreign_ordered(delay, now);
         self.load_ends.retain(|_, at| now.saturating_sub(*at) < delay);
         self.own_list.fence = fence;
-        self.own_list.loading = self.loading.difference(&self.adopted).cloned().collect();
-        self.own_list.adopted = self.adopted.iter().cloned().collect();
+        self.own_list.loading = self.loading.iter().cloned().collect();
         self.own_list.upcoming.clone_from(&self.list_write.upcoming);
         self.own_list.recent = self.load_ends.keys().cloned().collect();
         let before = self.turns.recent(delay, now);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -193,9 +193,6 @@
     #[serde(default)]
     #[serde(rename = "before")]
     pub foreign: Vec<(EndpointId, u64)>,
-    /// Endpoints that may still load because an earlier lease holder ordered them. This holder sends them no order.
-    #[serde(default)]
-    pub adopted: Vec<EndpointId>,
     /// Endpoints that have finished loading.
     pub loaded: Vec<LoadedWeights>,
 }
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -45,8 +45,6 @@
     pub entry: Arc<EndpointEntry>,
     /// The model.
     pub model: ModelId,
-    /// Whether an earlier lease holder ordered the load. This one only waits for its end.
-    pub adopted: bool,
 }
 
 /// When the load list that the store holds now was sent; zero if it holds none of this holder.
@@ -82,11 +80,7 @@
             weights,
         });
         if loaded.is_none() {
-            log::warn!(
-                endpoint = self.entry.id.as_str(),
-                adopted = self.adopted;
-                "orders: load timed out or could not start"
-            );
+            log::warn!(endpoint = self.entry.id.as_str(); "orders: load timed out or could not start");
         }
         let endpoint = self.entry.id.clone();
         send(&self.shared, Event::LoadEnded { endpoint, loaded }).await;
@@ -94,11 +88,7 @@
 
     /// The weights that are loaded at the end; none if this router may no longer send orders.
     async fn run_steps(&self) -> Option<u64> {
-        let mut loading = if self.adopted {
-            Loading::adopted(self.target()?, self.shared.clock.now())
-        } else {
-            Loading::default()
-        };
+        let mut loading = Loading::default();
         let mut connection = CallConnection::new(self.entry.address);
         loop {
             let target = self.target()?;
@@ -106,9 +96,6 @@
             let report = self.report(&mut connection).await;
             let mut next = loading.on_report(report, target, self.shared.clock.now());
             if let Next::Order { expected } = next {
-                if self.adopted {
-                    return None;
-                }
                 next = if self.ensure_listed().await {
                     let (sent, outcome) = self.order(target, expected).await?;
                     loading.on_outcome(sent, outcome)
