--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,19 +1,19 @@
 //! The control thread. It alone changes the document in force, the roster of endpoints and the state of the order
 //! lease.
 
+mod documents;
 pub mod orders;
 
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders::ListSentAt;
 use crate::shared::Shared;
 use async_channel::Receiver;
-use dispatch::era_check::{EraCheck, EraView};
+use dispatch::era_check::EraCheck;
 use dispatch::fleet::TargetAge;
 use dispatch::freshness::Confirmation;
 use dispatch::holder::{ForeignOrders, Holder, HolderRecord, TIMES, fence};
 use dispatch::rollout::LoadBackoff;
 use dispatch::roster::{ListChange, Roster, RosterChange};
-use dispatch::site::Site;
 use dispatch::uptime::Span;
 use ids::{EndpointId, Fence, Revision};
 use orders::ListWrite;
@@ -210,7 +210,7 @@
                 confirmed,
                 uptime,
             } => {
-                let before = self.position();
+                let before = self.shared.relay.position();
                 match before.filter(|before| before.era != position.era) {
                     Some(before) => self.store_restored(before, position, uptime),
                     None => self.store_answered(uptime),
@@ -233,18 +233,7 @@
                 let confirm = || self.confirm_freshness(confirmed, position.era, now);
                 shared.relay.apply(&changes, position, confirm);
             }
-            Event::PeerDocument { newest, sent } => {
-                self.peer_revision = self.peer_revision.max(newest);
-                if !self.document_is_current() {
-                    log::warn!(
-                        shown = self.stored_revision.unwrap_or_default().0,
-                        newest = newest.unwrap_or_default().0;
-                        "configuration: another router has a newer revision than the store"
-                    );
-                }
-                let era = self.position().map_or(0, |position| position.era);
-                self.confirm_freshness(Some(Confirmation::Store(sent)), era, now);
-            }
+            Event::PeerDocument { newest, sent } => self.read_peer_document(newest, sent, now),
             Event::Holder(event) => self.on_holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
             Event::RefreshLoadList => self.schedule_list_write(),
@@ -279,52 +268,6 @@
         );
     }
 
-    /// Position of the last read of the store.
-    fn position(&self) -> Option<Position> {
-        self.shared.relay.lock().log.position()
-    }
-
-    /// Records that the contents were current at this time, for followers and for requests.
-    fn confirm_freshness(&mut self, confirmed: Option<Confirmation>, era: u64, now: Duration) {
-        *self.shared.uptime() = *self.roster.uptime();
-        let confirmed = confirmed.and_then(|confirmed| self.verify_era(confirmed, era, now));
-        if let Some(confirmed) = confirmed.filter(|_| self.document_is_current()) {
-            self.shared.freshness().confirm(confirmed, era);
-        }
-    }
-
-    /// The time up to which the contents are complete; none if the store may lack documents that a restore lost.
-    fn verify_era(&mut self, confirmed: Confirmation, era: u64, now: Duration) -> Option<Duration> {
-        let before = self.era_check.verified();
-        let at = match confirmed {
-            Confirmation::Router(at) => {
-                self.era_check.verify(era);
-                Some(at)
-            }
-            Confirmation::Store(sent) => {
-                let view = EraView {
-                    era,
-                    document: self.document_written,
-                    recorded: self.recorded_era,
-                };
-                self.era_check.is_verified(view, sent, now).then_some(sent)
-            }
-        };
-        let after = self.era_check.verified();
-        if before != after {
-            log::info!(era = era, recorded = self.recorded_era.unwrap_or_default(); "configuration: era verified");
-        }
-        at
-    }
-
-    /// Whether the document in the store is at least as new as any known document. A store that was restored from a
-    /// backup lacks documents written after the backup, so its responses do not confirm that the document in force is
-    /// current.
-    fn document_is_current(&self) -> bool {
-        let known = self.peer_revision.max(Some(self.shared.revision()));
-        self.stored_revision.is_some() && self.stored_revision >= known
-    }
-
     /// Applies all items of the store. Whatever is not among them was removed.
     fn apply_snapshot(&mut self, items: Vec<Item>, now: Duration) {
         let prefix = self.shared.dialect.keys.endpoints;
@@ -433,49 +376,6 @@
         }
     }
 
-    fn read_recorded_era(&mut self, item: &Item) {
-        let era = String::from_utf8_lossy(&item.value).parse();
-        if let Err(err) = &era {
-            log::error!(why:% = err; "store: cannot parse the recorded era");
-        }
-        // An unreadable record must not look like a first start, which needs no verification.
-        self.recorded_era = Some(era.unwrap_or_default());
-    }
-
-    fn read_document(&mut self, item: &Item) {
-        self.document_written = Some(item.revision);
-        let read = (self.shared.dialect.parse_document)(&item.value);
-        let old = self.shared.revision();
-        self.stored_revision = read.as_ref().ok().map(|parts| parts.revision);
-        let parts = match read {
-            Ok(parts) => parts,
-            Err(err) => {
-                log::error!(why:% = err; "configuration: cannot parse the document, keeping the previous revision");
-                return;
-            }
-        };
-        let is_first = self.shared.site.load().is_none();
-        if !is_first && parts.revision <= old {
-            if !self.document_is_current() {
-                log::warn!(
-                    revision = parts.revision.0,
-                    in_force = old.0;
-                    "configuration: the store holds an older revision"
-                );
-            }
-            return;
-        }
-        log::info!(
-            revision = parts.revision.0,
-            before = old.0,
-            routes = parts.routes.len(),
-            bytes = item.value.len();
-            "configuration: in force"
-        );
-        self.shared.metrics.revision.set(parts.revision.0 as i64);
-        self.shared.site.store(Some(Arc::new(Site::new(parts))));
-    }
-
     fn read_weights(&self, item: &Item, now: Duration) {
         match (self.shared.dialect.parse_weights)(&item.value) {
             Ok(target) => {
@@ -499,10 +399,9 @@
     }
 
     fn read_holder(&mut self, item: &Item) {
-        let era = self.position().map_or(0, |position| position.era);
         let record = HolderRecord {
             name: String::from_utf8_lossy(&item.value).into_owned(),
-            created: fence(era, item.created),
+            created: fence(self.era(), item.created),
             lease: item.lease,
         };
         self.holder_fence = Some(record.created);
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -1,6 +1,6 @@
 //! Acquires and renews the order lease, and schedules the lease holder's orders.
 
-use super::{Control, ERA_KEY, Event, HOLDER_KEY, LOAD_LIST_KEY, lock, send};
+use super::{Control, Event, HOLDER_KEY, LOAD_LIST_KEY, lock, send};
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders;
 use crate::shared::Shared;
@@ -21,9 +21,6 @@
 /// Longest wait for the response to a call about the lease: twice the store's longest response time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time after which a record of the verified era that has not appeared in the store is written again.
-const RECORD_RETRY: Duration = Duration::from_secs(3);
-
 /// A pending write of the load list.
 #[derive(Debug, Default)]
 pub(super) struct ListWrite {
@@ -216,18 +213,9 @@
         self.list_write.sent_at = now;
         self.list_write.pending = std::mem::take(&mut self.list_write.next);
         let value = serde_json::to_vec(&self.own_list).expect("a list of names always serializes");
-        let transaction = Transaction {
-            expected: vec![(HOLDER_KEY.to_owned(), created(fence))],
-            writes: vec![Write {
-                key: LOAD_LIST_KEY.to_owned(),
-                value,
-                lease: NO_LEASE,
-            }],
-        };
         let shared = self.shared.clone();
         task::spawn(async move {
-            let client = Client::new(shared.settings.load().store, shared.dialect.store);
-            let committed = client.commit(&transaction, CALL_TIMEOUT).await;
+            let committed = write_as_holder(&shared, fence, LOAD_LIST_KEY, value).await;
             count(&shared, "tell", committed.is_ok());
             if let Err(err) = &committed {
                 log::warn!(why:% = err; "orders: cannot write the load list");
@@ -258,39 +246,6 @@
         }
     }
 
-    /// Records the verified era in the store, once per era, for routers that start later.
-    pub(super) fn record_era(&mut self, now: Duration) {
-        let Some(fence) = self.lock_holder().may_order(now) else {
-            return;
-        };
-        let era = self.position().map_or(0, |position| position.era);
-        let is_due = self.era_record_sent.is_none_or(|sent| now >= sent + RECORD_RETRY);
-        let is_recorded = era == 0 || self.recorded_era == Some(era);
-        if is_recorded || !is_due || self.era_check.verified() != Some(era) || !self.document_is_current() {
-            return;
-        }
-        self.era_record_sent = Some(now);
-        let transaction = Transaction {
-            expected: vec![(HOLDER_KEY.to_owned(), created(fence))],
-            writes: vec![Write {
-                key: ERA_KEY.to_owned(),
-                value: era.to_string().into_bytes(),
-                lease: NO_LEASE,
-            }],
-        };
-        let shared = self.shared.clone();
-        task::spawn(async move {
-            let client = Client::new(shared.settings.load().store, shared.dialect.store);
-            let committed = client.commit(&transaction, CALL_TIMEOUT).await;
-            count(&shared, "era", committed.is_ok());
-            match committed {
-                Ok(CommitOutcome::Done(_)) => log::info!(era = era; "store: verified era recorded"),
-                Ok(outcome) => log::warn!(era = era, outcome:? = outcome; "store: verified era not recorded"),
-                Err(err) => log::warn!(era = era, why:% = err; "store: cannot record the verified era"),
-            }
-        });
-    }
-
     pub(super) fn probe(&self, now: Duration) {
         let due = self.shared.fleet().due_probes(now);
         for entry in due {
@@ -299,6 +254,25 @@
     }
 }
 
+/// Writes a key without a lease, on condition that the order lease with this fencing token is still held.
+pub(super) async fn write_as_holder(
+    shared: &Shared,
+    fence: Fence,
+    key: &str,
+    value: Vec<u8>,
+) -> Result<CommitOutcome, ItemsError> {
+    let client = Client::new(shared.settings.load().store, shared.dialect.store);
+    let transaction = Transaction {
+        expected: vec![(HOLDER_KEY.to_owned(), created(fence))],
+        writes: vec![Write {
+            key: key.to_owned(),
+            value,
+            lease: NO_LEASE,
+        }],
+    };
+    client.commit(&transaction, CALL_TIMEOUT).await
+}
+
 async fn acquire(shared: &Shared, client: &Client, name: String, ttl: Duration) {
     let requested = shared.clock.now();
     let granted = client.grant(ttl, CALL_TIMEOUT).await;
@@ -342,7 +316,7 @@
     send(shared, Event::Holder(event)).await;
 }
 
-fn count(shared: &Shared, call: &str, done: bool) {
+pub(super) fn count(shared: &Shared, call: &str, done: bool) {
     let outcome = if done { "ok" } else { "failed" };
     shared.metrics.store.with_label_values(&[call, outcome]).inc();
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -126,7 +126,7 @@
 
     async fn step(&mut self) -> Result<(), ItemsError> {
         self.update_address();
-        let known = self.shared.relay.lock().log.position();
+        let known = self.shared.relay.position();
         let Some(known) = known.filter(|_| !self.needs_read) else {
             self.read().await?;
             task::sleep(self.register_wait()).await;
@@ -292,7 +292,7 @@
         self.count("range", read.is_ok());
         let (items, position) = read?;
         self.needs_read = false;
-        let known = self.shared.relay.lock().log.position();
+        let known = self.shared.relay.position();
         let unverified = known.is_none_or(|known| known.era != position.era);
         let event = Event::Snapshot {
             items,
@@ -356,7 +356,7 @@
     /// Sends an event and waits until the control thread has applied it, because the next call starts at its position.
     async fn send_and_wait(&self, event: Event, position: Position) {
         send(&self.shared, event).await;
-        while self.shared.relay.lock().log.position() < Some(position) {
+        while self.shared.relay.position() < Some(position) {
             task::sleep(Duration::from_millis(1)).await;
         }
     }
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -41,6 +41,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Position in the store's history that the copy is complete up to; none before the first read.
+    pub fn position(&self) -> Option<Position> {
+        self.lock().log.position()
+    }
+
     /// Replaces all items with those at a position.
     pub fn replace(&self, items: &[Item], position: Position) {
         let mut state = self.lock();
