--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
+//! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
 //! | [`prefixes`] | what engines fetch from and save to the prefix stores |
@@ -25,6 +26,7 @@
 pub mod loading;
 pub mod prefixes;
 pub mod pressure;
+pub mod quotas;
 pub mod retries;
 pub mod rollout;
 pub mod roster;
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -88,8 +88,41 @@
     pub prefixes: Option<SocketAddr>,
 }
 
+/// What a quota counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaUnit {
+    /// Requests.
+    Requests,
+    /// Prompt tokens and maximum output tokens together.
+    Tokens {
+        /// Cost of a request that does not state its tokens.
+        unstated: u64,
+    },
+}
+
+impl QuotaUnit {
+    /// Cost of a request with `tokens`, if its head states them.
+    pub fn cost(self, tokens: Option<u64>) -> f64 {
+        match self {
+            Self::Requests => 1.0,
+            Self::Tokens { unstated } => tokens.unwrap_or(unstated) as f64,
+        }
+    }
+}
+
+/// Limit on what a workspace may use, over all routers together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaSpec {
+    /// Units per second.
+    pub rate: f64,
+    /// Units that may be used at once after a pause.
+    pub burst: f64,
+    /// What is counted.
+    pub unit: QuotaUnit,
+}
+
 /// A workspace of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct WorkspaceSpec {
     /// ID of the workspace.
     pub id: WorkspaceId,
@@ -97,6 +130,8 @@
     pub rank: Option<u8>,
     /// Whether it shares no cached prefixes with other workspaces.
     pub isolated: bool,
+    /// Limit on its use; none if it is unlimited.
+    pub quota: Option<QuotaSpec>,
 }
 
 /// Limits on client requests and connections.
@@ -151,7 +186,7 @@
 }
 
 /// The owner of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Owner<'a> {
     /// The route or the configuration requires no API key.
     Anonymous,
@@ -193,6 +228,11 @@
         self.limits
     }
 
+    /// Quotas of the workspaces that have one.
+    pub fn quotas(&self) -> impl Iterator<Item = (&WorkspaceId, QuotaSpec)> {
+        self.workspaces.iter().filter_map(|spec| Some((&spec.id, spec.quota?)))
+    }
+
     /// Addresses of the prefix stores.
     pub fn prefix_stores(&self) -> Vec<SocketAddr> {
         self.services.values().filter_map(|service| service.prefixes).collect()
--- a/crates/dispatch/tests/site.rs
+++ b/crates/dispatch/tests/site.rs
@@ -28,6 +28,7 @@
             id: WorkspaceId::from(*name),
             rank: None,
             isolated: false,
+            quota: None,
         };
         (spec, vec![(*key).to_owned()])
     };
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -39,6 +39,8 @@
     pub key: Option<String>,
     /// How long the client waits for the response.
     pub timeout: Option<Duration>,
+    /// Prompt tokens and maximum output tokens together, if the client states them.
+    pub tokens: Option<u64>,
     /// The prompt, if the request is for a model.
     pub prompt: Option<Prompt>,
 }
