News between routers goes through the followed routers, and carries the use of quotas

Workspaces' quotas (429 over_quota) need the same exchange. Change: a follower reports its backlog and use of quotas to the router that it follows and gets the sums over all others and the levels of workspaces near their quotas back; the followed routers send each other their subtotals. crates/gateway/src/news replaces follow/backlogs.rs. A quota is checked before anything else is done for a request; attempts that have certainly not run are returned.

--- a/crates/apricotfork/tests/check_command.rs
+++ b/crates/apricotfork/tests/check_command.rs
@@ -150,6 +150,14 @@
             exit: 1,
             expected: &["bounds.revoke_ms", "bounds.retry_ratio", "bounds.grace_s"],
         },
+        Case {
+            name: "bounds of quotas out of range",
+            text: gateway_settings(|all| {
+                all["bounds"] = json!({"quota_window_s": 0, "quota_excess": -0.1, "quota_slack": -1});
+            }),
+            exit: 1,
+            expected: &["bounds.quota_window_s", "bounds.quota_excess", "bounds.quota_slack"],
+        },
         Case {
             name: "an unknown level",
             text: gateway_settings(|all| all["log_level"] = json!("loud")),
--- a/crates/control/src/following.rs
+++ b/crates/control/src/following.rs
@@ -47,9 +47,14 @@
     eligible.map(|(vm, _)| vm.clone()).collect()
 }
 
+/// The routers of a domain that get updates from the store and serve the others, given those that may.
+pub fn watchers<'a>(domain: &DomainId, eligible: &'a [VmId]) -> Vec<&'a VmId> {
+    choose(domain.as_str(), eligible, WATCHERS)
+}
+
 /// Where `own` gets updates from, given the routers of its domain. Non-watching routers are spread over the watchers.
 pub fn update_source<'a>(own: &VmId, domain: &DomainId, live: &'a [VmId]) -> UpdateSource<'a> {
-    let watchers = choose(domain.as_str(), live, WATCHERS);
+    let watchers = watchers(domain, live);
     if watchers.is_empty() || watchers.contains(&own) {
         return UpdateSource::Store;
     }
--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -1,6 +1,8 @@
 //! Measures the time to choose an engine, by pool size: `cargo run --release -p dispatch --example choice_cost`.
 
-use dispatch::fleet::{Backlog, Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, ShortKey, TargetAge};
+use dispatch::fleet::{
+    Backlog, BacklogSource, Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, ShortKey, TargetAge,
+};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, VmId};
@@ -63,7 +65,7 @@
     fleet
 }
 
-/// Announces the backlogs of as many peers as one router receives them from.
+/// Reports the backlogs of as many routers as one router receives them from.
 fn announce_backlogs(fleet: &mut Fleet, endpoints: u64) {
     for router in 0..ROUTERS {
         let tokens = (0..BACKLOG_ENDPOINTS).map(|index| {
@@ -74,7 +76,8 @@
             tokens: tokens.collect(),
             lane_tokens: Vec::new(),
         };
-        fleet.update_backlog(&VmId::from(format!("vm-{router}")), &backlog, START);
+        let source = BacklogSource::Follower(VmId::from(format!("vm-{router}")));
+        fleet.update_backlog(source, backlog, START);
     }
 }
 
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -213,6 +213,8 @@
     Full,
     /// The rate limits of the endpoints are reached. Holds the time after which to retry.
     Limited(Duration),
+    /// The workspace's quota is used up. Holds the time after which to retry.
+    OverQuota(Duration),
     /// First events are late, and this request was shed.
     Overloaded,
     /// The deadline has passed.
@@ -255,6 +257,8 @@
         Cause::NoRoute => 404,
         Cause::SlowClient => 408,
         Cause::BodyTooLarge => 413,
+        // Nothing is sent before the quota is checked.
+        Cause::OverQuota(_) => 429,
         Cause::HeadTooLarge => 431,
         Cause::NotReady | Cause::Stale => 503,
         Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::Overloaded if not_run => 503,
@@ -262,6 +266,7 @@
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
+        (429, Cause::OverQuota(after)) => Some(after),
         (503, Cause::Full) => Some(RETRY_FULL),
         (503, Cause::Limited(after)) => Some(after.max(RETRY_NO_ENDPOINT)),
         (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
@@ -291,6 +296,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Full => "full",
             Self::Limited(_) => "limited",
+            Self::OverQuota(_) => "over_quota",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::EndpointFailed => "endpoint_failed",
--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -2,24 +2,26 @@
 //!
 //! Load pattern: a dozen routers, each of which sends a long prompt now and then. Endpoints report their load only on
 //! answers, and an endpoint that reads a prompt for a second answers nobody. It looks idle to each router, and all
-//! send their next request there. So routers announce their backlogs to each other. An announcement expires after
-//! [`BACKLOG_TTL`], because a router that crashes can't withdraw it.
+//! send their next request there. So routers report their backlogs. With a message from each router to each other, the
+//! reports would take most of a router's processor time. Instead, each follower reports to the router that it follows,
+//! these routers send each other the sums of their followers, and each follower receives the sum over all others in the
+//! response to its report. A report expires after [`BACKLOG_TTL`], because a router that crashes can't withdraw it.
 
 use super::{LaneTokens, ShortKey};
 use ids::{ServiceId, VmId};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-/// How long an announced backlog is valid. Routers with waiting requests repeat it sooner.
+/// How long a reported backlog is valid. Routers with waiting requests repeat it sooner.
 const BACKLOG_TTL: Duration = Duration::from_millis(1_200);
 
-/// How long the sums are valid without a new announcement; older announcements expire meanwhile.
+/// How long the sums are valid without a new report; older reports expire meanwhile.
 const SUMS_TTL: Duration = Duration::from_millis(50);
 
-/// How long the announced lane tokens of a router count.
+/// How long the reported lane tokens of a router count.
 const ROUTER_TTL: Duration = Duration::from_secs(10);
 
-/// What a router announces to peers.
+/// What a router reports, or the sum of what several routers reported.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Backlog {
     /// Endpoints with waiting requests, and the prompt tokens not read yet.
@@ -35,27 +37,88 @@
     lane_tokens: Vec<(ServiceId, LaneTokens)>,
 }
 
-/// The latest announcements of all peers.
+/// Where a backlog was received from.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum BacklogSource {
+    /// The followed router: the sum over all other routers.
+    Upstream,
+    /// A follower: its own backlog.
+    Follower(VmId),
+    /// Another router that has followers: the sum over itself and them.
+    Watcher(VmId),
+}
+
+impl BacklogSource {
+    fn is_follower(&self) -> bool {
+        matches!(self, Self::Follower(_))
+    }
+}
+
+/// The latest reports of other routers.
 #[derive(Debug, Default)]
 pub(super) struct PeerBacklogs {
-    received: HashMap<VmId, ReceivedBacklog>,
+    received: HashMap<BacklogSource, ReceivedBacklog>,
     /// Prompt tokens by endpoint, summed over all routers.
     sums: HashMap<ShortKey, u64>,
     summed_at: Option<Duration>,
 }
 
 impl PeerBacklogs {
-    /// Replaces the announcement of a peer.
-    pub(super) fn update(&mut self, router: &VmId, backlog: &Backlog, now: Duration) {
+    /// Replaces the report from a source.
+    pub(super) fn update(&mut self, source: BacklogSource, backlog: Backlog, now: Duration) {
         self.summed_at = None;
         self.received
             .retain(|_, received| now.saturating_sub(received.received_at) < ROUTER_TTL);
         let received = ReceivedBacklog {
             received_at: now,
-            tokens: backlog.tokens.clone(),
-            lane_tokens: backlog.lane_tokens.clone(),
+            tokens: backlog.tokens,
+            lane_tokens: backlog.lane_tokens,
+        };
+        self.received.insert(source, received);
+    }
+
+    /// Drops the report from a source.
+    pub(super) fn remove(&mut self, source: &BacklogSource) {
+        self.received.remove(source);
+        self.summed_at = None;
+    }
+
+    /// Sum of `own` and the valid reports from the sources for which `is_included` holds.
+    fn sum(&self, own: Backlog, is_included: impl Fn(&BacklogSource) -> bool, now: Duration) -> Backlog {
+        let mut tokens: BTreeMap<ShortKey, u64> = own.tokens.into_iter().collect();
+        let mut lanes: BTreeMap<ServiceId, LaneTokens> = own.lane_tokens.into_iter().collect();
+        for (_, received) in self.received.iter().filter(|(source, _)| is_included(source)) {
+            let age = now.saturating_sub(received.received_at);
+            if age < BACKLOG_TTL {
+                for (endpoint, count) in &received.tokens {
+                    *tokens.entry(*endpoint).or_default() += count;
+                }
+            }
+            if age < ROUTER_TTL {
+                for (service, lane_tokens) in &received.lane_tokens {
+                    lanes.entry(service.clone()).or_default().add(lane_tokens);
+                }
+            }
+        }
+        Backlog {
+            tokens: tokens.into_iter().collect(),
+            lane_tokens: lanes.into_iter().collect(),
+        }
+    }
+
+    /// Sum over this router and its followers.
+    pub(super) fn subtotal(&self, own: Backlog, now: Duration) -> Backlog {
+        self.sum(own, BacklogSource::is_follower, now)
+    }
+
+    /// Sum over all routers except a follower.
+    pub(super) fn total_without(&self, follower: &VmId, own: Backlog, now: Duration) -> Backlog {
+        let is_included = |source: &BacklogSource| match source {
+            BacklogSource::Upstream => false,
+            BacklogSource::Follower(vm) => vm != follower,
+            BacklogSource::Watcher(_) => true,
         };
-        self.received.insert(router.clone(), received);
+        self.sum(own, is_included, now)
     }
 
     /// Prompt tokens read recently for the requests of peers to a service.
@@ -68,8 +131,8 @@
         sum
     }
 
-    /// Recomputes the sums of the valid announcements. The sums are cached because choices are more frequent than
-    /// announcements, and each choice needs two lookups per endpoint.
+    /// Recomputes the sums of the valid reports. The sums are cached because choices are more frequent than reports,
+    /// and each choice needs two lookups per endpoint.
     pub(super) fn refresh_sums(&mut self, now: Duration) {
         if self
             .summed_at
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 mod staleness;
 mod targets;
 
-pub use backlogs::Backlog;
+pub use backlogs::{Backlog, BacklogSource};
 pub use endpoint_state::{LoadReport, LoadUpdate, Outcome, ShortKey};
 pub use engines::{Prompt, PromptPart};
 pub use lanes::LaneTokens;
@@ -307,7 +307,7 @@
         }
     }
 
-    /// Returns the backlog that this router announces to peers.
+    /// Returns the backlog that this router reports.
     pub fn own_backlog(&self, now: Duration) -> Backlog {
         let pending = self.endpoints.values().filter(|state| state.pending_tokens() > 0);
         let lane_tokens = self.lane_tokens.iter();
@@ -321,9 +321,24 @@
         }
     }
 
-    /// Replaces the backlog announced by a peer.
-    pub fn update_backlog(&mut self, router: &VmId, backlog: &Backlog, now: Duration) {
-        self.peer_backlogs.update(router, backlog, now);
+    /// Returns the backlog of this router and its followers, for other routers that have followers.
+    pub fn backlog_subtotal(&self, now: Duration) -> Backlog {
+        self.peer_backlogs.subtotal(self.own_backlog(now), now)
+    }
+
+    /// Returns the backlog of all routers except one follower, for that follower.
+    pub fn backlog_without(&self, follower: &VmId, now: Duration) -> Backlog {
+        self.peer_backlogs.total_without(follower, self.own_backlog(now), now)
+    }
+
+    /// Replaces the backlog received from a source.
+    pub fn update_backlog(&mut self, source: BacklogSource, backlog: Backlog, now: Duration) {
+        self.peer_backlogs.update(source, backlog, now);
+    }
+
+    /// Drops the backlog received from a source, which would otherwise be counted twice until it expires.
+    pub fn remove_backlog(&mut self, source: &BacklogSource) {
+        self.peer_backlogs.remove(source);
     }
 
     /// Records the load that an endpoint reported to this router.
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -1,7 +1,9 @@
 //! Simulates routers that send long and short prompts to engines, without I/O and in steps of a millisecond.
 
 use super::fleet::{at, fleet, model, service};
-use dispatch::fleet::{Choice, Fleet, LoadReport, Outcome, PickContext, PickedEndpoint, Prompt, PromptPart};
+use dispatch::fleet::{
+    BacklogSource, Choice, Fleet, LoadReport, Outcome, PickContext, PickedEndpoint, Prompt, PromptPart,
+};
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, VmId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -252,10 +254,10 @@
         }
         for from in due {
             let backlog = self.fleets[from].own_backlog(at(now));
-            let sender = VmId::from(format!("router-{from}").as_str());
+            let sender = BacklogSource::Follower(VmId::from(format!("router-{from}").as_str()));
             for (to, fleet) in self.fleets.iter_mut().enumerate() {
                 if to != from {
-                    fleet.update_backlog(&sender, &backlog, at(now));
+                    fleet.update_backlog(sender.clone(), backlog.clone(), at(now));
                 }
             }
         }
--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -115,7 +115,9 @@
             "configuration: in force"
         );
         self.shared.metrics.revision.set(parts.revision.0 as i64);
-        self.shared.site.store(Some(Arc::new(Site::new(parts))));
+        let site = Arc::new(Site::new(parts));
+        self.shared.quotas().configure(site.quotas(), self.shared.clock.now());
+        self.shared.site.store(Some(site));
     }
 
     /// Records the verified era in the store, once per era, for routers that start later.
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -2,11 +2,12 @@
 
 use crate::shared::Shared;
 use async_std::future::timeout;
-use control::following::{UpdateSource, eligible_upstreams, update_source};
+use control::following::{UpdateSource, eligible_upstreams, update_source, watchers};
 use control::rendezvous;
 use ids::{DomainId, VmId};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -80,21 +81,36 @@
             .collect()
     }
 
-    /// Addresses of at most `limit` other routers, starting with those of this router's failure domain.
-    pub fn others(&self, own: &VmId, limit: usize) -> Vec<SocketAddr> {
-        let same_domain = self.same_domain.iter().filter(|(vm, _)| vm != own).take(limit);
-        let mut others: Vec<SocketAddr> = same_domain.map(|(_, member)| member.address).collect();
-        // Each router orders them differently, so that updates reach all domains.
-        let mut other_domains: Vec<&(VmId, Member)> = self.other_domains.iter().collect();
-        other_domains.sort_by_cached_key(|(vm, _)| rendezvous::weight(own.as_str(), vm));
-        let remaining = limit - others.len();
-        others.extend(
-            other_domains
-                .into_iter()
-                .take(remaining)
-                .map(|(_, member)| member.address),
-        );
-        others
+    /// The routers of all failure domains that watch the store, except `own`.
+    pub fn other_watchers(&self, own: &VmId) -> Vec<(VmId, SocketAddr)> {
+        let mut domains: BTreeMap<&DomainId, Vec<&(VmId, Member)>> = BTreeMap::new();
+        for router in self.same_domain.iter().chain(&self.other_domains) {
+            domains.entry(&router.1.domain).or_default().push(router);
+        }
+        let mut found = Vec::new();
+        for (domain, routers) in domains {
+            let links: Vec<(VmId, f64)> = routers.iter().map(|(vm, member)| (vm.clone(), member.link)).collect();
+            let eligible = eligible_upstreams(&links);
+            let chosen = watchers(domain, &eligible);
+            let watching = routers.iter().filter(|(vm, _)| vm != own && chosen.contains(&vm));
+            found.extend(watching.map(|(vm, member)| (vm.clone(), member.address)));
+        }
+        found
+    }
+
+    /// The routers to report to, best first: those that this router may follow, then the watchers of other domains.
+    /// Empty if this router watches the store.
+    pub fn collectors(&self, own: &VmId, domain: &DomainId) -> Vec<(VmId, SocketAddr)> {
+        let mut found = self.upstreams(own, domain);
+        if found.is_empty() {
+            return found;
+        }
+        let mut others = self.other_watchers(own);
+        others.retain(|(vm, _)| found.iter().all(|(known, _)| known != vm));
+        // Each router orders them differently, so that they share the work of a domain that lost its watchers.
+        others.sort_by_cached_key(|(vm, _)| rendezvous::weight(own.as_str(), vm));
+        found.extend(others);
+        found
     }
 
     /// Addresses of `count` other routers, drawn at random. Half of them are in this router's failure domain, if it has
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -5,17 +5,15 @@
 //! without a confirmation for longer than the bound on revoked keys must refuse requests, and a short wait detects a
 //! silently broken connection.
 
-mod backlogs;
 mod documents;
 pub mod loads;
-mod members;
+pub mod members;
 mod others;
 mod prefixes;
 pub mod relay;
 mod uptime;
 mod weight_ages;
 
-pub use backlogs::publish_backlogs;
 pub use members::{Members, register};
 pub use prefixes::follow_prefixes;
 pub use uptime::query_uptime;
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -1,6 +1,7 @@
 //! This router's copy of the store's contents, for the routers that follow it.
 
-use super::{MAX_STORE_AGE, backlogs, documents, loads, uptime, weight_ages};
+use super::{MAX_STORE_AGE, documents, loads, uptime, weight_ages};
+use crate::news;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
@@ -150,7 +151,7 @@
 pub fn handlers(shared: &Arc<Shared>) -> RelayHandlers {
     let (items, prefixes) = (shared.clone(), shared.clone());
     let (fleet, ages, store) = (shared.clone(), shared.clone(), shared.clone());
-    let (backlog, site) = (shared.clone(), shared.clone());
+    let (report, subtotal, site) = (shared.clone(), shared.clone(), shared.clone());
     RelayHandlers {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -166,8 +167,9 @@
             futures::future::ready(pages).boxed()
         }),
         loads: Arc::new(move |request| futures::future::ready(loads::handle(&fleet, &request)).boxed()),
-        backlog: Arc::new(move |update| {
-            backlogs::apply(&backlog, &update);
+        report: Arc::new(move |message| futures::future::ready(news::handle_report(&report, message)).boxed()),
+        subtotal: Arc::new(move |message| {
+            news::handle_subtotal(&subtotal, message);
             futures::future::ready(()).boxed()
         }),
         target_ages: Arc::new(move |()| futures::future::ready(weight_ages::response(&ages)).boxed()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Network tasks and timers of a router in front of routed services.
 //!
 //! [`front`] accepts client connections, [`serve`] forwards each request, [`connections`] connects to endpoints,
-//! [`follow`] keeps a copy of the store's contents, and [`orders`] sends the lease holder's orders to endpoints. The
+//! [`follow`] keeps a copy of the store's contents, [`news`] exchanges load and use of quotas between routers, and [`orders`] sends the lease holder's orders to endpoints. The
 //! [`Dialect`] defines the names and formats of the site. The `dispatch` crate makes all decisions.
 
 mod connections;
@@ -10,6 +10,7 @@
 mod follow;
 mod front;
 mod metrics;
+mod news;
 mod orders;
 mod run;
 mod serve;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,11 @@
     pub store: IntCounterVec,
     /// Received bytes of responses that were abandoned before they were complete, by sender (the store or a router).
     pub given_up: IntCounterVec,
+    /// Exchanges of news with other routers by call and outcome.
+    pub news: IntCounterVec,
+    /// Requests refused because the quota of their workspace is used up, by workspace. Workspaces come from the
+    /// document, so their number is bounded.
+    pub over_quota: IntCounterVec,
     /// Orders to endpoints by outcome.
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
@@ -77,6 +82,16 @@
                 "Bytes that had arrived of answers that were given up, by sender",
                 &["sender"],
             ),
+            news: counters(
+                "news_calls_total",
+                "Exchanges of news with other routers by call and outcome",
+                &["call", "outcome"],
+            ),
+            over_quota: counters(
+                "over_quota_total",
+                "Requests refused over the quota of their workspace",
+                &["workspace"],
+            ),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
             revision: gauge("config_revision", "Revision of the document in force"),
--- /dev/null
+++ b/crates/gateway/src/news/collect.rs
@@ -0,0 +1,45 @@
+//! The answers of a router that collects reports.
+
+use super::message;
+use crate::shared::Shared;
+use dispatch::fleet::BacklogSource;
+use dispatch::quotas::Subtotal;
+use peers::{ReportMessage, SubtotalMessage, TotalsMessage};
+
+/// Handles a follower's report. Returns none if this router collects no reports; the follower then keeps its report for
+/// another router.
+pub fn handle_report(shared: &Shared, report: ReportMessage) -> Option<TotalsMessage> {
+    let now = shared.clock.now();
+    let usage = message::parse_usage(report.usage);
+    let levels = {
+        let mut quotas = shared.quotas();
+        if !quotas.is_watcher() {
+            return None;
+        }
+        quotas.receive_report(&report.router, &usage, now)
+    };
+    let source = BacklogSource::Follower(report.router.clone());
+    message::apply_backlog(shared, source, report.backlog, now);
+    // The other watchers learn of it with the next subtotal.
+    shared.news_changed();
+    let fleet = shared.fleet();
+    let backlog = fleet.backlog_without(&report.router, now);
+    Some(TotalsMessage {
+        backlog: message::backlog(backlog, &fleet.recent_rates(now), now),
+        levels: message::levels(levels),
+    })
+}
+
+/// Handles the subtotal of another router that collects reports.
+pub fn handle_subtotal(shared: &Shared, subtotal: SubtotalMessage) {
+    let now = shared.clock.now();
+    let source = BacklogSource::Watcher(subtotal.router.clone());
+    message::apply_backlog(shared, source, subtotal.backlog, now);
+    let usage = Subtotal {
+        routers: subtotal.routers,
+        totals: message::parse_usage(subtotal.usage),
+    };
+    shared
+        .quotas()
+        .receive_subtotal(&subtotal.router, subtotal.incarnation, &usage, now);
+}
--- /dev/null
+++ b/crates/gateway/src/news/message.rs
@@ -0,0 +1,64 @@
+//! Conversions between messages and what the decisions work with.
+
+use super::CALL_TIMEOUT;
+use crate::shared::Shared;
+use dispatch::fleet::{Backlog, BacklogSource, RateUpdate};
+use dispatch::quotas::{Level, Usage};
+use ids::WorkspaceId;
+use peers::{BacklogMessage, LevelMessage, RateMessage, UsageMessage};
+use std::time::Duration;
+
+pub(super) fn backlog(backlog: Backlog, rates: &[RateUpdate], now: Duration) -> BacklogMessage {
+    let age = |reported_at: Duration| now.saturating_sub(reported_at).as_millis() as u64;
+    let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age(rate.reported_at));
+    BacklogMessage {
+        tokens: backlog.tokens,
+        lane_tokens: backlog.lane_tokens,
+        rates: rates.iter().map(rate).collect(),
+    }
+}
+
+/// Applies a backlog from another router.
+pub(super) fn apply_backlog(shared: &Shared, source: BacklogSource, message: BacklogMessage, now: Duration) {
+    // The report is assumed to be as old as possible. Otherwise a report that returns to its sender would seem newer
+    // than the original.
+    let rate = |RateMessage(endpoint, rate, age): &RateMessage| RateUpdate {
+        endpoint: *endpoint,
+        rate: *rate,
+        reported_at: now.saturating_sub(Duration::from_millis(*age) + CALL_TIMEOUT),
+    };
+    let rates: Vec<RateUpdate> = message.rates.iter().map(rate).collect();
+    let backlog = Backlog {
+        tokens: message.tokens,
+        lane_tokens: message.lane_tokens,
+    };
+    let mut fleet = shared.fleet();
+    fleet.update_backlog(source, backlog, now);
+    if fleet.merge_rates(&rates, now) {
+        let rated = fleet.rate_limited_count();
+        drop(fleet);
+        shared.metrics.rated.set(rated as i64);
+        log::info!(rated = rated; "endpoint: rate limit received from another router");
+        shared.news_changed();
+    }
+}
+
+pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
+    let message = |(workspace, usage): (WorkspaceId, Usage)| UsageMessage(workspace, usage.spent, usage.asked);
+    usage.into_iter().map(message).collect()
+}
+
+pub(super) fn parse_usage(messages: Vec<UsageMessage>) -> Vec<(WorkspaceId, Usage)> {
+    let usage = |UsageMessage(workspace, spent, asked)| (workspace, Usage { spent, asked });
+    messages.into_iter().map(usage).collect()
+}
+
+pub(super) fn levels(levels: Vec<(WorkspaceId, Level)>) -> Vec<LevelMessage> {
+    let message = |(workspace, level): (WorkspaceId, Level)| LevelMessage(workspace, level.level, level.share);
+    levels.into_iter().map(message).collect()
+}
+
+pub(super) fn parse_levels(messages: Vec<LevelMessage>) -> Vec<(WorkspaceId, Level)> {
+    let level = |LevelMessage(workspace, level, share)| (workspace, Level { level, share });
+    messages.into_iter().map(level).collect()
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,8 +3,9 @@
 use crate::control::{Control, EVENT_QUEUE, Event, TICK_INTERVAL, send};
 use crate::dialect::Dialect;
 use crate::follow::relay::handlers;
-use crate::follow::{follow, follow_prefixes, learn_weight_ages, publish_backlogs, query_uptime, register};
+use crate::follow::{follow, follow_prefixes, learn_weight_ages, query_uptime, register};
 use crate::front::{serve_clients, serve_page};
+use crate::news::exchange_news;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use async_channel::Receiver;
@@ -142,7 +143,7 @@
     task::spawn(follow_prefixes(shared.clone()));
     task::spawn(learn_weight_ages(shared.clone()));
     task::spawn(query_uptime(shared.clone()));
-    task::spawn(publish_backlogs(shared.clone()));
+    task::spawn(exchange_news(shared.clone()));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::RoutedRequest;
 use super::in_flight::InFlightAttempt;
+use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
 use super::wait::{WaitOutcome, WeightsOutdated, wait};
@@ -66,6 +67,7 @@
 pub(super) struct Attempts<'a> {
     pub(super) shared: &'a Arc<Shared>,
     pub(super) request: &'a RoutedRequest<'a>,
+    charge: QuotaCharge<'a>,
     pub(super) record: &'a mut Record,
     pub(super) lifecycle: Request,
     pub(super) events: EventSplitter,
@@ -81,7 +83,12 @@
 }
 
 impl<'a> Attempts<'a> {
-    pub(super) fn new(shared: &'a Arc<Shared>, request: &'a RoutedRequest<'a>, record: &'a mut Record) -> Self {
+    pub(super) fn new(
+        shared: &'a Arc<Shared>,
+        request: &'a RoutedRequest<'a>,
+        charge: QuotaCharge<'a>,
+        record: &'a mut Record,
+    ) -> Self {
         let repeat = if request.route.kind.repeatable() {
             RetryPolicy::Idempotent
         } else {
@@ -90,6 +97,7 @@
         Self {
             shared,
             request,
+            charge,
             record,
             lifecycle: Request::new(repeat),
             events: EventSplitter::default(),
@@ -112,7 +120,13 @@
                 Ok(picked) => picked,
                 Err(cause) => return self.give_up(cause),
             };
-            let failure = match self.attempt(&picked).await {
+            let sent = self.sent;
+            let result = self.attempt(&picked).await;
+            let is_refused = matches!(&result, AttemptResult::Failed(failure) if failure.not_run());
+            if self.sent > sent && !is_refused {
+                self.charge.attempt_ran();
+            }
+            let failure = match result {
                 AttemptResult::Complete(response) => {
                     self.record_attempt(&picked, "whole");
                     return RequestOutcome::Complete(response);
@@ -252,6 +266,7 @@
             return AttemptResult::Ended(self.give_up(Cause::EndpointFailed));
         }
         self.sent += 1;
+        self.charge.attempt_starts();
         self.record.weights = self.weights_age(picked);
         self.record_prompt(picked);
         let within = attempt::attempt_timeout(self.request.route.kind, &self.tried());
@@ -455,7 +470,7 @@
                 rated = rated;
                 "endpoint: rate limit changed"
             );
-            self.shared.backlog_changed();
+            self.shared.news_changed();
         }
     }
 
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -20,7 +20,7 @@
             .fleet()
             .request_started(&entry.id, entry.incarnation, picked.prefill, began);
         if picked.prefill > 0 {
-            shared.backlog_changed();
+            shared.news_changed();
         }
         Self {
             shared,
@@ -39,7 +39,7 @@
                 .fleet()
                 .prefill_finished(&entry.id, entry.incarnation, self.began);
             if self.picked.prefill > 0 {
-                self.shared.backlog_changed();
+                self.shared.news_changed();
             }
         }
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod in_flight;
 mod outgoing;
+mod quota;
 mod record;
 mod relay;
 pub mod reply;
@@ -17,6 +18,7 @@
 use http::raw::RequestHead;
 use ids::{ServiceId, WorkspaceId};
 use lifecycle::request::RequestState;
+use quota::QuotaCharge;
 use record::Record;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -81,9 +83,15 @@
         Ok(request) => request,
         Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
     };
+    let charge = match QuotaCharge::admit(shared, request.workspace, request.info.tokens) {
+        Ok(charge) => charge,
+        Err(after) => {
+            let cause = Cause::OverQuota(after);
+            return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await;
+        }
+    };
     shared.fleet().record_first_attempt(request.service, shared.clock.now());
-    let mut attempts = Attempts::new(shared, &request, &mut record);
-    let outcome = attempts.run().await;
+    let outcome = Attempts::new(shared, &request, charge, &mut record).run().await;
     match outcome {
         RequestOutcome::Complete(response) => {
             let close = closes_connection(shared, incoming);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one router, read from a JSON file and checked before anything starts.
 
+use dispatch::quotas::QuotaBounds;
 use ids::{DomainId, VmId};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -67,6 +68,12 @@
     pub retry_extra: u32,
     /// Length of the window for `retry_ratio` and `retry_extra`.
     pub retry_window_s: f64,
+    /// Length of the window in which the use of a workspace's quota is counted.
+    pub quota_window_s: f64,
+    /// Permitted excess over a quota, as a fraction of what it allows in a window.
+    pub quota_excess: f64,
+    /// Permitted excess on top of `quota_excess`, in the unit of the quota.
+    pub quota_slack: f64,
 }
 
 impl Default for Bounds {
@@ -80,6 +87,9 @@
             retry_ratio: 0.1,
             retry_extra: 10,
             retry_window_s: 10.0,
+            quota_window_s: 1.0,
+            quota_excess: 0.0,
+            quota_slack: 0.0,
         }
     }
 }
@@ -109,6 +119,15 @@
     pub fn retry_window(&self) -> Duration {
         Duration::from_secs_f64(self.retry_window_s)
     }
+
+    /// Bounds on the use of quotas.
+    pub fn quotas(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: Duration::from_secs_f64(self.quota_window_s),
+            excess: self.quota_excess,
+            slack: self.quota_slack,
+        }
+    }
 }
 
 fn default_level() -> String {
@@ -135,6 +154,7 @@
 fn check(settings: &Settings) -> Vec<SettingsProblem> {
     let bounds = &settings.bounds;
     let positive = |value: f64| value.is_finite() && value > 0.0;
+    let not_negative = |value: f64| value.is_finite() && value >= 0.0;
     let checks = [
         (bounds.revoke_ms != Some(0), "bounds.revoke_ms", "must be above 0"),
         (bounds.weights_ms > 0, "bounds.weights_ms", "must be above 0"),
@@ -145,10 +165,25 @@
             "must be above 0",
         ),
         (
-            bounds.retry_ratio.is_finite() && bounds.retry_ratio >= 0.0,
+            not_negative(bounds.retry_ratio),
             "bounds.retry_ratio",
             "must not be negative",
         ),
+        (
+            positive(bounds.quota_window_s),
+            "bounds.quota_window_s",
+            "must be above 0",
+        ),
+        (
+            not_negative(bounds.quota_excess),
+            "bounds.quota_excess",
+            "must not be negative",
+        ),
+        (
+            not_negative(bounds.quota_slack),
+            "bounds.quota_slack",
+            "must not be negative",
+        ),
         (
             settings.log_level.parse::<log::LevelFilter>().is_ok(),
             "log_level",
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
 use dispatch::prefixes::PrefixStores;
+use dispatch::quotas::Quotas;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
 use dispatch::uptime::Uptime;
@@ -42,6 +43,7 @@
     freshness: Mutex<Freshness>,
     uptime: Mutex<Uptime>,
     prefixes: Mutex<PrefixStores>,
+    quotas: Mutex<Quotas>,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
     /// Metrics.
@@ -62,8 +64,8 @@
     pub missing_signal: (Sender<()>, Receiver<()>),
     /// Signals that the store was restored from a backup that lacks this router's entry. Holds at most one signal.
     pub restored_signal: (Sender<()>, Receiver<()>),
-    /// Signals that the backlog of an endpoint changed. Holds at most one signal.
-    pub backlog_signal: (Sender<()>, Receiver<()>),
+    /// Signals that there is something to report to other routers. Holds at most one signal.
+    pub news_signal: (Sender<()>, Receiver<()>),
     /// Whether the list of endpoints has been read at least once.
     pub endpoints_read: AtomicBool,
     /// Requests of which at least one byte was read and whose response is not finished.
@@ -76,6 +78,7 @@
     /// The state of a router that has just started.
     pub fn new(settings: Settings, dialect: Dialect, events: Sender<Event>) -> Self {
         let fleet = Fleet::new(fleet_settings(&settings));
+        let quotas = Quotas::new(settings.bounds.quotas());
         Self {
             settings: ArcSwap::from_pointee(settings),
             dialect,
@@ -85,6 +88,7 @@
             freshness: Mutex::default(),
             uptime: Mutex::default(),
             prefixes: Mutex::default(),
+            quotas: Mutex::new(quotas),
             connections: ConnectionPool::default(),
             metrics: Metrics::new(),
             events,
@@ -95,7 +99,7 @@
             missing: AtomicBool::new(false),
             missing_signal: async_channel::bounded(1),
             restored_signal: async_channel::bounded(1),
-            backlog_signal: async_channel::bounded(1),
+            news_signal: async_channel::bounded(1),
             endpoints_read: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -105,6 +109,7 @@
     /// Replaces the settings. The listening addresses do not change.
     pub fn reload(&self, settings: Settings) {
         self.fleet().reload(fleet_settings(&settings));
+        self.quotas().reload(settings.bounds.quotas());
         self.settings.store(Arc::new(settings));
     }
 
@@ -132,10 +137,10 @@
         }
     }
 
-    /// Signals that the backlog of an endpoint changed.
-    pub fn backlog_changed(&self) {
+    /// Signals that there is something to report to other routers.
+    pub fn news_changed(&self) {
         // A pending signal is sufficient.
-        let _ = self.backlog_signal.0.try_send(());
+        let _ = self.news_signal.0.try_send(());
     }
 
     /// Whether endpoints remain in service although their entries are missing.
@@ -148,6 +153,11 @@
         self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Use of the workspaces' quotas.
+    pub fn quotas(&self) -> MutexGuard<'_, Quotas> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the document is recent enough to authorize keys.
     pub fn is_fresh(&self) -> bool {
         let Some(bound) = self.settings.load().bounds.revoke() else {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -24,8 +24,9 @@
 pub use message::{Beat, EndpointInfo, Summary};
 pub use pack::{PACK_MIN_BYTES, pack, unpack};
 pub use relay::{
-    BacklogMessage, Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery, RateMessage,
-    RelayHandlers, RelayItem, TargetAgeMessage, Upstream, UptimeMessage, serve_followers,
+    BacklogMessage, Follow, FollowResponse, LevelMessage, LoadExchange, LoadMessage, PrefixPage, PrefixQuery,
+    RateMessage, RelayHandlers, RelayItem, ReportMessage, SubtotalMessage, TargetAgeMessage, TotalsMessage, Upstream,
+    UptimeMessage, UsageMessage, serve_followers,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -13,7 +13,7 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::progress_timeout;
-use ids::{ModelId, Revision, ServiceId, VmId};
+use ids::{ModelId, Revision, ServiceId, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -139,21 +139,68 @@
     pub own: Vec<LoadMessage>,
 }
 
-/// Prompt tokens of a router's requests that wait for prefill, by endpoint. Each message is complete.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// Load that one or more routers put on endpoints. Each message is complete.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct BacklogMessage {
-    /// The router.
-    pub router: VmId,
-    /// Endpoints with a backlog, and its size in prompt tokens.
-    pub backlogs: Vec<(ShortKey, u64)>,
-    /// Prompt tokens of the router's requests that were recently prefilled, by service.
-    #[serde(rename = "reads")]
+    /// Endpoints with requests that wait for prefill, and their prompt tokens.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub tokens: Vec<(ShortKey, u64)>,
+    /// Prompt tokens that were recently prefilled, by service.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub lane_tokens: Vec<(ServiceId, LaneTokens)>,
     /// Rate limits that endpoints recently stated.
-    #[serde(default)]
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub rates: Vec<RateMessage>,
 }
 
+/// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UsageMessage(pub WorkspaceId, pub f64, pub f64);
+
+/// Remaining quota of a workspace: workspace, level, share of requests admitted at a level of zero.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LevelMessage(pub WorkspaceId, pub f64, pub f64);
+
+/// What a follower reports to the router that it follows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportMessage {
+    /// The follower.
+    pub router: VmId,
+    /// Its backlog.
+    pub backlog: BacklogMessage,
+    /// Use of quotas since its last report that was answered.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub usage: Vec<UsageMessage>,
+}
+
+/// Response to a [`ReportMessage`].
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TotalsMessage {
+    /// Backlog of all routers except the follower.
+    pub backlog: BacklogMessage,
+    /// Levels of the workspaces that are near or above their quotas.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub levels: Vec<LevelMessage>,
+}
+
+/// What a router that has followers sends to the others that have followers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SubtotalMessage {
+    /// The sender.
+    pub router: VmId,
+    /// Number that differs after each start of the sender.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Backlog of the sender and its followers.
+    pub backlog: BacklogMessage,
+    /// Number of these routers.
+    #[serde(rename = "n")]
+    pub routers: u32,
+    /// Use of quotas since the sender's start, for workspaces for which it changed recently, or for all.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub usage: Vec<UsageMessage>,
+}
+
 /// An endpoint's rate limit as sent between routers: key, requests per second or `None` if it has withdrawn its limit,
 /// age in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -178,8 +225,8 @@
 #[allow(missing_docs)]
 mod calls {
     use super::{
-        BacklogMessage, Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery, Revision,
-        TargetAgeMessage, UptimeMessage,
+        Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery, ReportMessage, Revision,
+        SubtotalMessage, TargetAgeMessage, TotalsMessage, UptimeMessage,
     };
 
     /// Calls that a router serves to its followers.
@@ -191,8 +238,10 @@
         async fn prefixes(follow: Vec<PrefixQuery>) -> Vec<PrefixPage>;
         /// Exchanges load reports of endpoints.
         async fn loads(exchange: LoadExchange) -> Vec<LoadMessage>;
-        /// Receives the prefill backlogs of another router's requests.
-        async fn backlog(told: BacklogMessage);
+        /// Receives a follower's report; none if this router collects no reports.
+        async fn report(report: ReportMessage) -> Option<TotalsMessage>;
+        /// Receives the subtotal of another router that has followers.
+        async fn subtotal(subtotal: SubtotalMessage);
         /// Ages of recently set target weights.
         async fn names() -> Vec<TargetAgeMessage>;
         /// Period in which the store has responded to the router.
@@ -216,8 +265,10 @@
     pub prefixes: Handler<Vec<PrefixQuery>, Vec<PrefixPage>>,
     /// Exchanges load reports of endpoints.
     pub loads: Handler<LoadExchange, Vec<LoadMessage>>,
-    /// Receives the prefill backlogs of another router's requests.
-    pub backlog: Handler<BacklogMessage, ()>,
+    /// Receives a follower's report; none if this router collects no reports.
+    pub report: Handler<ReportMessage, Option<TotalsMessage>>,
+    /// Receives the subtotal of another router that has followers.
+    pub subtotal: Handler<SubtotalMessage, ()>,
     /// Ages of recently set target weights.
     pub target_ages: Handler<(), Vec<TargetAgeMessage>>,
     /// Period in which the store has responded to the router.
@@ -242,8 +293,12 @@
         (self.0.loads)(exchange).await
     }
 
-    async fn backlog(self, _: Context, message: BacklogMessage) {
-        (self.0.backlog)(message).await;
+    async fn report(self, _: Context, report: ReportMessage) -> Option<TotalsMessage> {
+        (self.0.report)(report).await
+    }
+
+    async fn subtotal(self, _: Context, subtotal: SubtotalMessage) {
+        (self.0.subtotal)(subtotal).await;
     }
 
     async fn names(self, _: Context) -> Vec<TargetAgeMessage> {
@@ -350,12 +405,21 @@
             .await
     }
 
-    /// Sends the prefill backlogs of this router's requests.
+    /// Reports to the followed router. Returns none if it collects no reports.
+    ///
+    /// # Errors
+    /// The call failed, or no response started to arrive in time.
+    pub async fn report(&self, report: ReportMessage, within: Duration) -> Result<Option<TotalsMessage>, PeerError> {
+        self.response(within, self.client.report(call_context(within), report))
+            .await
+    }
+
+    /// Sends the subtotal of this router and its followers.
     ///
     /// # Errors
     /// The call failed, or no response started to arrive in time.
-    pub async fn backlog(&self, message: BacklogMessage, within: Duration) -> Result<(), PeerError> {
-        self.response(within, self.client.backlog(call_context(within), message))
+    pub async fn subtotal(&self, subtotal: SubtotalMessage, within: Duration) -> Result<(), PeerError> {
+        self.response(within, self.client.subtotal(call_context(within), subtotal))
             .await
     }
 
