Endpoints that two peers of the domain cannot reach are avoided without a try

Change: the reports between routers name endpoints to which the last connection failed; two reporters of the own domain make an endpoint unhealthy for this router too. One doesn't, for its own link may be at fault.

--- a/crates/control/src/health/endpoint.rs
+++ b/crates/control/src/health/endpoint.rs
@@ -60,6 +60,11 @@
         HealthState::Live
     }
 
+    /// Whether the last connection failed.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.connection_failures > 0
+    }
+
     pub(super) fn incarnation(&self) -> Option<Incarnation> {
         self.incarnation
     }
--- a/crates/control/src/health/mod.rs
+++ b/crates/control/src/health/mod.rs
@@ -136,6 +136,12 @@
         self.endpoints.get(endpoint).map_or(HealthState::Dead, Endpoint::state)
     }
 
+    /// Endpoints to which the last connection failed.
+    pub fn unreachable(&self) -> impl Iterator<Item = &EndpointId> {
+        let unreachable = self.endpoints.iter().filter(|(_, entry)| entry.is_unreachable());
+        unreachable.map(|(id, _)| id)
+    }
+
     /// Current incarnation of `endpoint`, if known.
     pub fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
         self.endpoints.get(endpoint)?.incarnation()
--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -74,7 +74,7 @@
         });
         let backlog = Backlog {
             tokens: tokens.collect(),
-            lane_tokens: Vec::new(),
+            ..Backlog::default()
         };
         let source = BacklogSource::Follower(VmId::from(format!("vm-{router}")));
         fleet.update_backlog(source, backlog, START);
--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -1,4 +1,4 @@
-//! Prompt tokens that requests of peers wait for.
+//! What peers report about endpoints: prompt tokens that their requests wait for, and failed connections.
 //!
 //! Load pattern: a dozen routers, each of which sends a long prompt now and then. Endpoints report their load only on
 //! answers, and an endpoint that reads a prompt for a second answers nobody. It looks idle to each router, and all
@@ -6,6 +6,11 @@
 //! reports would take most of a router's processor time. Instead, each follower reports to the router that it follows,
 //! these routers send each other the sums of their followers, and each follower receives the sum over all others in the
 //! response to its report. A report expires after [`BACKLOG_TTL`], because a router that crashes can't withdraw it.
+//!
+//! A second load pattern: a failure domain is cut off, or a quarter of the endpoints lose power. Each router loses a
+//! request's time at each of these endpoints before it avoids them; in a fleet of hundreds, that is half of all requests
+//! for seconds. An endpoint that two other routers of the failure domain can't reach is avoided without a try. Reports of
+//! one router don't suffice, since its own link may be at fault, nor do those of other domains.
 
 use super::{LaneTokens, ShortKey};
 use ids::{ServiceId, VmId};
@@ -21,20 +26,24 @@
 /// How long the reported lane tokens of a router count.
 const ROUTER_TTL: Duration = Duration::from_secs(10);
 
-/// What a router reports, or the sum of what several routers reported.
+/// Routers that must report an endpoint as unreachable until others avoid it.
+const MIN_REPORTERS: u32 = 2;
+
+/// What a router reports about endpoints, or the sum of what several routers reported.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Backlog {
     /// Endpoints with waiting requests, and the prompt tokens not read yet.
     pub tokens: Vec<(ShortKey, u64)>,
     /// Prompt tokens read recently, by service.
     pub lane_tokens: Vec<(ServiceId, LaneTokens)>,
+    /// Endpoints to which connections failed, and the number of routers that report it.
+    pub unreachable: Vec<(ShortKey, u32)>,
 }
 
 #[derive(Debug)]
 struct ReceivedBacklog {
     received_at: Duration,
-    tokens: Vec<(ShortKey, u64)>,
-    lane_tokens: Vec<(ServiceId, LaneTokens)>,
+    backlog: Backlog,
 }
 
 /// Where a backlog was received from.
@@ -60,6 +69,8 @@
     received: HashMap<BacklogSource, ReceivedBacklog>,
     /// Prompt tokens by endpoint, summed over all routers.
     sums: HashMap<ShortKey, u64>,
+    /// Routers that report an endpoint as unreachable.
+    reporters: HashMap<ShortKey, u32>,
     summed_at: Option<Duration>,
 }
 
@@ -71,8 +82,7 @@
             .retain(|_, received| now.saturating_sub(received.received_at) < ROUTER_TTL);
         let received = ReceivedBacklog {
             received_at: now,
-            tokens: backlog.tokens,
-            lane_tokens: backlog.lane_tokens,
+            backlog,
         };
         self.received.insert(source, received);
     }
@@ -87,15 +97,19 @@
     fn sum(&self, own: Backlog, is_included: impl Fn(&BacklogSource) -> bool, now: Duration) -> Backlog {
         let mut tokens: BTreeMap<ShortKey, u64> = own.tokens.into_iter().collect();
         let mut lanes: BTreeMap<ServiceId, LaneTokens> = own.lane_tokens.into_iter().collect();
+        let mut unreachable: BTreeMap<ShortKey, u32> = own.unreachable.into_iter().collect();
         for (_, received) in self.received.iter().filter(|(source, _)| is_included(source)) {
             let age = now.saturating_sub(received.received_at);
             if age < BACKLOG_TTL {
-                for (endpoint, count) in &received.tokens {
+                for (endpoint, count) in &received.backlog.tokens {
                     *tokens.entry(*endpoint).or_default() += count;
                 }
+                for (endpoint, reporters) in &received.backlog.unreachable {
+                    *unreachable.entry(*endpoint).or_default() += reporters;
+                }
             }
             if age < ROUTER_TTL {
-                for (service, lane_tokens) in &received.lane_tokens {
+                for (service, lane_tokens) in &received.backlog.lane_tokens {
                     lanes.entry(service.clone()).or_default().add(lane_tokens);
                 }
             }
@@ -103,6 +117,7 @@
         Backlog {
             tokens: tokens.into_iter().collect(),
             lane_tokens: lanes.into_iter().collect(),
+            unreachable: unreachable.into_iter().collect(),
         }
     }
 
@@ -124,7 +139,10 @@
     /// Prompt tokens read recently for the requests of peers to a service.
     pub(super) fn lane_tokens(&self, service: &ServiceId) -> LaneTokens {
         let mut sum = LaneTokens::default();
-        let received = self.received.values().flat_map(|received| &received.lane_tokens);
+        let received = self
+            .received
+            .values()
+            .flat_map(|received| &received.backlog.lane_tokens);
         for (_, lane_tokens) in received.filter(|(name, _)| name == service) {
             sum.add(lane_tokens);
         }
@@ -142,15 +160,27 @@
         }
         self.summed_at = Some(now);
         self.sums.clear();
+        self.reporters.clear();
         let current = self
             .received
             .values()
             .filter(|received| now.saturating_sub(received.received_at) < BACKLOG_TTL);
-        for (endpoint, tokens) in current.flat_map(|received| &received.tokens) {
-            *self.sums.entry(*endpoint).or_default() += tokens;
+        for received in current {
+            for (endpoint, tokens) in &received.backlog.tokens {
+                *self.sums.entry(*endpoint).or_default() += tokens;
+            }
+            for (endpoint, count) in &received.backlog.unreachable {
+                *self.reporters.entry(*endpoint).or_default() += count;
+            }
         }
     }
 
+    /// Whether enough peers can't reach an endpoint, as of the last [`Self::refresh_sums`].
+    pub(super) fn is_unreachable(&self, endpoint: ShortKey) -> bool {
+        let reporters = self.reporters.get(&endpoint);
+        reporters.is_some_and(|count| *count >= MIN_REPORTERS)
+    }
+
     /// Prompt tokens that peers' requests wait for at an endpoint, as of the last [`Self::refresh_sums`].
     pub(super) fn tokens(&self, endpoint: ShortKey) -> u64 {
         self.sums.get(&endpoint).copied().unwrap_or_default()
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -87,9 +87,11 @@
         after.min()
     }
 
-    /// Whether an endpoint is reachable and fails few of its attempts.
+    /// Whether an endpoint is reachable, also for peers, and fails few of its attempts.
     fn is_healthy(&self, state: &EndpointState, now: Duration) -> bool {
-        self.health.state(&state.entry.id) == HealthState::Live && state.failure_share(now) < MAX_FAILURE_SHARE
+        self.health.state(&state.entry.id) == HealthState::Live
+            && !self.peer_backlogs.is_unreachable(ShortKey::from(state.key))
+            && state.failure_share(now) < MAX_FAILURE_SHARE
     }
 
     /// Drops endpoints that load soon for decode-heavy prompts, unless there are no others. An endpoint finishes its
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -318,9 +318,15 @@
             lane_tokens: lane_tokens
                 .map(|(service, lanes)| (service.clone(), lanes.current(now)))
                 .collect(),
+            unreachable: self.own_unreachable(),
         }
     }
 
+    fn own_unreachable(&self) -> Vec<(ShortKey, u32)> {
+        let states = self.health.unreachable().filter_map(|id| self.endpoints.get(id));
+        states.map(|state| (ShortKey::from(state.key), 1)).collect()
+    }
+
     /// Returns the backlog of this router and its followers, for other routers that have followers.
     pub fn backlog_subtotal(&self, now: Duration) -> Backlog {
         self.peer_backlogs.subtotal(self.own_backlog(now), now)
--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -31,8 +31,12 @@
 }
 
 /// Handles the subtotal of another router that collects reports.
-pub fn handle_subtotal(shared: &Shared, subtotal: SubtotalMessage) {
+pub fn handle_subtotal(shared: &Shared, mut subtotal: SubtotalMessage) {
     let now = shared.clock.now();
+    if subtotal.domain != shared.settings.load().domain {
+        // What routers of another domain can't reach may be reachable from here.
+        subtotal.backlog.unreachable.clear();
+    }
     let source = BacklogSource::Watcher(subtotal.router.clone());
     message::apply_backlog(shared, source, subtotal.backlog, now);
     let usage = Subtotal {
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -14,6 +14,7 @@
     BacklogMessage {
         tokens: backlog.tokens,
         lane_tokens: backlog.lane_tokens,
+        unreachable: backlog.unreachable,
         rates: rates.iter().map(rate).collect(),
     }
 }
@@ -31,6 +32,7 @@
     let backlog = Backlog {
         tokens: message.tokens,
         lane_tokens: message.lane_tokens,
+        unreachable: message.unreachable,
     };
     let mut fleet = shared.fleet();
     fleet.update_backlog(source, backlog, now);
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -45,8 +45,10 @@
             let fleet = shared.fleet();
             message::backlog(fleet.backlog_subtotal(now), &fleet.recent_rates(now), now)
         };
+        let settings = shared.settings.load();
         let subtotal = SubtotalMessage {
-            router: shared.settings.load().vm.clone(),
+            router: settings.vm.clone(),
+            domain: settings.domain.clone(),
             incarnation: self.incarnation,
             backlog,
             routers: usage.routers,
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -13,7 +13,7 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::progress_timeout;
-use ids::{ModelId, Revision, ServiceId, VmId, WorkspaceId};
+use ids::{DomainId, ModelId, Revision, ServiceId, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -148,6 +148,9 @@
     /// Prompt tokens that were recently prefilled, by service.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub lane_tokens: Vec<(ServiceId, LaneTokens)>,
+    /// Endpoints to which connections failed, and the number of routers that report it.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<(ShortKey, u32)>,
     /// Rate limits that endpoints recently stated.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub rates: Vec<RateMessage>,
@@ -188,6 +191,8 @@
 pub struct SubtotalMessage {
     /// The sender.
     pub router: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
     /// Number that differs after each start of the sender.
     #[serde(rename = "i")]
     pub incarnation: u64,
