Settings: bounds may be fractions

Bounds that are whole today needn't be tomorrow. Change: whole-number bounds are rounded down, to the stricter side; negative ones are refused as before. Test: check_command `bounds as fractions`, which failed before, and `negative bounds`.

--- a/crates/apricotfork/tests/check_command.rs
+++ b/crates/apricotfork/tests/check_command.rs
@@ -150,6 +150,21 @@
             exit: 1,
             expected: &["bounds.revoke_ms", "bounds.retry_ratio", "bounds.grace_s"],
         },
+        Case {
+            name: "bounds as fractions",
+            text: gateway_settings(|all| {
+                all["bounds"] =
+                    json!({"revoke_ms": 5000.5, "weights_ms": 10000.25, "turn_ms": 3000.0, "retry_extra": 61.8});
+            }),
+            exit: 0,
+            expected: &["no errors"],
+        },
+        Case {
+            name: "negative bounds",
+            text: gateway_settings(|all| all["bounds"] = json!({"retry_extra": -1})),
+            exit: 1,
+            expected: &["bounds.retry_extra"],
+        },
         Case {
             name: "bounds of quotas out of range",
             text: gateway_settings(|all| {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,8 @@
 use dispatch::quotas::QuotaBounds;
 use ids::{DomainId, VmId};
 use quick_error::quick_error;
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, Unexpected};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -50,21 +51,25 @@
 }
 
 /// Service level bounds that the site guarantees to its users. Fields ending in `_ms` are milliseconds, fields ending
-/// in `_s` are seconds.
+/// in `_s` are seconds. Whole numbers may be given as fractions, which are rounded down to the stricter bound.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
     /// Time after which every router rejects a revoked API key; no bound if absent.
+    #[serde(deserialize_with = "whole_if_present")]
     pub revoke_ms: Option<u64>,
     /// Time after which requests start only on the newest weights.
+    #[serde(deserialize_with = "whole")]
     pub weights_ms: u64,
     /// Minimum time between orders of two successive lease holders to one endpoint.
+    #[serde(deserialize_with = "whole")]
     pub turn_ms: u64,
     /// Time between the stop signal and the forced end of the process.
     pub grace_s: f64,
     /// Attempts after the first one, as a fraction of requests, over all routers.
     pub retry_ratio: f64,
     /// Additional attempts per window beyond `retry_ratio`, over all routers.
+    #[serde(deserialize_with = "whole")]
     pub retry_extra: u32,
     /// Length of the window for `retry_ratio` and `retry_extra`.
     pub retry_window_s: f64,
@@ -130,6 +135,20 @@
     }
 }
 
+/// Rounds a number down to a whole one.
+fn whole<'de, D: Deserializer<'de>, T: TryFrom<u64>>(deserializer: D) -> Result<T, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    let valid = (0.0..u64::MAX as f64)
+        .contains(&number)
+        .then(|| T::try_from(number as u64).ok());
+    let invalid = || D::Error::invalid_value(Unexpected::Float(number), &"a number that is not negative");
+    valid.flatten().ok_or_else(invalid)
+}
+
+fn whole_if_present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    whole(deserializer).map(Some)
+}
+
 fn default_level() -> String {
     "info".to_owned()
 }
