A router that starts learns at once which router to report to

Change: until the first routers are known it looks every 50 ms, has no part in the exchange, and grants an even share.

--- a/crates/dispatch/src/quotas/coverage.rs
+++ b/crates/dispatch/src/quotas/coverage.rs
@@ -40,13 +40,13 @@
         }
     }
 
-    pub(super) fn heard_follower(&mut self, follower: &VmId, now: Duration) {
+    pub(super) fn record_report(&mut self, follower: &VmId, now: Duration) {
         self.followers.insert(follower.clone(), now);
         self.followers.retain(|_, at| is_fresh(*at, FOLLOWER_TTL, now));
     }
 
     /// Records a subtotal. Returns the part of the time since the previous one in which the watcher was covered.
-    pub(super) fn heard_watcher(&mut self, watcher: &VmId, covered: u32, now: Duration) -> f64 {
+    pub(super) fn record_subtotal(&mut self, watcher: &VmId, covered: u32, now: Duration) -> f64 {
         let previous = self.watchers.insert(watcher.clone(), (covered, now));
         let gap = previous.map_or(Duration::MAX, |(_, at)| now.saturating_sub(at));
         WATCHER_TTL.as_secs_f64() / gap.max(WATCHER_TTL).as_secs_f64()
--- a/crates/dispatch/src/quotas/mod.rs
+++ b/crates/dispatch/src/quotas/mod.rs
@@ -255,7 +255,7 @@
         reported: &[(WorkspaceId, Usage)],
         now: Duration,
     ) -> Vec<(WorkspaceId, Level)> {
-        self.coverage.heard_follower(follower, now);
+        self.coverage.record_report(follower, now);
         for (id, usage) in reported {
             self.refill(id, now);
             if let Some(account) = self.accounts.get_mut(id) {
@@ -286,7 +286,7 @@
     /// charged here, because each side kept to its own part.
     pub fn receive_subtotal(&mut self, watcher: &VmId, incarnation: u64, subtotal: &Subtotal, now: Duration) {
         self.refill_all(now);
-        let covered = self.coverage.heard_watcher(watcher, subtotal.routers, now);
+        let covered = self.coverage.record_subtotal(watcher, subtotal.routers, now);
         let known = self.received.get_mut(watcher);
         let Some(known) = known.filter(|known| known.incarnation == incarnation) else {
             let totals = subtotal.totals.iter().cloned().collect();
--- a/crates/dispatch/tests/support/quota_fleet.rs
+++ b/crates/dispatch/tests/support/quota_fleet.rs
@@ -420,13 +420,12 @@
     let mut first = 0;
     let mut sum = 0.0;
     let mut worst: f64 = 0.0;
-    for (index, (time, cost)) in granted.iter().enumerate() {
+    for (time, cost) in granted {
         sum += cost;
         while granted[first].0 + window < *time {
             sum -= granted[first].1;
             first += 1;
         }
-        let _ = index;
         worst = worst.max(sum / permitted(*time));
     }
     worst
--- a/crates/gateway/src/news/mod.rs
+++ b/crates/gateway/src/news/mod.rs
@@ -38,11 +38,16 @@
 const ACTIVE_PERIOD: Duration = Duration::from_secs(2);
 /// Interval between reads of the list of routers.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// The same until the first routers are known. A router serves as soon as it has read the store, and until it reports
+/// it has only an even share of each quota.
+const START_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait for a connection or a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A router's part in the exchange.
 enum Role {
+    /// Knows no router yet.
+    Unknown,
     /// Reports to the first of these routers that answers.
     Follower(Vec<(VmId, SocketAddr)>),
     /// Collects reports and sends subtotals to these routers.
@@ -51,28 +56,30 @@
 
 /// Exchanges news until the process exits.
 pub async fn exchange_news(shared: Arc<Shared>) {
-    let mut role = Role::Follower(Vec::new());
+    let mut role = Role::Unknown;
     let mut role_read = None;
     let mut active_until = Duration::ZERO;
     let mut reporter = Reporter::default();
     let mut senders = SubtotalSenders::new(rand::random());
     loop {
         let is_active = shared.clock.now() < active_until;
-        let interval = if is_active || matches!(role, Role::Watcher(_)) {
-            ACTIVE_INTERVAL
-        } else {
-            IDLE_INTERVAL
+        let interval = match role {
+            Role::Unknown => START_INTERVAL,
+            Role::Follower(_) if !is_active => IDLE_INTERVAL,
+            Role::Follower(_) | Role::Watcher(_) => ACTIVE_INTERVAL,
         };
         if timeout(interval, shared.news_signal.1.recv()).await.is_ok() {
             active_until = shared.clock.now() + ACTIVE_PERIOD;
             task::sleep(BATCH_DELAY).await;
         }
         let now = shared.clock.now();
-        if role_read.is_none_or(|at| now.saturating_sub(at) >= MEMBERS_INTERVAL) {
+        let is_due = |at| now.saturating_sub(at) >= MEMBERS_INTERVAL;
+        if matches!(role, Role::Unknown) || role_read.is_none_or(is_due) {
             role_read = Some(now);
             role = read_role(&shared, now);
         }
         match &role {
+            Role::Unknown => {}
             Role::Follower(collectors) => reporter.report(&shared, collectors).await,
             Role::Watcher(others) => senders.send(&shared, others),
         }
@@ -82,6 +89,9 @@
 fn read_role(shared: &Shared, now: Duration) -> Role {
     let settings = shared.settings.load_full();
     let members = Members::read(shared);
+    if members.count() == 0 {
+        return Role::Unknown;
+    }
     let collectors = members.collectors(&settings.vm, &settings.domain);
     let is_watcher = collectors.is_empty();
     shared.quotas().set_role(is_watcher, members.count(), now);
