--- a/crates/control/src/following.rs
+++ b/crates/control/src/following.rs
@@ -64,7 +64,7 @@
 
 /// How `own` follows the configuration, given the live routers of its domain. A router that is not in `live` watches.
 pub fn follow(own: &VmId, domain: &DomainId, live: &[VmId]) -> Follow {
-    let watchers = choose(domain.as_str(), live, WATCHERS);
+    let watchers = watchers(domain, live);
     if watchers.contains(&own) || !live.contains(own) {
         return Follow::Watch;
     }
--- a/crates/dispatch/src/quotas/mod.rs
+++ b/crates/dispatch/src/quotas/mod.rs
@@ -170,11 +170,12 @@
     /// Decides on a request with `tokens` prompt and output tokens, if its head states them. `draw` is uniform over all
     /// `u64` values.
     pub fn admit(&mut self, workspace: &WorkspaceId, tokens: Option<u64>, draw: u64, now: Duration) -> Admission {
-        self.refill(workspace, now);
-        let (bounds, part, is_stale) = (self.bounds, self.part(now), self.is_stale(now));
+        let (part, cap) = self.refill_limits(now);
+        let (bounds, is_stale) = (self.bounds, self.is_stale(now));
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Admission::Unlimited;
         };
+        account.refill(&bounds, part, cap, now);
         let cost = account.spec.unit.cost(tokens);
         account.ask(cost, now);
         let draw = draw as f64 / u64::MAX as f64;
@@ -256,16 +257,16 @@
         now: Duration,
     ) -> Vec<(WorkspaceId, Level)> {
         self.coverage.record_report(follower, now);
+        let (part, cap) = self.refill_limits(now);
         for (id, usage) in reported {
-            self.refill(id, now);
             if let Some(account) = self.accounts.get_mut(id) {
+                account.refill(&self.bounds, part, cap, now);
                 account.count(*usage, now);
                 account.totals.add(*usage);
                 account.changed_at = now;
             }
         }
         self.refill_all(now);
-        let part = self.part(now);
         let accounts = self.accounts.iter();
         let levels = accounts
             .filter_map(|(id, account)| Some((id.clone(), account.level_for_follower(&self.bounds, part, now)?)));
@@ -320,13 +321,6 @@
         !self.is_watcher && !self.news_at.is_some_and(is_recent)
     }
 
-    fn refill(&mut self, workspace: &WorkspaceId, now: Duration) {
-        let (part, cap) = self.refill_limits(now);
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.refill(&self.bounds, part, cap, now);
-        }
-    }
-
     fn refill_all(&mut self, now: Duration) {
         let (part, cap) = self.refill_limits(now);
         for account in self.accounts.values_mut() {
