Streams log and count their framing and their end

One line for a stream that ends with its connection or inside an event, a counter for all ends by framing. No change of behaviour.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub requests: IntCounterVec,
     /// Failed attempts by kind of failure.
     pub attempts: IntCounterVec,
+    /// Ends of endpoints' streams by framing, and whether they lie inside an event.
+    pub stream_ends: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
@@ -72,6 +74,11 @@
         Self {
             requests: counters("requests_total", "Requests by route and outcome", &["route", "outcome"]),
             attempts: counters("attempts_failed_total", "Failed attempts by how", &["failure"]),
+            stream_ends: counters(
+                "stream_ends_total",
+                "Ends of endpoints' streams by framing, and whether they lie inside an event",
+                &["framing", "at"],
+            ),
             store: counters(
                 "store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -9,7 +9,7 @@
 use async_std::io::WriteExt;
 use dispatch::attempt::{self, Cause, Failure};
 use dispatch::fleet::Outcome;
-use http::raw::{Response, Source};
+use http::raw::{Framing, Response, Source};
 use lifecycle::request::RequestEvent;
 
 /// Relays the part of a stream that one endpoint sends.
@@ -107,6 +107,7 @@
 
     /// Handles the end of the endpoint's response.
     async fn finish(mut self, answer: &Response, source: Source, info: &ResponseInfo) -> AttemptResult {
+        self.record_end(answer.body.framing());
         let rest = self.attempts.events.finish();
         if self.write(answer, &rest, true).await == WriteResult::ClientDisconnected {
             return AttemptResult::Ended(self.attempts.client_disconnected());
@@ -121,6 +122,23 @@
         })
     }
 
+    /// Records how the endpoint's stream ended, unless it is plain that the stream is complete.
+    fn record_end(&self, framing: Framing) {
+        let partial = self.attempts.events.partial_len();
+        let at = if partial > 0 { "inside_event" } else { "after_event" };
+        let ends = &self.attempts.shared.metrics.stream_ends;
+        ends.with_label_values(&[framing.name(), at]).inc();
+        if framing == Framing::UntilClose || partial > 0 {
+            log::info!(
+                id = self.attempts.request.info.id.as_str(),
+                endpoint = self.in_flight.picked.endpoint.id.as_str(),
+                framing = framing.name(),
+                partial = partial;
+                "stream: ended"
+            );
+        }
+    }
+
     /// Writes events. The first write includes the response head, the last one the end of the stream.
     async fn write(&mut self, answer: &Response, part: &[u8], last: bool) -> WriteResult {
         let mut bytes = Vec::with_capacity(part.len() + 64);
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -48,6 +48,7 @@
 /// Reads one body.
 #[derive(Debug)]
 pub struct BodyReader {
+    framing: Framing,
     state: State,
 }
 
@@ -60,7 +61,12 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { framing, state }
+    }
+
+    /// How the body is framed.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Whether the end of the body was read.
--- a/crates/http/src/raw/framing.rs
+++ b/crates/http/src/raw/framing.rs
@@ -37,6 +37,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "close",
+        }
+    }
+}
+
 /// Framing of a request's body.
 ///
 /// # Errors
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -49,6 +49,11 @@
         std::mem::take(&mut self.buffer)
     }
 
+    /// Number of received bytes that do not form a complete event yet.
+    pub fn partial_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards a partial event after the connection broke.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
