--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -108,8 +108,10 @@
     /// Handles the end of the endpoint's response.
     async fn finish(mut self, answer: &Response, source: Source, info: &ResponseInfo) -> AttemptResult {
         self.record_end(answer.body.framing());
-        let rest = self.attempts.events.finish();
-        if self.write(answer, &rest, true).await == WriteResult::ClientDisconnected {
+        if self.attempts.events.partial_len() > 0 {
+            return self.attempts.response_broken(self.in_flight);
+        }
+        if self.write(answer, &[], true).await == WriteResult::ClientDisconnected {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -2,7 +2,7 @@
 //!
 //! If an endpoint crashes in the middle of an event and the partial event were forwarded, the resumed stream from
 //! another endpoint would be appended to it, and the client would read a corrupt event. Therefore bytes are forwarded
-//! only up to the end of an event, and an event that was already forwarded is dropped.
+//! only up to the end of an event, which is an empty line, and an event that was already forwarded is dropped.
 
 /// Splits a stream into complete events.
 #[derive(Debug, Clone, Default)]
@@ -44,12 +44,8 @@
         complete
     }
 
-    /// The remaining bytes at the end of the body, where the last event need not end with an empty line.
-    pub fn finish(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.buffer)
-    }
-
-    /// Number of received bytes that do not form a complete event yet.
+    /// Number of received bytes that do not form a complete event yet. If there are any at the end of a stream, the
+    /// endpoint broke it off, however regularly its connection or its body ended.
     pub fn partial_len(&self) -> usize {
         self.buffer.len()
     }
--- a/crates/lifecycle/tests/events.rs
+++ b/crates/lifecycle/tests/events.rs
@@ -20,7 +20,7 @@
     for number in 1..=3 {
         forwarded.extend(splitter.push(&event(number)).bytes);
     }
-    forwarded.extend(splitter.finish());
+    assert_eq!(splitter.partial_len(), 0);
     let expected: Vec<u8> = (1..=3).flat_map(event).collect();
     assert_eq!(forwarded, expected);
 }
@@ -73,6 +73,16 @@
 }
 
 quickcheck! {
+    /// However much of a stream arrives, the end of an event must not be seen anywhere else.
+    fn a_cut_inside_an_event_leaves_a_partial_event(cut: usize, count: u8) -> bool {
+        let stream: Vec<u8> = (1..=u64::from(count)).flat_map(event).collect();
+        let cut = cut % (stream.len() + 1);
+        let mut splitter = EventSplitter::default();
+        let forwarded = splitter.push(&stream[..cut]).bytes;
+        let at_event_end = cut == 0 || stream[..cut].ends_with(b"\n\n");
+        at_event_end == (splitter.partial_len() == 0) && forwarded.len() + splitter.partial_len() == cut
+    }
+
     /// However a stream is split into segments, its bytes must not change.
     fn segmentation_does_not_change_the_bytes(cuts: Vec<u8>, count: u8) -> bool {
         let stream: Vec<u8> = (1..=u64::from(count)).flat_map(event).collect();
@@ -85,7 +95,6 @@
             rest = left;
         }
         forwarded.extend(splitter.push(rest).bytes);
-        forwarded.extend(splitter.finish());
-        forwarded == stream
+        splitter.partial_len() == 0 && forwarded == stream
     }
 }
