A broken stream resets the connection of an HTTP/1.0 client

What callers saw: a client without chunked encoding got a stream that an endpoint had broken off with the regular end of its connection, and took it for complete.

Cause: an incomplete response ended by shutting the connection down, which is visible inside chunks only. Where the response has neither chunks nor a length, the close is its end.

Evidence: a_broken_stream_resets_the_connection_of_an_http10_client, before: (200, true) where (200, false) is right. Why this works: a reset is the only end of a connection that isn't regular. HTTP/1.1 clients keep the shutdown, since a reset may discard events that they haven't read.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -143,6 +143,7 @@
             ConnectionAction::Keep => {}
             ConnectionAction::Close => return linger(&conn, &mut source).await,
             ConnectionAction::Abort => return conn.close(),
+            ConnectionAction::Reset => return conn.reset_on_drop(true),
         }
     }
 }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -33,6 +33,8 @@
     Close,
     /// It is closed at once, because the response is incomplete and must not look complete.
     Abort,
+    /// It is reset, because an incomplete response that ends with its connection would look complete otherwise.
+    Reset,
 }
 
 /// A complete request as read from the client.
@@ -107,7 +109,7 @@
             {
                 connection_action(close)
             } else {
-                ConnectionAction::Abort
+                abort(incoming)
             }
         }
         RequestOutcome::Streamed { keep_alive } => {
@@ -116,11 +118,11 @@
         }
         RequestOutcome::Interrupted(why) => {
             record.end(shared, 200, why);
-            ConnectionAction::Abort
+            abort(incoming)
         }
         RequestOutcome::ClientDisconnected => {
             record.end(shared, 0, "caller_gone");
-            ConnectionAction::Abort
+            abort(incoming)
         }
         RequestOutcome::Refused(cause, state) => refuse(shared, incoming, cause, state, &mut record).await,
     }
@@ -184,6 +186,15 @@
     !incoming.head.keeps_alive() || shared.stopping.load(Ordering::SeqCst)
 }
 
+/// How the connection ends after an incomplete response.
+fn abort(incoming: &IncomingRequest) -> ConnectionAction {
+    if incoming.head.http10 {
+        ConnectionAction::Reset
+    } else {
+        ConnectionAction::Abort
+    }
+}
+
 fn connection_action(close: bool) -> ConnectionAction {
     if close {
         ConnectionAction::Close
