An unframed stream without any event is not complete

What callers saw: a success with an empty stream, after an endpoint had crashed between its head and its first event. Here no event is cut, but nothing at all arrived, and neither a length nor chunks say that this is all. Whether a stream is complete is decided in one place now, dispatch::attempt::StreamEnd. Why this works: the attempt has failed as after a reset: a repeatable request goes elsewhere, any other gets 502. A resumed stream whose events had all been sent may still end without another one.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -188,6 +188,25 @@
     }
 }
 
+/// An endpoint's stream whose body has ended without an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Whether a length or chunks told where the body ends. Otherwise its connection ended, as after a crash.
+    pub framed: bool,
+    /// Bytes after the last complete event.
+    pub partial: usize,
+    /// Whether the client has received an event, from this endpoint or an earlier one.
+    pub has_events: bool,
+}
+
+impl StreamEnd {
+    /// Whether the stream is complete. One that ends inside an event was broken off. One without any event was too,
+    /// unless its framing says otherwise.
+    pub fn is_complete(&self) -> bool {
+        self.partial == 0 && (self.framed || self.has_events)
+    }
+}
+
 /// Why a request ends without a response from an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -1,8 +1,8 @@
 //! Retry decisions after failed attempts, timeouts, and error responses.
 
 use dispatch::attempt::{
-    AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait, attempt_timeout, first_event_wait, refusal,
-    retry_decision, stream_idle_timeout,
+    AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, StreamEnd, Wait, attempt_timeout, first_event_wait,
+    refusal, retry_decision, stream_idle_timeout,
 };
 use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
@@ -330,3 +330,38 @@
         assert_eq!(first_event_wait(&attempt), case.expected, "{attempt:?}");
     }
 }
+
+/// A client takes a cut stream for an answer if its end is believed.
+#[test]
+fn a_stream_without_its_end_is_not_complete() {
+    struct Case {
+        framed: bool,
+        partial: usize,
+        has_events: bool,
+        complete: bool,
+    }
+    let case = |framed, partial, has_events, complete| Case {
+        framed,
+        partial,
+        has_events,
+        complete,
+    };
+    let cases = [
+        case(true, 0, true, true),
+        case(true, 0, false, true),
+        case(true, 1, true, false),
+        case(true, 1, false, false),
+        case(false, 0, true, true),
+        case(false, 0, false, false),
+        case(false, 1, true, false),
+        case(false, 1, false, false),
+    ];
+    for case in cases {
+        let end = StreamEnd {
+            framed: case.framed,
+            partial: case.partial,
+            has_events: case.has_events,
+        };
+        assert_eq!(end.is_complete(), case.complete, "{end:?}");
+    }
+}
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -7,7 +7,7 @@
 use crate::dialect::ResponseInfo;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
-use dispatch::attempt::{self, Cause, Failure};
+use dispatch::attempt::{self, Cause, Failure, StreamEnd};
 use dispatch::fleet::Outcome;
 use http::raw::{Framing, Response, Source};
 use lifecycle::request::RequestEvent;
@@ -107,8 +107,14 @@
 
     /// Handles the end of the endpoint's response.
     async fn finish(mut self, answer: &Response, source: Source, info: &ResponseInfo) -> AttemptResult {
-        self.record_end(answer.body.framing());
-        if self.attempts.events.partial_len() > 0 {
+        let framing = answer.body.framing();
+        self.record_end(framing);
+        let end = StreamEnd {
+            framed: framing != Framing::UntilClose,
+            partial: self.attempts.events.partial_len(),
+            has_events: self.attempts.head_sent,
+        };
+        if !end.is_complete() {
             return self.attempts.response_broken(self.in_flight);
         }
         if self.write(answer, &[], true).await == WriteResult::ClientDisconnected {
