Routers log and count that they have lost all endpoints

The logs couldn't tell a router without any path from one whose requests failed at three endpoints. One line at each change, a gauge endpoints_unreachable. No change of behaviour.

--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -322,6 +322,11 @@
         }
     }
 
+    /// Returns the number of endpoints to which this router's last connection failed.
+    pub fn unreachable_count(&self) -> usize {
+        self.health.unreachable().count()
+    }
+
     fn own_unreachable(&self) -> Vec<(ShortKey, u32)> {
         let states = self.health.unreachable().filter_map(|id| self.endpoints.get(id));
         states.map(|state| (ShortKey::from(state.key), 1)).collect()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -144,6 +144,8 @@
     /// Store revision of the document's last write.
     document_written: Option<u64>,
     store_reachable: bool,
+    /// Whether the last connections to all endpoints failed.
+    endpoints_lost: bool,
 }
 
 impl Control {
@@ -175,6 +177,7 @@
             era_record_sent: None,
             document_written: None,
             store_reachable: false,
+            endpoints_lost: false,
         }
     }
 
@@ -477,6 +480,7 @@
         self.shared.metrics.age.set(age.as_millis() as i64);
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         self.shared.metrics.in_flight.set(in_flight as i64);
+        self.record_reachability();
         self.probe(now);
         let watches = self.shared.watches_store.load(Ordering::SeqCst);
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
@@ -485,6 +489,22 @@
         self.record_era(now);
     }
 
+    /// Records whether this router still reaches any endpoint.
+    fn record_reachability(&mut self) {
+        let unreachable = self.shared.fleet().unreachable_count();
+        self.shared.metrics.unreachable.set(unreachable as i64);
+        let total = self.roster.all().count();
+        let lost = total > 0 && unreachable >= total;
+        if std::mem::replace(&mut self.endpoints_lost, lost) == lost {
+            return;
+        }
+        if lost {
+            log::warn!(endpoints = total; "endpoints: none reachable");
+        } else {
+            log::info!(endpoints = total, unreachable = unreachable; "endpoints: reachable");
+        }
+    }
+
     fn lock_holder(&self) -> MutexGuard<'_, Holder> {
         lock(&self.holder)
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub age: IntGauge,
     /// Endpoints in service.
     pub endpoints: IntGauge,
+    /// Endpoints to which this router's last connection failed.
+    pub unreachable: IntGauge,
     /// Endpoints in service whose entries are missing from the store.
     pub missing: IntGauge,
     /// How often the store was restored from a backup.
@@ -104,6 +106,10 @@
             revision: gauge("config_revision", "Revision of the document in force"),
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
+            unreachable: gauge(
+                "endpoints_unreachable",
+                "Endpoints to which the last connection failed",
+            ),
             missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
             restored,
             rated: gauge(
