--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -106,10 +106,7 @@
             revision: gauge("config_revision", "Revision of the document in force"),
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
-            unreachable: gauge(
-                "endpoints_unreachable",
-                "Endpoints to which the last connection failed",
-            ),
+            unreachable: gauge("endpoints_unreachable", "Endpoints to which the last connection failed"),
             missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
             restored,
             rated: gauge(
