--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -322,6 +322,11 @@
         }
     }
 
+    /// Returns the entry of an endpoint in service.
+    pub fn endpoint(&self, id: &EndpointId) -> Option<Arc<EndpointEntry>> {
+        self.endpoints.get(id).map(|state| state.entry.clone())
+    }
+
     /// Returns the number of endpoints to which this router's last connection failed.
     pub fn unreachable_count(&self) -> usize {
         self.health.unreachable().count()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
+//! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
@@ -24,6 +25,7 @@
 pub mod freshness;
 pub mod holder;
 pub mod loading;
+pub mod paths;
 pub mod prefixes;
 pub mod pressure;
 pub mod quotas;
--- a/crates/gateway/src/connections/call.rs
+++ b/crates/gateway/src/connections/call.rs
@@ -67,6 +67,22 @@
     Ok((called.status, called.body))
 }
 
+/// Makes one call over a new connection that is already open.
+///
+/// # Errors
+/// No complete response arrived in time.
+pub async fn call_over(
+    source: Source,
+    address: SocketAddr,
+    call: &Call,
+    limit: Duration,
+) -> Result<u16, ExchangeError> {
+    let mut headers = Headers::default();
+    headers.push("Connection", "close");
+    let called = with_timeout(limit, send(source, address, call, &headers)).await?;
+    Ok(called.status)
+}
+
 /// Sends a call. If the call is cancelled, here or because the caller drops this future, the connection is reset.
 /// Otherwise the kernel would retransmit the call until the peer acknowledges it. A delayed order could then arrive
 /// after its load list is out of date and after orders of another lease holder.
--- a/crates/gateway/src/connections/mod.rs
+++ b/crates/gateway/src/connections/mod.rs
@@ -5,13 +5,14 @@
 //! moment, and then it is unknown whether the endpoint has read the request.
 
 mod call;
+mod open;
 
-pub use call::{CallConnection, call_once};
+pub use call::{CallConnection, call_once, call_over};
+pub use open::open;
 
-use crate::metrics::Metrics;
 use dispatch::site::EndpointEntry;
 use futures::FutureExt;
-use http::raw::{ExchangeError, Source, connect};
+use http::raw::Source;
 use ids::{EndpointId, Incarnation};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -24,9 +25,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Used part of the announced keep-alive time. The endpoint's timer starts earlier than this router's.
 const IDLE_TIMEOUT_SHARE: f64 = 0.5;
-/// Longest wait for a connection to an endpoint. Within a region, connecting takes a few milliseconds. A lost packet is
-/// sent again after a second, and another endpoint responds sooner than that.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 type PoolKey = (EndpointId, Incarnation);
 
@@ -49,6 +47,8 @@
     pub source: Source,
     /// Whether it has carried an earlier request.
     pub used: bool,
+    /// Whether it is a tunnel through another router. Tunnels are not reused, so that they end with the cut.
+    pub tunnel: bool,
 }
 
 impl ConnectionPool {
@@ -63,28 +63,12 @@
                 return Some(PooledConnection {
                     source: idle.source,
                     used: true,
+                    tunnel: false,
                 });
             }
         }
     }
 
-    /// Opens a new connection.
-    ///
-    /// # Errors
-    /// No connection was established in time. Nothing was sent.
-    pub async fn open(
-        &self,
-        endpoint: &EndpointEntry,
-        timeout: Duration,
-        metrics: &Metrics,
-    ) -> Result<PooledConnection, ExchangeError> {
-        let opened = connect(endpoint.address, timeout.min(CONNECT_TIMEOUT)).await;
-        let outcome = if opened.is_ok() { "open" } else { "failed" };
-        metrics.connections.with_label_values(&[outcome]).inc();
-        let source = opened?;
-        Ok(PooledConnection { source, used: false })
-    }
-
     /// Returns a connection to the pool. Its last response must have been read completely.
     pub fn put_back(&self, endpoint: &EndpointEntry, mut source: Source, keep_alive: Option<Duration>) {
         if !source.buffered().is_empty() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -347,6 +347,7 @@
                 }
                 RosterChange::Removed(id) => {
                     self.shared.connections.remove(&id, None);
+                    self.shared.paths().remove(&id);
                     self.shared.fleet().remove_endpoint(&id, now);
                     log::info!(endpoint = id.as_str(); "endpoint: removed");
                 }
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -3,6 +3,7 @@
 use super::{MAX_STORE_AGE, documents, loads, uptime, weight_ages};
 use crate::news;
 use crate::shared::Shared;
+use crate::tunnel;
 use async_std::future::timeout;
 use dispatch::prefixes::{PartKey, PrefixEvent, PrefixEvents};
 use futures::FutureExt;
@@ -152,6 +153,7 @@
     let (items, prefixes) = (shared.clone(), shared.clone());
     let (fleet, ages, store) = (shared.clone(), shared.clone(), shared.clone());
     let (report, subtotal, site) = (shared.clone(), shared.clone(), shared.clone());
+    let paths = shared.clone();
     RelayHandlers {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -175,6 +177,7 @@
         target_ages: Arc::new(move |()| futures::future::ready(weight_ages::response(&ages)).boxed()),
         uptime: Arc::new(move |()| futures::future::ready(uptime::response(&store)).boxed()),
         document: Arc::new(move |()| futures::future::ready(documents::response(&site)).boxed()),
+        tunnel: Arc::new(move |stream| tunnel::serve(paths.clone(), stream).boxed()),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! Network tasks and timers of a router in front of routed services.
 //!
 //! [`front`] accepts client connections, [`serve`] forwards each request, [`connections`] connects to endpoints,
-//! [`follow`] keeps a copy of the store's contents, [`news`] exchanges load and use of quotas between routers, and [`orders`] sends the lease holder's orders to endpoints. The
+//! [`follow`] keeps a copy of the store's contents, [`news`] exchanges load and use of quotas between routers, [`tunnel`] carries connections to endpoints for routers that cannot reach them, and [`orders`] sends the lease holder's orders to endpoints. The
 //! [`Dialect`] defines the names and formats of the site. The `dispatch` crate makes all decisions.
 
 mod connections;
@@ -16,6 +16,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod tunnel;
 
 pub use dialect::{
     Dialect, ForwardContext, InvalidHead, LoadList, OrderResponse, RequestInfo, ResponseInfo, StoreKeys, TargetWeights,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,12 @@
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
     pub connections: IntCounterVec,
+    /// Requests for tunnels by role of this router and outcome.
+    pub tunnels: IntCounterVec,
+    /// Tunnels that this router carries for others.
+    pub tunnels_carried: IntGauge,
+    /// Endpoints that are reached through other routers.
+    pub paths_lost: IntGauge,
     /// Revision of the document in force.
     pub revision: IntGauge,
     /// Age of the newest confirmation of the document, milliseconds.
@@ -103,6 +109,13 @@
             ),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
+            tunnels: counters(
+                "tunnels_total",
+                "Requests for tunnels by role of this router and outcome",
+                &["role", "outcome"],
+            ),
+            tunnels_carried: gauge("tunnels_carried", "Tunnels that this router carries for others"),
+            paths_lost: gauge("paths_lost", "Endpoints that are reached through other routers"),
             revision: gauge("config_revision", "Revision of the document in force"),
             age: gauge("config_age_ms", "Age of the newest confirmation of the document"),
             endpoints: gauge("endpoints", "Endpoints in service"),
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -1,6 +1,6 @@
 //! Calls of the lease holder to endpoints: reports, orders, and probes of failed endpoints.
 
-use crate::connections::{CallConnection, call_once};
+use crate::connections::{CallConnection, call_once, call_over, open};
 use crate::control::orders::may_order;
 use crate::control::{Event, send};
 use crate::dialect::{LoadedWeights, OrderResponse, WeightsOrder};
@@ -209,10 +209,14 @@
 pub async fn probe(shared: Arc<Shared>, entry: Arc<EndpointEntry>) {
     let sent = shared.clock.now();
     let call = (shared.dialect.report_call)();
-    let response = call_once(entry.address, &call, &Headers::default(), CALL_TIMEOUT).await;
+    let response = async {
+        let connection = open(&shared, &entry, CALL_TIMEOUT).await?;
+        call_over(connection.source, entry.address, &call, CALL_TIMEOUT).await
+    };
+    let response = response.await;
     let now = shared.clock.now();
     let outcome = match response {
-        Ok((200, _)) => Outcome::Answered(now.saturating_sub(sent)),
+        Ok(200) => Outcome::Answered(now.saturating_sub(sent)),
         Ok(_) => Outcome::Declined,
         Err(ExchangeError::NotSent) => Outcome::ConnectFailed,
         Err(_) => Outcome::Broken,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -172,7 +172,8 @@
     let end = shared.settings.load().bounds.grace().saturating_sub(EXIT_MARGIN);
     loop {
         task::sleep(DRAIN_POLL_INTERVAL).await;
-        let left = shared.in_flight.load(Ordering::SeqCst);
+        // A carried tunnel holds a request of another router.
+        let left = shared.in_flight.load(Ordering::SeqCst) + shared.paths().carried();
         if begun.elapsed() >= NOTICE_PERIOD && shared.accepting.0.close() {
             log::info!(in_flight = left; "stopping: no new requests");
         }
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -6,7 +6,7 @@
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
 use super::wait::{WaitOutcome, WeightsOutdated, wait};
-use crate::connections::PooledConnection;
+use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
@@ -267,6 +267,7 @@
         }
         self.sent += 1;
         self.charge.attempt_starts();
+        self.record.tunnel = connection.tunnel;
         self.record.weights = self.weights_age(picked);
         self.record_prompt(picked);
         let within = attempt::attempt_timeout(self.request.route.kind, &self.tried());
@@ -383,10 +384,7 @@
             return WaitOutcome::Done(Ok(connection));
         }
         let limit = self.remaining();
-        let open = self
-            .shared
-            .connections
-            .open(&picked.endpoint, limit, &self.shared.metrics);
+        let open = connections::open(self.shared, &picked.endpoint, limit);
         wait(&self.request.incoming.conn, limit, open).await
     }
 
@@ -402,17 +400,17 @@
         let ours = |head: &http::raw::ResponseHead| parse(head).id.is_none_or(|echoed| echoed == *id);
         let mut source = connection.source;
         match exchange(&mut source, &request, method, ours).await {
-            Ok(answer) => Ok((answer, source)),
+            Ok(mut answer) => {
+                answer.reusable &= !connection.tunnel;
+                Ok((answer, source))
+            }
             // The endpoint closed the reused connection while the request was in transit. Sending it again is safe,
             // because only repeatable requests use such connections.
             Err(err) if connection.used && err.is_closed() => {
-                let limit = self.remaining();
-                let fresh = self
-                    .shared
-                    .connections
-                    .open(&picked.endpoint, limit, &self.shared.metrics);
-                source = fresh.await?.source;
-                let answer = exchange(&mut source, &request, method, ours).await?;
+                let fresh = connections::open(self.shared, &picked.endpoint, self.remaining()).await?;
+                source = fresh.source;
+                let mut answer = exchange(&mut source, &request, method, ours).await?;
+                answer.reusable &= !fresh.tunnel;
                 Ok((answer, source))
             }
             Err(err) => Err(err),
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -20,6 +20,8 @@
     pub age: Option<Duration>,
     /// Weights that the last attempt named, and how long they had been outdated when it was sent.
     pub weights: Option<(u64, Staleness)>,
+    /// Whether the last attempt reached its endpoint through another router.
+    pub tunnel: bool,
     /// Its prompt; all zero if it has none.
     pub prompt: PromptRecord,
     arrived: Duration,
@@ -53,6 +55,7 @@
             revision: Revision(0),
             age: None,
             weights: None,
+            tunnel: false,
             prompt: PromptRecord::default(),
             arrived,
             first: None,
@@ -107,6 +110,7 @@
             pause_ms = self.longest_pause.as_millis() as u64,
             total_ms = total.as_millis() as u64,
             tries = self.attempts.as_str(),
+            tunnel = self.tunnel,
             prompt = self.prompt.tokens,
             read = self.prompt.read,
             prefix = format!("{:x}", self.prompt.prefix).as_str(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,11 +6,13 @@
 use crate::follow::relay::Relay;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::tunnel::PeerCache;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_channel::{Receiver, Sender};
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
+use dispatch::paths::Paths;
 use dispatch::prefixes::PrefixStores;
 use dispatch::quotas::Quotas;
 use dispatch::retries::RetryLimits;
@@ -44,6 +46,9 @@
     uptime: Mutex<Uptime>,
     prefixes: Mutex<PrefixStores>,
     quotas: Mutex<Quotas>,
+    paths: Mutex<Paths>,
+    /// The other routers, as read when a tunnel was last needed.
+    pub peers: PeerCache,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
     /// Metrics.
@@ -89,6 +94,8 @@
             uptime: Mutex::default(),
             prefixes: Mutex::default(),
             quotas: Mutex::new(quotas),
+            paths: Mutex::default(),
+            peers: PeerCache::default(),
             connections: ConnectionPool::default(),
             metrics: Metrics::new(),
             events,
@@ -158,6 +165,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Paths to the endpoints.
+    pub fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the document is recent enough to authorize keys.
     pub fn is_fresh(&self) -> bool {
         let Some(bound) = self.settings.load().bounds.revoke() else {
--- /dev/null
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -0,0 +1,141 @@
+//! Carries tunnels for other routers.
+
+use super::{INCARNATION, MAX_HEAD_BYTES, OPENED, REFUSED, ROUTER, UNREACHABLE};
+use crate::follow::Members;
+use crate::shared::Shared;
+use async_std::future::timeout;
+use async_std::io::WriteExt;
+use async_std::net::TcpStream;
+use dispatch::site::EndpointEntry;
+use futures::future::{Either, select};
+use http::Conn;
+use http::raw::{RequestHead, Source, connect, set_socket_options};
+use ids::{EndpointId, Incarnation, VmId};
+use std::io;
+use std::net::IpAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Longest wait for the request.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a connection to the endpoint. It is shorter than for this router's own requests, so that the
+/// requesting router can still ask another one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest life of a tunnel.
+const MAX_LIFETIME: Duration = Duration::from_secs(600);
+/// How long a tunnel is drained after the endpoint has closed it. Closing it with unread bytes would reset it, and the
+/// other router could lose the response.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// How one direction of a tunnel ended.
+enum End {
+    /// The sender closed regularly.
+    Closed,
+    /// The sender's connection was reset, or the receiver's failed.
+    Broken,
+}
+
+/// Serves a connection on which another router requests a tunnel.
+pub async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    set_socket_options(&stream);
+    let Ok(peer) = stream.peer_addr() else { return };
+    let conn = Conn::new(stream);
+    let mut source = Source::new(conn.clone());
+    let Ok(Ok(head)) = timeout(REQUEST_TIMEOUT, source.request_head(MAX_HEAD_BYTES)).await else {
+        return;
+    };
+    let Some(endpoint) = requested_endpoint(&shared, &head, peer.ip()) else {
+        return respond(&shared, conn, REFUSED, "rejected").await;
+    };
+    if shared.stopping.load(Ordering::SeqCst) || !shared.paths().carry(&endpoint.id) {
+        return respond(&shared, conn, REFUSED, "refused").await;
+    }
+    let _carried = Carried::new(&shared);
+    let Ok(far) = connect(endpoint.address, CONNECT_TIMEOUT).await else {
+        return respond(&shared, conn, UNREACHABLE, "unreachable").await;
+    };
+    respond(&shared, conn, OPENED, "opened").await;
+    // A tunnel that lives longer belongs to a router that has disappeared.
+    let _ = timeout(MAX_LIFETIME, splice(source, far)).await;
+}
+
+/// Counts a carried tunnel until dropped.
+struct Carried<'a>(&'a Shared);
+
+impl<'a> Carried<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.metrics.tunnels_carried.inc();
+        Self(shared)
+    }
+}
+
+impl Drop for Carried<'_> {
+    fn drop(&mut self) {
+        self.0.paths().carried_ended();
+        self.0.metrics.tunnels_carried.dec();
+    }
+}
+
+/// The endpoint that a request names. None unless the request comes from a registered router and names an endpoint in
+/// service: nobody else may reach endpoints, and endpoints only, through this router.
+fn requested_endpoint(shared: &Shared, head: &RequestHead, from: IpAddr) -> Option<Arc<EndpointEntry>> {
+    if head.method != "CONNECT" {
+        return None;
+    }
+    let router = VmId::from(head.headers.one(ROUTER)?);
+    let incarnation = Incarnation(head.headers.one(INCARNATION)?.parse().ok()?);
+    let members = Members::read(shared);
+    if members.get(&router)?.address.ip() != from {
+        log::warn!(router = router.as_str(), from:% = from; "tunnel: rejected, the address is not that of the router");
+        return None;
+    }
+    let endpoint = shared.fleet().endpoint(&EndpointId::from(head.target.as_str()))?;
+    (endpoint.incarnation == incarnation && !endpoint.draining).then_some(endpoint)
+}
+
+async fn respond(shared: &Shared, mut conn: Conn, status: u16, outcome: &str) {
+    shared.metrics.tunnels.with_label_values(&["carried", outcome]).inc();
+    let text = format!("HTTP/1.1 {status} {outcome}\r\n\r\n");
+    // If the router has left, the next read shows it.
+    let _ = conn.write_all(text.as_bytes()).await;
+}
+
+/// Carries bytes in both directions until either end closes.
+async fn splice(near: Source, far: Source) {
+    let (near_conn, far_conn) = (near.conn().clone(), far.conn().clone());
+    // Only a regular end is carried over as one. A response without a length would look complete if this process or the
+    // other end of the tunnel failed and the connection was closed.
+    near_conn.reset_on_drop(true);
+    far_conn.reset_on_drop(true);
+    let up = pin!(copy(near, far_conn.clone()));
+    let down = pin!(copy(far, near_conn.clone()));
+    match select(up, down).await {
+        Either::Left((End::Closed, _)) => far_conn.reset_on_drop(false),
+        Either::Right((End::Closed, up)) => {
+            near_conn.reset_on_drop(false);
+            near_conn.shutdown_write();
+            // The router closes its end once it has read the response.
+            let _ = timeout(LINGER_TIME, up).await;
+        }
+        Either::Left((End::Broken, _)) | Either::Right((End::Broken, _)) => {}
+    }
+}
+
+async fn copy(mut from: Source, mut to: Conn) -> End {
+    loop {
+        if !from.buffered().is_empty() {
+            if to.write_all(from.buffered()).await.is_err() {
+                return End::Broken;
+            }
+            from.discard();
+        }
+        let read: io::Result<usize> = from.fill().await;
+        match read {
+            Ok(0) => return End::Closed,
+            Ok(_) => {}
+            Err(_) => return End::Broken,
+        }
+    }
+}
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -30,6 +30,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum time for the rest of a response after its first byte.
 const MAX_RESPONSE_TIME: Duration = Duration::from_secs(10);
+/// First byte of a tunnel request, `CONNECT`. Messages begin with their length, which is far shorter.
+const TUNNEL_FIRST_BYTE: u8 = b'C';
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -280,6 +282,8 @@
     pub uptime: Handler<(), Option<UptimeMessage>>,
     /// Revision of the router's active document.
     pub document: Handler<(), Option<Revision>>,
+    /// Serves a connection that requests a tunnel instead of making calls.
+    pub tunnel: Handler<TcpStream, ()>,
 }
 
 #[derive(Clone)]
@@ -335,15 +339,46 @@
         if open.load(Ordering::Relaxed) >= MAX_FOLLOWERS {
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (open, traffic, handlers) = (open.clone(), Arc::clone(&traffic), handlers.clone());
+        let slot = FollowerSlot::new(&open);
+        let (traffic, handlers) = (Arc::clone(&traffic), handlers.clone());
         async_std::task::spawn(async move {
-            serve(stream, &traffic, handlers).await;
-            open.fetch_sub(1, Ordering::Relaxed);
+            match first_byte(&stream).await {
+                None => {}
+                Some(TUNNEL_FIRST_BYTE) => {
+                    drop(slot);
+                    (handlers.tunnel)(stream).await;
+                }
+                Some(_) => serve(stream, &traffic, handlers).await,
+            }
         });
     }
 }
 
+/// Counts a follower's connection until dropped.
+struct FollowerSlot(Arc<AtomicUsize>);
+
+impl FollowerSlot {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for FollowerSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits for the first byte of a connection and leaves it unread; none if the connection ends before it.
+async fn first_byte(stream: &TcpStream) -> Option<u8> {
+    let mut byte = [0];
+    match async_std::future::timeout(IDLE_TIMEOUT, stream.peek(&mut byte)).await {
+        Ok(Ok(1)) => Some(byte[0]),
+        _ => None,
+    }
+}
+
 async fn serve(stream: TcpStream, traffic: &Arc<Traffic>, handlers: RelayHandlers) {
     let transport = tarpc::serde_transport::new(socket::framed(stream, traffic), Json::default());
     let mut calls = Box::pin(BaseChannel::with_defaults(transport).execute(Server(handlers).serve()));
