A holder of the order lease that is cut off from endpoints hands it over

What callers would see: engines stay on old weights for as long as the router that orders loads can't reach them. Cause: the lease says nothing about the way to endpoints; a cut holder keeps renewing it. Orders can't go through other routers, since an endpoint sees orders from two VMs then. Change: a router that has lost its own paths to most endpoints releases the lease, and requests none. A successor keeps to the delay between orders of two holders as after any change.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -79,6 +79,9 @@
     Tick,
     /// Whether this router is one of the few that request the key first. Each request costs calls to the store.
     Candidate(bool),
+    /// Whether this router has lost its own paths to most endpoints. Orders don't go through other routers, because an
+    /// endpoint can't tell then which router sent them.
+    CutOff(bool),
     /// The current holder key in the store; `None` if it is absent.
     KeyObserved(Option<HolderRecord>),
     /// The store granted a lease, and the key is being written.
@@ -147,6 +150,7 @@
     candidate: bool,
     /// Whether the key has been read since this process started.
     key_read: bool,
+    cut_off: bool,
     stopped: bool,
 }
 
@@ -161,6 +165,7 @@
             stagger,
             candidate: false,
             key_read: false,
+            cut_off: false,
             stopped: false,
         }
     }
@@ -171,6 +176,12 @@
         match event {
             Event::Tick => return self.tick(now),
             Event::Candidate(candidate) => self.candidate = candidate,
+            Event::CutOff(cut_off) => {
+                self.cut_off = cut_off;
+                if cut_off && self.fence().is_some() {
+                    return self.release();
+                }
+            }
             Event::KeyObserved(record) => return self.observe_key(record, now),
             // The failure of an earlier request arrived late, so one request too many was made. The key stays attached
             // to its own lease. Renewing this one instead would let orders continue after the key's lease has expired.
@@ -199,9 +210,7 @@
             Event::LeaseExpired(_) => {}
             Event::Stop => {
                 self.stopped = true;
-                let held = self.lease.map(|lease| Step::Release(lease.id));
-                self.reset();
-                return held;
+                return self.release();
             }
         }
         None
@@ -246,7 +255,7 @@
 
     fn tick(&mut self, now: Duration) -> Option<Step> {
         match self.phase {
-            Phase::Free { next } if now >= self.request_time(next) && !self.stopped => {
+            Phase::Free { next } if now >= self.request_time(next) && !self.stopped && !self.cut_off => {
                 self.phase = Phase::Requesting {
                     until: now + self.times.ttl,
                 };
@@ -285,8 +294,7 @@
         };
         let own = record.name == self.name && self.lease.is_some_and(|lease| lease.id == record.lease);
         if !own {
-            let held = self.lease.map(|lease| Step::Release(lease.id));
-            self.reset();
+            let held = self.release();
             // An earlier process of this VM that was killed can't revoke its lease, and no router could order until the
             // lease expires. That process has ended, since this one listens on its address. This is done only for the
             // first key that is read. Otherwise two routers with the same VM name by mistake would keep revoking each
@@ -304,6 +312,13 @@
         None
     }
 
+    /// Gives up the key and the lease.
+    fn release(&mut self) -> Option<Step> {
+        let held = self.lease.map(|lease| Step::Release(lease.id));
+        self.reset();
+        held
+    }
+
     fn reset(&mut self) {
         self.phase = Phase::Idle;
         self.lease = None;
--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -159,6 +159,11 @@
         self.detours.len()
     }
 
+    /// Whether the paths to more than half of the endpoints are lost.
+    pub fn is_cut_off(&self, endpoints: usize) -> bool {
+        self.detours.len() * 2 > endpoints
+    }
+
     /// Chooses the routers to ask for a tunnel, in this order. Those that probably work come first, then near ones,
     /// in the domain of either end, because bytes between domains are billed. Unless the first is known to work, the
     /// last is in another domain, because a whole domain may have lost its paths. `draw` is uniform over all `u64` values
--- a/crates/dispatch/tests/holder.rs
+++ b/crates/dispatch/tests/holder.rs
@@ -67,6 +67,20 @@
     assert_eq!(holder.lease(), None);
 }
 
+/// A holder that reaches no endpoint would keep them all on old weights.
+#[test]
+fn a_holder_that_is_cut_off_hands_the_lease_over() {
+    let mut holder = holding();
+    assert_eq!(holder.on(Event::CutOff(false), at(200)), None);
+    assert_eq!(holder.on(Event::CutOff(true), at(300)), Some(Step::Release(7)));
+    assert_eq!((holder.may_order(at(300)), holder.lease()), (None, None));
+    holder.on(Event::KeyObserved(None), at(310));
+    assert_eq!(holder.on(Event::CutOff(true), at(320)), None);
+    assert_eq!(holder.on(Event::Tick, at(9_000)), None);
+    assert_eq!(holder.on(Event::CutOff(false), at(9_100)), None);
+    assert_eq!(holder.on(Event::Tick, at(9_200)), Some(Step::Acquire(TIMES.ttl)));
+}
+
 #[test]
 fn only_the_router_named_in_the_key_sends_orders() {
     let mut waiting = candidate();
