--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,7 +9,6 @@
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
-//! | [`brittle`] | how much of an endpoint that stands few rejections is used |
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
@@ -20,7 +19,6 @@
 //! | [`loading`] | when an endpoint is ordered to load, again or not at all |
 
 pub mod attempt;
-pub mod brittle;
 mod decay;
 pub mod era_check;
 pub mod fleet;
