Tunnels spare endpoints that are down

What callers would see: with a quarter of the endpoints of a large deployment without power, each of a hundred routers would ask two others for each request and probe to them, and a request would wait 550 ms for a connection instead of 400. Cause: a tunnel was requested whenever a connection failed. Found by reading. Change: an endpoint that two other routers couldn't reach gets no tunnel for a second, unless this router has lost other paths; probes are tunnelled only then; a connection and its tunnel share the 400 ms. The list of routers isn't parsed for each carried tunnel.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -21,6 +21,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a tunnel after which a lost path counts as working again.
 const FORGET_AFTER: Duration = Duration::from_secs(5);
+/// How long no tunnel is requested to an endpoint that other routers could not reach either.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_000);
 /// Routers asked for one tunnel.
 const MAX_HELPERS: usize = 3;
 /// How long routers are preferred that have opened a tunnel, and avoided that have not.
@@ -38,6 +40,8 @@
         /// Head start of the connection.
         tunnel_after: Duration,
     },
+    /// Connect. Other routers cannot reach the endpoint either.
+    DirectOnly,
     /// Open a tunnel, and connect only if that fails.
     Tunnel,
 }
@@ -108,6 +112,8 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     detours: HashMap<EndpointId, Detour>,
+    /// Until when no tunnels are requested to endpoints that other routers could not reach.
+    unreachable: HashMap<EndpointId, Duration>,
     /// Recent replies of other routers to requests for tunnels.
     replies: HashMap<VmId, (HelperReply, Duration)>,
     /// Tunnels that this router carries for others.
@@ -120,6 +126,10 @@
         self.detours.retain(|_, detour| now < detour.used + FORGET_AFTER);
         let suspected = !self.detours.is_empty();
         let Some(detour) = self.detours.get_mut(endpoint) else {
+            // While other paths are lost, the routers that were asked may have lost theirs too.
+            if !suspected && self.unreachable.get(endpoint).is_some_and(|until| now < *until) {
+                return PathPlan::DirectOnly;
+            }
             let tunnel_after = if suspected {
                 TUNNEL_DELAY_SUSPECTED
             } else {
@@ -154,6 +164,13 @@
         true
     }
 
+    /// Records that other routers could not reach the endpoint. Without a pause, each request and probe to an endpoint
+    /// that is down would make several routers connect to it.
+    pub fn unreachable_from_others(&mut self, endpoint: &EndpointId, now: Duration) {
+        self.unreachable.retain(|_, until| now < *until);
+        self.unreachable.insert(endpoint.clone(), now + UNREACHABLE_TIME);
+    }
+
     /// Number of endpoints whose path is lost.
     pub fn lost(&self) -> usize {
         self.detours.len()
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -52,6 +52,20 @@
     assert_eq!(paths.lost(), 0);
 }
 
+/// Each request to an endpoint that is down would make several routers connect to it.
+#[test]
+fn no_tunnel_is_requested_to_an_endpoint_that_others_cannot_reach() {
+    let mut paths = Paths::default();
+    paths.unreachable_from_others(&endpoint(1), ms(0));
+    assert_eq!(paths.plan(&endpoint(1), ms(500)), PathPlan::DirectOnly);
+    assert!(matches!(paths.plan(&endpoint(2), ms(500)), PathPlan::Direct { .. }));
+    assert!(matches!(paths.plan(&endpoint(1), ms(1_500)), PathPlan::Direct { .. }));
+    // A router that is cut off may have asked others that are cut off as well.
+    paths.unreachable_from_others(&endpoint(1), ms(2_000));
+    paths.tunnelled(&endpoint(2), ms(2_000));
+    assert!(matches!(paths.plan(&endpoint(1), ms(2_010)), PathPlan::Direct { .. }));
+}
+
 /// Two routers without a path would send a tunnel to each other.
 #[test]
 fn a_router_without_a_path_carries_no_tunnel() {
--- a/crates/gateway/src/connections/open.rs
+++ b/crates/gateway/src/connections/open.rs
@@ -12,8 +12,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
-/// Longest wait for a connection to an endpoint, and for a tunnel. Within a region, connecting takes a few milliseconds. A
-/// lost packet is sent again after a second, and another endpoint responds sooner than that.
+/// Longest wait for a connection to an endpoint or a tunnel. Within a region, connecting takes a few milliseconds. A lost
+/// packet is sent again after a second, and another endpoint responds sooner than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The path on which a connection was established.
@@ -31,16 +31,9 @@
     endpoint: &EndpointEntry,
     limit: Duration,
 ) -> Result<PooledConnection, ExchangeError> {
-    let plan = shared.paths().plan(&endpoint.id, shared.clock.now());
-    let direct = connect(endpoint.address, limit.min(CONNECT_TIMEOUT));
-    let tunnel = tunnel::open(shared, endpoint, limit.min(CONNECT_TIMEOUT));
-    let opened = match plan {
-        PathPlan::Direct { tunnel_after } => race(direct, tunnel, tunnel_after).await,
-        PathPlan::Tunnel => match tunnel.await {
-            Ok(source) => Ok(Opened::Tunnel(source)),
-            Err(_) => direct.await.map(Opened::Direct),
-        },
-    };
+    let limit = limit.min(CONNECT_TIMEOUT);
+    let opened = timeout(limit, open_any(shared, endpoint, limit)).await;
+    let opened = opened.unwrap_or(Err(ExchangeError::NotSent));
     let outcome = match &opened {
         Ok(Opened::Direct(_)) => "open",
         Ok(Opened::Tunnel(_)) => "tunnel",
@@ -59,6 +52,20 @@
     })
 }
 
+async fn open_any(shared: &Shared, endpoint: &EndpointEntry, limit: Duration) -> Result<Opened, ExchangeError> {
+    let plan = shared.paths().plan(&endpoint.id, shared.clock.now());
+    let direct = connect(endpoint.address, limit);
+    let tunnel = tunnel::open(shared, endpoint);
+    match plan {
+        PathPlan::Direct { tunnel_after } => race(direct, tunnel, tunnel_after).await,
+        PathPlan::DirectOnly => direct.await.map(Opened::Direct),
+        PathPlan::Tunnel => match tunnel.await {
+            Ok(source) => Ok(Opened::Tunnel(source)),
+            Err(_) => direct.await.map(Opened::Direct),
+        },
+    }
+}
+
 /// The first connection that is established. The tunnel begins once the direct connection has failed or has had its head
 /// start.
 async fn race(
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -129,12 +129,6 @@
         all.filter(|(vm, _)| vm != own).cloned().collect()
     }
 
-    /// The entry of a router.
-    pub fn get(&self, vm: &VmId) -> Option<&Member> {
-        let mut all = self.same_domain.iter().chain(&self.other_domains);
-        all.find(|(known, _)| known == vm).map(|(_, member)| member)
-    }
-
     /// The routers to follow, best first; empty if this router watches the store directly.
     pub fn upstreams(&self, own: &VmId, domain: &DomainId) -> Vec<(VmId, SocketAddr)> {
         let link_speeds: Vec<(VmId, f64)> = self
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -12,7 +12,7 @@
 use dispatch::loading::{Loading, Next, ORDER_TIMEOUT, OrderOutcome};
 use dispatch::rollout::{Report, SentOrder};
 use dispatch::site::EndpointEntry;
-use http::raw::{ExchangeError, Headers};
+use http::raw::{ExchangeError, Headers, Source, connect};
 use ids::{Fence, ModelId};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -210,8 +210,8 @@
     let sent = shared.clock.now();
     let call = (shared.dialect.report_call)();
     let response = async {
-        let connection = open(&shared, &entry, CALL_TIMEOUT).await?;
-        call_over(connection.source, entry.address, &call, CALL_TIMEOUT).await
+        let source = probe_connection(&shared, &entry).await?;
+        call_over(source, entry.address, &call, CALL_TIMEOUT).await
     };
     let response = response.await;
     let now = shared.clock.now();
@@ -223,3 +223,12 @@
     };
     shared.fleet().record_probe(&entry.id, outcome, now);
 }
+
+/// A connection to a failed endpoint. It is tunnelled only if this router has lost paths. Otherwise the endpoint is
+/// probably down, and probes of all routers would be multiplied.
+async fn probe_connection(shared: &Shared, entry: &EndpointEntry) -> Result<Source, ExchangeError> {
+    if shared.paths().lost() > 0 {
+        return Ok(open(shared, entry, CALL_TIMEOUT).await?.source);
+    }
+    connect(entry.address, CALL_TIMEOUT).await
+}
--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -1,7 +1,6 @@
 //! Carries tunnels for other routers.
 
 use super::{INCARNATION, MAX_HEAD_BYTES, OPENED, REFUSED, ROUTER, UNREACHABLE};
-use crate::follow::Members;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -86,8 +85,7 @@
     }
     let router = VmId::from(head.headers.one(ROUTER)?);
     let incarnation = Incarnation(head.headers.one(INCARNATION)?.parse().ok()?);
-    let members = Members::read(shared);
-    if members.get(&router)?.address.ip() != from {
+    if shared.peers.address(shared, &router)?.ip() != from {
         log::warn!(router = router.as_str(), from:% = from; "tunnel: rejected, the address is not that of the router");
         return None;
     }
--- a/crates/gateway/src/tunnel/request.rs
+++ b/crates/gateway/src/tunnel/request.rs
@@ -33,6 +33,11 @@
 pub struct PeerCache(Mutex<Option<(Duration, Arc<Peers>)>>);
 
 impl PeerCache {
+    /// Address of another router for followers.
+    pub fn address(&self, shared: &Shared, vm: &VmId) -> Option<SocketAddr> {
+        self.peers(shared).addresses.get(vm).copied()
+    }
+
     fn peers(&self, shared: &Shared) -> Arc<Peers> {
         let now = shared.clock.now();
         let mut cached = self.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -60,36 +65,33 @@
 /// Opens a tunnel to an endpoint.
 ///
 /// # Errors
-/// No router opened one in time. Nothing was sent to the endpoint.
-pub async fn open(shared: &Shared, endpoint: &EndpointEntry, limit: Duration) -> Result<Source, ExchangeError> {
-    let opened = timeout(limit, ask_helpers(shared, endpoint)).await;
-    opened.ok().flatten().ok_or(ExchangeError::NotSent)
-}
-
-async fn ask_helpers(shared: &Shared, endpoint: &EndpointEntry) -> Option<Source> {
+/// No router opened one. Nothing was sent to the endpoint.
+pub async fn open(shared: &Shared, endpoint: &EndpointEntry) -> Result<Source, ExchangeError> {
     let peers = shared.peers.peers(shared);
     let own = shared.settings.load().domain.clone();
+    let ends = [&own, &endpoint.domain];
     let now = shared.clock.now();
-    let draw = rand::random();
-    let helpers = shared
-        .paths()
-        .helpers(&peers.helpers, [&own, &endpoint.domain], draw, now);
+    let helpers = shared.paths().helpers(&peers.helpers, ends, rand::random(), now);
     let mut unreachable = 0;
     for vm in helpers {
-        let address = peers.addresses.get(&vm)?;
+        let Some(address) = peers.addresses.get(&vm) else {
+            continue;
+        };
         let (reply, source) = ask(shared, endpoint, *address).await;
-        shared.paths().helper_replied(&vm, reply, shared.clock.now());
+        let now = shared.clock.now();
+        shared.paths().helper_replied(&vm, reply, now);
         let tunnels = &shared.metrics.tunnels;
         tunnels.with_label_values(&["requested", reply_label(reply)]).inc();
-        if source.is_some() {
-            return source;
+        if let Some(source) = source {
+            return Ok(source);
         }
         unreachable += usize::from(reply == HelperReply::Unreachable);
         if unreachable >= MAX_UNREACHABLE {
-            return None;
+            shared.paths().unreachable_from_others(&endpoint.id, now);
+            break;
         }
     }
-    None
+    Err(ExchangeError::NotSent)
 }
 
 async fn ask(shared: &Shared, endpoint: &EndpointEntry, helper: SocketAddr) -> (HelperReply, Option<Source>) {
