A router that gets only tunnels counts as cut off

Cause: a router counted as cut off once it had lost the paths to more than half of all endpoints. Change: it counts as cut off with two lost paths and no connection of its own for a second. Test: a_router_that_gets_only_tunnels_is_cut_off.

--- a/crates/dispatch/src/holder.rs
+++ b/crates/dispatch/src/holder.rs
@@ -79,7 +79,7 @@
     Tick,
     /// Whether this router is one of the few that request the key first. Each request costs calls to the store.
     Candidate(bool),
-    /// Whether this router has lost its own paths to most endpoints. Orders don't go through other routers, because an
+    /// Whether this router has lost its own paths to the endpoints. Orders don't go through other routers, because an
     /// endpoint can't tell then which router sent them.
     CutOff(bool),
     /// The current holder key in the store; `None` if it is absent.
--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -21,6 +21,10 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a tunnel after which a lost path counts as working again.
 const FORGET_AFTER: Duration = Duration::from_secs(5);
+/// Time without a connection of its own after which a router that uses tunnels counts as cut off.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_000);
+/// Lost paths of a router that counts as cut off. One may be a lost packet.
+const MIN_LOST: usize = 2;
 /// How long no tunnel is requested to an endpoint that other routers could not reach either.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_000);
 /// Routers asked for one tunnel.
@@ -112,6 +116,8 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     detours: HashMap<EndpointId, Detour>,
+    /// When a connection was last established.
+    connected: Duration,
     /// Until when no tunnels are requested to endpoints that other routers could not reach.
     unreachable: HashMap<EndpointId, Duration>,
     /// Recent replies of other routers to requests for tunnels.
@@ -148,7 +154,8 @@
     }
 
     /// Records that a connection to the endpoint was established. Returns whether its path had been lost.
-    pub fn connected(&mut self, endpoint: &EndpointId) -> bool {
+    pub fn connected(&mut self, endpoint: &EndpointId, now: Duration) -> bool {
+        self.connected = now;
         self.detours.remove(endpoint).is_some()
     }
 
@@ -176,9 +183,11 @@
         self.detours.len()
     }
 
-    /// Whether the paths to more than half of the endpoints are lost.
-    pub fn is_cut_off(&self, endpoints: usize) -> bool {
-        self.detours.len() * 2 > endpoints
+    /// Whether this router has lost its paths to all endpoints that it has used lately. In a large pool these are few of
+    /// them.
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        let in_use = self.detours.values().filter(|detour| now < detour.used + FORGET_AFTER);
+        in_use.count() >= MIN_LOST && now >= self.connected + CUT_OFF_AFTER
     }
 
     /// Chooses the routers to ask for a tunnel, in this order. Those that probably work come first, then near ones,
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -37,7 +37,7 @@
         assert!(!paths.tunnelled(&id, ms(time)));
     }
     assert!((2..=5).contains(&direct), "{direct} connections in a second");
-    assert!(paths.connected(&id));
+    assert!(paths.connected(&id, ms(1_160)));
     assert!(!is_due(paths.plan(&id, ms(1_200))) && paths.lost() == 0);
 }
 
@@ -66,6 +66,22 @@
     assert!(matches!(paths.plan(&endpoint(1), ms(2_010)), PathPlan::Direct { .. }));
 }
 
+/// A cut router of a large pool uses few endpoints. If their share of all endpoints counted, it would go on holding the
+/// order lease and load no weights.
+#[test]
+fn a_router_that_gets_only_tunnels_is_cut_off() {
+    let mut paths = Paths::default();
+    paths.connected(&endpoint(1), ms(0));
+    paths.tunnelled(&endpoint(2), ms(200));
+    assert!(!paths.is_cut_off(ms(1_500)), "one lost path");
+    paths.tunnelled(&endpoint(3), ms(300));
+    assert!(!paths.is_cut_off(ms(900)), "it connected a moment ago");
+    assert!(paths.is_cut_off(ms(1_100)));
+    paths.connected(&endpoint(4), ms(1_200));
+    assert!(!paths.is_cut_off(ms(1_300)), "it reaches another endpoint");
+    assert!(!paths.is_cut_off(ms(9_000)), "nothing was needed for long");
+}
+
 /// Two routers without a path would send a tunnel to each other.
 #[test]
 fn a_router_without_a_path_carries_no_tunnel() {
--- a/crates/gateway/src/connections/open.rs
+++ b/crates/gateway/src/connections/open.rs
@@ -88,11 +88,12 @@
 }
 
 fn record_path(shared: &Shared, endpoint: &EndpointEntry, tunnel: bool) {
+    let now = shared.clock.now();
     let mut paths = shared.paths();
     let changed = if tunnel {
-        paths.tunnelled(&endpoint.id, shared.clock.now())
+        paths.tunnelled(&endpoint.id, now)
     } else {
-        paths.connected(&endpoint.id)
+        paths.connected(&endpoint.id, now)
     };
     let lost = paths.lost();
     drop(paths);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -485,7 +485,7 @@
         self.probe(now);
         let watches = self.shared.watches_store.load(Ordering::SeqCst);
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
-        let cut_off = self.shared.paths().is_cut_off(self.roster.all().count());
+        let cut_off = self.shared.paths().is_cut_off(now);
         self.on_holder_event(dispatch::holder::Event::CutOff(cut_off));
         self.on_holder_event(dispatch::holder::Event::Tick);
         self.queue_loads(now);
