A router is cut off from a service, not from all of them

Cause: any connection of its own showed that a router wasn't cut off. Change: connections and lost paths count by service; a holder hands over if it is cut off from the engines of any service. Test: a_router_that_gets_only_tunnels_is_cut_off, with another service that it reaches.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -8,8 +8,9 @@
 //! A tunnel carries the bytes of one connection. Attempts, deadlines, budgets and quotas stay with the router that
 //! serves the client.
 
+use crate::site::EndpointEntry;
 use control::rendezvous;
-use ids::{DomainId, EndpointId, VmId};
+use ids::{DomainId, EndpointId, ServiceId, VmId};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -104,8 +105,10 @@
 }
 
 /// A lost path.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Detour {
+    /// Service of the endpoint.
+    service: ServiceId,
     /// When the last connection was tried.
     tried: Duration,
     /// When the last tunnel was opened.
@@ -116,8 +119,8 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     detours: HashMap<EndpointId, Detour>,
-    /// When a connection was last established.
-    connected: Duration,
+    /// When a connection was last established, by service.
+    connected: HashMap<ServiceId, Duration>,
     /// Until when no tunnels are requested to endpoints that other routers could not reach.
     unreachable: HashMap<EndpointId, Duration>,
     /// Recent replies of other routers to requests for tunnels.
@@ -154,20 +157,27 @@
     }
 
     /// Records that a connection to the endpoint was established. Returns whether its path had been lost.
-    pub fn connected(&mut self, endpoint: &EndpointId, now: Duration) -> bool {
-        self.connected = now;
-        self.detours.remove(endpoint).is_some()
+    pub fn connected(&mut self, endpoint: &EndpointEntry, now: Duration) -> bool {
+        match self.connected.get_mut(&endpoint.service) {
+            Some(connected) => *connected = now,
+            None => drop(self.connected.insert(endpoint.service.clone(), now)),
+        }
+        self.detours.remove(&endpoint.id).is_some()
     }
 
     /// Records that a tunnel to the endpoint was opened although a connection was due before it. Returns whether the
     /// path counted as working until now.
-    pub fn tunnelled(&mut self, endpoint: &EndpointId, now: Duration) -> bool {
-        if let Some(detour) = self.detours.get_mut(endpoint) {
+    pub fn tunnelled(&mut self, endpoint: &EndpointEntry, now: Duration) -> bool {
+        if let Some(detour) = self.detours.get_mut(&endpoint.id) {
             detour.used = now;
             return false;
         }
-        let detour = Detour { tried: now, used: now };
-        self.detours.insert(endpoint.clone(), detour);
+        let detour = Detour {
+            service: endpoint.service.clone(),
+            tried: now,
+            used: now,
+        };
+        self.detours.insert(endpoint.id.clone(), detour);
         true
     }
 
@@ -183,11 +193,12 @@
         self.detours.len()
     }
 
-    /// Whether this router has lost its paths to all endpoints that it has used lately. In a large pool these are few of
-    /// them.
-    pub fn is_cut_off(&self, now: Duration) -> bool {
-        let in_use = self.detours.values().filter(|detour| now < detour.used + FORGET_AFTER);
-        in_use.count() >= MIN_LOST && now >= self.connected + CUT_OFF_AFTER
+    /// Whether this router has lost its paths to all endpoints of a service that it has used lately. In a large pool these
+    /// are few of them.
+    pub fn is_cut_off(&self, service: &ServiceId, now: Duration) -> bool {
+        let in_use = |detour: &&Detour| detour.service == *service && now < detour.used + FORGET_AFTER;
+        let connected = self.connected.get(service).copied().unwrap_or_default();
+        self.detours.values().filter(in_use).count() >= MIN_LOST && now >= connected + CUT_OFF_AFTER
     }
 
     /// Chooses the routers to ask for a tunnel, in this order. Those that probably work come first, then near ones,
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -1,7 +1,8 @@
 //! Paths to endpoints while routers are cut off from them.
 
 use dispatch::paths::{Helper, HelperReply, PathPlan, Paths};
-use ids::{DomainId, EndpointId, VmId};
+use dispatch::site::EndpointEntry;
+use ids::{DomainId, EndpointId, Incarnation, ServiceId, VmId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -13,6 +14,20 @@
     EndpointId::from(format!("e{number}"))
 }
 
+/// An endpoint of the service.
+fn entry(number: usize, service: &str) -> EndpointEntry {
+    EndpointEntry {
+        id: endpoint(number),
+        incarnation: Incarnation(1),
+        service: ServiceId::from(service),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: DomainId::from("d0"),
+        slots: 6,
+        draining: false,
+        weights: Vec::new(),
+    }
+}
+
 /// `count` routers, spread evenly over the domains.
 fn routers(count: usize, domains: usize) -> Vec<Helper> {
     let router = |number: usize| Helper {
@@ -30,14 +45,14 @@
     let id = endpoint(1);
     let is_due = |plan| matches!(plan, PathPlan::Direct { tunnel_after } if tunnel_after.is_zero());
     assert!(matches!(paths.plan(&id, ms(0)), PathPlan::Direct { tunnel_after } if tunnel_after > ms(0)));
-    assert!(paths.tunnelled(&id, ms(150)));
+    assert!(paths.tunnelled(&entry(1, "pool"), ms(150)));
     let mut direct = 0;
     for time in (160..1_160).step_by(10) {
         direct += usize::from(is_due(paths.plan(&id, ms(time))));
-        assert!(!paths.tunnelled(&id, ms(time)));
+        assert!(!paths.tunnelled(&entry(1, "pool"), ms(time)));
     }
     assert!((2..=5).contains(&direct), "{direct} connections in a second");
-    assert!(paths.connected(&id, ms(1_160)));
+    assert!(paths.connected(&entry(1, "pool"), ms(1_160)));
     assert!(!is_due(paths.plan(&id, ms(1_200))) && paths.lost() == 0);
 }
 
@@ -45,7 +60,7 @@
 #[test]
 fn an_unused_lost_path_is_forgotten() {
     let mut paths = Paths::default();
-    paths.tunnelled(&endpoint(1), ms(0));
+    paths.tunnelled(&entry(1, "pool"), ms(0));
     assert!(matches!(paths.plan(&endpoint(2), ms(100)), PathPlan::Direct { .. }));
     assert_eq!(paths.lost(), 1);
     paths.plan(&endpoint(2), ms(60_000));
@@ -62,7 +77,7 @@
     assert!(matches!(paths.plan(&endpoint(1), ms(1_500)), PathPlan::Direct { .. }));
     // A router that is cut off may have asked others that are cut off as well.
     paths.unreachable_from_others(&endpoint(1), ms(2_000));
-    paths.tunnelled(&endpoint(2), ms(2_000));
+    paths.tunnelled(&entry(2, "pool"), ms(2_000));
     assert!(matches!(paths.plan(&endpoint(1), ms(2_010)), PathPlan::Direct { .. }));
 }
 
@@ -71,15 +86,17 @@
 #[test]
 fn a_router_that_gets_only_tunnels_is_cut_off() {
     let mut paths = Paths::default();
-    paths.connected(&endpoint(1), ms(0));
-    paths.tunnelled(&endpoint(2), ms(200));
-    assert!(!paths.is_cut_off(ms(1_500)), "one lost path");
-    paths.tunnelled(&endpoint(3), ms(300));
-    assert!(!paths.is_cut_off(ms(900)), "it connected a moment ago");
-    assert!(paths.is_cut_off(ms(1_100)));
-    paths.connected(&endpoint(4), ms(1_200));
-    assert!(!paths.is_cut_off(ms(1_300)), "it reaches another endpoint");
-    assert!(!paths.is_cut_off(ms(9_000)), "nothing was needed for long");
+    let service = ServiceId::from("pool");
+    paths.connected(&entry(1, "pool"), ms(0));
+    paths.tunnelled(&entry(2, "pool"), ms(200));
+    assert!(!paths.is_cut_off(&service, ms(1_500)), "one lost path");
+    paths.tunnelled(&entry(3, "pool"), ms(300));
+    assert!(!paths.is_cut_off(&service, ms(900)), "it connected a moment ago");
+    paths.connected(&entry(9, "other"), ms(1_000));
+    assert!(paths.is_cut_off(&service, ms(1_100)), "it reaches only another service");
+    paths.connected(&entry(4, "pool"), ms(1_200));
+    assert!(!paths.is_cut_off(&service, ms(1_300)), "it reaches another endpoint");
+    assert!(!paths.is_cut_off(&service, ms(9_000)), "nothing was needed for long");
 }
 
 /// Two routers without a path would send a tunnel to each other.
@@ -87,7 +104,7 @@
 fn a_router_without_a_path_carries_no_tunnel() {
     let mut paths = Paths::default();
     assert!(paths.carry(&endpoint(1)));
-    paths.tunnelled(&endpoint(1), ms(0));
+    paths.tunnelled(&entry(1, "pool"), ms(0));
     assert!(!paths.carry(&endpoint(1)));
     assert!(paths.carry(&endpoint(2)));
     assert_eq!(paths.carried(), 2);
@@ -170,7 +187,7 @@
             let paths = states.get_mut(&own.vm).expect("a router");
             paths.helper_replied(&vm, reply, now);
             if reply == HelperReply::Opened {
-                paths.tunnelled(&id, now);
+                paths.tunnelled(&entry(request as usize * 7 % ENDPOINTS, "pool"), now);
                 opened = true;
                 break;
             }
--- a/crates/gateway/src/connections/open.rs
+++ b/crates/gateway/src/connections/open.rs
@@ -91,9 +91,9 @@
     let now = shared.clock.now();
     let mut paths = shared.paths();
     let changed = if tunnel {
-        paths.tunnelled(&endpoint.id, now)
+        paths.tunnelled(endpoint, now)
     } else {
-        paths.connected(&endpoint.id, now)
+        paths.connected(endpoint, now)
     };
     let lost = paths.lost();
     drop(paths);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -15,7 +15,7 @@
 use dispatch::rollout::LoadBackoff;
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::uptime::Span;
-use ids::{EndpointId, Fence, Revision};
+use ids::{EndpointId, Fence, Revision, ServiceId};
 use orders::ListWrite;
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
@@ -485,13 +485,24 @@
         self.probe(now);
         let watches = self.shared.watches_store.load(Ordering::SeqCst);
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
-        let cut_off = self.shared.paths().is_cut_off(now);
+        let cut_off = self.is_cut_off_from_engines(now);
         self.on_holder_event(dispatch::holder::Event::CutOff(cut_off));
         self.on_holder_event(dispatch::holder::Event::Tick);
         self.queue_loads(now);
         self.record_era(now);
     }
 
+    /// Whether this router has lost its paths to the engines of a service.
+    fn is_cut_off_from_engines(&self, now: Duration) -> bool {
+        let paths = self.shared.paths();
+        if paths.lost() == 0 {
+            return false;
+        }
+        let engines = self.roster.all().filter(|entry| !entry.weights.is_empty());
+        let services: BTreeSet<&ServiceId> = engines.map(|entry| &entry.service).collect();
+        services.into_iter().any(|service| paths.is_cut_off(service, now))
+    }
+
     /// Records whether this router still reaches any endpoint.
     fn record_reachability(&mut self) {
         let unreachable = self.shared.fleet().unreachable_count();
