Lost paths that nobody uses leave the gauge

paths_lost was set only when a connection was opened, so it stayed up after the last request of a cut. The control thread expires lost paths each tick.

--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -132,7 +132,7 @@
 impl Paths {
     /// Decides how to reach an endpoint.
     pub fn plan(&mut self, endpoint: &EndpointId, now: Duration) -> PathPlan {
-        self.detours.retain(|_, detour| now < detour.used + FORGET_AFTER);
+        self.expire(now);
         let suspected = !self.detours.is_empty();
         let Some(detour) = self.detours.get_mut(endpoint) else {
             // While other paths are lost, the routers that were asked may have lost theirs too.
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Forgets lost paths that were not used for a while.
+    pub fn expire(&mut self, now: Duration) {
+        self.detours.retain(|_, detour| now < detour.used + FORGET_AFTER);
+    }
+
     /// Records that a connection to the endpoint was established. Returns whether its path had been lost.
     pub fn connected(&mut self, endpoint: &EndpointEntry, now: Duration) -> bool {
         match self.connected.get_mut(&endpoint.service) {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -481,7 +481,7 @@
         self.shared.metrics.age.set(age.as_millis() as i64);
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         self.shared.metrics.in_flight.set(in_flight as i64);
-        self.record_reachability();
+        self.record_reachability(now);
         self.probe(now);
         let watches = self.shared.watches_store.load(Ordering::SeqCst);
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
@@ -504,7 +504,13 @@
     }
 
     /// Records whether this router still reaches any endpoint.
-    fn record_reachability(&mut self) {
+    fn record_reachability(&mut self, now: Duration) {
+        let paths_lost = {
+            let mut paths = self.shared.paths();
+            paths.expire(now);
+            paths.lost()
+        };
+        self.shared.metrics.paths_lost.set(paths_lost as i64);
         let unreachable = self.shared.fleet().unreachable_count();
         self.shared.metrics.unreachable.set(unreachable as i64);
         let total = self.roster.all().count();
--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -10,7 +10,6 @@
 use http::Conn;
 use http::raw::{RequestHead, Source, connect, set_socket_options};
 use ids::{EndpointId, Incarnation, VmId};
-use std::io;
 use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -129,8 +128,7 @@
             }
             from.discard();
         }
-        let read: io::Result<usize> = from.fill().await;
-        match read {
+        match from.fill().await {
             Ok(0) => return End::Closed,
             Ok(_) => {}
             Err(_) => return End::Broken,
