One counter of open connections

peers::relay had written again what the gateway's front counts its clients with. http::OpenConnection serves both. Behaviour is the same.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -16,10 +16,10 @@
 use dispatch::attempt::Cause;
 use dispatch::site::ClientLimits;
 use futures::future::{Either, select};
-use http::Conn;
 use http::raw::{
     BodyReader, Framing, HeadError, RawBodyError, RequestHead, Source, request_framing, set_socket_options,
 };
+use http::{Conn, OpenConnection};
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -70,22 +70,6 @@
     }
 }
 
-/// Counts an open connection until dropped.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(counter: &Arc<AtomicUsize>) -> Self {
-        counter.fetch_add(1, Ordering::Relaxed);
-        Self(counter.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Counts the bytes of a request body until dropped.
 struct BodyMemory<'a>(&'a Shared, usize);
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod conn;
+mod open;
 mod progress;
 pub mod raw;
 mod reply;
@@ -14,6 +15,7 @@
 
 pub use client::{Client, SendError};
 pub use conn::Conn;
+pub use open::OpenConnection;
 pub use progress::progress_timeout;
 pub use reply::{BodyError, Reply};
 pub use server::{Limits, ReadError, ServerState, read_body, serve};
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -12,7 +12,7 @@
 use dispatch::prefixes::PartKey;
 use futures::StreamExt;
 use futures::future::BoxFuture;
-use http::progress_timeout;
+use http::{OpenConnection, progress_timeout};
 use ids::{DomainId, ModelId, Revision, ServiceId, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -339,7 +339,7 @@
         if open.load(Ordering::Relaxed) >= MAX_FOLLOWERS {
             continue;
         }
-        let slot = FollowerSlot::new(&open);
+        let slot = OpenConnection::new(&open);
         let (traffic, handlers) = (Arc::clone(&traffic), handlers.clone());
         async_std::task::spawn(async move {
             match first_byte(&stream).await {
@@ -354,22 +354,6 @@
     }
 }
 
-/// Counts a follower's connection until dropped.
-struct FollowerSlot(Arc<AtomicUsize>);
-
-impl FollowerSlot {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open.clone())
-    }
-}
-
-impl Drop for FollowerSlot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Waits for the first byte of a connection and leaves it unread; none if the connection ends before it.
 async fn first_byte(stream: &TcpStream) -> Option<u8> {
     let mut byte = [0];
