A missing record of the era is no first start

Both tries to write the record lost their responses (5.4 s, 8.3 s), and each restore went back to before it. At 12.2 s, in era 12, all three routers had restarted, found no record, took that for the first start of the deployment and confirmed the restored document at once.

Change: a router takes a missing record for a first start only within 2 s of a start that its settings call the first start of the whole deployment (`first_start`, from the platform's bootstrap). Otherwise it waits for the document to be written again, or 2.5 s, as after any restore.

--- a/crates/dispatch/src/era_check.rs
+++ b/crates/dispatch/src/era_check.rs
@@ -6,7 +6,8 @@
 //! had [`REWRITE_TIME`] to write it.
 //!
 //! A router that has just started cannot tell from the era whether the store was restored a moment ago. So the lease
-//! holder records in the store which era is verified. A backup contains the record of an earlier era.
+//! holder records in the store which era is verified. A backup contains the record of an earlier era, or no record if
+//! none was written before it. So a missing record alone doesn't show that the deployment starts for the first time.
 
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 /// have two seconds to register again; the rest covers the delay of the write.
 pub const REWRITE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time after the first start of a deployment in which its store holds everything that was written.
+pub const FIRST_START_TIME: Duration = Duration::from_secs(2);
+
 /// What a read of the store shows about its era.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EraView {
@@ -38,9 +42,18 @@
 pub struct EraCheck {
     verified: Option<u64>,
     first_read: Option<FirstRead>,
+    first_start: Option<Duration>,
 }
 
 impl EraCheck {
+    /// Creates the check of a router that started at `now` together with the whole deployment, for the first time.
+    pub fn first_start(now: Duration) -> Self {
+        Self {
+            first_start: Some(now),
+            ..Self::default()
+        }
+    }
+
     /// Newest era in which reads of the store are known to show the newest document.
     pub fn verified(&self) -> Option<u64> {
         self.verified
@@ -61,9 +74,10 @@
     }
 
     fn proves_newest(&mut self, view: EraView, sent: Duration, now: Duration) -> bool {
-        // Without a record nothing has run in this deployment before, unless this router has seen an earlier era.
-        let is_first_start = self.verified.is_none() && self.first_read.is_none() && view.recorded.is_none();
-        if is_first_start || view.recorded == Some(view.era) {
+        let is_new = self.verified.is_none() && self.first_read.is_none() && view.recorded.is_none();
+        let is_first_start = is_new && self.first_start.is_some_and(|start| now < start + FIRST_START_TIME);
+        let never_restored = is_new && view.era == 0;
+        if is_first_start || never_restored || view.recorded == Some(view.era) {
             return true;
         }
         let Some(first) = self.first_read.filter(|first| first.era == view.era) else {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -155,6 +155,11 @@
         let holder_name = format!("{}/{:016x}", settings.vm, rand::random::<u64>());
         let stagger = MAX_STAGGER.mul_f64(rand::rng().random_range(0.0..1.0));
         let holder = Holder::new(holder_name.clone(), TIMES, stagger);
+        let era_check = if settings.first_start {
+            EraCheck::first_start(shared.clock.now())
+        } else {
+            EraCheck::default()
+        };
         drop(settings);
         Self {
             shared,
@@ -172,7 +177,7 @@
             holder_list: LoadList::default(),
             stored_revision: None,
             peer_revision: None,
-            era_check: EraCheck::default(),
+            era_check,
             recorded_era: None,
             era_record_sent: None,
             document_written: None,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,6 +42,9 @@
     pub store: SocketAddr,
     /// Bandwidth of this VM's network link, Mbit/s; absent where all VMs have the same.
     pub link_mbps: Option<f64>,
+    /// Whether the whole deployment starts for the first time; false at each later start.
+    #[serde(default)]
+    pub first_start: bool,
     /// Service level bounds that the site guarantees to its users.
     #[serde(default)]
     pub bounds: Bounds,
