Engines' speed is learnt, cold prefixes are read in full, late answers cost

Waits were computed with 80,000 tokens a second, where these engines read 42,800. And a prompt stayed at its home until the queue there cost more than reading its prefix elsewhere, though its answer was late by then.

Change: the rate is the median of what first events show, per service, 80,000 until five are known. For 10 s after a load a prefix counts as cached only if its store holds it in that scope. A candidate at which the prompt can't be read within 0.7 of the objective costs another second of waiting.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -99,6 +99,8 @@
         avoid: &[],
         prompt: Some(&prompt),
         isolated: None,
+        objective: None,
+        unread: &[],
     };
     let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let started = Instant::now();
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -108,10 +108,12 @@
     recent_delay: (Duration, Duration),
     /// Weights by model, as named in answers; may be newer than those of the entry.
     weights: Vec<(ModelId, u64)>,
+    /// Since when its cache may hold prefixes: its start or its last load, as far as this router knows.
+    cached_since: Duration,
 }
 
 impl EndpointState {
-    pub(super) fn new(entry: Arc<EndpointEntry>) -> Self {
+    pub(super) fn new(entry: Arc<EndpointEntry>, now: Duration) -> Self {
         let weights = entry.weights.clone();
         Self {
             key: EndpointKey::from(&entry.id),
@@ -123,20 +125,25 @@
             latency: None,
             recent_delay: (Duration::ZERO, Duration::ZERO),
             weights,
+            cached_since: now,
         }
     }
 
-    pub(super) fn update(&mut self, entry: Arc<EndpointEntry>) {
+    pub(super) fn update(&mut self, entry: Arc<EndpointEntry>, now: Duration) {
         for (model, weights) in &entry.weights {
-            self.raise_weights(model, *weights);
+            self.raise_weights(model, *weights, now);
         }
         self.entry = entry;
     }
 
     /// Records newer weights. Within one incarnation the weights of an endpoint only get newer.
-    pub(super) fn raise_weights(&mut self, model: &ModelId, weights: u64) {
+    pub(super) fn raise_weights(&mut self, model: &ModelId, weights: u64, now: Duration) {
         match self.weights.iter_mut().find(|(name, _)| name == model) {
-            Some((_, current)) => *current = weights.max(*current),
+            Some((_, current)) if *current < weights => {
+                *current = weights;
+                self.cached_since = now;
+            }
+            Some(_) => {}
             None => self.weights.push((model.clone(), weights)),
         }
     }
@@ -160,6 +167,11 @@
         self.weights(model).is_none_or(|weights| weights >= min_weights)
     }
 
+    /// Time since when its cache may hold prefixes.
+    pub(super) fn cache_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.cached_since)
+    }
+
     pub(super) fn request_started(&mut self, prefill: u64, now: Duration) {
         self.in_flight += 1;
         self.pending_prefills.push(PendingPrefill {
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -14,8 +14,6 @@
 /// Size of a placer block in tokens. Small enough for parts of a hundred tokens, which make up most of a short
 /// prompt, and large enough to keep the number of hashes per prompt low.
 const BLOCK_TOKENS: u64 = 32;
-/// Prompt tokens that a production engine reads per second.
-pub(super) const PREFILL_TOKENS_PER_SEC: f64 = 80_000.0;
 /// Assumed prompt tokens of each request queued inside an engine: the mean in production.
 const WAITING_REQUEST_TOKENS: f64 = 1_500.0;
 /// Cost of one running request for a new one, in prompt tokens: each running request lengthens every step of the
@@ -32,11 +30,20 @@
 /// it loads new weights.
 const WEIGHTS_BITS: u32 = 16;
 
-/// Extra queue in prompt tokens that the placer assumes for endpoints outside the prompt's lane.
-const OFF_LANE_TOKENS: u64 = 8_000;
+/// Additional cost of a decode-heavy request outside its lane, in seconds.
+const OFF_LANE_SECS: f64 = 0.19;
+/// The same for a prefill-heavy request, which interrupts several running answers.
+const OFF_LANE_PREFILL_SECS: f64 = 1.0;
 /// Relative share of prefix homes that endpoints outside the prompt's lane get.
 const OFF_LANE_WEIGHT: f64 = 0.001;
 
+/// Time after a load or a start in which a prefix counts as cached only if some engine is known to have read it. Later
+/// the prefixes in use have been read.
+const COLD_TIME: Duration = Duration::from_secs(10);
+/// Share of the objective within which the prompts must be read. The rest covers the round trip, prompts that are not
+/// known here, and parts that turn out not to be cached.
+const READ_SHARE: f64 = 0.7;
+
 /// Hash seed of [`Prompt::prefix_draw`].
 const DRAW_SEED: u64 = 0xd4a3;
 
@@ -115,19 +122,25 @@
         let chain = prompt.chain(seed(context));
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
-        let candidate = |state: &&EndpointState| self.candidate(state, prompt, off_lane(state), now);
+        let candidate = |state: &&EndpointState| self.candidate(state, context, prompt, off_lane(state), now);
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
             return Choice::Full;
         };
         let Candidate {
-            endpoint, incarnation, ..
+            endpoint,
+            incarnation,
+            queued,
+            ..
         } = candidates[pick.index];
         let state = eligible[pick.index];
+        let warm_prefill = prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK_TOKENS);
         let picked = PickedEndpoint {
             endpoint: state.entry.clone(),
             weights: state.weights(&prompt.model),
-            prefill: prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK_TOKENS),
+            prefill: if pick.cold { prompt.tokens } else { warm_prefill },
+            warm_prefill,
+            queued,
             reason: reason(pick.reason),
         };
         placer.learn(
@@ -142,14 +155,22 @@
 
     /// Estimated work queued ahead of a new request at an endpoint, in prompt tokens.
     pub(super) fn queued_tokens(&self, state: &EndpointState, now: Duration) -> u64 {
-        let stalled = state.excess_wait(PREFILL_TOKENS_PER_SEC, now).as_secs_f64() * PREFILL_TOKENS_PER_SEC;
+        let rate = self.read_rate(&state.entry.service);
+        let stalled = state.excess_wait(rate, now).as_secs_f64() * rate;
         let announced = self.peer_backlogs.tokens(ShortKey::from(state.key)) as f64;
         let reported = state.waiting(now) * WAITING_REQUEST_TOKENS;
         let other_tokens = announced.max(reported).max(stalled) + state.running(now) * RUNNING_REQUEST_TOKENS;
         state.pending_tokens() + other_tokens as u64
     }
 
-    fn candidate(&self, state: &EndpointState, prompt: &Prompt, off_lane: bool, now: Duration) -> Candidate {
+    fn candidate(
+        &self,
+        state: &EndpointState,
+        context: &PickContext<'_>,
+        prompt: &Prompt,
+        off_lane: bool,
+        now: Duration,
+    ) -> Candidate {
         let weights = state.weights(&prompt.model).unwrap_or_default();
         Candidate {
             endpoint: state.key,
@@ -157,11 +178,30 @@
             same_domain: state.entry.domain == self.settings.domain,
             in_flight: state.in_flight(),
             limit: state.entry.slots.max(1) * REQUESTS_PER_SLOT,
-            queued: self.queued_tokens(state, now) + if off_lane { OFF_LANE_TOKENS } else { 0 },
+            queued: self.queued_tokens(state, now),
             speed: (1.0 - state.failure_share(now)).max(MIN_SPEED),
             weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
+            cold: state.cache_age(now) < COLD_TIME && context.unread.contains(&weights),
+            late_tokens: self.late_tokens(context, prompt),
+            penalty: match (off_lane, prompt.is_decode_heavy()) {
+                (false, _) => 0.0,
+                (true, true) => OFF_LANE_SECS,
+                (true, false) => OFF_LANE_PREFILL_SECS,
+            },
         }
     }
+
+    /// Tokens, besides the unshared part of the prompt, that an engine can read until the answer is late. Engines admit
+    /// prompts of decode-heavy requests first, so those don't wait for the queue.
+    fn late_tokens(&self, context: &PickContext<'_>, prompt: &Prompt) -> f64 {
+        let objective = context.objective.filter(|_| !prompt.is_decode_heavy());
+        let Some(objective) = objective else {
+            return f64::INFINITY;
+        };
+        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let own = prompt.tokens.saturating_sub(shared) as f64;
+        (objective.as_secs_f64() * READ_SHARE * self.read_rate(context.service) - own).max(0.0)
+    }
 }
 
 /// Hash seed for prefixes: isolated workspaces get homes of their own.
@@ -174,7 +214,6 @@
 pub(super) fn placer() -> Placer {
     Placer::builder()
         .block_tokens(BLOCK_TOKENS as u32)
-        .prefill_rate(PREFILL_TOKENS_PER_SEC)
         .build()
 }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod lanes;
 mod plain;
 mod rate_limits;
+mod read_rate;
 mod staleness;
 mod targets;
 
@@ -33,6 +34,7 @@
 use lanes::DecayingTokens;
 use placement::Placer;
 use rate_limits::RateLimits;
+use read_rate::ReadRate;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,6 +65,10 @@
     pub prompt: Option<&'a Prompt>,
     /// Workspace of the request, if the workspace shares no cached prefixes.
     pub isolated: Option<&'a ids::WorkspaceId>,
+    /// Time after which the first event of the answer is late.
+    pub objective: Option<Duration>,
+    /// Weights with which no engine is known to have read the shared parts of the prompt.
+    pub unread: &'a [u64],
 }
 
 /// Result of a choice.
@@ -87,6 +93,10 @@
     pub weights: Option<u64>,
     /// Prompt tokens that the endpoint is expected to read.
     pub prefill: u64,
+    /// The same if the caches held the prefixes in use.
+    pub warm_prefill: u64,
+    /// Prompt tokens that it is expected to read before those.
+    pub queued: u64,
     /// Reason for the choice, for logs.
     pub reason: &'static str,
 }
@@ -105,6 +115,7 @@
     peer_backlogs: PeerBacklogs,
     lane_tokens: HashMap<ServiceId, DecayingTokens>,
     rate_limits: RateLimits,
+    read_rates: HashMap<ServiceId, ReadRate>,
 }
 
 impl Fleet {
@@ -123,6 +134,7 @@
             peer_backlogs: PeerBacklogs::default(),
             lane_tokens: HashMap::new(),
             rate_limits: RateLimits::default(),
+            read_rates: HashMap::new(),
         }
     }
 
@@ -137,9 +149,9 @@
     pub fn upsert_endpoint(&mut self, entry: &Arc<EndpointEntry>, now: Duration) {
         let state = self.endpoints.get_mut(&entry.id);
         match state {
-            Some(state) if state.entry.incarnation == entry.incarnation => state.update(entry.clone()),
+            Some(state) if state.entry.incarnation == entry.incarnation => state.update(entry.clone(), now),
             _ => {
-                let state = EndpointState::new(entry.clone());
+                let state = EndpointState::new(entry.clone(), now);
                 self.rate_limits.clear(ShortKey::from(state.key), now);
                 self.endpoints.insert(entry.id.clone(), state);
             }
@@ -203,9 +215,9 @@
     }
 
     /// Records the weights that an endpoint serves a model with, as named in an answer or by the lease holder.
-    pub fn record_weights(&mut self, id: &EndpointId, model: &ModelId, weights: u64) {
+    pub fn record_weights(&mut self, id: &EndpointId, model: &ModelId, weights: u64, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
-            state.raise_weights(model, weights);
+            state.raise_weights(model, weights, now);
         }
     }
 
@@ -225,6 +237,25 @@
         self.endpoints.get(id)?.weights(model)
     }
 
+    /// Returns the distinct weights that the endpoints of a service are assumed to serve a model with.
+    pub fn weights_in_use(&self, service: &ServiceId, model: &ModelId) -> BTreeSet<u64> {
+        let states = self.endpoints.values().filter(|state| state.entry.service == *service);
+        states.filter_map(|state| state.weights(model)).collect()
+    }
+
+    /// Records that the first event came `waited` after a request was sent that had this many prompt tokens to be read,
+    /// including those queued ahead of it.
+    pub fn record_read(&mut self, service: &ServiceId, tokens: u64, waited: Duration) {
+        let rate = self.read_rates.entry(service.clone()).or_default();
+        rate.record(tokens, waited);
+    }
+
+    /// Prompt tokens that an engine of a service reads per second.
+    fn read_rate(&self, service: &ServiceId) -> f64 {
+        let rate = self.read_rates.get(service);
+        rate.map_or_else(|| ReadRate::default().tokens_per_sec(), ReadRate::tokens_per_sec)
+    }
+
     /// Sets the number of routers that share the retry budget; 0 if unknown.
     pub fn set_router_count(&mut self, count: u32) {
         self.settings.retries.routers = count;
@@ -261,13 +292,14 @@
         }
         // The placer is removed for the call because the choice borrows `self`.
         let mut placer = self.placers.remove(context.service).unwrap_or_else(engines::placer);
+        placer.set_prefill_rate(self.read_rate(context.service));
         let choice = self.choose_from(context, now, |eligible| {
             self.choose_engine(&mut placer, context, eligible, draw, now)
         });
         self.placers.insert(context.service.clone(), placer);
         if let (Choice::Endpoint(picked), Some(prompt)) = (&choice, context.prompt) {
             let lanes = self.lane_tokens.entry(context.service.clone()).or_default();
-            lanes.record(prompt, picked.prefill, now);
+            lanes.record(prompt, picked.warm_prefill, now);
         }
         choice
     }
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -35,6 +35,8 @@
             endpoint: state.entry.clone(),
             weights: None,
             prefill: 0,
+            warm_prefill: 0,
+            queued: 0,
             reason: "soonest",
         })
     }
--- a/crates/dispatch/src/fleet/staleness.rs
+++ b/crates/dispatch/src/fleet/staleness.rs
@@ -6,7 +6,6 @@
 
 use super::Fleet;
 use super::endpoint_state::EndpointState;
-use super::engines::PREFILL_TOKENS_PER_SEC;
 use super::targets::Target;
 use ids::ModelId;
 use std::time::Duration;
@@ -24,7 +23,7 @@
     /// at least the recent delay of first events. The request's own prompt is left out, because reading it fits into
     /// the margin of the limit.
     pub(super) fn expected_wait(&self, state: &EndpointState, now: Duration) -> Duration {
-        let read_time = self.queued_tokens(state, now) as f64 / PREFILL_TOKENS_PER_SEC;
+        let read_time = self.queued_tokens(state, now) as f64 / self.read_rate(&state.entry.service);
         state.recent_delay(now).max(Duration::from_secs_f64(read_time))
     }
 }
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -131,17 +131,32 @@
         own: u64,
         now: Duration,
     ) -> Transfers {
-        let [first, ..] = shared else {
+        let Some(hash) = placement_hash(isolated, shared) else {
             return Transfers::default();
         };
-        let innermost = shared.last().unwrap_or(first).id;
-        let placement_hash = isolated.map_or(innermost, |id| xxh3_64_with_seed(id.as_str().as_bytes(), first.id));
         let available = self.0.values_mut().filter(|store| store.is_available(now));
-        let Some(store) = available.max_by_key(|store| score(placement_hash, store.key)) else {
+        let Some(store) = available.max_by_key(|store| score(hash, store.key)) else {
             return Transfers::default();
         };
         store.transfers(salt, shared, own, now)
     }
+
+    /// Whether the store of a prompt with these shared parts may hold them, which shows that an engine has read them in
+    /// this cache scope. True if no store is available.
+    pub fn may_hold(&self, salt: &str, isolated: Option<&WorkspaceId>, shared: &[PromptPart], now: Duration) -> bool {
+        let Some(hash) = placement_hash(isolated, shared) else {
+            return true;
+        };
+        let available = self.0.values().filter(|store| store.is_available(now));
+        let store = available.max_by_key(|store| score(hash, store.key));
+        store.is_none_or(|store| shared.iter().all(|part| store.is_saved(PartKey::new(salt, part.id), now)))
+    }
+}
+
+/// Hash that assigns a prompt to a store; none without shared parts.
+fn placement_hash(isolated: Option<&WorkspaceId>, shared: &[PromptPart]) -> Option<u64> {
+    let (first, innermost) = (shared.first()?, shared.last()?);
+    Some(isolated.map_or(innermost.id, |id| xxh3_64_with_seed(id.as_str().as_bytes(), first.id)))
 }
 
 /// Estimated contents of one prefix store.
@@ -190,19 +205,23 @@
         }
     }
 
+    /// Whether the store holds a part, or will soon.
+    fn is_saved(&self, part: PartKey, now: Duration) -> bool {
+        match self.parts.get(&part) {
+            Some(PartState::Confirmed(at)) => now.saturating_sub(*at) < CONFIRMED_TTL,
+            Some(PartState::Requested(at)) => now.saturating_sub(*at) < REQUESTED_TTL,
+            None => false,
+        }
+    }
+
     /// The transfers of an engine that gets a prompt with these shared parts and `own` unshared tokens. Shared parts
     /// that the store lacks are saved if together they have at least `own` tokens.
     pub fn transfers(&mut self, salt: &str, shared: &[PromptPart], own: u64, now: Duration) -> Transfers {
         if !self.is_available(now) || shared.is_empty() {
             return Transfers::default();
         }
-        let is_saved = |part: &PartKey| match self.parts.get(part) {
-            Some(PartState::Confirmed(at)) => now.saturating_sub(*at) < CONFIRMED_TTL,
-            Some(PartState::Requested(at)) => now.saturating_sub(*at) < REQUESTED_TTL,
-            None => false,
-        };
         let keys = shared.iter().map(|part| (PartKey::new(salt, part.id), part.tokens));
-        let missing: Vec<(PartKey, u64)> = keys.filter(|(key, _)| !is_saved(key)).collect();
+        let missing: Vec<(PartKey, u64)> = keys.filter(|(key, _)| !self.is_saved(*key, now)).collect();
         let tokens: u64 = missing.iter().map(|(_, tokens)| tokens).sum();
         let save = tokens > 0 && tokens >= own;
         for (part, _) in missing.into_iter().filter(|_| save) {
--- a/crates/dispatch/tests/rate_limits.rs
+++ b/crates/dispatch/tests/rate_limits.rs
@@ -106,6 +106,8 @@
             avoid: &[],
             prompt: None,
             isolated: None,
+            objective: None,
+            unread: &[],
         };
         let draw = self.draw(u64::MAX);
         match self.fleets[router].choose(&context, draw, now) {
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -189,6 +189,8 @@
             avoid: &[],
             prompt: Some(&prompt),
             isolated: None,
+            objective: None,
+            unread: &[],
         };
         let Choice::Endpoint(picked) = self.fleets[router].choose(&context, draw, at(now)) else {
             panic!("no endpoint at {now}");
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -99,6 +99,8 @@
         avoid,
         prompt,
         isolated: None,
+        objective: None,
+        unread: &[],
     };
     match fleet.choose(&context, draw, now) {
         Choice::Endpoint(picked) => {
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -62,6 +62,8 @@
         avoid: &[],
         prompt: Some(&prompt),
         isolated: None,
+        objective: None,
+        unread: &[],
     };
     matches!(fleet.choose(&context, 1, now), Choice::Endpoint(_))
 }
--- a/crates/experiment/src/cost/mod.rs
+++ b/crates/experiment/src/cost/mod.rs
@@ -129,6 +129,9 @@
         queued: mix(number) % 10_000,
         speed: 1.0,
         weight: 1.0,
+        cold: false,
+        late_tokens: f64::INFINITY,
+        penalty: 0.0,
     }
 }
 
--- a/crates/experiment/src/sim/router.rs
+++ b/crates/experiment/src/sim/router.rs
@@ -269,6 +269,9 @@
             queued: estimate.queued,
             speed: estimate.speed,
             weight: estimate.weight,
+            cold: false,
+            late_tokens: f64::INFINITY,
+            penalty: 0.0,
         }
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -442,9 +442,10 @@
 
     fn apply_load_list(&mut self, list: LoadList) {
         {
+            let now = self.shared.clock.now();
             let mut fleet = self.shared.fleet();
             for loaded in list.loaded.iter().filter(|loaded| self.is_current_incarnation(loaded)) {
-                fleet.record_weights(&loaded.endpoint, &loaded.model, loaded.weights);
+                fleet.record_weights(&loaded.endpoint, &loaded.model, loaded.weights, now);
             }
         }
         self.holder_list = list;
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -202,11 +202,14 @@
     }
 
     fn choose(&self) -> Result<PickedEndpoint, Cause> {
+        let unread = self.unread();
         let context = PickContext {
             service: self.request.service,
             avoid: &self.excluded,
             prompt: self.request.info.prompt.as_ref(),
             isolated: self.request.isolated,
+            objective: Some(self.request.route.objective),
+            unread: &unread,
         };
         let now = self.shared.clock.now();
         match self.shared.fleet().choose(&context, rand::random(), now) {
@@ -446,7 +449,7 @@
             fleet.record_load(id, load, now);
         }
         if let (Some(prompt), Some(weights)) = (&self.request.info.prompt, info.weights) {
-            fleet.record_weights(id, &prompt.model, weights);
+            fleet.record_weights(id, &prompt.model, weights, now);
         }
         // A rejection without a rate does not mean that the limit was lifted.
         let conclusive = info.rate.is_some() || !info.not_run;
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -2,6 +2,7 @@
 
 use crate::shared::Shared;
 use dispatch::fleet::{Outcome, PickedEndpoint};
+use ids::ServiceId;
 use std::time::Duration;
 
 /// An attempt in flight. It counts for the endpoint's load until dropped.
@@ -51,6 +52,13 @@
             .record_outcome(&self.picked.endpoint.id, outcome, now);
     }
 
+    /// Records how long the endpoint took to read the prompt and those before it.
+    pub(super) fn record_read(&self, service: &ServiceId) {
+        let waited = self.shared.clock.now().saturating_sub(self.began);
+        let tokens = self.picked.prefill + self.picked.queued;
+        self.shared.fleet().record_read(service, tokens, waited);
+    }
+
     pub(super) fn answered(&self) {
         let after = self.shared.clock.now().saturating_sub(self.began);
         self.outcome(Outcome::Answered(after));
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -40,6 +40,22 @@
         bytes
     }
 
+    /// Weights with which no engine is known to have read the shared parts of the prompt.
+    pub(super) fn unread(&self) -> Vec<u64> {
+        let Some(prompt) = &self.request.info.prompt else {
+            return Vec::new();
+        };
+        let now = self.shared.clock.now();
+        let isolated = self.request.isolated;
+        let mut weights: Vec<u64> = {
+            let fleet = self.shared.fleet();
+            fleet.weights_in_use(self.request.service, &prompt.model).into_iter().collect()
+        };
+        let prefixes = self.shared.prefixes();
+        weights.retain(|weights| !prefixes.may_hold(&salt(Some(*weights), isolated), isolated, prompt.shared(), now));
+        weights
+    }
+
     /// Prefix transfers between the engine and the prefix cache stores. None if the weights are unknown, because
     /// prefixes computed with different weights must not share a scope.
     fn transfers(&self, salt: Option<&str>, picked: &PickedEndpoint) -> Transfers {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -102,6 +102,7 @@
         self.attempts.record_wait(self.in_flight.began);
         self.in_flight.prompt_read();
         self.in_flight.answered();
+        self.in_flight.record_read(self.attempts.request.service);
         self.attempts.record.first_byte(self.attempts.shared);
     }
 
--- a/crates/placement/src/placer/candidate.rs
+++ b/crates/placement/src/placer/candidate.rs
@@ -33,6 +33,12 @@
     pub speed: f64,
     /// Relative share of homes, 1.0 the mean; see [`crate::Estimate`].
     pub weight: f64,
+    /// Whether its cache holds no block of the prompt, although it may be a home.
+    pub cold: bool,
+    /// Tokens, queued or missing in the cache, with which the answer would come late; infinite without an objective.
+    pub late_tokens: f64,
+    /// Additional cost of the endpoint, in seconds.
+    pub penalty: f64,
 }
 
 impl Candidate {
@@ -61,8 +67,10 @@
 pub struct Pick {
     /// Its index in the candidates.
     pub index: usize,
-    /// Blocks of the prompt expected in its cache.
+    /// Blocks of the prompt expected in its cache, unless it is cold.
     pub cached: usize,
+    /// Whether its cache holds none of them.
+    pub cold: bool,
     /// Reason of the choice.
     pub reason: Reason,
 }
--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -22,6 +22,10 @@
 use ids::Incarnation;
 use std::time::Duration;
 
+/// Share of the cache hits expected at a home that are credited to it while its cache is cold: later requests will find
+/// the prefix there.
+const COLD_HOME_SHARE: f64 = 0.3;
+
 /// Chooses endpoints for one pool, and maintains the index of cached blocks.
 #[derive(Debug, Clone)]
 pub struct Placer {
@@ -94,6 +98,11 @@
         }
     }
 
+    /// Sets the prefill rate of the pool's median endpoint, in tokens per second.
+    pub fn set_prefill_rate(&mut self, rate: f64) {
+        self.settings.price.prefill_rate = rate;
+    }
+
     /// Invalidates all entries of an endpoint that left or crashed.
     pub fn forget(&mut self, endpoint: EndpointKey) {
         self.index.invalidate(endpoint);
@@ -141,13 +150,18 @@
     fn cheapest(&self, chain: &PrefixChain, candidates: &[Candidate]) -> Choice {
         let price = self.settings.price.for_candidates(candidates);
         let blocks = chain.blocks().len() as f64;
-        let cost = |offer: &Offer| price.cost(&candidates[offer.index], blocks - offer.cached);
+        let is_cold = |offer: &Offer| candidates[offer.index].cold && offer.reason != Reason::Learnt;
+        let cost = |offer: &Offer| {
+            let share = if is_cold(offer) { COLD_HOME_SHARE } else { 1.0 };
+            price.cost(&candidates[offer.index], blocks - offer.cached * share)
+        };
         let best = self.offers.all().iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let Some(best) = best else { return Choice::Full };
         assert!(candidates[best.index].has_room(), "the chosen endpoint is at its limit");
         Choice::At(Pick {
             index: best.index,
             cached: best.cached as usize,
+            cold: is_cold(best),
             reason: best.reason,
         })
     }
--- a/crates/placement/src/placer/price.rs
+++ b/crates/placement/src/placer/price.rs
@@ -9,6 +9,12 @@
 use super::Candidate;
 use std::time::Duration;
 
+/// Cost of an answer that comes late, in seconds of waiting.
+const LATE_COST: f64 = 1.0;
+/// Excess over [`Candidate::late_tokens`], as a share of them, at which an answer is certainly late. The queue is known
+/// only roughly, so the cost rises gradually.
+const LATE_RANGE: f64 = 0.5;
+
 /// Settings of the price.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pricing {
@@ -53,6 +59,18 @@
         };
         let tokens = missed_blocks.max(0.0) * f64::from(self.pricing.block_tokens);
         let work = candidate.queued as f64 + tokens * self.miss_price;
-        work / (self.pricing.prefill_rate * candidate.speed.max(f64::MIN_POSITIVE)) + domain_rtt.as_secs_f64()
+        work / (self.pricing.prefill_rate * candidate.speed.max(f64::MIN_POSITIVE))
+            + domain_rtt.as_secs_f64()
+            + candidate.penalty
+            + late_cost(candidate, candidate.queued as f64 + tokens)
+    }
+}
+
+/// Cost of the delay that `tokens` to be read before the answer cause.
+fn late_cost(candidate: &Candidate, tokens: f64) -> f64 {
+    if candidate.late_tokens.is_infinite() {
+        return 0.0;
     }
+    let excess = tokens - candidate.late_tokens;
+    LATE_COST * (excess / (candidate.late_tokens.max(1.0) * LATE_RANGE)).clamp(0.0, 1.0)
 }
--- a/crates/placement/tests/long_run.rs
+++ b/crates/placement/tests/long_run.rs
@@ -46,6 +46,9 @@
                 queued: estimate.queued,
                 speed: estimate.speed,
                 weight: estimate.weight,
+                cold: false,
+                late_tokens: f64::INFINITY,
+                penalty: 0.0,
             }
         };
         let alive = self.engines.iter().filter(|engine| engine.alive);
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -16,6 +16,9 @@
         queued: 0,
         speed: 1.0,
         weight: 1.0,
+        cold: false,
+        late_tokens: f64::INFINITY,
+        penalty: 0.0,
     }
 }
 
--- a/crates/router/src/pool/state.rs
+++ b/crates/router/src/pool/state.rs
@@ -224,6 +224,9 @@
             queued: estimate.queued,
             speed: estimate.speed,
             weight: estimate.weight,
+            cold: false,
+            late_tokens: f64::INFINITY,
+            penalty: 0.0,
         }
     }
 
