Stale weights are a cost, not a filter

Change: an endpoint with stale weights costs up to two seconds more, rising within a quarter of the soft limit from a time drawn by the prefix. A late answer costs one second, so a prompt stays in time on old weights until these are nearly too old.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -2,7 +2,7 @@
 
 use super::endpoint_state::EndpointState;
 use super::targets::Target;
-use super::{Fleet, PickContext, Prompt, ShortKey};
+use super::{Fleet, PickContext, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
 use ids::ModelId;
 use std::time::Duration;
@@ -11,6 +11,14 @@
 /// endpoints in production answer up to a seventh of some requests with an error.
 const MAX_FAILURE_SHARE: f64 = 0.35;
 
+/// Cost of weights that are nearly too old, in seconds: more than that of a late answer.
+const STALE_COST: f64 = 2.0;
+/// When this cost begins for the first prompts, how much later it does for the last ones, and the time in which it rises
+/// to its full value; shares of the soft limit on staleness.
+const STALE_BEGIN: f64 = 0.5;
+const STALE_SPREAD: f64 = 0.45;
+const STALE_RAMP: f64 = 0.25;
+
 /// Endpoints left after filtering. They are borrowed, because a large pool has hundreds of endpoints and copying
 /// their names several times took most of the time of a choice.
 pub(super) enum Candidates<'a> {
@@ -32,7 +40,6 @@
             return Candidates::RateLimited(after);
         }
         if let Some(prompt) = context.prompt {
-            self.prefer_fresh_weights(&mut eligible, prompt, now);
             self.drop_expired_weights(&mut eligible, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
         }
@@ -103,13 +110,22 @@
         }
     }
 
-    /// Drops endpoints with stale weights, unless none has newer ones. The limit is spread by prompt prefix over the
-    /// second half of the allowed time. With a single limit for all prompts, endpoints with old weights would have
-    /// queues of seconds at that moment and would begin the queued requests long after it.
-    fn prefer_fresh_weights(&self, eligible: &mut Vec<&EndpointState>, prompt: &Prompt, now: Duration) {
-        let after = self.settings.soft_staleness.mul_f64((1.0 + prompt.prefix_draw()) / 2.0);
-        let min_weights = self.min_weights(&prompt.model, after, now);
-        prefer(eligible, |state| state.serves(&prompt.model, min_weights));
+    /// Additional cost of an endpoint with stale weights, in seconds. It begins at a time that depends on the prompt's
+    /// prefix, in the second half of the allowed time. If all prompts left the endpoints with old weights at once, the
+    /// others would have queues of seconds, and the last requests would begin on weights that are too old. As a cost it
+    /// leaves prompts there while the few endpoints with new weights are full.
+    pub(super) fn stale_cost(&self, state: &EndpointState, prompt: &Prompt, now: Duration) -> f64 {
+        let Some(weights) = state.weights(&prompt.model) else {
+            return 0.0;
+        };
+        let age = match self.staleness(&prompt.model, weights, now) {
+            Staleness::Current => return 0.0,
+            Staleness::Unknown => return STALE_COST,
+            Staleness::Stale(age) => age,
+        };
+        let soft = self.settings.soft_staleness.as_secs_f64();
+        let begin = soft * (STALE_BEGIN + STALE_SPREAD * prompt.prefix_draw());
+        STALE_COST * ((age.as_secs_f64() - begin) / (soft * STALE_RAMP)).clamp(0.0, 1.0)
     }
 
     /// Drops endpoints on which the request would begin after the hard limit on staleness, even if none are left.
@@ -119,13 +135,6 @@
         eligible.retain(|state| self.may_begin(model, state.weights(model), now + self.expected_wait(state, now)));
     }
 
-    /// Oldest weights that a request may begin on if old weights are allowed for `after` from the time newer ones
-    /// became the target.
-    fn min_weights(&self, model: &ModelId, after: Duration, now: Duration) -> u64 {
-        let target = self.newest_matching(model, |target| target.is_older_than(after, now));
-        target.map_or(0, |target| target.weights)
-    }
-
     /// Newest target of a model that satisfies `test`.
     pub(super) fn newest_matching(&self, model: &ModelId, test: impl Fn(&Target) -> bool) -> Option<&Target> {
         self.targets.get(model)?.newest_matching(test)
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -162,11 +162,6 @@
         Some(served.1)
     }
 
-    /// Whether the endpoint serves at least `min_weights`. Unknown weights count as new enough.
-    pub(super) fn serves(&self, model: &ModelId, min_weights: u64) -> bool {
-        self.weights(model).is_none_or(|weights| weights >= min_weights)
-    }
-
     /// Time since when its cache may hold prefixes.
     pub(super) fn cache_age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.cached_since)
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -183,11 +183,12 @@
             weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
             cold: state.cache_age(now) < COLD_TIME && context.unread.contains(&weights),
             late_tokens: self.late_tokens(context, prompt),
-            penalty: match (off_lane, prompt.is_decode_heavy()) {
-                (false, _) => 0.0,
-                (true, true) => OFF_LANE_SECS,
-                (true, false) => OFF_LANE_PREFILL_SECS,
-            },
+            penalty: self.stale_cost(state, prompt, now)
+                + match (off_lane, prompt.is_decode_heavy()) {
+                    (false, _) => 0.0,
+                    (true, true) => OFF_LANE_SECS,
+                    (true, false) => OFF_LANE_PREFILL_SECS,
+                },
         }
     }
 
--- a/crates/dispatch/src/fleet/targets.rs
+++ b/crates/dispatch/src/fleet/targets.rs
@@ -62,13 +62,6 @@
         }
     }
 
-    /// Whether the weights became the target at least `time` ago, by the lower bound. Without an upper bound the
-    /// answer is yes.
-    pub(super) fn is_older_than(&self, time: Duration, now: Duration) -> bool {
-        let age = self.age(now);
-        age.upper.is_none() || age.lower >= time
-    }
-
     /// Whether the weights may have become the target at least `time` ago, by the upper bound.
     pub(super) fn may_be_older_than(&self, time: Duration, now: Duration) -> bool {
         self.age(now).upper.is_none_or(|upper| upper >= time)
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use dispatch::fleet::{Fleet, LoadReport, Outcome, Prompt, PromptPart};
+use dispatch::fleet::{Choice, Fleet, LoadReport, Outcome, PickContext, Prompt, PromptPart};
 use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use support::fleet::{at, entry, fleet, pool, prompt, send};
+use support::fleet::{at, entry, fleet, pool, prompt, send, service};
 
 /// Endpoints of a plain service have few slots, and a burst of requests arrives at once. Sent to the endpoint with
 /// the lowest last latency, they would queue there while the others idle.
@@ -269,3 +269,118 @@
     assert_eq!(home(&mut fleet, 100).as_ref(), Some(&first));
     assert_ne!(home(&mut fleet, 2_000).as_ref(), Some(&first));
 }
+
+/// Engines of another site read much slower than assumed. With the assumed rate every prompt would stay in the queue of
+/// its home until its answer is late.
+#[test]
+fn the_speed_of_engines_is_learnt() {
+    struct Case {
+        name: &'static str,
+        /// Tokens per millisecond that first events show.
+        observed: Option<u64>,
+        stays: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing is known",
+            observed: None,
+            stays: true,
+        },
+        Case {
+            name: "as assumed",
+            observed: Some(80),
+            stays: true,
+        },
+        Case {
+            name: "an eighth as fast",
+            observed: Some(10),
+            stays: false,
+        },
+    ];
+    let entries: Vec<_> = (0..9).map(|at| entry(&format!("e{at}"), 1)).collect();
+    for case in cases {
+        let mut fleet = fleet(&entries);
+        let mut home = EndpointId::from("");
+        // A prefix has few homes only if it is one of many.
+        for session in (100..300).chain([7]) {
+            let used = send(&mut fleet, Some(&prompt(session, 9)), &[], session, at(0));
+            home = EndpointId::from(used.expect("an endpoint"));
+            fleet.prefill_finished(&home, Incarnation(1), at(0));
+            fleet.request_finished(&home, Incarnation(1));
+        }
+        for _ in 0..9 {
+            if let Some(rate) = case.observed {
+                fleet.record_read(&service(), 9_000, at(9_000 / rate));
+            }
+        }
+        fleet.request_started(&home, Incarnation(1), 4_000, at(100));
+        let service = service();
+        let long = prompt(7, 10);
+        let context = PickContext {
+            service: &service,
+            avoid: &[],
+            prompt: Some(&long),
+            isolated: None,
+            objective: Some(at(600)),
+            unread: &[],
+        };
+        let Choice::Endpoint(picked) = fleet.choose(&context, 1, at(100)) else {
+            panic!("{}: no endpoint", case.name);
+        };
+        assert_eq!(picked.endpoint.id == home, case.stays, "{}", case.name);
+    }
+}
+
+/// Caches are empty after a load. A prompt counted as cached would hide most of the queue from other routers.
+#[test]
+fn a_prompt_that_no_engine_has_read_counts_in_full() {
+    struct Case {
+        name: &'static str,
+        unread: &'static [u64],
+        now: u64,
+        prefill: u64,
+    }
+    let cases = [
+        Case {
+            name: "read before",
+            unread: &[],
+            now: 0,
+            prefill: 2_918,
+        },
+        Case {
+            name: "unread with these weights",
+            unread: &[1],
+            now: 0,
+            prefill: 9_190,
+        },
+        Case {
+            name: "unread with other weights",
+            unread: &[2],
+            now: 0,
+            prefill: 2_918,
+        },
+        Case {
+            name: "long after the load",
+            unread: &[1],
+            now: 10_000,
+            prefill: 2_918,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet(&[entry("e0", 1)]);
+        let service = service();
+        let long = prompt(7, 10);
+        let context = PickContext {
+            service: &service,
+            avoid: &[],
+            prompt: Some(&long),
+            isolated: None,
+            objective: None,
+            unread: case.unread,
+        };
+        let Choice::Endpoint(picked) = fleet.choose(&context, 1, at(case.now)) else {
+            panic!("{}: no endpoint", case.name);
+        };
+        assert_eq!(picked.prefill, case.prefill, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/fleet_weights.rs
+++ b/crates/dispatch/tests/fleet_weights.rs
@@ -341,3 +341,55 @@
         assert_eq!(used.collect::<Vec<_>>(), case.used, "{}", case.name);
     }
 }
+
+/// A crash in the middle of a rollout leaves one engine with new weights. If all prompts went there, its queue would
+/// grow to seconds while engines with old weights, still allowed, are idle.
+#[test]
+fn stale_weights_are_used_while_the_engine_with_new_ones_is_full() {
+    struct Case {
+        name: &'static str,
+        queue: u64,
+        now: u64,
+        old: bool,
+    }
+    let cases = [
+        Case {
+            name: "not stale for long",
+            queue: 0,
+            now: 3_000,
+            old: true,
+        },
+        Case {
+            name: "stale, and the other engine is idle",
+            queue: 0,
+            now: 7_500,
+            old: false,
+        },
+        Case {
+            name: "stale, and the other engine is full",
+            queue: 90_000,
+            now: 7_500,
+            old: true,
+        },
+        Case {
+            name: "nearly too old",
+            queue: 90_000,
+            now: 9_400,
+            old: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(&[2, 1, 1]);
+        set_target(&mut fleet, 2, Some(at(0)));
+        if case.queue > 0 {
+            fleet.request_started(&EndpointId::from("e0"), Incarnation(1), case.queue, at(case.now));
+        }
+        // A session whose home has the old weights.
+        let session = (0..).find(|session| {
+            let mut idle = pool(&[2, 1, 1]);
+            send(&mut idle, Some(&prompt(*session, 9)), &[], 1, at(0)).as_deref() == Some("e1")
+        });
+        let used = send(&mut fleet, Some(&prompt(session.expect("a session"), 9)), &[], 1, at(case.now));
+        assert_eq!(used.as_deref() != Some("e0"), case.old, "{}", case.name);
+    }
+}
--- a/crates/dispatch/tests/prefixes.rs
+++ b/crates/dispatch/tests/prefixes.rs
@@ -243,3 +243,45 @@
     }
     assert!(used.len() > 1, "all workspaces assigned to {used:?}");
 }
+
+/// Routers take a prefix for cached somewhere if its store holds it. After new weights none is, and a store that does not
+/// respond tells nothing.
+#[test]
+fn a_store_tells_which_prefixes_were_read() {
+    struct Case {
+        name: &'static str,
+        salt: &'static str,
+        now: u64,
+        held: bool,
+    }
+    let cases = [
+        Case {
+            name: "in the scope that was read",
+            salt: "3",
+            now: 100,
+            held: true,
+        },
+        Case {
+            name: "in the scope of new weights",
+            salt: "4",
+            now: 100,
+            held: false,
+        },
+        Case {
+            name: "the store does not respond",
+            salt: "4",
+            now: 1_600,
+            held: true,
+        },
+    ];
+    let address = stores(1)[0];
+    let mut stores = PrefixStores::default();
+    stores.set_addresses(&[address]);
+    assert!(stores.may_hold("3", None, &SHARED, at(0)), "before the first response");
+    stores.apply(address, &page(1, false, &[]), at(0));
+    stores.transfers("3", None, &SHARED, OWN, at(0));
+    for case in cases {
+        let held = stores.may_hold(case.salt, None, &SHARED, at(case.now));
+        assert_eq!(held, case.held, "{}", case.name);
+    }
+}
--- a/crates/placement/tests/choices.rs
+++ b/crates/placement/tests/choices.rs
@@ -264,3 +264,101 @@
     assert_eq!(placer.choose(&nothing, &candidates, secs(1.0), 1), Choice::Full);
     assert_eq!(placer.choose(&nothing, &[], secs(1.0), 1), Choice::Full);
 }
+
+// A rollout or a crash leaves few endpoints, and queues grow at the homes of busy prefixes. A prompt that waited for its
+// home would be answered late although another endpoint could still answer in time.
+#[test]
+fn a_prompt_leaves_its_home_if_only_another_endpoint_answers_in_time() {
+    struct Case {
+        name: &'static str,
+        home_queue: u64,
+        other_queue: u64,
+        late_tokens: f64,
+        stays: bool,
+    }
+    let cases = [
+        Case {
+            name: "the home answers in time",
+            home_queue: 6_000,
+            other_queue: 0,
+            late_tokens: 20_000.0,
+            stays: true,
+        },
+        Case {
+            name: "the home is late",
+            home_queue: 32_000,
+            other_queue: 0,
+            late_tokens: 20_000.0,
+            stays: false,
+        },
+        Case {
+            name: "all are late",
+            home_queue: 40_000,
+            other_queue: 39_000,
+            late_tokens: 20_000.0,
+            stays: true,
+        },
+        Case {
+            name: "no objective",
+            home_queue: 32_000,
+            other_queue: 0,
+            late_tokens: f64::INFINITY,
+            stays: true,
+        },
+    ];
+    let prompt = chain(1, 2, 3, 0);
+    for case in cases {
+        let mut all = candidates(9);
+        let home = home(&prompt, &all);
+        for (index, candidate) in all.iter_mut().enumerate() {
+            candidate.late_tokens = case.late_tokens;
+            candidate.queued = if index == home { case.home_queue } else { case.other_queue };
+        }
+        let mut placer = Placer::builder().block_tokens(1_024).prefill_rate(40_000.0).build();
+        let picked = pick(&mut placer, &prompt, &all, 1);
+        assert_eq!(picked.index == home, case.stays, "{}", case.name);
+    }
+}
+
+// All caches are empty after new weights are loaded. If homes counted as cached, prompts would queue there to be read
+// while other endpoints are idle.
+#[test]
+fn a_cold_home_keeps_only_a_part_of_its_advantage() {
+    struct Case {
+        name: &'static str,
+        cold: bool,
+        home_queue: u64,
+        stays: bool,
+    }
+    let cases = [
+        Case {
+            name: "warm and busy",
+            cold: false,
+            home_queue: 20_000,
+            stays: true,
+        },
+        Case {
+            name: "cold and idle",
+            cold: true,
+            home_queue: 0,
+            stays: true,
+        },
+        Case {
+            name: "cold and busy",
+            cold: true,
+            home_queue: 20_000,
+            stays: false,
+        },
+    ];
+    let prompt = chain(1, 2, 3, 0);
+    for case in cases {
+        let mut all = candidates(9);
+        let home = home(&prompt, &all);
+        all.iter_mut().for_each(|candidate| candidate.cold = case.cold);
+        all[home].queued = case.home_queue;
+        let mut placer = Placer::builder().block_tokens(1_024).prefill_rate(40_000.0).build();
+        let picked = pick(&mut placer, &prompt, &all, 1);
+        assert_eq!(picked.index == home, case.stays, "{}", case.name);
+        assert_eq!(picked.cold, case.cold, "{}", case.name);
+    }
+}
