Long prompts avoid running answers; the cost of stale weights ends at the soft limit

The fixed cost for long prompts outside their lane didn't tell them apart.

Change: a prompt whose reading takes more than 0.35 of the longest pause that the route allows costs 0.3 s for each running answer, up to six, in full from 0.7 on. The fixed cost of 1.0 s is gone.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -100,6 +100,7 @@
         prompt: Some(&prompt),
         isolated: None,
         objective: None,
+        pause: None,
         unread: &[],
     };
     let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -13,11 +13,10 @@
 
 /// Cost of weights that are nearly too old, in seconds: more than that of a late answer.
 const STALE_COST: f64 = 2.0;
-/// When this cost begins for the first prompts, how much later it does for the last ones, and the time in which it rises
-/// to its full value; shares of the soft limit on staleness.
+/// When this cost begins for the first prompts, and how much later it does for the last ones; shares of the soft limit on
+/// staleness, at which it reaches its full value for all.
 const STALE_BEGIN: f64 = 0.5;
-const STALE_SPREAD: f64 = 0.45;
-const STALE_RAMP: f64 = 0.25;
+const STALE_SPREAD: f64 = 0.4;
 
 /// Endpoints left after filtering. They are borrowed, because a large pool has hundreds of endpoints and copying
 /// their names several times took most of the time of a choice.
@@ -123,9 +122,9 @@
             Staleness::Unknown => return STALE_COST,
             Staleness::Stale(age) => age,
         };
-        let soft = self.settings.soft_staleness.as_secs_f64();
-        let begin = soft * (STALE_BEGIN + STALE_SPREAD * prompt.prefix_draw());
-        STALE_COST * ((age.as_secs_f64() - begin) / (soft * STALE_RAMP)).clamp(0.0, 1.0)
+        let share = age.as_secs_f64() / self.settings.soft_staleness.as_secs_f64();
+        let begin = STALE_BEGIN + STALE_SPREAD * prompt.prefix_draw();
+        STALE_COST * ((share - begin) / (1.0 - begin)).clamp(0.0, 1.0)
     }
 
     /// Drops endpoints on which the request would begin after the hard limit on staleness, even if none are left.
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -30,10 +30,16 @@
 /// it loads new weights.
 const WEIGHTS_BITS: u32 = 16;
 
-/// Additional cost of a decode-heavy request outside its lane, in seconds.
+/// Additional cost of endpoints outside the prompt's lane, in seconds.
 const OFF_LANE_SECS: f64 = 0.19;
-/// The same for a prefill-heavy request, which interrupts several running answers.
-const OFF_LANE_PREFILL_SECS: f64 = 1.0;
+/// Cost of interrupting a running answer for too long, in seconds.
+const INTERRUPT_SECS: f64 = 0.3;
+/// Running answers that are counted. With more, an endpoint is avoided anyway.
+const MAX_INTERRUPTED: f64 = 6.0;
+/// Time to read a prompt, as a share of the longest pause allowed, from which answers are interrupted for too long now
+/// and then, and the further share until nearly all of them are.
+const INTERRUPT_BEGIN: f64 = 0.35;
+const INTERRUPT_RANGE: f64 = 0.35;
 /// Relative share of prefix homes that endpoints outside the prompt's lane get.
 const OFF_LANE_WEIGHT: f64 = 0.001;
 
@@ -184,14 +190,30 @@
             cold: state.cache_age(now) < COLD_TIME && context.unread.contains(&weights),
             late_tokens: self.late_tokens(context, prompt),
             penalty: self.stale_cost(state, prompt, now)
-                + match (off_lane, prompt.is_decode_heavy()) {
-                    (false, _) => 0.0,
-                    (true, true) => OFF_LANE_SECS,
-                    (true, false) => OFF_LANE_PREFILL_SECS,
-                },
+                + self.interrupt_cost(state, context, prompt, now)
+                + if off_lane { OFF_LANE_SECS } else { 0.0 },
         }
     }
 
+    /// Cost of the pauses that reading the prompt causes in the answers that run at an endpoint. An engine reads a piece
+    /// of a prompt between two steps of its answers.
+    fn interrupt_cost(&self, state: &EndpointState, context: &PickContext<'_>, prompt: &Prompt, now: Duration) -> f64 {
+        let Some(pause) = context.pause.filter(|_| !prompt.is_decode_heavy()) else {
+            return 0.0;
+        };
+        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let weights = state.weights(&prompt.model).unwrap_or_default();
+        let is_read = state.cache_age(now) >= COLD_TIME || !context.unread.contains(&weights);
+        let tokens = if is_read {
+            prompt.tokens - shared.min(prompt.tokens)
+        } else {
+            prompt.tokens
+        };
+        let share = tokens as f64 / self.read_rate(context.service) / pause.as_secs_f64().max(f64::MIN_POSITIVE);
+        let chance = ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0);
+        INTERRUPT_SECS * chance * state.running(now).min(MAX_INTERRUPTED)
+    }
+
     /// Tokens, besides the unshared part of the prompt, that an engine can read until the answer is late. Engines admit
     /// prompts of decode-heavy requests first, so those don't wait for the queue.
     fn late_tokens(&self, context: &PickContext<'_>, prompt: &Prompt) -> f64 {
@@ -213,9 +235,7 @@
 }
 
 pub(super) fn placer() -> Placer {
-    Placer::builder()
-        .block_tokens(BLOCK_TOKENS as u32)
-        .build()
+    Placer::builder().block_tokens(BLOCK_TOKENS as u32).build()
 }
 
 fn reason(reason: placement::Reason) -> &'static str {
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -67,6 +67,8 @@
     pub isolated: Option<&'a ids::WorkspaceId>,
     /// Time after which the first event of the answer is late.
     pub objective: Option<Duration>,
+    /// Longest pause between two events of a stream with which its answer is in time.
+    pub pause: Option<Duration>,
     /// Weights with which no engine is known to have read the shared parts of the prompt.
     pub unread: &'a [u64],
 }
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -149,7 +149,11 @@
         };
         let available = self.0.values().filter(|store| store.is_available(now));
         let store = available.max_by_key(|store| score(hash, store.key));
-        store.is_none_or(|store| shared.iter().all(|part| store.is_saved(PartKey::new(salt, part.id), now)))
+        store.is_none_or(|store| {
+            shared
+                .iter()
+                .all(|part| store.is_saved(PartKey::new(salt, part.id), now))
+        })
     }
 }
 
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -59,6 +59,8 @@
     pub timeout: Duration,
     /// Latency objective for the response, or for the first event of a stream.
     pub objective: Duration,
+    /// Longest pause between two events of a stream with which its response is in time.
+    pub pause: Option<Duration>,
     /// Maximum number of endpoints that one request may be sent to.
     pub attempts: u32,
     /// Priority; 0 is the highest.
--- a/crates/dispatch/tests/rate_limits.rs
+++ b/crates/dispatch/tests/rate_limits.rs
@@ -107,6 +107,7 @@
             prompt: None,
             isolated: None,
             objective: None,
+            pause: None,
             unread: &[],
         };
         let draw = self.draw(u64::MAX);
--- a/crates/dispatch/tests/site.rs
+++ b/crates/dispatch/tests/site.rs
@@ -17,6 +17,7 @@
         public: false,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        pause: None,
         attempts: 2,
         rank: 1,
     }
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -190,6 +190,7 @@
             prompt: Some(&prompt),
             isolated: None,
             objective: None,
+            pause: None,
             unread: &[],
         };
         let Choice::Endpoint(picked) = self.fleets[router].choose(&context, draw, at(now)) else {
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -100,6 +100,7 @@
         prompt,
         isolated: None,
         objective: None,
+        pause: None,
         unread: &[],
     };
     match fleet.choose(&context, draw, now) {
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -63,6 +63,7 @@
         prompt: Some(&prompt),
         isolated: None,
         objective: None,
+        pause: None,
         unread: &[],
     };
     matches!(fleet.choose(&context, 1, now), Choice::Endpoint(_))
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -209,6 +209,7 @@
             prompt: self.request.info.prompt.as_ref(),
             isolated: self.request.isolated,
             objective: Some(self.request.route.objective),
+            pause: self.request.route.pause,
             unread: &unread,
         };
         let now = self.shared.clock.now();
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -49,7 +49,10 @@
         let isolated = self.request.isolated;
         let mut weights: Vec<u64> = {
             let fleet = self.shared.fleet();
-            fleet.weights_in_use(self.request.service, &prompt.model).into_iter().collect()
+            fleet
+                .weights_in_use(self.request.service, &prompt.model)
+                .into_iter()
+                .collect()
         };
         let prefixes = self.shared.prefixes();
         weights.retain(|weights| !prefixes.may_hold(&salt(Some(*weights), isolated), isolated, prompt.shared(), now));
