--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -82,6 +82,12 @@
         &self.parts[..last]
     }
 
+    /// Tokens that no other request shares.
+    fn own_tokens(&self) -> u64 {
+        let shared: u64 = self.shared().iter().map(|part| part.tokens).sum();
+        self.tokens.saturating_sub(shared)
+    }
+
     /// Whether an engine spends more time on generating the answer than on reading the prompt.
     pub fn is_decode_heavy(&self) -> bool {
         self.max_output * PREFILL_TOKENS_PER_OUTPUT > self.tokens
@@ -178,6 +184,9 @@
         now: Duration,
     ) -> Candidate {
         let weights = state.weights(&prompt.model).unwrap_or_default();
+        let cold = state.cache_age(now) < COLD_TIME && context.unread.contains(&weights);
+        let interrupted = state.running(now).min(MAX_INTERRUPTED);
+        let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
         Candidate {
             endpoint: state.key,
             incarnation: Incarnation((state.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
@@ -187,43 +196,34 @@
             queued: self.queued_tokens(state, now),
             speed: (1.0 - state.failure_share(now)).max(MIN_SPEED),
             weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
-            cold: state.cache_age(now) < COLD_TIME && context.unread.contains(&weights),
+            cold,
             late_tokens: self.late_tokens(context, prompt),
-            penalty: self.stale_cost(state, prompt, now)
-                + self.interrupt_cost(state, context, prompt, now)
-                + if off_lane { OFF_LANE_SECS } else { 0.0 },
+            penalty: lane_cost
+                + self.stale_cost(state, prompt, now)
+                + INTERRUPT_SECS * interrupted * self.interrupt_chance(context, prompt, cold),
         }
     }
 
-    /// Cost of the pauses that reading the prompt causes in the answers that run at an endpoint. An engine reads a piece
-    /// of a prompt between two steps of its answers.
-    fn interrupt_cost(&self, state: &EndpointState, context: &PickContext<'_>, prompt: &Prompt, now: Duration) -> f64 {
+    /// Chance that a running answer pauses for too long while an engine reads the prompt. An engine reads a piece of a
+    /// prompt between two steps of its answers.
+    fn interrupt_chance(&self, context: &PickContext<'_>, prompt: &Prompt, cold: bool) -> f64 {
         let Some(pause) = context.pause.filter(|_| !prompt.is_decode_heavy()) else {
             return 0.0;
         };
-        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        let weights = state.weights(&prompt.model).unwrap_or_default();
-        let is_read = state.cache_age(now) >= COLD_TIME || !context.unread.contains(&weights);
-        let tokens = if is_read {
-            prompt.tokens - shared.min(prompt.tokens)
-        } else {
-            prompt.tokens
-        };
-        let share = tokens as f64 / self.read_rate(context.service) / pause.as_secs_f64().max(f64::MIN_POSITIVE);
-        let chance = ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0);
-        INTERRUPT_SECS * chance * state.running(now).min(MAX_INTERRUPTED)
+        let tokens = if cold { prompt.tokens } else { prompt.own_tokens() };
+        let read_secs = tokens as f64 / self.read_rate(context.service);
+        let share = read_secs / pause.as_secs_f64().max(f64::MIN_POSITIVE);
+        ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0)
     }
 
     /// Tokens, besides the unshared part of the prompt, that an engine can read until the answer is late. Engines admit
     /// prompts of decode-heavy requests first, so those don't wait for the queue.
     fn late_tokens(&self, context: &PickContext<'_>, prompt: &Prompt) -> f64 {
         let objective = context.objective.filter(|_| !prompt.is_decode_heavy());
-        let Some(objective) = objective else {
-            return f64::INFINITY;
-        };
-        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        let own = prompt.tokens.saturating_sub(shared) as f64;
-        (objective.as_secs_f64() * READ_SHARE * self.read_rate(context.service) - own).max(0.0)
+        objective.map_or(f64::INFINITY, |objective| {
+            let tokens = objective.as_secs_f64() * READ_SHARE * self.read_rate(context.service);
+            (tokens - prompt.own_tokens() as f64).max(0.0)
+        })
     }
 }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -245,19 +245,6 @@
         states.filter_map(|state| state.weights(model)).collect()
     }
 
-    /// Records that the first event came `waited` after a request was sent that had this many prompt tokens to be read,
-    /// including those queued ahead of it.
-    pub fn record_read(&mut self, service: &ServiceId, tokens: u64, waited: Duration) {
-        let rate = self.read_rates.entry(service.clone()).or_default();
-        rate.record(tokens, waited);
-    }
-
-    /// Prompt tokens that an engine of a service reads per second.
-    fn read_rate(&self, service: &ServiceId) -> f64 {
-        let rate = self.read_rates.get(service);
-        rate.map_or_else(|| ReadRate::default().tokens_per_sec(), ReadRate::tokens_per_sec)
-    }
-
     /// Sets the number of routers that share the retry budget; 0 if unknown.
     pub fn set_router_count(&mut self, count: u32) {
         self.settings.retries.routers = count;
--- a/crates/dispatch/src/fleet/read_rate.rs
+++ b/crates/dispatch/src/fleet/read_rate.rs
@@ -4,6 +4,8 @@
 //! behind prompts that this router doesn't know of, others found more of their prompt in the cache than expected, so the
 //! median is used.
 
+use super::Fleet;
+use ids::ServiceId;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -48,3 +50,18 @@
         self.median.unwrap_or(PRIOR)
     }
 }
+
+impl Fleet {
+    /// Records that the first event came `waited` after a request was sent that had this many prompt tokens to be read,
+    /// including those queued ahead of it.
+    pub fn record_read(&mut self, service: &ServiceId, tokens: u64, waited: Duration) {
+        let rate = self.read_rates.entry(service.clone()).or_default();
+        rate.record(tokens, waited);
+    }
+
+    /// Prompt tokens that an engine of a service reads per second.
+    pub(super) fn read_rate(&self, service: &ServiceId) -> f64 {
+        let rate = self.read_rates.get(service);
+        rate.map_or(PRIOR, ReadRate::tokens_per_sec)
+    }
+}
--- a/crates/dispatch/src/pressure.rs
+++ b/crates/dispatch/src/pressure.rs
@@ -19,8 +19,7 @@
 /// Bounds of the ratio of a single observation.
 const MIN_RATIO: f64 = 0.1;
 const MAX_RATIO: f64 = 10.0;
-/// Mean ratio above which requests are shed: every second first event is late. Starting at 0.75 brought no more
-/// answers in time, and where late answers are worth half, clients lost more answers than it brought in time.
+/// Mean ratio above which requests are shed: every second first event is late.
 const SHED_RATIO: f64 = 1.0;
 /// Excess over [`SHED_RATIO`] at which every request would be shed, were it not for [`MAX_SHED_SHARE`].
 const SHED_RATIO_RANGE: f64 = 1.0;
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -27,13 +27,11 @@
 }
 
 /// One in this many endpoints of a model loads at a time. With more, the weight store serves each more slowly, and the
-/// draining endpoints are missing from the pool. In a pool of 90 on a day with five new weights, 0.74 of the requests
-/// were in time; with twice as many endpoints loading, 0.72.
+/// draining endpoints are missing from the pool.
 const LOADING_DIVISOR: usize = 5;
 /// Number of endpoints that load at a time in a small pool. With fewer, the last ones would get their weights too late.
 const MIN_LOADING: usize = 4;
-/// At most one in this many endpoints loads at a time, since clients notice the loss of more. Of nine engines with
-/// three loading, 0.57 of the goodput of a calm day remained; with four, 0.54.
+/// At most one in this many endpoints loads at a time, since clients notice the loss of more.
 const MAX_LOADING_DIVISOR: usize = 3;
 
 /// How many endpoints of a model may be ordered to load at a time. The weight store of a small pool serves only two of
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -451,7 +451,7 @@
             pause: case.pause,
             unread: &[],
         };
-        let mut choose = |fleet: &mut Fleet| match fleet.choose(&context, 1, at(100)) {
+        let choose = |fleet: &mut Fleet| match fleet.choose(&context, 1, at(100)) {
             Choice::Endpoint(picked) => picked.endpoint.id.clone(),
             other => panic!("{}: {other:?}", case.name),
         };
