--- a/crates/experiment/src/policy/mod.rs
+++ b/crates/experiment/src/policy/mod.rs
@@ -107,6 +107,7 @@
     Choice::At(Pick {
         index,
         cached,
+        cold: false,
         reason: Reason::Drawn,
     })
 }
--- a/crates/experiment/src/sim/router.rs
+++ b/crates/experiment/src/sim/router.rs
@@ -252,6 +252,7 @@
             Pick {
                 index: at,
                 cached: 0,
+                cold: false,
                 reason: Reason::Drawn,
             },
         ))
