Test: the peer of truncated responses reads the whole request

Cause: the test's peer read once, up to 1,024 bytes, answered and closed. The client writes head and body apart; if the peer reads only the head, its close resets the connection, and the reset overtakes the response. The peer now reads until the request's body has arrived; every check is as before.

--- a/crates/http/tests/traps.rs
+++ b/crates/http/tests/traps.rs
@@ -1,7 +1,7 @@
 //! Truncated responses that async-h1 reports as complete, and connections that close while they are in use.
 
 use async_std::io::{ReadExt, WriteExt};
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use http::{BodyError, Client, Method, Request, SendError, Url};
 use std::net::SocketAddr;
@@ -9,6 +9,8 @@
 
 const WAIT: Duration = Duration::from_secs(20);
 const LIMIT: u64 = 100;
+/// Body of each request.
+const BODY: &[u8] = b"{}";
 
 /// The result of one exchange.
 #[derive(Debug, PartialEq, Eq)]
@@ -35,14 +37,25 @@
     task::spawn(async move {
         for _ in 0..answers {
             let (mut stream, _) = listener.accept().await.expect("a connection");
-            let mut head = [0; 1024];
-            let _ = stream.read(&mut head).await;
+            read_request(&mut stream).await;
             let _ = stream.write_all(answer.as_bytes()).await;
         }
     });
     address
 }
 
+/// Reads all of a request. Closing with a part of it unread would reset the connection instead of ending the response.
+async fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    let mut part = [0; 1024];
+    while !request.ends_with(BODY) {
+        match stream.read(&mut part).await {
+            Ok(count) if count > 0 => request.extend_from_slice(&part[..count]),
+            _ => return,
+        }
+    }
+}
+
 fn request(to: SocketAddr) -> Request {
     let url = Url::parse(&format!("http://{to}/")).expect("a URL");
     let mut request = Request::new(Method::Post, url);
@@ -53,7 +66,7 @@
 fn check(case: &Case) {
     let outcome = task::block_on(async {
         let to = peer(case.answer, 1).await;
-        let reply = match Client::new().send_once(to, request(to), b"{}", WAIT, || true).await {
+        let reply = match Client::new().send_once(to, request(to), BODY, WAIT, || true).await {
             Ok(reply) => reply,
             Err(SendError::NoAnswer) => return Outcome::NoAnswer,
             Err(err) => panic!("{}: {err}", case.name),
@@ -136,7 +149,7 @@
         let to = peer("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello", 2).await;
         let client = Client::new();
         for _ in 0..2 {
-            let reply = client.send(to, request(to), b"{}", WAIT).await.expect("an answer");
+            let reply = client.send(to, request(to), BODY, WAIT).await.expect("an answer");
             assert_eq!(reply.read_body(LIMIT).await.expect("a body"), b"hello");
         }
     });
@@ -149,7 +162,7 @@
     task::block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let to = listener.local_addr().expect("an address");
-        let cancelled = Client::new().send_once(to, request(to), b"{}", WAIT, || false).await;
+        let cancelled = Client::new().send_once(to, request(to), BODY, WAIT, || false).await;
         assert!(matches!(cancelled, Err(SendError::Cancelled)));
         let (mut stream, _) = listener.accept().await.expect("a connection");
         let mut bytes = Vec::new();
@@ -167,7 +180,7 @@
             .expect("a listener")
             .local_addr()
             .expect("an address");
-        let refused = Client::new().send(to, request(to), b"{}", WAIT).await;
+        let refused = Client::new().send(to, request(to), BODY, WAIT).await;
         assert!(refused.is_err_and(|err| err.not_sent()));
     });
 }
@@ -187,7 +200,7 @@
             String::from_utf8_lossy(&head[..count]).into_owned()
         });
         Client::new()
-            .send(to, request(to), b"{}", WAIT)
+            .send(to, request(to), BODY, WAIT)
             .await
             .expect("an answer");
         let head = served.await;
