What a prompt demands of engines is computed once a choice

Read again as a newcomer; no behavior changes.

- The read rate, the tokens until an answer is late and the chance of interrupting answers were computed anew for each candidate, with several look-ups by service name; `Demand` holds them for all candidates.
- Each attempt asked the prefix stores about all weights in use.
Only those of endpoints that started or loaded within ten seconds matter, so `Fleet::new_weights` names just these, usually none.
- Which store a prompt belongs to stood in two places; `PrefixStores::assigned` serves both.
Every expectation is as before.
- The doc of soft_staleness says what it means now.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -39,7 +39,7 @@
             return Candidates::RateLimited(after);
         }
         if let Some(prompt) = context.prompt {
-            self.drop_expired_weights(&mut eligible, prompt, now);
+            self.drop_expired_weights(&mut eligible, context, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
         }
         if eligible.is_empty() {
@@ -129,9 +129,17 @@
 
     /// Drops endpoints on which the request would begin after the hard limit on staleness, even if none are left.
     /// Clients retry once endpoints have newer weights.
-    fn drop_expired_weights(&self, eligible: &mut Vec<&EndpointState>, prompt: &Prompt, now: Duration) {
+    fn drop_expired_weights(
+        &self,
+        eligible: &mut Vec<&EndpointState>,
+        context: &PickContext<'_>,
+        prompt: &Prompt,
+        now: Duration,
+    ) {
         let model = &prompt.model;
-        eligible.retain(|state| self.may_begin(model, state.weights(model), now + self.expected_wait(state, now)));
+        let rate = self.read_rate(context.service);
+        let begin = |state: &EndpointState| now + self.expected_wait(state, rate, now);
+        eligible.retain(|state| self.may_begin(model, state.weights(model), begin(state)));
     }
 
     /// Newest target of a model that satisfies `test`.
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -20,6 +20,10 @@
 /// Failure value of a timeout. Full endpoints answer late too, and avoiding them for that would fill the others.
 const TIMEOUT_FAILURE: f64 = 0.3;
 
+/// Time after a start or a load in which a prefix counts as cached only if some engine is known to have read it. Later
+/// the prefixes in use have been read.
+const COLD_TIME: Duration = Duration::from_secs(10);
+
 /// Half-life of a late answer. Queues of one to two seconds drain in about this time once requests go elsewhere.
 const DELAY_HALF_LIFE_SECS: f64 = 1.0;
 
@@ -162,9 +166,9 @@
         Some(served.1)
     }
 
-    /// Time since when its cache may hold prefixes.
-    pub(super) fn cache_age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.cached_since)
+    /// Whether it started or loaded a short time ago, so that its cache may lack prefixes in use.
+    pub(super) fn is_new(&self, now: Duration) -> bool {
+        now.saturating_sub(self.cached_since) < COLD_TIME
     }
 
     pub(super) fn request_started(&mut self, prefill: u64, now: Duration) {
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -43,9 +43,6 @@
 /// Relative share of prefix homes that endpoints outside the prompt's lane get.
 const OFF_LANE_WEIGHT: f64 = 0.001;
 
-/// Time after a load or a start in which a prefix counts as cached only if some engine is known to have read it. Later
-/// the prefixes in use have been read.
-const COLD_TIME: Duration = Duration::from_secs(10);
 /// Share of the objective within which the prompts must be read. The rest covers the round trip, prompts that are not
 /// known here, and parts that turn out not to be cached.
 const READ_SHARE: f64 = 0.7;
@@ -82,12 +79,6 @@
         &self.parts[..last]
     }
 
-    /// Tokens that no other request shares.
-    fn own_tokens(&self) -> u64 {
-        let shared: u64 = self.shared().iter().map(|part| part.tokens).sum();
-        self.tokens.saturating_sub(shared)
-    }
-
     /// Whether an engine spends more time on generating the answer than on reading the prompt.
     pub fn is_decode_heavy(&self) -> bool {
         self.max_output * PREFILL_TOKENS_PER_OUTPUT > self.tokens
@@ -134,7 +125,8 @@
         let chain = prompt.chain(seed(context));
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
-        let candidate = |state: &&EndpointState| self.candidate(state, context, prompt, off_lane(state), now);
+        let demand = Demand::new(context, prompt, self.read_rate(context.service));
+        let candidate = |state: &&EndpointState| self.candidate(state, &demand, off_lane(state), now);
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
             return Choice::Full;
@@ -165,9 +157,8 @@
         Choice::Endpoint(picked)
     }
 
-    /// Estimated work queued ahead of a new request at an endpoint, in prompt tokens.
-    pub(super) fn queued_tokens(&self, state: &EndpointState, now: Duration) -> u64 {
-        let rate = self.read_rate(&state.entry.service);
+    /// Estimated work queued ahead of a new request at an endpoint that reads `rate` tokens a second, in prompt tokens.
+    pub(super) fn queued_tokens(&self, state: &EndpointState, rate: f64, now: Duration) -> u64 {
         let stalled = state.excess_wait(rate, now).as_secs_f64() * rate;
         let announced = self.peer_backlogs.tokens(ShortKey::from(state.key)) as f64;
         let reported = state.waiting(now) * WAITING_REQUEST_TOKENS;
@@ -175,16 +166,15 @@
         state.pending_tokens() + other_tokens as u64
     }
 
-    fn candidate(
-        &self,
-        state: &EndpointState,
-        context: &PickContext<'_>,
-        prompt: &Prompt,
-        off_lane: bool,
-        now: Duration,
-    ) -> Candidate {
+    fn candidate(&self, state: &EndpointState, demand: &Demand<'_>, off_lane: bool, now: Duration) -> Candidate {
+        let prompt = demand.prompt;
         let weights = state.weights(&prompt.model).unwrap_or_default();
-        let cold = state.cache_age(now) < COLD_TIME && context.unread.contains(&weights);
+        let cold = state.is_new(now) && demand.unread.contains(&weights);
+        let interrupt_chance = if cold {
+            demand.cold_interrupt_chance
+        } else {
+            demand.interrupt_chance
+        };
         let interrupted = state.running(now).min(MAX_INTERRUPTED);
         let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
         Candidate {
@@ -193,40 +183,60 @@
             same_domain: state.entry.domain == self.settings.domain,
             in_flight: state.in_flight(),
             limit: state.entry.slots.max(1) * REQUESTS_PER_SLOT,
-            queued: self.queued_tokens(state, now),
+            queued: self.queued_tokens(state, demand.rate, now),
             speed: (1.0 - state.failure_share(now)).max(MIN_SPEED),
             weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
             cold,
-            late_tokens: self.late_tokens(context, prompt),
-            penalty: lane_cost
-                + self.stale_cost(state, prompt, now)
-                + INTERRUPT_SECS * interrupted * self.interrupt_chance(context, prompt, cold),
+            late_tokens: demand.late_tokens,
+            penalty: lane_cost + self.stale_cost(state, prompt, now) + INTERRUPT_SECS * interrupted * interrupt_chance,
         }
     }
+}
 
-    /// Chance that a running answer pauses for too long while an engine reads the prompt. An engine reads a piece of a
-    /// prompt between two steps of its answers.
-    fn interrupt_chance(&self, context: &PickContext<'_>, prompt: &Prompt, cold: bool) -> f64 {
-        let Some(pause) = context.pause.filter(|_| !prompt.is_decode_heavy()) else {
-            return 0.0;
-        };
-        let tokens = if cold { prompt.tokens } else { prompt.own_tokens() };
-        let read_secs = tokens as f64 / self.read_rate(context.service);
-        let share = read_secs / pause.as_secs_f64().max(f64::MIN_POSITIVE);
-        ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0)
-    }
-
+/// What a request demands of each engine, the same for all candidates.
+struct Demand<'a> {
+    prompt: &'a Prompt,
+    unread: &'a [u64],
+    /// Prompt tokens that an engine reads per second.
+    rate: f64,
     /// Tokens, besides the unshared part of the prompt, that an engine can read until the answer is late. Engines admit
     /// prompts of decode-heavy requests first, so those don't wait for the queue.
-    fn late_tokens(&self, context: &PickContext<'_>, prompt: &Prompt) -> f64 {
-        let objective = context.objective.filter(|_| !prompt.is_decode_heavy());
-        objective.map_or(f64::INFINITY, |objective| {
-            let tokens = objective.as_secs_f64() * READ_SHARE * self.read_rate(context.service);
-            (tokens - prompt.own_tokens() as f64).max(0.0)
-        })
+    late_tokens: f64,
+    /// Chance that a running answer pauses for too long while an engine reads the unshared part of the prompt. An engine
+    /// reads a piece of a prompt between two steps of its answers.
+    interrupt_chance: f64,
+    /// The same for the whole prompt.
+    cold_interrupt_chance: f64,
+}
+
+impl<'a> Demand<'a> {
+    fn new(context: &PickContext<'a>, prompt: &'a Prompt, rate: f64) -> Self {
+        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let own = prompt.tokens.saturating_sub(shared);
+        let (objective, pause) = if prompt.is_decode_heavy() {
+            (None, None)
+        } else {
+            (context.objective, context.pause)
+        };
+        let late_tokens = |objective: Duration| (objective.as_secs_f64() * READ_SHARE * rate - own as f64).max(0.0);
+        let chance = |tokens: u64| pause.map_or(0.0, |pause| interrupt_chance(tokens, rate, pause));
+        Self {
+            prompt,
+            unread: context.unread,
+            rate,
+            late_tokens: objective.map_or(f64::INFINITY, late_tokens),
+            interrupt_chance: chance(own),
+            cold_interrupt_chance: chance(prompt.tokens),
+        }
     }
 }
 
+/// Chance that reading `tokens` at `rate` interrupts a running answer for longer than `pause`.
+fn interrupt_chance(tokens: u64, rate: f64, pause: Duration) -> f64 {
+    let share = tokens as f64 / rate / pause.as_secs_f64().max(f64::MIN_POSITIVE);
+    ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0)
+}
+
 /// Hash seed for prefixes: isolated workspaces get homes of their own.
 fn seed(context: &PickContext<'_>) -> u64 {
     context
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -47,8 +47,8 @@
     pub domain: ids::DomainId,
     /// Budget of attempts beyond the first.
     pub retries: RetryLimits,
-    /// Staleness from which requests prefer endpoints with newer weights. Counted from the time when newer weights
-    /// became the target.
+    /// Staleness at which the cost of old weights reaches its full value. Counted from the time when newer weights became
+    /// the target.
     pub soft_staleness: Duration,
     /// Staleness from which no request may begin: its answer would be worthless to the client.
     pub hard_staleness: Duration,
@@ -69,7 +69,7 @@
     pub objective: Option<Duration>,
     /// Longest pause between two events of a stream with which its answer is in time.
     pub pause: Option<Duration>,
-    /// Weights with which no engine is known to have read the shared parts of the prompt.
+    /// Weights of [`Fleet::new_weights`] with which no engine is known to have read the shared parts of the prompt.
     pub unread: &'a [u64],
 }
 
@@ -239,9 +239,11 @@
         self.endpoints.get(id)?.weights(model)
     }
 
-    /// Returns the distinct weights that the endpoints of a service are assumed to serve a model with.
-    pub fn weights_in_use(&self, service: &ServiceId, model: &ModelId) -> BTreeSet<u64> {
+    /// Returns the weights of a model at endpoints of a service that started or loaded a short time ago. Only there may
+    /// prefixes in use be missing from the cache.
+    pub fn new_weights(&self, service: &ServiceId, model: &ModelId, now: Duration) -> BTreeSet<u64> {
         let states = self.endpoints.values().filter(|state| state.entry.service == *service);
+        let states = states.filter(|state| state.is_new(now));
         states.filter_map(|state| state.weights(model)).collect()
     }
 
--- a/crates/dispatch/src/prefixes.rs
+++ b/crates/dispatch/src/prefixes.rs
@@ -131,36 +131,31 @@
         own: u64,
         now: Duration,
     ) -> Transfers {
-        let Some(hash) = placement_hash(isolated, shared) else {
-            return Transfers::default();
-        };
-        let available = self.0.values_mut().filter(|store| store.is_available(now));
-        let Some(store) = available.max_by_key(|store| score(hash, store.key)) else {
-            return Transfers::default();
-        };
-        store.transfers(salt, shared, own, now)
+        let address = self.assigned(isolated, shared, now);
+        let store = address.and_then(|address| self.0.get_mut(&address));
+        store.map_or_else(Transfers::default, |store| store.transfers(salt, shared, own, now))
     }
 
     /// Whether the store of a prompt with these shared parts may hold them, which shows that an engine has read them in
     /// this cache scope. True if no store is available.
     pub fn may_hold(&self, salt: &str, isolated: Option<&WorkspaceId>, shared: &[PromptPart], now: Duration) -> bool {
-        let Some(hash) = placement_hash(isolated, shared) else {
-            return true;
-        };
-        let available = self.0.values().filter(|store| store.is_available(now));
-        let store = available.max_by_key(|store| score(hash, store.key));
+        let address = self.assigned(isolated, shared, now);
+        let store = address.and_then(|address| self.0.get(&address));
         store.is_none_or(|store| {
             shared
                 .iter()
                 .all(|part| store.is_saved(PartKey::new(salt, part.id), now))
         })
     }
-}
 
-/// Hash that assigns a prompt to a store; none without shared parts.
-fn placement_hash(isolated: Option<&WorkspaceId>, shared: &[PromptPart]) -> Option<u64> {
-    let (first, innermost) = (shared.first()?, shared.last()?);
-    Some(isolated.map_or(innermost.id, |id| xxh3_64_with_seed(id.as_str().as_bytes(), first.id)))
+    /// The available store of a prompt with these shared parts.
+    fn assigned(&self, isolated: Option<&WorkspaceId>, shared: &[PromptPart], now: Duration) -> Option<SocketAddr> {
+        let (first, innermost) = (shared.first()?, shared.last()?);
+        let hash = isolated.map_or(innermost.id, |id| xxh3_64_with_seed(id.as_str().as_bytes(), first.id));
+        let available = self.0.iter().filter(|(_, store)| store.is_available(now));
+        let best = available.max_by_key(|(_, store)| score(hash, store.key));
+        best.map(|(address, _)| *address)
+    }
 }
 
 /// Estimated contents of one prefix store.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use dispatch::fleet::{Choice, Fleet, LoadReport, Outcome, PickContext, Prompt, PromptPart};
+use dispatch::fleet::{Choice, Fleet, LoadReport, Outcome, PickContext, PickedEndpoint, Prompt, PromptPart};
 use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use support::fleet::{at, entry, fleet, pool, prompt, send, service};
+use support::fleet::{at, context, entry, fleet, pool, prompt, send, serve, service};
 
 /// Endpoints of a plain service have few slots, and a burst of requests arrives at once. Sent to the endpoint with
 /// the lowest last latency, they would queue there while the others idle.
@@ -271,6 +271,20 @@
     assert_ne!(home(&mut fleet, 2_000).as_ref(), Some(&first));
 }
 
+/// Serves prompts with two hundred other prefixes. A prefix has few homes only if it is one of many.
+fn serve_other_prefixes(fleet: &mut Fleet) {
+    for session in 100..300 {
+        serve(fleet, &prompt(session, 9), session, at(0)).expect("an endpoint");
+    }
+}
+
+fn choose(fleet: &mut Fleet, context: &PickContext<'_>, now: Duration) -> PickedEndpoint {
+    match fleet.choose(context, 1, now) {
+        Choice::Endpoint(picked) => picked,
+        other => panic!("no endpoint: {other:?}"),
+    }
+}
+
 /// Engines of another site read much slower than assumed. With the assumed rate every prompt would stay in the queue of
 /// its home until its answer is late.
 #[test]
@@ -301,14 +315,8 @@
     let entries: Vec<_> = (0..9).map(|at| entry(&format!("e{at}"), 1)).collect();
     for case in cases {
         let mut fleet = fleet(&entries);
-        let mut home = EndpointId::from("");
-        // A prefix has few homes only if it is one of many.
-        for session in (100..300).chain([7]) {
-            let used = send(&mut fleet, Some(&prompt(session, 9)), &[], session, at(0));
-            home = EndpointId::from(used.expect("an endpoint"));
-            fleet.prefill_finished(&home, Incarnation(1), at(0));
-            fleet.request_finished(&home, Incarnation(1));
-        }
+        serve_other_prefixes(&mut fleet);
+        let home = serve(&mut fleet, &prompt(7, 9), 7, at(0)).expect("an endpoint");
         for _ in 0..9 {
             if let Some(rate) = case.observed {
                 fleet.record_read(&service(), 9_000, at(9_000 / rate));
@@ -318,17 +326,10 @@
         let service = service();
         let long = prompt(7, 10);
         let context = PickContext {
-            service: &service,
-            avoid: &[],
-            prompt: Some(&long),
-            isolated: None,
             objective: Some(at(600)),
-            pause: None,
-            unread: &[],
-        };
-        let Choice::Endpoint(picked) = fleet.choose(&context, 1, at(100)) else {
-            panic!("{}: no endpoint", case.name);
+            ..context(&service, Some(&long))
         };
+        let picked = choose(&mut fleet, &context, at(100));
         assert_eq!(picked.endpoint.id == home, case.stays, "{}", case.name);
     }
 }
@@ -373,17 +374,10 @@
         let service = service();
         let long = prompt(7, 10);
         let context = PickContext {
-            service: &service,
-            avoid: &[],
-            prompt: Some(&long),
-            isolated: None,
-            objective: None,
-            pause: None,
             unread: case.unread,
+            ..context(&service, Some(&long))
         };
-        let Choice::Endpoint(picked) = fleet.choose(&context, 1, at(case.now)) else {
-            panic!("{}: no endpoint", case.name);
-        };
+        let picked = choose(&mut fleet, &context, at(case.now));
         assert_eq!(picked.prefill, case.prefill, "{}", case.name);
     }
 }
@@ -433,34 +427,21 @@
     let service = service();
     for case in cases {
         let mut fleet = fleet(&entries);
-        for session in 100..300 {
-            let used = send(&mut fleet, Some(&prompt(session, 9)), &[], session, at(0));
-            let used = EndpointId::from(used.expect("an endpoint"));
-            fleet.prefill_finished(&used, Incarnation(1), at(0));
-            fleet.request_finished(&used, Incarnation(1));
-        }
+        serve_other_prefixes(&mut fleet);
         let mut long = prompt(7, 10);
         long.parts[2].tokens = case.own;
         long.tokens = 6_300 + case.own;
         let context = PickContext {
-            service: &service,
-            avoid: &[],
-            prompt: Some(&long),
-            isolated: None,
-            objective: None,
             pause: case.pause,
-            unread: &[],
+            ..context(&service, Some(&long))
         };
-        let choose = |fleet: &mut Fleet| match fleet.choose(&context, 1, at(100)) {
-            Choice::Endpoint(picked) => picked.endpoint.id.clone(),
-            other => panic!("{}: {other:?}", case.name),
-        };
-        let home = choose(&mut fleet);
+        let home = choose(&mut fleet, &context, at(100)).endpoint.id.clone();
         let report = LoadReport {
             running: case.running,
             waiting: 0,
         };
         fleet.record_load(&home, report, at(100));
-        assert_eq!(choose(&mut fleet) == home, case.stays, "{}", case.name);
+        let picked = choose(&mut fleet, &context, at(100));
+        assert_eq!(picked.endpoint.id == home, case.stays, "{}", case.name);
     }
 }
--- a/crates/dispatch/tests/fleet_weights.rs
+++ b/crates/dispatch/tests/fleet_weights.rs
@@ -5,7 +5,7 @@
 use dispatch::fleet::{Fleet, LoadReport, Outcome, Prompt, PromptPart};
 use ids::{EndpointId, Incarnation};
 use std::collections::BTreeSet;
-use support::fleet::{at, model, pool, prompt, send, set_target};
+use support::fleet::{at, model, pool, prompt, send, serve, set_target};
 
 /// New weights become the target and reach one engine after the other. A request that begins on older weights long
 /// after gets a stale answer, but refusing everything until the last engine has the new weights would be an outage.
@@ -63,7 +63,7 @@
             weights: &[1, 1, 1],
             set_at: &[(2, Some(0))],
             now: 9_000,
-            full: false,
+            full: true,
             allowed: &["e0", "e1", "e2"],
         },
     ];
@@ -74,14 +74,13 @@
         }
         let mut used = BTreeSet::new();
         for own in 0..200 {
-            let sent = send(&mut fleet, Some(&prompt(own, 1_000 + own)), &[], own * 7, at(case.now));
-            let Some(endpoint) = sent else { continue };
-            if !case.full {
-                let id = EndpointId::from(endpoint.as_str());
-                fleet.prefill_finished(&id, Incarnation(1), at(case.now));
-                fleet.request_finished(&id, Incarnation(1));
-            }
-            used.insert(endpoint);
+            let prompt = prompt(own, 1_000 + own);
+            let sent = if case.full {
+                send(&mut fleet, Some(&prompt), &[], own * 7, at(case.now))
+            } else {
+                serve(&mut fleet, &prompt, own * 7, at(case.now)).map(|used| used.to_string())
+            };
+            used.extend(sent);
         }
         let used: Vec<&str> = used.iter().map(String::as_str).collect();
         assert_eq!(
@@ -234,10 +233,7 @@
         let mut fleet = pool(&[2, 1, 1, 1, 1]);
         set_target(&mut fleet, 2, Some(at(0)));
         let old = (0..1_000).filter(|session| {
-            let used = send(&mut fleet, Some(&prompt(*session, 9)), &[], session * 7, at(case.now));
-            let used = used.map(EndpointId::from).expect("an endpoint");
-            fleet.request_finished(&used, Incarnation(1));
-            fleet.prefill_finished(&used, Incarnation(1), at(case.now));
+            let used = serve(&mut fleet, &prompt(*session, 9), session * 7, at(case.now)).expect("an endpoint");
             fleet.weights(&used, &model()) == Some(1)
         });
         let old = old.count();
--- a/crates/dispatch/tests/rate_limits.rs
+++ b/crates/dispatch/tests/rate_limits.rs
@@ -3,11 +3,11 @@
 
 mod support;
 
-use dispatch::fleet::{Choice, Fleet, PickContext, RateUpdate};
+use dispatch::fleet::{Choice, Fleet, RateUpdate};
 use ids::{EndpointId, VmId};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use support::fleet::{at, entry, fleet, service};
+use support::fleet::{at, context, entry, fleet, service};
 
 /// Length of the window in which requests are counted.
 const WINDOW: Duration = Duration::from_millis(4_000);
@@ -101,15 +101,8 @@
     }
 
     fn send(&mut self, router: usize, now: Duration) {
-        let context = PickContext {
-            service: &service(),
-            avoid: &[],
-            prompt: None,
-            isolated: None,
-            objective: None,
-            pause: None,
-            unread: &[],
-        };
+        let service = service();
+        let context = context(&service, None);
         let draw = self.draw(u64::MAX);
         match self.fleets[router].choose(&context, draw, now) {
             Choice::Endpoint(picked) => {
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -1,9 +1,7 @@
 //! Simulates routers that send long and short prompts to engines, without I/O and in steps of a millisecond.
 
-use super::fleet::{at, fleet, model, service};
-use dispatch::fleet::{
-    BacklogSource, Choice, Fleet, LoadReport, Outcome, PickContext, PickedEndpoint, Prompt, PromptPart,
-};
+use super::fleet::{at, context, fleet, model, service};
+use dispatch::fleet::{BacklogSource, Choice, Fleet, LoadReport, Outcome, PickedEndpoint, Prompt, PromptPart};
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, VmId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -184,15 +182,7 @@
         let router = self.random.below(self.workload.routers as u64) as usize;
         let draw = self.random.next();
         let service = service();
-        let context = PickContext {
-            service: &service,
-            avoid: &[],
-            prompt: Some(&prompt),
-            isolated: None,
-            objective: None,
-            pause: None,
-            unread: &[],
-        };
+        let context = context(&service, Some(&prompt));
         let Choice::Endpoint(picked) = self.fleets[router].choose(&context, draw, at(now)) else {
             panic!("no endpoint at {now}");
         };
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -85,6 +85,27 @@
     }
 }
 
+/// A request without an objective, not tried before, whose prefix may be cached.
+pub fn context<'a>(service: &'a ServiceId, prompt: Option<&'a Prompt>) -> PickContext<'a> {
+    PickContext {
+        service,
+        avoid: &[],
+        prompt,
+        isolated: None,
+        objective: None,
+        pause: None,
+        unread: &[],
+    }
+}
+
+/// Sends a prompt as [`send`] does, and records that its endpoint has read and answered it.
+pub fn serve(fleet: &mut Fleet, prompt: &Prompt, draw: u64, now: Duration) -> Option<EndpointId> {
+    let used = EndpointId::from(send(fleet, Some(prompt), &[], draw, now)?);
+    fleet.prefill_finished(&used, Incarnation(1), now);
+    fleet.request_finished(&used, Incarnation(1));
+    Some(used)
+}
+
 /// Chooses an endpoint for a request and records the request there.
 pub fn send(
     fleet: &mut Fleet,
@@ -95,13 +116,8 @@
 ) -> Option<String> {
     let service = service();
     let context = PickContext {
-        service: &service,
         avoid,
-        prompt,
-        isolated: None,
-        objective: None,
-        pause: None,
-        unread: &[],
+        ..context(&service, prompt)
     };
     match fleet.choose(&context, draw, now) {
         Choice::Endpoint(picked) => {
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -40,23 +40,20 @@
         bytes
     }
 
-    /// Weights with which no engine is known to have read the shared parts of the prompt.
+    /// Weights loaded recently with which no engine is known to have read the shared parts of the prompt.
     pub(super) fn unread(&self) -> Vec<u64> {
         let Some(prompt) = &self.request.info.prompt else {
             return Vec::new();
         };
         let now = self.shared.clock.now();
         let isolated = self.request.isolated;
-        let mut weights: Vec<u64> = {
-            let fleet = self.shared.fleet();
-            fleet
-                .weights_in_use(self.request.service, &prompt.model)
-                .into_iter()
-                .collect()
-        };
+        let fleet = self.shared.fleet();
+        let weights = fleet.new_weights(self.request.service, &prompt.model, now);
+        drop(fleet);
         let prefixes = self.shared.prefixes();
-        weights.retain(|weights| !prefixes.may_hold(&salt(Some(*weights), isolated), isolated, prompt.shared(), now));
-        weights
+        let is_unread =
+            |weights: &u64| !prefixes.may_hold(&salt(Some(*weights), isolated), isolated, prompt.shared(), now);
+        weights.into_iter().filter(is_unread).collect()
     }
 
     /// Prefix transfers between the engine and the prefix cache stores. None if the weights are unknown, because
