--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! hashing, so routers agree without communicating.
 
 mod backlogs;
+mod brittle;
 mod candidates;
 mod endpoint_state;
 mod engines;
@@ -17,6 +18,7 @@
 mod targets;
 
 pub use backlogs::{Backlog, BacklogSource};
+pub use brittle::BrittleUpdate;
 pub use endpoint_state::{LoadReport, LoadUpdate, Outcome, ShortKey};
 pub use engines::{Prompt, PromptPart};
 pub use lanes::LaneTokens;
@@ -27,6 +29,7 @@
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use backlogs::PeerBacklogs;
+use brittle::Statements;
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
 use endpoint_state::{EndpointState, ReceivedReport};
@@ -117,6 +120,7 @@
     peer_backlogs: PeerBacklogs,
     lane_tokens: HashMap<ServiceId, DecayingTokens>,
     rate_limits: RateLimits,
+    brittle: Statements,
     read_rates: HashMap<ServiceId, ReadRate>,
 }
 
@@ -136,6 +140,7 @@
             peer_backlogs: PeerBacklogs::default(),
             lane_tokens: HashMap::new(),
             rate_limits: RateLimits::default(),
+            brittle: Statements::default(),
             read_rates: HashMap::new(),
         }
     }
@@ -155,6 +160,7 @@
             _ => {
                 let state = EndpointState::new(entry.clone(), now);
                 self.rate_limits.clear(ShortKey::from(state.key), now);
+                self.brittle.clear(ShortKey::from(state.key), now);
                 self.endpoints.insert(entry.id.clone(), state);
             }
         }
@@ -165,6 +171,7 @@
     pub fn remove_endpoint(&mut self, id: &EndpointId, now: Duration) {
         if let Some(state) = self.endpoints.remove(id) {
             self.rate_limits.clear(ShortKey::from(state.key), now);
+            self.brittle.clear(ShortKey::from(state.key), now);
         }
         self.configure(now);
     }
@@ -425,6 +432,38 @@
         self.rate_limits.count()
     }
 
+    /// Records whether an endpoint's answer states that it is brittle: the rejections per second that it tolerates from
+    /// all routers together, or none. Returns whether that changed.
+    pub fn record_tolerance(&mut self, id: &EndpointId, tolerance: Option<u32>, now: Duration) -> bool {
+        let Some(state) = self.endpoints.get(id) else {
+            return false;
+        };
+        self.brittle.merge(BrittleUpdate {
+            endpoint: ShortKey::from(state.key),
+            tolerance,
+            reported_at: now,
+        })
+    }
+
+    /// Merges statements that peers received from endpoints. Returns whether any tolerance changed.
+    pub fn merge_tolerances(&mut self, updates: &[BrittleUpdate]) -> bool {
+        let mut changed = false;
+        for update in updates {
+            changed |= self.brittle.merge(*update);
+        }
+        changed
+    }
+
+    /// Returns the recent statements on brittleness, for peers.
+    pub fn recent_tolerances(&self, now: Duration) -> Vec<BrittleUpdate> {
+        self.brittle.recent(now)
+    }
+
+    /// Returns the number of brittle endpoints.
+    pub fn brittle_count(&self) -> usize {
+        self.brittle.count()
+    }
+
     /// Returns the reports received after `since`; with `own`, only those that endpoints sent to this router.
     pub fn loads_since(&self, since: Duration, own: bool) -> Vec<LoadUpdate> {
         let updates = self
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -87,6 +87,8 @@
     pub keep_alive: Option<Duration>,
     /// Requests per second that the endpoint accepts from all routers together; absent while it is not overloaded.
     pub rate: Option<f64>,
+    /// Rejections per second, over all routers, above which the endpoint falls over; absent unless it is brittle.
+    pub tolerance: Option<u32>,
 }
 
 /// The weights that a model should be served with.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub restored: IntCounter,
     /// Endpoints that currently limit their request rate.
     pub rated: IntGauge,
+    /// Endpoints that fall over if they have to reject too many requests.
+    pub brittle: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -126,6 +128,10 @@
                 "endpoints_rated",
                 "Endpoints that name the requests a second that they take",
             ),
+            brittle: gauge(
+                "endpoints_brittle",
+                "Endpoints that fall over if they have to reject too many requests",
+            ),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
             first,
             registry,
--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -25,7 +25,7 @@
     let fleet = shared.fleet();
     let backlog = fleet.backlog_without(&report.router, now);
     Some(TotalsMessage {
-        backlog: message::backlog(backlog, &fleet.recent_rates(now), now),
+        backlog: message::backlog(backlog, &fleet, now),
         levels: message::levels(levels),
     })
 }
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -1,21 +1,28 @@
 //! Conversions between messages and what the decisions work with.
 
 use super::CALL_TIMEOUT;
+use crate::serve::observe;
 use crate::shared::Shared;
-use dispatch::fleet::{Backlog, BacklogSource, RateUpdate};
+use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate};
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
-use peers::{BacklogMessage, LevelMessage, RateMessage, UsageMessage};
+use peers::{BacklogMessage, LevelMessage, RateMessage, ToleranceMessage, UsageMessage};
 use std::time::Duration;
 
-pub(super) fn backlog(backlog: Backlog, rates: &[RateUpdate], now: Duration) -> BacklogMessage {
+/// The message with a backlog and the statements that endpoints made recently.
+pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, now: Duration) -> BacklogMessage {
     let age = |reported_at: Duration| now.saturating_sub(reported_at).as_millis() as u64;
+    let rates = fleet.recent_rates(now);
     let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age(rate.reported_at));
+    let tolerances = fleet.recent_tolerances(now);
+    let tolerance =
+        |update: &BrittleUpdate| ToleranceMessage(update.endpoint, update.tolerance, age(update.reported_at));
     BacklogMessage {
         tokens: backlog.tokens,
         lane_tokens: backlog.lane_tokens,
         unreachable: backlog.unreachable,
         rates: rates.iter().map(rate).collect(),
+        tolerances: tolerances.iter().map(tolerance).collect(),
     }
 }
 
@@ -23,12 +30,19 @@
 pub(super) fn apply_backlog(shared: &Shared, source: BacklogSource, message: BacklogMessage, now: Duration) {
     // The report is assumed to be as old as possible. Otherwise a report that returns to its sender would seem newer
     // than the original.
+    let reported_at = |age: u64| now.saturating_sub(Duration::from_millis(age) + CALL_TIMEOUT);
     let rate = |RateMessage(endpoint, rate, age): &RateMessage| RateUpdate {
         endpoint: *endpoint,
         rate: *rate,
-        reported_at: now.saturating_sub(Duration::from_millis(*age) + CALL_TIMEOUT),
+        reported_at: reported_at(*age),
     };
     let rates: Vec<RateUpdate> = message.rates.iter().map(rate).collect();
+    let tolerance = |ToleranceMessage(endpoint, tolerance, age): &ToleranceMessage| BrittleUpdate {
+        endpoint: *endpoint,
+        tolerance: *tolerance,
+        reported_at: reported_at(*age),
+    };
+    let tolerances: Vec<BrittleUpdate> = message.tolerances.iter().map(tolerance).collect();
     let backlog = Backlog {
         tokens: message.tokens,
         lane_tokens: message.lane_tokens,
@@ -36,13 +50,21 @@
     };
     let mut fleet = shared.fleet();
     fleet.update_backlog(source, backlog, now);
-    if fleet.merge_rates(&rates, now) {
-        let rated = fleet.rate_limited_count();
-        drop(fleet);
-        shared.metrics.rated.set(rated as i64);
+    let rates_changed = fleet.merge_rates(&rates, now);
+    let tolerances_changed = fleet.merge_tolerances(&tolerances);
+    if !rates_changed && !tolerances_changed {
+        return;
+    }
+    let (rated, brittle) = (fleet.rate_limited_count(), fleet.brittle_count());
+    observe::set_gauges(shared, &fleet);
+    drop(fleet);
+    if rates_changed {
         log::info!(rated = rated; "endpoint: rate limit received from another router");
-        shared.news_changed();
     }
+    if tolerances_changed {
+        log::info!(brittle = brittle; "endpoint: tolerated rejections received from another router");
+    }
+    shared.news_changed();
 }
 
 pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
--- a/crates/gateway/src/news/report.rs
+++ b/crates/gateway/src/news/report.rs
@@ -33,7 +33,7 @@
             let fleet = shared.fleet();
             ReportMessage {
                 router: shared.settings.load().vm.clone(),
-                backlog: message::backlog(fleet.own_backlog(now), &fleet.recent_rates(now), now),
+                backlog: message::backlog(fleet.own_backlog(now), &fleet, now),
                 usage: message::usage(usage.clone()),
             }
         };
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -43,7 +43,7 @@
         let usage = shared.quotas().subtotal(is_full, now);
         let backlog = {
             let fleet = shared.fleet();
-            message::backlog(fleet.backlog_subtotal(now), &fleet.recent_rates(now), now)
+            message::backlog(fleet.backlog_subtotal(now), &fleet, now)
         };
         let settings = shared.settings.load();
         let subtotal = SubtotalMessage {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::RoutedRequest;
 use super::in_flight::InFlightAttempt;
+use super::observe;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
@@ -421,7 +422,8 @@
         source: Source,
     ) -> AttemptResult {
         let info = (self.shared.dialect.parse_response)(&answer.head);
-        self.record_info(in_flight.picked, &info);
+        let prompt = self.request.info.prompt.as_ref();
+        observe::record_info(self.shared, &in_flight.picked.endpoint.id, prompt, &info);
         let status = answer.head.status;
         if info.not_run || status == 421 {
             return self.handle_refusal(in_flight, status, &info);
@@ -442,33 +444,6 @@
         self.read_response(in_flight, answer, source, &info).await
     }
 
-    fn record_info(&self, picked: &PickedEndpoint, info: &ResponseInfo) {
-        let id = &picked.endpoint.id;
-        let now = self.shared.clock.now();
-        let mut fleet = self.shared.fleet();
-        if let Some(load) = info.load {
-            fleet.record_load(id, load, now);
-        }
-        if let (Some(prompt), Some(weights)) = (&self.request.info.prompt, info.weights) {
-            fleet.record_weights(id, &prompt.model, weights, now);
-        }
-        // A rejection without a rate does not mean that the limit was lifted.
-        let conclusive = info.rate.is_some() || !info.not_run;
-        if conclusive && fleet.record_rate(id, info.rate, now) {
-            let rated = fleet.rate_limited_count();
-            drop(fleet);
-            self.shared.metrics.rated.set(rated as i64);
-            log::info!(
-                endpoint = id.as_str(),
-                // -1: the endpoint has lifted its limit.
-                rate = info.rate.unwrap_or(-1.0),
-                rated = rated;
-                "endpoint: rate limit changed"
-            );
-            self.shared.news_changed();
-        }
-    }
-
     fn handle_refusal(&mut self, in_flight: &InFlightAttempt<'_>, status: u16, info: &ResponseInfo) -> AttemptResult {
         self.lifecycle.on(RequestEvent::EndpointRefused);
         let intended = &in_flight.picked.endpoint.id;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod in_flight;
+pub(crate) mod observe;
 mod outgoing;
 mod quota;
 mod record;
--- /dev/null
+++ b/crates/gateway/src/serve/observe.rs
@@ -0,0 +1,54 @@
+//! What an endpoint's response says about the endpoint.
+
+use crate::dialect::ResponseInfo;
+use crate::shared::Shared;
+use dispatch::fleet::{Fleet, Prompt};
+use ids::EndpointId;
+
+/// Records what a response says about the endpoint that sent it.
+pub(super) fn record_info(shared: &Shared, id: &EndpointId, prompt: Option<&Prompt>, info: &ResponseInfo) {
+    let now = shared.clock.now();
+    let mut fleet = shared.fleet();
+    if let Some(load) = info.load {
+        fleet.record_load(id, load, now);
+    }
+    if let (Some(prompt), Some(weights)) = (prompt, info.weights) {
+        fleet.record_weights(id, &prompt.model, weights, now);
+    }
+    // A rejection without a rate does not mean that the limit was lifted.
+    let conclusive = info.rate.is_some() || !info.not_run;
+    let rate_changed = conclusive && fleet.record_rate(id, info.rate, now);
+    let conclusive = info.tolerance.is_some() || !info.not_run;
+    let tolerance_changed = conclusive && fleet.record_tolerance(id, info.tolerance, now);
+    if !rate_changed && !tolerance_changed {
+        return;
+    }
+    let (rated, brittle) = (fleet.rate_limited_count(), fleet.brittle_count());
+    set_gauges(shared, &fleet);
+    drop(fleet);
+    if rate_changed {
+        log::info!(
+            endpoint = id.as_str(),
+            // -1: the endpoint has lifted its limit.
+            rate = info.rate.unwrap_or(-1.0),
+            rated = rated;
+            "endpoint: rate limit changed"
+        );
+    }
+    if tolerance_changed {
+        log::info!(
+            endpoint = id.as_str(),
+            // -1: the endpoint is not brittle any more.
+            tolerance = info.tolerance.map_or(-1, i64::from),
+            brittle = brittle;
+            "endpoint: tolerated rejections changed"
+        );
+    }
+    shared.news_changed();
+}
+
+/// Sets the gauges of endpoints with limits.
+pub(crate) fn set_gauges(shared: &Shared, fleet: &Fleet) {
+    shared.metrics.rated.set(fleet.rate_limited_count() as i64);
+    shared.metrics.brittle.set(fleet.brittle_count() as i64);
+}
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -156,6 +156,9 @@
     /// Rate limits that endpoints recently stated.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub rates: Vec<RateMessage>,
+    /// Recent statements of endpoints on whether they are brittle.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub tolerances: Vec<ToleranceMessage>,
 }
 
 /// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
@@ -213,6 +216,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct RateMessage(pub ShortKey, pub Option<f64>, pub u64);
 
+/// Whether an endpoint is brittle, as sent between routers: key, rejections per second that it tolerates or `None` if it
+/// is not brittle, age in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToleranceMessage(pub ShortKey, pub Option<u32>, pub u64);
+
 /// Bounds on a target age: how long ago a model's target weights were set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetAgeMessage {
