--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -188,6 +188,32 @@
     }
 }
 
+/// Share of the remaining time that a request may wait for a place at a brittle endpoint. The rest is for its execution, or
+/// for the client's next attempt at another router.
+const PLACE_WAIT_SHARE: f64 = 0.5;
+/// Interval at which a waiting request looks for a place that no request of this router has freed.
+pub const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a request does for which this router has no free place at brittle endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceWait {
+    /// It waits this long at most.
+    Wait(Duration),
+    /// Its turn would come too late; the client should retry after this time.
+    Refuse(Duration),
+}
+
+/// Decides whether a request waits for a place. A place becomes free about once per `turn`, and `ahead` requests wait
+/// already.
+pub fn place_wait(turn: Duration, ahead: u32, remaining: Duration) -> PlaceWait {
+    let expected = turn.saturating_mul(ahead.saturating_add(1));
+    let longest = remaining.mul_f64(PLACE_WAIT_SHARE);
+    if expected > longest || remaining < MIN_REMAINING {
+        return PlaceWait::Refuse(expected);
+    }
+    PlaceWait::Wait(longest)
+}
+
 /// An endpoint's stream whose body has ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamEnd {
@@ -232,6 +258,8 @@
     Full,
     /// The rate limits of the endpoints are reached. Holds the time after which to retry.
     Limited(Duration),
+    /// All places of this router at brittle endpoints are in use. Holds the time after which to retry.
+    NoPlace(Duration),
     /// The workspace's quota is used up. Holds the time after which to retry.
     OverQuota(Duration),
     /// First events are late, and this request was shed.
@@ -261,6 +289,8 @@
 /// `Retry-After` of a shed request: a queue of one second drains within this time, since only half as many requests
 /// enter it.
 const RETRY_OVERLOADED: Duration = Duration::from_millis(1_000);
+/// Longest `Retry-After` of a request that found no place. Places are divided anew within this time.
+const MAX_RETRY_NO_PLACE: Duration = Duration::from_secs(2);
 /// `Retry-After` if no endpoint could be reached: a crash is detected or the endpoint replaced within this time.
 const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(250);
 
@@ -280,14 +310,20 @@
         Cause::OverQuota(_) => 429,
         Cause::HeadTooLarge => 431,
         Cause::NotReady | Cause::Stale => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::Overloaded if not_run => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::Overloaded | Cause::EndpointFailed => 502,
+        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::NoPlace(_) | Cause::Overloaded if not_run => 503,
+        Cause::NoEndpoint
+        | Cause::Full
+        | Cause::Limited(_)
+        | Cause::NoPlace(_)
+        | Cause::Overloaded
+        | Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
         (429, Cause::OverQuota(after)) => Some(after),
         (503, Cause::Full) => Some(RETRY_FULL),
         (503, Cause::Limited(after)) => Some(after.max(RETRY_NO_ENDPOINT)),
+        (503, Cause::NoPlace(after)) => Some(after.clamp(RETRY_NO_ENDPOINT, MAX_RETRY_NO_PLACE)),
         (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
         (503, Cause::NoEndpoint) => Some(RETRY_NO_ENDPOINT),
         (503, _) => Some(RETRY_NOT_READY),
@@ -315,6 +351,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Full => "full",
             Self::Limited(_) => "limited",
+            Self::NoPlace(_) => "no_place",
             Self::OverQuota(_) => "over_quota",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -25,6 +25,8 @@
     Full,
     /// All are at their rate limit; a retry may succeed after this time.
     RateLimited(Duration),
+    /// All places of this router are in use; one becomes free about every so long.
+    Occupied(Duration),
     Unavailable,
 }
 
@@ -51,6 +53,9 @@
         if !prefer(&mut eligible, |state| self.is_healthy(state, now)) {
             prefer(&mut eligible, reachable);
         }
+        if self.places.is_divided(context.service) && !self.drop_occupied(&mut eligible, context, now) {
+            return Candidates::Occupied(self.places.turn(context.service));
+        }
         Candidates::Available(eligible)
     }
 
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -27,6 +27,21 @@
 /// Half-life of a late answer. Queues of one to two seconds drain in about this time once requests go elsewhere.
 const DELAY_HALF_LIFE_SECS: f64 = 1.0;
 
+/// Time for which a request that ended without a whole answer still counts as running at a brittle endpoint.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Factor on the largest number of requests that endpoints of a service reported to be running, for what a brittle one is
+/// assumed to have room for.
+const PROVEN_GROWTH: f64 = 1.1;
+/// What is added to that number at least. A report doesn't count the request whose answer it comes with.
+const MIN_PROVEN_GROWTH: f64 = 1.0;
+/// Share of the requests at which a brittle endpoint had no room that it is assumed to have room for afterwards.
+const ROOM_AFTER_REJECTION: f64 = 0.9;
+/// Time after a rejection in which this router sends a brittle endpoint nothing. Others learn of the rejection meanwhile, and
+/// use less of the endpoint.
+const REJECTION_PAUSE: Duration = Duration::from_millis(200);
+/// Growth of that room per second, as a share of the slots.
+const ROOM_GROWTH: f64 = 0.01;
+
 /// Load that an endpoint reports on its answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -114,6 +129,16 @@
     weights: Vec<(ModelId, u64)>,
     /// Since when its cache may hold prefixes: its start or its last load, as far as this router knows.
     cached_since: Duration,
+    /// Places that this router's requests hold.
+    held: u32,
+    /// Places of requests that may still run although this router has ended them, and until when.
+    lingering: Vec<(Duration, u32)>,
+    /// Requests that the endpoint was running when it last rejected one for want of room, and when that was.
+    full_at: Option<(u32, Duration)>,
+    /// Until when this router sends it nothing after a rejection.
+    paused_until: Duration,
+    /// Most requests that it reported to be running.
+    max_running: Option<u32>,
 }
 
 impl EndpointState {
@@ -130,9 +155,70 @@
             recent_delay: (Duration::ZERO, Duration::ZERO),
             weights,
             cached_since: now,
+            held: 0,
+            lingering: Vec::new(),
+            full_at: None,
+            paused_until: Duration::ZERO,
+            max_running: None,
+        }
+    }
+
+    pub(super) fn hold_places(&mut self, places: u32) {
+        self.held += places;
+    }
+
+    /// Frees the places of a request. Unless the endpoint has answered it, it may run for some more time.
+    pub(super) fn release_places(&mut self, places: u32, answered: bool, now: Duration) {
+        self.held = self.held.saturating_sub(places);
+        self.lingering.retain(|(until, _)| now < *until);
+        if !answered {
+            self.lingering.push((now + LINGER_TIME, places));
         }
     }
 
+    /// Places that this router's requests hold, or may still hold.
+    pub(super) fn held_places(&self, now: Duration) -> u32 {
+        let lingering = self.lingering.iter().filter(|(until, _)| now < *until);
+        self.held + lingering.map(|(_, places)| places).sum::<u32>()
+    }
+
+    pub(super) fn record_full(&mut self, running: u32, at: Duration) {
+        self.full_at = Some((running, at));
+    }
+
+    /// Records that it rejected a request of this router.
+    pub(super) fn pause(&mut self, now: Duration) {
+        self.paused_until = now + REJECTION_PAUSE;
+    }
+
+    /// Whether this router sends it nothing because of a rejection.
+    pub(super) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Largest share of its slots that it reported to be in use.
+    pub(super) fn proven_share(&self) -> Option<f64> {
+        let running = f64::from(self.max_running?);
+        Some((running / f64::from(self.entry.slots.max(1))).min(1.0))
+    }
+
+    /// Share of its slots that it is assumed to have room for since it rejected a request, if it did.
+    pub(super) fn limited_share(&self, now: Duration) -> Option<f64> {
+        let (running, at) = self.full_at?;
+        let share = f64::from(running) / f64::from(self.entry.slots.max(1));
+        Some(share * ROOM_AFTER_REJECTION + ROOM_GROWTH * now.saturating_sub(at).as_secs_f64())
+    }
+
+    /// Requests that it is assumed to have room for. An endpoint of its service has had the share `proven` of its slots in
+    /// use; `typical` is [`Self::limited_share`] of most of them.
+    pub(super) fn room(&self, proven: f64, typical: Option<f64>, now: Duration) -> u32 {
+        let slots = f64::from(self.entry.slots);
+        let proven = (slots * proven * PROVEN_GROWTH).ceil() + MIN_PROVEN_GROWTH;
+        let limited = self.limited_share(now).or(typical).map_or(slots, |share| slots * share);
+        // Conversions of floating-point numbers saturate.
+        proven.min(limited).clamp(1.0, slots.max(1.0)) as u32
+    }
+
     pub(super) fn update(&mut self, entry: Arc<EndpointEntry>, now: Duration) {
         for (model, weights) in &entry.weights {
             self.raise_weights(model, *weights, now);
@@ -196,6 +282,7 @@
             .report
             .is_none_or(|latest| latest.reported_at <= received.reported_at)
         {
+            self.max_running = self.max_running.max(Some(received.report.running));
             self.report = Some(received);
         }
     }
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -146,6 +146,7 @@
             warm_prefill,
             queued,
             reason: reason(pick.reason),
+            places: 0,
         };
         placer.learn(
             endpoint,
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -11,6 +11,8 @@
 mod endpoint_state;
 mod engines;
 pub(crate) mod lanes;
+mod occupied;
+mod places;
 mod plain;
 mod rate_limits;
 mod read_rate;
@@ -18,7 +20,7 @@
 mod targets;
 
 pub use backlogs::{Backlog, BacklogSource};
-pub use brittle::BrittleUpdate;
+pub use brittle::{BrittleUpdate, Rejection};
 pub use endpoint_state::{LoadReport, LoadUpdate, Outcome, ShortKey};
 pub use engines::{Prompt, PromptPart};
 pub use lanes::LaneTokens;
@@ -29,13 +31,15 @@
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use backlogs::PeerBacklogs;
-use brittle::Statements;
+use brittle::{Merged, Statements};
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
 use endpoint_state::{EndpointState, ReceivedReport};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, VmId};
 use lanes::DecayingTokens;
+use occupied::unshared_tokens;
 use placement::Placer;
+use places::{PlacedEndpoint, Places};
 use rate_limits::RateLimits;
 use read_rate::ReadRate;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -85,6 +89,8 @@
     Full,
     /// All endpoints that could serve the request are at their rate limit; the client should retry after this time.
     RateLimited(Duration),
+    /// All places of this router at brittle endpoints are in use. One becomes free about every so long.
+    Occupied(Duration),
     /// No endpoint that could serve the request is in service.
     Unavailable,
 }
@@ -104,6 +110,8 @@
     pub queued: u64,
     /// Reason for the choice, for logs.
     pub reason: &'static str,
+    /// Places of a brittle endpoint that the request holds until [`Fleet::release_places`]; none at other endpoints.
+    pub places: u32,
 }
 
 /// One router's view of all endpoints.
@@ -121,6 +129,7 @@
     lane_tokens: HashMap<ServiceId, DecayingTokens>,
     rate_limits: RateLimits,
     brittle: Statements,
+    places: Places,
     read_rates: HashMap<ServiceId, ReadRate>,
 }
 
@@ -141,6 +150,7 @@
             lane_tokens: HashMap::new(),
             rate_limits: RateLimits::default(),
             brittle: Statements::default(),
+            places: Places::default(),
             read_rates: HashMap::new(),
         }
     }
@@ -160,7 +170,7 @@
             _ => {
                 let state = EndpointState::new(entry.clone(), now);
                 self.rate_limits.clear(ShortKey::from(state.key), now);
-                self.brittle.clear(ShortKey::from(state.key), now);
+                self.brittle.clear(&entry.service, ShortKey::from(state.key), now);
                 self.endpoints.insert(entry.id.clone(), state);
             }
         }
@@ -171,7 +181,7 @@
     pub fn remove_endpoint(&mut self, id: &EndpointId, now: Duration) {
         if let Some(state) = self.endpoints.remove(id) {
             self.rate_limits.clear(ShortKey::from(state.key), now);
-            self.brittle.clear(ShortKey::from(state.key), now);
+            self.brittle.clear(&state.entry.service, ShortKey::from(state.key), now);
         }
         self.configure(now);
     }
@@ -262,6 +272,17 @@
     /// Sets the routers that share the rate limits of endpoints; `own` is this router.
     pub fn set_routers(&mut self, own: &VmId, routers: &[VmId]) {
         self.rate_limits.set_routers(own, routers);
+        self.places.set_routers(own, routers);
+    }
+
+    /// Sets until when the other routers know this one.
+    pub fn set_registered_until(&mut self, until: Duration) {
+        self.places.set_registered_until(until);
+    }
+
+    /// Sets the memory of each service's engines, in tokens.
+    pub fn set_memory(&mut self, memory: HashMap<ServiceId, u64>) {
+        self.places.set_memory(memory);
     }
 
     /// Returns the endpoints that are due for a health probe.
@@ -275,15 +296,79 @@
     /// Chooses an endpoint; `draw` is uniform over all `u64` values.
     pub fn choose(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         self.peer_backlogs.refresh_sums(now);
-        let choice = self.choose_any(context, draw, now);
-        if let Choice::Endpoint(picked) = &choice
-            && let Some(state) = self.endpoints.get(&picked.endpoint.id)
-        {
-            self.rate_limits.record_request(ShortKey::from(state.key), now);
+        if self.places.is_outdated(now) {
+            self.divide_places(now);
+        }
+        let mut choice = self.choose_any(context, draw, now);
+        if let Choice::Endpoint(picked) = &mut choice {
+            self.record_choice(picked, context, now);
         }
         choice
     }
 
+    fn record_choice(&mut self, picked: &mut PickedEndpoint, context: &PickContext<'_>, now: Duration) {
+        let Some(state) = self.endpoints.get_mut(&picked.endpoint.id) else {
+            return;
+        };
+        self.rate_limits.record_request(ShortKey::from(state.key), now);
+        if self.places.is_divided(context.service) {
+            picked.places = self
+                .places
+                .needed(context.service, state.entry.slots, unshared_tokens(context.prompt));
+            state.hold_places(picked.places);
+            self.places.record_request(context.service, now);
+        }
+    }
+
+    /// Frees the places of a request that was chosen an endpoint at `began`. Unless it was `answered`, it may still run there.
+    pub fn release_places(&mut self, picked: &PickedEndpoint, began: Duration, answered: bool, now: Duration) {
+        if picked.places == 0 {
+            return;
+        }
+        let entry = &picked.endpoint;
+        if answered {
+            self.places.record_hold(&entry.service, now.saturating_sub(began));
+        }
+        if let Some(state) = self.endpoint_mut(&entry.id, entry.incarnation) {
+            state.release_places(picked.places, answered, now);
+        }
+    }
+
+    /// Returns the mean time between two requests that this router may send to a service with brittle endpoints.
+    pub fn place_turn(&self, service: &ServiceId) -> Duration {
+        self.places.turn(service)
+    }
+
+    /// Divides the places of the services of which an endpoint states that it is brittle.
+    fn divide_places(&mut self, now: Duration) {
+        let mut services: HashMap<&ServiceId, Vec<PlacedEndpoint<'_>>> = HashMap::new();
+        let states = || self.endpoints.values().filter(|state| !state.entry.draining);
+        let states_brittle = |state: &&EndpointState| self.brittle.brittle_since(ShortKey::from(state.key)).is_some();
+        for state in states().filter(states_brittle) {
+            services.entry(&state.entry.service).or_default();
+        }
+        let mut expiry = None;
+        for (service, until) in self.brittle.departed(now) {
+            let departed_at = self.brittle.departed_at(service, now).unwrap_or_default();
+            let mut of_service = states().filter(|state| state.entry.service == *service);
+            if !of_service.any(|state| self.brittle.contradicts(ShortKey::from(state.key), departed_at)) {
+                services.entry(service).or_default();
+                expiry = expiry.min(Some(until)).or(Some(until));
+            }
+        }
+        for state in states() {
+            if let Some(endpoints) = services.get_mut(&state.entry.service) {
+                endpoints.push(PlacedEndpoint {
+                    id: &state.entry.id,
+                    key: ShortKey::from(state.key),
+                    slots: state.entry.slots,
+                    proven: state.proven_share(),
+                });
+            }
+        }
+        self.places.divide(&services, expiry, now);
+    }
+
     fn choose_any(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         if context.prompt.is_none() {
             return self.choose_from(context, now, |eligible| self.choose_plain(&eligible, draw, now));
@@ -312,6 +397,7 @@
             Candidates::Available(eligible) => choose(eligible),
             Candidates::Full => Choice::Full,
             Candidates::RateLimited(after) => Choice::RateLimited(after),
+            Candidates::Occupied(turn) => Choice::Occupied(turn),
             Candidates::Unavailable => Choice::Unavailable,
         }
     }
@@ -438,22 +524,44 @@
         let Some(state) = self.endpoints.get(id) else {
             return false;
         };
-        self.brittle.merge(BrittleUpdate {
+        let update = BrittleUpdate {
             endpoint: ShortKey::from(state.key),
             tolerance,
             reported_at: now,
-        })
+        };
+        self.merge_tolerances(&[update])
     }
 
     /// Merges statements that peers received from endpoints. Returns whether any tolerance changed.
     pub fn merge_tolerances(&mut self, updates: &[BrittleUpdate]) -> bool {
         let mut changed = false;
         for update in updates {
-            changed |= self.brittle.merge(*update);
+            let merged = self.brittle.merge(*update);
+            changed |= merged == Merged::Changed;
+            if merged != Merged::Unchanged {
+                self.places.invalidate();
+            }
         }
         changed
     }
 
+    /// Merges rejections by brittle endpoints that peers learnt of.
+    pub fn merge_rejections(&mut self, rejections: &[Rejection]) {
+        for rejection in rejections {
+            if self.brittle.merge_rejection(*rejection) {
+                let mut states = self.endpoints.values_mut();
+                if let Some(state) = states.find(|state| ShortKey::from(state.key) == rejection.endpoint) {
+                    state.record_full(rejection.running, rejection.rejected_at);
+                }
+            }
+        }
+    }
+
+    /// Returns the recent rejections by brittle endpoints, for peers.
+    pub fn recent_rejections(&self, now: Duration) -> Vec<Rejection> {
+        self.brittle.recent_rejections(now)
+    }
+
     /// Returns the recent statements on brittleness, for peers.
     pub fn recent_tolerances(&self, now: Duration) -> Vec<BrittleUpdate> {
         self.brittle.recent(now)
@@ -499,6 +607,16 @@
     pub fn record_outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.record_outcome(outcome, now);
+            if outcome == Outcome::Declined && self.places.is_divided(&state.entry.service) {
+                let rejection = Rejection {
+                    endpoint: ShortKey::from(state.key),
+                    running: state.running(now).round() as u32,
+                    rejected_at: now,
+                };
+                state.pause(now);
+                self.places.record_rejection(&state.entry.service);
+                self.merge_rejections(&[rejection]);
+            }
         }
         let event = health_event(id, outcome);
         self.health.on(event, now);
@@ -554,6 +672,7 @@
     }
 
     fn configure(&mut self, now: Duration) {
+        self.places.invalidate();
         let ids = self.endpoints.keys().cloned().collect();
         self.health.on(health::Event::Configured(ids), now);
     }
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -1,8 +1,8 @@
 //! Retry decisions after failed attempts, timeouts, and error responses.
 
 use dispatch::attempt::{
-    AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, StreamEnd, Wait, attempt_timeout, first_event_wait,
-    refusal, retry_decision, stream_idle_timeout,
+    AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, StreamEnd, Wait, attempt_timeout,
+    first_event_wait, place_wait, refusal, retry_decision, stream_idle_timeout,
 };
 use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
@@ -365,3 +365,45 @@
         assert_eq!(end.is_complete(), case.complete, "{end:?}");
     }
 }
+
+/// A request that would get a place too late must be refused at once, not held until its deadline.
+#[test]
+fn a_request_waits_for_a_place_only_if_its_turn_comes_in_time() {
+    struct Case {
+        turn: u64,
+        ahead: u32,
+        remaining: u64,
+        expected: PlaceWait,
+    }
+    let case = |turn, ahead, remaining, expected| Case {
+        turn,
+        ahead,
+        remaining,
+        expected,
+    };
+    let ms = Duration::from_millis;
+    let cases = [
+        case(20, 0, 600, PlaceWait::Wait(ms(300))),
+        case(20, 14, 600, PlaceWait::Wait(ms(300))),
+        case(20, 15, 600, PlaceWait::Refuse(ms(320))),
+        case(400, 0, 600, PlaceWait::Refuse(ms(400))),
+        case(0, 0, 10, PlaceWait::Refuse(Duration::ZERO)),
+    ];
+    for case in cases {
+        let decision = place_wait(ms(case.turn), case.ahead, ms(case.remaining));
+        assert_eq!(decision, case.expected, "{} ms, {} ahead", case.turn, case.ahead);
+    }
+}
+
+/// A refusal for want of a place must say that the request has not run, and when to come back.
+#[test]
+fn a_refusal_without_a_place_is_truthful() {
+    let cause = Cause::NoPlace(Duration::from_millis(900));
+    let refused = refusal(cause, RequestState::Queued);
+    assert_eq!(
+        (refused.status, refused.retry_after),
+        (503, Some(Duration::from_millis(900)))
+    );
+    let refused = refusal(cause, RequestState::Unknown);
+    assert_eq!((refused.status, refused.retry_after), (502, None));
+}
--- a/crates/dispatch/tests/brittle.rs
+++ b/crates/dispatch/tests/brittle.rs
@@ -3,8 +3,11 @@
 
 mod support;
 
+use std::thread;
 use support::brittle_fleet::{Case, END_MS, GRACE_MS, RUN_MS, Simulation};
 
+const SEEDS: [u64; 3] = [1, 2, 3];
+
 /// Endpoints of a plain service behind the routers of a small deployment, under more load than they can run.
 const SMALL: Case = Case {
     name: "small",
@@ -18,6 +21,7 @@
     burst: 1.5,
     skew: 0.0,
     killed: 0,
+    cut_off: 0,
     crashed: 0,
     min_served: 0.8,
 };
@@ -64,12 +68,24 @@
             min_served: 0.65,
             ..SMALL
         },
+        Case {
+            name: "routers cut off",
+            cut_off: 4,
+            min_served: 0.65,
+            ..SMALL
+        },
         Case {
             name: "a third of the endpoints crashes",
             crashed: 4,
             min_served: 0.6,
             ..SMALL
         },
+        Case {
+            name: "all endpoints crash",
+            crashed: 12,
+            min_served: 0.5,
+            ..SMALL
+        },
         Case {
             name: "fewer places than routers",
             routers: 119,
@@ -91,21 +107,30 @@
             ..SMALL
         },
     ];
-    let mut failed = Vec::new();
-    for case in &cases {
-        for seed in 1..=3 {
-            let results = Simulation::new(case, seed).run();
-            let fit = (END_MS - GRACE_MS) as f64 / RUN_MS as f64 * (case.endpoints * case.room) as f64;
-            let served = results.served as f64 / fit;
-            println!("{} {seed}: {results:?}, {served:.2}", case.name);
-            let allowed = 2 + case.endpoints / 10;
-            if results.falls > allowed || served < case.min_served {
-                failed.push(format!(
-                    "{} seed {seed}: {} falls, {allowed} are allowed; {served:.2} served",
-                    case.name, results.falls
-                ));
-            }
-        }
-    }
+    let failed: Vec<String> = thread::scope(|scope| {
+        let runs = cases.iter().flat_map(|case| SEEDS.map(|seed| (case, seed)));
+        let plays: Vec<_> = runs.map(|(case, seed)| scope.spawn(move || play(case, seed))).collect();
+        let failed = plays
+            .into_iter()
+            .filter_map(|play| play.join().expect("a finished play"));
+        failed.collect()
+    });
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Plays a case and returns why it failed.
+fn play(case: &Case, seed: u64) -> Option<String> {
+    let fit = (END_MS - GRACE_MS) as f64 / RUN_MS as f64 * (case.endpoints * case.room) as f64;
+    let allowed = 2 + case.endpoints / 10;
+    let results = Simulation::new(case, seed).run();
+    let served = results.served as f64 / fit;
+    println!("{} {seed}: {results:?}, {served:.2}", case.name);
+    let failed = results.falls > allowed || served < case.min_served;
+    failed.then(|| {
+        let falls = results.falls;
+        format!(
+            "{} seed {seed}: {falls} falls, {allowed} are allowed; {served:.2} served",
+            case.name
+        )
+    })
+}
--- a/crates/dispatch/tests/rate_limits.rs
+++ b/crates/dispatch/tests/rate_limits.rs
@@ -115,7 +115,7 @@
                 assert!(after <= Duration::from_secs(2), "{after:?}");
                 self.refused += 1;
             }
-            Choice::Full | Choice::Unavailable => panic!("no endpoint is full or unavailable"),
+            Choice::Full | Choice::Occupied(_) | Choice::Unavailable => panic!("no endpoint is full or unavailable"),
         }
     }
 
--- a/crates/dispatch/tests/support/brittle_fleet.rs
+++ b/crates/dispatch/tests/support/brittle_fleet.rs
@@ -1,7 +1,9 @@
 //! Simulates brittle endpoints behind many routers: requests wait in a router while it has no endpoint for them.
 
 use super::fleet::{at, entry};
-use dispatch::fleet::{BrittleUpdate, Choice, Fleet, LoadReport, Outcome, PickContext};
+use dispatch::fleet::{
+    BrittleUpdate, Choice, Fleet, LoadReport, LoadUpdate, Outcome, PickContext, PickedEndpoint, Rejection,
+};
 use ids::{EndpointId, Incarnation, VmId};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -18,6 +20,8 @@
 const DOWN_MS: u64 = 3_000;
 /// Time until a crashed endpoint's entry expires.
 const EXPIRY_MS: u64 = 2_000;
+/// Interval at which routers look for an endpoint even if none of their requests has ended.
+const LOOK_INTERVAL_MS: u64 = 20;
 /// Longest wait in a router.
 const MAX_WAIT_MS: u64 = 500;
 /// Time from the first statement until falls count.
@@ -47,6 +51,8 @@
     pub skew: f64,
     /// Routers that are killed at 6 s and start again at 7 s.
     pub killed: usize,
+    /// Routers whose registration has expired for the others at 6 s, while they still reach the endpoints.
+    pub cut_off: usize,
     /// Endpoints that crash at 6 s.
     pub crashed: usize,
     /// Smallest acceptable number of requests that are served during the burst, as a share of what the endpoints can run.
@@ -78,11 +84,15 @@
     avoid: Vec<EndpointId>,
     /// Start of the router that sent it; a killed router's requests are lost.
     start: u32,
+    /// Where it was sent last, and when.
+    sent_to: Option<(PickedEndpoint, Duration)>,
 }
 
 struct Router {
     fleet: Fleet,
     waiting: VecDeque<usize>,
+    /// Whether a place may have become free since the last look.
+    changed: bool,
     down_until: u64,
     start: u32,
 }
@@ -101,6 +111,8 @@
     },
     News {
         updates: Vec<BrittleUpdate>,
+        rejections: Vec<Rejection>,
+        loads: Vec<LoadUpdate>,
     },
     Delist {
         id: EndpointId,
@@ -181,6 +193,7 @@
         Router {
             fleet,
             waiting: VecDeque::new(),
+            changed: false,
             down_until: 0,
             start,
         }
@@ -250,6 +263,14 @@
     fn faults(&mut self) {
         let case = self.case;
         if self.now == 6_000 {
+            let listed = &self.vms[case.cut_off..];
+            for (number, router) in self.routers.iter_mut().enumerate() {
+                if number < case.cut_off {
+                    router.fleet.set_registered_until(at(self.now));
+                } else {
+                    router.fleet.set_routers(&self.vms[number], listed);
+                }
+            }
             for number in 0..case.killed {
                 self.routers[number].down_until = 7_000;
                 self.routers[number].waiting.clear();
@@ -292,13 +313,20 @@
             unreached: 0,
             avoid: Vec::new(),
             start: self.routers[router].start,
+            sent_to: None,
         });
-        self.routers[router].waiting.push_back(self.requests.len() - 1);
+        let router = &mut self.routers[router];
+        router.waiting.push_back(self.requests.len() - 1);
+        router.changed |= router.waiting.len() == 1;
     }
 
     /// Sends the requests that wait in routers, in order, as long as there is an endpoint for them.
     fn serve_waiting(&mut self) {
+        let look = self.now.is_multiple_of(LOOK_INTERVAL_MS);
         for router in 0..self.routers.len() {
+            if !std::mem::take(&mut self.routers[router].changed) && !look {
+                continue;
+            }
             while let Some(request) = self.routers[router].waiting.front().copied() {
                 if self.now > self.requests[request].arrived + MAX_WAIT_MS {
                     self.refuse(router);
@@ -327,8 +355,9 @@
         let Choice::Endpoint(picked) = fleet.choose(&context, draw, now) else {
             return false;
         };
-        let entry = picked.endpoint;
+        let entry = picked.endpoint.clone();
         fleet.request_started(&entry.id, entry.incarnation, 0, now);
+        self.requests[request].sent_to = Some((picked, now));
         let endpoint = self
             .endpoints
             .iter()
@@ -374,9 +403,15 @@
                 id,
                 answer,
             } => self.answer(request, endpoint, &id, answer),
-            Event::News { updates } => {
+            Event::News {
+                updates,
+                rejections,
+                loads,
+            } => {
                 for router in &mut self.routers {
                     router.fleet.merge_tolerances(&updates);
+                    router.fleet.merge_rejections(&rejections);
+                    router.fleet.merge_loads(&loads, at(self.now));
                 }
             }
             Event::Delist { id } => {
@@ -508,9 +543,12 @@
         }
         let (now, tolerance, in_burst) = (at(self.now), self.case.tolerance, self.in_burst());
         let took = Duration::from_millis(self.now - arrived);
+        self.routers[router].changed = true;
         let fleet = &mut self.routers[router].fleet;
-        if let Some(entry) = fleet.endpoint(id) {
-            fleet.request_finished(id, entry.incarnation);
+        if let Some((picked, began)) = self.requests[request].sent_to.take() {
+            fleet.request_finished(id, picked.endpoint.incarnation);
+            let answered = matches!(answer, Answer::Whole(_) | Answer::Rejected(_));
+            fleet.release_places(&picked, began, answered, now);
         }
         let (outcome, load) = match answer {
             Answer::Whole(load) => (Outcome::Answered(took.min(at(RUN_MS + 2 * TRIP_MS))), Some(load)),
@@ -549,19 +587,34 @@
 
     fn send_news(&mut self) {
         let now = at(self.now);
-        let updates: Vec<BrittleUpdate> = self
-            .routers
-            .iter()
-            .flat_map(|router| router.fleet.recent_tolerances(now))
-            .collect();
-        let mut newest: BTreeMap<u32, BrittleUpdate> = BTreeMap::new();
-        for update in updates {
-            let known = newest.entry(update.endpoint.0).or_insert(update);
-            if known.reported_at < update.reported_at {
-                *known = update;
-            }
+        let fleets = self.routers.iter().map(|router| &router.fleet);
+        let updates = fleets.clone().flat_map(|fleet| fleet.recent_tolerances(now));
+        let updates = newest(updates, |update| (update.endpoint.0, update.reported_at));
+        let rejections = fleets.clone().flat_map(|fleet| fleet.recent_rejections(now));
+        let rejections = newest(rejections, |rejection| (rejection.endpoint.0, rejection.rejected_at));
+        let since = now.saturating_sub(at(NEWS_INTERVAL_MS));
+        let loads = fleets.flat_map(|fleet| fleet.loads_since(since, true));
+        let loads = newest(loads, |load| (load.endpoint.0, load.reported_at));
+        self.later(
+            NEWS_DELAY_MS,
+            Event::News {
+                updates,
+                rejections,
+                loads,
+            },
+        );
+    }
+}
+
+/// The newest item of each endpoint; `key` returns the endpoint and the time of an item.
+fn newest<T: Copy>(items: impl Iterator<Item = T>, key: impl Fn(&T) -> (u32, Duration)) -> Vec<T> {
+    let mut found: BTreeMap<u32, T> = BTreeMap::new();
+    for item in items {
+        let (endpoint, at) = key(&item);
+        let known = found.entry(endpoint).or_insert(item);
+        if key(known).1 < at {
+            *known = item;
         }
-        let updates = newest.into_values().collect();
-        self.later(NEWS_DELAY_MS, Event::News { updates });
     }
+    found.into_values().collect()
 }
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -125,6 +125,6 @@
             fleet.request_started(&endpoint.id, endpoint.incarnation, picked.prefill, now);
             Some(endpoint.id.to_string())
         }
-        Choice::Full | Choice::RateLimited(_) | Choice::Unavailable => None,
+        Choice::Full | Choice::RateLimited(_) | Choice::Occupied(_) | Choice::Unavailable => None,
     }
 }
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -151,13 +151,22 @@
     let mut lease = None;
     loop {
         let client = Client::new(shared.settings.load().store, shared.dialect.store);
+        let until = shared.clock.now() + LEASE_TTL;
         let pause = match lease {
             None => {
                 lease = write_entry(&shared, &client, address).await.ok().flatten();
-                if lease.is_some() { RENEW_INTERVAL } else { RETRY_DELAY }
+                if lease.is_some() {
+                    shared.fleet().set_registered_until(until);
+                    RENEW_INTERVAL
+                } else {
+                    RETRY_DELAY
+                }
             }
             Some(held) => match client.renew(held, CALL_TIMEOUT).await {
-                Ok(Some(_)) => RENEW_INTERVAL,
+                Ok(Some(_)) => {
+                    shared.fleet().set_registered_until(until);
+                    RENEW_INTERVAL
+                }
                 Ok(None) => {
                     lease = None;
                     Duration::ZERO
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -3,10 +3,10 @@
 use super::CALL_TIMEOUT;
 use crate::serve::observe;
 use crate::shared::Shared;
-use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate};
+use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
-use peers::{BacklogMessage, LevelMessage, RateMessage, ToleranceMessage, UsageMessage};
+use peers::{BacklogMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage, UsageMessage};
 use std::time::Duration;
 
 /// The message with a backlog and the statements that endpoints made recently.
@@ -17,12 +17,15 @@
     let tolerances = fleet.recent_tolerances(now);
     let tolerance =
         |update: &BrittleUpdate| ToleranceMessage(update.endpoint, update.tolerance, age(update.reported_at));
+    let rejections = fleet.recent_rejections(now);
+    let rejection = |found: &Rejection| RejectionMessage(found.endpoint, found.running, age(found.rejected_at));
     BacklogMessage {
         tokens: backlog.tokens,
         lane_tokens: backlog.lane_tokens,
         unreachable: backlog.unreachable,
         rates: rates.iter().map(rate).collect(),
         tolerances: tolerances.iter().map(tolerance).collect(),
+        rejections: rejections.iter().map(rejection).collect(),
     }
 }
 
@@ -43,6 +46,12 @@
         reported_at: reported_at(*age),
     };
     let tolerances: Vec<BrittleUpdate> = message.tolerances.iter().map(tolerance).collect();
+    let rejection = |RejectionMessage(endpoint, running, age): &RejectionMessage| Rejection {
+        endpoint: *endpoint,
+        running: *running,
+        rejected_at: reported_at(*age),
+    };
+    let rejections: Vec<Rejection> = message.rejections.iter().map(rejection).collect();
     let backlog = Backlog {
         tokens: message.tokens,
         lane_tokens: message.lane_tokens,
@@ -52,6 +61,7 @@
     fleet.update_backlog(source, backlog, now);
     let rates_changed = fleet.merge_rates(&rates, now);
     let tolerances_changed = fleet.merge_tolerances(&tolerances);
+    fleet.merge_rejections(&rejections);
     if !rates_changed && !tolerances_changed {
         return;
     }
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -3,6 +3,7 @@
 use super::RoutedRequest;
 use super::in_flight::InFlightAttempt;
 use super::observe;
+use super::place_queue::Ticket;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
@@ -10,7 +11,7 @@
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
-use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
+use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
 use ids::EndpointId;
@@ -64,6 +65,14 @@
     Failed(Failure),
 }
 
+/// An endpoint for an attempt.
+enum Chosen {
+    /// The endpoint, and since when the attempt counts for its load.
+    Endpoint(PickedEndpoint, Duration),
+    /// All places of this router are in use; one becomes free about every so long.
+    Occupied(Duration),
+}
+
 /// State of a request's attempts.
 pub(super) struct Attempts<'a> {
     pub(super) shared: &'a Arc<Shared>,
@@ -117,12 +126,12 @@
             return self.give_up(Cause::Overloaded);
         }
         loop {
-            let picked = match self.choose() {
-                Ok(picked) => picked,
-                Err(cause) => return self.give_up(cause),
+            let (picked, began) = match self.choose_or_wait().await {
+                Ok(chosen) => chosen,
+                Err(ended) => return ended,
             };
             let sent = self.sent;
-            let result = self.attempt(&picked).await;
+            let result = self.attempt(&picked, began).await;
             let is_refused = matches!(&result, AttemptResult::Failed(failure) if failure.not_run());
             if self.sent > sent && !is_refused {
                 self.charge.attempt_ran();
@@ -202,7 +211,45 @@
         self.request.route.kind.repeatable()
     }
 
-    fn choose(&self) -> Result<PickedEndpoint, Cause> {
+    /// Chooses an endpoint. While all places of this router at brittle endpoints are in use, the request waits for one,
+    /// unless its turn would come too late.
+    async fn choose_or_wait(&mut self) -> Result<(PickedEndpoint, Duration), RequestOutcome> {
+        let service = self.request.service;
+        let queues = &self.shared.place_queues;
+        let mut waits: Option<(Ticket, Duration)> = None;
+        loop {
+            // Requests that came earlier go first.
+            let turn = if waits.is_none() && queues.waiting(service) > 0 {
+                Some(self.shared.fleet().place_turn(service))
+            } else {
+                None
+            };
+            let turn = match turn.map_or_else(|| self.choose(), |turn| Ok(Chosen::Occupied(turn))) {
+                Ok(Chosen::Endpoint(picked, began)) => return Ok((picked, began)),
+                Ok(Chosen::Occupied(turn)) => turn,
+                Err(cause) => return Err(self.give_up(cause)),
+            };
+            let now = self.shared.clock.now();
+            if waits.is_none() {
+                let ticket = queues.join(service);
+                match attempt::place_wait(turn, ticket.ahead, self.remaining()) {
+                    PlaceWait::Wait(longest) => waits = Some((ticket, now + longest)),
+                    PlaceWait::Refuse(after) => return Err(self.give_up(Cause::NoPlace(after))),
+                }
+            }
+            let Some((ticket, until)) = &waits else { continue };
+            let left = until.saturating_sub(now);
+            if left.is_zero() {
+                return Err(self.give_up(Cause::NoPlace(turn)));
+            }
+            let pause = left.min(attempt::PLACE_CHECK_INTERVAL);
+            if let WaitOutcome::ClientDisconnected = wait(&self.request.incoming.conn, pause, ticket.turn()).await {
+                return Err(self.client_disconnected());
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Chosen, Cause> {
         let unread = self.unread();
         let context = PickContext {
             service: self.request.service,
@@ -214,8 +261,14 @@
             unread: &unread,
         };
         let now = self.shared.clock.now();
-        match self.shared.fleet().choose(&context, rand::random(), now) {
-            Choice::Endpoint(picked) => Ok(picked),
+        let mut fleet = self.shared.fleet();
+        match fleet.choose(&context, rand::random(), now) {
+            Choice::Endpoint(picked) => {
+                let entry = &picked.endpoint;
+                fleet.request_started(&entry.id, entry.incarnation, picked.prefill, now);
+                Ok(Chosen::Endpoint(picked, now))
+            }
+            Choice::Occupied(turn) => Ok(Chosen::Occupied(turn)),
             Choice::Full => Err(Cause::Full),
             Choice::RateLimited(after) => Err(Cause::Limited(after)),
             Choice::Unavailable => Err(Cause::NoEndpoint),
@@ -251,8 +304,8 @@
         RequestOutcome::Refused(cause, state)
     }
 
-    async fn attempt(&mut self, picked: &PickedEndpoint) -> AttemptResult {
-        let mut in_flight = InFlightAttempt::new(self.shared, picked);
+    async fn attempt(&mut self, picked: &PickedEndpoint, began: Duration) -> AttemptResult {
+        let mut in_flight = InFlightAttempt::new(self.shared, picked, began);
         let connection = match self.connect(picked).await {
             WaitOutcome::Done(Ok(connection)) => connection,
             WaitOutcome::Done(Err(_)) => {
@@ -271,6 +324,7 @@
             return AttemptResult::Ended(self.give_up(Cause::EndpointFailed));
         }
         self.sent += 1;
+        in_flight.sent();
         self.charge.attempt_starts();
         self.record.tunnel = connection.tunnel;
         self.record.weights = self.weights_age(picked);
@@ -426,6 +480,7 @@
         observe::record_info(self.shared, &in_flight.picked.endpoint.id, prompt, &info);
         let status = answer.head.status;
         if info.not_run || status == 421 {
+            in_flight.ended();
             return self.handle_refusal(in_flight, status, &info);
         }
         self.lifecycle.on(RequestEvent::HeadArrived);
@@ -493,6 +548,7 @@
                 .connections
                 .put_back(&in_flight.picked.endpoint, source, info.keep_alive);
         }
+        in_flight.ended();
         let response = CompleteResponse { status, headers, body };
         if status >= 500 && self.repeatable() {
             in_flight.outcome(Outcome::Failed);
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -11,15 +11,13 @@
     pub(super) picked: &'a PickedEndpoint,
     pub(super) began: Duration,
     prompt_done: bool,
+    /// Whether the endpoint may be running the request.
+    may_run: bool,
 }
 
 impl<'a> InFlightAttempt<'a> {
-    pub(super) fn new(shared: &'a Shared, picked: &'a PickedEndpoint) -> Self {
-        let entry = &picked.endpoint;
-        let began = shared.clock.now();
-        shared
-            .fleet()
-            .request_started(&entry.id, entry.incarnation, picked.prefill, began);
+    /// An attempt that was counted for the endpoint's load at `began`.
+    pub(super) fn new(shared: &'a Shared, picked: &'a PickedEndpoint, began: Duration) -> Self {
         if picked.prefill > 0 {
             shared.news_changed();
         }
@@ -28,9 +26,20 @@
             picked,
             began,
             prompt_done: false,
+            may_run: false,
         }
     }
 
+    /// Records that bytes of the request are sent.
+    pub(super) fn sent(&mut self) {
+        self.may_run = true;
+    }
+
+    /// Records that the endpoint does not run the request, or no longer does.
+    pub(super) fn ended(&mut self) {
+        self.may_run = false;
+    }
+
     /// Records that the endpoint has read the prompt, or never will.
     pub(super) fn prompt_read(&mut self) {
         if !self.prompt_done {
@@ -69,6 +78,13 @@
     fn drop(&mut self) {
         self.prompt_read();
         let entry = &self.picked.endpoint;
-        self.shared.fleet().request_finished(&entry.id, entry.incarnation);
+        let now = self.shared.clock.now();
+        let mut fleet = self.shared.fleet();
+        fleet.request_finished(&entry.id, entry.incarnation);
+        fleet.release_places(self.picked, self.began, !self.may_run, now);
+        drop(fleet);
+        if self.picked.places > 0 {
+            self.shared.place_queues.place_freed(&entry.service);
+        }
     }
 }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod in_flight;
 pub(crate) mod observe;
 mod outgoing;
+mod place_queue;
 mod quota;
 mod record;
 mod relay;
@@ -25,6 +26,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+pub use place_queue::PlaceQueues;
+
 /// What happens to a client's connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionAction {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -121,6 +121,7 @@
         if self.write(answer, &[], true).await == WriteResult::ClientDisconnected {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
+        self.in_flight.ended();
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         if answer.reusable && answer.head.keeps_alive() {
             let connections = &self.attempts.shared.connections;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::follow::relay::Relay;
 use crate::metrics::Metrics;
+use crate::serve::PlaceQueues;
 use crate::settings::Settings;
 use crate::tunnel::PeerCache;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -49,6 +50,8 @@
     paths: Mutex<Paths>,
     /// The other routers, as read when a tunnel was last needed.
     pub peers: PeerCache,
+    /// Requests that wait for a place at a brittle endpoint.
+    pub place_queues: PlaceQueues,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
     /// Metrics.
@@ -96,6 +99,7 @@
             quotas: Mutex::new(quotas),
             paths: Mutex::default(),
             peers: PeerCache::default(),
+            place_queues: PlaceQueues::default(),
             connections: ConnectionPool::default(),
             metrics: Metrics::new(),
             events,
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -159,6 +159,9 @@
     /// Recent statements of endpoints on whether they are brittle.
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tolerances: Vec<ToleranceMessage>,
+    /// Recent rejections by brittle endpoints.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub rejections: Vec<RejectionMessage>,
 }
 
 /// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
@@ -221,6 +224,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToleranceMessage(pub ShortKey, pub Option<u32>, pub u64);
 
+/// A rejection by a brittle endpoint, as sent between routers: key, requests that it was running, age in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectionMessage(pub ShortKey, pub u32, pub u64);
+
 /// Bounds on a target age: how long ago a model's target weights were set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetAgeMessage {
