Sight: whether an endpoint has ended whose connection broke, and which tries are of one request

Logs couldn't tell the tries of one request from others, nor an ended endpoint from a broken connection. After a broken attempt the router asks the endpoint, in the background, whether it is still the same process (a refused connection, another endpoint or another start says no), and logs the answer with a hash of the request's content; attempts_broken_total counts them. No decision uses it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
+//! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
 //! | [`prefixes`] | what engines fetch from and save to the prefix stores |
@@ -28,6 +29,7 @@
 pub mod paths;
 pub mod prefixes;
 pub mod pressure;
+pub mod quarantine;
 pub mod quotas;
 pub mod retries;
 pub mod rollout;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -166,6 +166,10 @@
     /// The call that requests a report from an endpoint. Any response proves that the endpoint is reachable. Unlike its
     /// health check, the call needs no slot.
     pub report_call: fn() -> Call,
+    /// The call that requests a report from one endpoint. Another endpoint at its address responds with status 421.
+    pub identity_call: fn(&EndpointId) -> (Call, Headers),
+    /// Parses the incarnation from a report; none if the report names none.
+    pub parse_incarnation: fn(&[u8]) -> Option<Incarnation>,
     /// Parses an engine's report for one model.
     pub parse_report: fn(&[u8], &ModelId) -> Result<Report, Unreadable>,
     /// The call that sends an order.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub requests: IntCounterVec,
     /// Failed attempts by kind of failure.
     pub attempts: IntCounterVec,
+    /// Attempts whose connection broke, by whether the endpoint has ended.
+    pub broken: IntCounterVec,
     /// Ends of endpoints' streams by framing, and whether they lie inside an event.
     pub stream_ends: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
@@ -84,6 +86,11 @@
         Self {
             requests: counters("requests_total", "Requests by route and outcome", &["route", "outcome"]),
             attempts: counters("attempts_failed_total", "Failed attempts by how", &["failure"]),
+            broken: counters(
+                "attempts_broken_total",
+                "Attempts whose connection broke, by whether the endpoint has ended",
+                &["fate"],
+            ),
             stream_ends: counters(
                 "stream_ends_total",
                 "Ends of endpoints' streams by framing, and whether they lie inside an event",
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request, made one after the other.
 
 use super::RoutedRequest;
+use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::place_queue::Ticket;
@@ -11,6 +12,7 @@
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
+use async_std::task;
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
@@ -160,12 +162,33 @@
             } else {
                 self.excluded.push(picked.endpoint.id.clone());
             }
+            if failure == Failure::Broken {
+                self.check_endpoint(&picked);
+            }
             if !self.may_retry(failure) {
                 return self.give_up(final_cause(failure));
             }
         }
     }
 
+    /// Finds out in the background whether the endpoint of a broken attempt has ended.
+    fn check_endpoint(&self, picked: &PickedEndpoint) {
+        let (shared, entry) = (self.shared.clone(), picked.endpoint.clone());
+        let content = fate::content_key(self.request);
+        let id = self.request.info.id.clone();
+        task::spawn(async move {
+            let fate = fate::check(&shared, &entry).await;
+            shared.metrics.broken.with_label_values(&[fate.name()]).inc();
+            log::info!(
+                id = id.as_str(),
+                endpoint = entry.id.as_str(),
+                content:% = content,
+                fate = fate.name();
+                "attempt: connection broke"
+            );
+        });
+    }
+
     /// Whether this request is shed at once, because first events currently miss their objective.
     fn is_shed(&self) -> bool {
         let now = self.shared.clock.now();
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Serving one request: authorization, routing, and the response to the client.
 
 mod attempts;
+mod fate;
 mod in_flight;
 pub(crate) mod observe;
 mod outgoing;
