--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -260,6 +260,8 @@
     Limited(Duration),
     /// All places of this router at brittle endpoints are in use. Holds the time after which to retry.
     NoPlace(Duration),
+    /// Endpoints have ended under earlier attempts of the request. Holds the time after which to retry.
+    Quarantined(Duration),
     /// The workspace's quota is used up. Holds the time after which to retry.
     OverQuota(Duration),
     /// First events are late, and this request was shed.
@@ -309,7 +311,8 @@
         // Nothing is sent before the quota is checked.
         Cause::OverQuota(_) => 429,
         Cause::HeadTooLarge => 431,
-        Cause::NotReady | Cause::Stale => 503,
+        // Nothing of a request in quarantine is sent.
+        Cause::NotReady | Cause::Stale | Cause::Quarantined(_) => 503,
         Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::NoPlace(_) | Cause::Overloaded if not_run => 503,
         Cause::NoEndpoint
         | Cause::Full
@@ -323,6 +326,7 @@
         (429, Cause::OverQuota(after)) => Some(after),
         (503, Cause::Full) => Some(RETRY_FULL),
         (503, Cause::Limited(after)) => Some(after.max(RETRY_NO_ENDPOINT)),
+        (503, Cause::Quarantined(after)) => Some(after),
         (503, Cause::NoPlace(after)) => Some(after.clamp(RETRY_NO_ENDPOINT, MAX_RETRY_NO_PLACE)),
         (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
         (503, Cause::NoEndpoint) => Some(RETRY_NO_ENDPOINT),
@@ -352,6 +356,7 @@
             Self::Full => "full",
             Self::Limited(_) => "limited",
             Self::NoPlace(_) => "no_place",
+            Self::Quarantined(_) => "quarantined",
             Self::OverQuota(_) => "over_quota",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -123,6 +123,12 @@
         drawn.into_iter().map(|(_, member)| member.address).collect()
     }
 
+    /// Address of a router.
+    pub fn address(&self, vm: &VmId) -> Option<SocketAddr> {
+        let mut all = self.same_domain.iter().chain(&self.other_domains);
+        all.find(|(known, _)| known == vm).map(|(_, member)| member.address)
+    }
+
     /// All routers except `own`.
     pub fn others(&self, own: &VmId) -> Vec<(VmId, Member)> {
         let all = self.same_domain.iter().chain(&self.other_domains);
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -2,6 +2,7 @@
 
 use super::{MAX_STORE_AGE, documents, loads, uptime, weight_ages};
 use crate::news;
+use crate::quarantine;
 use crate::shared::Shared;
 use crate::tunnel;
 use async_std::future::timeout;
@@ -153,7 +154,7 @@
     let (items, prefixes) = (shared.clone(), shared.clone());
     let (fleet, ages, store) = (shared.clone(), shared.clone(), shared.clone());
     let (report, subtotal, site) = (shared.clone(), shared.clone(), shared.clone());
-    let paths = shared.clone();
+    let (paths, ends) = (shared.clone(), shared.clone());
     RelayHandlers {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -174,6 +175,10 @@
             news::handle_subtotal(&subtotal, message);
             futures::future::ready(()).boxed()
         }),
+        ends: Arc::new(move |message| {
+            let shared = ends.clone();
+            async move { quarantine::handle(&shared, message).await }.boxed()
+        }),
         target_ages: Arc::new(move |()| futures::future::ready(weight_ages::response(&ages)).boxed()),
         uptime: Arc::new(move |()| futures::future::ready(uptime::response(&store)).boxed()),
         document: Arc::new(move |()| futures::future::ready(documents::response(&site)).boxed()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub rated: IntGauge,
     /// Endpoints that fall over if they have to reject too many requests.
     pub brittle: IntGauge,
+    /// Requests that are kept from endpoints, because others have ended under them.
+    pub quarantined: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -139,6 +141,10 @@
                 "endpoints_brittle",
                 "Endpoints that fall over if they have to reject too many requests",
             ),
+            quarantined: gauge(
+                "requests_quarantined",
+                "Requests that are kept from endpoints, because others have ended under them",
+            ),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
             first,
             registry,
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -11,10 +11,13 @@
 use super::wait::{WaitOutcome, WeightsOutdated, wait};
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
+use crate::quarantine;
 use crate::shared::Shared;
-use async_std::task;
+use async_std::future::timeout;
+use async_std::task::{self, JoinHandle};
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
+use dispatch::quarantine::{ContentKey, EndedRun, Fate, ProcessKey};
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
 use ids::EndpointId;
 use lifecycle::events::EventSplitter;
@@ -25,6 +28,9 @@
 use std::time::Duration;
 use wire::client::Ran;
 
+/// How long a broken attempt waits to learn whether its endpoint has ended. Endpoints in reach tell within a few
+/// milliseconds, and so do the routers that count ends.
+const FATE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Longest response without streaming, bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
 
@@ -79,6 +85,7 @@
 pub(super) struct Attempts<'a> {
     pub(super) shared: &'a Arc<Shared>,
     pub(super) request: &'a RoutedRequest<'a>,
+    content: ContentKey,
     charge: QuotaCharge<'a>,
     pub(super) record: &'a mut Record,
     pub(super) lifecycle: Request,
@@ -109,6 +116,7 @@
         Self {
             shared,
             request,
+            content: fate::content_key(request),
             charge,
             record,
             lifecycle: Request::new(repeat),
@@ -124,6 +132,10 @@
 
     /// Makes attempts until the request has ended.
     pub(super) async fn run(&mut self) -> RequestOutcome {
+        let now = self.shared.clock.now();
+        if let Some(remaining) = self.shared.quarantine().remaining(self.content, now) {
+            return self.give_up(Cause::Quarantined(remaining));
+        }
         if self.is_shed() {
             return self.give_up(Cause::Overloaded);
         }
@@ -140,14 +152,19 @@
             }
             let failure = match result {
                 AttemptResult::Complete(response) => {
+                    self.record_answer();
                     self.record_attempt(&picked, "whole");
                     return RequestOutcome::Complete(response);
                 }
                 AttemptResult::Ended(finish) => {
+                    if matches!(finish, RequestOutcome::Streamed { .. }) {
+                        self.record_answer();
+                    }
                     self.record_attempt(&picked, "ended");
                     return finish;
                 }
                 AttemptResult::ServerError(response) => {
+                    self.record_answer();
                     self.last_error = Some(response);
                     Failure::Error
                 }
@@ -162,20 +179,32 @@
             } else {
                 self.excluded.push(picked.endpoint.id.clone());
             }
-            if failure == Failure::Broken {
-                self.check_endpoint(&picked);
-            }
-            if !self.may_retry(failure) {
+            if !self.may_go_on(&picked, failure).await {
                 return self.give_up(final_cause(failure));
             }
         }
     }
 
-    /// Finds out in the background whether the endpoint of a broken attempt has ended.
-    fn check_endpoint(&self, picked: &PickedEndpoint) {
+    /// Whether another attempt is made after one that failed. If its connection broke, whether the endpoint has ended is found
+    /// out first, so that neither this router nor the client's next try ends another one.
+    async fn may_go_on(&mut self, picked: &PickedEndpoint, failure: Failure) -> bool {
+        if failure != Failure::Broken {
+            return self.may_retry(failure);
+        }
+        let checked = self.check_endpoint(picked);
+        // The endpoint of a broken connection may be silent, and a retry must not wait for that.
+        let _ = timeout(FATE_TIMEOUT.min(self.remaining()), checked).await;
+        let now = self.shared.clock.now();
+        let is_held = self.shared.quarantine().remaining(self.content, now).is_some();
+        !is_held && self.may_retry(failure)
+    }
+
+    /// Finds out in the background whether the endpoint of a broken attempt has ended, and tells other routers.
+    fn check_endpoint(&self, picked: &PickedEndpoint) -> JoinHandle<()> {
         let (shared, entry) = (self.shared.clone(), picked.endpoint.clone());
-        let content = fate::content_key(self.request);
+        let content = self.content;
         let id = self.request.info.id.clone();
+        let ended = self.shared.clock.now();
         task::spawn(async move {
             let fate = fate::check(&shared, &entry).await;
             shared.metrics.broken.with_label_values(&[fate.name()]).inc();
@@ -186,7 +215,22 @@
                 fate = fate.name();
                 "attempt: connection broke"
             );
-        });
+            if fate == Fate::Ended {
+                let process = ProcessKey::of(&entry.id, entry.incarnation);
+                let run = EndedRun {
+                    content,
+                    process,
+                    ended,
+                };
+                quarantine::report(&shared, run).await;
+            }
+        })
+    }
+
+    /// Records that an endpoint survived the request.
+    fn record_answer(&self) {
+        let now = self.shared.clock.now();
+        self.shared.quarantine().record_answer(self.content, now);
     }
 
     /// Whether this request is shed at once, because first events currently miss their objective.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use dispatch::freshness::Freshness;
 use dispatch::paths::Paths;
 use dispatch::prefixes::PrefixStores;
+use dispatch::quarantine::Quarantine;
 use dispatch::quotas::Quotas;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
@@ -47,6 +48,7 @@
     uptime: Mutex<Uptime>,
     prefixes: Mutex<PrefixStores>,
     quotas: Mutex<Quotas>,
+    quarantine: Mutex<Quarantine>,
     paths: Mutex<Paths>,
     /// The other routers, as read when a tunnel was last needed.
     pub peers: PeerCache,
@@ -97,6 +99,7 @@
             uptime: Mutex::default(),
             prefixes: Mutex::default(),
             quotas: Mutex::new(quotas),
+            quarantine: Mutex::default(),
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
@@ -169,6 +172,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests under which endpoints have ended.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Paths to the endpoints.
     pub fn paths(&self) -> MutexGuard<'_, Paths> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -10,6 +10,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use dispatch::fleet::{LaneTokens, ShortKey};
 use dispatch::prefixes::PartKey;
+use dispatch::quarantine::{ContentKey, ProcessKey};
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::{OpenConnection, progress_timeout};
@@ -228,6 +229,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RejectionMessage(pub ShortKey, pub u32, pub u64);
 
+/// A run of a request during which an endpoint's process ended, as sent between routers: request, process, age in
+/// milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndMessage(pub ContentKey, pub ProcessKey, pub u64);
+
+/// Ends of endpoints under requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndsMessage {
+    /// The ends.
+    pub ends: Vec<EndMessage>,
+    /// Whether the receiver tells all routers of the requests that are in quarantine now.
+    pub forward: bool,
+}
+
 /// Bounds on a target age: how long ago a model's target weights were set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetAgeMessage {
@@ -247,8 +262,8 @@
 #[allow(missing_docs)]
 mod calls {
     use super::{
-        Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery, ReportMessage, Revision,
-        SubtotalMessage, TargetAgeMessage, TotalsMessage, UptimeMessage,
+        EndMessage, EndsMessage, Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery,
+        ReportMessage, Revision, SubtotalMessage, TargetAgeMessage, TotalsMessage, UptimeMessage,
     };
 
     /// Calls that a router serves to its followers.
@@ -264,6 +279,8 @@
         async fn report(report: ReportMessage) -> Option<TotalsMessage>;
         /// Receives the subtotal of another router that has followers.
         async fn subtotal(subtotal: SubtotalMessage);
+        /// Receives ends of endpoints under requests; returns all that are known under the same requests.
+        async fn ends(message: EndsMessage) -> Vec<EndMessage>;
         /// Ages of recently set target weights.
         async fn names() -> Vec<TargetAgeMessage>;
         /// Period in which the store has responded to the router.
@@ -291,6 +308,8 @@
     pub report: Handler<ReportMessage, Option<TotalsMessage>>,
     /// Receives the subtotal of another router that has followers.
     pub subtotal: Handler<SubtotalMessage, ()>,
+    /// Receives ends of endpoints under requests; returns all that are known under the same requests.
+    pub ends: Handler<EndsMessage, Vec<EndMessage>>,
     /// Ages of recently set target weights.
     pub target_ages: Handler<(), Vec<TargetAgeMessage>>,
     /// Period in which the store has responded to the router.
@@ -325,6 +344,10 @@
         (self.0.subtotal)(subtotal).await;
     }
 
+    async fn ends(self, _: Context, message: EndsMessage) -> Vec<EndMessage> {
+        (self.0.ends)(message).await
+    }
+
     async fn names(self, _: Context) -> Vec<TargetAgeMessage> {
         (self.0.target_ages)(()).await
     }
@@ -462,6 +485,15 @@
             .await
     }
 
+    /// Reports ends of endpoints under requests. Returns all that the router knows under the same requests.
+    ///
+    /// # Errors
+    /// The call failed, or no response started to arrive in time.
+    pub async fn ends(&self, message: EndsMessage, within: Duration) -> Result<Vec<EndMessage>, PeerError> {
+        self.response(within, self.client.ends(call_context(within), message))
+            .await
+    }
+
     /// Ages of recently set target weights.
     ///
     /// # Errors
