Sight: the software version of endpoints, and which request continues a stream

Logs couldn't tell the version of the engine behind an attempt, nor whether a request takes up an earlier stream. Entries keep the version; request lines gain resumes and software, endpoint: listed gains software. No decision uses them.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -5,7 +5,7 @@
 };
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
-use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, VmId};
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use placement::EndpointKey;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -51,6 +51,7 @@
             address: "127.0.0.1:1".parse().expect("an address"),
             domain: DomainId::from(format!("d{}", number % 4)),
             slots: 24,
+            software: SoftwareVersion::from("v1"),
             draining: false,
             weights: vec![(ModelId::from("grain"), 1 + number % 2)],
         };
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -1,6 +1,6 @@
 //! The parts of the configuration that request handling needs: routes, services, workspaces and limits.
 
-use ids::{EndpointId, ModelId, Revision, ServiceId, WorkspaceId};
+use ids::{EndpointId, ModelId, Revision, ServiceId, SoftwareVersion, WorkspaceId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -304,6 +304,8 @@
     pub slots: u32,
     /// Whether the endpoint is draining: it accepts no new requests.
     pub draining: bool,
+    /// Version of its software; empty if its entry names none.
+    pub software: SoftwareVersion,
     /// Models that it serves, with the version of their weights.
     pub weights: Vec<(ModelId, u64)>,
 }
--- a/crates/dispatch/tests/drain_model.rs
+++ b/crates/dispatch/tests/drain_model.rs
@@ -4,7 +4,7 @@
 use dispatch::roster::{ListChange, Roster};
 use dispatch::site::EndpointEntry;
 use dispatch::uptime::Span;
-use ids::{DomainId, EndpointId, Incarnation, ServiceId};
+use ids::{DomainId, EndpointId, Incarnation, ServiceId, SoftwareVersion};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -133,6 +133,7 @@
             address: format!("10.0.0.{address}:80").parse().expect("an address"),
             domain: DomainId::from("here"),
             slots: 8,
+            software: SoftwareVersion::from("v1"),
             draining: false,
             incarnation: Incarnation(self.incarnations),
             weights: Vec::new(),
--- a/crates/dispatch/tests/paths.rs
+++ b/crates/dispatch/tests/paths.rs
@@ -2,7 +2,7 @@
 
 use dispatch::paths::{Helper, HelperReply, PathPlan, Paths};
 use dispatch::site::EndpointEntry;
-use ids::{DomainId, EndpointId, Incarnation, ServiceId, VmId};
+use ids::{DomainId, EndpointId, Incarnation, ServiceId, SoftwareVersion, VmId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: DomainId::from("d0"),
         slots: 6,
+        software: SoftwareVersion::from("v1"),
         draining: false,
         weights: Vec::new(),
     }
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -3,7 +3,7 @@
 use dispatch::roster::{ListChange, Roster, RosterChange};
 use dispatch::site::EndpointEntry;
 use dispatch::uptime::Span;
-use ids::{DomainId, EndpointId, Incarnation, ServiceId};
+use ids::{DomainId, EndpointId, Incarnation, ServiceId, SoftwareVersion};
 use std::time::Duration;
 
 fn at(ms: u64) -> Duration {
@@ -18,6 +18,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: DomainId::from("here"),
         slots: 6,
+        software: SoftwareVersion::from("v1"),
         draining,
         weights: Vec::new(),
     }
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -3,7 +3,7 @@
 use super::fleet::{at, context, fleet, model, service};
 use dispatch::fleet::{BacklogSource, Choice, Fleet, LoadReport, Outcome, PickedEndpoint, Prompt, PromptPart};
 use dispatch::site::EndpointEntry;
-use ids::{DomainId, EndpointId, Incarnation, VmId};
+use ids::{DomainId, EndpointId, Incarnation, SoftwareVersion, VmId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -142,6 +142,7 @@
             address: "127.0.0.1:1".parse().expect("an address"),
             domain: DomainId::from("here"),
             slots: 64,
+            software: SoftwareVersion::from("v1"),
             draining: false,
             weights: vec![(model(), 1)],
         };
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -3,7 +3,7 @@
 use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, TargetAge};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
-use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +29,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: DomainId::from("here"),
         slots: 6,
+        software: SoftwareVersion::from("v1"),
         draining: false,
         weights: vec![(model(), weights)],
     }
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -3,7 +3,7 @@
 use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, TargetAge};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
-use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId};
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +27,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: DomainId::from("here"),
         slots: 8,
+        software: SoftwareVersion::from("v1"),
         draining: false,
         incarnation: Incarnation(1),
         weights: vec![(model(), weights)],
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -336,6 +336,7 @@
                         service = entry.service.as_str(),
                         address:% = entry.address,
                         life = entry.incarnation.0,
+                        software = entry.software.as_str(),
                         leaving = entry.draining;
                         "endpoint: listed"
                     );
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -43,6 +43,10 @@
     pub tokens: Option<u64>,
     /// The prompt, if the request is for a model.
     pub prompt: Option<Prompt>,
+    /// Id of the client's attempt that brought the first event of the stream that this request continues.
+    pub resumes: Option<String>,
+    /// Number of the last event of that stream that the client has; none if the request begins a stream.
+    pub last_event: Option<u64>,
 }
 
 /// Data that the router adds to a request for one endpoint.
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -20,6 +20,10 @@
     pub age: Option<Duration>,
     /// Weights that the last attempt named, and how long they had been outdated when it was sent.
     pub weights: Option<(u64, Staleness)>,
+    /// Id of the attempt that began the stream which the request continues; empty if it begins one.
+    pub resumes: String,
+    /// Version of the software that began the stream; empty without an event.
+    pub software: String,
     /// Whether the last attempt reached its endpoint through another router.
     pub tunnel: bool,
     /// Its prompt; all zero if it has none.
@@ -55,6 +59,8 @@
             revision: Revision(0),
             age: None,
             weights: None,
+            resumes: String::new(),
+            software: String::new(),
             tunnel: false,
             prompt: PromptRecord::default(),
             arrived,
@@ -111,6 +117,8 @@
             total_ms = total.as_millis() as u64,
             tries = self.attempts.as_str(),
             tunnel = self.tunnel,
+            resumes = self.resumes.as_str(),
+            software = self.software.as_str(),
             prompt = self.prompt.tokens,
             read = self.prompt.read,
             prefix = format!("{:x}", self.prompt.prefix).as_str(),
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -104,6 +104,7 @@
         self.in_flight.answered();
         self.in_flight.record_read(self.attempts.request.service);
         self.attempts.record.first_byte(self.attempts.shared);
+        self.attempts.record.software = self.in_flight.picked.endpoint.software.to_string();
     }
 
     /// Handles the end of the endpoint's response.
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub use digest::{Digest, ParseDigestError};
 pub use names::{
-    DomainId, EndpointId, IdempotencyKey, ModelId, RequestId, ServiceId, VmId, WeightsVersion, WorkspaceId,
+    DomainId, EndpointId, IdempotencyKey, ModelId, RequestId, ServiceId, SoftwareVersion, VmId, WeightsVersion,
+    WorkspaceId,
 };
 pub use numbers::{Fence, Incarnation, Priority, Revision, Version};
--- a/crates/ids/src/names.rs
+++ b/crates/ids/src/names.rs
@@ -40,6 +40,10 @@
     /// One version of a model's weights.
     WeightsVersion
 );
+text_id!(
+    /// One version of an endpoint's software. Endpoints of several versions may serve one service side by side.
+    SoftwareVersion
+);
 text_id!(
     /// A plain service, served by runners instead of model engines.
     ServiceId
