--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -103,6 +103,7 @@
         objective: None,
         pause: None,
         unread: &[],
+        software: None,
     };
     let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let started = Instant::now();
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -262,6 +262,8 @@
     NoPlace(Duration),
     /// Endpoints have ended under earlier attempts of the request. Holds the time after which to retry.
     Quarantined(Duration),
+    /// The request continues a stream, and it is unknown which version of the software began that.
+    UnknownOrigin,
     /// The workspace's quota is used up. Holds the time after which to retry.
     OverQuota(Duration),
     /// First events are late, and this request was shed.
@@ -311,8 +313,8 @@
         // Nothing is sent before the quota is checked.
         Cause::OverQuota(_) => 429,
         Cause::HeadTooLarge => 431,
-        // Nothing of a request in quarantine is sent.
-        Cause::NotReady | Cause::Stale | Cause::Quarantined(_) => 503,
+        // Nothing of a request in quarantine is sent, nor of one that can't be continued.
+        Cause::NotReady | Cause::Stale | Cause::Quarantined(_) | Cause::UnknownOrigin => 503,
         Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::NoPlace(_) | Cause::Overloaded if not_run => 503,
         Cause::NoEndpoint
         | Cause::Full
@@ -357,6 +359,7 @@
             Self::Limited(_) => "limited",
             Self::NoPlace(_) => "no_place",
             Self::Quarantined(_) => "quarantined",
+            Self::UnknownOrigin => "unknown_origin",
             Self::OverQuota(_) => "over_quota",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -68,7 +68,11 @@
         now: Duration,
     ) -> impl Fn(&EndpointState) -> bool {
         let healthy = |state: &&EndpointState| !self.loading.contains(&state.entry.id) && self.is_healthy(state, now);
-        let unrestricted = PickContext { avoid: &[], ..*context };
+        let unrestricted = PickContext {
+            avoid: &[],
+            software: None,
+            ..*context
+        };
         let all = self.serving(&unrestricted).filter(healthy).collect();
         let own = self.lane_tokens.get(context.service);
         let mut tokens = own.map(|own| own.current(now)).unwrap_or_default();
@@ -83,6 +87,11 @@
             .values()
             .filter(|state| state.entry.service == *context.service && !state.entry.draining)
             .filter(|state| !context.avoid.contains(&state.entry.id))
+            .filter(|state| {
+                context
+                    .software
+                    .is_none_or(|software| state.entry.software == *software)
+            })
     }
 
     /// Drops endpoints at their rate limit for this router. If none would be left, keeps all and returns the time
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod read_rate;
 mod staleness;
 mod targets;
+mod versions;
 
 pub use backlogs::{Backlog, BacklogSource};
 pub use brittle::{BrittleUpdate, Rejection};
@@ -35,7 +36,7 @@
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
 use endpoint_state::{EndpointState, ReceivedReport};
-use ids::{EndpointId, Incarnation, ModelId, ServiceId, VmId};
+use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::DecayingTokens;
 use occupied::unshared_tokens;
 use placement::Placer;
@@ -46,6 +47,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use targets::Targets;
+use versions::DepartedVersion;
 
 /// Settings of endpoint selection.
 #[derive(Debug, Clone)]
@@ -78,6 +80,8 @@
     pub pause: Option<Duration>,
     /// Weights of [`Fleet::new_weights`] with which no engine is known to have read the shared parts of the prompt.
     pub unread: &'a [u64],
+    /// Version of the software that the endpoint must have, if the request continues a stream.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 /// Result of a choice.
@@ -130,6 +134,7 @@
     rate_limits: RateLimits,
     brittle: Statements,
     places: Places,
+    departed_versions: Vec<DepartedVersion>,
     read_rates: HashMap<ServiceId, ReadRate>,
 }
 
@@ -151,6 +156,7 @@
             rate_limits: RateLimits::default(),
             brittle: Statements::default(),
             places: Places::default(),
+            departed_versions: Vec::new(),
             read_rates: HashMap::new(),
         }
     }
@@ -171,7 +177,9 @@
                 let state = EndpointState::new(entry.clone(), now);
                 self.rate_limits.clear(ShortKey::from(state.key), now);
                 self.brittle.clear(&entry.service, ShortKey::from(state.key), now);
-                self.endpoints.insert(entry.id.clone(), state);
+                if let Some(before) = self.endpoints.insert(entry.id.clone(), state) {
+                    self.version_departed(&before, now);
+                }
             }
         }
         self.configure(now);
@@ -180,6 +188,7 @@
     /// Removes an endpoint.
     pub fn remove_endpoint(&mut self, id: &EndpointId, now: Duration) {
         if let Some(state) = self.endpoints.remove(id) {
+            self.version_departed(&state, now);
             self.rate_limits.clear(ShortKey::from(state.key), now);
             self.brittle.clear(&state.entry.service, ShortKey::from(state.key), now);
         }
--- /dev/null
+++ b/crates/dispatch/src/fleet/versions.rs
@@ -0,0 +1,50 @@
+//! Versions of the endpoints' software.
+
+use super::Fleet;
+use super::endpoint_state::EndpointState;
+use crate::origins::RETENTION;
+use ids::{EndpointId, ServiceId, SoftwareVersion};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A version that an endpoint had which has left or restarted.
+#[derive(Debug)]
+pub(super) struct DepartedVersion {
+    service: ServiceId,
+    software: SoftwareVersion,
+    at: Duration,
+}
+
+impl Fleet {
+    /// Versions of a service's software seen within [`RETENTION`].
+    pub fn versions(&self, service: &ServiceId, now: Duration) -> BTreeSet<SoftwareVersion> {
+        let states = self.endpoints.values().filter(|state| state.entry.service == *service);
+        let current = states.map(|state| state.entry.software.clone());
+        let departed = self
+            .departed_versions
+            .iter()
+            .filter(|departed| departed.service == *service && now.saturating_sub(departed.at) < RETENTION);
+        current
+            .chain(departed.map(|departed| departed.software.clone()))
+            .collect()
+    }
+
+    /// Version of the software of an endpoint in service.
+    pub fn software(&self, id: &EndpointId) -> Option<&SoftwareVersion> {
+        self.endpoints.get(id).map(|state| &state.entry.software)
+    }
+
+    /// Records that an endpoint with this state has left or restarted.
+    pub(super) fn version_departed(&mut self, state: &EndpointState, now: Duration) {
+        let entry = &state.entry;
+        self.departed_versions.retain(|departed| {
+            let is_same = departed.service == entry.service && departed.software == entry.software;
+            !is_same && now.saturating_sub(departed.at) < RETENTION
+        });
+        self.departed_versions.push(DepartedVersion {
+            service: entry.service.clone(),
+            software: entry.software.clone(),
+            at: now,
+        });
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`roster`] | which endpoints are in service |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
+//! | [`origins`] | at which version of the software a stream may go on |
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
@@ -26,6 +27,7 @@
 pub mod freshness;
 pub mod holder;
 pub mod loading;
+pub mod origins;
 pub mod paths;
 pub mod prefixes;
 pub mod pressure;
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -96,6 +96,7 @@
         objective: None,
         pause: None,
         unread: &[],
+        software: None,
     }
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders::ListSentAt;
+use crate::origins;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::era_check::EraCheck;
@@ -286,6 +287,7 @@
         let changes = self.roster.replace(list, now);
         self.apply_roster(changes, now);
         self.shared.endpoints_read.store(true, Ordering::SeqCst);
+        self.shared.origins().list_read(self.shared.clock.now());
         if !rest.iter().any(|item| item.key == HOLDER_KEY) {
             self.item_removed(HOLDER_KEY);
         }
@@ -330,7 +332,7 @@
             match change {
                 RosterChange::InService(entry) => {
                     self.shared.connections.remove(&entry.id, Some(entry.incarnation));
-                    self.shared.fleet().upsert_endpoint(&entry, now);
+                    origins::endpoint_listed(&self.shared, &entry);
                     log::info!(
                         endpoint = entry.id.as_str(),
                         service = entry.service.as_str(),
--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -123,6 +123,12 @@
         drawn.into_iter().map(|(_, member)| member.address).collect()
     }
 
+    /// Ids and addresses of all routers in the deployment.
+    pub fn addresses(&self) -> Vec<(VmId, SocketAddr)> {
+        let all = self.same_domain.iter().chain(&self.other_domains);
+        all.map(|(vm, member)| (vm.clone(), member.address)).collect()
+    }
+
     /// Address of a router.
     pub fn address(&self, vm: &VmId) -> Option<SocketAddr> {
         let mut all = self.same_domain.iter().chain(&self.other_domains);
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -2,6 +2,7 @@
 
 use super::{MAX_STORE_AGE, documents, loads, uptime, weight_ages};
 use crate::news;
+use crate::origins;
 use crate::quarantine;
 use crate::shared::Shared;
 use crate::tunnel;
@@ -155,6 +156,7 @@
     let (fleet, ages, store) = (shared.clone(), shared.clone(), shared.clone());
     let (report, subtotal, site) = (shared.clone(), shared.clone(), shared.clone());
     let (paths, ends) = (shared.clone(), shared.clone());
+    let (told, asked) = (shared.clone(), shared.clone());
     RelayHandlers {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
         prefixes: Arc::new(move |follow| {
@@ -179,6 +181,11 @@
             let shared = ends.clone();
             async move { quarantine::handle(&shared, message).await }.boxed()
         }),
+        origins: Arc::new(move |messages| {
+            origins::handle(&told, messages);
+            futures::future::ready(()).boxed()
+        }),
+        origin: Arc::new(move |query| futures::future::ready(origins::respond(&asked, &query)).boxed()),
         target_ages: Arc::new(move |()| futures::future::ready(weight_ages::response(&ages)).boxed()),
         uptime: Arc::new(move |()| futures::future::ready(uptime::response(&store)).boxed()),
         document: Arc::new(move |()| futures::future::ready(documents::response(&site)).boxed()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod news;
 mod orders;
+mod origins;
 mod quarantine;
 mod run;
 mod serve;
--- /dev/null
+++ b/crates/gateway/src/origins/mod.rs
@@ -0,0 +1,142 @@
+//! Tells other routers which version of the software began a stream, and asks them.
+
+mod sender;
+
+pub use sender::send_origins;
+
+use crate::follow::members::Members;
+use crate::shared::Shared;
+use control::rendezvous;
+use dispatch::origins::{Continuation, Knowledge, Origin, StreamKey, continuation};
+use dispatch::site::EndpointEntry;
+use futures::future::join_all;
+use ids::{RequestId, ServiceId, VmId};
+use peers::{OriginMessage, OriginQuery, OriginResponse, PeerError, Upstream};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Routers that remember where a stream began, besides the one that began it. Several may be killed at the same moment.
+const KEEPERS: usize = 3;
+/// Longest wait for a router, for its connection and again for its response.
+const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Records where a stream began that this router has just begun.
+pub fn record(shared: &Shared, id: &str, origin: Origin) {
+    let stream = StreamKey::from(&RequestId::from(id));
+    let now = shared.clock.now();
+    shared.origins().record(stream, origin.clone(), now);
+    if !proves_single(shared, &origin.service) {
+        // A full queue means that the other routers don't respond.
+        let _ = shared.origin_outbox.0.try_send((stream, origin));
+    }
+}
+
+/// Applies a new entry of an endpoint. If its service has a second version now, other routers are told of the streams that
+/// began before.
+pub fn endpoint_listed(shared: &Shared, entry: &Arc<EndpointEntry>) {
+    let now = shared.clock.now();
+    let is_second = {
+        let mut fleet = shared.fleet();
+        let before = fleet.versions(&entry.service, now).len();
+        fleet.upsert_endpoint(entry, now);
+        before == 1 && fleet.versions(&entry.service, now).len() > 1
+    };
+    if !is_second {
+        return;
+    }
+    log::info!(service = entry.service.as_str(), software = entry.software.as_str(); "stream: another version is listed");
+    let origins = shared.origins();
+    let begun = origins.all().filter(|(_, origin)| origin.service == entry.service);
+    for (stream, origin) in begun {
+        // A full queue means that the other routers don't respond.
+        let _ = shared.origin_outbox.0.try_send((stream, origin.clone()));
+    }
+}
+
+/// Finds out how the stream goes on that the attempt `id` began.
+pub async fn find(shared: &Shared, id: Option<&str>, service: &ServiceId) -> Continuation {
+    let stream = id.map(|id| StreamKey::from(&RequestId::from(id)));
+    let own = knowledge(shared, stream, service);
+    let alone = Members::read(shared).count() <= 1;
+    if own.origin.is_some() || proves_single(shared, service) {
+        return continuation(&own, &[], true);
+    }
+    let others = match stream {
+        Some(stream) => ask(shared, stream, service).await,
+        None => Vec::new(),
+    };
+    let found = continuation(&own, &others, alone);
+    log::info!(
+        stream = id.unwrap_or_default(),
+        asked = others.len(),
+        answered = others.iter().flatten().count(),
+        versions = own.versions.len(),
+        found:? = found;
+        "stream: origin asked for"
+    );
+    found
+}
+
+/// Handles origins that another router tells.
+pub fn handle(shared: &Shared, messages: Vec<OriginMessage>) {
+    let now = shared.clock.now();
+    let mut origins = shared.origins();
+    for OriginMessage(stream, origin) in messages {
+        origins.record(stream, origin, now);
+    }
+}
+
+/// Answers another router's question.
+pub fn respond(shared: &Shared, query: &OriginQuery) -> OriginResponse {
+    let known = knowledge(shared, Some(query.stream), &query.service);
+    OriginResponse {
+        origin: known.origin,
+        versions: known.versions,
+    }
+}
+
+fn knowledge(shared: &Shared, stream: Option<StreamKey>, service: &ServiceId) -> Knowledge {
+    let now = shared.clock.now();
+    Knowledge {
+        origin: stream.and_then(|stream| shared.origins().get(stream).cloned()),
+        versions: shared.fleet().versions(service, now),
+    }
+}
+
+/// Whether this router can tell by itself that the service has had one version for long enough.
+fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
+    let now = shared.clock.now();
+    let versions = shared.fleet().versions(service, now);
+    let age = shared.uptime().age(now);
+    shared.origins().proves_single(&versions, age, now)
+}
+
+/// The routers that remember where a stream began.
+fn keepers(stream: StreamKey, routers: &[(VmId, SocketAddr)]) -> Vec<&(VmId, SocketAddr)> {
+    let chosen = rendezvous::choose(&stream.to_string(), routers.iter().map(|(vm, _)| vm), KEEPERS);
+    let is_chosen = |router: &&(VmId, SocketAddr)| chosen.contains(&&router.0);
+    routers.iter().filter(is_chosen).collect()
+}
+
+async fn ask(shared: &Shared, stream: StreamKey, service: &ServiceId) -> Vec<Option<Knowledge>> {
+    let own = shared.settings.load().vm.clone();
+    let routers = Members::read(shared).addresses();
+    let query = OriginQuery {
+        stream,
+        service: service.clone(),
+    };
+    let others = keepers(stream, &routers).into_iter().filter(|(vm, _)| *vm != own);
+    let calls = others.map(|(_, address)| ask_one(*address, query.clone()));
+    let answers = join_all(calls).await;
+    let knowledge = |response: OriginResponse| Knowledge {
+        origin: response.origin,
+        versions: response.versions,
+    };
+    answers.into_iter().map(|answer| answer.ok().map(knowledge)).collect()
+}
+
+async fn ask_one(address: SocketAddr, query: OriginQuery) -> Result<OriginResponse, PeerError> {
+    let upstream = Upstream::connect(address, CALL_TIMEOUT).await?;
+    upstream.origin(query, CALL_TIMEOUT).await
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 use crate::follow::{follow, follow_prefixes, learn_weight_ages, query_uptime, register};
 use crate::front::{serve_clients, serve_page};
 use crate::news::exchange_news;
+use crate::origins::send_origins;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use async_channel::Receiver;
@@ -144,6 +145,7 @@
     task::spawn(learn_weight_ages(shared.clone()));
     task::spawn(query_uptime(shared.clone()));
     task::spawn(exchange_news(shared.clone()));
+    task::spawn(send_origins(shared.clone()));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -11,15 +11,17 @@
 use super::wait::{WaitOutcome, WeightsOutdated, wait};
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
+use crate::origins;
 use crate::quarantine;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
+use dispatch::origins::Origin;
 use dispatch::quarantine::{ContentKey, EndedRun, Fate, ProcessKey};
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
-use ids::EndpointId;
+use ids::{EndpointId, Incarnation, SoftwareVersion};
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Request, RequestEvent, RequestState, RequestStep, RetryPolicy};
 use std::future::Future;
@@ -94,6 +96,10 @@
     pub(super) events: EventSplitter,
     /// Whether the head of a stream was sent to the client.
     pub(super) head_sent: bool,
+    /// Version of the software that began the stream. No other may continue it.
+    software: Option<SoftwareVersion>,
+    /// The endpoint that last sent an event, and its incarnation as it was known then.
+    last_sender: Option<(EndpointId, Incarnation)>,
     excluded: Vec<EndpointId>,
     sent: u32,
     unreached: u32,
@@ -124,6 +130,8 @@
             lifecycle: Request::new(repeat),
             events: EventSplitter::default(),
             head_sent: false,
+            software: request.software.clone(),
+            last_sender: None,
             excluded: Vec::new(),
             sent: 0,
             unreached: 0,
@@ -231,6 +239,36 @@
         })
     }
 
+    /// Records the version of the software that sends the first event of an attempt.
+    pub(super) fn stream_began(&mut self, picked: &PickedEndpoint) {
+        // The endpoint may have restarted with another version between its choice and its response.
+        let entry = self.shared.fleet().endpoint(&picked.endpoint.id);
+        let entry = entry.unwrap_or_else(|| picked.endpoint.clone());
+        self.last_sender = Some((entry.id.clone(), entry.incarnation));
+        if self.software.is_some() {
+            return;
+        }
+        self.record.software = entry.software.to_string();
+        self.software = Some(entry.software.clone());
+        if self.request.route.kind.repeatable() {
+            let origin = Origin {
+                service: entry.service.clone(),
+                software: entry.software.clone(),
+            };
+            origins::record(self.shared, &self.request.info.id, origin);
+        }
+    }
+
+    /// Whether it is certain which version of the software sent the events so far. An endpoint whose entry names another
+    /// start now may have sent them before or after it.
+    fn is_origin_certain(&self) -> bool {
+        let Some((id, incarnation)) = &self.last_sender else {
+            return true;
+        };
+        let entry = self.shared.fleet().endpoint(id);
+        entry.is_none_or(|entry| entry.incarnation == *incarnation)
+    }
+
     /// Records that an endpoint survived the request.
     fn record_answer(&self) {
         let now = self.shared.clock.now();
@@ -330,6 +368,7 @@
             objective: Some(self.request.route.objective),
             pause: self.request.route.pause,
             unread: &unread,
+            software: self.software.as_ref(),
         };
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
@@ -348,7 +387,7 @@
 
     /// Whether another attempt may be made.
     fn may_retry(&mut self, failure: Failure) -> bool {
-        if self.lifecycle.ended() {
+        if self.lifecycle.ended() || !self.is_origin_certain() {
             return false;
         }
         match attempt::retry_decision(&self.tried(), failure) {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -13,13 +13,15 @@
 mod wait;
 
 use crate::dialect::RequestInfo;
+use crate::origins;
 use crate::shared::Shared;
 use attempts::{Attempts, RequestOutcome};
 use dispatch::attempt::{self, Cause};
+use dispatch::origins::Continuation;
 use dispatch::site::{Owner, Route, Site};
 use http::Conn;
 use http::raw::RequestHead;
-use ids::{ServiceId, WorkspaceId};
+use ids::{ServiceId, SoftwareVersion, WorkspaceId};
 use lifecycle::request::RequestState;
 use quota::QuotaCharge;
 use record::Record;
@@ -72,6 +74,8 @@
     pub rank: u8,
     /// When the response must be complete.
     pub deadline: Duration,
+    /// Version of the software that began the stream which the request continues, if only that may continue it.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Responds to a request.
@@ -91,6 +95,10 @@
         Ok(request) => request,
         Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
     };
+    let request = match continued(shared, request).await {
+        Ok(request) => request,
+        Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
+    };
     let charge = match QuotaCharge::admit(shared, request.workspace, request.info.tokens) {
         Ok(charge) => charge,
         Err(after) => {
@@ -168,9 +176,30 @@
         isolated: owner.filter(|spec| spec.isolated).map(|spec| &spec.id),
         rank: owner.and_then(|spec| spec.rank).unwrap_or(route.rank),
         deadline: incoming.arrived + timeout,
+        software: None,
     })
 }
 
+/// Restricts a request that continues a stream to the service and the version of the software that began it.
+async fn continued<'a>(shared: &Shared, mut request: RoutedRequest<'a>) -> Result<RoutedRequest<'a>, Cause> {
+    let info = &request.info;
+    let continues = info.resumes.is_some() || info.last_event.is_some_and(|number| number > 0);
+    if !continues || !request.route.kind.streams() {
+        return Ok(request);
+    }
+    match origins::find(shared, info.resumes.as_deref(), request.service).await {
+        Continuation::Anywhere => {}
+        Continuation::Unknown => return Err(Cause::UnknownOrigin),
+        Continuation::At(origin) => {
+            let mut targets = request.route.targets.iter();
+            let target = targets.find(|target| target.service == origin.service);
+            request.service = target.map(|target| &target.service).ok_or(Cause::UnknownOrigin)?;
+            request.software = Some(origin.software);
+        }
+    }
+    Ok(request)
+}
+
 async fn refuse(
     shared: &Shared,
     incoming: &IncomingRequest,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -61,6 +61,9 @@
                     if whole.count == 0 {
                         continue;
                     }
+                    if !started {
+                        self.attempts.stream_began(self.in_flight.picked);
+                    }
                     started = true;
                     self.first_event();
                     self.attempts.record.part(self.attempts.shared);
@@ -104,7 +107,6 @@
         self.in_flight.answered();
         self.in_flight.record_read(self.attempts.request.service);
         self.attempts.record.first_byte(self.attempts.shared);
-        self.attempts.record.software = self.in_flight.picked.endpoint.software.to_string();
     }
 
     /// Handles the end of the endpoint's response.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
+use dispatch::origins::{Origin, Origins, StreamKey};
 use dispatch::paths::Paths;
 use dispatch::prefixes::PrefixStores;
 use dispatch::quarantine::Quarantine;
@@ -32,6 +33,12 @@
 /// hundred milliseconds to start, and the router learns of new weights some time after they become the target.
 const HARD_STALENESS_SHARE: f64 = 0.95;
 
+/// A queue of streams with their origins.
+type OriginOutbox = (Sender<(StreamKey, Origin)>, Receiver<(StreamKey, Origin)>);
+
+/// Longest such queue.
+const MAX_UNSENT_ORIGINS: usize = 4_096;
+
 /// Shared by all tasks.
 pub struct Shared {
     /// Current settings; they may be reloaded.
@@ -49,6 +56,9 @@
     prefixes: Mutex<PrefixStores>,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
+    origins: Mutex<Origins>,
+    /// Origins of streams that other routers are to be told.
+    pub origin_outbox: OriginOutbox,
     paths: Mutex<Paths>,
     /// The other routers, as read when a tunnel was last needed.
     pub peers: PeerCache,
@@ -100,6 +110,8 @@
             prefixes: Mutex::default(),
             quotas: Mutex::new(quotas),
             quarantine: Mutex::default(),
+            origins: Mutex::default(),
+            origin_outbox: async_channel::bounded(MAX_UNSENT_ORIGINS),
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
@@ -177,6 +189,11 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Versions of the software that began streams.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Paths to the endpoints.
     pub fn paths(&self) -> MutexGuard<'_, Paths> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -25,8 +25,9 @@
 pub use pack::{PACK_MIN_BYTES, pack, unpack};
 pub use relay::{
     BacklogMessage, EndMessage, EndsMessage, Follow, FollowResponse, LevelMessage, LoadExchange, LoadMessage,
-    PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReportMessage, SubtotalMessage,
-    TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream, UptimeMessage, UsageMessage, serve_followers,
+    OriginMessage, OriginQuery, OriginResponse, PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers,
+    RelayItem, ReportMessage, SubtotalMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream,
+    UptimeMessage, UsageMessage, serve_followers,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -9,13 +9,15 @@
 use crate::socket::{self, Traffic};
 use async_std::net::{TcpListener, TcpStream};
 use dispatch::fleet::{LaneTokens, ShortKey};
+use dispatch::origins::{Origin, StreamKey};
 use dispatch::prefixes::PartKey;
 use dispatch::quarantine::{ContentKey, ProcessKey};
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::{OpenConnection, progress_timeout};
-use ids::{DomainId, ModelId, Revision, ServiceId, VmId, WorkspaceId};
+use ids::{DomainId, ModelId, Revision, ServiceId, SoftwareVersion, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -243,6 +245,28 @@
     pub forward: bool,
 }
 
+/// A stream and where it began, as sent between routers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginMessage(pub StreamKey, pub Origin);
+
+/// Asks where a stream of a service began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// Response to an [`OriginQuery`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginResponse {
+    /// Where the stream began; absent if the router doesn't know.
+    pub origin: Option<Origin>,
+    /// Versions of the service's software that the router saw recently.
+    pub versions: BTreeSet<SoftwareVersion>,
+}
+
 /// Bounds on a target age: how long ago a model's target weights were set.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetAgeMessage {
@@ -262,8 +286,9 @@
 #[allow(missing_docs)]
 mod calls {
     use super::{
-        EndMessage, EndsMessage, Follow, FollowResponse, LoadExchange, LoadMessage, PrefixPage, PrefixQuery,
-        ReportMessage, Revision, SubtotalMessage, TargetAgeMessage, TotalsMessage, UptimeMessage,
+        EndMessage, EndsMessage, Follow, FollowResponse, LoadExchange, LoadMessage, OriginMessage, OriginQuery,
+        OriginResponse, PrefixPage, PrefixQuery, ReportMessage, Revision, SubtotalMessage, TargetAgeMessage,
+        TotalsMessage, UptimeMessage,
     };
 
     /// Calls that a router serves to its followers.
@@ -281,6 +306,10 @@
         async fn subtotal(subtotal: SubtotalMessage);
         /// Receives ends of endpoints under requests; returns all that are known under the same requests.
         async fn ends(message: EndsMessage) -> Vec<EndMessage>;
+        /// Receives origins of streams.
+        async fn origins(messages: Vec<OriginMessage>);
+        /// What the router knows of a stream's origin.
+        async fn origin(query: OriginQuery) -> OriginResponse;
         /// Ages of recently set target weights.
         async fn names() -> Vec<TargetAgeMessage>;
         /// Period in which the store has responded to the router.
@@ -310,6 +339,10 @@
     pub subtotal: Handler<SubtotalMessage, ()>,
     /// Receives ends of endpoints under requests; returns all that are known under the same requests.
     pub ends: Handler<EndsMessage, Vec<EndMessage>>,
+    /// Receives origins of streams.
+    pub origins: Handler<Vec<OriginMessage>, ()>,
+    /// What the router knows of a stream's origin.
+    pub origin: Handler<OriginQuery, OriginResponse>,
     /// Ages of recently set target weights.
     pub target_ages: Handler<(), Vec<TargetAgeMessage>>,
     /// Period in which the store has responded to the router.
@@ -348,6 +381,14 @@
         (self.0.ends)(message).await
     }
 
+    async fn origins(self, _: Context, messages: Vec<OriginMessage>) {
+        (self.0.origins)(messages).await;
+    }
+
+    async fn origin(self, _: Context, query: OriginQuery) -> OriginResponse {
+        (self.0.origin)(query).await
+    }
+
     async fn names(self, _: Context) -> Vec<TargetAgeMessage> {
         (self.0.target_ages)(()).await
     }
@@ -494,6 +535,24 @@
             .await
     }
 
+    /// Sends origins of streams.
+    ///
+    /// # Errors
+    /// The call failed, or no response started to arrive in time.
+    pub async fn origins(&self, messages: Vec<OriginMessage>, within: Duration) -> Result<(), PeerError> {
+        self.response(within, self.client.origins(call_context(within), messages))
+            .await
+    }
+
+    /// Asks where a stream began.
+    ///
+    /// # Errors
+    /// The call failed, or no response started to arrive in time.
+    pub async fn origin(&self, query: OriginQuery, within: Duration) -> Result<OriginResponse, PeerError> {
+        self.response(within, self.client.origin(call_context(within), query))
+            .await
+    }
+
     /// Ages of recently set target weights.
     ///
     /// # Errors
