--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -25,6 +25,8 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(120);
 /// How long an end is remembered: longer than the quarantine, so that a further end extends it.
 const RETENTION: Duration = Duration::from_secs(300);
+/// Most ends that a router repeats to others in one message.
+const MAX_REPEATED: usize = 64;
 /// Number of suspects that are remembered. One endpoint that ends adds as many as it was running.
 const MAX_SUSPECTS: usize = 4_096;
 /// How long an answer shows that a request is not the cause of ends.
@@ -186,6 +188,15 @@
         runs.flatten().copied().collect()
     }
 
+    /// Ends under requests in quarantine, to be repeated to routers that may have started since or were not reached.
+    pub fn repeated(&self, now: Duration) -> Vec<EndedRun> {
+        let held = self
+            .suspects
+            .iter()
+            .filter(|(content, _)| self.remaining(**content, now).is_some());
+        held.flat_map(|(_, runs)| runs).take(MAX_REPEATED).copied().collect()
+    }
+
     /// Number of requests in quarantine.
     pub fn count(&self, now: Duration) -> usize {
         let held = self
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -79,7 +79,9 @@
     assert_eq!(quarantine.remaining(CONTENT, at(60)), None);
     assert_eq!(quarantine.merge(&[run(3, 100)], at(100)), [CONTENT]);
     assert_eq!(quarantine.merge(&[run(3, 100)], at(101)), [], "nothing new");
+    assert_eq!(quarantine.repeated(at(101)).len(), 3);
     quarantine.record_answer(CONTENT, at(150));
+    assert_eq!(quarantine.repeated(at(150)), []);
     assert_eq!(quarantine.remaining(CONTENT, at(151)), None);
     assert_eq!(quarantine.count(at(151)), 0);
 }
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -1,16 +1,17 @@
 //! Conversions between messages and what the decisions work with.
 
 use super::CALL_TIMEOUT;
+use crate::quarantine;
 use crate::serve::observe;
 use crate::shared::Shared;
 use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
-use peers::{BacklogMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage, UsageMessage};
+use peers::{BacklogMessage, EndMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage, UsageMessage};
 use std::time::Duration;
 
-/// The message with a backlog and the statements that endpoints made recently.
-pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, now: Duration) -> BacklogMessage {
+/// The message with a backlog, the statements that endpoints made recently, and the ends of endpoints to repeat.
+pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, ends: Vec<EndMessage>, now: Duration) -> BacklogMessage {
     let age = |reported_at: Duration| now.saturating_sub(reported_at).as_millis() as u64;
     let rates = fleet.recent_rates(now);
     let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age(rate.reported_at));
@@ -26,11 +27,13 @@
         rates: rates.iter().map(rate).collect(),
         tolerances: tolerances.iter().map(tolerance).collect(),
         rejections: rejections.iter().map(rejection).collect(),
+        ends,
     }
 }
 
 /// Applies a backlog from another router.
 pub(super) fn apply_backlog(shared: &Shared, source: BacklogSource, message: BacklogMessage, now: Duration) {
+    quarantine::merge_repeated(shared, &message.ends);
     // The report is assumed to be as old as possible. Otherwise a report that returns to its sender would seem newer
     // than the original.
     let reported_at = |age: u64| now.saturating_sub(Duration::from_millis(age) + CALL_TIMEOUT);
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -3,7 +3,8 @@
 //! A client's next try may reach any router a few milliseconds after the last one has failed. But most ends are of no
 //! interest to others: an endpoint that fails ends all requests that it ran. So a router reports an end to one of the few
 //! routers that rendezvous hashing chooses for the request. That router counts the ends, and tells all others from the
-//! second one on. Only then is the report answered, and the client after it.
+//! second one on. Only then is the report answered, and the client after it. Routers that start later, or were not reached,
+//! learn of requests in quarantine with the next news.
 
 use crate::follow::members::Members;
 use crate::shared::Shared;
@@ -62,6 +63,19 @@
     messages(shared, &known)
 }
 
+/// The ends to repeat with the news.
+pub fn repeated(shared: &Shared) -> Vec<EndMessage> {
+    let runs = shared.quarantine().repeated(shared.clock.now());
+    messages(shared, &runs)
+}
+
+/// Merges ends that came with the news.
+pub fn merge_repeated(shared: &Shared, ends: &[EndMessage]) {
+    if !ends.is_empty() {
+        merge(shared, &parse(shared, ends));
+    }
+}
+
 /// Merges ends. Returns the requests of which one was new.
 fn merge(shared: &Shared, runs: &[EndedRun]) -> Vec<ContentKey> {
     let now = shared.clock.now();
--- a/crates/peers/src/relay.rs
+++ b/crates/peers/src/relay.rs
@@ -165,6 +165,9 @@
     /// Recent rejections by brittle endpoints.
     #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub rejections: Vec<RejectionMessage>,
+    /// Ends of endpoints under requests that are in quarantine.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<EndMessage>,
 }
 
 /// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
