--- a/crates/dispatch/src/fleet/brittle.rs
+++ b/crates/dispatch/src/fleet/brittle.rs
@@ -15,6 +15,9 @@
 /// second, and those that return must not be overrun before the first has answered.
 const DEPARTED_PERIOD: Duration = Duration::from_secs(10);
 
+/// How long it is remembered that an endpoint has left or restarted, so that older statements are recognized.
+const CLEARED_RETENTION: Duration = Duration::from_secs(60);
+
 /// What a statement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Merged {
@@ -53,8 +56,8 @@
     update: BrittleUpdate,
     /// Whether the endpoint has answered since its start.
     known: bool,
-    /// Whether it was brittle before. Otherwise it is no news that it isn't.
-    was_brittle: bool,
+    /// When it withdrew an earlier statement that it is brittle. That it still isn't is no news.
+    withdrawn_at: Option<Duration>,
 }
 
 /// The latest statements of all endpoints.
@@ -75,11 +78,15 @@
         }
         let is_first = previous.is_none_or(|previous| !previous.known);
         let before = previous.and_then(|previous| previous.update.tolerance);
-        let was_brittle = previous.is_some_and(|previous| previous.was_brittle) || before.is_some();
+        let withdrawn_at = match (before, update.tolerance) {
+            (Some(_), None) => Some(update.reported_at),
+            (_, Some(_)) => None,
+            (None, None) => previous.and_then(|previous| previous.withdrawn_at),
+        };
         let statement = Statement {
             update,
             known: true,
-            was_brittle,
+            withdrawn_at,
         };
         self.latest.insert(update.endpoint, statement);
         if before != update.tolerance {
@@ -104,12 +111,17 @@
     /// Clears what is known of an endpoint that was removed or restarted, and makes earlier statements outdated.
     pub(super) fn clear(&mut self, service: &ServiceId, endpoint: ShortKey, now: Duration) {
         self.rejections.remove(&endpoint);
+        let is_kept = |statement: &Statement| {
+            statement.known || now.saturating_sub(statement.update.reported_at) < CLEARED_RETENTION
+        };
+        self.latest.retain(|_, statement| is_kept(statement));
         if let Some(statement) = self.latest.get_mut(&endpoint) {
             if statement.update.tolerance.is_some() {
                 self.departed.insert(service.clone(), now);
             }
             statement.update.tolerance = None;
             statement.update.reported_at = now;
+            statement.withdrawn_at = None;
             statement.known = false;
         }
     }
@@ -162,9 +174,10 @@
 
     /// Recent statements, for peers.
     pub(super) fn recent(&self, now: Duration) -> Vec<BrittleUpdate> {
+        let is_recent = |at: Duration| now.saturating_sub(at) < FORWARD_PERIOD;
         let is_news = |statement: &&Statement| {
-            let stated = statement.update.tolerance.is_some() || statement.was_brittle;
-            stated && now.saturating_sub(statement.update.reported_at) < FORWARD_PERIOD
+            let is_brittle = statement.update.tolerance.is_some();
+            is_brittle && is_recent(statement.update.reported_at) || statement.withdrawn_at.is_some_and(is_recent)
         };
         let recent = self.latest.values().filter(is_news);
         recent.map(|statement| statement.update).collect()
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -32,7 +32,7 @@
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use backlogs::PeerBacklogs;
-use brittle::{Merged, Statements};
+use brittle::Statements;
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
 use endpoint_state::{EndpointState, ReceivedReport};
@@ -40,7 +40,7 @@
 use lanes::DecayingTokens;
 use occupied::unshared_tokens;
 use placement::Placer;
-use places::{PlacedEndpoint, Places};
+use places::Places;
 use rate_limits::RateLimits;
 use read_rate::ReadRate;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -329,55 +329,6 @@
         }
     }
 
-    /// Frees the places of a request that was chosen an endpoint at `began`. Unless it was `answered`, it may still run there.
-    pub fn release_places(&mut self, picked: &PickedEndpoint, began: Duration, answered: bool, now: Duration) {
-        if picked.places == 0 {
-            return;
-        }
-        let entry = &picked.endpoint;
-        if answered {
-            self.places.record_hold(&entry.service, now.saturating_sub(began));
-        }
-        if let Some(state) = self.endpoint_mut(&entry.id, entry.incarnation) {
-            state.release_places(picked.places, answered, now);
-        }
-    }
-
-    /// Returns the mean time between two requests that this router may send to a service with brittle endpoints.
-    pub fn place_turn(&self, service: &ServiceId) -> Duration {
-        self.places.turn(service)
-    }
-
-    /// Divides the places of the services of which an endpoint states that it is brittle.
-    fn divide_places(&mut self, now: Duration) {
-        let mut services: HashMap<&ServiceId, Vec<PlacedEndpoint<'_>>> = HashMap::new();
-        let states = || self.endpoints.values().filter(|state| !state.entry.draining);
-        let states_brittle = |state: &&EndpointState| self.brittle.brittle_since(ShortKey::from(state.key)).is_some();
-        for state in states().filter(states_brittle) {
-            services.entry(&state.entry.service).or_default();
-        }
-        let mut expiry = None;
-        for (service, until) in self.brittle.departed(now) {
-            let departed_at = self.brittle.departed_at(service, now).unwrap_or_default();
-            let mut of_service = states().filter(|state| state.entry.service == *service);
-            if !of_service.any(|state| self.brittle.contradicts(ShortKey::from(state.key), departed_at)) {
-                services.entry(service).or_default();
-                expiry = expiry.min(Some(until)).or(Some(until));
-            }
-        }
-        for state in states() {
-            if let Some(endpoints) = services.get_mut(&state.entry.service) {
-                endpoints.push(PlacedEndpoint {
-                    id: &state.entry.id,
-                    key: ShortKey::from(state.key),
-                    slots: state.entry.slots,
-                    proven: state.proven_share(),
-                });
-            }
-        }
-        self.places.divide(&services, expiry, now);
-    }
-
     fn choose_any(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         if context.prompt.is_none() {
             return self.choose_from(context, now, |eligible| self.choose_plain(&eligible, draw, now));
@@ -527,60 +478,6 @@
         self.rate_limits.count()
     }
 
-    /// Records whether an endpoint's answer states that it is brittle: the rejections per second that it tolerates from
-    /// all routers together, or none. Returns whether that changed.
-    pub fn record_tolerance(&mut self, id: &EndpointId, tolerance: Option<u32>, now: Duration) -> bool {
-        let Some(state) = self.endpoints.get(id) else {
-            return false;
-        };
-        let update = BrittleUpdate {
-            endpoint: ShortKey::from(state.key),
-            tolerance,
-            reported_at: now,
-        };
-        self.merge_tolerances(&[update])
-    }
-
-    /// Merges statements that peers received from endpoints. Returns whether any tolerance changed.
-    pub fn merge_tolerances(&mut self, updates: &[BrittleUpdate]) -> bool {
-        let mut changed = false;
-        for update in updates {
-            let merged = self.brittle.merge(*update);
-            changed |= merged == Merged::Changed;
-            if merged != Merged::Unchanged {
-                self.places.invalidate();
-            }
-        }
-        changed
-    }
-
-    /// Merges rejections by brittle endpoints that peers learnt of.
-    pub fn merge_rejections(&mut self, rejections: &[Rejection]) {
-        for rejection in rejections {
-            if self.brittle.merge_rejection(*rejection) {
-                let mut states = self.endpoints.values_mut();
-                if let Some(state) = states.find(|state| ShortKey::from(state.key) == rejection.endpoint) {
-                    state.record_full(rejection.running, rejection.rejected_at);
-                }
-            }
-        }
-    }
-
-    /// Returns the recent rejections by brittle endpoints, for peers.
-    pub fn recent_rejections(&self, now: Duration) -> Vec<Rejection> {
-        self.brittle.recent_rejections(now)
-    }
-
-    /// Returns the recent statements on brittleness, for peers.
-    pub fn recent_tolerances(&self, now: Duration) -> Vec<BrittleUpdate> {
-        self.brittle.recent(now)
-    }
-
-    /// Returns the number of brittle endpoints.
-    pub fn brittle_count(&self) -> usize {
-        self.brittle.count()
-    }
-
     /// Returns the reports received after `since`; with `own`, only those that endpoints sent to this router.
     pub fn loads_since(&self, since: Duration, own: bool) -> Vec<LoadUpdate> {
         let updates = self
@@ -616,16 +513,9 @@
     pub fn record_outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.record_outcome(outcome, now);
-            if outcome == Outcome::Declined && self.places.is_divided(&state.entry.service) {
-                let rejection = Rejection {
-                    endpoint: ShortKey::from(state.key),
-                    running: state.running(now).round() as u32,
-                    rejected_at: now,
-                };
-                state.pause(now);
-                self.places.record_rejection(&state.entry.service);
-                self.merge_rejections(&[rejection]);
-            }
+        }
+        if outcome == Outcome::Declined {
+            self.record_rejection(id, now);
         }
         let event = health_event(id, outcome);
         self.health.on(event, now);
--- a/crates/dispatch/src/fleet/occupied.rs
+++ b/crates/dispatch/src/fleet/occupied.rs
@@ -1,8 +1,11 @@
-//! Filters brittle endpoints by the free places of this router.
+//! Brittle endpoints: what they state, and the places that this router has there.
 
+use super::brittle::{BrittleUpdate, Merged, Rejection};
 use super::endpoint_state::EndpointState;
-use super::places::Allowance;
-use super::{Fleet, PickContext, Prompt, ShortKey};
+use super::places::{Allowance, PlacedEndpoint};
+use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey};
+use ids::{EndpointId, ServiceId};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// What the endpoints of a brittle service show together.
@@ -18,6 +21,127 @@
 }
 
 impl Fleet {
+    /// Frees the places of a request that was chosen an endpoint at `began`. Unless it was `answered`, it may still run there.
+    pub fn release_places(&mut self, picked: &PickedEndpoint, began: Duration, answered: bool, now: Duration) {
+        if picked.places == 0 {
+            return;
+        }
+        let entry = &picked.endpoint;
+        if answered {
+            self.places.record_hold(&entry.service, now.saturating_sub(began));
+        }
+        if let Some(state) = self.endpoint_mut(&entry.id, entry.incarnation) {
+            state.release_places(picked.places, answered, now);
+        }
+    }
+
+    /// Returns the mean time between two requests that this router may send to a service with brittle endpoints.
+    pub fn place_turn(&self, service: &ServiceId) -> Duration {
+        self.places.turn(service)
+    }
+
+    /// Divides the places of the services of which an endpoint states that it is brittle.
+    pub(super) fn divide_places(&mut self, now: Duration) {
+        let mut services: HashMap<&ServiceId, Vec<PlacedEndpoint<'_>>> = HashMap::new();
+        let states = || self.endpoints.values().filter(|state| !state.entry.draining);
+        let states_brittle = |state: &&EndpointState| self.brittle.brittle_since(ShortKey::from(state.key)).is_some();
+        for state in states().filter(states_brittle) {
+            services.entry(&state.entry.service).or_default();
+        }
+        let mut expiry = None;
+        for (service, until) in self.brittle.departed(now) {
+            let departed_at = self.brittle.departed_at(service, now).unwrap_or_default();
+            let mut of_service = states().filter(|state| state.entry.service == *service);
+            if !of_service.any(|state| self.brittle.contradicts(ShortKey::from(state.key), departed_at)) {
+                services.entry(service).or_default();
+                expiry = expiry.min(Some(until)).or(Some(until));
+            }
+        }
+        for state in states() {
+            if let Some(endpoints) = services.get_mut(&state.entry.service) {
+                endpoints.push(PlacedEndpoint {
+                    id: &state.entry.id,
+                    key: ShortKey::from(state.key),
+                    slots: state.entry.slots,
+                    proven: state.proven_share(),
+                });
+            }
+        }
+        self.places.divide(&services, expiry, now);
+    }
+
+    /// Records whether an endpoint's answer states that it is brittle: the rejections per second that it tolerates from
+    /// all routers together, or none. Returns whether that changed.
+    pub fn record_tolerance(&mut self, id: &EndpointId, tolerance: Option<u32>, now: Duration) -> bool {
+        let Some(state) = self.endpoints.get(id) else {
+            return false;
+        };
+        let update = BrittleUpdate {
+            endpoint: ShortKey::from(state.key),
+            tolerance,
+            reported_at: now,
+        };
+        self.merge_tolerances(&[update])
+    }
+
+    /// Merges statements that peers received from endpoints. Returns whether any tolerance changed.
+    pub fn merge_tolerances(&mut self, updates: &[BrittleUpdate]) -> bool {
+        let mut changed = false;
+        for update in updates {
+            let merged = self.brittle.merge(*update);
+            changed |= merged == Merged::Changed;
+            if merged != Merged::Unchanged {
+                self.places.invalidate();
+            }
+        }
+        changed
+    }
+
+    /// Merges rejections by brittle endpoints that peers learnt of.
+    pub fn merge_rejections(&mut self, rejections: &[Rejection]) {
+        for rejection in rejections {
+            if self.brittle.merge_rejection(*rejection) {
+                let mut states = self.endpoints.values_mut();
+                if let Some(state) = states.find(|state| ShortKey::from(state.key) == rejection.endpoint) {
+                    state.record_full(rejection.running, rejection.rejected_at);
+                }
+            }
+        }
+    }
+
+    /// Returns the recent rejections by brittle endpoints, for peers.
+    pub fn recent_rejections(&self, now: Duration) -> Vec<Rejection> {
+        self.brittle.recent_rejections(now)
+    }
+
+    /// Returns the recent statements on brittleness, for peers.
+    pub fn recent_tolerances(&self, now: Duration) -> Vec<BrittleUpdate> {
+        self.brittle.recent(now)
+    }
+
+    /// Returns the number of brittle endpoints.
+    pub fn brittle_count(&self) -> usize {
+        self.brittle.count()
+    }
+
+    /// Records that an endpoint rejected a request. One that loads weights does so whatever its room.
+    pub(super) fn record_rejection(&mut self, id: &EndpointId, now: Duration) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if !self.places.is_divided(&state.entry.service) || self.loading.contains(id) {
+            return;
+        }
+        let rejection = Rejection {
+            endpoint: ShortKey::from(state.key),
+            running: state.running(now).round() as u32,
+            rejected_at: now,
+        };
+        state.pause(now);
+        self.places.record_rejection(&state.entry.service);
+        self.merge_rejections(&[rejection]);
+    }
+
     /// Drops brittle endpoints at which this router has no free place, even if none are left. Returns whether any is.
     pub(super) fn drop_occupied(
         &self,
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -4,22 +4,16 @@
 use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::observe;
-use super::place_queue::Ticket;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
 use super::wait::{WaitOutcome, WeightsOutdated, wait};
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
-use crate::origins;
-use crate::quarantine;
 use crate::shared::Shared;
-use async_std::future::timeout;
-use async_std::task::{self, JoinHandle};
-use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, Wait};
+use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
-use dispatch::origins::Origin;
-use dispatch::quarantine::{ContentKey, EndedRun, Fate, ProcessKey};
+use dispatch::quarantine::ContentKey;
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
 use ids::{EndpointId, Incarnation, SoftwareVersion};
 use lifecycle::events::EventSplitter;
@@ -30,11 +24,6 @@
 use std::time::Duration;
 use wire::client::Ran;
 
-/// How long a broken attempt waits to learn whether its endpoint has ended. Endpoints in reach tell within a few
-/// milliseconds, and so do the routers that count ends.
-const FATE_TIMEOUT: Duration = Duration::from_millis(50);
-/// The same for a request under which an endpoint has ended before.
-const SUSPECT_FATE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest response without streaming, bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
 
@@ -78,7 +67,7 @@
 }
 
 /// An endpoint for an attempt.
-enum Chosen {
+pub(super) enum Chosen {
     /// The endpoint, and since when the attempt counts for its load.
     Endpoint(PickedEndpoint, Duration),
     /// All places of this router are in use; one becomes free about every so long.
@@ -89,7 +78,7 @@
 pub(super) struct Attempts<'a> {
     pub(super) shared: &'a Arc<Shared>,
     pub(super) request: &'a RoutedRequest<'a>,
-    content: ContentKey,
+    pub(super) content: ContentKey,
     charge: QuotaCharge<'a>,
     pub(super) record: &'a mut Record,
     pub(super) lifecycle: Request,
@@ -97,9 +86,9 @@
     /// Whether the head of a stream was sent to the client.
     pub(super) head_sent: bool,
     /// Version of the software that began the stream. No other may continue it.
-    software: Option<SoftwareVersion>,
+    pub(super) software: Option<SoftwareVersion>,
     /// The endpoint that last sent an event, and its incarnation as it was known then.
-    last_sender: Option<(EndpointId, Incarnation)>,
+    pub(super) last_sender: Option<(EndpointId, Incarnation)>,
     excluded: Vec<EndpointId>,
     sent: u32,
     unreached: u32,
@@ -195,86 +184,6 @@
         }
     }
 
-    /// Whether another attempt is made after one that failed. If its connection broke, whether the endpoint has ended is found
-    /// out first, so that neither this router nor the client's next try ends another one.
-    async fn may_go_on(&mut self, picked: &PickedEndpoint, failure: Failure) -> bool {
-        if failure != Failure::Broken {
-            return self.may_retry(failure);
-        }
-        let is_suspect = self.shared.quarantine().is_suspect(self.content);
-        let checked = self.check_endpoint(picked);
-        // The endpoint of a broken connection may be silent, and a first retry must not wait for that.
-        let within = if is_suspect { SUSPECT_FATE_TIMEOUT } else { FATE_TIMEOUT };
-        let _ = timeout(within.min(self.remaining()), checked).await;
-        let now = self.shared.clock.now();
-        let is_held = self.shared.quarantine().remaining(self.content, now).is_some();
-        !is_held && self.may_retry(failure)
-    }
-
-    /// Finds out in the background whether the endpoint of a broken attempt has ended, and tells other routers.
-    fn check_endpoint(&self, picked: &PickedEndpoint) -> JoinHandle<()> {
-        let (shared, entry) = (self.shared.clone(), picked.endpoint.clone());
-        let content = self.content;
-        let id = self.request.info.id.clone();
-        let ended = self.shared.clock.now();
-        task::spawn(async move {
-            let fate = fate::check(&shared, &entry).await;
-            shared.metrics.broken.with_label_values(&[fate.name()]).inc();
-            log::info!(
-                id = id.as_str(),
-                endpoint = entry.id.as_str(),
-                content:% = content,
-                fate = fate.name();
-                "attempt: connection broke"
-            );
-            if fate == Fate::Ended {
-                let process = ProcessKey::of(&entry.id, entry.incarnation);
-                let run = EndedRun {
-                    content,
-                    process,
-                    ended,
-                };
-                quarantine::report(&shared, run).await;
-            }
-        })
-    }
-
-    /// Records the version of the software that sends the first event of an attempt.
-    pub(super) fn stream_began(&mut self, picked: &PickedEndpoint) {
-        // The endpoint may have restarted with another version between its choice and its response.
-        let entry = self.shared.fleet().endpoint(&picked.endpoint.id);
-        let entry = entry.unwrap_or_else(|| picked.endpoint.clone());
-        self.last_sender = Some((entry.id.clone(), entry.incarnation));
-        if self.software.is_some() {
-            return;
-        }
-        self.record.software = entry.software.to_string();
-        self.software = Some(entry.software.clone());
-        if self.request.route.kind.repeatable() {
-            let origin = Origin {
-                service: entry.service.clone(),
-                software: entry.software.clone(),
-            };
-            origins::record(self.shared, &self.request.info.id, origin);
-        }
-    }
-
-    /// Whether it is certain which version of the software sent the events so far. An endpoint whose entry names another
-    /// start now may have sent them before or after it.
-    fn is_origin_certain(&self) -> bool {
-        let Some((id, incarnation)) = &self.last_sender else {
-            return true;
-        };
-        let entry = self.shared.fleet().endpoint(id);
-        entry.is_none_or(|entry| entry.incarnation == *incarnation)
-    }
-
-    /// Records that an endpoint survived the request.
-    fn record_answer(&self) {
-        let now = self.shared.clock.now();
-        self.shared.quarantine().record_answer(self.content, now);
-    }
-
     /// Whether this request is shed at once, because first events currently miss their objective.
     fn is_shed(&self) -> bool {
         let now = self.shared.clock.now();
@@ -320,45 +229,7 @@
         self.request.route.kind.repeatable()
     }
 
-    /// Chooses an endpoint. While all places of this router at brittle endpoints are in use, the request waits for one,
-    /// unless its turn would come too late.
-    async fn choose_or_wait(&mut self) -> Result<(PickedEndpoint, Duration), RequestOutcome> {
-        let service = self.request.service;
-        let queues = &self.shared.place_queues;
-        let mut waits: Option<(Ticket, Duration)> = None;
-        loop {
-            // Requests that came earlier go first.
-            let turn = if waits.is_none() && queues.waiting(service) > 0 {
-                Some(self.shared.fleet().place_turn(service))
-            } else {
-                None
-            };
-            let turn = match turn.map_or_else(|| self.choose(), |turn| Ok(Chosen::Occupied(turn))) {
-                Ok(Chosen::Endpoint(picked, began)) => return Ok((picked, began)),
-                Ok(Chosen::Occupied(turn)) => turn,
-                Err(cause) => return Err(self.give_up(cause)),
-            };
-            let now = self.shared.clock.now();
-            if waits.is_none() {
-                let ticket = queues.join(service);
-                match attempt::place_wait(turn, ticket.ahead, self.remaining()) {
-                    PlaceWait::Wait(longest) => waits = Some((ticket, now + longest)),
-                    PlaceWait::Refuse(after) => return Err(self.give_up(Cause::NoPlace(after))),
-                }
-            }
-            let Some((ticket, until)) = &waits else { continue };
-            let left = until.saturating_sub(now);
-            if left.is_zero() {
-                return Err(self.give_up(Cause::NoPlace(turn)));
-            }
-            let pause = left.min(attempt::PLACE_CHECK_INTERVAL);
-            if let WaitOutcome::ClientDisconnected = wait(&self.request.incoming.conn, pause, ticket.turn()).await {
-                return Err(self.client_disconnected());
-            }
-        }
-    }
-
-    fn choose(&self) -> Result<Chosen, Cause> {
+    pub(super) fn choose(&self) -> Result<Chosen, Cause> {
         let unread = self.unread();
         let context = PickContext {
             service: self.request.service,
@@ -386,7 +257,7 @@
     }
 
     /// Whether another attempt may be made.
-    fn may_retry(&mut self, failure: Failure) -> bool {
+    pub(super) fn may_retry(&mut self, failure: Failure) -> bool {
         if self.lifecycle.ended() || !self.is_origin_certain() {
             return false;
         }
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -1,15 +1,23 @@
 //! Finds out whether an endpoint has ended whose connection broke during a request.
 
 use super::RoutedRequest;
+use super::attempts::Attempts;
 use crate::connections::call_over;
 use crate::shared::Shared;
 use async_std::future::timeout;
-use async_std::task;
-use dispatch::quarantine::{self, ContentKey, Fate, Probe};
+use async_std::task::{self, JoinHandle};
+use dispatch::attempt::Failure;
+use dispatch::fleet::PickedEndpoint;
+use dispatch::quarantine::{self, ContentKey, EndedRun, Fate, Probe, ProcessKey};
 use dispatch::site::EndpointEntry;
 use http::raw::connect;
 use std::time::Duration;
 
+/// How long a broken attempt waits to learn whether its endpoint has ended. Endpoints in reach tell within a few
+/// milliseconds, and so do the routers that count ends.
+const FATE_TIMEOUT: Duration = Duration::from_millis(50);
+/// The same for a request under which an endpoint has ended before.
+const SUSPECT_FATE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the connections and responses of probes. Within a region, both take a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause before another probe after the endpoint closed the connection of one.
@@ -59,3 +67,55 @@
         }
     }
 }
+
+impl Attempts<'_> {
+    /// Whether another attempt is made after one that failed. If its connection broke, whether the endpoint has ended is found
+    /// out first, so that neither this router nor the client's next try ends another one.
+    pub(super) async fn may_go_on(&mut self, picked: &PickedEndpoint, failure: Failure) -> bool {
+        if failure != Failure::Broken {
+            return self.may_retry(failure);
+        }
+        let is_suspect = self.shared.quarantine().is_suspect(self.content);
+        let checked = self.check_endpoint(picked);
+        // The endpoint of a broken connection may be silent, and a first retry must not wait for that.
+        let within = if is_suspect { SUSPECT_FATE_TIMEOUT } else { FATE_TIMEOUT };
+        let _ = timeout(within.min(self.remaining()), checked).await;
+        let now = self.shared.clock.now();
+        let is_held = self.shared.quarantine().remaining(self.content, now).is_some();
+        !is_held && self.may_retry(failure)
+    }
+
+    /// Finds out in the background whether the endpoint of a broken attempt has ended, and tells other routers.
+    fn check_endpoint(&self, picked: &PickedEndpoint) -> JoinHandle<()> {
+        let (shared, entry) = (self.shared.clone(), picked.endpoint.clone());
+        let content = self.content;
+        let id = self.request.info.id.clone();
+        let ended = self.shared.clock.now();
+        task::spawn(async move {
+            let fate = check(&shared, &entry).await;
+            shared.metrics.broken.with_label_values(&[fate.name()]).inc();
+            log::info!(
+                id = id.as_str(),
+                endpoint = entry.id.as_str(),
+                content:% = content,
+                fate = fate.name();
+                "attempt: connection broke"
+            );
+            if fate == Fate::Ended {
+                let process = ProcessKey::of(&entry.id, entry.incarnation);
+                let run = EndedRun {
+                    content,
+                    process,
+                    ended,
+                };
+                crate::quarantine::report(&shared, run).await;
+            }
+        })
+    }
+
+    /// Records that an endpoint survived the request.
+    pub(super) fn record_answer(&self) {
+        let now = self.shared.clock.now();
+        self.shared.quarantine().record_answer(self.content, now);
+    }
+}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod fate;
 mod in_flight;
 pub(crate) mod observe;
+mod origin;
 mod outgoing;
 mod place_queue;
 mod quota;
@@ -17,7 +18,6 @@
 use crate::shared::Shared;
 use attempts::{Attempts, RequestOutcome};
 use dispatch::attempt::{self, Cause};
-use dispatch::origins::Continuation;
 use dispatch::site::{Owner, Route, Site};
 use http::Conn;
 use http::raw::RequestHead;
@@ -95,7 +95,7 @@
         Ok(request) => request,
         Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
     };
-    let request = match continued(shared, request).await {
+    let request = match origin::continued(shared, request).await {
         Ok(request) => request,
         Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
     };
@@ -180,26 +180,6 @@
     })
 }
 
-/// Restricts a request that continues a stream to the service and the version of the software that began it.
-async fn continued<'a>(shared: &Shared, mut request: RoutedRequest<'a>) -> Result<RoutedRequest<'a>, Cause> {
-    let info = &request.info;
-    let continues = info.resumes.is_some() || info.last_event.is_some_and(|number| number > 0);
-    if !continues || !request.route.kind.streams() {
-        return Ok(request);
-    }
-    match origins::find(shared, info.resumes.as_deref(), request.service).await {
-        Continuation::Anywhere => {}
-        Continuation::Unknown => return Err(Cause::UnknownOrigin),
-        Continuation::At(origin) => {
-            let mut targets = request.route.targets.iter();
-            let target = targets.find(|target| target.service == origin.service);
-            request.service = target.map(|target| &target.service).ok_or(Cause::UnknownOrigin)?;
-            request.software = Some(origin.software);
-        }
-    }
-    Ok(request)
-}
-
 async fn refuse(
     shared: &Shared,
     incoming: &IncomingRequest,
--- /dev/null
+++ b/crates/gateway/src/serve/origin.rs
@@ -0,0 +1,60 @@
+//! Binds a stream to the version of the software that began it.
+
+use super::attempts::Attempts;
+use super::{RoutedRequest, origins};
+use crate::shared::Shared;
+use dispatch::attempt::Cause;
+use dispatch::fleet::PickedEndpoint;
+use dispatch::origins::{Continuation, Origin};
+
+impl Attempts<'_> {
+    /// Records the version of the software that sends the first event of an attempt.
+    pub(super) fn stream_began(&mut self, picked: &PickedEndpoint) {
+        // The endpoint may have restarted with another version between its choice and its response.
+        let entry = self.shared.fleet().endpoint(&picked.endpoint.id);
+        let entry = entry.unwrap_or_else(|| picked.endpoint.clone());
+        self.last_sender = Some((entry.id.clone(), entry.incarnation));
+        if self.software.is_some() {
+            return;
+        }
+        self.record.software = entry.software.to_string();
+        self.software = Some(entry.software.clone());
+        if self.request.route.kind.repeatable() {
+            let origin = Origin {
+                service: entry.service.clone(),
+                software: entry.software.clone(),
+            };
+            origins::record(self.shared, &self.request.info.id, origin);
+        }
+    }
+
+    /// Whether it is certain which version of the software sent the events so far. An endpoint whose entry names another
+    /// start now may have sent them before or after it.
+    pub(super) fn is_origin_certain(&self) -> bool {
+        let Some((id, incarnation)) = &self.last_sender else {
+            return true;
+        };
+        let entry = self.shared.fleet().endpoint(id);
+        entry.is_none_or(|entry| entry.incarnation == *incarnation)
+    }
+}
+
+/// Restricts a request that continues a stream to the service and the version of the software that began it.
+pub(super) async fn continued<'a>(shared: &Shared, mut request: RoutedRequest<'a>) -> Result<RoutedRequest<'a>, Cause> {
+    let info = &request.info;
+    let continues = info.resumes.is_some() || info.last_event.is_some_and(|number| number > 0);
+    if !continues || !request.route.kind.streams() {
+        return Ok(request);
+    }
+    match origins::find(shared, info.resumes.as_deref(), request.service).await {
+        Continuation::Anywhere => {}
+        Continuation::Unknown => return Err(Cause::UnknownOrigin),
+        Continuation::At(origin) => {
+            let mut targets = request.route.targets.iter();
+            let target = targets.find(|target| target.service == origin.service);
+            request.service = target.map(|target| &target.service).ok_or(Cause::UnknownOrigin)?;
+            request.software = Some(origin.software);
+        }
+    }
+    Ok(request)
+}
--- a/crates/gateway/src/serve/place_queue.rs
+++ b/crates/gateway/src/serve/place_queue.rs
@@ -1,10 +1,15 @@
 //! Requests that wait until this router has a free place at a brittle endpoint.
 
+use super::attempts::{Attempts, Chosen, RequestOutcome};
+use super::wait::{WaitOutcome, wait};
+use dispatch::attempt::{self, Cause, PlaceWait};
+use dispatch::fleet::PickedEndpoint;
 use event_listener::{Event, EventListener};
 use ids::ServiceId;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// The requests that wait, by service.
 #[derive(Debug, Default)]
@@ -66,3 +71,43 @@
         self.queue.waiting.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+impl Attempts<'_> {
+    /// Chooses an endpoint. While all places of this router at brittle endpoints are in use, the request waits for one,
+    /// unless its turn would come too late.
+    pub(super) async fn choose_or_wait(&mut self) -> Result<(PickedEndpoint, Duration), RequestOutcome> {
+        let service = self.request.service;
+        let queues = &self.shared.place_queues;
+        let mut waits: Option<(Ticket, Duration)> = None;
+        loop {
+            // Requests that came earlier go first.
+            let turn = if waits.is_none() && queues.waiting(service) > 0 {
+                Some(self.shared.fleet().place_turn(service))
+            } else {
+                None
+            };
+            let turn = match turn.map_or_else(|| self.choose(), |turn| Ok(Chosen::Occupied(turn))) {
+                Ok(Chosen::Endpoint(picked, began)) => return Ok((picked, began)),
+                Ok(Chosen::Occupied(turn)) => turn,
+                Err(cause) => return Err(self.give_up(cause)),
+            };
+            let now = self.shared.clock.now();
+            if waits.is_none() {
+                let ticket = queues.join(service);
+                match attempt::place_wait(turn, ticket.ahead, self.remaining()) {
+                    PlaceWait::Wait(longest) => waits = Some((ticket, now + longest)),
+                    PlaceWait::Refuse(after) => return Err(self.give_up(Cause::NoPlace(after))),
+                }
+            }
+            let Some((ticket, until)) = &waits else { continue };
+            let left = until.saturating_sub(now);
+            if left.is_zero() {
+                return Err(self.give_up(Cause::NoPlace(turn)));
+            }
+            let pause = left.min(attempt::PLACE_CHECK_INTERVAL);
+            if let WaitOutcome::ClientDisconnected = wait(&self.request.incoming.conn, pause, ticket.turn()).await {
+                return Err(self.client_disconnected());
+            }
+        }
+    }
+}
