Ends are reported to both routers that count them

Traced in the logs: router 3 had just started, chose itself as the counting router, knew nothing of the three ends before, and asked nobody; as one that collects news it got none for a second. An end is reported to both counting routers now, and their answers are merged.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Tells other routers under which requests endpoints have ended.
 //!
 //! A client's next try may reach any router a few milliseconds after the last one has failed. But most ends are of no
-//! interest to others: an endpoint that fails ends all requests that it ran. So a router reports an end to one of the few
-//! routers that rendezvous hashing chooses for the request. That router counts the ends, and tells all others from the
-//! second one on. Only then is the report answered, and the client after it. Routers that start later, or were not reached,
+//! interest to others: an endpoint that fails ends all requests that it ran. So a router reports an end to the few
+//! routers that rendezvous hashing chooses for the request. They count the ends, and tell all others from the second one
+//! on. Only then is the report answered, and the client after it. Routers that start later, or were not reached,
 //! learn of requests in quarantine with the next news.
 
 use crate::follow::members::Members;
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Routers that count the ends of a request. The second one does while the first is unreachable.
+/// Routers that count the ends of a request. One may be unreachable, or have started since.
 const COUNTERS: usize = 2;
 /// Longest wait for a router, for its connection and again for its response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
@@ -30,24 +30,26 @@
     let own = shared.settings.load().vm.clone();
     let ids = members.ids();
     let counters = rendezvous::choose(&run.content.to_string(), &ids, COUNTERS);
-    for counter in counters {
-        if *counter == own {
-            return tell_others(shared, &[run.content]).await;
-        }
-        let Some(address) = members.address(counter) else {
-            continue;
-        };
-        let message = EndsMessage {
-            ends: messages(shared, &[run]),
-            forward: true,
-        };
-        match send(address, message, REPORT_TIMEOUT).await {
-            Ok(known) => {
-                merge(shared, &parse(shared, &known));
-                return;
-            }
-            Err(err) => log::info!(router = counter.as_str(), why:% = err; "quarantine: cannot report an end"),
+    let is_counter = counters.contains(&&own);
+    let others = counters.into_iter().filter(|counter| **counter != own);
+    let calls = others.filter_map(|counter| Some(report_to(shared, counter, members.address(counter)?, run)));
+    join_all(calls).await;
+    if is_counter {
+        tell_others(shared, &[run.content]).await;
+    }
+}
+
+/// Reports an end to a router that counts, and learns what that knows. A router that counts too may have started since.
+async fn report_to(shared: &Shared, counter: &VmId, address: SocketAddr, run: EndedRun) {
+    let message = EndsMessage {
+        ends: messages(shared, &[run]),
+        forward: true,
+    };
+    match send(address, message, REPORT_TIMEOUT).await {
+        Ok(known) => {
+            merge(shared, &parse(shared, &known));
         }
+        Err(err) => log::info!(router = counter.as_str(), why:% = err; "quarantine: cannot report an end"),
     }
 }
 
