Brittle engines: a request holds one place, whatever its prompt

From reading the code once more: a prompt held as many places as its share of an engine's memory takes, while the room that engines had shown to have was counted in requests. With two places a request, routers would have used no more than half of that room, and engines would never have shown more. The weights and the memory of engines in the site's parts are removed.

--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -131,8 +131,8 @@
     cached_since: Duration,
     /// Places that this router's requests hold.
     held: u32,
-    /// Places of requests that may still run although this router has ended them, and until when.
-    lingering: Vec<(Duration, u32)>,
+    /// Until when requests may still run that this router has ended.
+    lingering: Vec<Duration>,
     /// Requests that the endpoint was running when it last rejected one for want of room, and when that was.
     full_at: Option<(u32, Duration)>,
     /// Until when this router sends it nothing after a rejection.
@@ -163,23 +163,22 @@
         }
     }
 
-    pub(super) fn hold_places(&mut self, places: u32) {
-        self.held += places;
+    pub(super) fn hold_place(&mut self) {
+        self.held += 1;
     }
 
-    /// Frees the places of a request. Unless the endpoint has answered it, it may run for some more time.
-    pub(super) fn release_places(&mut self, places: u32, answered: bool, now: Duration) {
-        self.held = self.held.saturating_sub(places);
-        self.lingering.retain(|(until, _)| now < *until);
+    /// Frees the place of a request. Unless the endpoint has answered it, it may run for some more time.
+    pub(super) fn release_place(&mut self, answered: bool, now: Duration) {
+        self.held = self.held.saturating_sub(1);
+        self.lingering.retain(|until| now < *until);
         if !answered {
-            self.lingering.push((now + LINGER_TIME, places));
+            self.lingering.push(now + LINGER_TIME);
         }
     }
 
     /// Places that this router's requests hold, or may still hold.
     pub(super) fn held_places(&self, now: Duration) -> u32 {
-        let lingering = self.lingering.iter().filter(|(until, _)| now < *until);
-        self.held + lingering.map(|(_, places)| places).sum::<u32>()
+        self.held + self.lingering.iter().filter(|until| now < **until).count() as u32
     }
 
     pub(super) fn record_full(&mut self, running: u32, at: Duration) {
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -146,7 +146,7 @@
             warm_prefill,
             queued,
             reason: reason(pick.reason),
-            places: 0,
+            holds_place: false,
         };
         placer.learn(
             endpoint,
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -38,7 +38,6 @@
 use endpoint_state::{EndpointState, ReceivedReport};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::DecayingTokens;
-use occupied::unshared_tokens;
 use placement::Placer;
 use places::Places;
 use rate_limits::RateLimits;
@@ -114,8 +113,8 @@
     pub queued: u64,
     /// Reason for the choice, for logs.
     pub reason: &'static str,
-    /// Places of a brittle endpoint that the request holds until [`Fleet::release_places`]; none at other endpoints.
-    pub places: u32,
+    /// Whether the request holds a place of a brittle endpoint until [`Fleet::release_place`].
+    pub holds_place: bool,
 }
 
 /// One router's view of all endpoints.
@@ -289,11 +288,6 @@
         self.places.set_registered_until(until);
     }
 
-    /// Sets the memory of each service's engines, in tokens.
-    pub fn set_memory(&mut self, memory: HashMap<ServiceId, u64>) {
-        self.places.set_memory(memory);
-    }
-
     /// Returns the endpoints that are due for a health probe.
     pub fn due_probes(&mut self, now: Duration) -> Vec<Arc<EndpointEntry>> {
         let due = self.health.due_probes(now);
@@ -321,10 +315,8 @@
         };
         self.rate_limits.record_request(ShortKey::from(state.key), now);
         if self.places.is_divided(context.service) {
-            picked.places = self
-                .places
-                .needed(context.service, state.entry.slots, unshared_tokens(context.prompt));
-            state.hold_places(picked.places);
+            picked.holds_place = true;
+            state.hold_place();
             self.places.record_request(context.service, now);
         }
     }
--- a/crates/dispatch/src/fleet/occupied.rs
+++ b/crates/dispatch/src/fleet/occupied.rs
@@ -3,7 +3,7 @@
 use super::brittle::{BrittleUpdate, Merged, Rejection};
 use super::endpoint_state::EndpointState;
 use super::places::{Allowance, PlacedEndpoint};
-use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey};
+use super::{Fleet, PickContext, PickedEndpoint, ShortKey};
 use ids::{EndpointId, ServiceId};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,9 +21,9 @@
 }
 
 impl Fleet {
-    /// Frees the places of a request that was chosen an endpoint at `began`. Unless it was `answered`, it may still run there.
-    pub fn release_places(&mut self, picked: &PickedEndpoint, began: Duration, answered: bool, now: Duration) {
-        if picked.places == 0 {
+    /// Frees the place of a request that was chosen an endpoint at `began`. Unless it was `answered`, it may still run there.
+    pub fn release_place(&mut self, picked: &PickedEndpoint, began: Duration, answered: bool, now: Duration) {
+        if !picked.holds_place {
             return;
         }
         let entry = &picked.endpoint;
@@ -31,7 +31,7 @@
             self.places.record_hold(&entry.service, now.saturating_sub(began));
         }
         if let Some(state) = self.endpoint_mut(&entry.id, entry.incarnation) {
-            state.release_places(picked.places, answered, now);
+            state.release_place(answered, now);
         }
     }
 
@@ -151,7 +151,6 @@
     ) -> bool {
         let service = context.service;
         let view = self.service_view(context, now);
-        let tokens = unshared_tokens(context.prompt);
         let mut single = Vec::new();
         eligible.retain(|state| {
             let key = ShortKey::from(state.key);
@@ -161,15 +160,10 @@
             if state.is_paused(now) {
                 return false;
             }
-            let needed = self.places.needed(service, state.entry.slots, tokens);
             let room = state.room(view.proven, view.typical, now);
             match self.places.allowance(service, key, room, now) {
                 Allowance::Unlimited => true,
-                Allowance::Places(places) => {
-                    // A request that needs more places than this router has must fit somewhere.
-                    let held = state.held_places(now);
-                    held + needed <= places || (held == 0 && places > 0)
-                }
+                Allowance::Places(places) => state.held_places(now) < places,
                 Allowance::Single => {
                     single.push(key);
                     view.is_idle
@@ -206,11 +200,3 @@
         }
     }
 }
-
-/// Prompt and output tokens of a request that it doesn't share with other requests.
-pub(super) fn unshared_tokens(prompt: Option<&Prompt>) -> u64 {
-    prompt.map_or(0, |prompt| {
-        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        (prompt.tokens + prompt.max_output).saturating_sub(shared)
-    })
-}
--- a/crates/dispatch/src/fleet/places.rs
+++ b/crates/dispatch/src/fleet/places.rs
@@ -37,8 +37,6 @@
 const INITIAL_HOLD: Duration = Duration::from_millis(100);
 /// Weight of a request in the mean time that requests hold a place.
 const HOLD_WEIGHT: f64 = 0.1;
-/// Share of an engine's memory for the parts of prompts that running requests do not share. Shared parts need the rest.
-const UNSHARED_MEMORY: f64 = 0.75;
 
 /// An endpoint as far as its places are concerned.
 #[derive(Debug, Clone, Copy)]
@@ -100,8 +98,6 @@
 pub(super) struct Places {
     own: Option<VmId>,
     routers: Vec<VmId>,
-    /// Memory of each engine of a service, in tokens.
-    memory: HashMap<ServiceId, u64>,
     divisions: HashMap<ServiceId, Division>,
     outdated: bool,
     /// When the places are divided again at the latest.
@@ -123,11 +119,6 @@
         self.outdated = true;
     }
 
-    /// Sets the memory of each service's engines, in tokens.
-    pub(super) fn set_memory(&mut self, memory: HashMap<ServiceId, u64>) {
-        self.memory = memory;
-    }
-
     /// Makes the next choice divide the places again, because endpoints changed or became brittle.
     pub(super) fn invalidate(&mut self) {
         self.outdated = true;
@@ -234,16 +225,6 @@
         max_share(reported.chain(before)).unwrap_or(1.0)
     }
 
-    /// Places that a request needs, with this many prompt and output tokens that it doesn't share with others.
-    pub(super) fn needed(&self, service: &ServiceId, slots: u32, tokens: u64) -> u32 {
-        let Some(memory) = self.memory.get(service) else {
-            return 1;
-        };
-        let each = *memory as f64 * UNSHARED_MEMORY / f64::from(slots.max(1));
-        let needed = (tokens as f64 / each.max(1.0)).ceil();
-        (needed as u32).clamp(1, slots.max(1))
-    }
-
     /// The endpoint, among these, for the next request of a router without places of its own. Each router goes through
     /// them in an order of its own.
     pub(super) fn choose_single(&self, service: &ServiceId, endpoints: &[ShortKey]) -> Option<ShortKey> {
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -38,7 +38,7 @@
             warm_prefill: 0,
             queued: 0,
             reason: "soonest",
-            places: 0,
+            holds_place: false,
         })
     }
 
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -88,8 +88,6 @@
 pub struct ServiceSpec {
     /// Address, if the service is a prefix store.
     pub prefixes: Option<SocketAddr>,
-    /// Memory of each endpoint in tokens, if the endpoints are model engines.
-    pub memory: Option<u64>,
 }
 
 /// What a quota counts.
@@ -242,14 +240,6 @@
         self.services.values().filter_map(|service| service.prefixes).collect()
     }
 
-    /// Memory of each engine, in tokens, of the services that have engines.
-    pub fn memory(&self) -> HashMap<ServiceId, u64> {
-        let services = self.services.iter();
-        services
-            .filter_map(|(id, service)| Some((id.clone(), service.memory?)))
-            .collect()
-    }
-
     /// The route of a request. The port and the case of `host` are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/dispatch/tests/support/brittle_fleet.rs
+++ b/crates/dispatch/tests/support/brittle_fleet.rs
@@ -548,7 +548,7 @@
         if let Some((picked, began)) = self.requests[request].sent_to.take() {
             fleet.request_finished(id, picked.endpoint.incarnation);
             let answered = matches!(answer, Answer::Whole(_) | Answer::Rejected(_));
-            fleet.release_places(&picked, began, answered, now);
+            fleet.release_place(&picked, began, answered, now);
         }
         let (outcome, load) = match answer {
             Answer::Whole(load) => (Outcome::Answered(took.min(at(RUN_MS + 2 * TRIP_MS))), Some(load)),
--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -117,7 +117,6 @@
         self.shared.metrics.revision.set(parts.revision.0 as i64);
         let site = Arc::new(Site::new(parts));
         self.shared.quotas().configure(site.quotas(), self.shared.clock.now());
-        self.shared.fleet().set_memory(site.memory());
         self.shared.site.store(Some(site));
     }
 
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -81,9 +81,9 @@
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         fleet.request_finished(&entry.id, entry.incarnation);
-        fleet.release_places(self.picked, self.began, !self.may_run, now);
+        fleet.release_place(self.picked, self.began, !self.may_run, now);
         drop(fleet);
-        if self.picked.places > 0 {
+        if self.picked.holds_place {
             self.shared.place_queues.place_freed(&entry.service);
         }
     }
