--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -44,6 +44,13 @@
     ])
 }
 
+/// Ids of the parts of a request's prompt that other requests may share.
+fn shared_parts(request: &RoutedRequest<'_>) -> String {
+    let parts = request.info.prompt.iter().flat_map(|prompt| prompt.shared());
+    let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Finds out whether an endpoint is still the same process.
 pub(super) async fn check(shared: &Shared, endpoint: &EndpointEntry) -> Fate {
     let probe = timeout(PROBE_TIMEOUT, probe(shared, endpoint)).await;
@@ -90,6 +97,7 @@
         let (shared, entry) = (self.shared.clone(), picked.endpoint.clone());
         let content = self.content;
         let id = self.request.info.id.clone();
+        let parts = shared_parts(self.request);
         let ended = self.shared.clock.now();
         task::spawn(async move {
             let fate = check(&shared, &entry).await;
@@ -98,7 +106,8 @@
                 id = id.as_str(),
                 endpoint = entry.id.as_str(),
                 content:% = content,
-                fate = fate.name();
+                fate = fate.name(),
+                parts = parts.as_str();
                 "attempt: connection broke"
             );
             if fate == Fate::Ended {
