--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -36,6 +36,16 @@
         matches!(self, Self::NotSent | Self::Full | Self::Declined | Self::OtherWeights)
     }
 
+    /// Why a request is refused after its last attempt failed.
+    pub fn final_cause(self) -> Cause {
+        match self {
+            Self::NotSent | Self::Declined | Self::OtherWeights => Cause::NoEndpoint,
+            Self::Full => Cause::Full,
+            Self::Timeout => Cause::Deadline,
+            Self::Broken | Self::Outdated | Self::Error => Cause::EndpointFailed,
+        }
+    }
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -313,13 +323,23 @@
         // Nothing is sent before the quota is checked.
         Cause::OverQuota(_) => 429,
         Cause::HeadTooLarge => 431,
-        // Nothing of a request in quarantine is sent, nor of one that can't be continued.
-        Cause::NotReady | Cause::Stale | Cause::Quarantined(_) | Cause::UnknownOrigin => 503,
-        Cause::NoEndpoint | Cause::Full | Cause::Limited(_) | Cause::NoPlace(_) | Cause::Overloaded if not_run => 503,
+        // Nothing is sent of a request that can't be continued.
+        Cause::NotReady | Cause::Stale | Cause::UnknownOrigin => 503,
+        Cause::NoEndpoint
+        | Cause::Full
+        | Cause::Limited(_)
+        | Cause::NoPlace(_)
+        | Cause::Quarantined(_)
+        | Cause::Overloaded
+            if not_run =>
+        {
+            503
+        }
         Cause::NoEndpoint
         | Cause::Full
         | Cause::Limited(_)
         | Cause::NoPlace(_)
+        | Cause::Quarantined(_)
         | Cause::Overloaded
         | Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
+//! | [`fatal_parts`] | which parts of prompts are kept from endpoints, because others have ended under them |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
 //! | [`prefixes`] | what engines fetch from and save to the prefix stores |
@@ -23,6 +24,7 @@
 pub mod attempt;
 mod decay;
 pub mod era_check;
+pub mod fatal_parts;
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
--- a/crates/gateway/src/follow/relay.rs
+++ b/crates/gateway/src/follow/relay.rs
@@ -155,7 +155,7 @@
     let (items, prefixes) = (shared.clone(), shared.clone());
     let (fleet, ages, store) = (shared.clone(), shared.clone(), shared.clone());
     let (report, subtotal, site) = (shared.clone(), shared.clone(), shared.clone());
-    let (paths, ends) = (shared.clone(), shared.clone());
+    let (paths, ends, holds) = (shared.clone(), shared.clone(), shared.clone());
     let (told, asked) = (shared.clone(), shared.clone());
     RelayHandlers {
         follow: Arc::new(move |follow| follow_items(items.clone(), follow).boxed()),
@@ -181,6 +181,10 @@
             let shared = ends.clone();
             async move { quarantine::handle(&shared, message).await }.boxed()
         }),
+        parts: Arc::new(move |message| {
+            let held = holds.part_holds.handle(&message, holds.clock.now());
+            futures::future::ready(held).boxed()
+        }),
         origins: Arc::new(move |messages| {
             origins::handle(&told, messages);
             futures::future::ready(()).boxed()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod news;
 mod orders;
 mod origins;
+mod part_holds;
 mod quarantine;
 mod run;
 mod serve;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub brittle: IntGauge,
     /// Requests that are kept from endpoints, because others have ended under them.
     pub quarantined: IntGauge,
+    /// Parts of prompts that are kept from endpoints, because others have ended under them.
+    pub parts_held: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -141,6 +143,10 @@
                 "endpoints_brittle",
                 "Endpoints that fall over if they have to reject too many requests",
             ),
+            parts_held: gauge(
+                "prompt_parts_held",
+                "Parts of prompts that are kept from endpoints, because others have ended under them",
+            ),
             quarantined: gauge(
                 "requests_quarantined",
                 "Requests that are kept from endpoints, because others have ended under them",
--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -1,7 +1,7 @@
 //! The answers of a router that collects reports.
 
 use super::message;
-use crate::quarantine;
+
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use dispatch::quotas::Subtotal;
@@ -23,11 +23,11 @@
     message::apply_backlog(shared, source, report.backlog, now);
     // The other watchers learn of it with the next subtotal.
     shared.news_changed();
-    let ends = quarantine::repeated(shared);
+    let incidents = message::Incidents::repeated(shared);
     let fleet = shared.fleet();
     let backlog = fleet.backlog_without(&report.router, now);
     Some(TotalsMessage {
-        backlog: message::backlog(backlog, &fleet, ends, now),
+        backlog: message::backlog(backlog, &fleet, incidents, now),
         levels: message::levels(levels),
     })
 }
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -7,11 +7,30 @@
 use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
-use peers::{BacklogMessage, EndMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage, UsageMessage};
+use peers::{
+    BacklogMessage, EndMessage, HoldMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage,
+    UsageMessage,
+};
 use std::time::Duration;
 
-/// The message with a backlog, the statements that endpoints made recently, and the ends of endpoints to repeat.
-pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, ends: Vec<EndMessage>, now: Duration) -> BacklogMessage {
+/// What is known of requests under which endpoints end.
+pub(super) struct Incidents {
+    ends: Vec<EndMessage>,
+    held_parts: Vec<HoldMessage>,
+}
+
+impl Incidents {
+    /// What is repeated to routers that may have started since or were not reached.
+    pub(super) fn repeated(shared: &Shared) -> Self {
+        Self {
+            ends: quarantine::repeated(shared),
+            held_parts: shared.part_holds.repeated(shared.clock.now()),
+        }
+    }
+}
+
+/// The message with a backlog, the statements that endpoints made recently, and what is to be repeated.
+pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, incidents: Incidents, now: Duration) -> BacklogMessage {
     let age = |reported_at: Duration| now.saturating_sub(reported_at).as_millis() as u64;
     let rates = fleet.recent_rates(now);
     let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age(rate.reported_at));
@@ -27,13 +46,15 @@
         rates: rates.iter().map(rate).collect(),
         tolerances: tolerances.iter().map(tolerance).collect(),
         rejections: rejections.iter().map(rejection).collect(),
-        ends,
+        ends: incidents.ends,
+        held_parts: incidents.held_parts,
     }
 }
 
 /// Applies a backlog from another router.
 pub(super) fn apply_backlog(shared: &Shared, source: BacklogSource, message: BacklogMessage, now: Duration) {
     quarantine::merge_repeated(shared, &message.ends);
+    shared.part_holds.merge_repeated(&message.held_parts, now);
     // The report is assumed to be as old as possible. Otherwise a report that returns to its sender would seem newer
     // than the original.
     let reported_at = |age: u64| now.saturating_sub(Duration::from_millis(age) + CALL_TIMEOUT);
--- a/crates/gateway/src/news/report.rs
+++ b/crates/gateway/src/news/report.rs
@@ -1,7 +1,7 @@
 //! A follower's reports to the router that it follows.
 
 use super::{CALL_TIMEOUT, message};
-use crate::quarantine;
+
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use ids::VmId;
@@ -30,12 +30,12 @@
             return;
         };
         let usage = shared.quotas().unreported();
-        let ends = quarantine::repeated(shared);
+        let incidents = message::Incidents::repeated(shared);
         let report = {
             let fleet = shared.fleet();
             ReportMessage {
                 router: shared.settings.load().vm.clone(),
-                backlog: message::backlog(fleet.own_backlog(now), &fleet, ends, now),
+                backlog: message::backlog(fleet.own_backlog(now), &fleet, incidents, now),
                 usage: message::usage(usage.clone()),
             }
         };
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -1,7 +1,7 @@
 //! The subtotals that routers with followers send each other.
 
 use super::{CALL_TIMEOUT, message};
-use crate::quarantine;
+
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_std::task;
@@ -42,10 +42,10 @@
             self.last_full = Some(now);
         }
         let usage = shared.quotas().subtotal(is_full, now);
-        let ends = quarantine::repeated(shared);
+        let incidents = message::Incidents::repeated(shared);
         let backlog = {
             let fleet = shared.fleet();
-            message::backlog(fleet.backlog_subtotal(now), &fleet, ends, now)
+            message::backlog(fleet.backlog_subtotal(now), &fleet, incidents, now)
         };
         let settings = shared.settings.load();
         let subtotal = SubtotalMessage {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,16 +2,19 @@
 
 use crate::control::{Control, EVENT_QUEUE, Event, TICK_INTERVAL, send};
 use crate::dialect::Dialect;
+use crate::follow::members::{Member, Members};
 use crate::follow::relay::handlers;
 use crate::follow::{follow, follow_prefixes, learn_weight_ages, query_uptime, register};
 use crate::front::{serve_clients, serve_page};
 use crate::news::exchange_news;
 use crate::origins::send_origins;
+use crate::part_holds::{Neighbor, Neighbors};
 use crate::settings::Settings;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use async_std::net::TcpListener;
 use async_std::task;
+use ids::VmId;
 use peers::serve_followers;
 use quick_error::quick_error;
 use std::net::SocketAddr;
@@ -146,6 +149,9 @@
     task::spawn(query_uptime(shared.clone()));
     task::spawn(exchange_news(shared.clone()));
     task::spawn(send_origins(shared.clone()));
+    let holds = shared.part_holds.clone();
+    let state = shared.clone();
+    task::spawn(holds.send_reports(shared.clock, move || neighbors(&state)));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
@@ -156,6 +162,21 @@
     Ok(())
 }
 
+fn neighbors(shared: &Shared) -> Neighbors {
+    let settings = shared.settings.load();
+    let others = Members::read(shared).others(&settings.vm).into_iter();
+    let neighbor = |(vm, member): (VmId, Member)| Neighbor {
+        vm,
+        domain: member.domain,
+        address: member.address,
+    };
+    Neighbors {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        others: others.map(neighbor).collect(),
+    }
+}
+
 async fn wait_for_stop(shared: &Shared, signals: &Receiver<Signal>) {
     while let Ok(Signal::Reload(settings)) = signals.recv().await {
         log::info!(store:% = settings.store; "settings reloaded");
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -131,8 +131,7 @@
 
     /// Makes attempts until the request has ended.
     pub(super) async fn run(&mut self) -> RequestOutcome {
-        let now = self.shared.clock.now();
-        if let Some(remaining) = self.shared.quarantine().remaining(self.content, now) {
+        if let Some(remaining) = self.held_for() {
             return self.give_up(Cause::Quarantined(remaining));
         }
         if self.is_shed() {
@@ -152,12 +151,14 @@
             let failure = match result {
                 AttemptResult::Complete(response) => {
                     self.record_answer();
+                    self.record_parts(response.status, began);
                     self.record_attempt(&picked, "whole");
                     return RequestOutcome::Complete(response);
                 }
                 AttemptResult::Ended(finish) => {
                     if matches!(finish, RequestOutcome::Streamed { .. }) {
                         self.record_answer();
+                        self.record_parts(200, began);
                     }
                     self.record_attempt(&picked, "ended");
                     return finish;
@@ -179,7 +180,7 @@
                 self.excluded.push(picked.endpoint.id.clone());
             }
             if !self.may_go_on(&picked, failure).await {
-                return self.give_up(final_cause(failure));
+                return self.give_up(failure.final_cause());
             }
         }
     }
@@ -301,6 +302,9 @@
             // The weights became outdated while connecting. Nothing was sent.
             return AttemptResult::Failed(Failure::NotSent);
         }
+        if let Some(remaining) = self.held_for() {
+            return AttemptResult::Ended(self.give_up(Cause::Quarantined(remaining)));
+        }
         if self.lifecycle.on(RequestEvent::SendStarts) != RequestStep::Send {
             return AttemptResult::Ended(self.give_up(Cause::EndpointFailed));
         }
@@ -551,13 +555,3 @@
         RequestOutcome::ClientDisconnected
     }
 }
-
-/// Why a request is refused after its last attempt failed.
-fn final_cause(failure: Failure) -> Cause {
-    match failure {
-        Failure::NotSent | Failure::Declined | Failure::OtherWeights => Cause::NoEndpoint,
-        Failure::Full => Cause::Full,
-        Failure::Timeout => Cause::Deadline,
-        Failure::Broken | Failure::Outdated | Failure::Error => Cause::EndpointFailed,
-    }
-}
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -3,11 +3,14 @@
 use super::RoutedRequest;
 use super::attempts::Attempts;
 use crate::connections::call_over;
+use crate::follow::members::Members;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
+use control::rendezvous;
 use dispatch::attempt::Failure;
-use dispatch::fleet::PickedEndpoint;
+use dispatch::fatal_parts::{self, EndedProcess, PartId};
+use dispatch::fleet::{PickedEndpoint, Prompt};
 use dispatch::quarantine::{self, ContentKey, EndedRun, Fate, Probe, ProcessKey};
 use dispatch::site::EndpointEntry;
 use http::raw::connect;
@@ -46,17 +49,15 @@
 
 /// Ids of the parts of a request's prompt that other requests may share.
 fn shared_parts(request: &RoutedRequest<'_>) -> String {
-    let parts = request.info.prompt.iter().flat_map(|prompt| prompt.shared());
+    let parts = request.info.prompt.iter().flat_map(Prompt::shared);
     let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
     ids.join(",")
 }
 
-/// Finds out whether an endpoint is still the same process.
-pub(super) async fn check(shared: &Shared, endpoint: &EndpointEntry) -> Fate {
+/// Probes an endpoint to find out whether it is still the same process.
+async fn check(shared: &Shared, endpoint: &EndpointEntry) -> Probe {
     let probe = timeout(PROBE_TIMEOUT, probe(shared, endpoint)).await;
-    let unreachable = shared.fleet().unreachable_count();
-    let probe = probe.unwrap_or(Probe::Silent);
-    quarantine::fate(probe, endpoint.incarnation, unreachable.saturating_sub(1))
+    probe.unwrap_or(Probe::Silent)
 }
 
 /// Asks an endpoint until it answers or accepts no connections. A process that is ending may accept a connection and close it.
@@ -75,6 +76,14 @@
     }
 }
 
+/// This router's place among those that may try a request with a held part.
+fn trial_rank(shared: &Shared, part: PartId) -> Option<usize> {
+    let own = shared.settings.load().vm.clone();
+    let routers = Members::read(shared).ids();
+    let ranked = rendezvous::choose(&part.to_string(), &routers, fatal_parts::TRIAL_OWNERS);
+    ranked.into_iter().position(|router| *router == own)
+}
+
 impl Attempts<'_> {
     /// Whether another attempt is made after one that failed. If its connection broke, whether the endpoint has ended is found
     /// out first, so that neither this router nor the client's next try ends another one.
@@ -82,14 +91,13 @@
         if failure != Failure::Broken {
             return self.may_retry(failure);
         }
-        let is_suspect = self.shared.quarantine().is_suspect(self.content);
+        let is_suspect =
+            self.shared.quarantine().is_suspect(self.content) || self.shared.part_holds.is_suspect(&self.parts());
         let checked = self.check_endpoint(picked);
         // The endpoint of a broken connection may be silent, and a first retry must not wait for that.
         let within = if is_suspect { SUSPECT_FATE_TIMEOUT } else { FATE_TIMEOUT };
         let _ = timeout(within.min(self.remaining()), checked).await;
-        let now = self.shared.clock.now();
-        let is_held = self.shared.quarantine().remaining(self.content, now).is_some();
-        !is_held && self.may_retry(failure)
+        self.held_for().is_none() && self.may_retry(failure)
     }
 
     /// Finds out in the background whether the endpoint of a broken attempt has ended, and tells other routers.
@@ -99,8 +107,12 @@
         let id = self.request.info.id.clone();
         let parts = shared_parts(self.request);
         let ended = self.shared.clock.now();
+        let may_be_cause = fatal_parts::is_suspect_run(self.record.since_first(ended));
+        let suspects = may_be_cause.then(|| shared.part_holds.suspects(&self.parts()));
         task::spawn(async move {
-            let fate = check(&shared, &entry).await;
+            let probe = check(&shared, &entry).await;
+            let unreachable = shared.fleet().unreachable_count().saturating_sub(1);
+            let fate = quarantine::fate(probe, entry.incarnation, unreachable);
             shared.metrics.broken.with_label_values(&[fate.name()]).inc();
             log::info!(
                 id = id.as_str(),
@@ -110,18 +122,60 @@
                 parts = parts.as_str();
                 "attempt: connection broke"
             );
-            if fate == Fate::Ended {
-                let process = ProcessKey::of(&entry.id, entry.incarnation);
-                let run = EndedRun {
-                    content,
-                    process,
-                    ended,
-                };
-                crate::quarantine::report(&shared, run).await;
-            }
+            let process = ProcessKey::of(&entry.id, entry.incarnation);
+            let report_content = async {
+                if fate == Fate::Ended {
+                    let run = EndedRun {
+                        content,
+                        process,
+                        ended,
+                    };
+                    crate::quarantine::report(&shared, run).await;
+                }
+            };
+            // A failure of many endpoints at once is told by when they ended, so endpoints out of reach don't matter.
+            let is_gone = quarantine::fate(probe, entry.incarnation, 0) == Fate::Ended;
+            let suspects = suspects.filter(|suspects| is_gone && !suspects.is_empty());
+            let report_parts = async {
+                if let Some(suspects) = suspects {
+                    let end = EndedProcess {
+                        process,
+                        ended,
+                        suspects,
+                    };
+                    shared.part_holds.report(end).await;
+                }
+            };
+            futures::join!(report_content, report_parts);
         })
     }
 
+    /// The parts of the prompt that other requests may share.
+    fn parts(&self) -> Vec<PartId> {
+        self.request
+            .info
+            .prompt
+            .as_ref()
+            .map(PartId::shared)
+            .unwrap_or_default()
+    }
+
+    /// How long the request is kept from endpoints because others have ended under it or a part of its prompt, if it is.
+    pub(super) fn held_for(&self) -> Option<Duration> {
+        let now = self.shared.clock.now();
+        let held = self.shared.quarantine().remaining(self.content, now);
+        let rank = |part: PartId| trial_rank(self.shared, part);
+        held.or_else(|| self.shared.part_holds.remaining(&self.parts(), self.content, rank, now))
+    }
+
+    /// Records that an endpoint has completely answered the attempt that began then.
+    pub(super) fn record_parts(&self, status: u16, began: Duration) {
+        if (200..300).contains(&status) {
+            let now = self.shared.clock.now();
+            self.shared.part_holds.record_answer(&self.parts(), began, now);
+        }
+    }
+
     /// Records that an endpoint survived the request.
     pub(super) fn record_answer(&self) {
         let now = self.shared.clock.now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::follow::relay::Relay;
 use crate::metrics::Metrics;
+use crate::part_holds::PartHolds;
 use crate::serve::PlaceQueues;
 use crate::settings::Settings;
 use crate::tunnel::PeerCache;
@@ -56,6 +57,8 @@
     prefixes: Mutex<PrefixStores>,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
+    /// Parts of prompts under which endpoints have ended.
+    pub part_holds: Arc<PartHolds>,
     origins: Mutex<Origins>,
     /// Origins of streams that other routers are to be told.
     pub origin_outbox: OriginOutbox,
@@ -99,6 +102,7 @@
     pub fn new(settings: Settings, dialect: Dialect, events: Sender<Event>) -> Self {
         let fleet = Fleet::new(fleet_settings(&settings));
         let quotas = Quotas::new(settings.bounds.quotas());
+        let metrics = Metrics::new();
         Self {
             settings: ArcSwap::from_pointee(settings),
             dialect,
@@ -110,13 +114,14 @@
             prefixes: Mutex::default(),
             quotas: Mutex::new(quotas),
             quarantine: Mutex::default(),
+            part_holds: Arc::new(PartHolds::new(metrics.parts_held.clone())),
             origins: Mutex::default(),
             origin_outbox: async_channel::bounded(MAX_UNSENT_ORIGINS),
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
             connections: ConnectionPool::default(),
-            metrics: Metrics::new(),
+            metrics,
             events,
             relay: Relay::default(),
             watches_store: AtomicBool::new(false),
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between a router and those that follow it, report to it or ask it.
 
+use dispatch::fatal_parts::PartId;
 use dispatch::fleet::{LaneTokens, ShortKey};
 use dispatch::origins::{Origin, StreamKey};
 use dispatch::prefixes::PartKey;
@@ -139,6 +140,9 @@
     /// Ends of endpoints under requests that are in quarantine.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<EndMessage>,
+    /// Parts of prompts that are kept from endpoints.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub held_parts: Vec<HoldMessage>,
 }
 
 /// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
@@ -219,6 +223,38 @@
     pub forward: bool,
 }
 
+/// A part that ran at a process when that ended: part, position in the prompt, time since the last answer to it began in
+/// milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectMessage(pub PartId, pub u16, pub Option<u64>);
+
+/// The end of a process, as sent between routers: process, age in milliseconds, parts that ran there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedProcessMessage(pub ProcessKey, pub u64, pub Vec<SuspectMessage>);
+
+/// A part that is kept from endpoints: part, ages of the first and the last end under it in milliseconds, and ends under
+/// requests that were tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldMessage(pub PartId, pub u64, pub u64, pub u32);
+
+/// A part that is no longer kept from endpoints, and how long ago it was released, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseMessage(pub PartId, pub u64);
+
+/// What a router reports or tells of parts under which endpoints end.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsMessage {
+    /// Ends that the sender noticed.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<EndedProcessMessage>,
+    /// Parts that are held.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<HoldMessage>,
+    /// Parts that are released.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub released: Vec<ReleaseMessage>,
+}
+
 /// A stream and where it began, as sent between routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginMessage(pub StreamKey, pub Origin);
--- a/crates/peers/src/relay/mod.rs
+++ b/crates/peers/src/relay/mod.rs
@@ -41,8 +41,8 @@
 mod calls {
     use super::{
         EndMessage, EndsMessage, Follow, FollowResponse, LoadExchange, LoadMessage, OriginMessage, OriginQuery,
-        OriginResponse, PrefixPage, PrefixQuery, ReportMessage, Revision, SubtotalMessage, TargetAgeMessage,
-        TotalsMessage, UptimeMessage,
+        OriginResponse, PartsMessage, PrefixPage, PrefixQuery, ReportMessage, Revision, SubtotalMessage,
+        TargetAgeMessage, TotalsMessage, UptimeMessage,
     };
 
     /// Calls that a router serves to its followers.
@@ -60,6 +60,8 @@
         async fn subtotal(subtotal: SubtotalMessage);
         /// Receives ends of endpoints under requests; returns all that are known under the same requests.
         async fn ends(message: EndsMessage) -> Vec<EndMessage>;
+        /// Receives ends under parts of prompts and decisions on these; returns the parts that the router holds.
+        async fn parts(message: PartsMessage) -> PartsMessage;
         /// Receives origins of streams.
         async fn origins(messages: Vec<OriginMessage>);
         /// What the router knows of a stream's origin.
@@ -93,6 +95,8 @@
     pub subtotal: Handler<SubtotalMessage, ()>,
     /// Receives ends of endpoints under requests; returns all that are known under the same requests.
     pub ends: Handler<EndsMessage, Vec<EndMessage>>,
+    /// Receives ends under parts of prompts and decisions on these; returns the parts that the router holds.
+    pub parts: Handler<PartsMessage, PartsMessage>,
     /// Receives origins of streams.
     pub origins: Handler<Vec<OriginMessage>, ()>,
     /// What the router knows of a stream's origin.
@@ -135,6 +139,10 @@
         (self.0.ends)(message).await
     }
 
+    async fn parts(self, _: Context, message: PartsMessage) -> PartsMessage {
+        (self.0.parts)(message).await
+    }
+
     async fn origins(self, _: Context, messages: Vec<OriginMessage>) {
         (self.0.origins)(messages).await;
     }
@@ -289,6 +297,15 @@
             .await
     }
 
+    /// Reports ends under parts of prompts, or tells decisions on these. Returns the parts that the router holds.
+    ///
+    /// # Errors
+    /// The call failed, or no response started to arrive in time.
+    pub async fn parts(&self, message: PartsMessage, within: Duration) -> Result<PartsMessage, PeerError> {
+        self.response(within, self.client.parts(call_context(within), message))
+            .await
+    }
+
     /// Sends origins of streams.
     ///
     /// # Errors
