Streams continued without a name go on at routers that have just started

Cause: without a name nobody was asked, and a router that gets no answer takes itself for cut off.

Change: three routers are asked which versions they have seen, as for a stream with a name that nobody knows. With several versions, or if nobody answers, it is refused as before.

--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -54,21 +54,19 @@
     }
 }
 
-/// Finds out how the stream goes on that the attempt `id` began.
-pub async fn find(shared: &Shared, id: Option<&str>, service: &ServiceId) -> Continuation {
-    let stream = id.map(|id| StreamKey::from(&RequestId::from(id)));
+/// Finds out how the stream goes on that the attempt `begun` began. Without its name, `request`, which continues it, only chooses
+/// the routers that are asked which versions they have seen.
+pub async fn find(shared: &Shared, begun: Option<&str>, request: &str, service: &ServiceId) -> Continuation {
+    let stream = StreamKey::from(&RequestId::from(begun.unwrap_or(request)));
     let own = knowledge(shared, stream, service);
     let alone = Members::read(shared).count() <= 1;
     if own.origin.is_some() || proves_single(shared, service) {
         return continuation(&own, &[], true);
     }
-    let others = match stream {
-        Some(stream) => ask(shared, stream, service).await,
-        None => Vec::new(),
-    };
+    let others = ask(shared, stream, service).await;
     let found = continuation(&own, &others, alone);
     log::info!(
-        stream = id.unwrap_or_default(),
+        stream = begun.unwrap_or_default(),
         asked = others.len(),
         answered = others.iter().flatten().count(),
         versions = own.versions.len(),
@@ -89,17 +87,17 @@
 
 /// Answers another router's question.
 pub fn respond(shared: &Shared, query: &OriginQuery) -> OriginResponse {
-    let known = knowledge(shared, Some(query.stream), &query.service);
+    let known = knowledge(shared, query.stream, &query.service);
     OriginResponse {
         origin: known.origin,
         versions: known.versions,
     }
 }
 
-fn knowledge(shared: &Shared, stream: Option<StreamKey>, service: &ServiceId) -> Knowledge {
+fn knowledge(shared: &Shared, stream: StreamKey, service: &ServiceId) -> Knowledge {
     let now = shared.clock.now();
     Knowledge {
-        origin: stream.and_then(|stream| shared.origins().get(stream).cloned()),
+        origin: shared.origins().get(stream).cloned(),
         versions: shared.fleet().versions(service, now),
     }
 }
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -46,7 +46,7 @@
     if !continues || !request.route.kind.streams() {
         return Ok(request);
     }
-    match origins::find(shared, info.resumes.as_deref(), request.service).await {
+    match origins::find(shared, info.resumes.as_deref(), &info.id, request.service).await {
         Continuation::Anywhere => {}
         Continuation::Unknown => return Err(Cause::UnknownOrigin),
         Continuation::At(origin) => {
