--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
+//! | [`intake`] | how many new connections are accepted |
 //! | [`fatal_parts`] | which parts of prompts are kept from endpoints, because others have ended under them |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
@@ -28,6 +29,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
+pub mod intake;
 pub mod loading;
 pub mod origins;
 pub mod paths;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -61,6 +61,10 @@
             log::warn!("client connection closed: {MAX_CONNECTIONS} connections are open");
             continue;
         }
+        if !shared.intake.accepts() {
+            // The client goes to another router at once, since nothing of its request was read.
+            continue;
+        }
         let guard = OpenConnection::new(&open);
         let shared = shared.clone();
         task::spawn(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod follow;
 mod front;
+mod intake;
 mod metrics;
 mod news;
 mod orders;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,8 @@
     pub quarantined: IntGauge,
     /// Parts of prompts that are kept from endpoints, because others have ended under them.
     pub parts_held: IntGauge,
+    /// Client connections that were closed unread, because this router had too much work.
+    pub clients_refused: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -84,6 +86,14 @@
         let restored = IntCounter::new("store_restored_total", "Times that the store came back from a copy");
         let restored = restored.expect("a valid counter");
         registry.register(Box::new(restored.clone())).expect("a unique name");
+        let clients_refused = IntCounter::new(
+            "client_connections_refused_total",
+            "Client connections closed unread, because this router had too much work",
+        );
+        let clients_refused = clients_refused.expect("a valid counter");
+        registry
+            .register(Box::new(clients_refused.clone()))
+            .expect("a unique name");
         let options = HistogramOpts::new("first_byte_seconds", "Time until the answer's first byte, by route");
         let first = HistogramVec::new(options.buckets(FIRST_BOUNDS.into()), &["route"]).expect("a valid histogram");
         registry.register(Box::new(first.clone())).expect("a unique name");
@@ -135,6 +145,7 @@
             unreachable: gauge("endpoints_unreachable", "Endpoints to which the last connection failed"),
             missing: gauge("endpoints_missing", "Endpoints in service whose entries are missing"),
             restored,
+            clients_refused,
             rated: gauge(
                 "endpoints_rated",
                 "Endpoints that name the requests a second that they take",
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -149,9 +149,12 @@
     task::spawn(query_uptime(shared.clone()));
     task::spawn(exchange_news(shared.clone()));
     task::spawn(send_origins(shared.clone()));
+    let intake = shared.intake.clone();
+    let clock = shared.clock;
+    task::spawn(async move { intake.measure(clock).await });
     let holds = shared.part_holds.clone();
     let state = shared.clone();
-    task::spawn(holds.send_reports(shared.clock, move || neighbors(&state)));
+    task::spawn(holds.send_reports(clock, move || neighbors(&state)));
     let ticking = shared.clone();
     task::spawn(async move {
         loop {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::follow::relay::Relay;
+use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::part_holds::PartHolds;
 use crate::serve::PlaceQueues;
@@ -59,6 +60,8 @@
     quarantine: Mutex<Quarantine>,
     /// Parts of prompts under which endpoints have ended.
     pub part_holds: Arc<PartHolds>,
+    /// How many new connections are accepted.
+    pub intake: Arc<Intake>,
     origins: Mutex<Origins>,
     /// Origins of streams that other routers are to be told.
     pub origin_outbox: OriginOutbox,
@@ -115,6 +118,7 @@
             quotas: Mutex::new(quotas),
             quarantine: Mutex::default(),
             part_holds: Arc::new(PartHolds::new(metrics.parts_held.clone())),
+            intake: Arc::new(Intake::new(metrics.clients_refused.clone())),
             origins: Mutex::default(),
             origin_outbox: async_channel::bounded(MAX_UNSENT_ORIGINS),
             paths: Mutex::default(),
