--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -18,6 +18,8 @@
 const INCREASE: f64 = 0.04;
 /// Smallest share, so that the router notices when it can serve more.
 const MIN_SHARE: f64 = 0.02;
+/// Longest time without an accepted connection, if any come. A router that is ready must not shut its clients out.
+const MAX_CLOSED: Duration = Duration::from_millis(500);
 
 /// How many new connections a router accepts.
 #[derive(Debug, Clone)]
@@ -25,6 +27,7 @@
     /// Lateness of the last timer.
     last: Duration,
     share: f64,
+    accepted_at: Duration,
 }
 
 impl Default for Intake {
@@ -32,6 +35,7 @@
         Self {
             last: Duration::ZERO,
             share: 1.0,
+            accepted_at: Duration::ZERO,
         }
     }
 }
@@ -55,7 +59,11 @@
     }
 
     /// Whether a new connection is accepted; `draw` is uniform from 0 to 1.
-    pub fn accepts(&self, draw: f64) -> bool {
-        draw < self.share
+    pub fn accepts(&mut self, draw: f64, now: Duration) -> bool {
+        let accepts = draw < self.share || now.saturating_sub(self.accepted_at) >= MAX_CLOSED;
+        if accepts {
+            self.accepted_at = now;
+        }
+        accepts
     }
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -61,7 +61,7 @@
             log::warn!("client connection closed: {MAX_CONNECTIONS} connections are open");
             continue;
         }
-        if !shared.intake.accepts() {
+        if !shared.intake.accepts(shared.clock.now()) {
             // The client goes to another router at once, since nothing of its request was read.
             continue;
         }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -27,9 +27,9 @@
     }
 
     /// Whether a new connection is accepted.
-    pub fn accepts(&self) -> bool {
-        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let accepts = state.accepts(rand::random());
+    pub fn accepts(&self, now: Duration) -> bool {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let accepts = state.accepts(rand::random(), now);
         if !accepts {
             self.refused.inc();
         }
