Suspects of an end are told by the first event of the attempt at that endpoint

Found on reading: the time since the first event of the whole response was taken. A request that had an event from one endpoint, and ended another one more than a second later, was not counted there. Now the time is that of the endpoint's own first event. A run that went on for a second after it shows that its parts are not the cause, so long streams rule out popular parts as well.

--- a/crates/dispatch/src/fatal_parts.rs
+++ b/crates/dispatch/src/fatal_parts.rs
@@ -164,9 +164,9 @@
     }
 }
 
-/// Whether a run may have ended its process, by the time since its first event.
-pub fn is_suspect_run(since_event: Option<Duration>) -> bool {
-    since_event.is_none_or(|since| since < YOUNG_RUN)
+/// Whether a run may have ended its process, which ended at `ended`, by when its first event came.
+pub fn is_suspect_run(first_event: Option<Duration>, ended: Duration) -> bool {
+    first_event.is_none_or(|began| ended.saturating_sub(began) < YOUNG_RUN)
 }
 
 /// The ends, answers and holds that a router knows.
--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -1,6 +1,6 @@
 //! Which parts of prompts are kept from endpoints because others have ended under them.
 
-use dispatch::fatal_parts::{Changes, EndedProcess, FatalParts, Hold, PartId, Release, Suspect};
+use dispatch::fatal_parts::{Changes, EndedProcess, FatalParts, Hold, PartId, Release, Suspect, is_suspect_run};
 use dispatch::quarantine::{ContentKey, ProcessKey};
 use std::time::Duration;
 
@@ -106,6 +106,24 @@
     }
 }
 
+/// A run that went on for some time after its first event did not end its process; one that waited may have.
+#[test]
+fn only_runs_that_were_beginning_are_suspects() {
+    let cases = [
+        (None, true),
+        (Some(1_900), true),
+        (Some(1_000), false),
+        (Some(100), false),
+    ];
+    for (first_event, is_suspect) in cases {
+        assert_eq!(
+            is_suspect_run(first_event.map(at), at(2_000)),
+            is_suspect,
+            "{first_event:?}"
+        );
+    }
+}
+
 /// Each router knows only the requests that it sent itself, and the lists of one end arrive one after the other.
 #[test]
 fn the_reports_of_one_end_are_put_together() {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -4,6 +4,7 @@
 use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::observe;
+use super::origin::Sender;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::StreamRelay;
@@ -15,7 +16,7 @@
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use dispatch::quarantine::ContentKey;
 use http::raw::{ExchangeError, Headers, Response, Source, exchange};
-use ids::{EndpointId, Incarnation, SoftwareVersion};
+use ids::{EndpointId, SoftwareVersion};
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Request, RequestEvent, RequestState, RequestStep, RetryPolicy};
 use std::future::Future;
@@ -87,8 +88,8 @@
     pub(super) head_sent: bool,
     /// Version of the software that began the stream. No other may continue it.
     pub(super) software: Option<SoftwareVersion>,
-    /// The endpoint that last sent an event, and its incarnation as it was known then.
-    pub(super) last_sender: Option<(EndpointId, Incarnation)>,
+    /// The endpoint that last sent an event.
+    pub(super) last_sender: Option<Sender>,
     excluded: Vec<EndpointId>,
     sent: u32,
     unreached: u32,
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -107,8 +107,16 @@
         let id = self.request.info.id.clone();
         let parts = shared_parts(self.request);
         let ended = self.shared.clock.now();
-        let may_be_cause = fatal_parts::is_suspect_run(self.record.since_first(ended));
-        let suspects = may_be_cause.then(|| shared.part_holds.suspects(&self.parts()));
+        let first_event = self.first_event(picked);
+        let suspects = if fatal_parts::is_suspect_run(first_event, ended) {
+            shared.part_holds.suspects(&self.parts())
+        } else {
+            // It was answered long enough to show that no part ends the endpoint.
+            shared
+                .part_holds
+                .record_answer(&self.parts(), first_event.unwrap_or(ended), ended);
+            Vec::new()
+        };
         task::spawn(async move {
             let probe = check(&shared, &entry).await;
             let unreachable = shared.fleet().unreachable_count().saturating_sub(1);
@@ -135,9 +143,8 @@
             };
             // A failure of many endpoints at once is told by when they ended, so endpoints out of reach don't matter.
             let is_gone = quarantine::fate(probe, entry.incarnation, 0) == Fate::Ended;
-            let suspects = suspects.filter(|suspects| is_gone && !suspects.is_empty());
             let report_parts = async {
-                if let Some(suspects) = suspects {
+                if is_gone && !suspects.is_empty() {
                     let end = EndedProcess {
                         process,
                         ended,
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -6,6 +6,17 @@
 use dispatch::attempt::Cause;
 use dispatch::fleet::PickedEndpoint;
 use dispatch::origins::{Continuation, Origin};
+use ids::{EndpointId, Incarnation};
+use std::time::Duration;
+
+/// An endpoint that sent an event.
+pub(super) struct Sender {
+    id: EndpointId,
+    /// Its incarnation as it was known then.
+    incarnation: Incarnation,
+    /// When it sent its first event.
+    pub(super) began: Duration,
+}
 
 impl Attempts<'_> {
     /// Records the version of the software that sends the first event of an attempt.
@@ -13,7 +24,11 @@
         // The endpoint may have restarted with another version between its choice and its response.
         let entry = self.shared.fleet().endpoint(&picked.endpoint.id);
         let entry = entry.unwrap_or_else(|| picked.endpoint.clone());
-        self.last_sender = Some((entry.id.clone(), entry.incarnation));
+        self.last_sender = Some(Sender {
+            id: entry.id.clone(),
+            incarnation: entry.incarnation,
+            began: self.shared.clock.now(),
+        });
         if self.software.is_some() {
             return;
         }
@@ -28,14 +43,21 @@
         }
     }
 
+    /// When the endpoint of an attempt sent its first event, if it has.
+    pub(super) fn first_event(&self, picked: &PickedEndpoint) -> Option<Duration> {
+        let sender = self.last_sender.as_ref();
+        let sender = sender.filter(|sender| sender.id == picked.endpoint.id);
+        sender.map(|sender| sender.began)
+    }
+
     /// Whether it is certain which version of the software sent the events so far. An endpoint whose entry names another
     /// start now may have sent them before or after it.
     pub(super) fn is_origin_certain(&self) -> bool {
-        let Some((id, incarnation)) = &self.last_sender else {
+        let Some(sender) = &self.last_sender else {
             return true;
         };
-        let entry = self.shared.fleet().endpoint(id);
-        entry.is_none_or(|entry| entry.incarnation == *incarnation)
+        let entry = self.shared.fleet().endpoint(&sender.id);
+        entry.is_none_or(|entry| entry.incarnation == sender.incarnation)
     }
 }
 
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -90,11 +90,6 @@
         }
     }
 
-    /// Time since the first byte of the response was sent to the client, if it was.
-    pub fn since_first(&self, now: Duration) -> Option<Duration> {
-        self.first.map(|after| now.saturating_sub(self.arrived + after))
-    }
-
     /// Records that a part of a streamed response arrived.
     pub fn part(&mut self, shared: &Shared) {
         let now = shared.clock.now();
