--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -158,6 +158,7 @@
         Cause::NoEndpoint,
         Cause::Full,
         Cause::Overloaded,
+        Cause::Quarantined(Duration::from_secs(20)),
         Cause::Deadline,
         Cause::EndpointFailed,
     ];
@@ -182,6 +183,7 @@
         Cause::NoEndpoint,
         Cause::Full,
         Cause::Overloaded,
+        Cause::Quarantined(Duration::from_secs(20)),
     ] {
         let response = refusal(cause, RequestState::Queued);
         assert_eq!(response.status, 503, "{cause:?}");
