A router refuses connections only after timers were late for longer

Traced: the test's clients open a connection for each request and end, unseen, on one that is closed without a response; with the test's process stopped for 250 of each 280 ms they do ("left: 0, right: 200"). Two late timers in a row are frequent on a machine with more to run than processors.

Change: besides two late timers in a row, their lateness must add up to 0.7 s. The test is unchanged.

--- a/crates/dispatch/src/intake.rs
+++ b/crates/dispatch/src/intake.rs
@@ -2,14 +2,16 @@
 //!
 //! Load pattern: the balancer hands most new connections of a failure domain to one router. What that router reads waits in
 //! it until its client gives up, whereas a client whose connection is closed unread goes to another router at once. So
-//! the router takes in only as much as it can serve. Work waits if two timers in a row were late. A single late timer only
-//! shows that the process was paused.
+//! the router takes in only as much as it can serve. Work waits if several timers in a row were late. A single late timer only
+//! shows that the process was paused, and a few that others had the processor for a moment.
 
 use std::time::Duration;
 
 /// Lateness of timers from which connections are refused. A request waits several times as long, since it needs several
 /// turns, and the objectives of routes begin at a few hundred milliseconds.
 const MAX_LATENESS: Duration = Duration::from_millis(100);
+/// Lateness of timers in a row, added up, from which connections are refused.
+const MAX_TOTAL: Duration = Duration::from_millis(700);
 /// Factor of the share of accepted connections for each [`MAX_LATENESS`] by which timers are late.
 const DECREASE: f64 = 0.5;
 /// Smallest such factor at one timer.
@@ -26,6 +28,8 @@
 pub struct Intake {
     /// Lateness of the last timer.
     last: Duration,
+    /// Lateness of the last timers added up, back to one that was in time.
+    total: Duration,
     share: f64,
     accepted_at: Duration,
 }
@@ -34,6 +38,7 @@
     fn default() -> Self {
         Self {
             last: Duration::ZERO,
+            total: Duration::ZERO,
             share: 1.0,
             accepted_at: Duration::ZERO,
         }
@@ -45,7 +50,12 @@
     pub fn record(&mut self, lateness: Duration) {
         let waiting = lateness.min(self.last);
         self.last = lateness;
-        if waiting > MAX_LATENESS {
+        self.total = if lateness > MAX_LATENESS {
+            self.total + lateness
+        } else {
+            Duration::ZERO
+        };
+        if waiting > MAX_LATENESS && self.total > MAX_TOTAL {
             let factor = DECREASE.powf(waiting.as_secs_f64() / MAX_LATENESS.as_secs_f64());
             self.share = (self.share * factor.max(MIN_FACTOR)).max(MIN_SHARE);
         } else {
