A cancelled read leaves no bytes in the buffer that were never received

Source::fill made room in its buffer before it waited, and kept the room if its future was dropped: whoever read on got 16 KB of zeros before the next bytes. So far no source was used again after a read that timed out.

The room is now made and given back within each poll.

--- a/crates/http/src/raw/source.rs
+++ b/crates/http/src/raw/source.rs
@@ -2,8 +2,11 @@
 
 use super::{HeadError, RequestHead, ResponseHead};
 use crate::Conn;
-use async_std::io::ReadExt;
+use async_std::io::Read;
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 /// Size of one read from the socket: a typical request with a body of a few KB arrives in one read.
 const READ_BYTES: usize = 16 * 1024;
@@ -45,7 +48,8 @@
         }
     }
 
-    /// Reads more bytes into the buffer; returns 0 at the end of the connection.
+    /// Reads more bytes into the buffer; returns 0 at the end of the connection. The buffer stays as it is if the future is
+    /// dropped before it completes.
     ///
     /// # Errors
     /// The connection failed.
@@ -54,12 +58,19 @@
             self.buffer.drain(..self.consumed);
             self.consumed = 0;
         }
+        poll_fn(|context| self.poll_fill(context)).await
+    }
+
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let length = self.buffer.len();
         self.buffer.resize(length + READ_BYTES, 0);
-        let read = self.conn.read(&mut self.buffer[length..]).await;
-        self.buffer
-            .truncate(length + read.as_ref().copied().unwrap_or_default());
-        read
+        let polled = Pin::new(&mut self.conn).poll_read(context, &mut self.buffer[length..]);
+        let read = match &polled {
+            Poll::Ready(Ok(count)) => *count,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
+        self.buffer.truncate(length + read);
+        polled
     }
 
     /// Drops the unconsumed bytes.
