--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -125,8 +125,8 @@
 /// [`TIMEOUT_SHARE`] for streams. It is longer because an engine at capacity responds late, and another one would
 /// have to repeat the prefill already done.
 const STREAM_TIMEOUT_SHARE: f64 = 0.65;
-/// Time without an event after which a stream is resumed on another endpoint. Clients accept two seconds. An engine
-/// that preempts a request needs some hundred milliseconds to repeat its prefill.
+/// Time without an event after which another endpoint is tried beside the silent one. Clients accept two seconds. An
+/// engine that preempts a request needs some hundred milliseconds to repeat its prefill.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Maximum time from sending an attempt to the start of its response. An attempt that can't be retried gets all of the
@@ -189,7 +189,7 @@
     Wait::For(pause.min(attempt.remaining))
 }
 
-/// Maximum time between two events of a stream. After it, a resumable stream continues on another endpoint.
+/// Maximum time between two events of a stream. After it, another endpoint is tried for a resumable stream.
 pub fn stream_idle_timeout(kind: RouteKind, remaining: Duration) -> Duration {
     if kind.repeatable() {
         remaining.min(STREAM_IDLE_TIMEOUT)
@@ -198,6 +198,20 @@
     }
 }
 
+/// Share of the remaining time for which a request waits for silent endpoints that no other endpoint serves. The rest is
+/// for the client's next attempt at another router.
+const LAST_RESORT_SHARE: f64 = 0.5;
+
+/// How long a request waits for its silent endpoints once no other endpoint can serve it. A client that has received a
+/// part of the response could only lose by its end.
+pub fn last_resort_wait(began: bool, remaining: Duration) -> Duration {
+    if began {
+        remaining
+    } else {
+        remaining.mul_f64(LAST_RESORT_SHARE)
+    }
+}
+
 /// Share of the remaining time that a request may wait for a place at a brittle endpoint. The rest is for its execution, or
 /// for the client's next attempt at another router.
 const PLACE_WAIT_SHARE: f64 = 0.5;
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -2,7 +2,7 @@
 
 use dispatch::attempt::{
     AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, StreamEnd, Wait, attempt_timeout,
-    first_event_wait, place_wait, refusal, retry_decision, stream_idle_timeout,
+    first_event_wait, last_resort_wait, place_wait, refusal, retry_decision, stream_idle_timeout,
 };
 use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
@@ -409,3 +409,30 @@
     let refused = refusal(cause, RequestState::Unknown);
     assert_eq!((refused.status, refused.retry_after), (502, None));
 }
+
+/// A client that has received a part of a stream must not lose it while the endpoint may go on. Any other one can retry.
+#[test]
+fn requests_wait_for_silent_endpoints() {
+    struct Case {
+        began: bool,
+        remaining: u64,
+        wait: u64,
+    }
+    let case = |began, remaining, wait| Case { began, remaining, wait };
+    let cases = [
+        case(true, 2_000, 2_000),
+        case(false, 2_000, 1_000),
+        case(true, 0, 0),
+        case(false, 0, 0),
+    ];
+    for case in cases {
+        let wait = last_resort_wait(case.began, Duration::from_millis(case.remaining));
+        assert_eq!(
+            wait,
+            Duration::from_millis(case.wait),
+            "{} {}",
+            case.began,
+            case.remaining
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/attempt_loop.rs
@@ -0,0 +1,117 @@
+//! Makes the attempts of a request until it has ended.
+
+use super::attempts::{AttemptResult, Attempts, RequestOutcome};
+use super::silent::{LastResort, SilentAttempt};
+use dispatch::attempt::{Cause, Failure};
+use dispatch::fleet::PickedEndpoint;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a request does next.
+pub(super) enum Next<'a> {
+    /// It is sent to an endpoint.
+    Choose,
+    /// It goes on with an endpoint that was silent.
+    Resume(Box<SilentAttempt<'a>>),
+    /// It can't be sent to any other endpoint.
+    GiveUp(Cause),
+    /// It has ended.
+    End(RequestOutcome),
+}
+
+impl<'a> Attempts<'a> {
+    /// Makes attempts until the request has ended.
+    pub(super) async fn run(&mut self) -> RequestOutcome {
+        if let Some(remaining) = self.held_for() {
+            return self.give_up(Cause::Quarantined(remaining));
+        }
+        if self.is_shed() {
+            return self.give_up(Cause::Overloaded);
+        }
+        let mut next = Next::Choose;
+        loop {
+            next = match next {
+                Next::Choose => self.try_another().await,
+                Next::Resume(attempt) => self.try_resumed(*attempt).await,
+                Next::GiveUp(cause) => match self.last_resort(cause).await {
+                    LastResort::Resume(attempt) => Next::Resume(attempt),
+                    LastResort::ClientDisconnected => Next::End(self.client_disconnected()),
+                    LastResort::GiveUp(cause) => Next::End(self.give_up(cause)),
+                },
+                Next::End(outcome) => return outcome,
+            };
+        }
+    }
+
+    async fn try_another(&mut self) -> Next<'a> {
+        let (picked, began) = match self.choose_or_wait().await {
+            Ok(chosen) => chosen,
+            Err(next) => return next,
+        };
+        let sent = self.sent;
+        let result = self.attempt(&picked, began).await;
+        let is_refused = matches!(&result, AttemptResult::Failed(failure) if failure.not_run());
+        if self.sent > sent && !is_refused {
+            self.charge.attempt_ran();
+        }
+        self.after_attempt(&picked, began, result).await
+    }
+
+    async fn try_resumed(&mut self, attempt: SilentAttempt<'a>) -> Next<'a> {
+        let (picked, began) = (attempt.in_flight.picked.clone(), attempt.in_flight.began);
+        let result = self.resume(attempt).await;
+        self.after_attempt(&picked, began, result).await
+    }
+
+    async fn after_attempt(
+        &mut self,
+        picked: &Arc<PickedEndpoint>,
+        began: Duration,
+        result: AttemptResult<'a>,
+    ) -> Next<'a> {
+        let failure = match result {
+            AttemptResult::Complete(response) => {
+                self.record_answer();
+                self.record_parts(response.status, began);
+                self.record_attempt(picked, "whole");
+                return Next::End(RequestOutcome::Complete(response));
+            }
+            AttemptResult::Ended(outcome) => {
+                if matches!(outcome, RequestOutcome::Streamed { .. }) {
+                    self.record_answer();
+                    self.record_parts(200, began);
+                }
+                self.record_attempt(picked, "ended");
+                return Next::End(outcome);
+            }
+            AttemptResult::GaveUp(cause) => {
+                self.record_attempt(picked, "ended");
+                return Next::GiveUp(cause);
+            }
+            AttemptResult::Overtaken(attempt) => {
+                self.record_attempt(picked, "overtaken");
+                return Next::Resume(attempt);
+            }
+            AttemptResult::ServerError(response) => {
+                self.record_answer();
+                self.last_error = Some(response);
+                Failure::Error
+            }
+            AttemptResult::Failed(failure) => failure,
+        };
+        self.record_attempt(picked, failure.name());
+        let failed = &self.shared.metrics.attempts;
+        failed.with_label_values(&[failure.name()]).inc();
+        if failure == Failure::OtherWeights {
+            self.corrected += 1;
+            self.sent -= 1;
+        } else {
+            self.excluded.push(picked.endpoint.id.clone());
+        }
+        if self.may_go_on(picked, failure).await {
+            Next::Choose
+        } else {
+            Next::GiveUp(failure.final_cause())
+        }
+    }
+}
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -7,8 +7,9 @@
 use super::origin::Sender;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
-use super::relay::StreamRelay;
-use super::wait::{WaitOutcome, WeightsOutdated, wait};
+use super::relay::{OpenStream, StreamRelay};
+use super::silent::{PendingExchange, SilentAttempt};
+use super::wait::{WaitOutcome, WeightsOutdated};
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
@@ -56,7 +57,7 @@
 }
 
 /// The result of one attempt.
-pub(super) enum AttemptResult {
+pub(super) enum AttemptResult<'a> {
     /// A complete response.
     Complete(CompleteResponse),
     /// A complete response with a server error.
@@ -65,12 +66,16 @@
     Ended(RequestOutcome),
     /// The attempt failed.
     Failed(Failure),
+    /// No further attempt may be made.
+    GaveUp(Cause),
+    /// The silent endpoint of an earlier attempt went on first.
+    Overtaken(Box<SilentAttempt<'a>>),
 }
 
 /// An endpoint for an attempt.
 pub(super) enum Chosen {
     /// The endpoint, and since when the attempt counts for its load.
-    Endpoint(PickedEndpoint, Duration),
+    Endpoint(Arc<PickedEndpoint>, Duration),
     /// All places of this router are in use; one becomes free about every so long.
     Occupied(Duration),
 }
@@ -80,7 +85,7 @@
     pub(super) shared: &'a Arc<Shared>,
     pub(super) request: &'a RoutedRequest<'a>,
     pub(super) content: ContentKey,
-    charge: QuotaCharge<'a>,
+    pub(super) charge: QuotaCharge<'a>,
     pub(super) record: &'a mut Record,
     pub(super) lifecycle: Request,
     pub(super) events: EventSplitter,
@@ -90,13 +95,15 @@
     pub(super) software: Option<SoftwareVersion>,
     /// The endpoint that last sent an event.
     pub(super) last_sender: Option<Sender>,
-    excluded: Vec<EndpointId>,
-    sent: u32,
+    /// Suspended attempts whose endpoints are silent.
+    pub(super) silent: Vec<SilentAttempt<'a>>,
+    pub(super) excluded: Vec<EndpointId>,
+    pub(super) sent: u32,
     unreached: u32,
     /// Number of attempts that were rejected because the endpoint had other weights than expected.
-    corrected: u32,
+    pub(super) corrected: u32,
     /// The last server error that an endpoint returned.
-    last_error: Option<CompleteResponse>,
+    pub(super) last_error: Option<CompleteResponse>,
 }
 
 impl<'a> Attempts<'a> {
@@ -122,6 +129,7 @@
             head_sent: false,
             software: request.software.clone(),
             last_sender: None,
+            silent: Vec::new(),
             excluded: Vec::new(),
             sent: 0,
             unreached: 0,
@@ -130,64 +138,8 @@
         }
     }
 
-    /// Makes attempts until the request has ended.
-    pub(super) async fn run(&mut self) -> RequestOutcome {
-        if let Some(remaining) = self.held_for() {
-            return self.give_up(Cause::Quarantined(remaining));
-        }
-        if self.is_shed() {
-            return self.give_up(Cause::Overloaded);
-        }
-        loop {
-            let (picked, began) = match self.choose_or_wait().await {
-                Ok(chosen) => chosen,
-                Err(ended) => return ended,
-            };
-            let sent = self.sent;
-            let result = self.attempt(&picked, began).await;
-            let is_refused = matches!(&result, AttemptResult::Failed(failure) if failure.not_run());
-            if self.sent > sent && !is_refused {
-                self.charge.attempt_ran();
-            }
-            let failure = match result {
-                AttemptResult::Complete(response) => {
-                    self.record_answer();
-                    self.record_parts(response.status, began);
-                    self.record_attempt(&picked, "whole");
-                    return RequestOutcome::Complete(response);
-                }
-                AttemptResult::Ended(finish) => {
-                    if matches!(finish, RequestOutcome::Streamed { .. }) {
-                        self.record_answer();
-                        self.record_parts(200, began);
-                    }
-                    self.record_attempt(&picked, "ended");
-                    return finish;
-                }
-                AttemptResult::ServerError(response) => {
-                    self.record_answer();
-                    self.last_error = Some(response);
-                    Failure::Error
-                }
-                AttemptResult::Failed(failure) => failure,
-            };
-            self.record_attempt(&picked, failure.name());
-            let failed = &self.shared.metrics.attempts;
-            failed.with_label_values(&[failure.name()]).inc();
-            if failure == Failure::OtherWeights {
-                self.corrected += 1;
-                self.sent -= 1;
-            } else {
-                self.excluded.push(picked.endpoint.id.clone());
-            }
-            if !self.may_go_on(&picked, failure).await {
-                return self.give_up(failure.final_cause());
-            }
-        }
-    }
-
     /// Whether this request is shed at once, because first events currently miss their objective.
-    fn is_shed(&self) -> bool {
+    pub(super) fn is_shed(&self) -> bool {
         let now = self.shared.clock.now();
         let (kind, objective) = (self.request.route.kind, self.request.route.objective);
         let fleet = self.shared.fleet();
@@ -207,7 +159,7 @@
             .record_first_event(self.request.service, objective, waited, now);
     }
 
-    fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: &str) {
+    pub(super) fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: &str) {
         let now = self.shared.clock.now();
         self.record.attempt(&picked.endpoint.id, picked.reason, outcome, now);
     }
@@ -249,7 +201,7 @@
             Choice::Endpoint(picked) => {
                 let entry = &picked.endpoint;
                 fleet.request_started(&entry.id, entry.incarnation, picked.prefill, now);
-                Ok(Chosen::Endpoint(picked, now))
+                Ok(Chosen::Endpoint(Arc::new(picked), now))
             }
             Choice::Occupied(turn) => Ok(Chosen::Occupied(turn)),
             Choice::Full => Err(Cause::Full),
@@ -287,8 +239,8 @@
         RequestOutcome::Refused(cause, state)
     }
 
-    async fn attempt(&mut self, picked: &PickedEndpoint, began: Duration) -> AttemptResult {
-        let mut in_flight = InFlightAttempt::new(self.shared, picked, began);
+    pub(super) async fn attempt(&mut self, picked: &Arc<PickedEndpoint>, began: Duration) -> AttemptResult<'a> {
+        let mut in_flight = InFlightAttempt::new(self.shared, picked.clone(), began);
         let connection = match self.connect(picked).await {
             WaitOutcome::Done(Ok(connection)) => connection,
             WaitOutcome::Done(Err(_)) => {
@@ -297,17 +249,18 @@
                 return AttemptResult::Failed(Failure::NotSent);
             }
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
-            WaitOutcome::TimedOut => return AttemptResult::Ended(self.give_up(Cause::Deadline)),
+            WaitOutcome::Resumed(attempt) => return AttemptResult::Overtaken(attempt),
+            WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         };
         if self.weights_outdated(picked) {
             // The weights became outdated while connecting. Nothing was sent.
             return AttemptResult::Failed(Failure::NotSent);
         }
         if let Some(remaining) = self.held_for() {
-            return AttemptResult::Ended(self.give_up(Cause::Quarantined(remaining)));
+            return AttemptResult::GaveUp(Cause::Quarantined(remaining));
         }
         if self.lifecycle.on(RequestEvent::SendStarts) != RequestStep::Send {
-            return AttemptResult::Ended(self.give_up(Cause::EndpointFailed));
+            return AttemptResult::GaveUp(Cause::EndpointFailed);
         }
         self.sent += 1;
         in_flight.sent();
@@ -315,11 +268,18 @@
         self.record.tunnel = connection.tunnel;
         self.record.weights = self.weights_age(picked);
         self.record_prompt(picked);
+        let exchange = self.exchange(picked, connection);
+        self.await_head(in_flight, exchange).await
+    }
+
+    /// Waits for the head of a response and handles it.
+    pub(super) async fn await_head(
+        &mut self,
+        in_flight: InFlightAttempt<'a>,
+        mut exchange: PendingExchange<'a>,
+    ) -> AttemptResult<'a> {
         let within = attempt::attempt_timeout(self.request.route.kind, &self.tried());
-        let waited = match self
-            .wait_for_begin(picked, within, self.exchange(picked, connection))
-            .await
-        {
+        let waited = match self.wait_for_begin(&in_flight.picked, within, exchange.as_mut()).await {
             Ok(waited) => waited,
             Err(WeightsOutdated) => {
                 self.lifecycle.on(RequestEvent::SendFailed);
@@ -327,7 +287,7 @@
             }
         };
         match waited {
-            WaitOutcome::Done(Ok((answer, source))) => self.handle_response(&mut in_flight, answer, source).await,
+            WaitOutcome::Done(Ok((answer, source))) => self.handle_response(in_flight, answer, source).await,
             WaitOutcome::Done(Err(_)) => {
                 in_flight.outcome(Outcome::Broken);
                 self.lifecycle.on(RequestEvent::SendFailed);
@@ -337,10 +297,19 @@
                 self.record_wait(in_flight.began);
                 AttemptResult::Ended(self.client_disconnected())
             }
+            WaitOutcome::Resumed(attempt) => {
+                self.lifecycle.on(RequestEvent::SendFailed);
+                AttemptResult::Overtaken(attempt)
+            }
             WaitOutcome::TimedOut => {
                 self.record_wait(in_flight.began);
-                in_flight.outcome(Outcome::Timeout);
-                self.timed_out()
+                if self.remaining().is_zero() {
+                    in_flight.outcome(Outcome::Timeout);
+                    return AttemptResult::GaveUp(Cause::Deadline);
+                }
+                self.lifecycle.on(RequestEvent::SendFailed);
+                self.suspend(SilentAttempt::sent(in_flight, exchange));
+                AttemptResult::Failed(Failure::Timeout)
             }
         }
     }
@@ -349,12 +318,11 @@
     /// weights are outdated, because its response would be useless. Dropping the future closes the connection, and the
     /// engine then drops the request.
     pub(super) async fn wait_for_begin<T>(
-        &self,
+        &mut self,
         picked: &PickedEndpoint,
         within: Duration,
         future: impl Future<Output = T>,
-    ) -> Result<WaitOutcome<T>, WeightsOutdated> {
-        let conn = self.request.incoming.conn.clone();
+    ) -> Result<WaitOutcome<'a, T>, WeightsOutdated> {
         let mut future = pin!(future);
         let until = self.shared.clock.now() + within;
         loop {
@@ -368,7 +336,7 @@
                 Wait::TimedOut => return Ok(WaitOutcome::TimedOut),
                 Wait::Cancel => return Err(WeightsOutdated),
             };
-            match wait(&conn, pause, future.as_mut()).await {
+            match self.wait(pause, future.as_mut()).await {
                 WaitOutcome::TimedOut => {}
                 ended => return Ok(ended),
             }
@@ -389,7 +357,7 @@
 
     /// Handles a request that was cancelled while it waited in an endpoint's queue. The wait counts for the delay of
     /// first events there, but not for the health of the endpoint.
-    pub(super) fn cancelled(&self, in_flight: &InFlightAttempt<'_>) -> AttemptResult {
+    pub(super) fn cancelled(&self, in_flight: &InFlightAttempt<'_>) -> AttemptResult<'a> {
         self.record_wait(in_flight.began);
         AttemptResult::Failed(Failure::Outdated)
     }
@@ -402,15 +370,6 @@
         Some((weights, self.shared.fleet().staleness(&prompt.model, weights, now)))
     }
 
-    /// Handles an endpoint that did not respond within the attempt's timeout.
-    fn timed_out(&mut self) -> AttemptResult {
-        if self.remaining().is_zero() {
-            return AttemptResult::Ended(self.give_up(Cause::Deadline));
-        }
-        self.lifecycle.on(RequestEvent::SendFailed);
-        AttemptResult::Failed(Failure::Timeout)
-    }
-
     fn tried(&self) -> AttemptHistory {
         AttemptHistory {
             sent: self.sent,
@@ -422,7 +381,7 @@
         }
     }
 
-    async fn connect(&self, picked: &PickedEndpoint) -> WaitOutcome<Result<PooledConnection, ExchangeError>> {
+    async fn connect(&mut self, picked: &PickedEndpoint) -> WaitOutcome<'a, Result<PooledConnection, ExchangeError>> {
         if self.repeatable()
             && let Some(connection) = self.shared.connections.take_idle(&picked.endpoint)
         {
@@ -430,62 +389,68 @@
         }
         let limit = self.remaining();
         let open = connections::open(self.shared, &picked.endpoint, limit);
-        wait(&self.request.incoming.conn, limit, open).await
+        self.wait(limit, open).await
     }
 
-    async fn exchange(
-        &self,
-        picked: &PickedEndpoint,
-        mut connection: PooledConnection,
-    ) -> Result<(Response, Source), ExchangeError> {
-        let request = self.encode(picked);
-        let method = &self.request.incoming.head.method;
-        let parse = self.shared.dialect.parse_response;
-        let id = &self.request.info.id;
-        let ours = |head: &http::raw::ResponseHead| parse(head).id.is_none_or(|echoed| echoed == *id);
-        let mut answer = exchange(&mut connection.source, &request, method, ours).await;
-        if connection.used && answer.as_ref().is_err_and(ExchangeError::is_closed) {
-            // The endpoint closed the reused connection while the request was in transit. Sending it again is safe,
-            // because only repeatable requests use such connections.
-            connection = connections::open(self.shared, &picked.endpoint, self.remaining()).await?;
-            answer = exchange(&mut connection.source, &request, method, ours).await;
-        }
-        let mut answer = answer?;
-        answer.reusable &= !connection.tunnel;
-        Ok((answer, connection.source))
+    fn exchange(&self, picked: &Arc<PickedEndpoint>, mut connection: PooledConnection) -> PendingExchange<'a> {
+        let bytes = self.encode(picked);
+        let remaining = self.remaining();
+        let (shared, request, picked) = (self.shared, self.request, picked.clone());
+        Box::pin(async move {
+            let method = &request.incoming.head.method;
+            let parse = shared.dialect.parse_response;
+            let id = &request.info.id;
+            let ours = |head: &http::raw::ResponseHead| parse(head).id.is_none_or(|echoed| echoed == *id);
+            let mut answer = exchange(&mut connection.source, &bytes, method, ours).await;
+            if connection.used && answer.as_ref().is_err_and(ExchangeError::is_closed) {
+                // The endpoint closed the reused connection while the request was in transit. Sending it again is safe,
+                // because only repeatable requests use such connections.
+                connection = connections::open(shared, &picked.endpoint, remaining).await?;
+                answer = exchange(&mut connection.source, &bytes, method, ours).await;
+            }
+            let mut answer = answer?;
+            answer.reusable &= !connection.tunnel;
+            Ok((answer, connection.source))
+        })
     }
 
-    async fn handle_response(
+    pub(super) async fn handle_response(
         &mut self,
-        in_flight: &mut InFlightAttempt<'_>,
+        mut in_flight: InFlightAttempt<'a>,
         answer: Response,
         source: Source,
-    ) -> AttemptResult {
+    ) -> AttemptResult<'a> {
         let info = (self.shared.dialect.parse_response)(&answer.head);
         let prompt = self.request.info.prompt.as_ref();
         observe::record_info(self.shared, &in_flight.picked.endpoint.id, prompt, &info);
         let status = answer.head.status;
         if info.not_run || status == 421 {
             in_flight.ended();
-            return self.handle_refusal(in_flight, status, &info);
+            return self.handle_refusal(&in_flight, status, &info);
         }
         self.lifecycle.on(RequestEvent::HeadArrived);
         let success = (200..300).contains(&status);
         let authentic = info.sealed && !info.encoded && info.id.is_some();
         if success && !authentic {
-            return self.response_broken(in_flight);
+            return self.response_broken(&in_flight);
         }
         if success && self.request.route.kind.streams() {
-            return StreamRelay::new(self, in_flight).run(answer, source, &info).await;
+            let stream = OpenStream::new(answer, source, info);
+            return StreamRelay::new(self, in_flight, stream).run().await;
         }
         if self.head_sent {
             // Only another stream can continue a stream.
-            return self.response_broken(in_flight);
+            return self.response_broken(&in_flight);
         }
         self.read_response(in_flight, answer, source, &info).await
     }
 
-    fn handle_refusal(&mut self, in_flight: &InFlightAttempt<'_>, status: u16, info: &ResponseInfo) -> AttemptResult {
+    fn handle_refusal(
+        &mut self,
+        in_flight: &InFlightAttempt<'_>,
+        status: u16,
+        info: &ResponseInfo,
+    ) -> AttemptResult<'a> {
         self.lifecycle.on(RequestEvent::EndpointRefused);
         let intended = &in_flight.picked.endpoint.id;
         if status == 421 && info.endpoint.as_ref().is_some_and(|other| other != intended) {
@@ -505,7 +470,7 @@
         AttemptResult::Failed(if full { Failure::Full } else { Failure::Declined })
     }
 
-    pub(super) fn response_broken(&mut self, in_flight: &InFlightAttempt<'_>) -> AttemptResult {
+    pub(super) fn response_broken(&mut self, in_flight: &InFlightAttempt<'_>) -> AttemptResult<'a> {
         in_flight.outcome(Outcome::Broken);
         self.events.discard_partial();
         self.lifecycle.on(RequestEvent::AnswerFailed);
@@ -514,18 +479,21 @@
 
     async fn read_response(
         &mut self,
-        in_flight: &mut InFlightAttempt<'_>,
+        mut in_flight: InFlightAttempt<'a>,
         mut answer: Response,
         mut source: Source,
         info: &ResponseInfo,
-    ) -> AttemptResult {
-        let conn = self.request.incoming.conn.clone();
+    ) -> AttemptResult<'a> {
         let reading = answer.body.read_to_end(&mut source, MAX_RESPONSE_BYTES);
-        let body = match wait(&conn, self.remaining(), reading).await {
+        let body = match self.wait(self.remaining(), reading).await {
             WaitOutcome::Done(Ok(body)) => body,
-            WaitOutcome::Done(Err(_)) => return self.response_broken(in_flight),
+            WaitOutcome::Done(Err(_)) => return self.response_broken(&in_flight),
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
-            WaitOutcome::TimedOut => return AttemptResult::Ended(self.give_up(Cause::Deadline)),
+            WaitOutcome::Resumed(attempt) => {
+                self.lifecycle.on(RequestEvent::AnswerFailed);
+                return AttemptResult::Overtaken(attempt);
+            }
+            WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         };
         let status = answer.head.status;
         let headers = (self.shared.dialect.response_headers)(&answer.head.headers);
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -3,12 +3,13 @@
 use crate::shared::Shared;
 use dispatch::fleet::{Outcome, PickedEndpoint};
 use ids::ServiceId;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// An attempt in flight. It counts for the endpoint's load until dropped.
 pub(super) struct InFlightAttempt<'a> {
     shared: &'a Shared,
-    pub(super) picked: &'a PickedEndpoint,
+    pub(super) picked: Arc<PickedEndpoint>,
     pub(super) began: Duration,
     prompt_done: bool,
     /// Whether the endpoint may be running the request.
@@ -17,7 +18,7 @@
 
 impl<'a> InFlightAttempt<'a> {
     /// An attempt that was counted for the endpoint's load at `began`.
-    pub(super) fn new(shared: &'a Shared, picked: &'a PickedEndpoint, began: Duration) -> Self {
+    pub(super) fn new(shared: &'a Shared, picked: Arc<PickedEndpoint>, began: Duration) -> Self {
         if picked.prefill > 0 {
             shared.news_changed();
         }
@@ -61,6 +62,13 @@
             .record_outcome(&self.picked.endpoint.id, outcome, now);
     }
 
+    /// Records that the endpoint is reachable after all.
+    pub(super) fn resumed(&self) {
+        let now = self.shared.clock.now();
+        let outcome = Outcome::Answered(now.saturating_sub(self.began));
+        self.shared.fleet().record_probe(&self.picked.endpoint.id, outcome, now);
+    }
+
     /// Records how long the endpoint took to read the prompt and those before it.
     pub(super) fn record_read(&self, service: &ServiceId) {
         let waited = self.shared.clock.now().saturating_sub(self.began);
@@ -81,7 +89,7 @@
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         fleet.request_finished(&entry.id, entry.incarnation);
-        fleet.release_place(self.picked, self.began, !self.may_run, now);
+        fleet.release_place(&self.picked, self.began, !self.may_run, now);
         drop(fleet);
         if self.picked.holds_place {
             self.shared.place_queues.place_freed(&entry.service);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serving one request: authorization, routing, and the response to the client.
 
+mod attempt_loop;
 mod attempts;
 mod fate;
 mod in_flight;
@@ -11,6 +12,7 @@
 mod record;
 mod relay;
 pub mod reply;
+mod silent;
 mod wait;
 
 use crate::dialect::RequestInfo;
--- a/crates/gateway/src/serve/place_queue.rs
+++ b/crates/gateway/src/serve/place_queue.rs
@@ -1,7 +1,8 @@
 //! Requests that wait until this router has a free place at a brittle endpoint.
 
-use super::attempts::{Attempts, Chosen, RequestOutcome};
-use super::wait::{WaitOutcome, wait};
+use super::attempt_loop::Next;
+use super::attempts::{Attempts, Chosen};
+use super::wait::WaitOutcome;
 use dispatch::attempt::{self, Cause, PlaceWait};
 use dispatch::fleet::PickedEndpoint;
 use event_listener::{Event, EventListener};
@@ -72,10 +73,10 @@
     }
 }
 
-impl Attempts<'_> {
+impl<'a> Attempts<'a> {
     /// Chooses an endpoint. While all places of this router at brittle endpoints are in use, the request waits for one,
     /// unless its turn would come too late.
-    pub(super) async fn choose_or_wait(&mut self) -> Result<(PickedEndpoint, Duration), RequestOutcome> {
+    pub(super) async fn choose_or_wait(&mut self) -> Result<(Arc<PickedEndpoint>, Duration), Next<'a>> {
         let service = self.request.service;
         let queues = &self.shared.place_queues;
         let mut waits: Option<(Ticket, Duration)> = None;
@@ -89,24 +90,26 @@
             let turn = match turn.map_or_else(|| self.choose(), |turn| Ok(Chosen::Occupied(turn))) {
                 Ok(Chosen::Endpoint(picked, began)) => return Ok((picked, began)),
                 Ok(Chosen::Occupied(turn)) => turn,
-                Err(cause) => return Err(self.give_up(cause)),
+                Err(cause) => return Err(Next::GiveUp(cause)),
             };
             let now = self.shared.clock.now();
             if waits.is_none() {
                 let ticket = queues.join(service);
                 match attempt::place_wait(turn, ticket.ahead, self.remaining()) {
                     PlaceWait::Wait(longest) => waits = Some((ticket, now + longest)),
-                    PlaceWait::Refuse(after) => return Err(self.give_up(Cause::NoPlace(after))),
+                    PlaceWait::Refuse(after) => return Err(Next::GiveUp(Cause::NoPlace(after))),
                 }
             }
             let Some((ticket, until)) = &waits else { continue };
             let left = until.saturating_sub(now);
             if left.is_zero() {
-                return Err(self.give_up(Cause::NoPlace(turn)));
+                return Err(Next::GiveUp(Cause::NoPlace(turn)));
             }
             let pause = left.min(attempt::PLACE_CHECK_INTERVAL);
-            if let WaitOutcome::ClientDisconnected = wait(&self.request.incoming.conn, pause, ticket.turn()).await {
-                return Err(self.client_disconnected());
+            match self.wait(pause, ticket.turn()).await {
+                WaitOutcome::Done(()) | WaitOutcome::TimedOut => {}
+                WaitOutcome::ClientDisconnected => return Err(Next::End(self.client_disconnected())),
+                WaitOutcome::Resumed(attempt) => return Err(Next::Resume(attempt)),
             }
         }
     }
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -2,20 +2,45 @@
 
 use super::attempts::{AttemptResult, Attempts, RequestOutcome};
 use super::in_flight::InFlightAttempt;
-use super::wait::{WaitOutcome, WeightsOutdated, wait};
+use super::silent::SilentAttempt;
+use super::wait::{WaitOutcome, WeightsOutdated};
 use super::{closes_connection, reply};
 use crate::dialect::ResponseInfo;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
-use dispatch::fleet::Outcome;
 use http::raw::{Framing, Response, Source};
 use lifecycle::request::RequestEvent;
 
+/// A stream of an endpoint.
+pub(super) struct OpenStream {
+    answer: Response,
+    pub(super) source: Source,
+    info: ResponseInfo,
+    /// Whether this endpoint has sent an event. Earlier events may have come from another endpoint.
+    started: bool,
+    /// Bytes of an incomplete event, while the attempt is suspended.
+    pub(super) partial: Vec<u8>,
+}
+
+impl OpenStream {
+    /// A stream of which only the head was read.
+    pub(super) fn new(answer: Response, source: Source, info: ResponseInfo) -> Self {
+        Self {
+            answer,
+            source,
+            info,
+            started: false,
+            partial: Vec::new(),
+        }
+    }
+}
+
 /// Relays the part of a stream that one endpoint sends.
-pub(super) struct StreamRelay<'r, 'a, 'f> {
+pub(super) struct StreamRelay<'r, 'a> {
     attempts: &'r mut Attempts<'a>,
-    in_flight: &'r mut InFlightAttempt<'f>,
+    in_flight: InFlightAttempt<'a>,
+    stream: OpenStream,
     close: bool,
     chunked: bool,
 }
@@ -27,75 +52,89 @@
     ClientDisconnected,
 }
 
-impl<'r, 'a, 'f> StreamRelay<'r, 'a, 'f> {
-    pub(super) fn new(attempts: &'r mut Attempts<'a>, in_flight: &'r mut InFlightAttempt<'f>) -> Self {
+impl<'r, 'a> StreamRelay<'r, 'a> {
+    pub(super) fn new(attempts: &'r mut Attempts<'a>, in_flight: InFlightAttempt<'a>, stream: OpenStream) -> Self {
         let incoming = attempts.request.incoming;
         let close = closes_connection(attempts.shared, incoming);
         let chunked = !incoming.head.http10;
         Self {
             attempts,
             in_flight,
+            stream,
             close,
             chunked,
         }
     }
 
-    pub(super) async fn run(mut self, mut answer: Response, mut source: Source, info: &ResponseInfo) -> AttemptResult {
-        let conn = self.attempts.request.incoming.conn.clone();
-        // Whether this endpoint has sent an event. Earlier events may have come from another endpoint.
-        let mut started = false;
+    pub(super) async fn run(mut self) -> AttemptResult<'a> {
         loop {
             let within = attempt::stream_idle_timeout(self.attempts.request.route.kind, self.attempts.remaining());
-            let part = answer.body.next_part(&mut source);
-            let waited = if started {
-                wait(&conn, within, part).await
+            let part = self.stream.answer.body.next_part(&mut self.stream.source);
+            let waited = if self.stream.started {
+                self.attempts.wait(within, part).await
             } else {
-                match self.attempts.wait_for_begin(self.in_flight.picked, within, part).await {
+                match self.attempts.wait_for_begin(&self.in_flight.picked, within, part).await {
                     Ok(waited) => waited,
                     Err(WeightsOutdated) => return self.cancelled(),
                 }
             };
             match waited {
                 WaitOutcome::Done(Ok(Some(part))) => {
-                    let whole = self.attempts.events.push(&part);
-                    if whole.count == 0 {
-                        continue;
-                    }
-                    if !started {
-                        self.attempts.stream_began(self.in_flight.picked);
-                    }
-                    started = true;
-                    self.first_event();
-                    self.attempts.record.part(self.attempts.shared);
-                    if self.write(&answer, &whole.bytes, false).await == WriteResult::ClientDisconnected {
+                    if self.forward(&part).await == WriteResult::ClientDisconnected {
                         return AttemptResult::Ended(self.attempts.client_disconnected());
                     }
                 }
-                WaitOutcome::Done(Ok(None)) => return self.finish(&answer, source, info).await,
-                WaitOutcome::Done(Err(_)) => return self.attempts.response_broken(self.in_flight),
+                WaitOutcome::Done(Ok(None)) => return self.finish().await,
+                WaitOutcome::Done(Err(_)) => return self.attempts.response_broken(&self.in_flight),
                 WaitOutcome::ClientDisconnected => {
                     self.attempts.record_wait(self.in_flight.began);
                     return AttemptResult::Ended(self.attempts.client_disconnected());
                 }
+                WaitOutcome::Resumed(attempt) => {
+                    self.failed();
+                    return AttemptResult::Overtaken(attempt);
+                }
                 WaitOutcome::TimedOut if self.attempts.remaining().is_zero() => {
-                    return AttemptResult::Ended(self.attempts.give_up(Cause::Deadline));
+                    return AttemptResult::GaveUp(Cause::Deadline);
                 }
                 WaitOutcome::TimedOut => return self.timed_out(),
             }
         }
     }
 
-    fn timed_out(self) -> AttemptResult {
-        self.in_flight.outcome(Outcome::Timeout);
-        self.attempts.events.discard_partial();
+    /// Writes the events that `part` completes to the client.
+    async fn forward(&mut self, part: &[u8]) -> WriteResult {
+        let whole = self.attempts.events.push(part);
+        if whole.count == 0 {
+            return WriteResult::Done;
+        }
+        if !self.stream.started {
+            self.attempts.stream_began(&self.in_flight.picked);
+        }
+        self.stream.started = true;
+        // This endpoint continues the stream, so those that were silent must not run it any longer.
+        self.attempts.silent.clear();
+        self.first_event();
+        self.attempts.record.part(self.attempts.shared);
+        self.write(&whole.bytes, false).await
+    }
+
+    fn timed_out(mut self) -> AttemptResult<'a> {
+        self.stream.partial = self.attempts.events.take_partial();
         self.attempts.lifecycle.on(RequestEvent::AnswerFailed);
+        let attempt = SilentAttempt::streaming(self.in_flight, self.stream);
+        self.attempts.suspend(attempt);
         AttemptResult::Failed(Failure::Timeout)
     }
 
-    fn cancelled(self) -> AttemptResult {
+    fn cancelled(mut self) -> AttemptResult<'a> {
+        self.failed();
+        self.attempts.cancelled(&self.in_flight)
+    }
+
+    fn failed(&mut self) {
         self.attempts.events.discard_partial();
         self.attempts.lifecycle.on(RequestEvent::AnswerFailed);
-        self.attempts.cancelled(self.in_flight)
     }
 
     fn first_event(&mut self) {
@@ -110,8 +149,8 @@
     }
 
     /// Handles the end of the endpoint's response.
-    async fn finish(mut self, answer: &Response, source: Source, info: &ResponseInfo) -> AttemptResult {
-        let framing = answer.body.framing();
+    async fn finish(mut self) -> AttemptResult<'a> {
+        let framing = self.stream.answer.body.framing();
         self.record_end(framing);
         let end = StreamEnd {
             framed: framing != Framing::UntilClose,
@@ -119,13 +158,16 @@
             has_events: self.attempts.head_sent,
         };
         if !end.is_complete() {
-            return self.attempts.response_broken(self.in_flight);
+            return self.attempts.response_broken(&self.in_flight);
         }
-        if self.write(answer, &[], true).await == WriteResult::ClientDisconnected {
+        if self.write(&[], true).await == WriteResult::ClientDisconnected {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
         self.in_flight.ended();
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
+        let OpenStream {
+            answer, source, info, ..
+        } = self.stream;
         if answer.reusable && answer.head.keeps_alive() {
             let connections = &self.attempts.shared.connections;
             connections.put_back(&self.in_flight.picked.endpoint, source, info.keep_alive);
@@ -153,9 +195,10 @@
     }
 
     /// Writes events. The first write includes the response head, the last one the end of the stream.
-    async fn write(&mut self, answer: &Response, part: &[u8], last: bool) -> WriteResult {
+    async fn write(&mut self, part: &[u8], last: bool) -> WriteResult {
         let mut bytes = Vec::with_capacity(part.len() + 64);
         if !self.attempts.head_sent {
+            let answer = &self.stream.answer;
             let headers = (self.attempts.shared.dialect.response_headers)(&answer.head.headers);
             bytes = reply::stream_head(answer.head.status, &headers, self.close, self.chunked);
             self.attempts.head_sent = true;
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -55,6 +55,16 @@
         self.buffer.clear();
     }
 
+    /// Removes and returns a partial event, while another endpoint may continue the stream.
+    pub fn take_partial(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.buffer)
+    }
+
+    /// Puts back the partial event of an endpoint that goes on after all.
+    pub fn restore_partial(&mut self, partial: Vec<u8>) {
+        self.buffer = partial;
+    }
+
     /// Number of the last forwarded event.
     pub fn last_number(&self) -> Option<u64> {
         self.last_number
--- a/crates/lifecycle/tests/events.rs
+++ b/crates/lifecycle/tests/events.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// Another endpoint may send a part of an event before the one that was silent goes on.
+#[test]
+fn a_partial_event_is_completed_by_its_own_endpoint() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let partial = splitter.take_partial();
+    splitter.push(b"id: 2\n");
+    splitter.restore_partial(partial);
+    assert_eq!(splitter.push(b"ta: b\n\n").bytes, b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.partial_len(), 0);
+}
+
 quickcheck! {
     /// However much of a stream arrives, the end of an event must not be seen anywhere else.
     fn a_cut_inside_an_event_leaves_a_partial_event(cut: usize, count: u8) -> bool {
