--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod origins;
 mod part_holds;
+mod place_queues;
 mod quarantine;
 mod run;
 mod serve;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -31,8 +31,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-pub use place_queue::PlaceQueues;
-
 /// What happens to a client's connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionAction {
--- a/crates/gateway/src/serve/place_queue.rs
+++ b/crates/gateway/src/serve/place_queue.rs
@@ -3,76 +3,12 @@
 use super::attempt_loop::Next;
 use super::attempts::{Attempts, Chosen};
 use super::wait::WaitOutcome;
+use crate::place_queues::Ticket;
 use dispatch::attempt::{self, Cause, PlaceWait};
 use dispatch::fleet::PickedEndpoint;
-use event_listener::{Event, EventListener};
-use ids::ServiceId;
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// The requests that wait, by service.
-#[derive(Debug, Default)]
-pub struct PlaceQueues {
-    queues: Mutex<HashMap<ServiceId, Arc<PlaceQueue>>>,
-}
-
-#[derive(Debug, Default)]
-struct PlaceQueue {
-    freed: Event,
-    waiting: AtomicU32,
-}
-
-/// A waiting request. It leaves the queue when dropped.
-#[derive(Debug)]
-pub(super) struct Ticket {
-    queue: Arc<PlaceQueue>,
-    /// Requests that were waiting before this one.
-    pub(super) ahead: u32,
-}
-
-impl PlaceQueues {
-    /// Wakes the request that has waited longest for a place at this service.
-    pub(super) fn place_freed(&self, service: &ServiceId) {
-        if let Some(queue) = self.lock().get(service) {
-            queue.freed.notify(1);
-        }
-    }
-
-    /// Number of requests that wait for a place at this service.
-    pub(super) fn waiting(&self, service: &ServiceId) -> u32 {
-        let queues = self.lock();
-        queues
-            .get(service)
-            .map_or(0, |queue| queue.waiting.load(Ordering::SeqCst))
-    }
-
-    /// Adds a request to the queue of a service.
-    pub(super) fn join(&self, service: &ServiceId) -> Ticket {
-        let queue = self.lock().entry(service.clone()).or_default().clone();
-        let ahead = queue.waiting.fetch_add(1, Ordering::SeqCst);
-        Ticket { queue, ahead }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceId, Arc<PlaceQueue>>> {
-        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Ticket {
-    /// Resolves when a place has become free and it is this request's turn.
-    pub(super) fn turn(&self) -> EventListener {
-        self.queue.freed.listen()
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.queue.waiting.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 impl<'a> Attempts<'a> {
     /// Chooses an endpoint. While all places of this router at brittle endpoints are in use, the request waits for one,
     /// unless its turn would come too late.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::part_holds::PartHolds;
-use crate::serve::PlaceQueues;
+use crate::place_queues::PlaceQueues;
 use crate::settings::Settings;
 use crate::tunnel::PeerCache;
 use arc_swap::{ArcSwap, ArcSwapOption};
