Known red: one end after a told release holds a part again

Callers would see requests with a sound part refused for 30 s again, soon after an answer had shown it to be sound: a router that sees a held part answered tells the others the release, but not when the answer began. Those that count still take the ends before it for unexplained, so one further end with the part, for whatever reason, is enough where three are needed. Found on reading.

Measured: a_told_answer_rules_out_the_ends_before_it fails in its first case, "one end" (left: [9], right: []); the other 8 tests of the file pass.

--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -240,6 +240,42 @@
     assert_eq!(held(&other, 33_300), [] as [u64; 0]);
 }
 
+/// An answer rules out the ends before it at all routers, so a single end afterwards must not hold the part again.
+#[test]
+fn a_told_answer_rules_out_the_ends_before_it() {
+    struct Case {
+        name: &'static str,
+        /// Times of the ends after the release.
+        later: Vec<u64>,
+        held: Vec<u64>,
+    }
+    let case = |name, later: &[u64], held: &[u64]| Case {
+        name,
+        later: later.to_vec(),
+        held: held.to_vec(),
+    };
+    let cases = [
+        case("one end", &[40_000], &[]),
+        case("two ends", &[40_000, 41_000], &[]),
+        case("three ends", &[40_000, 41_000, 42_000], &[9]),
+    ];
+    for case in cases {
+        let mut counting = FatalParts::default();
+        let mut answered = FatalParts::default();
+        for number in 1..=3 {
+            let changes = counting.merge_ends(&[end(number, 1_000 * number, &[&[1, 9]])], at(1_000 * number));
+            answered.merge(&changes, at(1_000 * number));
+        }
+        let changes = answered.record_answer(&[part(1), part(9)], at(33_000), at(33_200));
+        counting.merge(&changes, at(33_250));
+        assert_eq!(held(&counting, 33_250), [] as [u64; 0], "{}", case.name);
+        for (number, ended) in case.later.iter().enumerate() {
+            counting.merge_ends(&[end(4 + number as u64, *ended, &[&[1, 9]])], at(*ended));
+        }
+        assert_eq!(held(&counting, 43_000), case.held, "{}", case.name);
+    }
+}
+
 /// Callers choose the parts of their prompts, so they must not fill the memory.
 #[test]
 fn the_number_of_remembered_parts_is_bounded() {
