The answer that releases a part is told with the release

Callers would see requests with a sound part refused for 30 s again, soon after an answer had shown it to be sound: a router that sees a held part answered told only the release. Routers that count ends still took those before the answer for unexplained, and one further end was enough where three are needed.

Change: besides the release, the router tells the parts of the answered prompt and when the answer began, and the others note that like an answer of their own. A release by a better explanation has no answer and rules out nothing. The answers are a field of their own in the message, not a third element of a release: older routers read releases as pairs, and would drop the whole message. Without the field all is as before.

Not played: a release between real routers.

Tests changed: one in an_answer_releases_a_part spells out Changes with its defaults, since it has a field more.

--- a/crates/dispatch/src/fatal_parts.rs
+++ b/crates/dispatch/src/fatal_parts.rs
@@ -124,6 +124,15 @@
     pub at: Duration,
 }
 
+/// A part of a prompt that an endpoint answered completely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The part.
+    pub part: PartId,
+    /// When the answer began.
+    pub began: Duration,
+}
+
 /// What changed, to be told to other routers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -131,12 +140,14 @@
     pub held: Vec<Hold>,
     /// Parts that are held no longer.
     pub released: Vec<Release>,
+    /// Parts of the prompts whose answers released a part. Empty if another part explains the ends better.
+    pub answered: Vec<Answer>,
 }
 
 impl Changes {
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.released.is_empty()
+        self.held.is_empty() && self.released.is_empty() && self.answered.is_empty()
     }
 }
 
@@ -208,6 +219,11 @@
     pub fn merge(&mut self, told: &Changes, now: Duration) -> Changes {
         self.remove_expired(now);
         let mut new = Changes::default();
+        for answer in &told.answered {
+            if self.note_answer(answer.part, answer.began) {
+                new.answered.push(*answer);
+            }
+        }
         for release in &told.released {
             let known = self.released.get(&release.part);
             if known.is_none_or(|at| *at + TRANSIT_MARGIN < release.at) {
@@ -233,6 +249,11 @@
                 changes.released.push(Release { part: *part, at: now });
             }
         }
+        if !changes.released.is_empty() {
+            // The other parts must not explain the same ends at routers that count.
+            let answer = |part: &PartId| Answer { part: *part, began };
+            changes.answered = parts.iter().take(MAX_END_PARTS).map(answer).collect();
+        }
         changes
     }
 
@@ -421,16 +442,18 @@
         self.released.insert(part, at);
     }
 
-    fn note_answer(&mut self, part: PartId, began: Duration) {
+    /// Notes an answer. Returns whether it began later than the last one that was known.
+    fn note_answer(&mut self, part: PartId, began: Duration) -> bool {
         let known = self.answered.entry(part).or_default();
         if began <= *known {
-            return;
+            return false;
         }
         *known = began;
         self.answer_order.push_back((part, began));
         while self.answer_order.len() > MAX_ANSWERED {
             self.forget_oldest_answer();
         }
+        true
     }
 
     fn forget_oldest_answer(&mut self) {
--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -215,7 +215,7 @@
     };
     let told = Changes {
         held: vec![hold],
-        released: Vec::new(),
+        ..Changes::default()
     };
     let mut parts = FatalParts::default();
     assert_eq!(parts.merge(&told, at(3_050)), told);
@@ -276,6 +276,27 @@
     }
 }
 
+/// A better explanation says nothing of the ends, nor does an older router.
+#[test]
+fn a_told_release_without_an_answer_rules_out_no_ends() {
+    let mut parts = FatalParts::default();
+    for number in 1..=3 {
+        parts.merge_ends(&[end(number, 1_000 * number, &[&[1, 9]])], at(1_000 * number));
+    }
+    let release = Release {
+        part: part(9),
+        at: at(33_200),
+    };
+    let told = Changes {
+        released: vec![release],
+        ..Changes::default()
+    };
+    parts.merge(&told, at(33_250));
+    assert_eq!(held(&parts, 33_250), [] as [u64; 0]);
+    parts.merge_ends(&[end(4, 40_000, &[&[1, 9]])], at(40_000));
+    assert_eq!(held(&parts, 40_000), [9]);
+}
+
 /// Callers choose the parts of their prompts, so they must not fill the memory.
 #[test]
 fn the_number_of_remembered_parts_is_bounded() {
--- a/crates/gateway/src/part_holds/message.rs
+++ b/crates/gateway/src/part_holds/message.rs
@@ -1,15 +1,17 @@
 //! Conversions between messages and what the decisions work with. Messages hold ages, because clocks differ.
 
-use dispatch::fatal_parts::{Changes, EndedProcess, Hold, Release, Suspect};
-use peers::{EndedProcessMessage, HoldMessage, PartsMessage, ReleaseMessage, SuspectMessage};
+use dispatch::fatal_parts::{Answer, Changes, EndedProcess, Hold, Release, Suspect};
+use peers::{AnswerMessage, EndedProcessMessage, HoldMessage, PartsMessage, ReleaseMessage, SuspectMessage};
 use std::time::Duration;
 
 /// The message with these ends and changes.
 pub(super) fn message(ends: &[EndedProcess], changes: &Changes, now: Duration) -> PartsMessage {
+    let answered = |answer: &Answer| AnswerMessage(answer.part, age(answer.began, now));
     PartsMessage {
         ends: ends.iter().map(|end| ended(end, now)).collect(),
         held: changes.held.iter().map(|held| hold(held, now)).collect(),
         released: changes.released.iter().map(|release| released(release, now)).collect(),
+        answered: changes.answered.iter().map(answered).collect(),
     }
 }
 
@@ -34,9 +36,14 @@
         part: *part,
         at: at(*age, now),
     };
+    let answer = |AnswerMessage(part, age): &AnswerMessage| Answer {
+        part: *part,
+        began: at(*age, now),
+    };
     Changes {
         held: message.held.iter().map(|held| parse_hold(held, now)).collect(),
         released: message.released.iter().map(release).collect(),
+        answered: message.answered.iter().map(answer).collect(),
     }
 }
 
--- a/crates/gateway/src/part_holds/sender.rs
+++ b/crates/gateway/src/part_holds/sender.rs
@@ -100,6 +100,7 @@
 fn extend(all: &mut Changes, changes: Changes) {
     all.held.extend(changes.held);
     all.released.extend(changes.released);
+    all.answered.extend(changes.answered);
 }
 
 impl PartHolds {
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -241,6 +241,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseMessage(pub PartId, pub u64);
 
+/// A part that an endpoint answered completely, and how long ago that answer began, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerMessage(pub PartId, pub u64);
+
 /// What a router reports or tells of parts under which endpoints end.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartsMessage {
@@ -253,6 +257,9 @@
     /// Parts that are released.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<ReleaseMessage>,
+    /// Parts of the prompts whose answers released a part; absent from older routers.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub answered: Vec<AnswerMessage>,
 }
 
 /// A stream and where it began, as sent between routers.
