One list of the causes that are refused as not run

The match that gives a refusal its status listed the same six causes twice, once with a guard and once without. One arm decides by whether the request has not run.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -330,18 +330,14 @@
         | Cause::Limited(_)
         | Cause::NoPlace(_)
         | Cause::Quarantined(_)
-        | Cause::Overloaded
-            if not_run =>
-        {
-            503
+        | Cause::Overloaded => {
+            if not_run {
+                503
+            } else {
+                502
+            }
         }
-        Cause::NoEndpoint
-        | Cause::Full
-        | Cause::Limited(_)
-        | Cause::NoPlace(_)
-        | Cause::Quarantined(_)
-        | Cause::Overloaded
-        | Cause::EndpointFailed => 502,
+        Cause::EndpointFailed => 502,
         Cause::Deadline => 504,
     };
     let retry_after = match (status, cause) {
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -191,6 +191,60 @@
     }
 }
 
+/// With the wrong status a client sends again what has run, or gives up what hasn't.
+#[test]
+fn a_refusal_tells_whether_the_request_may_have_run() {
+    struct Case {
+        cause: Cause,
+        not_run: u16,
+        may_have_run: u16,
+    }
+    let case = |cause, not_run, may_have_run| Case {
+        cause,
+        not_run,
+        may_have_run,
+    };
+    let after = Duration::from_millis(900);
+    let cases = [
+        case(Cause::Malformed, 400, 400),
+        case(Cause::Unauthorized, 401, 401),
+        case(Cause::NoRoute, 404, 404),
+        case(Cause::SlowClient, 408, 408),
+        case(Cause::BodyTooLarge, 413, 413),
+        case(Cause::OverQuota(after), 429, 429),
+        case(Cause::HeadTooLarge, 431, 431),
+        case(Cause::NotReady, 503, 503),
+        case(Cause::Stale, 503, 503),
+        case(Cause::UnknownOrigin, 503, 503),
+        case(Cause::NoEndpoint, 503, 502),
+        case(Cause::Full, 503, 502),
+        case(Cause::Limited(after), 503, 502),
+        case(Cause::NoPlace(after), 503, 502),
+        case(Cause::Quarantined(after), 503, 502),
+        case(Cause::Overloaded, 503, 502),
+        case(Cause::EndpointFailed, 502, 502),
+        case(Cause::Deadline, 504, 504),
+    ];
+    for case in cases {
+        for state in [RequestState::Queued, RequestState::Claimed, RequestState::Refused] {
+            assert_eq!(
+                refusal(case.cause, state).status,
+                case.not_run,
+                "{:?} {state:?}",
+                case.cause
+            );
+        }
+        for state in [RequestState::Unknown, RequestState::Sent, RequestState::FirstByte] {
+            assert_eq!(
+                refusal(case.cause, state).status,
+                case.may_have_run,
+                "{:?} {state:?}",
+                case.cause
+            );
+        }
+    }
+}
+
 /// A router that has just started or lost the store must not reject clients as unauthorized: its configuration may be
 /// incomplete.
 #[test]
