A held part is logged when it begins to be held and when it is released

What operators would see: "prompt part: held" again for each later end under a part that is held already, at each router, and "released" at a router that didn't hold the part.

Cause: Changes listed parts that are held and parts that are held for longer as one, since both are told to other routers, and the log took that list.

Change: they are two lists, told as one. The message between routers is as before. merge returns a release only if it released something; its result is only logged.

Before, extensions were in the list that is logged, as an_end_under_a_trial_doubles_the_hold asserted; that assertion now looks at the list of extensions, with the same count. The log itself has no test.

--- a/crates/dispatch/src/fatal_parts.rs
+++ b/crates/dispatch/src/fatal_parts.rs
@@ -136,8 +136,10 @@
 /// What changed, to be told to other routers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Changes {
-    /// Parts that are held from now on, or for longer.
+    /// Parts that are held from now on.
     pub held: Vec<Hold>,
+    /// Parts that were held before, and are now held for longer.
+    pub extended: Vec<Hold>,
     /// Parts that are held no longer.
     pub released: Vec<Release>,
     /// Parts of the prompts whose answers released a part. Empty if another part explains the ends better.
@@ -147,8 +149,32 @@
 impl Changes {
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.released.is_empty() && self.answered.is_empty()
+        self.held.is_empty() && self.extended.is_empty() && self.released.is_empty() && self.answered.is_empty()
     }
+
+    /// The parts that are held, whether or not they were before.
+    pub fn holds(&self) -> impl Iterator<Item = &Hold> {
+        self.held.iter().chain(&self.extended)
+    }
+
+    fn add(&mut self, hold: Hold, change: HoldChange) {
+        match change {
+            HoldChange::Begun => self.held.push(hold),
+            HoldChange::Extended => self.extended.push(hold),
+            HoldChange::None => {}
+        }
+    }
+}
+
+/// What a hold that a router learns of changes there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HoldChange {
+    /// Nothing: it is known, or the part was released since.
+    None,
+    /// The part is held from now on.
+    Begun,
+    /// The part was held before, and is now held for longer.
+    Extended,
 }
 
 #[derive(Debug)]
@@ -215,7 +241,7 @@
         self.derive(now)
     }
 
-    /// Merges what another router holds and has released. Returns what was new.
+    /// Merges what another router holds and has released. Returns what changed here.
     pub fn merge(&mut self, told: &Changes, now: Duration) -> Changes {
         self.remove_expired(now);
         let mut new = Changes::default();
@@ -227,14 +253,15 @@
         for release in &told.released {
             let known = self.released.get(&release.part);
             if known.is_none_or(|at| *at + TRANSIT_MARGIN < release.at) {
+                if self.held.contains_key(&release.part) {
+                    new.released.push(*release);
+                }
                 self.release(release.part, release.at);
-                new.released.push(*release);
             }
         }
-        for hold in &told.held {
-            if self.hold(*hold) {
-                new.held.push(*hold);
-            }
+        for hold in told.holds() {
+            let change = self.hold(*hold);
+            new.add(*hold, change);
         }
         new
     }
@@ -405,34 +432,34 @@
                 last_end,
                 strikes,
             };
-            if self.hold(hold) {
-                changes.held.push(hold);
-            }
+            let change = self.hold(hold);
+            changes.add(hold, change);
             self.derived.insert(part);
         }
         changes
     }
 
-    /// Holds a part. Returns whether that is new to this router.
-    fn hold(&mut self, hold: Hold) -> bool {
+    /// Holds a part.
+    fn hold(&mut self, hold: Hold) -> HoldChange {
         let released = self.released.get(&hold.part);
         if released.is_some_and(|at| hold.last_end < *at + TRANSIT_MARGIN) {
-            return false;
+            return HoldChange::None;
         }
         let Some(known) = self.held.get_mut(&hold.part) else {
             if self.held.len() >= MAX_HELD {
-                return false;
+                return HoldChange::None;
             }
             self.held.insert(hold.part, hold);
-            return true;
+            return HoldChange::Begun;
         };
         let is_newer = hold.strikes > known.strikes || hold.last_end > known.last_end + TRANSIT_MARGIN;
-        if is_newer {
-            let first_end = known.first_end.min(hold.first_end);
-            *known = Hold { first_end, ..hold };
-            self.trials.remove(&hold.part);
+        if !is_newer {
+            return HoldChange::None;
         }
-        is_newer
+        let first_end = known.first_end.min(hold.first_end);
+        *known = Hold { first_end, ..hold };
+        self.trials.remove(&hold.part);
+        HoldChange::Extended
     }
 
     fn release(&mut self, part: PartId, at: Duration) {
--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -195,7 +195,7 @@
     }
     assert_eq!(parts.remaining(&[part(9)], REQUEST, |_| Some(0), at(33_000)), None);
     let changes = parts.merge_ends(&[end(4, 33_100, &[&[1, 9]])], at(33_100));
-    assert_eq!(changes.held.len(), 1);
+    assert_eq!(changes.extended.len(), 1);
     told.merge(&changes, at(33_100));
     for parts in [&mut parts, &mut told] {
         let remaining = parts.remaining(&[part(9)], REQUEST, |_| Some(0), at(33_100));
@@ -240,6 +240,31 @@
     assert_eq!(held(&other, 33_300), [] as [u64; 0]);
 }
 
+/// Logs tell when a part begins to be held and when it is released. Later ends, and releases from several routers, would repeat it.
+#[test]
+fn a_part_begins_to_be_held_and_is_released_once() {
+    let ids = |holds: &[Hold]| -> Vec<u64> { holds.iter().map(|hold| hold.part.id).collect() };
+    let mut parts = FatalParts::default();
+    let mut told = FatalParts::default();
+    let expected: [(&[u64], &[u64]); 5] = [(&[], &[]), (&[], &[]), (&[9], &[]), (&[], &[9]), (&[], &[9])];
+    for (number, (held, extended)) in (1..).zip(expected) {
+        let now = at(2_000 * number);
+        let changes = parts.merge_ends(&[end(number, 2_000 * number, &[&[1, 9]])], now);
+        assert_eq!(ids(&changes.held), held, "end {number}");
+        assert_eq!(ids(&changes.extended), extended, "end {number}");
+        assert_eq!(told.merge(&changes, now), changes, "end {number}, told");
+    }
+    let release = |at| Changes {
+        released: vec![Release { part: part(9), at }],
+        ..Changes::default()
+    };
+    for parts in [&mut parts, &mut told] {
+        let first = release(at(33_200));
+        assert_eq!(parts.merge(&first, at(33_250)), first);
+        assert_eq!(parts.merge(&release(at(35_000)), at(35_050)), Changes::default());
+    }
+}
+
 /// An answer rules out the ends before it at all routers, so a single end afterwards must not hold the part again.
 #[test]
 fn a_told_answer_rules_out_the_ends_before_it() {
--- a/crates/gateway/src/part_holds/message.rs
+++ b/crates/gateway/src/part_holds/message.rs
@@ -9,7 +9,7 @@
     let answered = |answer: &Answer| AnswerMessage(answer.part, age(answer.began, now));
     PartsMessage {
         ends: ends.iter().map(|end| ended(end, now)).collect(),
-        held: changes.held.iter().map(|held| hold(held, now)).collect(),
+        held: changes.holds().map(|held| hold(held, now)).collect(),
         released: changes.released.iter().map(|release| released(release, now)).collect(),
         answered: changes.answered.iter().map(answered).collect(),
     }
@@ -44,6 +44,7 @@
         held: message.held.iter().map(|held| parse_hold(held, now)).collect(),
         released: message.released.iter().map(release).collect(),
         answered: message.answered.iter().map(answer).collect(),
+        ..Changes::default()
     }
 }
 
--- a/crates/gateway/src/part_holds/mod.rs
+++ b/crates/gateway/src/part_holds/mod.rs
@@ -136,6 +136,7 @@
         let _ = self.outbox.0.try_send(report);
     }
 
+    /// Logs parts that are held or released from now on.
     fn log(&self, changes: &Changes) {
         for hold in &changes.held {
             log::warn!(part:% = hold.part, strikes = hold.strikes; "prompt part: held");
--- a/crates/gateway/src/part_holds/sender.rs
+++ b/crates/gateway/src/part_holds/sender.rs
@@ -99,6 +99,7 @@
 
 fn extend(all: &mut Changes, changes: Changes) {
     all.held.extend(changes.held);
+    all.extended.extend(changes.extended);
     all.released.extend(changes.released);
     all.answered.extend(changes.answered);
 }
