Suspect parts: answers are compared before ends are searched

candidates took a bound that only ever was MAX_ENDS, and is_suspect searched the parts of each remembered end, also of those before the part's last answer, which rule themselves out. Now answers are looked up once, and an end before them isn't searched.

The cost was not measured.

--- a/crates/dispatch/src/fatal_parts.rs
+++ b/crates/dispatch/src/fatal_parts.rs
@@ -314,11 +314,12 @@
 
     /// Whether endpoints have ended under one of these parts since its last answer.
     pub fn is_suspect(&self, parts: &[PartId]) -> bool {
-        let has_ended = |part: &PartId, end: &KnownEnd| {
-            end.parts.contains_key(part) && self.answered.get(part).is_none_or(|began| *began < end.ended)
+        let suspects = self.suspects(parts);
+        let has_ended = |suspect: &Suspect, end: &KnownEnd| {
+            suspect.answered.is_none_or(|began| began < end.ended) && end.parts.contains_key(&suspect.part)
         };
         let mut ends = self.ends.values();
-        ends.any(|end| parts.iter().any(|part| has_ended(part, end)))
+        ends.any(|end| suspects.iter().any(|suspect| has_ended(suspect, end)))
     }
 
     /// The parts that are held, to be repeated to routers that may have started since.
@@ -367,8 +368,8 @@
         events
     }
 
-    /// The parts that may have caused several events, each with its depth and these events.
-    fn candidates(&self, events: &[Vec<&KnownEnd>], min_events: usize) -> Vec<Candidate> {
+    /// The parts that may have caused enough events to be held, each with its depth and these events.
+    fn candidates(&self, events: &[Vec<&KnownEnd>]) -> Vec<Candidate> {
         let mut found: HashMap<PartId, Candidate> = HashMap::new();
         for (index, event) in events.iter().enumerate() {
             for (part, depth) in event.iter().flat_map(|end| &end.parts) {
@@ -386,14 +387,14 @@
                 candidate.events.insert(index);
             }
         }
-        found.retain(|_, candidate| candidate.events.len() >= min_events);
+        found.retain(|_, candidate| candidate.events.len() >= MAX_ENDS);
         found.into_values().collect()
     }
 
     /// The parts that explain most ends, each with the first and the last of these.
     fn explanations(&self) -> Vec<(PartId, Duration, Duration)> {
         let events = self.events();
-        let mut candidates = self.candidates(&events, MAX_ENDS);
+        let mut candidates = self.candidates(&events);
         let mut found = Vec::new();
         while found.len() < MAX_HELD {
             let Some(likeliest) = candidates.iter().max_by_key(|candidate| candidate.likelihood()) else {
--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -124,6 +124,43 @@
     }
 }
 
+/// A request whose parts were answered since must not wait longer to learn of an end.
+#[test]
+fn parts_are_suspect_until_they_are_answered() {
+    struct Case {
+        name: &'static str,
+        parts: &'static [u64],
+        answered: &'static [(u64, u64)],
+        is_suspect: bool,
+    }
+    let case = |name, parts, answered, is_suspect| Case {
+        name,
+        parts,
+        answered,
+        is_suspect,
+    };
+    let cases = [
+        case("no end", &[2], &[], false),
+        case("no parts", &[], &[], false),
+        case("an end", &[1], &[], true),
+        case("an end under one of the parts", &[2, 9], &[], true),
+        case("answered before", &[9], &[(9, 900)], true),
+        case("answered between", &[9], &[(9, 1_500)], true),
+        case("answered since", &[9], &[(9, 2_500)], false),
+        case("one answered since", &[1, 9], &[(9, 2_500)], true),
+        case("all answered since", &[1, 9], &[(1, 2_500), (9, 2_500)], false),
+    ];
+    for case in cases {
+        let mut parts = FatalParts::default();
+        parts.merge_ends(&[end(1, 1_000, &[&[1, 9]]), end(2, 2_000, &[&[9]])], at(2_000));
+        for (id, began) in case.answered {
+            parts.record_answer(&[part(*id)], at(*began), at(3_000));
+        }
+        let request: Vec<PartId> = case.parts.iter().map(|id| part(*id)).collect();
+        assert_eq!(parts.is_suspect(&request), case.is_suspect, "{}", case.name);
+    }
+}
+
 /// Each router knows only the requests that it sent itself, and the lists of one end arrive one after the other.
 #[test]
 fn the_reports_of_one_end_are_put_together() {
