Ages in messages are converted in one place

Quarantine, news, held parts and load reports each converted times to ages and back by themselves. peers, which defines the messages, now has the two conversions; the gateway's files import it already, so none imports another for it.

Behaviour is unchanged; the news still takes its reports to be older by the timeout of a call.

--- a/crates/gateway/src/follow/loads.rs
+++ b/crates/gateway/src/follow/loads.rs
@@ -6,7 +6,7 @@
 
 use crate::shared::Shared;
 use dispatch::fleet::{LoadReport, LoadUpdate};
-use peers::{LoadExchange, LoadMessage, PeerError, Upstream};
+use peers::{LoadExchange, LoadMessage, PeerError, Upstream, age_ms, time_of};
 use std::time::Duration;
 
 /// Longest wait for a response.
@@ -17,7 +17,7 @@
     let now = shared.clock.now();
     let own = shared.fleet().loads_since(last, true);
     let request = LoadExchange {
-        last_ms: now.saturating_sub(last).as_millis() as u64,
+        last_ms: age_ms(last, now),
         own: own.iter().map(|report| load_message(report, now)).collect(),
     };
     let response = upstream.loads(request, CALL_TIMEOUT).await?;
@@ -28,7 +28,7 @@
 /// Applies a follower's reports and returns the reports of others.
 pub fn handle(shared: &Shared, request: &LoadExchange) -> Vec<LoadMessage> {
     let now = shared.clock.now();
-    let since = now.saturating_sub(Duration::from_millis(request.last_ms));
+    let since = time_of(request.last_ms, now);
     let reports = shared.fleet().loads_since(since, false);
     apply(shared, &request.own);
     reports.iter().map(|report| load_message(report, now)).collect()
@@ -42,13 +42,13 @@
             running: *running,
             waiting: *waiting,
         },
-        reported_at: now.saturating_sub(Duration::from_millis(*age)),
+        reported_at: time_of(*age, now),
     };
     let reports: Vec<LoadUpdate> = loads.iter().map(report).collect();
     shared.fleet().merge_loads(&reports, now);
 }
 
 fn load_message(load: &LoadUpdate, now: Duration) -> LoadMessage {
-    let age = now.saturating_sub(load.reported_at).as_millis() as u64;
+    let age = age_ms(load.reported_at, now);
     LoadMessage(load.endpoint, load.report.running, load.report.waiting, age)
 }
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -9,7 +9,7 @@
 use ids::WorkspaceId;
 use peers::{
     BacklogMessage, EndMessage, HoldMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage,
-    UsageMessage,
+    UsageMessage, age_ms, time_of,
 };
 use std::time::Duration;
 
@@ -31,14 +31,13 @@
 
 /// The message with a backlog, the statements that endpoints made recently, and what is to be repeated.
 pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, incidents: Incidents, now: Duration) -> BacklogMessage {
-    let age = |reported_at: Duration| now.saturating_sub(reported_at).as_millis() as u64;
     let rates = fleet.recent_rates(now);
-    let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age(rate.reported_at));
+    let rate = |rate: &RateUpdate| RateMessage(rate.endpoint, rate.rate, age_ms(rate.reported_at, now));
     let tolerances = fleet.recent_tolerances(now);
     let tolerance =
-        |update: &BrittleUpdate| ToleranceMessage(update.endpoint, update.tolerance, age(update.reported_at));
+        |update: &BrittleUpdate| ToleranceMessage(update.endpoint, update.tolerance, age_ms(update.reported_at, now));
     let rejections = fleet.recent_rejections(now);
-    let rejection = |found: &Rejection| RejectionMessage(found.endpoint, found.running, age(found.rejected_at));
+    let rejection = |found: &Rejection| RejectionMessage(found.endpoint, found.running, age_ms(found.rejected_at, now));
     BacklogMessage {
         tokens: backlog.tokens,
         lane_tokens: backlog.lane_tokens,
@@ -57,7 +56,7 @@
     shared.part_holds.merge_repeated(&message.held_parts, now);
     // The report is assumed to be as old as possible. Otherwise a report that returns to its sender would seem newer
     // than the original.
-    let reported_at = |age: u64| now.saturating_sub(Duration::from_millis(age) + CALL_TIMEOUT);
+    let reported_at = |age: u64| time_of(age, now).saturating_sub(CALL_TIMEOUT);
     let rate = |RateMessage(endpoint, rate, age): &RateMessage| RateUpdate {
         endpoint: *endpoint,
         rate: *rate,
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -12,7 +12,7 @@
 use dispatch::quarantine::{ContentKey, EndedRun};
 use futures::future::join_all;
 use ids::VmId;
-use peers::{EndMessage, EndsMessage, PeerError, Upstream};
+use peers::{EndMessage, EndsMessage, PeerError, Upstream, age_ms, time_of};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -133,8 +133,7 @@
 
 fn messages(shared: &Shared, runs: &[EndedRun]) -> Vec<EndMessage> {
     let now = shared.clock.now();
-    let age = |run: &EndedRun| now.saturating_sub(run.ended).as_millis() as u64;
-    let message = |run: &EndedRun| EndMessage(run.content, run.process, age(run));
+    let message = |run: &EndedRun| EndMessage(run.content, run.process, age_ms(run.ended, now));
     runs.iter().map(message).collect()
 }
 
@@ -143,7 +142,7 @@
     let run = |EndMessage(content, process, age): &EndMessage| EndedRun {
         content: *content,
         process: *process,
-        ended: now.saturating_sub(Duration::from_millis(*age)),
+        ended: time_of(*age, now),
     };
     messages.iter().map(run).collect()
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -28,7 +28,7 @@
     LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse, PartsMessage, PrefixPage,
     PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage, ReportMessage,
     SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream, UptimeMessage,
-    UsageMessage, serve_followers,
+    UsageMessage, age_ms, serve_followers, time_of,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -9,6 +9,17 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Age of a time, in milliseconds. Messages hold ages, because clocks differ.
+pub fn age_ms(at: Duration, now: Duration) -> u64 {
+    now.saturating_sub(at).as_millis() as u64
+}
+
+/// The time that has an age in milliseconds, or zero if that is later.
+pub fn time_of(age_ms: u64, now: Duration) -> Duration {
+    now.saturating_sub(Duration::from_millis(age_ms))
+}
 
 /// Requests the changes after a revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
