--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -1,7 +1,6 @@
 //! The answers of a router that collects reports.
 
 use super::message;
-
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use dispatch::quotas::Subtotal;
--- a/crates/gateway/src/news/report.rs
+++ b/crates/gateway/src/news/report.rs
@@ -1,7 +1,6 @@
 //! A follower's reports to the router that it follows.
 
 use super::{CALL_TIMEOUT, message};
-
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use ids::VmId;
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -1,7 +1,6 @@
 //! The subtotals that routers with followers send each other.
 
 use super::{CALL_TIMEOUT, message};
-
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
 use async_std::task;
