--- a/crates/dispatch/src/fatal_parts.rs
+++ b/crates/dispatch/src/fatal_parts.rs
@@ -124,22 +124,59 @@
     pub at: Duration,
 }
 
+/// A part of a prompt that an endpoint answered completely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The part.
+    pub part: PartId,
+    /// When the answer began.
+    pub began: Duration,
+}
+
 /// What changed, to be told to other routers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Changes {
-    /// Parts that are held from now on, or for longer.
+    /// Parts that are held from now on.
     pub held: Vec<Hold>,
+    /// Parts that were held before, and are now held for longer.
+    pub extended: Vec<Hold>,
     /// Parts that are held no longer.
     pub released: Vec<Release>,
+    /// Parts of the prompts whose answers released a part. Empty if another part explains the ends better.
+    pub answered: Vec<Answer>,
 }
 
 impl Changes {
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.released.is_empty()
+        self.held.is_empty() && self.extended.is_empty() && self.released.is_empty() && self.answered.is_empty()
+    }
+
+    /// The parts that are held, whether or not they were before.
+    pub fn holds(&self) -> impl Iterator<Item = &Hold> {
+        self.held.iter().chain(&self.extended)
+    }
+
+    fn add(&mut self, hold: Hold, change: HoldChange) {
+        match change {
+            HoldChange::Begun => self.held.push(hold),
+            HoldChange::Extended => self.extended.push(hold),
+            HoldChange::None => {}
+        }
     }
 }
 
+/// What a hold that a router learns of changes there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HoldChange {
+    /// Nothing: it is known, or the part was released since.
+    None,
+    /// The part is held from now on.
+    Begun,
+    /// The part was held before, and is now held for longer.
+    Extended,
+}
+
 #[derive(Debug)]
 struct KnownEnd {
     ended: Duration,
@@ -204,21 +241,27 @@
         self.derive(now)
     }
 
-    /// Merges what another router holds and has released. Returns what was new.
+    /// Merges what another router holds and has released. Returns what changed here.
     pub fn merge(&mut self, told: &Changes, now: Duration) -> Changes {
         self.remove_expired(now);
         let mut new = Changes::default();
+        for answer in &told.answered {
+            if self.note_answer(answer.part, answer.began) {
+                new.answered.push(*answer);
+            }
+        }
         for release in &told.released {
             let known = self.released.get(&release.part);
             if known.is_none_or(|at| *at + TRANSIT_MARGIN < release.at) {
+                if self.held.contains_key(&release.part) {
+                    new.released.push(*release);
+                }
                 self.release(release.part, release.at);
-                new.released.push(*release);
             }
         }
-        for hold in &told.held {
-            if self.hold(*hold) {
-                new.held.push(*hold);
-            }
+        for hold in told.holds() {
+            let change = self.hold(*hold);
+            new.add(*hold, change);
         }
         new
     }
@@ -233,6 +276,11 @@
                 changes.released.push(Release { part: *part, at: now });
             }
         }
+        if !changes.released.is_empty() {
+            // The other parts must not explain the same ends at routers that count.
+            let answer = |part: &PartId| Answer { part: *part, began };
+            changes.answered = parts.iter().take(MAX_END_PARTS).map(answer).collect();
+        }
         changes
     }
 
@@ -266,11 +314,12 @@
 
     /// Whether endpoints have ended under one of these parts since its last answer.
     pub fn is_suspect(&self, parts: &[PartId]) -> bool {
-        let has_ended = |part: &PartId, end: &KnownEnd| {
-            end.parts.contains_key(part) && self.answered.get(part).is_none_or(|began| *began < end.ended)
+        let suspects = self.suspects(parts);
+        let has_ended = |suspect: &Suspect, end: &KnownEnd| {
+            suspect.answered.is_none_or(|began| began < end.ended) && end.parts.contains_key(&suspect.part)
         };
         let mut ends = self.ends.values();
-        ends.any(|end| parts.iter().any(|part| has_ended(part, end)))
+        ends.any(|end| suspects.iter().any(|suspect| has_ended(suspect, end)))
     }
 
     /// The parts that are held, to be repeated to routers that may have started since.
@@ -319,8 +368,8 @@
         events
     }
 
-    /// The parts that may have caused several events, each with its depth and these events.
-    fn candidates(&self, events: &[Vec<&KnownEnd>], min_events: usize) -> Vec<Candidate> {
+    /// The parts that may have caused enough events to be held, each with its depth and these events.
+    fn candidates(&self, events: &[Vec<&KnownEnd>]) -> Vec<Candidate> {
         let mut found: HashMap<PartId, Candidate> = HashMap::new();
         for (index, event) in events.iter().enumerate() {
             for (part, depth) in event.iter().flat_map(|end| &end.parts) {
@@ -338,14 +387,14 @@
                 candidate.events.insert(index);
             }
         }
-        found.retain(|_, candidate| candidate.events.len() >= min_events);
+        found.retain(|_, candidate| candidate.events.len() >= MAX_ENDS);
         found.into_values().collect()
     }
 
     /// The parts that explain most ends, each with the first and the last of these.
     fn explanations(&self) -> Vec<(PartId, Duration, Duration)> {
         let events = self.events();
-        let mut candidates = self.candidates(&events, MAX_ENDS);
+        let mut candidates = self.candidates(&events);
         let mut found = Vec::new();
         while found.len() < MAX_HELD {
             let Some(likeliest) = candidates.iter().max_by_key(|candidate| candidate.likelihood()) else {
@@ -384,34 +433,34 @@
                 last_end,
                 strikes,
             };
-            if self.hold(hold) {
-                changes.held.push(hold);
-            }
+            let change = self.hold(hold);
+            changes.add(hold, change);
             self.derived.insert(part);
         }
         changes
     }
 
-    /// Holds a part. Returns whether that is new to this router.
-    fn hold(&mut self, hold: Hold) -> bool {
+    /// Holds a part.
+    fn hold(&mut self, hold: Hold) -> HoldChange {
         let released = self.released.get(&hold.part);
         if released.is_some_and(|at| hold.last_end < *at + TRANSIT_MARGIN) {
-            return false;
+            return HoldChange::None;
         }
         let Some(known) = self.held.get_mut(&hold.part) else {
             if self.held.len() >= MAX_HELD {
-                return false;
+                return HoldChange::None;
             }
             self.held.insert(hold.part, hold);
-            return true;
+            return HoldChange::Begun;
         };
         let is_newer = hold.strikes > known.strikes || hold.last_end > known.last_end + TRANSIT_MARGIN;
-        if is_newer {
-            let first_end = known.first_end.min(hold.first_end);
-            *known = Hold { first_end, ..hold };
-            self.trials.remove(&hold.part);
+        if !is_newer {
+            return HoldChange::None;
         }
-        is_newer
+        let first_end = known.first_end.min(hold.first_end);
+        *known = Hold { first_end, ..hold };
+        self.trials.remove(&hold.part);
+        HoldChange::Extended
     }
 
     fn release(&mut self, part: PartId, at: Duration) {
@@ -421,16 +470,18 @@
         self.released.insert(part, at);
     }
 
-    fn note_answer(&mut self, part: PartId, began: Duration) {
+    /// Notes an answer. Returns whether it began later than the last one that was known.
+    fn note_answer(&mut self, part: PartId, began: Duration) -> bool {
         let known = self.answered.entry(part).or_default();
         if began <= *known {
-            return;
+            return false;
         }
         *known = began;
         self.answer_order.push_back((part, began));
         while self.answer_order.len() > MAX_ANSWERED {
             self.forget_oldest_answer();
         }
+        true
     }
 
     fn forget_oldest_answer(&mut self) {
--- a/crates/dispatch/tests/fatal_parts.rs
+++ b/crates/dispatch/tests/fatal_parts.rs
@@ -124,6 +124,43 @@
     }
 }
 
+/// A request whose parts were answered since must not wait longer to learn of an end.
+#[test]
+fn parts_are_suspect_until_they_are_answered() {
+    struct Case {
+        name: &'static str,
+        parts: &'static [u64],
+        answered: &'static [(u64, u64)],
+        is_suspect: bool,
+    }
+    let case = |name, parts, answered, is_suspect| Case {
+        name,
+        parts,
+        answered,
+        is_suspect,
+    };
+    let cases = [
+        case("no end", &[2], &[], false),
+        case("no parts", &[], &[], false),
+        case("an end", &[1], &[], true),
+        case("an end under one of the parts", &[2, 9], &[], true),
+        case("answered before", &[9], &[(9, 900)], true),
+        case("answered between", &[9], &[(9, 1_500)], true),
+        case("answered since", &[9], &[(9, 2_500)], false),
+        case("one answered since", &[1, 9], &[(9, 2_500)], true),
+        case("all answered since", &[1, 9], &[(1, 2_500), (9, 2_500)], false),
+    ];
+    for case in cases {
+        let mut parts = FatalParts::default();
+        parts.merge_ends(&[end(1, 1_000, &[&[1, 9]]), end(2, 2_000, &[&[9]])], at(2_000));
+        for (id, began) in case.answered {
+            parts.record_answer(&[part(*id)], at(*began), at(3_000));
+        }
+        let request: Vec<PartId> = case.parts.iter().map(|id| part(*id)).collect();
+        assert_eq!(parts.is_suspect(&request), case.is_suspect, "{}", case.name);
+    }
+}
+
 /// Each router knows only the requests that it sent itself, and the lists of one end arrive one after the other.
 #[test]
 fn the_reports_of_one_end_are_put_together() {
@@ -195,7 +232,7 @@
     }
     assert_eq!(parts.remaining(&[part(9)], REQUEST, |_| Some(0), at(33_000)), None);
     let changes = parts.merge_ends(&[end(4, 33_100, &[&[1, 9]])], at(33_100));
-    assert_eq!(changes.held.len(), 1);
+    assert_eq!(changes.extended.len(), 1);
     told.merge(&changes, at(33_100));
     for parts in [&mut parts, &mut told] {
         let remaining = parts.remaining(&[part(9)], REQUEST, |_| Some(0), at(33_100));
@@ -215,7 +252,7 @@
     };
     let told = Changes {
         held: vec![hold],
-        released: Vec::new(),
+        ..Changes::default()
     };
     let mut parts = FatalParts::default();
     assert_eq!(parts.merge(&told, at(3_050)), told);
@@ -240,6 +277,88 @@
     assert_eq!(held(&other, 33_300), [] as [u64; 0]);
 }
 
+/// Logs tell when a part begins to be held and when it is released. Later ends, and releases from several routers, would repeat it.
+#[test]
+fn a_part_begins_to_be_held_and_is_released_once() {
+    let ids = |holds: &[Hold]| -> Vec<u64> { holds.iter().map(|hold| hold.part.id).collect() };
+    let mut parts = FatalParts::default();
+    let mut told = FatalParts::default();
+    let expected: [(&[u64], &[u64]); 5] = [(&[], &[]), (&[], &[]), (&[9], &[]), (&[], &[9]), (&[], &[9])];
+    for (number, (held, extended)) in (1..).zip(expected) {
+        let now = at(2_000 * number);
+        let changes = parts.merge_ends(&[end(number, 2_000 * number, &[&[1, 9]])], now);
+        assert_eq!(ids(&changes.held), held, "end {number}");
+        assert_eq!(ids(&changes.extended), extended, "end {number}");
+        assert_eq!(told.merge(&changes, now), changes, "end {number}, told");
+    }
+    let release = |at| Changes {
+        released: vec![Release { part: part(9), at }],
+        ..Changes::default()
+    };
+    for parts in [&mut parts, &mut told] {
+        let first = release(at(33_200));
+        assert_eq!(parts.merge(&first, at(33_250)), first);
+        assert_eq!(parts.merge(&release(at(35_000)), at(35_050)), Changes::default());
+    }
+}
+
+/// An answer rules out the ends before it at all routers, so a single end afterwards must not hold the part again.
+#[test]
+fn a_told_answer_rules_out_the_ends_before_it() {
+    struct Case {
+        name: &'static str,
+        /// Times of the ends after the release.
+        later: Vec<u64>,
+        held: Vec<u64>,
+    }
+    let case = |name, later: &[u64], held: &[u64]| Case {
+        name,
+        later: later.to_vec(),
+        held: held.to_vec(),
+    };
+    let cases = [
+        case("one end", &[40_000], &[]),
+        case("two ends", &[40_000, 41_000], &[]),
+        case("three ends", &[40_000, 41_000, 42_000], &[9]),
+    ];
+    for case in cases {
+        let mut counting = FatalParts::default();
+        let mut answered = FatalParts::default();
+        for number in 1..=3 {
+            let changes = counting.merge_ends(&[end(number, 1_000 * number, &[&[1, 9]])], at(1_000 * number));
+            answered.merge(&changes, at(1_000 * number));
+        }
+        let changes = answered.record_answer(&[part(1), part(9)], at(33_000), at(33_200));
+        counting.merge(&changes, at(33_250));
+        assert_eq!(held(&counting, 33_250), [] as [u64; 0], "{}", case.name);
+        for (number, ended) in case.later.iter().enumerate() {
+            counting.merge_ends(&[end(4 + number as u64, *ended, &[&[1, 9]])], at(*ended));
+        }
+        assert_eq!(held(&counting, 43_000), case.held, "{}", case.name);
+    }
+}
+
+/// A better explanation says nothing of the ends, nor does an older router.
+#[test]
+fn a_told_release_without_an_answer_rules_out_no_ends() {
+    let mut parts = FatalParts::default();
+    for number in 1..=3 {
+        parts.merge_ends(&[end(number, 1_000 * number, &[&[1, 9]])], at(1_000 * number));
+    }
+    let release = Release {
+        part: part(9),
+        at: at(33_200),
+    };
+    let told = Changes {
+        released: vec![release],
+        ..Changes::default()
+    };
+    parts.merge(&told, at(33_250));
+    assert_eq!(held(&parts, 33_250), [] as [u64; 0]);
+    parts.merge_ends(&[end(4, 40_000, &[&[1, 9]])], at(40_000));
+    assert_eq!(held(&parts, 40_000), [9]);
+}
+
 /// Callers choose the parts of their prompts, so they must not fill the memory.
 #[test]
 fn the_number_of_remembered_parts_is_bounded() {
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -9,6 +9,17 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Age of a time, in milliseconds. Messages hold ages, because clocks differ.
+pub fn age_ms(at: Duration, now: Duration) -> u64 {
+    now.saturating_sub(at).as_millis() as u64
+}
+
+/// The time that has an age in milliseconds, or zero if that is later.
+pub fn time_of(age_ms: u64, now: Duration) -> Duration {
+    now.saturating_sub(Duration::from_millis(age_ms))
+}
 
 /// Requests the changes after a revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -241,6 +252,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseMessage(pub PartId, pub u64);
 
+/// A part that an endpoint answered completely, and how long ago that answer began, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerMessage(pub PartId, pub u64);
+
 /// What a router reports or tells of parts under which endpoints end.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartsMessage {
@@ -253,6 +268,9 @@
     /// Parts that are released.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<ReleaseMessage>,
+    /// Parts of the prompts whose answers released a part; absent from older routers.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub answered: Vec<AnswerMessage>,
 }
 
 /// A stream and where it began, as sent between routers.
