--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -2,7 +2,7 @@
 
 use super::endpoint_state::EndpointState;
 use super::targets::Target;
-use super::{Fleet, PickContext, Prompt, ShortKey, Staleness};
+use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
 use ids::ModelId;
 use std::time::Duration;
@@ -23,7 +23,7 @@
 pub(super) enum Candidates<'a> {
     Available(Vec<&'a EndpointState>),
     Full,
-    /// All are at their rate limit; a retry may succeed after this time.
+    /// All rest or are at their rate limit; a retry may succeed after this time.
     RateLimited(Duration),
     /// All places of this router are in use; one becomes free about every so long.
     Occupied(Duration),
@@ -37,7 +37,7 @@
             return Candidates::Unavailable;
         }
         eligible.retain(|state| !self.loading.contains(&state.entry.id));
-        if let Some(after) = self.drop_rate_limited(&mut eligible, now) {
+        if let Some(after) = self.drop_held_back(&mut eligible, now) {
             return Candidates::RateLimited(after);
         }
         if let Some(prompt) = context.prompt {
@@ -94,17 +94,34 @@
             })
     }
 
-    /// Drops endpoints at their rate limit for this router. If none would be left, keeps all and returns the time
-    /// until a retry may succeed.
-    fn drop_rate_limited(&self, eligible: &mut Vec<&EndpointState>, now: Duration) -> Option<Duration> {
-        let allowed = |state: &EndpointState| self.rate_limits.allow(ShortKey::from(state.key), now);
-        if self.rate_limits.count() == 0 || prefer(eligible, allowed) {
+    /// Records a choice for all that limits the requests to an endpoint.
+    pub(super) fn record_choice(&mut self, picked: &mut PickedEndpoint, context: &PickContext<'_>, now: Duration) {
+        let Some(state) = self.endpoints.get_mut(&picked.endpoint.id) else {
+            return;
+        };
+        self.rate_limits.record_request(ShortKey::from(state.key), now);
+        state.rest.chosen(now);
+        if self.places.is_divided(context.service) {
+            picked.holds_place = true;
+            state.hold_place();
+            self.places.record_request(context.service, now);
+        }
+    }
+
+    /// Drops endpoints that this router may not use now. If none would be left, keeps all and returns the time until a
+    /// retry may succeed.
+    fn drop_held_back(&self, eligible: &mut Vec<&EndpointState>, now: Duration) -> Option<Duration> {
+        if prefer(eligible, |state| self.held_back_for(state, now).is_none()) {
             return None;
         }
-        let after = eligible
-            .iter()
-            .map(|state| self.rate_limits.retry_after(ShortKey::from(state.key), now));
-        after.min()
+        eligible.iter().filter_map(|state| self.held_back_for(state, now)).min()
+    }
+
+    /// Time until this router may use an endpoint that rests or is at its rate limit.
+    fn held_back_for(&self, state: &EndpointState, now: Duration) -> Option<Duration> {
+        let key = ShortKey::from(state.key);
+        let limited = (!self.rate_limits.allow(key, now)).then(|| self.rate_limits.retry_after(key, now));
+        limited.max(state.rest.pause(now))
     }
 
     /// Whether an endpoint is reachable, also for peers, and fails few of its attempts.
