--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -115,7 +115,7 @@
             Sign::GoesOn => return Some(attempt),
             Sign::Failed(answer) => {
                 let info = parse(&answer.head);
-                observe::record_info(shared, &attempt.in_flight.picked.endpoint.id, prompt, &info);
+                observe::record_info(shared, &attempt.in_flight, prompt, answer.head.status, &info);
                 let outcome = if info.not_run {
                     Outcome::Declined
                 } else {
