A stream without an event doesn't complete what a silent endpoint began (ORDER)

Found in the review. A second endpoint closes its stream, which has neither a length nor chunks, before its first event. The events of the first endpoint made that look like a complete stream: the client got events 1 and 2 of 5, marked complete, while the silent endpoint would have gone on.

As long as another endpoint is silent, such an end counts as broken.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -152,10 +152,12 @@
     async fn finish(mut self) -> AttemptResult<'a> {
         let framing = self.stream.answer.body.framing();
         self.record_end(framing);
+        let started = self.stream.started;
         let end = StreamEnd {
             framed: framing != Framing::UntilClose,
             partial: self.attempts.events.partial_len(),
-            has_events: self.attempts.head_sent,
+            // A silent endpoint may have more events than one that ends its stream without any.
+            has_events: started || (self.attempts.head_sent && self.attempts.silent.is_empty()),
         };
         if !end.is_complete() {
             return self.attempts.response_broken(&self.in_flight);
