--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -212,6 +212,35 @@
     }
 }
 
+/// Next step of a wait for silent endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilentWait {
+    /// Wait this long, then check again.
+    For(Duration),
+    /// No endpoint is left, or the time is over.
+    Over,
+}
+
+/// Decides how a wait for silent endpoints continues. `begin_visible` is that of [`PendingAttempt`].
+pub fn silent_wait(endpoints: usize, begin_visible: bool, left: Duration) -> SilentWait {
+    if endpoints == 0 || left.is_zero() {
+        return SilentWait::Over;
+    }
+    SilentWait::For(if begin_visible {
+        left.min(AGE_CHECK_INTERVAL)
+    } else {
+        left
+    })
+}
+
+/// Longest time for which a silent endpoint may go on beside another one that has accepted the request.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// How much longer silent endpoints may go on beside an endpoint that sent the head of its stream this long ago.
+pub fn overlap_left(since_head: Duration) -> Duration {
+    MAX_OVERLAP.saturating_sub(since_head)
+}
+
 /// Longest time after sending in which the end of a reused connection shows that the endpoint closed it before the request
 /// arrived.
 pub const MAX_TRANSIT: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -97,6 +97,13 @@
     pub tolerance: Option<u32>,
 }
 
+impl ResponseInfo {
+    /// Whether the response is the endpoint's own, unchanged, to the request that it was sent.
+    pub fn is_authentic(&self) -> bool {
+        self.sealed && !self.encoded && self.id.is_some()
+    }
+}
+
 /// The weights that a model should be served with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetWeights {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -8,6 +8,7 @@
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::{OpenStream, StreamRelay};
+use super::response::ReadResponse;
 use super::silent::{PendingExchange, SilentAttempt};
 use super::wait::{WaitOutcome, WeightsOutdated};
 use crate::connections::{self, PooledConnection};
@@ -16,7 +17,7 @@
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use dispatch::quarantine::ContentKey;
-use http::raw::{ExchangeError, Headers, Response, Source, exchange};
+use http::raw::{ExchangeError, Headers, exchange};
 use ids::{EndpointId, SoftwareVersion};
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Request, RequestEvent, RequestState, RequestStep, RetryPolicy};
@@ -26,9 +27,6 @@
 use std::time::Duration;
 use wire::client::Ran;
 
-/// Longest response without streaming, bytes.
-const MAX_RESPONSE_BYTES: u64 = 8 << 20;
-
 /// How a request ended.
 pub enum RequestOutcome {
     /// A complete response of an endpoint.
@@ -291,7 +289,9 @@
             }
         };
         match waited {
-            WaitOutcome::Done(Ok((answer, source))) => self.handle_response(in_flight, answer, source).await,
+            WaitOutcome::Done(Ok((answer, source))) => {
+                self.handle_response(in_flight, ReadResponse::new(answer, source)).await
+            }
             WaitOutcome::Done(Err(_)) => {
                 in_flight.outcome(Outcome::Broken);
                 self.lifecycle.on(RequestEvent::SendFailed);
@@ -348,12 +348,12 @@
     }
 
     /// Whether the first event of a response shows that the request has begun.
-    fn begin_is_visible(&self) -> bool {
+    pub(super) fn begin_is_visible(&self) -> bool {
         self.request.route.kind.streams() && self.request.info.prompt.is_some()
     }
 
     /// Whether the weights that an attempt names are too old to begin with now.
-    fn weights_outdated(&self, picked: &PickedEndpoint) -> bool {
+    pub(super) fn weights_outdated(&self, picked: &PickedEndpoint) -> bool {
         let now = self.shared.clock.now();
         let prompt = self.request.info.prompt.as_ref();
         prompt.is_some_and(|prompt| !self.shared.fleet().may_begin(&prompt.model, picked.weights, now))
@@ -424,12 +424,12 @@
     pub(super) async fn handle_response(
         &mut self,
         mut in_flight: InFlightAttempt<'a>,
-        answer: Response,
-        source: Source,
+        response: ReadResponse,
     ) -> AttemptResult<'a> {
-        let info = (self.shared.dialect.parse_response)(&answer.head);
+        let head = &response.answer.head;
+        let info = (self.shared.dialect.parse_response)(head);
         let prompt = self.request.info.prompt.as_ref();
-        let status = answer.head.status;
+        let status = head.status;
         observe::record_info(self.shared, &in_flight, prompt, status, &info);
         if info.not_run || status == 421 {
             in_flight.ended();
@@ -437,19 +437,18 @@
         }
         self.lifecycle.on(RequestEvent::HeadArrived);
         let success = (200..300).contains(&status);
-        let authentic = info.sealed && !info.encoded && info.id.is_some();
-        if success && !authentic {
+        if success && !info.is_authentic() {
             return self.response_broken(&in_flight);
         }
         if success && self.request.route.kind.streams() {
-            let stream = OpenStream::new(answer, source, info);
+            let stream = OpenStream::new(response.answer, response.source, info, self.shared.clock.now());
             return StreamRelay::new(self, in_flight, stream).run().await;
         }
         if self.head_sent {
             // Only another stream can continue a stream.
             return self.response_broken(&in_flight);
         }
-        self.read_response(in_flight, answer, source, &info).await
+        self.read_response(in_flight, response, &info).await
     }
 
     fn handle_refusal(
@@ -487,13 +486,11 @@
     async fn read_response(
         &mut self,
         mut in_flight: InFlightAttempt<'a>,
-        mut answer: Response,
-        mut source: Source,
+        mut response: ReadResponse,
         info: &ResponseInfo,
     ) -> AttemptResult<'a> {
-        let reading = answer.body.read_to_end(&mut source, MAX_RESPONSE_BYTES);
-        let body = match self.wait(self.remaining(), reading).await {
-            WaitOutcome::Done(Ok(body)) => body,
+        match self.wait(self.remaining(), response.finish()).await {
+            WaitOutcome::Done(Ok(())) => {}
             WaitOutcome::Done(Err(_)) => return self.response_broken(&in_flight),
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
             WaitOutcome::Resumed(attempt) => {
@@ -501,7 +498,10 @@
                 return AttemptResult::Overtaken(attempt);
             }
             WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
-        };
+        }
+        let ReadResponse {
+            answer, source, body, ..
+        } = response;
         let status = answer.head.status;
         let headers = (self.shared.dialect.response_headers)(&answer.head.headers);
         if answer.reusable && answer.head.keeps_alive() {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod record;
 mod relay;
 pub mod reply;
+mod response;
 mod rests;
 mod silent;
 mod wait;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -9,31 +9,45 @@
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
-use http::raw::{Framing, Response, Source};
+use http::raw::{Framing, RawBodyError, Response, Source};
 use lifecycle::request::RequestEvent;
+use std::time::Duration;
 
 /// A stream of an endpoint.
 pub(super) struct OpenStream {
     answer: Response,
-    pub(super) source: Source,
-    info: ResponseInfo,
+    source: Source,
+    pub(super) info: ResponseInfo,
+    /// When its head arrived.
+    head_at: Duration,
     /// Whether this endpoint has sent an event. Earlier events may have come from another endpoint.
-    started: bool,
-    /// Bytes of an incomplete event, while the attempt is suspended.
-    pub(super) partial: Vec<u8>,
+    pub(super) started: bool,
 }
 
 impl OpenStream {
     /// A stream of which only the head was read.
-    pub(super) fn new(answer: Response, source: Source, info: ResponseInfo) -> Self {
+    pub(super) fn new(answer: Response, source: Source, info: ResponseInfo, now: Duration) -> Self {
         Self {
             answer,
             source,
             info,
+            head_at: now,
             started: false,
-            partial: Vec::new(),
         }
     }
+
+    /// Status code.
+    pub(super) fn status(&self) -> u16 {
+        self.answer.head.status
+    }
+
+    /// The next bytes of the body; `None` once it is complete.
+    ///
+    /// # Errors
+    /// The body is incomplete and its rest cannot be read.
+    pub(super) async fn next_part(&mut self) -> Result<Option<Vec<u8>>, RawBodyError> {
+        self.answer.body.next_part(&mut self.source).await
+    }
 }
 
 /// Relays the part of a stream that one endpoint sends.
@@ -66,11 +80,21 @@
         }
     }
 
+    /// Relays a stream that was read ahead while it was suspended, as far as its end if `ended`.
+    pub(super) async fn resume(mut self, ahead: &[u8], ended: bool) -> AttemptResult<'a> {
+        if self.forward(ahead).await == WriteResult::ClientDisconnected {
+            return AttemptResult::Ended(self.attempts.client_disconnected());
+        }
+        if ended { self.finish().await } else { self.run().await }
+    }
+
     pub(super) async fn run(mut self) -> AttemptResult<'a> {
+        let mut until = self.idle_end();
         loop {
-            let within = attempt::stream_idle_timeout(self.attempts.request.route.kind, self.attempts.remaining());
-            let part = self.stream.answer.body.next_part(&mut self.stream.source);
-            let waited = if self.stream.started {
+            let within = self.next_wait(until);
+            let started = self.stream.started;
+            let part = self.stream.next_part();
+            let waited = if started {
                 self.attempts.wait(within, part).await
             } else {
                 match self.attempts.wait_for_begin(&self.in_flight.picked, within, part).await {
@@ -83,6 +107,7 @@
                     if self.forward(&part).await == WriteResult::ClientDisconnected {
                         return AttemptResult::Ended(self.attempts.client_disconnected());
                     }
+                    until = self.idle_end();
                 }
                 WaitOutcome::Done(Ok(None)) => return self.finish().await,
                 WaitOutcome::Done(Err(_)) => return self.attempts.response_broken(&self.in_flight),
@@ -97,11 +122,33 @@
                 WaitOutcome::TimedOut if self.attempts.remaining().is_zero() => {
                     return AttemptResult::GaveUp(Cause::Deadline);
                 }
+                WaitOutcome::TimedOut if self.now() < until => self.attempts.silent.clear(),
                 WaitOutcome::TimedOut => return self.timed_out(),
             }
         }
     }
 
+    fn now(&self) -> Duration {
+        self.attempts.shared.clock.now()
+    }
+
+    /// When this endpoint counts as silent unless it sends something before.
+    fn idle_end(&self) -> Duration {
+        let kind = self.attempts.request.route.kind;
+        self.now() + attempt::stream_idle_timeout(kind, self.attempts.remaining())
+    }
+
+    /// How long to wait for the next part. This endpoint may be running the request, so those that were silent may go on
+    /// beside it for a short time only.
+    fn next_wait(&self, until: Duration) -> Duration {
+        let now = self.now();
+        let left = until.saturating_sub(now);
+        if self.attempts.silent.is_empty() {
+            return left;
+        }
+        left.min(attempt::overlap_left(now.saturating_sub(self.stream.head_at)))
+    }
+
     /// Writes the events that `part` completes to the client.
     async fn forward(&mut self, part: &[u8]) -> WriteResult {
         let whole = self.attempts.events.push(part);
@@ -120,9 +167,9 @@
     }
 
     fn timed_out(mut self) -> AttemptResult<'a> {
-        self.stream.partial = self.attempts.events.take_partial();
-        self.attempts.lifecycle.on(RequestEvent::AnswerFailed);
-        let attempt = SilentAttempt::streaming(self.in_flight, self.stream);
+        let events = self.attempts.events.clone();
+        self.failed();
+        let attempt = SilentAttempt::streaming(self.in_flight, self.stream, events);
         self.attempts.suspend(attempt);
         AttemptResult::Failed(Failure::Timeout)
     }
@@ -152,12 +199,11 @@
     async fn finish(mut self) -> AttemptResult<'a> {
         let framing = self.stream.answer.body.framing();
         self.record_end(framing);
-        let started = self.stream.started;
         let end = StreamEnd {
             framed: framing != Framing::UntilClose,
             partial: self.attempts.events.partial_len(),
             // A silent endpoint may have more events than one that ends its stream without any.
-            has_events: started || (self.attempts.head_sent && self.attempts.silent.is_empty()),
+            has_events: self.stream.started || (self.attempts.head_sent && self.attempts.silent.is_empty()),
         };
         if !end.is_complete() {
             return self.attempts.response_broken(&self.in_flight);
--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -1,20 +1,22 @@
 //! Attempts whose endpoint is silent.
 //!
 //! A silent endpoint may only be pausing. Its attempt is suspended while another endpoint is tried, and the first one to
-//! send something continues the response. If nothing else can, the request waits for the silent endpoint.
+//! send an event or a whole response continues. If no other endpoint can, the request waits for the silent one.
 
 use super::attempts::{AttemptResult, Attempts};
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::relay::{OpenStream, StreamRelay};
+use super::response::ReadResponse;
 use super::wait::{self, WaitOutcome};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
-use dispatch::attempt::{self, Cause};
+use dispatch::attempt::{self, Cause, SilentWait};
 use dispatch::fleet::{Outcome, Prompt};
 use futures::FutureExt;
 use futures::future::{BoxFuture, select_all};
-use http::raw::{ExchangeError, Response, ResponseHead, Source};
+use http::raw::{ExchangeError, Response, Source};
+use lifecycle::events::EventSplitter;
 use lifecycle::request::RequestEvent;
 use std::future::Future;
 use std::time::Duration;
@@ -32,25 +34,51 @@
 enum Progress<'a> {
     /// The head of the response has not arrived.
     Sent(PendingExchange<'a>),
-    /// The head arrived while the attempt was suspended.
-    Answered(Box<(Response, Source)>),
+    /// The head of a response without events has arrived.
+    Reading(Box<ReadResponse>),
     /// The next event of the stream has not arrived.
-    Streaming(Box<OpenStream>),
+    Streaming(Box<SilentStream>),
+}
+
+/// A stream that was read ahead of what was forwarded.
+struct SilentStream {
+    stream: OpenStream,
+    /// Tells when the next event is complete.
+    events: EventSplitter,
+    /// Bytes that were read while the attempt was suspended.
+    ahead: Vec<u8>,
+    /// Whether the end of the stream was read.
+    ended: bool,
 }
 
 /// What a silent endpoint did.
 enum Sign {
-    /// It sent something that continues the response.
+    /// It sent an event, or the whole of a response or stream.
     GoesOn,
-    /// It sent a response that another endpoint may improve on: a rejection or an error.
-    Failed(Box<Response>),
-    /// Its connection broke or ended.
-    Ended,
+    /// It sent a response that can't continue the request.
+    Useless(Box<Response>),
+    /// Its connection broke.
+    Broke,
+}
+
+/// Properties of a request that decide whether a response continues it.
+#[derive(Clone, Copy)]
+struct Needs<'a> {
+    shared: &'a Shared,
+    prompt: Option<&'a Prompt>,
+    /// Whether the response is a stream.
+    streams: bool,
+    /// Whether the client has received a part of a stream.
+    began: bool,
+    /// What the client has received.
+    events: &'a EventSplitter,
+    /// Whether there is another attempt, so that only a success may take its place.
+    contested: bool,
 }
 
 /// What a request does that can't be sent to another endpoint.
 pub(super) enum LastResort<'a> {
-    /// It goes on with a silent endpoint that sent something.
+    /// It goes on with a silent endpoint.
     Resume(Box<SilentAttempt<'a>>),
     /// Its client has left.
     ClientDisconnected,
@@ -67,55 +95,110 @@
         }
     }
 
-    /// An attempt in the middle of a stream.
-    pub(super) fn streaming(in_flight: InFlightAttempt<'a>, stream: OpenStream) -> Self {
+    /// An attempt in the middle of a stream, of which `events` has received a part.
+    pub(super) fn streaming(in_flight: InFlightAttempt<'a>, stream: OpenStream, events: EventSplitter) -> Self {
+        let silent = SilentStream {
+            stream,
+            ahead: events.partial().to_vec(),
+            events,
+            ended: false,
+        };
         Self {
             in_flight,
-            progress: Progress::Streaming(Box::new(stream)),
+            progress: Progress::Streaming(Box::new(silent)),
         }
     }
 
-    /// Waits until the endpoint sends something or its connection ends.
-    async fn sign(&mut self, parse: fn(&ResponseHead) -> ResponseInfo) -> Sign {
-        match &mut self.progress {
-            Progress::Sent(exchange) => match exchange.await {
-                Ok((answer, _)) if is_failure(&answer.head, &parse(&answer.head)) => Sign::Failed(Box::new(answer)),
-                Ok(answer) => {
-                    self.progress = Progress::Answered(Box::new(answer));
-                    Sign::GoesOn
+    /// Whether the endpoint has begun to run the request, as far as events show it.
+    fn has_begun(&self) -> bool {
+        matches!(&self.progress, Progress::Streaming(silent) if silent.stream.started)
+    }
+
+    /// Waits until the endpoint goes on or fails.
+    async fn sign(&mut self, needs: Needs<'_>) -> Sign {
+        loop {
+            match &mut self.progress {
+                Progress::Sent(exchange) => {
+                    let Ok((answer, source)) = exchange.await else {
+                        return Sign::Broke;
+                    };
+                    let info = (needs.shared.dialect.parse_response)(&answer.head);
+                    if needs.contested && !needs.is_met_by(&answer, &info) {
+                        return Sign::Useless(Box::new(answer));
+                    }
+                    self.progress = Progress::of(answer, source, info, needs);
                 }
-                Err(_) => Sign::Ended,
-            },
-            Progress::Answered(_) => Sign::GoesOn,
-            Progress::Streaming(stream) => match stream.source.fill().await {
-                Ok(count) if count > 0 => Sign::GoesOn,
-                _ => Sign::Ended,
-            },
+                Progress::Reading(response) => {
+                    return response.finish().await.map_or(Sign::Broke, |()| Sign::GoesOn);
+                }
+                Progress::Streaming(silent) => return silent.sign().await,
+            }
+        }
+    }
+}
+
+impl Needs<'_> {
+    fn is_met_by(self, answer: &Response, info: &ResponseInfo) -> bool {
+        let success = (200..300).contains(&answer.head.status);
+        if success {
+            return info.is_authentic();
+        }
+        // A client that has a part of a stream needs its rest. Another endpoint may do better than an error.
+        !self.began && !info.not_run && answer.head.status < 500 && answer.head.status != 421
+    }
+}
+
+impl Progress<'_> {
+    fn of(answer: Response, source: Source, info: ResponseInfo, needs: Needs<'_>) -> Self {
+        let success = (200..300).contains(&answer.head.status);
+        if success && needs.streams && info.is_authentic() {
+            return Self::Streaming(Box::new(SilentStream {
+                stream: OpenStream::new(answer, source, info, needs.shared.clock.now()),
+                events: needs.events.without_partial(),
+                ahead: Vec::new(),
+                ended: false,
+            }));
         }
+        Self::Reading(Box::new(ReadResponse::new(answer, source)))
     }
 }
 
-fn is_failure(head: &ResponseHead, info: &ResponseInfo) -> bool {
-    info.not_run || head.status == 421 || head.status >= 500
+impl SilentStream {
+    async fn sign(&mut self) -> Sign {
+        while !self.ended {
+            match self.stream.next_part().await {
+                Ok(Some(part)) => {
+                    self.ahead.extend_from_slice(&part);
+                    if self.events.push(&part).count > 0 {
+                        return Sign::GoesOn;
+                    }
+                }
+                Ok(None) => self.ended = true,
+                Err(_) => return Sign::Broke,
+            }
+        }
+        Sign::GoesOn
+    }
 }
 
 /// Removes and returns the first attempt whose endpoint goes on. Drops those that fail; none is left if it returns `None`.
-async fn first_resumed<'a>(
-    shared: &Shared,
-    prompt: Option<&Prompt>,
-    silent: &mut Vec<SilentAttempt<'a>>,
-) -> Option<SilentAttempt<'a>> {
-    let parse = shared.dialect.parse_response;
+async fn first_resumed<'a>(silent: &mut Vec<SilentAttempt<'a>>, needs: Needs<'_>) -> Option<SilentAttempt<'a>> {
     while !silent.is_empty() {
-        let signs = silent.iter_mut().map(|attempt| attempt.sign(parse).boxed());
+        let signs = silent.iter_mut().map(|attempt| attempt.sign(needs).boxed());
         let (sign, index, rest) = select_all(signs).await;
         drop(rest);
         let mut attempt = silent.remove(index);
         match sign {
             Sign::GoesOn => return Some(attempt),
-            Sign::Failed(answer) => {
-                let info = parse(&answer.head);
-                observe::record_info(shared, &attempt.in_flight, prompt, answer.head.status, &info);
+            Sign::Useless(answer) => {
+                let info = (needs.shared.dialect.parse_response)(&answer.head);
+                observe::record_info(
+                    needs.shared,
+                    &attempt.in_flight,
+                    needs.prompt,
+                    answer.head.status,
+                    &info,
+                );
                 let outcome = if info.not_run {
                     Outcome::Declined
                 } else {
@@ -124,7 +207,7 @@
                 attempt.in_flight.outcome(outcome);
                 attempt.in_flight.ended();
             }
-            Sign::Ended => attempt.in_flight.outcome(Outcome::Broken),
+            Sign::Broke => attempt.in_flight.outcome(Outcome::Broken),
         }
     }
     None
@@ -139,30 +222,35 @@
 
     /// Waits like [`wait::wait`]. Ends early if a silent endpoint goes on.
     pub(super) async fn wait<T>(&mut self, within: Duration, future: impl Future<Output = T>) -> WaitOutcome<'a, T> {
+        self.cancel_outdated();
         let conn = &self.request.incoming.conn;
         if self.silent.is_empty() {
             return wait::wait(conn, within, future).await;
         }
-        let prompt = self.request.info.prompt.as_ref();
-        let resumed = first_resumed(self.shared, prompt, &mut self.silent);
-        wait::wait_or_resume(conn, within, future, resumed).await
+        let (silent, needs) = self.silent_and_needs(true);
+        wait::wait_or_resume(conn, within, future, first_resumed(silent, needs)).await
     }
 
     /// Waits for the silent endpoints of a request that no other endpoint serves. A client that has received a part of the
     /// response can only lose by its end. Any other is told soon, so that it can try another router.
     pub(super) async fn last_resort(&mut self, cause: Cause) -> LastResort<'a> {
-        if self.silent.is_empty() {
-            return LastResort::GiveUp(cause);
-        }
-        let within = attempt::last_resort_wait(self.head_sent, self.remaining());
-        let request = self.request;
-        let resumed = first_resumed(self.shared, request.info.prompt.as_ref(), &mut self.silent);
-        match wait::wait(&request.incoming.conn, within, resumed).await {
-            WaitOutcome::Done(Some(attempt)) => LastResort::Resume(Box::new(attempt)),
-            WaitOutcome::Resumed(attempt) => LastResort::Resume(attempt),
-            WaitOutcome::ClientDisconnected => LastResort::ClientDisconnected,
-            WaitOutcome::TimedOut if self.remaining().is_zero() => LastResort::GiveUp(Cause::Deadline),
-            WaitOutcome::Done(None) | WaitOutcome::TimedOut => LastResort::GiveUp(cause),
+        let until = self.shared.clock.now() + attempt::last_resort_wait(self.head_sent, self.remaining());
+        loop {
+            self.cancel_outdated();
+            let left = until.saturating_sub(self.shared.clock.now());
+            let within = match attempt::silent_wait(self.silent.len(), self.begin_is_visible(), left) {
+                SilentWait::For(within) => within,
+                SilentWait::Over if self.remaining().is_zero() => return LastResort::GiveUp(Cause::Deadline),
+                SilentWait::Over => return LastResort::GiveUp(cause),
+            };
+            let conn = &self.request.incoming.conn;
+            let (silent, needs) = self.silent_and_needs(false);
+            match wait::wait(conn, within, first_resumed(silent, needs)).await {
+                WaitOutcome::Done(Some(attempt)) => return LastResort::Resume(Box::new(attempt)),
+                WaitOutcome::Resumed(attempt) => return LastResort::Resume(attempt),
+                WaitOutcome::ClientDisconnected => return LastResort::ClientDisconnected,
+                WaitOutcome::Done(None) | WaitOutcome::TimedOut => {}
+            }
         }
     }
 
@@ -174,15 +262,46 @@
         in_flight.resumed();
         match attempt.progress {
             Progress::Sent(exchange) => self.await_head(in_flight, exchange).await,
-            Progress::Answered(answer) => {
-                let (answer, source) = *answer;
-                self.handle_response(in_flight, answer, source).await
-            }
-            Progress::Streaming(mut stream) => {
+            Progress::Reading(response) => self.handle_response(in_flight, *response).await,
+            Progress::Streaming(silent) => {
+                let SilentStream {
+                    stream, ahead, ended, ..
+                } = *silent;
+                if !stream.started {
+                    observe::record_info(
+                        self.shared,
+                        &in_flight,
+                        self.request.info.prompt.as_ref(),
+                        stream.status(),
+                        &stream.info,
+                    );
+                }
                 self.lifecycle.on(RequestEvent::HeadArrived);
-                self.events.restore_partial(std::mem::take(&mut stream.partial));
-                StreamRelay::new(self, in_flight, *stream).run().await
+                self.events.discard_partial();
+                StreamRelay::new(self, in_flight, stream).resume(&ahead, ended).await
             }
         }
     }
+
+    /// Drops suspended attempts that have not begun and whose weights are too old to begin with now.
+    fn cancel_outdated(&mut self) {
+        if self.silent.is_empty() || !self.begin_is_visible() {
+            return;
+        }
+        let mut silent = std::mem::take(&mut self.silent);
+        silent.retain(|attempt| attempt.has_begun() || !self.weights_outdated(&attempt.in_flight.picked));
+        self.silent = silent;
+    }
+
+    fn silent_and_needs(&mut self, contested: bool) -> (&mut Vec<SilentAttempt<'a>>, Needs<'_>) {
+        let needs = Needs {
+            shared: self.shared,
+            prompt: self.request.info.prompt.as_ref(),
+            streams: self.request.route.kind.streams(),
+            began: self.head_sent,
+            events: &self.events,
+            contested,
+        };
+        (&mut self.silent, needs)
+    }
 }
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -55,14 +55,17 @@
         self.buffer.clear();
     }
 
-    /// Removes and returns a partial event, while another endpoint may continue the stream.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.buffer)
+    /// A splitter that has forwarded the same events and received nothing more.
+    pub fn without_partial(&self) -> Self {
+        Self {
+            buffer: Vec::new(),
+            last_number: self.last_number,
+        }
     }
 
-    /// Puts back the partial event of an endpoint that goes on after all.
-    pub fn restore_partial(&mut self, partial: Vec<u8>) {
-        self.buffer = partial;
+    /// Bytes of a partial event.
+    pub fn partial(&self) -> &[u8] {
+        &self.buffer
     }
 
     /// Number of the last forwarded event.
