Limits that change while a connection is idle apply to its next request (CONFIG)

The limits of a connection were read before it waited for a request, so a request on a kept connection met those of an older document: 413 for a body that the new limits allow, 200 on a new connection.

They are read once more when a request has begun to arrive.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -112,20 +112,15 @@
     let conn = Conn::new(stream);
     let mut source = Source::new(conn.clone());
     loop {
-        let limits = shared
-            .site
-            .load()
-            .as_ref()
-            .map(|site| site.limits())
-            .unwrap_or_default();
         if source.buffered().is_empty() {
             source.shrink();
-            if !wait_for_request(shared, &mut source, limits.idle_time).await {
+            if !wait_for_request(shared, &mut source, limits(shared).idle_time).await {
                 return;
             }
         }
         let in_flight = InFlight::new(shared);
-        let action = serve_request(shared, &conn, &mut source, limits).await;
+        // The limits may have changed while the connection was idle.
+        let action = serve_request(shared, &conn, &mut source, limits(shared)).await;
         drop(in_flight);
         match action {
             ConnectionAction::Keep => {}
@@ -136,6 +131,11 @@
     }
 }
 
+fn limits(shared: &Shared) -> ClientLimits {
+    let site = shared.site.load();
+    site.as_ref().map(|site| site.limits()).unwrap_or_default()
+}
+
 /// Waits for the first byte of a request. False if none arrives in time or the router stops accepting requests.
 async fn wait_for_request(shared: &Shared, source: &mut Source, idle: Duration) -> bool {
     let fill = pin!(timeout(idle, source.fill()));
