serve: a hedge's useless response doesn't end the first attempt

A slow attempt gets a second one beside it, and whichever reply came first won: a rejection, an error or a response to another request from the second engine cancelled the first, which would have answered.

The first reply that answers the request wins; if one send ends without it, the other is waited for.

--- a/crates/router/src/client/attempt.rs
+++ b/crates/router/src/client/attempt.rs
@@ -190,9 +190,7 @@
             return SendOutcome::Failed(Failure::Declined);
         }
         self.lifecycle.on(RequestEvent::HeadArrived);
-        // Engines must echo the request id; plain services may omit it.
-        let matches = !mismatched && (reply.header(headers::REQUEST_ID).is_some() || !self.is_completion());
-        if matches && self.weights_allowed(&reply) && status < 500 {
+        if self.is_usable(&reply) {
             return SendOutcome::Head(Box::new(reply));
         }
         reply.close();
@@ -200,6 +198,16 @@
         SendOutcome::Failed(Failure::Unknown)
     }
 
+    /// Whether a reply answers this request.
+    pub(super) fn is_usable(&self, reply: &Reply) -> bool {
+        let status = u16::from(reply.status());
+        let echoed = reply.header(headers::REQUEST_ID);
+        // Engines must echo the request id; plain services may omit it.
+        let matches = echoed.map_or(!self.is_completion(), |id| id == self.call.id.as_str());
+        let is_refused = status == 409 && self.is_completion();
+        matches && !is_refused && self.weights_allowed(reply) && status < 500
+    }
+
     /// Classifies an engine's refusal. The engine has not run the request.
     async fn classify_refusal(&self, attempt: &EndpointAttempt, reply: Reply) -> Failure {
         let incarnation = incarnation(&reply);
--- a/crates/router/src/client/hedge.rs
+++ b/crates/router/src/client/hedge.rs
@@ -52,7 +52,8 @@
         };
         self.shared.metrics.retries.with_label_values(&["hedge"]).inc();
         let other = Box::pin(self.transmit(&second, remaining, send));
-        let winner = unless_disconnected(&self.call.conn, first_answer(sending, other)).await;
+        let is_usable = |result: &Result<Reply, SendError>| result.as_ref().is_ok_and(|reply| self.is_usable(reply));
+        let winner = unless_disconnected(&self.call.conn, first_answer(sending, other, is_usable)).await;
         match winner {
             None => {
                 self.cancel(&second);
@@ -101,15 +102,27 @@
     Second,
 }
 
-/// Waits for the first successful response; if one send fails, returns the result of the other.
-async fn first_answer<Fut>(first: Pin<Box<Fut>>, second: Pin<Box<Fut>>) -> (Side, Result<Reply, SendError>)
+/// Waits for the first usable response. If one send ends without it, returns the result of the other, unless only the
+/// first to end has a response at all.
+async fn first_answer<Fut>(
+    first: Pin<Box<Fut>>,
+    second: Pin<Box<Fut>>,
+    is_usable: impl Fn(&Result<Reply, SendError>) -> bool,
+) -> (Side, Result<Reply, SendError>)
 where
     Fut: Future<Output = Result<Reply, SendError>>,
 {
-    match select(first, second).await {
-        Either::Left((Ok(reply), _)) => (Side::First, Ok(reply)),
-        Either::Left((Err(_), second)) => (Side::Second, second.await),
-        Either::Right((Ok(reply), _)) => (Side::Second, Ok(reply)),
-        Either::Right((Err(_), first)) => (Side::First, first.await),
+    let (ended, other) = match select(first, second).await {
+        Either::Left((result, second)) => ((Side::First, result), (Side::Second, second)),
+        Either::Right((result, first)) => ((Side::Second, result), (Side::First, first)),
+    };
+    if is_usable(&ended.1) {
+        return ended;
     }
+    let (side, pending) = other;
+    let result = pending.await;
+    if ended.1.is_ok() && result.is_err() {
+        return ended;
+    }
+    (side, result)
 }
