--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,8 +1,9 @@
 //! Filters the endpoints that may serve a request.
 
 use super::endpoint_state::EndpointState;
+use super::rate_limits::RateLimits;
 use super::targets::Target;
-use super::{Fleet, PickContext, Prompt, ShortKey, Staleness};
+use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
 use ids::ModelId;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 pub(super) enum Candidates<'a> {
     Available(Vec<&'a EndpointState>),
     Full,
-    /// All are at their rate limit; a retry may succeed after this time.
+    /// All rest or are at their rate limit; a retry may succeed after this time.
     RateLimited(Duration),
     /// All places of this router are in use; one becomes free about every so long.
     Occupied(Duration),
@@ -37,7 +38,7 @@
             return Candidates::Unavailable;
         }
         eligible.retain(|state| !self.loading.contains(&state.entry.id));
-        if let Some(after) = self.drop_rate_limited(&mut eligible, now) {
+        if let Some(after) = self.drop_held_back(&mut eligible, now) {
             return Candidates::RateLimited(after);
         }
         if let Some(prompt) = context.prompt {
@@ -94,17 +95,29 @@
             })
     }
 
-    /// Drops endpoints at their rate limit for this router. If none would be left, keeps all and returns the time
-    /// until a retry may succeed.
-    fn drop_rate_limited(&self, eligible: &mut Vec<&EndpointState>, now: Duration) -> Option<Duration> {
-        let allowed = |state: &EndpointState| self.rate_limits.allow(ShortKey::from(state.key), now);
-        if self.rate_limits.count() == 0 || prefer(eligible, allowed) {
+    /// Records a choice for all that limits the requests to an endpoint.
+    pub(super) fn record_choice(&mut self, picked: &mut PickedEndpoint, context: &PickContext<'_>, now: Duration) {
+        let Some(state) = self.endpoints.get_mut(&picked.endpoint.id) else {
+            return;
+        };
+        self.rate_limits.record_request(ShortKey::from(state.key), now);
+        state.rest.chosen(now);
+        if self.places.is_divided(context.service) {
+            picked.holds_place = true;
+            state.hold_place();
+            self.places.record_request(context.service, now);
+        }
+    }
+
+    /// Drops endpoints that this router may not use now. If none would be left, keeps all and returns the time until a
+    /// retry may succeed.
+    fn drop_held_back(&self, eligible: &mut Vec<&EndpointState>, now: Duration) -> Option<Duration> {
+        let limits = (self.rate_limits.count() > 0).then_some(&self.rate_limits);
+        let held_back_for = |state: &EndpointState| limited_for(limits, state, now).max(state.rest.pause(now));
+        if prefer(eligible, |state| held_back_for(state).is_none()) {
             return None;
         }
-        let after = eligible
-            .iter()
-            .map(|state| self.rate_limits.retry_after(ShortKey::from(state.key), now));
-        after.min()
+        eligible.iter().filter_map(|state| held_back_for(state)).min()
     }
 
     /// Whether an endpoint is reachable, also for peers, and fails few of its attempts.
@@ -162,6 +175,12 @@
     }
 }
 
+/// Time until an endpoint's rate limit allows a request, unless it does now.
+fn limited_for(limits: Option<&RateLimits>, state: &EndpointState, now: Duration) -> Option<Duration> {
+    let (limits, key) = (limits?, ShortKey::from(state.key));
+    (!limits.allow(key, now)).then(|| limits.retry_after(key, now))
+}
+
 /// Keeps only the endpoints that pass `test`, if any does. Returns whether one did.
 fn prefer(eligible: &mut Vec<&EndpointState>, test: impl Fn(&EndpointState) -> bool) -> bool {
     let any = eligible.iter().any(|state| test(state));
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -1,5 +1,6 @@
 //! One router's state of a single endpoint.
 
+use super::rests::Rest;
 use crate::decay;
 use crate::site::EndpointEntry;
 use ids::ModelId;
@@ -137,6 +138,8 @@
     full_at: Option<(u32, Duration)>,
     /// Until when this router sends it nothing after a rejection.
     paused_until: Duration,
+    /// The rest that it asked this router for.
+    pub(super) rest: Rest,
     /// Most requests that it reported to be running.
     max_running: Option<u32>,
 }
@@ -159,6 +162,7 @@
             lingering: Vec::new(),
             full_at: None,
             paused_until: Duration::ZERO,
+            rest: Rest::default(),
             max_running: None,
         }
     }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod plain;
 mod rate_limits;
 mod read_rate;
+mod rests;
 mod staleness;
 mod targets;
 mod versions;
@@ -90,7 +91,7 @@
     Endpoint(PickedEndpoint),
     /// All endpoints that could serve the request are full.
     Full,
-    /// All endpoints that could serve the request are at their rate limit; the client should retry after this time.
+    /// All endpoints that could serve the request rest or are at their rate limit; the client should retry after this time.
     RateLimited(Duration),
     /// All places of this router at brittle endpoints are in use. One becomes free about every so long.
     Occupied(Duration),
@@ -309,18 +310,6 @@
         choice
     }
 
-    fn record_choice(&mut self, picked: &mut PickedEndpoint, context: &PickContext<'_>, now: Duration) {
-        let Some(state) = self.endpoints.get_mut(&picked.endpoint.id) else {
-            return;
-        };
-        self.rate_limits.record_request(ShortKey::from(state.key), now);
-        if self.places.is_divided(context.service) {
-            picked.holds_place = true;
-            state.hold_place();
-            self.places.record_request(context.service, now);
-        }
-    }
-
     fn choose_any(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         if context.prompt.is_none() {
             return self.choose_from(context, now, |eligible| self.choose_plain(&eligible, draw, now));
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -89,6 +89,8 @@
     pub weights: Option<u64>,
     /// How long the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// How long the endpoint wants nothing from this router if it turns the request away with status 503.
+    pub retry_after: Option<Duration>,
     /// Requests per second that the endpoint accepts from all routers together; absent while it is not overloaded.
     pub rate: Option<f64>,
     /// Rejections per second, over all routers, above which the endpoint falls over; absent unless it is brittle.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub restored: IntCounter,
     /// Endpoints that currently limit their request rate.
     pub rated: IntGauge,
+    /// Endpoints that want no requests from this router.
+    pub resting: IntGauge,
     /// Endpoints that fall over if they have to reject too many requests.
     pub brittle: IntGauge,
     /// Requests that are kept from endpoints, because others have ended under them.
@@ -150,6 +152,7 @@
                 "endpoints_rated",
                 "Endpoints that name the requests a second that they take",
             ),
+            resting: gauge("endpoints_resting", "Endpoints that want no requests from this router"),
             brittle: gauge(
                 "endpoints_brittle",
                 "Endpoints that fall over if they have to reject too many requests",
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -299,8 +299,8 @@
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
             WaitOutcome::TimedOut => return AttemptResult::Ended(self.give_up(Cause::Deadline)),
         };
-        if self.weights_outdated(picked) {
-            // The weights became outdated while connecting. Nothing was sent.
+        if self.weights_outdated(picked) || self.must_rest(picked, began) {
+            // The endpoint became unusable while connecting. Nothing was sent.
             return AttemptResult::Failed(Failure::NotSent);
         }
         if let Some(remaining) = self.held_for() {
@@ -463,8 +463,8 @@
     ) -> AttemptResult {
         let info = (self.shared.dialect.parse_response)(&answer.head);
         let prompt = self.request.info.prompt.as_ref();
-        observe::record_info(self.shared, &in_flight.picked.endpoint.id, prompt, &info);
         let status = answer.head.status;
+        observe::record_info(self.shared, in_flight, prompt, status, &info);
         if info.not_run || status == 421 {
             in_flight.ended();
             return self.handle_refusal(in_flight, status, &info);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -11,6 +11,7 @@
 mod record;
 mod relay;
 pub mod reply;
+mod rests;
 mod wait;
 
 use crate::dialect::RequestInfo;
--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -1,14 +1,25 @@
 //! What an endpoint's response says about the endpoint.
 
+use super::in_flight::InFlightAttempt;
+use super::rests;
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
 use dispatch::fleet::{Fleet, Prompt};
-use ids::EndpointId;
+use std::time::Duration;
 
 /// Records what a response says about the endpoint that sent it.
-pub(super) fn record_info(shared: &Shared, id: &EndpointId, prompt: Option<&Prompt>, info: &ResponseInfo) {
+pub(super) fn record_info(
+    shared: &Shared,
+    attempt: &InFlightAttempt<'_>,
+    prompt: Option<&Prompt>,
+    status: u16,
+    info: &ResponseInfo,
+) {
     let now = shared.clock.now();
+    let (entry, id) = (&attempt.picked.endpoint, &attempt.picked.endpoint.id);
     let mut fleet = shared.fleet();
+    let asked = info.retry_after.filter(|_| status == 503);
+    rests::record(&mut fleet, entry, asked, attempt.began, now);
     if let Some(load) = info.load {
         fleet.record_load(id, load, now);
     }
@@ -47,6 +58,15 @@
     shared.news_changed();
 }
 
+/// Sets the gauges that change with time. Returns the number of unreachable endpoints.
+pub(crate) fn set_timed_gauges(shared: &Shared, now: Duration) -> usize {
+    let fleet = shared.fleet();
+    let unreachable = fleet.unreachable_count();
+    shared.metrics.unreachable.set(unreachable as i64);
+    shared.metrics.resting.set(fleet.resting_count(now) as i64);
+    unreachable
+}
+
 /// Sets the gauges of endpoints with limits.
 pub(crate) fn set_gauges(shared: &Shared, fleet: &Fleet) {
     shared.metrics.rated.set(fleet.rate_limited_count() as i64);
--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -47,7 +47,9 @@
     let Some(endpoint) = requested_endpoint(&shared, &head, peer.ip()) else {
         return respond(&shared, conn, REFUSED, "rejected").await;
     };
-    if shared.stopping.load(Ordering::SeqCst) || !shared.paths().carry(&endpoint.id) {
+    // The endpoint takes this router for the sender.
+    let is_resting = shared.fleet().is_resting(&endpoint, shared.clock.now());
+    if is_resting || shared.stopping.load(Ordering::SeqCst) || !shared.paths().carry(&endpoint.id) {
         return respond(&shared, conn, REFUSED, "refused").await;
     }
     let _carried = Carried::new(&shared);
