A router that carries a tunnel keeps the rest that its endpoint asks for

An endpoint takes the router that carries a tunnel for the sender. When it turned a tunnelled request away and asked for rest, only the router behind the tunnel kept it; the carrying one went on sending its own requests.

The carrying router now reads the head of the first answer in a tunnel, if it comes in one piece, and keeps the rest as its own. The bytes are carried as they are.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -11,7 +11,7 @@
 mod record;
 mod relay;
 pub mod reply;
-mod rests;
+pub(crate) mod rests;
 mod wait;
 
 use crate::dialect::RequestInfo;
--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -18,8 +18,7 @@
     let now = shared.clock.now();
     let (entry, id) = (&attempt.picked.endpoint, &attempt.picked.endpoint.id);
     let mut fleet = shared.fleet();
-    let asked = info.retry_after.filter(|_| status == 503);
-    rests::record(&mut fleet, entry, asked, attempt.began, now);
+    rests::record(&mut fleet, entry, rests::asked(status, info), attempt.began, now);
     if let Some(load) = info.load {
         fleet.record_load(id, load, now);
     }
--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -1,6 +1,7 @@
 //! Carries tunnels for other routers.
 
 use super::{INCARNATION, MAX_HEAD_BYTES, OPENED, REFUSED, ROUTER, UNREACHABLE};
+use crate::serve::rests;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -57,8 +58,13 @@
         return respond(&shared, conn, UNREACHABLE, "unreachable").await;
     };
     respond(&shared, conn, OPENED, "opened").await;
+    let began = shared.clock.now();
+    let on_answer = |bytes: &[u8]| {
+        let asked = rests::asked_in(bytes, shared.dialect.parse_response);
+        rests::record(&mut shared.fleet(), &endpoint, asked, began, shared.clock.now());
+    };
     // A tunnel that lives longer belongs to a router that has disappeared.
-    let _ = timeout(MAX_LIFETIME, splice(source, far)).await;
+    let _ = timeout(MAX_LIFETIME, splice(source, far, on_answer)).await;
 }
 
 /// Counts a carried tunnel until dropped.
@@ -101,15 +107,15 @@
     let _ = conn.write_all(text.as_bytes()).await;
 }
 
-/// Carries bytes in both directions until either end closes.
-async fn splice(near: Source, far: Source) {
+/// Carries bytes in both directions until either end closes. `on_answer` gets the first bytes of the endpoint.
+async fn splice(near: Source, far: Source, on_answer: impl FnOnce(&[u8])) {
     let (near_conn, far_conn) = (near.conn().clone(), far.conn().clone());
     // Only a regular end is carried over as one. A response without a length would look complete if this process or the
     // other end of the tunnel failed and the connection was closed.
     near_conn.reset_on_drop(true);
     far_conn.reset_on_drop(true);
-    let up = pin!(copy(near, far_conn.clone()));
-    let down = pin!(copy(far, near_conn.clone()));
+    let up = pin!(copy(near, far_conn.clone(), |_| ()));
+    let down = pin!(copy(far, near_conn.clone(), on_answer));
     match select(up, down).await {
         Either::Left((End::Closed, _)) => far_conn.reset_on_drop(false),
         Either::Right((End::Closed, up)) => {
@@ -122,9 +128,13 @@
     }
 }
 
-async fn copy(mut from: Source, mut to: Conn) -> End {
+async fn copy(mut from: Source, mut to: Conn, on_first: impl FnOnce(&[u8])) -> End {
+    let mut on_first = Some(on_first);
     loop {
         if !from.buffered().is_empty() {
+            if let Some(on_first) = on_first.take() {
+                on_first(from.buffered());
+            }
             if to.write_all(from.buffered()).await.is_err() {
                 return End::Broken;
             }
