Rests in the gateway import nothing of its circle

The check before sending stands with the attempt in flight, which knows the endpoint and when it was chosen; serve::rests and the gauges take what they need, and control doesn't import serve.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,7 +7,6 @@
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders::ListSentAt;
 use crate::origins;
-use crate::serve::observe;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::era_check::EraCheck;
@@ -521,7 +520,7 @@
             paths.lost()
         };
         self.shared.metrics.paths_lost.set(paths_lost as i64);
-        let unreachable = observe::set_timed_gauges(&self.shared, now);
+        let unreachable = self.shared.metrics.set_endpoint_states(&self.shared.fleet(), now);
         let total = self.roster.all().count();
         let lost = total > 0 && unreachable >= total;
         if std::mem::replace(&mut self.endpoints_lost, lost) == lost {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters, gauges and histograms in the Prometheus format.
 
+use dispatch::fleet::Fleet;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
+use std::time::Duration;
 
 /// Bucket bounds of the time to first byte, seconds. They are dense around the objectives of routes, which lie between
 /// 0.1 and 1.2 s.
@@ -171,6 +173,14 @@
         }
     }
 
+    /// Sets the gauges of endpoints whose state changes with time. Returns the number of unreachable ones.
+    pub fn set_endpoint_states(&self, fleet: &Fleet, now: Duration) -> usize {
+        let unreachable = fleet.unreachable_count();
+        self.unreachable.set(unreachable as i64);
+        self.resting.set(fleet.resting_count(now) as i64);
+        unreachable
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -299,7 +299,7 @@
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
             WaitOutcome::TimedOut => return AttemptResult::Ended(self.give_up(Cause::Deadline)),
         };
-        if self.weights_outdated(picked) || self.must_rest(picked, began) {
+        if self.weights_outdated(picked) || !in_flight.may_be_sent() {
             // The endpoint became unusable while connecting. Nothing was sent.
             return AttemptResult::Failed(Failure::NotSent);
         }
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Whether the endpoint has not asked for rest since it was chosen.
+    pub(super) fn may_be_sent(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.fleet().may_send(&self.picked.endpoint, self.began, now)
+    }
+
     /// Records that bytes of the request are sent.
     pub(super) fn sent(&mut self) {
         self.may_run = true;
--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -5,7 +5,6 @@
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
 use dispatch::fleet::{Fleet, Prompt};
-use std::time::Duration;
 
 /// Records what a response says about the endpoint that sent it.
 pub(super) fn record_info(
@@ -57,15 +56,6 @@
     shared.news_changed();
 }
 
-/// Sets the gauges that change with time. Returns the number of unreachable endpoints.
-pub(crate) fn set_timed_gauges(shared: &Shared, now: Duration) -> usize {
-    let fleet = shared.fleet();
-    let unreachable = fleet.unreachable_count();
-    shared.metrics.unreachable.set(unreachable as i64);
-    shared.metrics.resting.set(fleet.resting_count(now) as i64);
-    unreachable
-}
-
 /// Sets the gauges of endpoints with limits.
 pub(crate) fn set_gauges(shared: &Shared, fleet: &Fleet) {
     shared.metrics.rated.set(fleet.rate_limited_count() as i64);
--- a/crates/gateway/src/serve/rests.rs
+++ b/crates/gateway/src/serve/rests.rs
@@ -1,8 +1,7 @@
 //! Rests that endpoints ask this router for.
 
-use super::attempts::Attempts;
 use crate::dialect::ResponseInfo;
-use dispatch::fleet::{Fleet, PickedEndpoint};
+use dispatch::fleet::Fleet;
 use dispatch::site::EndpointEntry;
 use http::raw::ResponseHead;
 use std::time::Duration;
@@ -35,11 +34,3 @@
         );
     }
 }
-
-impl Attempts<'_> {
-    /// Whether the endpoint that was chosen then has asked for rest since.
-    pub(super) fn must_rest(&self, picked: &PickedEndpoint, began: Duration) -> bool {
-        let now = self.shared.clock.now();
-        !self.shared.fleet().may_send(&picked.endpoint, began, now)
-    }
-}
