--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,6 +1,7 @@
 //! Filters the endpoints that may serve a request.
 
 use super::endpoint_state::EndpointState;
+use super::rate_limits::RateLimits;
 use super::targets::Target;
 use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
@@ -111,17 +112,12 @@
     /// Drops endpoints that this router may not use now. If none would be left, keeps all and returns the time until a
     /// retry may succeed.
     fn drop_held_back(&self, eligible: &mut Vec<&EndpointState>, now: Duration) -> Option<Duration> {
-        if prefer(eligible, |state| self.held_back_for(state, now).is_none()) {
+        let limits = (self.rate_limits.count() > 0).then_some(&self.rate_limits);
+        let held_back_for = |state: &EndpointState| limited_for(limits, state, now).max(state.rest.pause(now));
+        if prefer(eligible, |state| held_back_for(state).is_none()) {
             return None;
         }
-        eligible.iter().filter_map(|state| self.held_back_for(state, now)).min()
-    }
-
-    /// Time until this router may use an endpoint that rests or is at its rate limit.
-    fn held_back_for(&self, state: &EndpointState, now: Duration) -> Option<Duration> {
-        let key = ShortKey::from(state.key);
-        let limited = (!self.rate_limits.allow(key, now)).then(|| self.rate_limits.retry_after(key, now));
-        limited.max(state.rest.pause(now))
+        eligible.iter().filter_map(|state| held_back_for(state)).min()
     }
 
     /// Whether an endpoint is reachable, also for peers, and fails few of its attempts.
@@ -179,6 +175,12 @@
     }
 }
 
+/// Time until an endpoint's rate limit allows a request, unless it does now.
+fn limited_for(limits: Option<&RateLimits>, state: &EndpointState, now: Duration) -> Option<Duration> {
+    let (limits, key) = (limits?, ShortKey::from(state.key));
+    (!limits.allow(key, now)).then(|| limits.retry_after(key, now))
+}
+
 /// Keeps only the endpoints that pass `test`, if any does. Returns whether one did.
 fn prefer(eligible: &mut Vec<&EndpointState>, test: impl Fn(&EndpointState) -> bool) -> bool {
     let any = eligible.iter().any(|state| test(state));
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -250,7 +250,7 @@
             WaitOutcome::Resumed(attempt) => return AttemptResult::Overtaken(attempt),
             WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         };
-        if self.weights_outdated(picked) || self.must_rest(picked, began) {
+        if self.weights_outdated(picked) || !in_flight.may_be_sent() {
             // The endpoint became unusable while connecting. Nothing was sent.
             return AttemptResult::Failed(Failure::NotSent);
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -13,7 +13,7 @@
 mod relay;
 pub mod reply;
 mod response;
-mod rests;
+pub(crate) mod rests;
 mod silent;
 mod wait;
 
