Versions of a service are borrowed, and the list of routers is read where it is used

Fleet::versions cloned the version of each endpoint of a service, at each first event of a resumable stream, to count them. It returns borrowed names now; only the answer to another router clones them, once each. proves_single takes their number, which is all that it looked at. find parsed the list of routers before it knew whether others must be asked, and ask parsed it again; it is read once, after that.

Behaviour is unchanged; one list decides whom to ask and whether the router is alone, where it took two. The cost was not measured. The cases of a_single_version_is_proved_by_watching_long_enough give the number of versions instead of their names; they are the same six.

--- a/crates/dispatch/src/fleet/versions.rs
+++ b/crates/dispatch/src/fleet/versions.rs
@@ -17,16 +17,14 @@
 
 impl Fleet {
     /// Versions of a service's software seen within [`RETENTION`].
-    pub fn versions(&self, service: &ServiceId, now: Duration) -> BTreeSet<SoftwareVersion> {
+    pub fn versions(&self, service: &ServiceId, now: Duration) -> BTreeSet<&SoftwareVersion> {
         let states = self.endpoints.values().filter(|state| state.entry.service == *service);
-        let current = states.map(|state| state.entry.software.clone());
+        let current = states.map(|state| &state.entry.software);
         let departed = self
             .departed_versions
             .iter()
             .filter(|departed| departed.service == *service && now.saturating_sub(departed.at) < RETENTION);
-        current
-            .chain(departed.map(|departed| departed.software.clone()))
-            .collect()
+        current.chain(departed.map(|departed| &departed.software)).collect()
     }
 
     /// Version of the software of an endpoint in service.
--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -123,16 +123,11 @@
         self.known.iter().map(|(stream, origin)| (*stream, origin))
     }
 
-    /// Whether this router can tell by itself that a service has had only these versions for as long as a client may take to
-    /// return. `list_age` is the time since the last word from the store.
-    pub fn proves_single(
-        &self,
-        versions: &BTreeSet<SoftwareVersion>,
-        list_age: Option<Duration>,
-        now: Duration,
-    ) -> bool {
+    /// Whether this router can tell by itself that a service has had one version for as long as a client may take to return.
+    /// `versions` is the number that it saw, `list_age` the time since the last word from the store.
+    pub fn proves_single(&self, versions: usize, list_age: Option<Duration>, now: Duration) -> bool {
         let watched = self.watching_since.map(|since| now.saturating_sub(since));
-        versions.len() <= 1
+        versions <= 1
             && watched.is_some_and(|watched| watched >= RETENTION)
             && list_age.is_some_and(|age| age <= MAX_LIST_AGE)
     }
--- a/crates/dispatch/tests/origins.rs
+++ b/crates/dispatch/tests/origins.rs
@@ -2,7 +2,6 @@
 
 use dispatch::origins::{Continuation, Knowledge, Origin, Origins, StreamKey, continuation};
 use ids::{RequestId, ServiceId, SoftwareVersion};
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 fn origin(version: &str) -> Origin {
@@ -98,7 +97,7 @@
 #[test]
 fn a_single_version_is_proved_by_watching_long_enough() {
     struct Case {
-        versions: &'static [&'static str],
+        versions: usize,
         list_age: Option<u64>,
         now: u64,
         proved: bool,
@@ -110,24 +109,19 @@
         proved,
     };
     let cases = [
-        case(&["v1"], Some(100), 31_000, true),
-        case(&["v1"], Some(100), 29_000, false),
-        case(&["v1"], Some(2_500), 31_000, false),
-        case(&["v1"], None, 31_000, false),
-        case(&["v1", "v2"], Some(100), 31_000, false),
-        case(&[], Some(100), 31_000, true),
+        case(1, Some(100), 31_000, true),
+        case(1, Some(100), 29_000, false),
+        case(1, Some(2_500), 31_000, false),
+        case(1, None, 31_000, false),
+        case(2, Some(100), 31_000, false),
+        case(0, Some(100), 31_000, true),
     ];
     let mut origins = Origins::default();
     origins.list_read(Duration::from_secs(1));
     origins.list_read(Duration::from_secs(20));
     for case in cases {
-        let versions: BTreeSet<SoftwareVersion> = case
-            .versions
-            .iter()
-            .map(|version| SoftwareVersion::from(*version))
-            .collect();
         let age = case.list_age.map(Duration::from_millis);
-        let proved = origins.proves_single(&versions, age, Duration::from_millis(case.now));
+        let proved = origins.proves_single(case.versions, age, Duration::from_millis(case.now));
         assert_eq!(
             proved, case.proved,
             "{:?} {:?} {}",
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -59,12 +59,12 @@
 pub async fn find(shared: &Shared, begun: Option<&str>, request: &str, service: &ServiceId) -> Continuation {
     let stream = StreamKey::from(&RequestId::from(begun.unwrap_or(request)));
     let own = knowledge(shared, stream, service);
-    let alone = Members::read(shared).count() <= 1;
     if own.origin.is_some() || proves_single(shared, service) {
         return continuation(&own, &[], true);
     }
-    let others = ask(shared, stream, service).await;
-    let found = continuation(&own, &others, alone);
+    let routers = Members::read(shared).addresses();
+    let others = ask(shared, stream, service, &routers).await;
+    let found = continuation(&own, &others, routers.len() <= 1);
     log::info!(
         stream = begun.unwrap_or_default(),
         asked = others.len(),
@@ -98,16 +98,16 @@
     let now = shared.clock.now();
     Knowledge {
         origin: shared.origins().get(stream).cloned(),
-        versions: shared.fleet().versions(service, now),
+        versions: shared.fleet().versions(service, now).into_iter().cloned().collect(),
     }
 }
 
 /// Whether this router can tell by itself that the service has had one version for long enough.
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
     let now = shared.clock.now();
-    let versions = shared.fleet().versions(service, now);
+    let versions = shared.fleet().versions(service, now).len();
     let age = shared.uptime().age(now);
-    shared.origins().proves_single(&versions, age, now)
+    shared.origins().proves_single(versions, age, now)
 }
 
 /// The routers that remember where a stream began.
@@ -117,14 +117,19 @@
     routers.iter().filter(is_chosen).collect()
 }
 
-async fn ask(shared: &Shared, stream: StreamKey, service: &ServiceId) -> Vec<Option<Knowledge>> {
+/// Asks those of the routers that remember where the stream began.
+async fn ask(
+    shared: &Shared,
+    stream: StreamKey,
+    service: &ServiceId,
+    routers: &[(VmId, SocketAddr)],
+) -> Vec<Option<Knowledge>> {
     let own = shared.settings.load().vm.clone();
-    let routers = Members::read(shared).addresses();
     let query = OriginQuery {
         stream,
         service: service.clone(),
     };
-    let others = keepers(stream, &routers).into_iter().filter(|(vm, _)| *vm != own);
+    let others = keepers(stream, routers).into_iter().filter(|(vm, _)| *vm != own);
     let calls = others.map(|(_, address)| ask_one(*address, query.clone()));
     let answers = join_all(calls).await;
     let knowledge = |response: OriginResponse| Knowledge {
