Bodies without a length take their part of the memory for bodies as they arrive

Operators of small VMs would see a router killed for want of memory under a few slow uploads: a body with a length reserves its part of 32 MiB before it is read, and a chunked one reserved nothing.

Change: what is reserved grows with each part that was read; a body with a length has it all reserved and doesn't grow. Past the bound the upload is refused with 503 and a time to retry. Nothing was sent to an endpoint, since whole bodies are read first, so "not run" is true.

Left: a body's buffer doubles as it grows, so it may take twice its length for a moment, with or without a length.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -83,6 +83,20 @@
         let memory = Self(shared, bytes);
         (before + bytes <= MAX_BODY_MEMORY).then_some(memory)
     }
+
+    /// Counts this many bytes in total, if that is more than before. If there is no memory for them, counts none and returns
+    /// false, so that other bodies fit at once.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let added = bytes.saturating_sub(self.1);
+        let counted = &self.0.body_bytes;
+        let fits = |before: usize| (before + added <= MAX_BODY_MEMORY).then_some(before + added);
+        if added == 0 || counted.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fits).is_ok() {
+            self.1 += added;
+            return true;
+        }
+        counted.fetch_sub(std::mem::take(&mut self.1), Ordering::Relaxed);
+        false
+    }
 }
 
 impl Drop for BodyMemory<'_> {
@@ -91,6 +105,35 @@
     }
 }
 
+/// How reading a body ended.
+enum BodyRead {
+    Whole(Vec<u8>),
+    Refuse(Cause),
+    Abort,
+}
+
+/// Reads a body of at most `limit` bytes. The memory of one whose length isn't known before is counted as it arrives.
+async fn read_body(reader: &mut BodyReader, source: &mut Source, limit: u64, memory: &mut BodyMemory<'_>) -> BodyRead {
+    let mut body = Vec::new();
+    loop {
+        match reader.next_part(source).await {
+            Ok(Some(part)) => {
+                let length = body.len() + part.len();
+                if length as u64 > limit {
+                    return BodyRead::Refuse(Cause::BodyTooLarge);
+                }
+                if !memory.grow(length) {
+                    return BodyRead::Refuse(Cause::NotReady);
+                }
+                body.extend_from_slice(&part);
+            }
+            Ok(None) => return BodyRead::Whole(body),
+            Err(RawBodyError::Chunk) => return BodyRead::Refuse(Cause::Malformed),
+            Err(_) => return BodyRead::Abort,
+        }
+    }
+}
+
 /// Counts a request in flight until dropped.
 struct InFlight<'a>(&'a Shared);
 
@@ -174,18 +217,18 @@
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         Framing::Chunked | Framing::UntilClose => 0,
     };
-    let Some(_memory) = BodyMemory::reserve(shared, size) else {
+    let Some(mut memory) = BodyMemory::reserve(shared, size) else {
         return refuse(shared, conn, Cause::NotReady).await;
     };
     if expects_continue(&head) && !send_continue(conn).await {
         return ConnectionAction::Abort;
     }
     let mut reader = BodyReader::new(framing);
-    let body = match timeout(BODY_TIMEOUT, reader.read_to_end(source, limits.body_bytes)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(RawBodyError::TooLarge)) => return refuse(shared, conn, Cause::BodyTooLarge).await,
-        Ok(Err(RawBodyError::Chunk)) => return refuse(shared, conn, Cause::Malformed).await,
-        Ok(Err(_)) => return ConnectionAction::Abort,
+    let reading = read_body(&mut reader, source, limits.body_bytes, &mut memory);
+    let body = match timeout(BODY_TIMEOUT, reading).await {
+        Ok(BodyRead::Whole(body)) => body,
+        Ok(BodyRead::Refuse(cause)) => return refuse(shared, conn, cause).await,
+        Ok(BodyRead::Abort) => return ConnectionAction::Abort,
         Err(_) => return refuse(shared, conn, Cause::SlowClient).await,
     };
     let incoming = IncomingRequest {
