A router that cannot write its entry tries again under the same lease

Cause: a router asked for a new lease whenever the entry under the last one wasn't known to be written. Releasing it instead would remove an entry that was written and whose response was lost. Change: the lease is kept and renewed, and the entry is written again under it, until the store says that the lease has ended. A router that stops releases it, written or not. A store that was restored is registered at anew, as before.

--- a/crates/gateway/src/follow/members.rs
+++ b/crates/gateway/src/follow/members.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use store::items::{Client, CommitOutcome, ItemsError, Transaction, Write};
+use store::items::{Client, CommitOutcome, Transaction, Write};
 
 /// Key prefix of routers' entries, followed by the VM's id.
 pub const MEMBER_PREFIX: &str = "apricotfork/routers/";
@@ -158,36 +158,67 @@
     }
 }
 
+/// This router's entry in the store, as far as the router knows.
+#[derive(Debug, Default)]
+struct Registration {
+    lease: Option<u64>,
+    /// Whether the entry is written under the lease.
+    written: bool,
+}
+
+/// What a try to keep the entry has led to.
+enum Kept {
+    /// The entry is written, and its lease renewed.
+    Registered,
+    /// The lease has ended.
+    Expired,
+    /// The lease may still be used, for the next try.
+    Failed,
+}
+
+impl Registration {
+    /// Renews the lease or requests one, and writes the entry if it isn't written.
+    async fn keep(&mut self, shared: &Shared, client: &Client, address: SocketAddr) -> Kept {
+        let renewed = match self.lease {
+            Some(lease) => client.renew(lease, CALL_TIMEOUT).await.map(|ttl| ttl.map(|_| lease)),
+            None => client
+                .grant(LEASE_TTL, CALL_TIMEOUT)
+                .await
+                .map(|granted| Some(granted.lease)),
+        };
+        let Ok(renewed) = renewed else {
+            return Kept::Failed;
+        };
+        self.lease = renewed;
+        let Some(lease) = renewed else {
+            self.written = false;
+            return Kept::Expired;
+        };
+        if !self.written {
+            // A lost response is repeated under the same lease, so that no lease is left behind.
+            let committed = client.commit(&entry(shared, address, lease), CALL_TIMEOUT).await;
+            self.written = matches!(committed, Ok(CommitOutcome::Done(_)));
+        }
+        if self.written { Kept::Registered } else { Kept::Failed }
+    }
+}
+
 /// Keeps this router's entry in the store until the process exits.
 pub async fn register(shared: Arc<Shared>, address: SocketAddr) {
-    let mut lease = None;
+    let mut registration = Registration::default();
     loop {
         let client = Client::new(shared.settings.load().store, shared.dialect.store);
         let until = shared.clock.now() + LEASE_TTL;
-        let pause = match lease {
-            None => {
-                lease = write_entry(&shared, &client, address).await.ok().flatten();
-                if lease.is_some() {
-                    shared.fleet().set_registered_until(until);
-                    RENEW_INTERVAL
-                } else {
-                    RETRY_DELAY
-                }
+        let pause = match registration.keep(&shared, &client, address).await {
+            Kept::Registered => {
+                shared.fleet().set_registered_until(until);
+                RENEW_INTERVAL
             }
-            Some(held) => match client.renew(held, CALL_TIMEOUT).await {
-                Ok(Some(_)) => {
-                    shared.fleet().set_registered_until(until);
-                    RENEW_INTERVAL
-                }
-                Ok(None) => {
-                    lease = None;
-                    Duration::ZERO
-                }
-                Err(_) => RETRY_DELAY,
-            },
+            Kept::Expired => Duration::ZERO,
+            Kept::Failed => RETRY_DELAY,
         };
         if shared.stopping.load(Ordering::SeqCst) {
-            if let Some(held) = lease {
+            if let Some(held) = registration.lease {
                 // An entry that is not removed expires by itself.
                 drop(client.release(held, CALL_TIMEOUT).await);
             }
@@ -196,28 +227,25 @@
         if timeout(pause, shared.restored_signal.1.recv()).await.is_ok() {
             // The lease may no longer exist, or its id may now belong to another lease.
             log::info!("store: writing this router's entry again");
-            lease = None;
+            registration = Registration::default();
         }
     }
 }
 
-/// Writes the entry. Returns its lease, or none if the write was not committed.
-async fn write_entry(shared: &Shared, client: &Client, address: SocketAddr) -> Result<Option<u64>, ItemsError> {
-    let granted = client.grant(LEASE_TTL, CALL_TIMEOUT).await?;
+/// The transaction that writes this router's entry.
+fn entry(shared: &Shared, address: SocketAddr, lease: u64) -> Transaction {
     let settings = shared.settings.load();
     let member = Member {
         domain: settings.domain.clone(),
         address,
         link: settings.link_mbps.unwrap_or_default(),
     };
-    let transaction = Transaction {
+    Transaction {
         expected: Vec::new(),
         writes: vec![Write {
             key: format!("{MEMBER_PREFIX}{}", settings.vm),
             value: serde_json::to_vec(&member).expect("a name and an address always serialize"),
-            lease: granted.lease,
+            lease,
         }],
-    };
-    let committed = client.commit(&transaction, CALL_TIMEOUT).await?;
-    Ok(matches!(committed, CommitOutcome::Done(_)).then_some(granted.lease))
+    }
 }
