--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -2,7 +2,9 @@
 
 use super::in_flight::InFlightAttempt;
 use super::rests;
+use crate::control::event::LeavingSource;
 use crate::dialect::ResponseInfo;
+use crate::leaving;
 use crate::shared::Shared;
 use dispatch::fleet::{Fleet, Prompt};
 
@@ -18,6 +20,9 @@
     let (entry, id) = (&attempt.picked.endpoint, &attempt.picked.endpoint.id);
     let mut fleet = shared.fleet();
     rests::record(&mut fleet, entry, rests::asked(status, info), attempt.began, now);
+    if let Some(leaves) = leaving::stated(info, entry, &fleet) {
+        leaving::learn(&mut fleet, &shared.events, leaves, LeavingSource::Answer);
+    }
     if let Some(load) = info.load {
         fleet.record_load(id, load, now);
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -25,8 +25,8 @@
 pub use pack::{PACK_MIN_BYTES, pack, unpack};
 pub use relay::{
     AnswerMessage, BacklogMessage, EndMessage, EndedProcessMessage, EndsMessage, Follow, FollowResponse, HoldMessage,
-    LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse, PartsMessage, PrefixPage,
-    PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage, ReportMessage,
+    LeavingMessage, LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse, PartsMessage,
+    PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage, ReportMessage,
     SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream, UptimeMessage,
     UsageMessage, age_ms, serve_followers, time_of,
 };
