An endpoint whose answers say that it leaves gets no more requests (DRAIN)

Clients' requests reached endpoints up to 11 s after their answers had said `Server-Leaving: 1`, because the routers couldn't reach the store and its last entry said `ready`. Nothing read the header. A router learned of a drain from the store only, which is the one source that is missing in an outage.

Now a statement marks the endpoint in its incarnation: in the fleet before the answer is passed on, and at the roster, which alone decides who drains. There it outlives the entry: no later entry of the same incarnation brings the endpoint back, whether it was written, copied, restored, or removed and listed again. All that reads `draining` follows. Routers repeat to each other what the store's entries don't show, which reaches routers that started since and those that carried the answer through a tunnel. At most 1024 statements of endpoints without an entry are kept.

--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -114,6 +114,8 @@
     pub(super) entry: Arc<EndpointEntry>,
     /// Hash of the endpoint's id.
     pub(super) key: EndpointKey,
+    /// Whether it has stated to this router that it leaves.
+    leaving: bool,
     /// Requests of this router that are in flight.
     in_flight: u32,
     /// This router's requests whose prompts have not been read, oldest first.
@@ -147,6 +149,7 @@
         Self {
             key: EndpointKey::from(&entry.id),
             entry,
+            leaving: false,
             in_flight: 0,
             pending_prefills: Vec::new(),
             report: None,
@@ -218,11 +221,26 @@
         proven.min(limited).clamp(1.0, slots.max(1.0)) as u32
     }
 
+    /// Replaces the entry by another one of the same incarnation, which may be older than its statement that it leaves.
     pub(super) fn update(&mut self, entry: Arc<EndpointEntry>, now: Duration) {
         for (model, weights) in &entry.weights {
             self.raise_weights(model, *weights, now);
         }
         self.entry = entry;
+        self.drain_if_leaving();
+    }
+
+    /// Records that it has stated that it leaves. Returns whether that is new.
+    pub(super) fn mark_leaving(&mut self) -> bool {
+        let is_new = !std::mem::replace(&mut self.leaving, true);
+        self.drain_if_leaving();
+        is_new
+    }
+
+    fn drain_if_leaving(&mut self) {
+        if self.leaving && !self.entry.draining {
+            Arc::make_mut(&mut self.entry).draining = true;
+        }
     }
 
     /// Records newer weights. Within one incarnation the weights of an endpoint only get newer.
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_state;
 mod engines;
 pub(crate) mod lanes;
+mod leaving;
 mod occupied;
 mod places;
 mod plain;
@@ -551,12 +552,6 @@
             .try_retry(&limits, now)
     }
 
-    /// Returns how stale the weights of a model are, for logs.
-    pub fn staleness(&self, model: &ModelId, weights: u64, now: Duration) -> Staleness {
-        let targets = self.targets.get(model);
-        targets.map_or(Staleness::Current, |targets| targets.staleness(weights, now))
-    }
-
     fn endpoint_mut(&mut self, id: &EndpointId, incarnation: Incarnation) -> Option<&mut EndpointState> {
         let state = self.endpoints.get_mut(id)?;
         (state.entry.incarnation == incarnation).then_some(state)
--- a/crates/dispatch/src/fleet/staleness.rs
+++ b/crates/dispatch/src/fleet/staleness.rs
@@ -1,4 +1,4 @@
-//! Until when requests may begin on replaced weights.
+//! How stale weights are, and until when requests may begin on replaced ones.
 //!
 //! Load pattern: new weights become the target while engines crash under a burst, so the remaining ones have old
 //! weights and queues of one to two seconds. A request sent there just before the limit begins after it, and its
@@ -6,11 +6,17 @@
 
 use super::Fleet;
 use super::endpoint_state::EndpointState;
-use super::targets::Target;
+use super::targets::{Staleness, Target};
 use ids::ModelId;
 use std::time::Duration;
 
 impl Fleet {
+    /// Returns how stale the weights of a model are, for logs.
+    pub fn staleness(&self, model: &ModelId, weights: u64, now: Duration) -> Staleness {
+        let targets = self.targets.get(model);
+        targets.map_or(Staleness::Current, |targets| targets.staleness(weights, now))
+    }
+
     /// Whether a request may begin on these weights at time `at`. A newer target of unknown age may have passed the
     /// limit, so it counts as if it had; otherwise routers that had restarted would serve old weights for ever.
     pub fn may_begin(&self, model: &ModelId, weights: Option<u64>, at: Duration) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`era_check`] | whether a restored store holds the newest document |
 //! | [`uptime`] | how long the store has been available |
 //! | [`roster`] | which endpoints are in service |
+//! | [`leaving`] | which endpoints have stated on their answers that they leave |
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
 //! | [`origins`] | at which version of the software a stream may go on |
@@ -30,6 +31,7 @@
 pub mod freshness;
 pub mod holder;
 pub mod intake;
+pub mod leaving;
 pub mod loading;
 pub mod origins;
 pub mod paths;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -6,6 +6,7 @@
 //! responses stays in service for as long as a healthy endpoint needs to register again, unless a peer shows that
 //! the store was available.
 
+use crate::leaving::{Leaving, LeavingEndpoint};
 use crate::site::EndpointEntry;
 use crate::uptime::{Span, Uptime};
 use ids::{EndpointId, Incarnation, ServiceId};
@@ -57,6 +58,17 @@
     Removed(EndpointId),
 }
 
+/// What a statement of an endpoint that it leaves changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeavingChange {
+    /// Nothing: the statement is known, or of an earlier incarnation.
+    Known,
+    /// The statement is new, and the endpoint is not in service or drains already.
+    New,
+    /// The statement is new, and the endpoint begins to drain.
+    Draining(RosterChange),
+}
+
 /// The endpoints in service.
 #[derive(Debug, Clone, Default)]
 pub struct Roster {
@@ -70,6 +82,7 @@
     restored: Option<Duration>,
     /// Incarnations of removed endpoints, and when they were removed.
     removed: BTreeMap<EndpointId, (Incarnation, Duration)>,
+    leaving: Leaving,
 }
 
 impl Roster {
@@ -98,6 +111,28 @@
         self.entries.get(id)
     }
 
+    /// Endpoints that have stated that they leave, although the store does not show it.
+    pub fn unshown_leaving(&self, now: Duration) -> impl Iterator<Item = LeavingEndpoint> {
+        self.leaving.unshown(now)
+    }
+
+    /// Records that an endpoint has stated on an answer that it leaves. It drains until it starts again, whatever its
+    /// entries show.
+    pub fn mark_leaving(&mut self, endpoint: LeavingEndpoint, now: Duration) -> LeavingChange {
+        let entry = self.entries.get(&endpoint.id).cloned();
+        let incarnation = endpoint.incarnation;
+        if !self.leaving.record(endpoint, entry.as_deref(), now) {
+            return LeavingChange::Known;
+        }
+        let serving = entry.filter(|entry| entry.incarnation == incarnation && !entry.draining);
+        let Some(mut entry) = serving else {
+            return LeavingChange::New;
+        };
+        Arc::make_mut(&mut entry).draining = true;
+        self.entries.insert(entry.id.clone(), entry.clone());
+        LeavingChange::Draining(RosterChange::InService(entry))
+    }
+
     /// Records a failed call to the store whose response was due at `due`.
     pub fn store_failed(&mut self, due: Duration) {
         self.failing.get_or_insert(due);
@@ -182,6 +217,7 @@
         self.missing.remove(&id);
         self.removed
             .retain(|_, (_, since)| now.saturating_sub(*since) < REMOVED_RETENTION);
+        self.leaving.entry_removed(&id);
         if let Some(entry) = self.entries.remove(&id) {
             self.removed.insert(id.clone(), (entry.incarnation, now));
         }
@@ -205,13 +241,16 @@
     /// Keeps an incarnation draining, even if the restored store has an entry from before it began to drain.
     fn keep_draining(&self, change: &mut ListChange) {
         if let ListChange::Listed(entry) = change
+            // An endpoint that has stated that it leaves drains in any case.
+            && !self.leaving.contains(&entry.id, entry.incarnation)
             && let Some(current) = self.entries.get(&entry.id)
         {
             entry.draining |= current.draining && current.incarnation == entry.incarnation;
         }
     }
 
-    fn list(&mut self, entry: EndpointEntry) -> Option<RosterChange> {
+    fn list(&mut self, mut entry: EndpointEntry) -> Option<RosterChange> {
+        entry.draining |= self.leaving.entry_listed(&entry);
         let current = self.entries.get(&entry.id);
         if current.is_some_and(|current| **current == entry) {
             return None;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,8 +2,12 @@
 //! lease.
 
 mod documents;
+pub mod event;
+mod leaving;
 pub mod orders;
 
+pub use event::Event;
+
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::orders::ListSentAt;
 use crate::origins;
@@ -11,7 +15,6 @@
 use async_channel::Receiver;
 use dispatch::era_check::EraCheck;
 use dispatch::fleet::TargetAge;
-use dispatch::freshness::Confirmation;
 use dispatch::holder::{ForeignOrders, Holder, HolderRecord, TIMES, fence};
 use dispatch::rollout::LoadBackoff;
 use dispatch::roster::{ListChange, Roster, RosterChange};
@@ -42,71 +45,6 @@
 /// within milliseconds.
 const MAX_STAGGER: Duration = Duration::from_millis(300);
 
-/// An event for the control thread.
-#[derive(Debug)]
-pub enum Event {
-    /// A call to the store failed.
-    StoreFailed {
-        /// When the response was due.
-        due: Duration,
-    },
-    /// Period in which the store answered another router.
-    PeerUptime(Span),
-    /// All items in the store.
-    Snapshot {
-        /// Items in key order.
-        items: Vec<Item>,
-        /// Position in the store's history that the items are complete up to.
-        position: Position,
-        /// Evidence that the store held nothing newer.
-        confirmed: Option<Confirmation>,
-        /// Period in which the store answered this router or the one that it follows.
-        uptime: Span,
-    },
-    /// Changes in the store.
-    Changes {
-        /// Changes in the order of the store's history.
-        changes: Vec<Change>,
-        /// Position in the store's history that the changes are complete up to.
-        position: Position,
-        /// Evidence that the store held nothing newer.
-        confirmed: Option<Confirmation>,
-        /// Period in which the store answered this router or the one that it follows.
-        uptime: Span,
-    },
-    /// Response of other routers to the question which document is in force there.
-    PeerDocument {
-        /// Newest revision that any of them has; none if no router answered.
-        newest: Option<Revision>,
-        /// When the call that read the store was sent.
-        sent: Duration,
-    },
-    /// An event of the order lease.
-    Holder(dispatch::holder::Event),
-    /// A load task ended.
-    LoadEnded {
-        /// The endpoint.
-        endpoint: EndpointId,
-        /// The weights that are in place now; none if the load failed.
-        loaded: Option<LoadedWeights>,
-    },
-    /// The load list in the store is too old to send an order and must be written again.
-    RefreshLoadList,
-    /// The load list must be written now.
-    WriteLoadList,
-    /// A write of the load list ended.
-    LoadListWritten {
-        /// Fencing token that the list was written under.
-        fence: Fence,
-        /// Whether the list is in the store.
-        done: bool,
-    },
-    /// Periodic check.
-    Tick,
-    /// The process shuts down.
-    Stop,
-}
-
 /// Sends an event to the control thread. Waits while the queue is full.
 pub async fn send(shared: &Shared, event: Event) {
     // The control thread runs until the process exits, so the queue is not closed before.
@@ -245,6 +183,7 @@
             Event::PeerDocument { newest, sent } => self.read_peer_document(newest, sent, now),
             Event::Holder(event) => self.on_holder_event(event),
             Event::LoadEnded { endpoint, loaded } => self.load_ended(endpoint, loaded),
+            Event::Leaving { endpoint, source } => self.endpoint_leaves(endpoint, source, now),
             Event::RefreshLoadList => self.schedule_list_write(),
             Event::WriteLoadList => self.write_load_list(),
             Event::LoadListWritten { fence, done } => self.load_list_written(fence, done),
@@ -484,6 +423,7 @@
         if !removed.is_empty() {
             self.apply_roster(removed, now);
         }
+        self.publish_leaving(now);
         self.update_loading();
         self.shared.connections.remove_expired();
         let age = self.shared.freshness().age(now).unwrap_or_default();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -93,6 +93,8 @@
     pub rate: Option<f64>,
     /// Rejections per second, over all routers, above which the endpoint falls over; absent unless it is brittle.
     pub tolerance: Option<u32>,
+    /// Whether the endpoint states that it leaves.
+    pub leaving: bool,
 }
 
 /// The weights that a model should be served with.
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -1,20 +1,24 @@
 //! Conversions between messages and what the decisions work with.
 
 use super::CALL_TIMEOUT;
+use crate::control::event::LeavingSource;
+use crate::leaving;
 use crate::quarantine;
 use crate::serve::observe;
 use crate::shared::Shared;
 use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
+use dispatch::leaving::LeavingEndpoint;
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
 use peers::{
-    BacklogMessage, EndMessage, HoldMessage, LevelMessage, RateMessage, RejectionMessage, ToleranceMessage,
-    UsageMessage,
+    BacklogMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage, RejectionMessage,
+    ToleranceMessage, UsageMessage,
 };
 use std::time::Duration;
 
-/// What is known of requests under which endpoints end.
+/// What is repeated until routers no longer need it: requests under which endpoints end, and endpoints that leave.
 pub(super) struct Incidents {
+    leaving: Vec<LeavingMessage>,
     ends: Vec<EndMessage>,
     held_parts: Vec<HoldMessage>,
 }
@@ -22,7 +26,10 @@
 impl Incidents {
     /// What is repeated to routers that may have started since or were not reached.
     pub(super) fn repeated(shared: &Shared) -> Self {
+        let leaving = shared.leaving.load();
+        let message = |endpoint: &LeavingEndpoint| LeavingMessage(endpoint.id.clone(), endpoint.incarnation);
         Self {
+            leaving: leaving.iter().map(message).collect(),
             ends: quarantine::repeated(shared),
             held_parts: shared.part_holds.repeated(shared.clock.now()),
         }
@@ -48,6 +55,7 @@
         rejections: rejections.iter().map(rejection).collect(),
         ends: incidents.ends,
         held_parts: incidents.held_parts,
+        leaving: incidents.leaving,
     }
 }
 
@@ -82,6 +90,7 @@
         unreachable: message.unreachable,
     };
     let mut fleet = shared.fleet();
+    merge_leaving(shared, &mut fleet, message.leaving);
     fleet.update_backlog(source, backlog, now);
     let rates_changed = fleet.merge_rates(&rates, now);
     let tolerances_changed = fleet.merge_tolerances(&tolerances);
@@ -101,6 +110,17 @@
     shared.news_changed();
 }
 
+/// Learns of endpoints that have stated to other routers that they leave.
+fn merge_leaving(shared: &Shared, fleet: &mut Fleet, messages: Vec<LeavingMessage>) {
+    let known = shared.leaving.load();
+    for LeavingMessage(id, incarnation) in messages {
+        let endpoint = LeavingEndpoint { id, incarnation };
+        if !known.contains(&endpoint) {
+            leaving::learn(fleet, &shared.events, endpoint, LeavingSource::Router);
+        }
+    }
+}
+
 pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
     let message = |(workspace, usage): (WorkspaceId, Usage)| UsageMessage(workspace, usage.spent, usage.asked);
     usage.into_iter().map(message).collect()
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -463,7 +463,7 @@
     ) -> AttemptResult {
         let info = (self.shared.dialect.parse_response)(&answer.head);
         let prompt = self.request.info.prompt.as_ref();
-        observe::record_info(self.shared, &in_flight.picked.endpoint.id, prompt, &info);
+        observe::record_info(self.shared, &in_flight.picked.endpoint, prompt, &info);
         let status = answer.head.status;
         if info.not_run || status == 421 {
             in_flight.ended();
--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -1,14 +1,20 @@
 //! What an endpoint's response says about the endpoint.
 
+use crate::control::event::LeavingSource;
 use crate::dialect::ResponseInfo;
+use crate::leaving;
 use crate::shared::Shared;
 use dispatch::fleet::{Fleet, Prompt};
-use ids::EndpointId;
+use dispatch::site::EndpointEntry;
 
 /// Records what a response says about the endpoint that sent it.
-pub(super) fn record_info(shared: &Shared, id: &EndpointId, prompt: Option<&Prompt>, info: &ResponseInfo) {
+pub(super) fn record_info(shared: &Shared, endpoint: &EndpointEntry, prompt: Option<&Prompt>, info: &ResponseInfo) {
     let now = shared.clock.now();
+    let id = &endpoint.id;
     let mut fleet = shared.fleet();
+    if let Some(leaves) = leaving::stated(info, endpoint, &fleet) {
+        leaving::learn(&mut fleet, &shared.events, leaves, LeavingSource::Answer);
+    }
     if let Some(load) = info.load {
         fleet.record_load(id, load, now);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use clock::Clock;
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
+use dispatch::leaving::LeavingEndpoint;
 use dispatch::origins::{Origin, Origins, StreamKey};
 use dispatch::paths::Paths;
 use dispatch::prefixes::PrefixStores;
@@ -55,6 +56,8 @@
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
     uptime: Mutex<Uptime>,
+    /// Endpoints that have stated that they leave, although the store does not show it; written by the control thread.
+    pub leaving: ArcSwap<Vec<LeavingEndpoint>>,
     prefixes: Mutex<PrefixStores>,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
@@ -114,6 +117,7 @@
             fleet: Mutex::new(fleet),
             freshness: Mutex::default(),
             uptime: Mutex::default(),
+            leaving: ArcSwap::default(),
             prefixes: Mutex::default(),
             quotas: Mutex::new(quotas),
             quarantine: Mutex::default(),
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -5,7 +5,7 @@
 use dispatch::origins::{Origin, StreamKey};
 use dispatch::prefixes::PartKey;
 use dispatch::quarantine::{ContentKey, ProcessKey};
-use ids::{DomainId, ModelId, ServiceId, SoftwareVersion, VmId, WorkspaceId};
+use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -143,8 +143,15 @@
     /// Parts of prompts that are kept from endpoints.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub held_parts: Vec<HoldMessage>,
+    /// Endpoints that have stated on their answers that they leave, although the store does not show it.
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<LeavingMessage>,
 }
 
+/// An endpoint that leaves: ID, incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingMessage(pub EndpointId, pub Incarnation);
+
 /// Use of a workspace's quota: workspace, cost of admitted requests, cost of all requests.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UsageMessage(pub WorkspaceId, pub f64, pub f64);
--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -1,6 +1,6 @@
 //! Compression of values between routers, and compatibility with older routers.
 
-use peers::{Follow, RelayItem, pack, unpack};
+use peers::{BacklogMessage, Follow, RelayItem, pack, unpack};
 use quickcheck::quickcheck;
 use std::fmt::Write;
 
@@ -50,4 +50,6 @@
     let item = r#"{"key":"documents/newest","value":"{}","revision":7,"created":1,"lease":0}"#;
     let item: RelayItem = serde_json::from_str(item).expect("an item");
     assert!(!item.packed);
+    let backlog: BacklogMessage = serde_json::from_str(r#"{"r":[[7,2.5,100]]}"#).expect("a backlog");
+    assert!(backlog.leaving.is_empty() && backlog.rates.len() == 1);
 }
