--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -181,6 +181,12 @@
         unreachable
     }
 
+    /// Sets the gauges of endpoints with limits.
+    pub fn set_endpoint_limits(&self, fleet: &Fleet) {
+        self.rated.set(fleet.rate_limited_count() as i64);
+        self.brittle.set(fleet.brittle_count() as i64);
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -4,7 +4,6 @@
 use crate::control::event::LeavingSource;
 use crate::leaving;
 use crate::quarantine;
-use crate::serve::observe;
 use crate::shared::Shared;
 use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
 use dispatch::leaving::LeavingEndpoint;
@@ -98,7 +97,7 @@
         return;
     }
     let (rated, brittle) = (fleet.rate_limited_count(), fleet.brittle_count());
-    observe::set_gauges(shared, &fleet);
+    shared.metrics.set_endpoint_limits(&fleet);
     drop(fleet);
     if rates_changed {
         log::info!(rated = rated; "endpoint: rate limit received from another router");
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,7 +4,7 @@
 mod attempts;
 mod fate;
 mod in_flight;
-pub(crate) mod observe;
+mod observe;
 mod origin;
 mod outgoing;
 mod place_queue;
--- a/crates/gateway/src/serve/observe.rs
+++ b/crates/gateway/src/serve/observe.rs
@@ -6,7 +6,7 @@
 use crate::dialect::ResponseInfo;
 use crate::leaving;
 use crate::shared::Shared;
-use dispatch::fleet::{Fleet, Prompt};
+use dispatch::fleet::Prompt;
 
 /// Records what a response says about the endpoint that sent it.
 pub(super) fn record_info(
@@ -38,7 +38,7 @@
         return;
     }
     let (rated, brittle) = (fleet.rate_limited_count(), fleet.brittle_count());
-    set_gauges(shared, &fleet);
+    shared.metrics.set_endpoint_limits(&fleet);
     drop(fleet);
     if rate_changed {
         log::info!(
@@ -60,9 +60,3 @@
     }
     shared.news_changed();
 }
-
-/// Sets the gauges of endpoints with limits.
-pub(crate) fn set_gauges(shared: &Shared, fleet: &Fleet) {
-    shared.metrics.rated.set(fleet.rate_limited_count() as i64);
-    shared.metrics.brittle.set(fleet.brittle_count() as i64);
-}
