Engines that a router finds at its start count as cached

Cause: a router took every engine on its first list for new, so for ten seconds it counted their caches as empty and scattered prompts over the pool. Change: after the first complete list, engines count as cached, except those that the load list names as loaded recently.

--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -130,8 +130,9 @@
     recent_delay: (Duration, Duration),
     /// Weights by model, as named in answers; may be newer than those of the entry.
     weights: Vec<(ModelId, u64)>,
-    /// Since when its cache may hold prefixes: its start or its last load, as far as this router knows.
-    cached_since: Duration,
+    /// Since when its cache may hold prefixes: its start or its last load, as far as this router knows. None if that was
+    /// before this router started.
+    cached_since: Option<Duration>,
     /// Places that this router's requests hold.
     held: u32,
     /// Until when requests may still run that this router has ended.
@@ -160,7 +161,7 @@
             latency: None,
             recent_delay: (Duration::ZERO, Duration::ZERO),
             weights,
-            cached_since: now,
+            cached_since: Some(now),
             held: 0,
             lingering: Vec::new(),
             full_at: None,
@@ -252,7 +253,7 @@
         match self.weights.iter_mut().find(|(name, _)| name == model) {
             Some((_, current)) if *current < weights => {
                 *current = weights;
-                self.cached_since = now;
+                self.cached_since = Some(now);
             }
             Some(_) => {}
             None => self.weights.push((model.clone(), weights)),
@@ -275,7 +276,13 @@
 
     /// Whether it started or loaded a short time ago, so that its cache may lack prefixes in use.
     pub(super) fn is_new(&self, now: Duration) -> bool {
-        now.saturating_sub(self.cached_since) < COLD_TIME
+        self.cached_since
+            .is_some_and(|since| now.saturating_sub(since) < COLD_TIME)
+    }
+
+    /// Records that it has served for some time, so that its cache holds the prefixes in use.
+    pub(super) fn assume_cached(&mut self) {
+        self.cached_since = None;
     }
 
     pub(super) fn request_started(&mut self, prefill: u64, now: Duration) {
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod endpoint_state;
 mod engines;
+mod first_list;
 pub(crate) mod lanes;
 mod leaving;
 mod occupied;
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -382,6 +382,42 @@
     }
 }
 
+/// All routers restart. Engines that they took for new would get prompts of all prefixes until ten seconds later, when all
+/// routers send them to their homes at once and everything is read again.
+#[test]
+fn engines_found_at_the_start_count_as_cached() {
+    struct Case {
+        name: &'static str,
+        loaded_recently: &'static [&'static str],
+        prefill: u64,
+    }
+    let cases = [
+        Case {
+            name: "served before",
+            loaded_recently: &[],
+            prefill: 2_918,
+        },
+        Case {
+            name: "loaded weights just before",
+            loaded_recently: &["e0"],
+            prefill: 9_190,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet(&[entry("e0", 1)]);
+        let loaded: Vec<EndpointId> = case.loaded_recently.iter().map(|id| EndpointId::from(*id)).collect();
+        fleet.first_list_read(&loaded);
+        let service = service();
+        let long = prompt(7, 10);
+        let context = PickContext {
+            unread: &[1],
+            ..context(&service, Some(&long))
+        };
+        let picked = choose(&mut fleet, &context, at(100));
+        assert_eq!(picked.prefill, case.prefill, "{}", case.name);
+    }
+}
+
 /// Long prompts are read beside long answers. An engine that reads ten thousand tokens in a row stops its answers for
 /// longer than clients accept, so such a prompt goes to an engine with few of them.
 #[test]
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -225,7 +225,7 @@
         let list = entries.iter().filter_map(|item| self.entry_change(item)).collect();
         let changes = self.roster.replace(list, now);
         self.apply_roster(changes, now);
-        self.shared.endpoints_read.store(true, Ordering::SeqCst);
+        let is_first = !self.shared.endpoints_read.swap(true, Ordering::SeqCst);
         self.shared.origins().list_read(self.shared.clock.now());
         if !rest.iter().any(|item| item.key == HOLDER_KEY) {
             self.item_removed(HOLDER_KEY);
@@ -235,6 +235,9 @@
         for item in &rest {
             self.item_written(item, now);
         }
+        if is_first {
+            self.shared.fleet().first_list_read(&self.holder_list.recent);
+        }
     }
 
     fn apply_change(&mut self, change: &Change, now: Duration) {
