--- a/crates/dispatch/tests/engine_load.rs
+++ b/crates/dispatch/tests/engine_load.rs
@@ -4,7 +4,7 @@
 
 use dispatch::fleet::Prompt;
 use std::collections::BTreeSet;
-use support::engine_load::{Served, Workload, simulate};
+use support::engine_load::{Served, Steps, Workload, simulate};
 use support::fleet::{at, entry, fleet, prompt, send};
 
 const WORKLOAD: Workload = Workload {
@@ -15,6 +15,32 @@
     seconds: 30,
     announcements: true,
     seed: 1,
+    steps: None,
+};
+
+/// Pool and load of a deployment with long prompts and long answers at hundreds per second.
+const STEPS: Steps = Steps {
+    slots: 64,
+    base_ms: 4.34,
+    running_ms: 0.151,
+    prefill_tokens_per_ms: 36.7,
+    chunk: 1_024,
+    stride: 5,
+    objectives_ms: [1_500, 400],
+    pause_ms: 400,
+    surge: 1.0,
+    empties_caches: false,
+    rollout: false,
+};
+const LARGE_POOL: Workload = Workload {
+    routers: 136,
+    engines: 90,
+    long_prompts: 164.0,
+    long_answers: 203.0,
+    seconds: 20,
+    announcements: true,
+    seed: 7_919,
+    steps: Some(STEPS),
 };
 
 fn over_seeds(workload: &Workload) -> Served {
@@ -117,3 +143,78 @@
     }
     assert!(used.len() > 30, "{}", used.len());
 }
+
+/// Lanes of large pools must not change the choices in small pools, or in pools with few slots per engine.
+#[test]
+fn small_pools_choose_as_before() {
+    struct Case {
+        name: &'static str,
+        workload: Workload,
+        choices: u64,
+    }
+    let rollout = Steps { rollout: true, ..STEPS };
+    let few_slots = Steps { slots: 24, ..rollout };
+    let cases = [
+        Case {
+            name: "9 engines",
+            workload: WORKLOAD,
+            choices: 1_945_154_834_833_374_396,
+        },
+        Case {
+            name: "15 engines, long answers fill slots",
+            workload: Workload {
+                routers: 12,
+                engines: 15,
+                long_prompts: 27.0,
+                long_answers: 60.0,
+                seconds: 12,
+                steps: Some(rollout),
+                ..LARGE_POOL
+            },
+            choices: 483_531_626_213_845_943,
+        },
+        Case {
+            name: "24 slots per engine",
+            workload: Workload {
+                routers: 12,
+                engines: 40,
+                long_prompts: 70.0,
+                long_answers: 90.0,
+                seconds: 12,
+                steps: Some(few_slots),
+                ..LARGE_POOL
+            },
+            choices: 14_332_569_452_680_494_685,
+        },
+    ];
+    let choices = cases.iter().map(|case| simulate(&case.workload).choices);
+    let expected: Vec<u64> = cases.iter().map(|case| case.choices).collect();
+    let names: Vec<&str> = cases.iter().map(|case| case.name).collect();
+    assert_eq!(choices.collect::<Vec<_>>(), expected, "{names:?}");
+}
+
+/// Prints how many requests are late in a large pool: `cargo test -p dispatch --test engine_load large_pool_table --
+/// --ignored --nocapture`.
+#[test]
+#[ignore = "prints figures, checks nothing"]
+fn large_pool_table() {
+    for routers in [13, 136] {
+        for (name, surge, empties_caches) in [
+            ("usual", 1.0, false),
+            ("2.5 times the long prompts", 2.5, false),
+            ("empty caches", 1.0, true),
+        ] {
+            let steps = Steps {
+                surge,
+                empties_caches,
+                ..STEPS
+            };
+            let workload = Workload {
+                routers,
+                steps: Some(steps),
+                ..LARGE_POOL
+            };
+            println!("{routers} routers, {name}: {:?}", simulate(&workload));
+        }
+    }
+}
