Decode lanes of large pools are sized by slots in use

Sized by prompt tokens only, the lane had 59 of 64 slots in use by long answers, and first events waited for a slot. Routers exchange the long answers in flight and the recent prompt tokens of both kinds beside the lane tokens. Pools of fewer than 16 engines or with fewer than 32 slots each are sized as before.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -103,6 +103,8 @@
         objective: None,
         pause: None,
         unread: &[],
+        rank: 0,
+        attempts: 2,
         software: None,
     };
     let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -12,7 +12,7 @@
 //! for seconds. An endpoint that two other routers of the failure domain can't reach is avoided without a try. Reports of
 //! one router don't suffice, since its own link may be at fault, nor do those of other domains.
 
-use super::{LaneTokens, ShortKey};
+use super::{Fleet, LaneTokens, ShortKey};
 use ids::{ServiceId, VmId};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -149,6 +149,21 @@
         sum
     }
 
+    /// Load of the requests of peers to a service, without reports that have expired.
+    pub(super) fn recent_lane_tokens(&self, service: &ServiceId, now: Duration) -> LaneTokens {
+        let mut sum = LaneTokens::default();
+        for received in self.received.values() {
+            if now.saturating_sub(received.received_at) >= ROUTER_TTL {
+                continue;
+            }
+            let lane_tokens = received.backlog.lane_tokens.iter();
+            for (_, lane_tokens) in lane_tokens.filter(|(name, _)| name == service) {
+                sum.add(lane_tokens);
+            }
+        }
+        sum
+    }
+
     /// Recomputes the sums of the valid reports. The sums are cached because choices are more frequent than reports,
     /// and each choice needs two lookups per endpoint.
     pub(super) fn refresh_sums(&mut self, now: Duration) {
@@ -186,3 +201,45 @@
         self.sums.get(&endpoint).copied().unwrap_or_default()
     }
 }
+
+impl Fleet {
+    /// Returns the backlog that this router reports.
+    pub fn own_backlog(&self, now: Duration) -> Backlog {
+        let pending = self.endpoints.values().filter(|state| state.pending_tokens() > 0);
+        let lane_loads = self.lane_loads.iter();
+        Backlog {
+            tokens: pending
+                .map(|state| (ShortKey::from(state.key), state.pending_tokens()))
+                .collect(),
+            lane_tokens: lane_loads
+                .map(|(service, lanes)| (service.clone(), lanes.current(now)))
+                .collect(),
+            unreachable: self.own_unreachable(),
+        }
+    }
+
+    fn own_unreachable(&self) -> Vec<(ShortKey, u32)> {
+        let states = self.health.unreachable().filter_map(|id| self.endpoints.get(id));
+        states.map(|state| (ShortKey::from(state.key), 1)).collect()
+    }
+
+    /// Returns the backlog of this router and its followers, for other routers that have followers.
+    pub fn backlog_subtotal(&self, now: Duration) -> Backlog {
+        self.peer_backlogs.subtotal(self.own_backlog(now), now)
+    }
+
+    /// Returns the backlog of all routers except one follower, for that follower.
+    pub fn backlog_without(&self, follower: &VmId, now: Duration) -> Backlog {
+        self.peer_backlogs.total_without(follower, self.own_backlog(now), now)
+    }
+
+    /// Replaces the backlog received from a source.
+    pub fn update_backlog(&mut self, source: BacklogSource, backlog: Backlog, now: Duration) {
+        self.peer_backlogs.update(source, backlog, now);
+    }
+
+    /// Drops the backlog received from a source, which would otherwise be counted twice until it expires.
+    pub fn remove_backlog(&mut self, source: &BacklogSource) {
+        self.peer_backlogs.remove(source);
+    }
+}
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,11 +1,12 @@
 //! Filters the endpoints that may serve a request.
 
 use super::endpoint_state::EndpointState;
+use super::lanes::decode_lane;
 use super::rate_limits::RateLimits;
 use super::targets::Target;
 use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
-use ids::ModelId;
+use ids::{ModelId, ServiceId};
 use std::time::Duration;
 
 /// An endpoint that fails a larger share of its attempts gets requests only if there is no healthy one. Healthy
@@ -68,21 +69,33 @@
         prompt: &Prompt,
         now: Duration,
     ) -> impl Fn(&EndpointState) -> bool {
-        let healthy = |state: &&EndpointState| !self.loading.contains(&state.entry.id) && self.is_healthy(state, now);
-        let unrestricted = PickContext {
-            avoid: &[],
-            software: None,
-            ..*context
+        let all: Vec<&EndpointState> = self.available(context.service, now).collect();
+        let needs = self.lane_needs(context.service);
+        let count = match needs {
+            Some(needs) => needs.decode_lane_size(all.len()),
+            None => {
+                let own = self.lane_loads.get(context.service);
+                let mut tokens = own.map(|own| own.current(now)).unwrap_or_default();
+                tokens.add(&self.peer_backlogs.lane_tokens(context.service));
+                tokens.decode_lane_size(all.len())
+            }
         };
-        let all = self.serving(&unrestricted).filter(healthy).collect();
-        let own = self.lane_tokens.get(context.service);
-        let mut tokens = own.map(|own| own.current(now)).unwrap_or_default();
-        tokens.add(&self.peer_backlogs.lane_tokens(context.service));
-        let lane = tokens.decode_lane(all, |state| self.upcoming.contains(&state.entry.id));
+        let is_last = |state: &EndpointState| (self.upcoming.contains(&state.entry.id), false);
+        let lane = decode_lane(all, count, is_last);
         let decode_heavy = prompt.is_decode_heavy();
         move |state| !lane.is_empty() && lane.contains(&state.key) != decode_heavy
     }
 
+    /// Endpoints of a service that are healthy and don't load.
+    pub(super) fn available(&self, service: &ServiceId, now: Duration) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values().filter(move |state| {
+            state.entry.service == *service
+                && !state.entry.draining
+                && !self.loading.contains(&state.entry.id)
+                && self.is_healthy(state, now)
+        })
+    }
+
     fn serving(&self, context: &PickContext<'_>) -> impl Iterator<Item = &EndpointState> {
         self.endpoints
             .values()
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -145,6 +145,7 @@
             prefill: if pick.cold { prompt.tokens } else { warm_prefill },
             warm_prefill,
             queued,
+            long_answer: prompt.is_decode_heavy(),
             reason: reason(pick.reason),
             holds_place: false,
         };
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod endpoint_state;
 mod engines;
+mod lane_size;
 pub(crate) mod lanes;
 mod leaving;
 mod occupied;
@@ -26,6 +27,7 @@
 pub use brittle::{BrittleUpdate, Rejection};
 pub use endpoint_state::{LoadReport, LoadUpdate, Outcome, ShortKey};
 pub use engines::{Prompt, PromptPart};
+pub use lane_size::LaneStatus;
 pub use lanes::LaneTokens;
 pub use rate_limits::RateUpdate;
 pub use targets::{Staleness, TargetAge};
@@ -39,7 +41,7 @@
 use control::health::{self, EndpointHealth};
 use endpoint_state::{EndpointState, ReceivedReport};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
-use lanes::DecayingTokens;
+use lanes::LaneLoad;
 use placement::Placer;
 use places::Places;
 use rate_limits::RateLimits;
@@ -81,6 +83,10 @@
     pub pause: Option<Duration>,
     /// Weights of [`Fleet::new_weights`] with which no engine is known to have read the shared parts of the prompt.
     pub unread: &'a [u64],
+    /// Priority; 0 is the highest.
+    pub rank: u8,
+    /// Maximum number of endpoints that the request may be sent to.
+    pub attempts: u32,
     /// Version of the software that the endpoint must have, if the request continues a stream.
     pub software: Option<&'a SoftwareVersion>,
 }
@@ -113,6 +119,8 @@
     pub warm_prefill: u64,
     /// Prompt tokens that it is expected to read before those.
     pub queued: u64,
+    /// Whether the request is for a decode-heavy prompt.
+    pub long_answer: bool,
     /// Reason for the choice, for logs.
     pub reason: &'static str,
     /// Whether the request holds a place of a brittle endpoint until [`Fleet::release_place`].
@@ -131,7 +139,7 @@
     targets: HashMap<ModelId, Targets>,
     pressures: HashMap<(ServiceId, Duration), Pressure>,
     peer_backlogs: PeerBacklogs,
-    lane_tokens: HashMap<ServiceId, DecayingTokens>,
+    lane_loads: HashMap<ServiceId, LaneLoad>,
     rate_limits: RateLimits,
     brittle: Statements,
     places: Places,
@@ -153,7 +161,7 @@
             targets: HashMap::new(),
             pressures: HashMap::new(),
             peer_backlogs: PeerBacklogs::default(),
-            lane_tokens: HashMap::new(),
+            lane_loads: HashMap::new(),
             rate_limits: RateLimits::default(),
             brittle: Statements::default(),
             places: Places::default(),
@@ -315,6 +323,7 @@
         if context.prompt.is_none() {
             return self.choose_from(context, now, |eligible| self.choose_plain(&eligible, draw, now));
         }
+        self.update_lane_needs(context.service, now);
         // The placer is removed for the call because the choice borrows `self`.
         let mut placer = self.placers.remove(context.service).unwrap_or_else(engines::placer);
         placer.set_prefill_rate(self.read_rate(context.service));
@@ -322,9 +331,9 @@
             self.choose_engine(&mut placer, context, eligible, draw, now)
         });
         self.placers.insert(context.service.clone(), placer);
-        if let (Choice::Endpoint(picked), Some(prompt)) = (&choice, context.prompt) {
-            let lanes = self.lane_tokens.entry(context.service.clone()).or_default();
-            lanes.record(prompt, picked.warm_prefill, now);
+        if let Choice::Endpoint(picked) = &choice {
+            let lanes = self.lane_loads.entry(context.service.clone()).or_default();
+            lanes.record(context, picked, now);
         }
         choice
     }
@@ -365,21 +374,6 @@
         }
     }
 
-    /// Returns the backlog that this router reports.
-    pub fn own_backlog(&self, now: Duration) -> Backlog {
-        let pending = self.endpoints.values().filter(|state| state.pending_tokens() > 0);
-        let lane_tokens = self.lane_tokens.iter();
-        Backlog {
-            tokens: pending
-                .map(|state| (ShortKey::from(state.key), state.pending_tokens()))
-                .collect(),
-            lane_tokens: lane_tokens
-                .map(|(service, lanes)| (service.clone(), lanes.current(now)))
-                .collect(),
-            unreachable: self.own_unreachable(),
-        }
-    }
-
     /// Returns the entry of an endpoint in service.
     pub fn endpoint(&self, id: &EndpointId) -> Option<Arc<EndpointEntry>> {
         self.endpoints.get(id).map(|state| state.entry.clone())
@@ -390,31 +384,6 @@
         self.health.unreachable().count()
     }
 
-    fn own_unreachable(&self) -> Vec<(ShortKey, u32)> {
-        let states = self.health.unreachable().filter_map(|id| self.endpoints.get(id));
-        states.map(|state| (ShortKey::from(state.key), 1)).collect()
-    }
-
-    /// Returns the backlog of this router and its followers, for other routers that have followers.
-    pub fn backlog_subtotal(&self, now: Duration) -> Backlog {
-        self.peer_backlogs.subtotal(self.own_backlog(now), now)
-    }
-
-    /// Returns the backlog of all routers except one follower, for that follower.
-    pub fn backlog_without(&self, follower: &VmId, now: Duration) -> Backlog {
-        self.peer_backlogs.total_without(follower, self.own_backlog(now), now)
-    }
-
-    /// Replaces the backlog received from a source.
-    pub fn update_backlog(&mut self, source: BacklogSource, backlog: Backlog, now: Duration) {
-        self.peer_backlogs.update(source, backlog, now);
-    }
-
-    /// Drops the backlog received from a source, which would otherwise be counted twice until it expires.
-    pub fn remove_backlog(&mut self, source: &BacklogSource) {
-        self.peer_backlogs.remove(source);
-    }
-
     /// Records the load that an endpoint reported to this router.
     pub fn record_load(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -37,6 +37,7 @@
             prefill: 0,
             warm_prefill: 0,
             queued: 0,
+            long_answer: false,
             reason: "soonest",
             holds_place: false,
         })
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -341,6 +341,7 @@
         if let Some(steps) = self.workload.steps {
             context.objective = Some(at(steps.objectives_ms[usize::from(prompt.is_decode_heavy())]));
             context.pause = Some(at(steps.pause_ms));
+            (context.rank, context.attempts) = if prompt.is_decode_heavy() { (0, 2) } else { (2, 1) };
             if !prompt.shared().iter().all(|part| self.read_parts.contains(&part.id)) {
                 context.unread = &[1, 2];
             }
@@ -353,6 +354,7 @@
             self.served.choices = (self.served.choices ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
         }
         self.fleets[router].request_started(&entry.id, entry.incarnation, picked.prefill, at(now));
+        self.fleets[router].answer_started(&picked, at(now));
         self.announcements.push((now + DELIVERY_MS, router));
         let engine = self.engines.get_mut(&entry.id).expect("a known engine");
         let unread_tokens = engine.missing_tokens(&prompt);
@@ -415,7 +417,9 @@
                 self.served.long_answers += usize::from(is_answer);
                 self.served.long_prompts += usize::from(!is_answer);
                 self.served.interrupted_answers += usize::from(is_answer && ended.interrupted);
-                self.fleets[ended.router].request_finished(&ended.picked.endpoint.id, Incarnation(1));
+                let fleet = &mut self.fleets[ended.router];
+                fleet.request_finished(&ended.picked.endpoint.id, Incarnation(1));
+                fleet.answer_ended(&ended.picked, at(now));
             }
         }
     }
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -96,6 +96,8 @@
         objective: None,
         pause: None,
         unread: &[],
+        rank: 0,
+        attempts: 2,
         software: None,
     }
 }
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -66,6 +66,8 @@
         objective: None,
         pause: None,
         unread: &[],
+        rank: 0,
+        attempts: 2,
         software: None,
     };
     matches!(fleet.choose(&context, 1, now), Choice::Endpoint(_))
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub use event::Event;
 
 use crate::dialect::{LoadList, LoadedWeights};
+use crate::lanes::LaneLog;
 use crate::orders::ListSentAt;
 use crate::origins;
 use crate::shared::Shared;
@@ -85,6 +86,7 @@
     store_reachable: bool,
     /// Whether the last connections to all endpoints failed.
     endpoints_lost: bool,
+    lane_log: LaneLog,
 }
 
 impl Control {
@@ -122,6 +124,7 @@
             document_written: None,
             store_reachable: false,
             endpoints_lost: false,
+            lane_log: LaneLog::default(),
         }
     }
 
@@ -431,6 +434,8 @@
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         self.shared.metrics.in_flight.set(in_flight as i64);
         self.record_reachability(now);
+        let lanes = self.shared.fleet().lane_statuses(now);
+        self.lane_log.record(lanes, &self.shared.metrics, now);
         self.probe(now);
         let watches = self.shared.watches_store.load(Ordering::SeqCst);
         self.on_holder_event(dispatch::holder::Event::Candidate(watches));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod front;
 mod intake;
+mod lanes;
 mod leaving;
 mod metrics;
 mod news;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use dispatch::fleet::Fleet;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -68,6 +68,11 @@
     pub clients_refused: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Engines in the decode lane of each service with a large pool. Services come from the document, so their number is
+    /// bounded.
+    pub decode_lane: IntGaugeVec,
+    /// Long answers that all routers have in flight, by service.
+    pub answers: IntGaugeVec,
 }
 
 impl Metrics {
@@ -87,6 +92,11 @@
             registry.register(Box::new(gauge.clone())).expect("a unique name");
             gauge
         };
+        let service_gauges = |name: &str, help: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &["service"]).expect("a valid gauge");
+            registry.register(Box::new(gauges.clone())).expect("a unique name");
+            gauges
+        };
         let restored = IntCounter::new("store_restored_total", "Times that the store came back from a copy");
         let restored = restored.expect("a valid counter");
         registry.register(Box::new(restored.clone())).expect("a unique name");
@@ -168,6 +178,11 @@
                 "Requests that are kept from endpoints, because others have ended under them",
             ),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
+            decode_lane: service_gauges("decode_lane_engines", "Engines in the decode lane, by service"),
+            answers: service_gauges(
+                "long_answers_in_flight",
+                "Long answers that all routers have in flight, as known here, by service",
+            ),
             first,
             registry,
         }
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -191,6 +191,8 @@
             objective: Some(self.request.route.objective),
             pause: self.request.route.pause,
             unread: &unread,
+            rank: self.request.rank,
+            attempts: self.request.route.attempts,
             software: self.software.as_ref(),
         };
         let now = self.shared.clock.now();
@@ -199,6 +201,7 @@
             Choice::Endpoint(picked) => {
                 let entry = &picked.endpoint;
                 fleet.request_started(&entry.id, entry.incarnation, picked.prefill, now);
+                fleet.answer_started(&picked, now);
                 Ok(Chosen::Endpoint(Arc::new(picked), now))
             }
             Choice::Occupied(turn) => Ok(Chosen::Occupied(turn)),
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -95,6 +95,7 @@
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         fleet.request_finished(&entry.id, entry.incarnation);
+        fleet.answer_ended(&self.picked, now);
         fleet.release_place(&self.picked, self.began, !self.may_run, now);
         drop(fleet);
         if self.picked.holds_place {
