--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -5,6 +5,7 @@
 //! each engine.
 
 use super::endpoint_state::EndpointState;
+use super::pool_costs::PoolCosts;
 use super::{Choice, Fleet, PickContext, PickedEndpoint, ShortKey};
 use ids::{Incarnation, ModelId};
 use placement::{Candidate, Placer, PrefixChain};
@@ -125,7 +126,8 @@
         let chain = prompt.chain(seed(context));
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
-        let demand = Demand::new(context, prompt, self.read_rate(context.service));
+        let costs = self.pool_costs(context);
+        let demand = Demand::new(context, prompt, self.read_rate(context.service), costs);
         let candidate = |state: &&EndpointState| self.candidate(state, &demand, off_lane(state), now);
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
@@ -179,6 +181,7 @@
         };
         let interrupted = state.running(now).min(MAX_INTERRUPTED);
         let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
+        let pool_cost = demand.costs.cost(state, now);
         Candidate {
             endpoint: state.key,
             incarnation: Incarnation((state.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
@@ -190,7 +193,10 @@
             weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
             cold,
             late_tokens: demand.late_tokens,
-            penalty: lane_cost + self.stale_cost(state, prompt, now) + INTERRUPT_SECS * interrupted * interrupt_chance,
+            penalty: lane_cost
+                + self.stale_cost(state, prompt, now)
+                + INTERRUPT_SECS * interrupted * interrupt_chance
+                + pool_cost,
         }
     }
 }
@@ -209,10 +215,11 @@
     interrupt_chance: f64,
     /// The same for the whole prompt.
     cold_interrupt_chance: f64,
+    costs: PoolCosts,
 }
 
 impl<'a> Demand<'a> {
-    fn new(context: &PickContext<'a>, prompt: &'a Prompt, rate: f64) -> Self {
+    fn new(context: &PickContext<'a>, prompt: &'a Prompt, rate: f64, costs: PoolCosts) -> Self {
         let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
         let own = prompt.tokens.saturating_sub(shared);
         let (objective, pause) = if prompt.is_decode_heavy() {
@@ -229,6 +236,7 @@
             late_tokens: objective.map_or(f64::INFINITY, late_tokens),
             interrupt_chance: chance(own),
             cold_interrupt_chance: chance(prompt.tokens),
+            costs,
         }
     }
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod occupied;
 mod places;
 mod plain;
+mod pool_costs;
 mod rate_limits;
 mod read_rate;
 mod rests;
