Long answers prefer engines with the newest weights in large pools

The decode lane loads last, and answers on replaced weights lose value. Engines with the newest weights now come first in the ranking of the lane, and from 1 s after the target changed, long answers prefer them while they have free slots.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -80,7 +80,12 @@
                 tokens.decode_lane_size(all.len())
             }
         };
-        let is_last = |state: &EndpointState| (self.upcoming.contains(&state.entry.id), false);
+        let newest = needs.and_then(|_| all.iter().filter_map(|state| state.weights(&prompt.model)).max());
+        let is_last = |state: &EndpointState| {
+            let is_upcoming = self.upcoming.contains(&state.entry.id);
+            let is_replaced = newest.is_some_and(|newest| state.weights(&prompt.model) < Some(newest));
+            (is_upcoming, is_replaced)
+        };
         let lane = decode_lane(all, count, is_last);
         let decode_heavy = prompt.is_decode_heavy();
         move |state| !lane.is_empty() && lane.contains(&state.key) != decode_heavy
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -126,7 +126,7 @@
         let chain = prompt.chain(seed(context));
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
-        let costs = self.pool_costs(context);
+        let costs = self.pool_costs(context, prompt, now);
         let demand = Demand::new(context, prompt, self.read_rate(context.service), costs);
         let candidate = |state: &&EndpointState| self.candidate(state, &demand, off_lane(state), now);
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
@@ -181,7 +181,8 @@
         };
         let interrupted = state.running(now).min(MAX_INTERRUPTED);
         let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
-        let pool_cost = demand.costs.cost(state, now);
+        let lane_weight = if off_lane { OFF_LANE_WEIGHT } else { 1.0 };
+        let pool_cost = demand.costs.cost(state, weights, now);
         Candidate {
             endpoint: state.key,
             incarnation: Incarnation((state.entry.incarnation.0 << WEIGHTS_BITS) | (weights & 0xffff)),
@@ -190,7 +191,7 @@
             limit: state.entry.slots.max(1) * REQUESTS_PER_SLOT,
             queued: self.queued_tokens(state, demand.rate, now),
             speed: (1.0 - state.failure_share(now)).max(MIN_SPEED),
-            weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
+            weight: lane_weight * demand.costs.home_share(weights),
             cold,
             late_tokens: demand.late_tokens,
             penalty: lane_cost
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use dispatch::fleet::{Choice, Fleet, LoadReport, PickContext};
+use dispatch::fleet::{Choice, Fleet, LoadReport, PickContext, Prompt};
 use dispatch::site::EndpointEntry;
 use ids::EndpointId;
 use std::time::Duration;
-use support::fleet::{at, context, entry, fleet, prompt, serve, service};
+use support::fleet::{at, context, entry, fleet, model, prompt, serve, service, set_target};
 
 fn pool(engines: usize) -> Fleet {
     let entries = (0..engines).map(|at| EndpointEntry {
@@ -16,6 +16,18 @@
     fleet(&entries.collect::<Vec<_>>())
 }
 
+fn long_answer(session: u64) -> Prompt {
+    let mut answer = Prompt {
+        max_output: 290,
+        tokens: 826,
+        ..prompt(session, 8)
+    };
+    answer.parts[0].tokens = 119;
+    answer.parts[1].tokens = 79;
+    answer.parts[2].tokens = 628;
+    answer
+}
+
 fn choose(fleet: &mut Fleet, context: &PickContext<'_>, now: Duration) -> EndpointId {
     let Choice::Endpoint(picked) = fleet.choose(context, now.as_millis() as u64, now) else {
         panic!("no endpoint");
@@ -79,3 +91,90 @@
         assert_eq!(used == home, case.stays, "{}", case.name);
     }
 }
+
+/// The decode lane loads last, so long answers on replaced weights lose value while other engines already have the
+/// newest ones.
+#[test]
+fn long_answers_prefer_the_newest_weights() {
+    struct Case {
+        name: &'static str,
+        /// Age of the target.
+        age: u64,
+        /// Engines of 32 with the newest weights; the lane has 8.
+        newest: usize,
+        /// Requests running at each of them.
+        running: u32,
+        /// Whether prompts are long instead of answers.
+        long_prompts: bool,
+        /// Least and greatest share of the requests that go to the engines with the newest weights.
+        expected: (f64, f64),
+    }
+    let cases = [
+        Case {
+            name: "free slots",
+            age: 1_100,
+            newest: 8,
+            running: 20,
+            long_prompts: false,
+            expected: (0.95, 1.0),
+        },
+        Case {
+            name: "a part of the lane",
+            age: 1_100,
+            newest: 3,
+            running: 20,
+            long_prompts: false,
+            expected: (0.8, 1.0),
+        },
+        Case {
+            name: "target of this moment: they form the lane",
+            age: 500,
+            newest: 8,
+            running: 20,
+            long_prompts: false,
+            expected: (0.95, 1.0),
+        },
+        Case {
+            name: "no free slots",
+            age: 1_100,
+            newest: 8,
+            running: 70,
+            long_prompts: false,
+            expected: (0.0, 0.5),
+        },
+        Case {
+            name: "long prompts keep their caches",
+            age: 1_100,
+            newest: 8,
+            running: 20,
+            long_prompts: true,
+            expected: (0.0, 0.5),
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(32);
+        let newest: Vec<EndpointId> = (0..case.newest)
+            .map(|at| EndpointId::from(format!("e{at}").as_str()))
+            .collect();
+        set_target(&mut fleet, 2, Some(at(100)));
+        let now = at(100 + case.age);
+        for id in &newest {
+            fleet.record_weights(id, &model(), 2, at(200));
+            report(&mut fleet, id, case.running, 0, now);
+        }
+        let service = service();
+        let mut on_newest = 0;
+        for session in 0..100 {
+            let request = if case.long_prompts {
+                prompt(session, 8)
+            } else {
+                long_answer(session)
+            };
+            let used = choose(&mut fleet, &context(&service, Some(&request)), now);
+            on_newest += u32::from(newest.contains(&used));
+        }
+        let share = f64::from(on_newest) / 100.0;
+        let (least, greatest) = case.expected;
+        assert!((least..=greatest).contains(&share), "{}: {share}", case.name);
+    }
+}
