--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -180,7 +180,11 @@
             demand.interrupt_chance
         };
         let interrupted = state.running(now).min(MAX_INTERRUPTED);
-        let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
+        let lane_cost = if off_lane {
+            OFF_LANE_SECS * demand.costs.off_lane_factor()
+        } else {
+            0.0
+        };
         let lane_weight = if off_lane { OFF_LANE_WEIGHT } else { 1.0 };
         let pool_cost = demand.costs.cost(state, weights, now);
         Candidate {
--- a/crates/dispatch/src/fleet/pool_costs.rs
+++ b/crates/dispatch/src/fleet/pool_costs.rs
@@ -19,12 +19,18 @@
 /// hundred milliseconds old.
 const MAX_USED_SHARE: f64 = 0.75;
 
+/// Factor on the cost of leaving the lane for prompts that are less urgent than the answers in the other lane. They then
+/// wait in their lane for up to 0.57 s, which their longer objectives leave room for.
+const LESS_URGENT_FACTOR: f64 = 3.0;
+
 /// What the costs of a request depend on besides the engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PoolCosts {
     is_large: bool,
     /// Newest weights, if the prompt prefers engines that have them.
     preferred: Option<u64>,
+    /// Whether the prompt is less urgent than the answers of the decode lane.
+    is_less_urgent: bool,
 }
 
 impl PoolCosts {
@@ -41,6 +47,11 @@
         slot_wait(running, slots) + if is_other { REPLACED_SECS } else { 0.0 }
     }
 
+    /// Factor on the cost of endpoints outside the prompt's lane.
+    pub(super) fn off_lane_factor(&self) -> f64 {
+        if self.is_less_urgent { LESS_URGENT_FACTOR } else { 1.0 }
+    }
+
     /// Factor on the share of prefix homes of an engine with these weights.
     pub(super) fn home_share(&self, weights: u64) -> f64 {
         let is_replaced = self.preferred.is_some_and(|newest| weights < newest);
@@ -50,8 +61,12 @@
 
 impl Fleet {
     pub(super) fn pool_costs(&self, context: &PickContext<'_>, prompt: &Prompt, now: Duration) -> PoolCosts {
+        let is_large = self.lane_needs(context.service).is_some();
+        let lanes = self.lane_loads.get(context.service);
+        let answers = lanes.and_then(|lanes| lanes.most_urgent_answer(now));
         PoolCosts {
-            is_large: self.lane_needs(context.service).is_some(),
+            is_large,
+            is_less_urgent: is_large && !prompt.is_decode_heavy() && answers.is_some_and(|rank| context.rank > rank),
             preferred: self.preferred_weights(context, prompt, now),
         }
     }
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -4,7 +4,8 @@
 
 use dispatch::fleet::{Choice, Fleet, LoadReport, PickContext, Prompt};
 use dispatch::site::EndpointEntry;
-use ids::EndpointId;
+use ids::{EndpointId, Incarnation};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use support::fleet::{at, context, entry, fleet, model, prompt, serve, service, set_target};
 
@@ -178,3 +179,59 @@
         assert!((least..=greatest).contains(&share), "{}: {share}", case.name);
     }
 }
+
+/// Long prompts that evade the queues of their own lane interrupt more urgent answers.
+#[test]
+fn less_urgent_prompts_stay_in_their_lane() {
+    struct Case {
+        name: &'static str,
+        rank: u8,
+        /// Prompt tokens queued at each engine of the prefill lane.
+        queued: u64,
+        /// Whether some prompts go to the decode lane.
+        leaves: bool,
+    }
+    let cases = [
+        Case {
+            name: "as urgent",
+            rank: 0,
+            queued: 60_000,
+            leaves: true,
+        },
+        Case {
+            name: "less urgent",
+            rank: 2,
+            queued: 60_000,
+            leaves: false,
+        },
+        Case {
+            name: "less urgent, a queue of more than a second",
+            rank: 2,
+            queued: 160_000,
+            leaves: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = pool(32);
+        let service = service();
+        // Enough sessions to use the whole lane.
+        let mut answer = |session| choose(&mut fleet, &context(&service, Some(&long_answer(session))), at(100));
+        let lane: BTreeSet<EndpointId> = (1_000..1_200).map(&mut answer).collect();
+        for other in 0..32 {
+            let id = EndpointId::from(format!("e{other}").as_str());
+            if !lane.contains(&id) {
+                fleet.request_started(&id, Incarnation(1), case.queued, at(100));
+            }
+        }
+        let mut in_decode_lane = 0;
+        for session in 0..100 {
+            let long = prompt(session, 8);
+            let context = PickContext {
+                rank: case.rank,
+                ..context(&service, Some(&long))
+            };
+            in_decode_lane += u32::from(lane.contains(&choose(&mut fleet, &context, at(101))));
+        }
+        assert_eq!(in_decode_lane > 0, case.leaves, "{}: {in_decode_lane}", case.name);
+    }
+}
