--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -13,6 +13,9 @@
 /// endpoints in production answer up to a seventh of some requests with an error.
 const MAX_FAILURE_SHARE: f64 = 0.35;
 
+/// Estimated waiting requests that count as a queue: one that was reported within the last second.
+const MIN_WAITING: f64 = 0.5;
+
 /// Cost of weights that are nearly too old, in seconds: more than that of a late answer.
 const STALE_COST: f64 = 2.0;
 /// When this cost begins for the first prompts, and how much later it does for the last ones; shares of the soft limit on
@@ -45,6 +48,7 @@
         if let Some(prompt) = context.prompt {
             self.drop_expired_weights(&mut eligible, context, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
+            self.avoid_upcoming_queues(&mut eligible, context, now);
         }
         if eligible.is_empty() {
             // Endpoints that load weights are available again within a second or two.
@@ -154,6 +158,24 @@
         }
     }
 
+    /// Drops endpoints that load soon and have a queue for requests with a single attempt in large pools, unless there are
+    /// no others. An endpoint that is ordered to load rejects what it has not begun, and the request would have no
+    /// further attempt.
+    fn avoid_upcoming_queues(&self, eligible: &mut Vec<&EndpointState>, context: &PickContext<'_>, now: Duration) {
+        if context.attempts == 1 && self.lane_needs(context.service).is_some() {
+            let has_queue = |state: &EndpointState| self.has_queue(state, now);
+            prefer(eligible, |state| {
+                !self.upcoming.contains(&state.entry.id) || !has_queue(state)
+            });
+        }
+    }
+
+    /// Whether requests wait at an endpoint, as far as this router and its peers know.
+    fn has_queue(&self, state: &EndpointState, now: Duration) -> bool {
+        let announced = self.peer_backlogs.tokens(ShortKey::from(state.key));
+        state.waiting(now) >= MIN_WAITING || state.pending_tokens() + announced > 0
+    }
+
     /// Additional cost of an endpoint with stale weights, in seconds. It begins at a time that depends on the prompt's
     /// prefix, in the second half of the allowed time. If all prompts left the endpoints with old weights at once, the
     /// others would have queues of seconds, and the last requests would begin on weights that are too old. As a cost it
--- a/crates/dispatch/tests/engine_load.rs
+++ b/crates/dispatch/tests/engine_load.rs
@@ -193,6 +193,26 @@
     assert_eq!(choices.collect::<Vec<_>>(), expected, "{names:?}");
 }
 
+/// A decode lane sized by prompt tokens has all of its slots in use, and a tenth of the long answers wait for one.
+#[test]
+fn long_answers_find_slots_in_a_large_pool() {
+    for routers in [13, 136] {
+        let served = simulate(&Workload {
+            routers,
+            seconds: 12,
+            ..LARGE_POOL
+        });
+        assert!(
+            served.late_answers * 100 <= served.long_answers,
+            "{routers}: {served:?}"
+        );
+        assert!(
+            served.late_prompts * 100 <= served.long_prompts,
+            "{routers}: {served:?}"
+        );
+    }
+}
+
 /// Prints how many requests are late in a large pool: `cargo test -p dispatch --test engine_load large_pool_table --
 /// --ignored --nocapture`.
 #[test]
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -235,3 +235,70 @@
         assert_eq!(in_decode_lane > 0, case.leaves, "{}: {in_decode_lane}", case.name);
     }
 }
+
+/// An engine that is ordered to load rejects the requests in its queue. Those with a single attempt then fail.
+#[test]
+fn requests_with_one_attempt_avoid_queues_at_engines_that_load_next() {
+    struct Case {
+        name: &'static str,
+        attempts: u32,
+        /// Requests waiting at the home, and prompt tokens of this router there.
+        waiting: u32,
+        pending: u64,
+        engines: usize,
+        stays: bool,
+    }
+    let case = Case {
+        name: "no queue",
+        attempts: 1,
+        waiting: 0,
+        pending: 0,
+        engines: 16,
+        stays: true,
+    };
+    let cases = [
+        Case {
+            name: "reported queue",
+            waiting: 1,
+            stays: false,
+            ..case
+        },
+        Case {
+            name: "own request in the queue",
+            pending: 100,
+            stays: false,
+            ..case
+        },
+        Case {
+            name: "two attempts",
+            attempts: 2,
+            waiting: 1,
+            ..case
+        },
+        Case {
+            name: "small pool",
+            waiting: 1,
+            engines: 15,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut fleet = pool(case.engines);
+        let service = service();
+        let long = prompt(7, 8);
+        let context = PickContext {
+            attempts: case.attempts,
+            ..context(&service, Some(&long))
+        };
+        serve_other_prefixes(&mut fleet);
+        let home = choose(&mut fleet, &context, at(100));
+        fleet.set_loading(BTreeSet::new(), BTreeSet::from([home.clone()]));
+        report(&mut fleet, &home, 1, case.waiting, at(100));
+        if case.pending > 0 {
+            fleet.request_started(&home, Incarnation(1), case.pending, at(100));
+        }
+        let used = choose(&mut fleet, &context, at(101));
+        assert_eq!(used == home, case.stays, "{}", case.name);
+    }
+}
