--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -1,17 +1,21 @@
 //! Filters the endpoints that may serve a request.
 
 use super::endpoint_state::EndpointState;
+use super::lanes::decode_lane;
 use super::rate_limits::RateLimits;
 use super::targets::Target;
 use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
 use control::health::HealthState;
-use ids::ModelId;
+use ids::{ModelId, ServiceId};
 use std::time::Duration;
 
 /// An endpoint that fails a larger share of its attempts gets requests only if there is no healthy one. Healthy
 /// endpoints in production answer up to a seventh of some requests with an error.
 const MAX_FAILURE_SHARE: f64 = 0.35;
 
+/// Estimated waiting requests that count as a queue: one that was reported within the last second.
+const MIN_WAITING: f64 = 0.5;
+
 /// Cost of weights that are nearly too old, in seconds: more than that of a late answer.
 const STALE_COST: f64 = 2.0;
 /// When this cost begins for the first prompts, and how much later it does for the last ones; shares of the soft limit on
@@ -44,6 +48,7 @@
         if let Some(prompt) = context.prompt {
             self.drop_expired_weights(&mut eligible, context, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
+            self.avoid_upcoming_queues(&mut eligible, context, now);
         }
         if eligible.is_empty() {
             // Endpoints that load weights are available again within a second or two.
@@ -68,21 +73,38 @@
         prompt: &Prompt,
         now: Duration,
     ) -> impl Fn(&EndpointState) -> bool {
-        let healthy = |state: &&EndpointState| !self.loading.contains(&state.entry.id) && self.is_healthy(state, now);
-        let unrestricted = PickContext {
-            avoid: &[],
-            software: None,
-            ..*context
+        let all: Vec<&EndpointState> = self.available(context.service, now).collect();
+        let needs = self.lane_needs(context.service);
+        let count = match needs {
+            Some(needs) => needs.decode_lane_size(all.len()),
+            None => {
+                let own = self.lane_loads.get(context.service);
+                let mut tokens = own.map(|own| own.current(now)).unwrap_or_default();
+                tokens.add(&self.peer_backlogs.lane_tokens(context.service));
+                tokens.decode_lane_size(all.len())
+            }
+        };
+        let newest = needs.and_then(|_| all.iter().filter_map(|state| state.weights(&prompt.model)).max());
+        let is_last = |state: &EndpointState| {
+            let is_upcoming = self.upcoming.contains(&state.entry.id);
+            let is_replaced = newest.is_some_and(|newest| state.weights(&prompt.model) < Some(newest));
+            (is_upcoming, is_replaced)
         };
-        let all = self.serving(&unrestricted).filter(healthy).collect();
-        let own = self.lane_tokens.get(context.service);
-        let mut tokens = own.map(|own| own.current(now)).unwrap_or_default();
-        tokens.add(&self.peer_backlogs.lane_tokens(context.service));
-        let lane = tokens.decode_lane(all, |state| self.upcoming.contains(&state.entry.id));
+        let lane = decode_lane(all, count, is_last);
         let decode_heavy = prompt.is_decode_heavy();
         move |state| !lane.is_empty() && lane.contains(&state.key) != decode_heavy
     }
 
+    /// Endpoints of a service that are healthy and don't load.
+    pub(super) fn available(&self, service: &ServiceId, now: Duration) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values().filter(move |state| {
+            state.entry.service == *service
+                && !state.entry.draining
+                && !self.loading.contains(&state.entry.id)
+                && self.is_healthy(state, now)
+        })
+    }
+
     fn serving(&self, context: &PickContext<'_>) -> impl Iterator<Item = &EndpointState> {
         self.endpoints
             .values()
@@ -136,6 +158,24 @@
         }
     }
 
+    /// Drops endpoints that load soon and have a queue for requests with a single attempt in large pools, unless there are
+    /// no others. An endpoint that is ordered to load rejects what it has not begun, and the request would have no
+    /// further attempt.
+    fn avoid_upcoming_queues(&self, eligible: &mut Vec<&EndpointState>, context: &PickContext<'_>, now: Duration) {
+        if context.attempts == 1 && self.lane_needs(context.service).is_some() {
+            let has_queue = |state: &EndpointState| self.has_queue(state, now);
+            prefer(eligible, |state| {
+                !self.upcoming.contains(&state.entry.id) || !has_queue(state)
+            });
+        }
+    }
+
+    /// Whether requests wait at an endpoint, as far as this router and its peers know.
+    fn has_queue(&self, state: &EndpointState, now: Duration) -> bool {
+        let announced = self.peer_backlogs.tokens(ShortKey::from(state.key));
+        state.waiting(now) >= MIN_WAITING || state.pending_tokens() + announced > 0
+    }
+
     /// Additional cost of an endpoint with stale weights, in seconds. It begins at a time that depends on the prompt's
     /// prefix, in the second half of the allowed time. If all prompts left the endpoints with old weights at once, the
     /// others would have queues of seconds, and the last requests would begin on weights that are too old. As a cost it
