--- a/crates/dispatch/tests/quota_model.rs
+++ b/crates/dispatch/tests/quota_model.rs
@@ -137,3 +137,38 @@
         }
     }
 }
+
+/// The distinction of classes changes decisions where no route is patient. The hashes are those of the code before the
+/// distinction.
+#[test]
+fn decisions_without_patient_routes_are_unchanged() {
+    let cut = Fault::CutDomain {
+        from: 5_000,
+        until: 7_000,
+    };
+    let faults = [
+        cut,
+        Fault::RestartAll { at: 6_000 },
+        Fault::ChangeQuota { at: 8_000, share: 0.1 },
+    ];
+    let cases = [
+        (SMALL, 14, 14_890_537_337_494_035_518),
+        (SMALL, 104, 3_349_356_511_969_062_629),
+        (LARGE, 14, 14_604_255_432_352_715_097),
+        (LARGE, 104, 8_614_972_875_581_677_647),
+    ];
+    for (rate, routers, decisions) in cases {
+        let scenario = Scenario {
+            routers,
+            spread: Spread::Moving,
+            faults: faults.to_vec(),
+            length_ms: 10_000,
+            ..scenario(rate, &[(0, 0.55), (2_000, 4.2)])
+        };
+        let figures = play(&scenario, Way::Reports);
+        assert_eq!(
+            figures.decisions, decisions,
+            "rate {rate}, {routers} routers: {figures:?}"
+        );
+    }
+}
--- a/crates/dispatch/tests/support/quota_fleet.rs
+++ b/crates/dispatch/tests/support/quota_fleet.rs
@@ -79,6 +79,8 @@
     pub refused: f64,
     /// Messages of a router per second.
     pub messages: f64,
+    /// Hash of all decisions, with the times after which refused clients should retry.
+    pub decisions: u64,
 }
 
 /// Bounds of a production deployment.
@@ -133,6 +135,7 @@
     ideal: Bucket,
     random: u64,
     messages: u64,
+    decisions: u64,
 }
 
 /// Plays a scenario.
@@ -154,6 +157,7 @@
         },
         random: scenario.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
         messages: 0,
+        decisions: 0,
     };
     simulation.routers = (0..scenario.routers).map(|index| simulation.router(index, 0)).collect();
     simulation.run()
@@ -247,6 +251,7 @@
             used: total / f64::max(ideal, 1.0),
             refused: refused as f64 / within.max(1) as f64,
             messages: self.messages as f64 / self.routers.len() as f64 / (end as f64 / 1000.0),
+            decisions: self.decisions,
         }
     }
 
@@ -313,10 +318,17 @@
         let router = &mut self.routers[index];
         router.has_news = true;
         match self.way {
-            Way::Reports => matches!(
-                router.quotas.admit(&self.workspace, Some(cost as u64), draw, at(now)),
-                Admission::Granted(_)
-            ),
+            Way::Reports => {
+                let admission = router.quotas.admit(&self.workspace, Some(cost as u64), draw, at(now));
+                let (is_granted, retry) = match admission {
+                    Admission::Denied(after) => (false, after.as_nanos() as u64),
+                    _ => (true, 0),
+                };
+                self.decisions = (self.decisions ^ retry)
+                    .wrapping_mul(0x0100_0000_01b3)
+                    .wrapping_add(now);
+                is_granted
+            }
             Way::Even | Way::Demand => {
                 router.demand += cost;
                 router.limiter.try_acquire(cost as u64, at(now)) == LimitDecision::Granted
