Quotas: patient requests are refused before urgent ones

A workspace over its quota had its calls refused as often as its prompts. The urgent class now has the whole rate, the patient one what is left; without patient demand decisions are unchanged.

--- a/crates/dispatch/examples/quota_ways.rs
+++ b/crates/dispatch/examples/quota_ways.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "the model and the comparison each use only some of these items")]
 mod quota_fleet;
 
-use quota_fleet::{Fault, Scenario, Spread, Way, play};
+use quota_fleet::{Fault, Mix, Scenario, Spread, Way, play};
 
 const SEEDS: u64 = 5;
 /// Tokens per second of a large and of a small workspace.
@@ -40,6 +40,7 @@
                     rate,
                     asked: vec![(0, 0.55), (6_000, factor)],
                     spread,
+                    mix: Mix::Plain,
                     faults: faults.clone(),
                     length_ms: 24_000,
                     seed: 0,
--- a/crates/dispatch/src/quotas/mod.rs
+++ b/crates/dispatch/src/quotas/mod.rs
@@ -9,15 +9,20 @@
 //! The level is that of a token bucket that may go into debt. In debt, requests are admitted with a probability that
 //! falls to zero within a part of the permitted excess; the rest of the excess covers the delay of the reports.
 //!
+//! If a workspace also asks for patient requests, these are refused first ([`Class`]): the urgent ones have the whole
+//! rate, the patient ones get what is left of it.
+//!
 //! A router counts only the part of a quota that belongs to the routers it receives reports from ([`Coverage`]), so the
 //! parts of a disconnected fleet together stay within the quota. A router without recent news has an even share.
 
 mod account;
+mod classes;
 mod coverage;
 
 use crate::site::QuotaSpec;
-use account::Account;
 pub use account::Level;
+use account::{Account, Refusal};
+pub use classes::{Class, Demand};
 use coverage::Coverage;
 use ids::{VmId, WorkspaceId};
 use std::collections::HashMap;
@@ -53,21 +58,52 @@
     pub spent: f64,
     /// Cost of all requests, admitted or not.
     pub asked: f64,
+    /// The part of `spent` for patient requests.
+    pub patient_spent: f64,
+    /// The part of `asked` for patient requests.
+    pub patient_asked: f64,
 }
 
 impl Usage {
+    fn spent(class: Class, cost: f64) -> Self {
+        Self {
+            spent: cost,
+            patient_spent: if class == Class::Patient { cost } else { 0.0 },
+            ..Self::default()
+        }
+    }
+
+    fn asked(class: Class, cost: f64) -> Self {
+        Self {
+            asked: cost,
+            patient_asked: if class == Class::Patient { cost } else { 0.0 },
+            ..Self::default()
+        }
+    }
+
     fn is_zero(&self) -> bool {
-        self.spent == 0.0 && self.asked == 0.0
+        *self == Self::default()
+    }
+
+    fn scale(&mut self, factor: f64) {
+        self.spent *= factor;
+        self.asked *= factor;
+        self.patient_spent *= factor;
+        self.patient_asked *= factor;
     }
 
     fn add(&mut self, other: Self) {
         self.spent += other.spent;
         self.asked += other.asked;
+        self.patient_spent += other.patient_spent;
+        self.patient_asked += other.patient_asked;
     }
 
     fn subtract(&mut self, other: Self) {
         self.spent -= other.spent;
         self.asked -= other.asked;
+        self.patient_spent -= other.patient_spent;
+        self.patient_asked -= other.patient_asked;
     }
 }
 
@@ -98,12 +134,16 @@
     pub spec: QuotaSpec,
     /// Remaining level; negative in debt.
     pub level: f64,
-    /// Share of the requests that are admitted at a level of zero.
+    /// Share of the requests that are admitted at a level of zero, if classes are not distinguished.
     pub share: f64,
+    /// Demand by class, if any of it is patient.
+    pub demand: Option<Demand>,
     /// Age of the last news from the followed router; zero at a watcher.
     pub news_age: Duration,
     /// Requests denied since the last report.
     pub count: u64,
+    /// The patient ones among them.
+    pub patient_count: u64,
 }
 
 /// Quotas as seen by one router.
@@ -169,52 +209,74 @@
 
     /// Decides on a request with `tokens` prompt and output tokens, if its head states them. `draw` is uniform over all
     /// `u64` values.
-    pub fn admit(&mut self, workspace: &WorkspaceId, tokens: Option<u64>, draw: u64, now: Duration) -> Admission {
+    pub fn admit(
+        &mut self,
+        workspace: &WorkspaceId,
+        class: Class,
+        tokens: Option<u64>,
+        draw: u64,
+        now: Duration,
+    ) -> Admission {
         let (part, cap) = self.refill_limits(now);
         let (bounds, is_stale) = (self.bounds, self.is_stale(now));
         let Some(account) = self.accounts.get_mut(workspace) else {
             return Admission::Unlimited;
         };
+        if is_stale {
+            account.keep_part(part);
+        }
         account.refill(&bounds, part, cap, now);
         let cost = account.spec.unit.cost(tokens);
-        account.ask(cost, now);
+        account.ask(class, cost, now);
         let draw = draw as f64 / u64::MAX as f64;
         let probability = if is_stale {
-            f64::from(u8::from(account.level > 0.0))
+            account.stale_probability(class, cost)
         } else {
-            account.probability(&bounds, part, self.is_watcher, now)
+            account.probability(class, &bounds, part, self.is_watcher, now)
         };
-        if draw >= probability {
-            account.denied += 1;
-            return Admission::Denied(account.retry_after(cost, probability, draw, part));
+        if draw < probability {
+            account.spend(class, cost, now);
+            return Admission::Granted(cost);
         }
-        account.spend(cost, now);
-        Admission::Granted(cost)
+        account.denied += 1;
+        account.patient_denied += u64::from(class == Class::Patient);
+        let refusal = Refusal {
+            cost,
+            probability,
+            draw,
+        };
+        let demand = account.demand(part, self.is_watcher, now);
+        Admission::Denied(demand.map_or_else(
+            || account.retry_after(refusal, part),
+            |demand| account.class_retry(class, &demand, &bounds, refusal),
+        ))
     }
 
     /// Charges a further attempt of an admitted request.
-    pub fn charge(&mut self, workspace: &WorkspaceId, cost: f64, now: Duration) {
+    pub fn charge(&mut self, workspace: &WorkspaceId, class: Class, cost: f64, now: Duration) {
         if let Some(account) = self.accounts.get_mut(workspace) {
-            account.spend(cost, now);
+            account.spend(class, cost, now);
         }
     }
 
     /// Returns the cost of a request that has certainly not run.
-    pub fn refund(&mut self, workspace: &WorkspaceId, cost: f64, now: Duration) {
-        self.charge(workspace, -cost, now);
+    pub fn refund(&mut self, workspace: &WorkspaceId, class: Class, cost: f64, now: Duration) {
+        self.charge(workspace, class, -cost, now);
     }
 
     /// Why requests of a workspace are denied, if a denial is due to be logged.
     pub fn denial(&mut self, workspace: &WorkspaceId, now: Duration) -> Option<DenialInfo> {
         let (part, is_watcher) = (self.part(now), self.is_watcher);
         let account = self.accounts.get_mut(workspace)?;
-        let count = account.take_denied(now)?;
+        let (count, patient_count) = account.take_denied(now)?;
         Some(DenialInfo {
             spec: account.spec,
             level: account.level,
             share: account.share(part, is_watcher, now),
+            demand: account.demand(part, is_watcher, now),
             news_age: self.news_at.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
             count,
+            patient_count,
         })
     }
 
@@ -298,8 +360,7 @@
         for (id, total) in &subtotal.totals {
             let mut usage = *total;
             usage.subtract(known.totals.insert(id.clone(), *total).unwrap_or_default());
-            usage.spent *= covered;
-            usage.asked *= covered;
+            usage.scale(covered);
             if let Some(account) = self.accounts.get_mut(id) {
                 account.count(usage, now);
             }
--- a/crates/dispatch/tests/quota_model.rs
+++ b/crates/dispatch/tests/quota_model.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "the model and the comparison each use only some of these items")]
 mod quota_fleet;
 
-use quota_fleet::{Fault, Scenario, Spread, Way, play};
+use quota_fleet::{Fault, Figures, Mix, Scenario, Spread, Way, play};
 
 const LARGE: f64 = 1_265_974.0;
 const SMALL: f64 = 29_000.0;
@@ -17,6 +17,7 @@
         rate,
         asked: asked.to_vec(),
         spread: Spread::Even,
+        mix: Mix::Plain,
         faults: Vec::new(),
         length_ms: 24_000,
         seed: 1,
@@ -172,3 +173,99 @@
         );
     }
 }
+
+/// Share of the prompts among the requests of a workspace with long prompts and calls.
+const PROMPTS: f64 = 0.58;
+
+/// Scenarios of a workspace over its quota with two classes of requests.
+fn two_class_scenarios(routers: &[usize], prompts: f64, faults: &[Fault]) -> Vec<Scenario> {
+    let mut scenarios = Vec::new();
+    for routers in routers {
+        for (rate, factor) in [(SMALL, 4.4), (SMALL, 7.5), (LARGE, 4.4), (LARGE, 7.5)] {
+            scenarios.push(Scenario {
+                routers: *routers,
+                mix: Mix::TwoClasses(prompts),
+                faults: faults.to_vec(),
+                length_ms: 18_000,
+                ..scenario(rate, &[(0, 0.55), (4_000, factor)])
+            });
+        }
+    }
+    scenarios
+}
+
+/// Plays a scenario and checks the bound of a window.
+fn play_within_bound(scenario: &Scenario, seed: u64) -> Figures {
+    let scenario = Scenario {
+        seed,
+        ..scenario.clone()
+    };
+    let figures = play(&scenario, Way::Reports);
+    assert!(figures.worst_window <= 1.0, "{scenario:?}: {figures:?}");
+    figures
+}
+
+/// Long prompts of a workspace over its quota take the quota from its calls, or available quota is not used because
+/// classes are distinguished.
+#[test]
+fn calls_are_admitted_before_patient_prompts() {
+    let cut = Fault::CutDomain {
+        from: 6_000,
+        until: 11_000,
+    };
+    let restart = Fault::RestartAll { at: 7_000 };
+    for faults in [vec![], vec![cut], vec![restart]] {
+        for scenario in two_class_scenarios(&[14, 104, 300], PROMPTS, &faults) {
+            let one_class = Scenario {
+                mix: Mix::OneClass(PROMPTS),
+                ..scenario.clone()
+            };
+            let before = play_within_bound(&one_class, 1);
+            for seed in 1..=SEEDS {
+                let after = play_within_bound(&scenario, seed);
+                let about = format!("{scenario:?}, seed {seed}: {after:?}");
+                assert!(after.refused_calls <= 0.1 * before.refused_calls, "{about}");
+                assert!(after.refused_prompts <= before.refused_prompts + 0.05, "{about}");
+                assert!(after.used >= 0.95, "{about}");
+            }
+        }
+    }
+}
+
+/// Calls alone ask for more than the quota: they exceed it, or the patient class takes a part of it.
+#[test]
+fn calls_over_the_quota_use_all_of_it() {
+    for scenario in two_class_scenarios(&[14, 104], 0.005, &[]) {
+        for seed in 1..=SEEDS {
+            let figures = play_within_bound(&scenario, seed);
+            assert!(figures.used >= 0.95, "{scenario:?}, seed {seed}: {figures:?}");
+            assert!(
+                figures.refused_prompts > figures.refused_calls,
+                "{scenario:?}, seed {seed}: {figures:?}"
+            );
+        }
+    }
+}
+
+/// Routers that reach no other router admit a long prompt each, although that is many times their part of the quota.
+#[test]
+fn patient_prompts_stay_within_the_quota_if_no_router_reaches_another() {
+    let cut = Fault::CutAll {
+        from: 6_000,
+        until: 16_000,
+    };
+    for scenario in two_class_scenarios(&[14, 104, 300], PROMPTS, &[cut]) {
+        for seed in 1..=SEEDS {
+            play_within_bound(&scenario, seed);
+        }
+    }
+}
+
+/// A part of the quota is left unused in some window, although more than the quota is asked for.
+#[test]
+fn two_classes_use_the_quota_in_each_window() {
+    for scenario in two_class_scenarios(&[14, 104, 300], PROMPTS, &[]) {
+        let figures = play_within_bound(&scenario, 1);
+        assert!(figures.least_window >= 0.95, "{scenario:?}: {figures:?}");
+    }
+}
--- a/crates/dispatch/tests/support/quota_fleet.rs
+++ b/crates/dispatch/tests/support/quota_fleet.rs
@@ -1,7 +1,7 @@
 //! Simulation of many routers that keep the quotas of workspaces together.
 
 use admission::{LimitDecision, Limits, ShareLimiter, ShareView};
-use dispatch::quotas::{Admission, QuotaBounds, Quotas};
+use dispatch::quotas::{Admission, Class, QuotaBounds, Quotas};
 use dispatch::site::{QuotaSpec, QuotaUnit};
 use ids::{VmId, WorkspaceId};
 use std::time::Duration;
@@ -17,6 +17,9 @@
 const DEMAND_MS: u64 = 500;
 /// Watchers in each failure domain.
 const WATCHERS: usize = 2;
+/// Tokens of a long prompt and of a call.
+const PROMPT_COST: f64 = 9_197.0;
+const CALL_COST: f64 = 200.0;
 
 /// How the routers keep the quotas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +41,8 @@
     RestartAll { at: u64 },
     /// The last failure domain reaches no router of another one.
     CutDomain { from: u64, until: u64 },
+    /// No router reaches another one.
+    CutAll { from: u64, until: u64 },
     /// The quota changes to this share of what it was.
     ChangeQuota { at: u64, share: f64 },
 }
@@ -53,6 +58,17 @@
     Moving,
 }
 
+/// What is asked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mix {
+    /// Long prompts, short ones, and some very long ones; no route is patient.
+    Plain,
+    /// Long prompts, as this share of the requests, and short calls; no route is patient.
+    OneClass(f64),
+    /// The same, but the prompts' route is patient.
+    TwoClasses(f64),
+}
+
 /// A run.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -63,6 +79,7 @@
     /// What is asked, as a multiple of the rate, from each time on, milliseconds.
     pub asked: Vec<(u64, f64)>,
     pub spread: Spread,
+    pub mix: Mix,
     pub faults: Vec<Fault>,
     pub length_ms: u64,
     pub seed: u64,
@@ -75,8 +92,14 @@
     pub worst_window: f64,
     /// Admitted tokens, as a share of what one bucket for the whole fleet admits.
     pub used: f64,
+    /// Smallest use in any window since the demand last changed, as a share of what the rate allows.
+    pub least_window: f64,
     /// Share of the requests within the quota that were refused.
     pub refused: f64,
+    /// Share of all calls of 200 tokens that were refused.
+    pub refused_calls: f64,
+    /// Share of all prompts of 9,197 tokens that were refused.
+    pub refused_prompts: f64,
     /// Messages of a router per second.
     pub messages: f64,
     /// Hash of all decisions, with the times after which refused clients should retry.
@@ -92,6 +115,24 @@
     }
 }
 
+/// Requests of one kind.
+#[derive(Default)]
+struct Tally {
+    asked: u64,
+    refused: u64,
+}
+
+impl Tally {
+    fn count(&mut self, is_granted: bool) {
+        self.asked += 1;
+        self.refused += u64::from(!is_granted);
+    }
+
+    fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.asked.max(1) as f64
+    }
+}
+
 struct Router {
     vm: VmId,
     domain: usize,
@@ -221,6 +262,7 @@
         let end = start + self.scenario.length_ms;
         let mut granted: Vec<(u64, f64)> = Vec::new();
         let (mut ideal, mut within, mut refused) = (0.0, 0_u64, 0_u64);
+        let (mut calls, mut prompts) = (Tally::default(), Tally::default());
         // The largest limit of the last window counts, because a lower one binds a window later.
         let mut limits = vec![(0, self.spec.rate)];
         for now in (0..end).step_by(STEP_MS as usize) {
@@ -240,6 +282,11 @@
                     within += 1;
                     refused += u64::from(!is_granted);
                 }
+                match cost {
+                    PROMPT_COST => prompts.count(is_granted),
+                    CALL_COST => calls.count(is_granted),
+                    _ => {}
+                }
                 if is_granted {
                     granted.push((now, cost));
                 }
@@ -248,13 +295,21 @@
         let total: f64 = granted.iter().map(|(_, cost)| cost).sum();
         Figures {
             worst_window: worst_window(&granted, &limits),
+            least_window: least_window(&granted, &limits, start + self.last_change(), end),
             used: total / f64::max(ideal, 1.0),
             refused: refused as f64 / within.max(1) as f64,
+            refused_calls: calls.refused_share(),
+            refused_prompts: prompts.refused_share(),
             messages: self.messages as f64 / self.routers.len() as f64 / (end as f64 / 1000.0),
             decisions: self.decisions,
         }
     }
 
+    /// When the demand last changed.
+    fn last_change(&self) -> u64 {
+        self.scenario.asked.last().map_or(0, |(from, _)| *from)
+    }
+
     fn apply_faults(&mut self, time: u64, now: u64, limits: &mut Vec<(u64, f64)>) {
         for fault in self.scenario.faults.clone() {
             match fault {
@@ -279,6 +334,9 @@
     fn arrivals(&mut self, time: u64) -> Vec<f64> {
         let asked = self.scenario.asked.iter().rev().find(|(from, _)| *from <= time);
         let rate = asked.map_or(0.0, |(_, factor)| factor * self.scenario.rate);
+        if let Mix::OneClass(prompts) | Mix::TwoClasses(prompts) = self.scenario.mix {
+            return self.two_class_arrivals(rate, prompts);
+        }
         let mean = 0.45 * 9_197.0 + 0.54 * 862.0 + 0.01 * 39_600.0;
         let mut left = rate / mean * STEP_MS as f64 / 1000.0;
         let mut costs = Vec::new();
@@ -298,6 +356,21 @@
         costs
     }
 
+    /// Costs of the requests that arrive in this step: long prompts and calls.
+    fn two_class_arrivals(&mut self, rate: f64, prompts: f64) -> Vec<f64> {
+        let mean = prompts * PROMPT_COST + (1.0 - prompts) * CALL_COST;
+        let mut left = rate / mean * STEP_MS as f64 / 1000.0;
+        let mut costs = Vec::new();
+        while left > 0.0 {
+            if self.uniform() < left.min(1.0) {
+                let is_prompt = self.uniform() < prompts;
+                costs.push(if is_prompt { PROMPT_COST } else { CALL_COST });
+            }
+            left -= 1.0;
+        }
+        costs
+    }
+
     fn draw_router(&mut self, time: u64) -> usize {
         let draw = self.next_random() as usize;
         match self.scenario.spread {
@@ -319,7 +392,10 @@
         router.has_news = true;
         match self.way {
             Way::Reports => {
-                let admission = router.quotas.admit(&self.workspace, Some(cost as u64), draw, at(now));
+                let is_patient = matches!(self.scenario.mix, Mix::TwoClasses(_)) && cost == PROMPT_COST;
+                let class = if is_patient { Class::Patient } else { Class::Urgent };
+                let tokens = Some(cost as u64);
+                let admission = router.quotas.admit(&self.workspace, class, tokens, draw, at(now));
                 let (is_granted, retry) = match admission {
                     Admission::Denied(after) => (false, after.as_nanos() as u64),
                     _ => (true, 0),
@@ -368,6 +444,10 @@
 
     fn exchange_reports(&mut self, now: u64) {
         let time = now.saturating_sub(5_000);
+        let cut = |fault: &Fault| matches!(fault, Fault::CutAll { from, until } if (*from..*until).contains(&time));
+        if self.scenario.faults.iter().any(cut) {
+            return;
+        }
         for index in 0..self.routers.len() {
             let router = &self.routers[index];
             let age = now - router.reported_at;
@@ -419,6 +499,19 @@
     }
 }
 
+/// Smallest use in any window between two times, as a share of what the lowest limit allows.
+fn least_window(granted: &[(u64, f64)], limits: &[(u64, f64)], from: u64, until: u64) -> f64 {
+    let window = bounds().window.as_millis() as u64;
+    let rate = limits.iter().map(|(_, rate)| *rate).fold(f64::MAX, f64::min);
+    let used = |start: u64| {
+        let first = granted.partition_point(|(at, _)| *at < start);
+        let within = granted[first..].iter().take_while(|(at, _)| *at < start + window);
+        within.map(|(_, cost)| cost).sum::<f64>()
+    };
+    let starts = (from..=until.saturating_sub(window)).step_by(100);
+    starts.map(used).fold(f64::MAX, f64::min) / (rate * window as f64 / 1000.0)
+}
+
 /// Largest use in any window, as a share of what is permitted. A lowered limit binds a window after its change.
 fn worst_window(granted: &[(u64, f64)], limits: &[(u64, f64)]) -> f64 {
     let window = bounds().window.as_millis() as u64;
