--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     /// Requests refused because the quota of their workspace is used up, by workspace. Workspaces come from the
     /// document, so their number is bounded.
     pub over_quota: IntCounterVec,
+    /// Those of them on patient routes.
+    pub over_quota_patient: IntCounterVec,
     /// Orders to endpoints by outcome.
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
@@ -134,6 +136,11 @@
                 "Requests refused over the quota of their workspace",
                 &["workspace"],
             ),
+            over_quota_patient: counters(
+                "over_quota_patient_total",
+                "Requests on patient routes refused over the quota of their workspace",
+                &["workspace"],
+            ),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
             tunnels: counters(
--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -10,7 +10,7 @@
 /// another router.
 pub fn handle_report(shared: &Shared, report: ReportMessage) -> Option<TotalsMessage> {
     let now = shared.clock.now();
-    let usage = message::parse_usage(report.usage);
+    let usage = message::parse_usage(report.usage, report.patient_usage);
     let levels = {
         let mut quotas = shared.quotas();
         if !quotas.is_watcher() {
@@ -22,12 +22,14 @@
     message::apply_backlog(shared, source, report.backlog, now);
     // The other watchers learn of it with the next subtotal.
     shared.news_changed();
+    let (levels, demand) = message::levels(&levels);
     let incidents = message::Incidents::repeated(shared);
     let fleet = shared.fleet();
     let backlog = fleet.backlog_without(&report.router, now);
     Some(TotalsMessage {
         backlog: message::backlog(backlog, &fleet, incidents, now),
-        levels: message::levels(levels),
+        levels,
+        demand,
     })
 }
 
@@ -42,7 +44,7 @@
     message::apply_backlog(shared, source, subtotal.backlog, now);
     let usage = Subtotal {
         routers: subtotal.routers,
-        totals: message::parse_usage(subtotal.usage),
+        totals: message::parse_usage(subtotal.usage, subtotal.patient_usage),
     };
     shared
         .quotas()
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -7,12 +7,13 @@
 use crate::shared::Shared;
 use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
 use dispatch::leaving::LeavingEndpoint;
-use dispatch::quotas::{Level, Usage};
+use dispatch::quotas::{Demand, Level, Usage};
 use ids::WorkspaceId;
 use peers::{
-    BacklogMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage, RejectionMessage,
-    ToleranceMessage, UsageMessage, age_ms, time_of,
+    BacklogMessage, DemandMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage,
+    RejectionMessage, ToleranceMessage, UsageMessage, age_ms, time_of,
 };
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// What is repeated until routers no longer need it: requests under which endpoints end, and endpoints that leave.
@@ -119,22 +120,51 @@
     }
 }
 
-pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
-    let message = |(workspace, usage): (WorkspaceId, Usage)| UsageMessage(workspace, usage.spent, usage.asked);
-    usage.into_iter().map(message).collect()
+/// Use of quotas, and the patient part of it.
+pub(super) fn usage(usage: &[(WorkspaceId, Usage)]) -> (Vec<UsageMessage>, Vec<UsageMessage>) {
+    let total = |(id, usage): &(WorkspaceId, Usage)| UsageMessage(id.clone(), usage.spent, usage.asked);
+    let patient =
+        |(id, usage): &(WorkspaceId, Usage)| UsageMessage(id.clone(), usage.patient_spent, usage.patient_asked);
+    let has_patient = |(_, usage): &&(WorkspaceId, Usage)| usage.patient_spent != 0.0 || usage.patient_asked != 0.0;
+    let patients = usage.iter().filter(has_patient).map(patient).collect();
+    (usage.iter().map(total).collect(), patients)
 }
 
-pub(super) fn parse_usage(messages: Vec<UsageMessage>) -> Vec<(WorkspaceId, Usage)> {
-    let usage = |UsageMessage(workspace, spent, asked)| (workspace, Usage { spent, asked });
+pub(super) fn parse_usage(messages: Vec<UsageMessage>, patients: Vec<UsageMessage>) -> Vec<(WorkspaceId, Usage)> {
+    let patient = |UsageMessage(workspace, spent, asked)| (workspace, (spent, asked));
+    let patients: HashMap<WorkspaceId, (f64, f64)> = patients.into_iter().map(patient).collect();
+    let usage = |UsageMessage(workspace, spent, asked)| {
+        let (patient_spent, patient_asked) = patients.get(&workspace).copied().unwrap_or_default();
+        let usage = Usage {
+            spent,
+            asked,
+            patient_spent,
+            patient_asked,
+        };
+        (workspace, usage)
+    };
     messages.into_iter().map(usage).collect()
 }
 
-pub(super) fn levels(levels: Vec<(WorkspaceId, Level)>) -> Vec<LevelMessage> {
-    let message = |(workspace, level): (WorkspaceId, Level)| LevelMessage(workspace, level.level, level.share);
-    levels.into_iter().map(message).collect()
+/// Levels, and the demand by class of those for which it is known.
+pub(super) fn levels(levels: &[(WorkspaceId, Level)]) -> (Vec<LevelMessage>, Vec<DemandMessage>) {
+    let level = |(id, level): &(WorkspaceId, Level)| LevelMessage(id.clone(), level.level, level.share);
+    let demand = |(id, level): &(WorkspaceId, Level)| {
+        let demand = level.demand?;
+        Some(DemandMessage(id.clone(), demand.rate, demand.urgent, demand.patient))
+    };
+    (
+        levels.iter().map(level).collect(),
+        levels.iter().filter_map(demand).collect(),
+    )
 }
 
-pub(super) fn parse_levels(messages: Vec<LevelMessage>) -> Vec<(WorkspaceId, Level)> {
-    let level = |LevelMessage(workspace, level, share)| (workspace, Level { level, share });
+pub(super) fn parse_levels(messages: Vec<LevelMessage>, demand: Vec<DemandMessage>) -> Vec<(WorkspaceId, Level)> {
+    let known = |DemandMessage(workspace, rate, urgent, patient)| (workspace, Demand { rate, urgent, patient });
+    let demand: HashMap<WorkspaceId, Demand> = demand.into_iter().map(known).collect();
+    let level = |LevelMessage(workspace, level, share)| {
+        let demand = demand.get(&workspace).copied();
+        (workspace, Level { level, share, demand })
+    };
     messages.into_iter().map(level).collect()
 }
--- a/crates/gateway/src/news/report.rs
+++ b/crates/gateway/src/news/report.rs
@@ -30,12 +30,14 @@
         };
         let usage = shared.quotas().unreported();
         let incidents = message::Incidents::repeated(shared);
+        let (own, patients) = message::usage(&usage);
         let report = {
             let fleet = shared.fleet();
             ReportMessage {
                 router: shared.settings.load().vm.clone(),
                 backlog: message::backlog(fleet.own_backlog(now), &fleet, incidents, now),
-                usage: message::usage(usage.clone()),
+                usage: own,
+                patient_usage: patients,
             }
         };
         let totals = match self.call(vm, *address, report).await {
@@ -45,9 +47,8 @@
         };
         let now = shared.clock.now();
         shared.metrics.news.with_label_values(&["report", "ok"]).inc();
-        shared
-            .quotas()
-            .apply_levels(&usage, &message::parse_levels(totals.levels), now);
+        let levels = message::parse_levels(totals.levels, totals.demand);
+        shared.quotas().apply_levels(&usage, &levels, now);
         message::apply_backlog(shared, BacklogSource::Upstream, totals.backlog, now);
     }
 
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -46,6 +46,7 @@
             let fleet = shared.fleet();
             message::backlog(fleet.backlog_subtotal(now), &fleet, incidents, now)
         };
+        let (totals, patients) = message::usage(&usage.totals);
         let settings = shared.settings.load();
         let subtotal = SubtotalMessage {
             router: settings.vm.clone(),
@@ -53,7 +54,8 @@
             incarnation: self.incarnation,
             backlog,
             routers: usage.routers,
-            usage: message::usage(usage.totals),
+            usage: totals,
+            patient_usage: patients,
         };
         for queue in self.queues.values() {
             // Only the newest message matters. A closed queue is replaced the next time.
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -22,6 +22,7 @@
 use crate::shared::Shared;
 use attempts::{Attempts, RequestOutcome};
 use dispatch::attempt::{self, Cause};
+use dispatch::quotas::Class;
 use dispatch::site::{Owner, Route, Site};
 use http::Conn;
 use http::raw::RequestHead;
@@ -74,6 +75,8 @@
     pub isolated: Option<&'a WorkspaceId>,
     /// Priority; 0 is the highest.
     pub rank: u8,
+    /// Class under the quota of its workspace.
+    pub class: Class,
     /// When the response must be complete.
     pub deadline: Duration,
     /// Version of the software that began the stream which the request continues, if only that may continue it.
@@ -101,7 +104,7 @@
         Ok(request) => request,
         Err(cause) => return refuse(shared, incoming, cause, RequestState::Queued, &mut record).await,
     };
-    let charge = match QuotaCharge::admit(shared, request.workspace, request.info.tokens) {
+    let charge = match QuotaCharge::admit(shared, &request) {
         Ok(charge) => charge,
         Err(after) => {
             let cause = Cause::OverQuota(after);
@@ -177,6 +180,7 @@
         workspace: owner.map(|spec| &spec.id),
         isolated: owner.filter(|spec| spec.isolated).map(|spec| &spec.id),
         rank: owner.and_then(|spec| spec.rank).unwrap_or(route.rank),
+        class: quota::class(site, route),
         deadline: incoming.arrived + timeout,
         software: None,
     })
--- a/crates/gateway/src/serve/quota.rs
+++ b/crates/gateway/src/serve/quota.rs
@@ -1,7 +1,9 @@
 //! The charges of one request to the quota of its workspace.
 
+use super::RoutedRequest;
 use crate::shared::Shared;
-use dispatch::quotas::Admission;
+use dispatch::quotas::{Admission, Class};
+use dispatch::site::{Route, Site};
 use ids::WorkspaceId;
 use std::time::Duration;
 
@@ -9,6 +11,7 @@
 pub(super) struct QuotaCharge<'a> {
     shared: &'a Shared,
     workspace: Option<&'a WorkspaceId>,
+    class: Class,
     cost: f64,
     charged: u32,
     /// Attempts that may have run.
@@ -16,23 +19,23 @@
 }
 
 impl<'a> QuotaCharge<'a> {
-    /// Charges the first attempt of a request with `tokens`, if its head states them. If the quota is used up, returns
-    /// the time after which the client should retry.
-    pub(super) fn admit(
-        shared: &'a Shared,
-        workspace: Option<&'a WorkspaceId>,
-        tokens: Option<u64>,
-    ) -> Result<Self, Duration> {
+    /// Charges the first attempt of a request. If the quota is used up, returns the time after which the client should
+    /// retry.
+    pub(super) fn admit(shared: &'a Shared, request: &RoutedRequest<'a>) -> Result<Self, Duration> {
+        let (workspace, class) = (request.workspace, request.class);
         let free = Self {
             shared,
             workspace: None,
+            class,
             cost: 0.0,
             charged: 0,
             ran: 0,
         };
         let Some(id) = workspace else { return Ok(free) };
         let now = shared.clock.now();
-        let admission = shared.quotas().admit(id, tokens, rand::random(), now);
+        let admission = shared
+            .quotas()
+            .admit(id, class, request.info.tokens, rand::random(), now);
         match admission {
             Admission::Unlimited => Ok(free),
             Admission::Granted(cost) => {
@@ -46,7 +49,7 @@
             }
             Admission::Denied(after) => {
                 shared.news_changed();
-                log_denial(shared, id, now);
+                log_denial(shared, id, class, now);
                 Err(after)
             }
         }
@@ -58,7 +61,7 @@
         if self.ran >= self.charged {
             self.charged += 1;
             let now = self.shared.clock.now();
-            self.shared.quotas().charge(id, self.cost, now);
+            self.shared.quotas().charge(id, self.class, self.cost, now);
         }
     }
 
@@ -75,25 +78,41 @@
         if unused > 0 {
             let now = self.shared.clock.now();
             let cost = self.cost * f64::from(unused);
-            self.shared.quotas().refund(id, cost, now);
+            self.shared.quotas().refund(id, self.class, cost, now);
         }
     }
 }
 
-fn log_denial(shared: &Shared, workspace: &WorkspaceId, now: Duration) {
+/// Class of a request on a route.
+pub(super) fn class(site: &Site, route: &Route) -> Class {
+    if site.is_patient(route) {
+        Class::Patient
+    } else {
+        Class::Urgent
+    }
+}
+
+fn log_denial(shared: &Shared, workspace: &WorkspaceId, class: Class, now: Duration) {
     let name = workspace.as_str();
     shared.metrics.over_quota.with_label_values(&[name]).inc();
+    if class == Class::Patient {
+        shared.metrics.over_quota_patient.with_label_values(&[name]).inc();
+    }
     let Some(denial) = shared.quotas().denial(workspace, now) else {
         return;
     };
+    let share = |class| denial.demand.map_or(denial.share, |demand| demand.share(class));
     log::info!(
         workspace = name,
         rate = denial.spec.rate,
         burst = denial.spec.burst,
         level = denial.level,
         share = denial.share,
+        urgent_share = share(Class::Urgent),
+        patient_share = share(Class::Patient),
         news_age_ms = denial.news_age.as_millis() as u64,
-        denied = denial.count;
+        denied = denial.count,
+        patient_denied = denial.patient_count;
         "quota: requests refused"
     );
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -24,11 +24,11 @@
 pub use message::{Beat, EndpointInfo, Summary};
 pub use pack::{PACK_MIN_BYTES, pack, unpack};
 pub use relay::{
-    AnswerMessage, BacklogMessage, EndMessage, EndedProcessMessage, EndsMessage, Follow, FollowResponse, HoldMessage,
-    LeavingMessage, LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse, PartsMessage,
-    PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage, ReportMessage,
-    SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream, UptimeMessage,
-    UsageMessage, age_ms, serve_followers, time_of,
+    AnswerMessage, BacklogMessage, DemandMessage, EndMessage, EndedProcessMessage, EndsMessage, Follow, FollowResponse,
+    HoldMessage, LeavingMessage, LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse,
+    PartsMessage, PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage,
+    ReportMessage, SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream,
+    UptimeMessage, UsageMessage, age_ms, serve_followers, time_of,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -171,6 +171,11 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LevelMessage(pub WorkspaceId, pub f64, pub f64);
 
+/// Demand on a workspace's quota by class: workspace, refill of the known part of the quota, cost of the urgent and of
+/// the patient requests, in units per second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemandMessage(pub WorkspaceId, pub f64, pub f64, pub f64);
+
 /// What a follower reports to the router that it follows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportMessage {
@@ -181,6 +186,10 @@
     /// Use of quotas since its last report that was answered.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub usage: Vec<UsageMessage>,
+    /// The part of `usage` for requests on patient routes; absent from older routers. A field of its own, because older
+    /// routers reject a longer [`UsageMessage`].
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub patient_usage: Vec<UsageMessage>,
 }
 
 /// Response to a [`ReportMessage`].
@@ -191,6 +200,9 @@
     /// Levels of the workspaces that are near or above their quotas.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub levels: Vec<LevelMessage>,
+    /// Demand by class on those of these workspaces that use patient routes; absent from older routers.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<DemandMessage>,
 }
 
 /// What a router that has followers sends to the others that have followers.
@@ -211,6 +223,9 @@
     /// Use of quotas since the sender's start, for workspaces for which it changed recently, or for all.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub usage: Vec<UsageMessage>,
+    /// The part of `usage` for requests on patient routes; absent from older routers.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub patient_usage: Vec<UsageMessage>,
 }
 
 /// An endpoint's rate limit as sent between routers: key, requests per second or `None` if it has withdrawn its limit,
--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -1,6 +1,6 @@
 //! Compression of values between routers, and compatibility with older routers.
 
-use peers::{BacklogMessage, Follow, RelayItem, pack, unpack};
+use peers::{BacklogMessage, Follow, RelayItem, ReportMessage, TotalsMessage, UsageMessage, pack, unpack};
 use quickcheck::quickcheck;
 use std::fmt::Write;
 
@@ -52,4 +52,24 @@
     assert!(!item.packed);
     let backlog: BacklogMessage = serde_json::from_str(r#"{"r":[[7,2.5,100]]}"#).expect("a backlog");
     assert!(backlog.leaving.is_empty() && backlog.rates.len() == 1);
+    let report = r#"{"router":"vm-1","backlog":{},"u":[["grain",10.0,40.0]]}"#;
+    let report: ReportMessage = serde_json::from_str(report).expect("a report");
+    assert!(report.usage.len() == 1 && report.patient_usage.is_empty());
+    let totals: TotalsMessage = serde_json::from_str(r#"{"backlog":{},"q":[["grain",-5.0,0.5]]}"#).expect("totals");
+    assert!(totals.levels.len() == 1 && totals.demand.is_empty());
+}
+
+/// Older routers reject a whole report if a part that they know has a new element. They ignore unknown fields.
+#[test]
+fn use_by_class_does_not_change_what_older_routers_read() {
+    let usage = |spent| vec![UsageMessage("grain".into(), spent, 40.0)];
+    let report = ReportMessage {
+        router: "vm-1".into(),
+        backlog: BacklogMessage::default(),
+        usage: usage(10.0),
+        patient_usage: usage(5.0),
+    };
+    let text = serde_json::to_string(&report).expect("text");
+    let known = r#"{"router":"vm-1","backlog":{},"u":[["grain",10.0,40.0]],"#;
+    assert_eq!(text, format!(r#"{known}"p":[["grain",5.0,40.0]]}}"#));
 }
