--- a/crates/dispatch/tests/quota_model.rs
+++ b/crates/dispatch/tests/quota_model.rs
@@ -201,6 +201,7 @@
         ..scenario.clone()
     };
     let figures = play(&scenario, Way::Reports);
+    println!("{scenario:?}: {figures:?}");
     assert!(figures.worst_window <= 1.0, "{scenario:?}: {figures:?}");
     figures
 }
