--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
+//! | [`held_bytes`] | which connection is closed when too many bytes are held for slow readers |
 //! | [`intake`] | how many new connections are accepted |
 //! | [`fatal_parts`] | which parts of prompts are kept from endpoints, because others have ended under them |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
@@ -29,6 +30,7 @@
 pub mod fatal_parts;
 pub mod fleet;
 pub mod freshness;
+pub mod held_bytes;
 pub mod holder;
 pub mod intake;
 pub mod leaving;
--- a/crates/gateway/src/connections/call.rs
+++ b/crates/gateway/src/connections/call.rs
@@ -6,8 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest response to such a call, bytes.
-const MAX_RESPONSE_BYTES: u64 = 4 << 20;
+/// Longest page of events of a prefix cache store, bytes.
+const MAX_EVENTS_BYTES: u64 = 4 << 20;
+/// Longest response of an endpoint to such a call, bytes. A report has some ten bytes for each model, and all failed
+/// endpoints of a site may be probed at once.
+const MAX_REPORT_BYTES: u64 = 64 << 10;
 
 /// A reused connection for repeatable calls to one address, one call at a time. Opening a connection costs the endpoint
 /// time.
@@ -15,12 +18,26 @@
 pub struct CallConnection {
     address: SocketAddr,
     idle: Option<Source>,
+    /// Longest body of a response, bytes.
+    max_body: u64,
 }
 
 impl CallConnection {
-    /// Creates a client of this address. The connection is opened by the first call.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: None }
+    /// Creates a client of the endpoint at this address. The connection is opened by the first call.
+    pub fn to_endpoint(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: None,
+            max_body: MAX_REPORT_BYTES,
+        }
+    }
+
+    /// Creates a client of the prefix cache store at this address, like [`Self::to_endpoint`].
+    pub fn to_prefix_store(address: SocketAddr) -> Self {
+        Self {
+            max_body: MAX_EVENTS_BYTES,
+            ..Self::to_endpoint(address)
+        }
     }
 
     /// Makes a call. If the peer has closed the idle connection, the call is repeated over a new one.
@@ -34,15 +51,15 @@
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), ExchangeError> {
         let idle = self.idle.take();
-        let address = self.address;
+        let (address, max_body) = (self.address, self.max_body);
         let exchange = async {
             if let Some(source) = idle {
-                match send(source, address, call, headers).await {
+                match send(source, address, call, headers, max_body).await {
                     Err(err) if err.is_closed() => {}
                     response => return response,
                 }
             }
-            send(connect(address, limit).await?, address, call, headers).await
+            send(connect(address, limit).await?, address, call, headers, max_body).await
         };
         let called = with_timeout(limit, exchange).await?;
         self.idle = called.reusable;
@@ -77,7 +94,7 @@
 ) -> Result<(u16, Vec<u8>), ExchangeError> {
     let mut headers = headers.clone();
     headers.push("Connection", "close");
-    let called = with_timeout(limit, send(source, address, call, &headers)).await?;
+    let called = with_timeout(limit, send(source, address, call, &headers, MAX_REPORT_BYTES)).await?;
     Ok((called.status, called.body))
 }
 
@@ -89,10 +106,11 @@
     address: SocketAddr,
     call: &Call,
     headers: &Headers,
+    max_body: u64,
 ) -> Result<CallResponse, ExchangeError> {
     let conn = source.conn().clone();
     conn.reset_on_drop(true);
-    let called = call.send(source, address, headers, MAX_RESPONSE_BYTES).await?;
+    let called = call.send(source, address, headers, max_body).await?;
     // The peer has received the whole call. A reset could now abort its own use of the connection.
     conn.reset_on_drop(false);
     Ok(called)
--- a/crates/gateway/src/follow/prefixes.rs
+++ b/crates/gateway/src/follow/prefixes.rs
@@ -89,7 +89,7 @@
 /// store.
 async fn watch(shared: Arc<Shared>, watched: WatchedStores, store: SocketAddr) {
     let mut failing = false;
-    let mut connection = CallConnection::new(store);
+    let mut connection = CallConnection::to_prefix_store(store);
     while shared.watches_store.load(Ordering::SeqCst) {
         let position = positions(&shared).into_iter().find(|follow| follow.store == store);
         let Some(position) = position else { break };
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -128,7 +128,9 @@
                 body.extend_from_slice(&part);
             }
             Ok(None) => return BodyRead::Whole(body),
-            Err(RawBodyError::Chunk) => return BodyRead::Refuse(Cause::Malformed),
+            Err(RawBodyError::Chunk | RawBodyError::Extensions | RawBodyError::Trailers) => {
+                return BodyRead::Refuse(Cause::Malformed);
+            }
             Err(_) => return BodyRead::Abort,
         }
     }
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -89,7 +89,7 @@
     /// The weights that are loaded at the end; none if this router may no longer send orders.
     async fn run_steps(&self) -> Option<u64> {
         let mut loading = Loading::default();
-        let mut connection = CallConnection::new(self.entry.address);
+        let mut connection = CallConnection::to_endpoint(self.entry.address);
         loop {
             let target = self.target()?;
             self.may_order()?;
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -71,6 +71,8 @@
         match call_over(source, endpoint.address, &call, &headers, PROBE_TIMEOUT).await {
             Ok((OTHER_ENDPOINT, _)) => return Probe::OtherEndpoint,
             Ok((_, body)) => return Probe::Answered((shared.dialect.parse_incarnation)(&body)),
+            // It answers, although not as the endpoint that was addressed would.
+            Err(err) if err.bound().is_some() => return Probe::Silent,
             Err(_) => task::sleep(PROBE_PAUSE).await,
         }
     }
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -5,8 +5,11 @@
 
 /// Longest line between chunks, bytes: a hexadecimal size and extensions, which no known peer sends.
 const MAX_CHUNK_LINE: usize = 1024;
-/// Longest trailer line, bytes; trailers are dropped.
-const MAX_TRAILER_LINE: usize = 16 * 1024;
+/// Most bytes of the extensions of all chunks of one body. Without this bound, a body of one-byte chunks could carry a
+/// thousand times as many bytes as are counted for it.
+const MAX_EXTENSION_BYTES: usize = 64 * 1024;
+/// Most bytes of all trailer lines of one body, as many as proxies allow for a head; trailers are dropped.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// Most hexadecimal digits of a chunk size, so that it fits a `u64`.
 const MAX_SIZE_DIGITS: usize = 15;
 
@@ -26,6 +29,14 @@
         Chunk {
             display("the chunked encoding is malformed")
         }
+        /// The lines between its chunks are too long.
+        Extensions {
+            display("the chunk extensions are too long")
+        }
+        /// Its trailers are too long.
+        Trailers {
+            display("the trailers are too long")
+        }
         /// The connection failed. A body that ends with its connection is incomplete after a reset, too.
         Io(err: std::io::Error) {
             from()
@@ -50,6 +61,8 @@
 pub struct BodyReader {
     framing: Framing,
     state: State,
+    /// Bytes of chunk extensions, or of trailers, so far.
+    extra: usize,
 }
 
 impl BodyReader {
@@ -61,7 +74,11 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { framing, state }
+        Self {
+            framing,
+            state,
+            extra: 0,
+        }
     }
 
     /// How the body is framed.
@@ -150,10 +167,14 @@
     }
 
     fn chunk_size(&mut self, source: &mut Source) -> Result<bool, RawBodyError> {
-        let Some(line) = line(source, MAX_CHUNK_LINE)? else {
+        let Some(line) = line(source, MAX_CHUNK_LINE, RawBodyError::Extensions)? else {
             return Ok(false);
         };
         let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+        self.extra += line.len() - size.len();
+        if self.extra > MAX_EXTENSION_BYTES {
+            return Err(RawBodyError::Extensions);
+        }
         let size = size.trim_ascii_end();
         let digits = !size.is_empty() && size.len() <= MAX_SIZE_DIGITS && size.iter().all(u8::is_ascii_hexdigit);
         if !digits {
@@ -162,6 +183,7 @@
         let text = std::str::from_utf8(size).map_err(|_| RawBodyError::Chunk)?;
         let size = u64::from_str_radix(text, 16).map_err(|_| RawBodyError::Chunk)?;
         self.state = if size == 0 {
+            self.extra = 0;
             State::Trailers
         } else {
             State::ChunkData(size)
@@ -170,7 +192,7 @@
     }
 
     fn chunk_end(&mut self, source: &mut Source) -> Result<bool, RawBodyError> {
-        let Some(line) = line(source, MAX_CHUNK_LINE)? else {
+        let Some(line) = line(source, MAX_CHUNK_LINE, RawBodyError::Chunk)? else {
             return Ok(false);
         };
         if !line.is_empty() {
@@ -181,9 +203,11 @@
     }
 
     fn trailers(&mut self, source: &mut Source) -> Result<bool, RawBodyError> {
-        let Some(line) = line(source, MAX_TRAILER_LINE)? else {
+        let limit = MAX_TRAILER_BYTES - self.extra;
+        let Some(line) = line(source, limit, RawBodyError::Trailers)? else {
             return Ok(false);
         };
+        self.extra += line.len();
         if line.is_empty() {
             self.state = State::Complete;
         }
@@ -191,13 +215,15 @@
     }
 }
 
-/// Consumes a line that ends in CR LF; `None` while it is incomplete.
-fn line(source: &mut Source, limit: usize) -> Result<Option<Vec<u8>>, RawBodyError> {
+/// Consumes a line that ends in CR LF; `None` while it is incomplete. Returns `too_long` if it has more than `limit` bytes.
+fn line(source: &mut Source, limit: usize, too_long: RawBodyError) -> Result<Option<Vec<u8>>, RawBodyError> {
     let buffered = source.buffered();
-    let Some(end) = buffered.iter().position(|byte| *byte == b'\n') else {
-        if buffered.len() > limit {
-            return Err(RawBodyError::Chunk);
-        }
+    let end = buffered.iter().position(|byte| *byte == b'\n');
+    // The CR isn't part of the line.
+    if end.unwrap_or(buffered.len()) > limit + 1 {
+        return Err(too_long);
+    }
+    let Some(end) = end else {
         return Ok(None);
     };
     let Some(text) = buffered[..end].strip_suffix(b"\r") else {
--- a/crates/http/src/raw/call.rs
+++ b/crates/http/src/raw/call.rs
@@ -1,6 +1,6 @@
 //! The router's own calls: a small request and its complete response.
 
-use super::{ExchangeError, HeadError, Headers, Source, exchange};
+use super::{ExchangeError, Headers, Source, exchange};
 use std::net::SocketAddr;
 
 /// An outgoing call.
@@ -59,8 +59,7 @@
     ) -> Result<CallResponse, ExchangeError> {
         let bytes = self.bytes(host, headers);
         let mut response = exchange(&mut source, &bytes, self.method, |_| true).await?;
-        let body = response.body.read_to_end(&mut source, limit).await;
-        let body = body.map_err(|_| HeadError::Truncated)?;
+        let body = response.body.read_to_end(&mut source, limit).await?;
         let reusable = response.reusable && response.head.keeps_alive();
         Ok(CallResponse {
             status: response.head.status,
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -1,6 +1,6 @@
 //! One request and its response on a connection.
 
-use super::{BodyReader, FramingError, HeadError, ResponseHead, Source, response_framing};
+use super::{Bound, BodyReader, FramingError, HeadError, RawBodyError, ResponseHead, Source, response_framing};
 use crate::Conn;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -14,8 +14,11 @@
 
 /// Longest response head, bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Longest body of a response that belongs to another request and is skipped, bytes.
+/// Most bytes that are read of responses to other requests, which are skipped. Such a response is one of an earlier
+/// request that was given up.
 const MAX_SKIPPED_BYTES: u64 = 1 << 20;
+/// Most interim responses to one request. A server sends one or two, such as 100 and 103.
+const MAX_INTERIM: u32 = 16;
 /// Time without an acknowledgement of sent bytes after which the kernel closes the connection. It is well above a few
 /// retransmissions between failure domains a millisecond apart, and below every timeout that a client would notice.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,6 +36,19 @@
             from()
             display("{err}")
         }
+        /// The body of the response to a call is incomplete or too long.
+        Body(err: RawBodyError) {
+            from()
+            display("{err}")
+        }
+        /// There are too many interim responses.
+        Interim {
+            display("too many interim responses")
+        }
+        /// Responses to other requests are too long.
+        Skipped {
+            display("responses to other requests are too long")
+        }
         /// The framing of the response is ambiguous.
         Framing(err: FramingError) {
             from()
@@ -46,6 +62,17 @@
     pub fn is_closed(&self) -> bool {
         matches!(self, Self::Head(HeadError::Closed | HeadError::Io(_)))
     }
+
+    /// The bound that the response exceeds, if it does.
+    pub fn bound(&self) -> Option<Bound> {
+        match self {
+            Self::Head(HeadError::TooLarge) => Some(Bound::Head),
+            Self::Interim => Some(Bound::Interim),
+            Self::Skipped => Some(Bound::Skipped),
+            Self::Body(err) => err.bound(),
+            Self::NotSent | Self::Head(_) | Self::Framing(_) => None,
+        }
+    }
 }
 
 /// A response whose head has arrived.
@@ -93,6 +120,8 @@
     is_ours: impl Fn(&ResponseHead) -> bool,
 ) -> Result<Response, ExchangeError> {
     let mut writer = source.conn().clone();
+    let begin = writer.received();
+    let mut interims = 0;
     let mut reusable = source.buffered().is_empty();
     let mut sent = false;
     let head = {
@@ -115,12 +144,27 @@
             let body = BodyReader::new(response_framing(&head, method)?);
             return Ok(Response { head, body, reusable });
         }
-        if !interim {
+        if interim {
+            interims += 1;
+            if interims > MAX_INTERIM {
+                return Err(ExchangeError::Interim);
+            }
+        } else {
             reusable = false;
             let mut skipped = BodyReader::new(response_framing(&head, method)?);
-            let skipped_body = skipped.read_to_end(source, MAX_SKIPPED_BYTES).await;
-            skipped_body.map_err(|_| HeadError::Truncated)?;
+            while skipped.next_part(source).await?.is_some() {
+                check_skipped(source, begin)?;
+            }
+            check_skipped(source, begin)?;
         }
         head = source.response_head(MAX_HEAD_BYTES).await?;
     }
 }
+
+/// Checks how much was read since the exchange began, when the connection had received `begin` bytes.
+fn check_skipped(source: &Source, begin: u64) -> Result<(), ExchangeError> {
+    if source.conn().received() - begin > MAX_SKIPPED_BYTES {
+        return Err(ExchangeError::Skipped);
+    }
+    Ok(())
+}
--- a/crates/http/src/raw/mod.rs
+++ b/crates/http/src/raw/mod.rs
@@ -5,6 +5,7 @@
 //! unchanged, `httparse` parses the heads and this module frames the bodies.
 
 mod body;
+mod bound;
 mod call;
 mod exchange;
 mod framing;
@@ -12,6 +13,7 @@
 mod source;
 
 pub use body::{BodyReader, RawBodyError};
+pub use bound::Bound;
 pub use call::{Call, CallResponse};
 pub use exchange::{ExchangeError, Response, connect, exchange, set_socket_options};
 pub use framing::{Framing, FramingError, request_framing, response_framing};
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -4,10 +4,23 @@
 //! another endpoint would be appended to it, and the client would read a corrupt event. Therefore bytes are forwarded
 //! only up to the end of an event, which is an empty line, and an event that was already forwarded is dropped.
 
+/// Longest event, bytes. Events of engines have some hundred bytes; one that carries a whole response of other services
+/// has some hundred kilobytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event is longer than [`MAX_EVENT_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLong;
+
 /// Splits a stream into complete events.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// Start of the first line of the buffer that is not complete. Bytes that were searched for the end of an event are not
+    /// searched again.
+    line: usize,
+    /// Number of bytes of the buffer that were searched.
+    searched: usize,
     last_number: Option<u64>,
 }
 
@@ -27,9 +40,9 @@
         self.buffer.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         let mut begin = 0;
-        while let Some(length) = event_length(&self.buffer[begin..]) {
-            let event = &self.buffer[begin..begin + length];
-            begin += length;
+        while let Some(end) = self.next_end() {
+            let event = &self.buffer[begin..end];
+            begin = end;
             let number = number(event);
             if let (Some(number), Some(last)) = (number, self.last_number)
                 && number <= last
@@ -41,9 +54,38 @@
             complete.count += 1;
         }
         self.buffer.drain(..begin);
+        self.line -= begin;
+        self.searched -= begin;
         complete
     }
 
+    /// Checks the partial event. A caller checks it after each read, so that a stream without ends of events doesn't fill the
+    /// memory.
+    ///
+    /// # Errors
+    /// The event is too long.
+    pub fn check(&self) -> Result<(), EventTooLong> {
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        Ok(())
+    }
+
+    /// End of the next event in the buffer, including the empty line that ends it.
+    fn next_end(&mut self) -> Option<usize> {
+        while let Some(at) = self.buffer[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let line = self.line;
+            let end = self.searched + at;
+            self.searched = end + 1;
+            self.line = end + 1;
+            if matches!(&self.buffer[line..end], b"" | b"\r") {
+                return Some(end + 1);
+            }
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+
     /// Number of received bytes that do not form a complete event yet. If there are any at the end of a stream, the
     /// endpoint broke it off, however regularly its connection or its body ended.
     pub fn partial_len(&self) -> usize {
@@ -52,14 +94,14 @@
 
     /// Discards a partial event after the connection broke.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+        *self = self.without_partial();
     }
 
     /// A splitter that has forwarded the same events and received nothing more.
     pub fn without_partial(&self) -> Self {
         Self {
-            buffer: Vec::new(),
             last_number: self.last_number,
+            ..Self::default()
         }
     }
 
@@ -74,22 +116,6 @@
     }
 }
 
-/// Length of the first event, including the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let empty = at == line || (at == line + 1 && bytes[line] == b'\r');
-        if empty {
-            return Some(at + 1);
-        }
-        line = at + 1;
-    }
-    None
-}
-
 /// The event's `id`, if it is a number.
 fn number(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
