--- a/crates/dispatch/tests/held_bytes.rs
+++ b/crates/dispatch/tests/held_bytes.rs
@@ -35,14 +35,39 @@
     }
     use NextReadOf::{Close, Pause, Read};
     let cases = [
-        Case { held: &[30, 10], asks: 1, at_once: Read, later: Read },
+        Case {
+            held: &[30, 10],
+            asks: 1,
+            at_once: Read,
+            later: Read,
+        },
         // A smaller holder displaces one at least twice as large at once.
-        Case { held: &[40, 20, 4], asks: 2, at_once: Close(0), later: Pause },
-        Case { held: &[40, 24], asks: 1, at_once: Pause, later: Close(0) },
+        Case {
+            held: &[40, 20, 4],
+            asks: 2,
+            at_once: Close(0),
+            later: Pause,
+        },
+        Case {
+            held: &[40, 24],
+            asks: 1,
+            at_once: Pause,
+            later: Close(0),
+        },
         // The largest waits, and is closed for its own growth.
-        Case { held: &[40, 24], asks: 0, at_once: Pause, later: Close(0) },
+        Case {
+            held: &[40, 24],
+            asks: 0,
+            at_once: Pause,
+            later: Close(0),
+        },
         // Of equal ones, the oldest.
-        Case { held: &[32, 32], asks: 1, at_once: Pause, later: Close(0) },
+        Case {
+            held: &[32, 32],
+            asks: 1,
+            at_once: Pause,
+            later: Close(0),
+        },
     ];
     for case in cases {
         let (mut held, ids) = full(case.held);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod follow;
 mod front;
+mod held;
 mod intake;
 mod leaving;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,12 @@
     pub parts_held: IntGauge,
     /// Client connections that were closed unread, because this router had too much work.
     pub clients_refused: IntCounter,
+    /// Responses of endpoints that exceeded a bound, by bound.
+    pub overlong: IntCounterVec,
+    /// Bytes of responses held for slow readers.
+    pub held_bytes: IntGauge,
+    /// Connections closed for room in the budget of held bytes, by what was held.
+    pub held_closed: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
 }
@@ -167,6 +173,17 @@
                 "requests_quarantined",
                 "Requests that are kept from endpoints, because others have ended under them",
             ),
+            overlong: counters(
+                "responses_overlong_total",
+                "Responses of endpoints that exceeded a bound, by bound",
+                &["bound"],
+            ),
+            held_bytes: gauge("held_bytes", "Bytes of responses held for slow readers"),
+            held_closed: counters(
+                "held_closed_total",
+                "Connections closed for room in the budget of held bytes, by what was held",
+                &["held"],
+            ),
             in_flight: gauge("requests_in_flight", "Requests in flight"),
             first,
             registry,
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -1,14 +1,16 @@
 //! The attempts of one request, made one after the other.
 
 use super::RoutedRequest;
+use super::bounds;
 use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::origin::Sender;
+use super::outbox::Outbox;
 use super::quota::QuotaCharge;
 use super::record::{PromptRecord, Record};
 use super::relay::{OpenStream, StreamRelay};
-use super::response::ReadResponse;
+use super::response::{CompleteResponse, ReadResponse};
 use super::silent::{PendingExchange, SilentAttempt};
 use super::wait::{WaitOutcome, WeightsOutdated};
 use crate::connections::{self, PooledConnection};
@@ -17,7 +19,7 @@
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use dispatch::quarantine::ContentKey;
-use http::raw::{ExchangeError, Headers, exchange};
+use http::raw::{ExchangeError, exchange};
 use ids::{EndpointId, SoftwareVersion};
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Request, RequestEvent, RequestState, RequestStep, RetryPolicy};
@@ -44,16 +46,6 @@
     Refused(Cause, RequestState),
 }
 
-/// A response with its body.
-pub struct CompleteResponse {
-    /// Status code.
-    pub status: u16,
-    /// Headers for the client.
-    pub headers: Headers,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
 /// The result of one attempt.
 pub(super) enum AttemptResult<'a> {
     /// A complete response.
@@ -87,6 +79,8 @@
     pub(super) record: &'a mut Record,
     pub(super) lifecycle: Request,
     pub(super) events: EventSplitter,
+    /// Events that the client has not taken.
+    pub(super) outbox: Outbox,
     /// Whether the head of a stream was sent to the client.
     pub(super) head_sent: bool,
     /// Version of the software that began the stream. No other may continue it.
@@ -124,6 +118,7 @@
             record,
             lifecycle: Request::new(repeat),
             events: EventSplitter::default(),
+            outbox: Outbox::new(&request.incoming.conn, &shared.held),
             head_sent: false,
             software: request.software.clone(),
             last_sender: None,
@@ -290,9 +285,11 @@
         };
         match waited {
             WaitOutcome::Done(Ok((answer, source))) => {
-                self.handle_response(in_flight, ReadResponse::new(answer, source)).await
+                self.handle_response(in_flight, ReadResponse::new(self.shared, answer, source))
+                    .await
             }
-            WaitOutcome::Done(Err(_)) => {
+            WaitOutcome::Done(Err(err)) => {
+                bounds::record(self.shared, &in_flight.picked.endpoint.id, err.bound());
                 in_flight.outcome(Outcome::Broken);
                 self.lifecycle.on(RequestEvent::SendFailed);
                 AttemptResult::Failed(Failure::Broken)
@@ -491,7 +488,7 @@
     ) -> AttemptResult<'a> {
         match self.wait(self.remaining(), response.finish()).await {
             WaitOutcome::Done(Ok(())) => {}
-            WaitOutcome::Done(Err(_)) => return self.response_broken(&in_flight),
+            WaitOutcome::Done(Err(err)) => return self.read_failed(&in_flight, &err),
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
             WaitOutcome::Resumed(attempt) => {
                 self.lifecycle.on(RequestEvent::AnswerFailed);
@@ -500,7 +497,10 @@
             WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         }
         let ReadResponse {
-            answer, source, body, ..
+            answer,
+            source,
+            body,
+            hold,
         } = response;
         let status = answer.head.status;
         let headers = (self.shared.dialect.response_headers)(&answer.head.headers);
@@ -510,7 +510,12 @@
                 .put_back(&in_flight.picked.endpoint, source, info.keep_alive);
         }
         in_flight.ended();
-        let response = CompleteResponse { status, headers, body };
+        let response = CompleteResponse {
+            status,
+            headers,
+            body,
+            hold,
+        };
         if status >= 500 && self.repeatable() {
             in_flight.outcome(Outcome::Failed);
             self.lifecycle.on(RequestEvent::AnswerFailed);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -2,10 +2,12 @@
 
 mod attempt_loop;
 mod attempts;
+mod bounds;
 mod fate;
 mod in_flight;
 mod observe;
 mod origin;
+mod outbox;
 mod outgoing;
 mod place_queue;
 mod quota;
@@ -29,6 +31,7 @@
 use lifecycle::request::RequestState;
 use quota::QuotaCharge;
 use record::Record;
+use response::CompleteResponse;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -111,18 +114,10 @@
     shared.fleet().record_first_attempt(request.service, shared.clock.now());
     let outcome = Attempts::new(shared, &request, charge, &mut record).run().await;
     match outcome {
-        RequestOutcome::Complete(response) => {
+        RequestOutcome::Complete(mut response) => {
             let close = closes_connection(shared, incoming);
             record.end(shared, response.status, "answered");
-            if reply::response(
-                &incoming.conn,
-                response.status,
-                &response.headers,
-                &response.body,
-                close,
-            )
-            .await
-            {
+            if write_response(&incoming.conn, &mut response, close).await {
                 connection_action(close)
             } else {
                 abort(incoming)
@@ -144,6 +139,13 @@
     }
 }
 
+/// Writes a response of an endpoint. Returns false if the client closed the connection, or if its bytes are needed for others.
+async fn write_response(conn: &Conn, response: &mut CompleteResponse, close: bool) -> bool {
+    let (status, headers, body) = (response.status, &response.headers, &response.body);
+    let written = reply::response(conn, status, headers, body, close);
+    response.hold.unless_closed(written).await == Ok(true)
+}
+
 /// Determines the workspace and the route of a request.
 fn resolve<'a>(
     shared: &Shared,
--- /dev/null
+++ b/crates/gateway/src/serve/outbox.rs
@@ -0,0 +1,125 @@
+//! Events of a stream on their way to the client, who may read slowly.
+//!
+//! While a write waits for the client, the endpoint's stream is read on, since endpoints cut off a stream that stays unread.
+
+use super::relay::OpenStream;
+use crate::held::{HeldBudget, HeldKind, Hold, NoRoom};
+use async_std::io::WriteExt;
+use futures::future::{Either, pending, select};
+use http::Conn;
+use http::raw::RawBodyError;
+use std::pin::pin;
+use std::sync::Arc;
+
+/// Most bytes that are read ahead of one client: several times the longest answers of engines, and a sixteenth of the
+/// budget, so that a few slow clients don't use it up.
+const MAX_AHEAD_BYTES: usize = 1 << 20;
+
+/// Events that the client has not taken yet.
+pub(super) struct Outbox {
+    conn: Conn,
+    bytes: Vec<u8>,
+    written: usize,
+    /// Bytes of an event that is not complete.
+    partial: usize,
+    hold: Hold,
+    /// Whether the endpoint's stream is being read.
+    reads: bool,
+}
+
+/// What happened next.
+pub(super) enum Step {
+    /// The endpoint sent a part of its stream, or ended it.
+    Part(Result<Option<Vec<u8>>, RawBodyError>),
+    /// The client took some bytes.
+    Written,
+    /// The client closed the connection.
+    ClientDisconnected,
+    /// The bytes are needed for others.
+    NoRoom,
+}
+
+impl Outbox {
+    pub(super) fn new(conn: &Conn, budget: &Arc<HeldBudget>) -> Self {
+        Self {
+            conn: conn.clone(),
+            bytes: Vec::new(),
+            written: 0,
+            partial: 0,
+            hold: Hold::new(budget, HeldKind::Stream),
+            reads: true,
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Whether the endpoint was read in the last step. If it was not, it isn't silent.
+    pub(super) fn reads(&self) -> bool {
+        self.reads
+    }
+
+    /// Appends bytes for the client. `partial` is the number of bytes of an event that is not complete.
+    pub(super) fn push(&mut self, bytes: &[u8], partial: usize) {
+        self.bytes.extend_from_slice(bytes);
+        self.partial = partial;
+        self.count();
+    }
+
+    /// Writes to the client and reads the endpoint's stream, whichever goes on first. Nothing is lost if the future is
+    /// dropped.
+    pub(super) async fn step(&mut self, stream: &mut OpenStream) -> Step {
+        self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room());
+        if self.is_empty() {
+            if self.hold.room().await.is_err() {
+                return Step::NoRoom;
+            }
+            let part = self.hold.unless_closed(stream.next_part()).await;
+            return part.map_or(Step::NoRoom, Step::Part);
+        }
+        let reads = self.reads;
+        let part = async {
+            match reads {
+                true => stream.next_part().await,
+                false => pending().await,
+            }
+        };
+        let (write, part) = (pin!(self.write()), pin!(part));
+        match select(write, part).await {
+            Either::Left((step, _)) => step,
+            Either::Right((part, _)) => Step::Part(part),
+        }
+    }
+
+    /// Writes until the client has taken everything.
+    pub(super) async fn flush(&mut self) -> Step {
+        while !self.is_empty() {
+            match self.write().await {
+                Step::Written => {}
+                failed => return failed,
+            }
+        }
+        Step::Written
+    }
+
+    async fn write(&mut self) -> Step {
+        let write = self.conn.write(&self.bytes[self.written..]);
+        let written = match self.hold.unless_closed(write).await {
+            Ok(Ok(count @ 1..)) => count,
+            Ok(_) => return Step::ClientDisconnected,
+            Err(NoRoom) => return Step::NoRoom,
+        };
+        self.written += written;
+        if self.written == self.bytes.len() {
+            self.bytes = Vec::new();
+            self.written = 0;
+        }
+        self.count();
+        Step::Written
+    }
+
+    fn count(&mut self) {
+        self.hold.set(self.bytes.len() + self.partial);
+    }
+}
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -2,14 +2,15 @@
 
 use super::attempts::{AttemptResult, Attempts, RequestOutcome};
 use super::in_flight::InFlightAttempt;
+use super::outbox::{Outbox, Step};
 use super::silent::SilentAttempt;
 use super::wait::{WaitOutcome, WeightsOutdated};
-use super::{closes_connection, reply};
+use super::{bounds, closes_connection, reply};
 use crate::dialect::ResponseInfo;
 use async_std::future::timeout;
-use async_std::io::WriteExt;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
-use http::raw::{Framing, RawBodyError, Response, Source};
+use http::raw::{Bound, Framing, RawBodyError, Response, Source};
+use lifecycle::events::EventTooLong;
 use lifecycle::request::RequestEvent;
 use std::time::Duration;
 
@@ -59,11 +60,23 @@
     chunked: bool,
 }
 
-/// Result of a write to the client.
-#[derive(PartialEq, Eq)]
-enum WriteResult {
-    Done,
+/// How relaying ended.
+enum RelayEnd<'a> {
+    /// The endpoint ended its stream.
+    Ended,
+    /// The client closed the connection or did not read until the deadline.
     ClientDisconnected,
+    /// The endpoint's connection broke, or its stream exceeds a bound.
+    Broken(Option<Bound>),
+    /// The bytes are needed for others.
+    NoRoom,
+    /// The weights are too old to begin on.
+    Outdated,
+    /// The endpoint is silent.
+    Silent,
+    /// The silent endpoint of an earlier attempt went on first.
+    Overtaken(Box<SilentAttempt<'a>>),
+    Deadline,
 }
 
 impl<'r, 'a> StreamRelay<'r, 'a> {
@@ -82,52 +95,86 @@
 
     /// Relays a stream that was read ahead while it was suspended, as far as its end if `ended`.
     pub(super) async fn resume(mut self, ahead: &[u8], ended: bool) -> AttemptResult<'a> {
-        if self.forward(ahead).await == WriteResult::ClientDisconnected {
-            return AttemptResult::Ended(self.attempts.client_disconnected());
+        if self.forward(ahead).is_err() {
+            return self.broken(Some(Bound::Event));
         }
         if ended { self.finish().await } else { self.run().await }
     }
 
     pub(super) async fn run(mut self) -> AttemptResult<'a> {
+        match self.relay().await {
+            RelayEnd::Ended => self.finish().await,
+            RelayEnd::ClientDisconnected => AttemptResult::Ended(self.attempts.client_disconnected()),
+            RelayEnd::Broken(bound) => self.broken(bound),
+            RelayEnd::NoRoom => self.attempts.closed_for_room(),
+            RelayEnd::Outdated => self.cancelled(),
+            RelayEnd::Silent => self.timed_out(),
+            RelayEnd::Overtaken(attempt) => {
+                self.failed();
+                AttemptResult::Overtaken(attempt)
+            }
+            RelayEnd::Deadline => AttemptResult::GaveUp(Cause::Deadline),
+        }
+    }
+
+    async fn relay(&mut self) -> RelayEnd<'a> {
         let mut until = self.idle_end();
         loop {
-            let within = self.next_wait(until);
-            let started = self.stream.started;
-            let part = self.stream.next_part();
-            let waited = if started {
-                self.attempts.wait(within, part).await
-            } else {
-                match self.attempts.wait_for_begin(&self.in_flight.picked, within, part).await {
-                    Ok(waited) => waited,
-                    Err(WeightsOutdated) => return self.cancelled(),
-                }
+            let waited = match self.wait_for_step(until).await {
+                Ok(waited) => waited,
+                Err(WeightsOutdated) => return RelayEnd::Outdated,
             };
             match waited {
-                WaitOutcome::Done(Ok(Some(part))) => {
-                    if self.forward(&part).await == WriteResult::ClientDisconnected {
-                        return AttemptResult::Ended(self.attempts.client_disconnected());
+                WaitOutcome::Done(Step::Part(Ok(Some(part)))) => {
+                    if self.forward(&part).is_err() {
+                        return RelayEnd::Broken(Some(Bound::Event));
                     }
                     until = self.idle_end();
                 }
-                WaitOutcome::Done(Ok(None)) => return self.finish().await,
-                WaitOutcome::Done(Err(_)) => return self.attempts.response_broken(&self.in_flight),
+                WaitOutcome::Done(Step::Part(Ok(None))) => return RelayEnd::Ended,
+                WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.bound()),
+                WaitOutcome::Done(Step::Written) => {}
+                WaitOutcome::Done(Step::NoRoom) => return RelayEnd::NoRoom,
+                WaitOutcome::Done(Step::ClientDisconnected) => return RelayEnd::ClientDisconnected,
                 WaitOutcome::ClientDisconnected => {
                     self.attempts.record_wait(self.in_flight.began);
-                    return AttemptResult::Ended(self.attempts.client_disconnected());
-                }
-                WaitOutcome::Resumed(attempt) => {
-                    self.failed();
-                    return AttemptResult::Overtaken(attempt);
+                    return RelayEnd::ClientDisconnected;
                 }
+                WaitOutcome::Resumed(attempt) => return RelayEnd::Overtaken(attempt),
                 WaitOutcome::TimedOut if self.attempts.remaining().is_zero() => {
-                    return AttemptResult::GaveUp(Cause::Deadline);
+                    return if self.attempts.outbox.is_empty() {
+                        RelayEnd::Deadline
+                    } else {
+                        RelayEnd::ClientDisconnected
+                    };
                 }
                 WaitOutcome::TimedOut if self.now() < until => self.attempts.silent.clear(),
-                WaitOutcome::TimedOut => return self.timed_out(),
+                WaitOutcome::TimedOut if self.attempts.outbox.reads() => return RelayEnd::Silent,
+                WaitOutcome::TimedOut => {}
+            }
+            if !self.attempts.outbox.reads() {
+                // The endpoint can't show that it goes on.
+                until = self.idle_end();
             }
         }
     }
 
+    /// Waits for the endpoint's next bytes, or until the client has taken some.
+    async fn wait_for_step(&mut self, until: Duration) -> Result<WaitOutcome<'a, Step>, WeightsOutdated> {
+        let within = self.next_wait(until);
+        let unused = Outbox::new(&self.attempts.request.incoming.conn, &self.attempts.shared.held);
+        let mut outbox = std::mem::replace(&mut self.attempts.outbox, unused);
+        let started = self.stream.started;
+        let step = outbox.step(&mut self.stream);
+        let waited = if started {
+            Ok(self.attempts.wait(within, step).await)
+        } else {
+            self.attempts.wait_for_begin(&self.in_flight.picked, within, step).await
+        };
+        self.attempts.outbox = outbox;
+        waited
+    }
+
     fn now(&self) -> Duration {
         self.attempts.shared.clock.now()
     }
@@ -149,11 +196,16 @@
         left.min(attempt::overlap_left(now.saturating_sub(self.stream.head_at)))
     }
 
-    /// Writes the events that `part` completes to the client.
-    async fn forward(&mut self, part: &[u8]) -> WriteResult {
+    /// Passes the events that `part` completes to the client.
+    ///
+    /// # Errors
+    /// An event is too long.
+    fn forward(&mut self, part: &[u8]) -> Result<(), EventTooLong> {
         let whole = self.attempts.events.push(part);
+        self.attempts.events.check()?;
         if whole.count == 0 {
-            return WriteResult::Done;
+            self.push(&[]);
+            return Ok(());
         }
         if !self.stream.started {
             self.attempts.stream_began(&self.in_flight.picked);
@@ -163,13 +215,25 @@
         self.attempts.silent.clear();
         self.first_event();
         self.attempts.record.part(self.attempts.shared);
-        self.write(&whole.bytes, false).await
+        let bytes = self.encode(&whole.bytes, false);
+        self.push(&bytes);
+        Ok(())
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        let partial = self.attempts.events.partial_len();
+        self.attempts.outbox.push(bytes, partial);
+    }
+
+    fn broken(self, bound: Option<Bound>) -> AttemptResult<'a> {
+        bounds::record(self.attempts.shared, &self.in_flight.picked.endpoint.id, bound);
+        self.attempts.response_broken(&self.in_flight)
     }
 
     fn timed_out(mut self) -> AttemptResult<'a> {
         let events = self.attempts.events.clone();
         self.failed();
-        let attempt = SilentAttempt::streaming(self.in_flight, self.stream, events);
+        let attempt = SilentAttempt::streaming(self.attempts.shared, self.in_flight, self.stream, events);
         self.attempts.suspend(attempt);
         AttemptResult::Failed(Failure::Timeout)
     }
@@ -208,11 +272,9 @@
         if !end.is_complete() {
             return self.attempts.response_broken(&self.in_flight);
         }
-        if self.write(&[], true).await == WriteResult::ClientDisconnected {
-            return AttemptResult::Ended(self.attempts.client_disconnected());
-        }
+        let bytes = self.encode(&[], true);
+        self.push(&bytes);
         self.in_flight.ended();
-        self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         let OpenStream {
             answer, source, info, ..
         } = self.stream;
@@ -220,6 +282,16 @@
             let connections = &self.attempts.shared.connections;
             connections.put_back(&self.in_flight.picked.endpoint, source, info.keep_alive);
         }
+        // The endpoint is free while the client reads the rest.
+        drop(self.in_flight);
+        let remaining = self.attempts.remaining();
+        if !matches!(
+            timeout(remaining, self.attempts.outbox.flush()).await,
+            Ok(Step::Written)
+        ) {
+            return AttemptResult::Ended(self.attempts.client_disconnected());
+        }
+        self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         AttemptResult::Ended(RequestOutcome::Streamed {
             keep_alive: !self.close && self.chunked,
         })
@@ -242,8 +314,8 @@
         }
     }
 
-    /// Writes events. The first write includes the response head, the last one the end of the stream.
-    async fn write(&mut self, part: &[u8], last: bool) -> WriteResult {
+    /// Encodes events for the client. The first of them follow the response head, the last ones end the stream.
+    fn encode(&mut self, part: &[u8], last: bool) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(part.len() + 64);
         if !self.attempts.head_sent {
             let answer = &self.stream.answer;
@@ -256,11 +328,6 @@
             reply::push_end(&mut bytes, self.chunked);
         }
         self.attempts.lifecycle.on(RequestEvent::PartArrived);
-        let mut conn = self.attempts.request.incoming.conn.clone();
-        let written = timeout(self.attempts.remaining(), conn.write_all(&bytes)).await;
-        if matches!(written, Ok(Ok(()))) {
-            return WriteResult::Done;
-        }
-        WriteResult::ClientDisconnected
+        bytes
     }
 }
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -6,6 +6,10 @@
 use http::StatusCode;
 use http::raw::Headers;
 
+/// Longest body that is copied behind the head, so that both are sent at once. The copy of a longer one would double its
+/// memory.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
 /// Writes a refusal of this router. Returns false if the client closed the connection.
 pub async fn refusal(conn: &Conn, refusal: &Refusal, close: bool) -> bool {
     let code = refusal.cause.name();
@@ -23,8 +27,12 @@
     let mut bytes = head(status, headers, close);
     let length = format!("Content-Length: {}\r\n\r\n", body.len());
     bytes.extend_from_slice(length.as_bytes());
+    let mut conn = conn.clone();
+    if body.len() > MAX_COPIED_BYTES {
+        return conn.write_all(&bytes).await.is_ok() && conn.write_all(body).await.is_ok();
+    }
     bytes.extend_from_slice(body);
-    conn.clone().write_all(&bytes).await.is_ok()
+    conn.write_all(&bytes).await.is_ok()
 }
 
 /// The head of a streamed response, including the empty line. HTTP/1.0 has no chunked encoding, so there the end of the
--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -4,19 +4,21 @@
 //! send an event or a whole response continues. If no other endpoint can, the request waits for the silent one.
 
 use super::attempts::{AttemptResult, Attempts};
+use super::bounds;
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::relay::{OpenStream, StreamRelay};
 use super::response::ReadResponse;
 use super::wait::{self, WaitOutcome};
 use crate::dialect::ResponseInfo;
+use crate::held::{HeldKind, Hold, NoRoom};
 use crate::shared::Shared;
 use dispatch::attempt::{self, Cause, SilentWait};
 use dispatch::fleet::{Outcome, Prompt};
 use futures::FutureExt;
 use futures::future::{BoxFuture, select_all};
-use http::raw::{ExchangeError, Response, Source};
-use lifecycle::events::EventSplitter;
+use http::raw::{Bound, ExchangeError, Response, Source};
+use lifecycle::events::{EventSplitter, MAX_EVENT_BYTES};
 use lifecycle::request::RequestEvent;
 use std::future::Future;
 use std::time::Duration;
@@ -47,6 +49,8 @@
     events: EventSplitter,
     /// Bytes that were read while the attempt was suspended.
     ahead: Vec<u8>,
+    /// Counts these bytes and those of the partial event.
+    hold: Hold,
     /// Whether the end of the stream was read.
     ended: bool,
 }
@@ -57,8 +61,8 @@
     GoesOn,
     /// It sent a response that can't continue the request.
     Useless(Box<Response>),
-    /// Its connection broke.
-    Broke,
+    /// Its connection broke, or was closed because of this bound or for room.
+    Broke(Option<Bound>),
 }
 
 /// Properties of a request that decide whether a response continues it.
@@ -96,10 +100,16 @@
     }
 
     /// An attempt in the middle of a stream, of which `events` has received a part.
-    pub(super) fn streaming(in_flight: InFlightAttempt<'a>, stream: OpenStream, events: EventSplitter) -> Self {
+    pub(super) fn streaming(
+        shared: &Shared,
+        in_flight: InFlightAttempt<'a>,
+        stream: OpenStream,
+        events: EventSplitter,
+    ) -> Self {
         let silent = SilentStream {
             stream,
             ahead: events.partial().to_vec(),
+            hold: Hold::new(&shared.held, HeldKind::Stream),
             events,
             ended: false,
         };
@@ -119,8 +129,9 @@
         loop {
             match &mut self.progress {
                 Progress::Sent(exchange) => {
-                    let Ok((answer, source)) = exchange.await else {
-                        return Sign::Broke;
+                    let (answer, source) = match exchange.await {
+                        Ok(answered) => answered,
+                        Err(err) => return Sign::Broke(err.bound()),
                     };
                     let info = (needs.shared.dialect.parse_response)(&answer.head);
                     if needs.contested && !needs.is_met_by(&answer, &info) {
@@ -129,7 +140,10 @@
                     self.progress = Progress::of(answer, source, info, needs);
                 }
                 Progress::Reading(response) => {
-                    return response.finish().await.map_or(Sign::Broke, |()| Sign::GoesOn);
+                    return match response.finish().await {
+                        Ok(()) => Sign::GoesOn,
+                        Err(err) => Sign::Broke(err.bound()),
+                    };
                 }
                 Progress::Streaming(silent) => return silent.sign().await,
             }
@@ -156,29 +170,48 @@
                 stream: OpenStream::new(answer, source, info, needs.shared.clock.now()),
                 events: needs.events.without_partial(),
                 ahead: Vec::new(),
+                hold: Hold::new(&needs.shared.held, HeldKind::Stream),
                 ended: false,
             }));
         }
-        Self::Reading(Box::new(ReadResponse::new(answer, source)))
+        Self::Reading(Box::new(ReadResponse::new(needs.shared, answer, source)))
     }
 }
 
 impl SilentStream {
     async fn sign(&mut self) -> Sign {
         while !self.ended {
-            match self.stream.next_part().await {
-                Ok(Some(part)) => {
-                    self.ahead.extend_from_slice(&part);
-                    if self.events.push(&part).count > 0 {
+            if self.hold.room().await.is_err() {
+                return Sign::Broke(None);
+            }
+            match self.hold.unless_closed(self.stream.next_part()).await {
+                Ok(Ok(Some(part))) => {
+                    if self.push(&part) > 0 {
                         return Sign::GoesOn;
                     }
+                    if self.events.check().is_err() {
+                        return Sign::Broke(Some(Bound::Event));
+                    }
                 }
-                Ok(None) => self.ended = true,
-                Err(_) => return Sign::Broke,
+                Ok(Ok(None)) => self.ended = true,
+                Ok(Err(err)) => return Sign::Broke(err.bound()),
+                Err(NoRoom) => return Sign::Broke(None),
             }
         }
         Sign::GoesOn
     }
+
+    /// Adds bytes of the stream. Returns the number of events for the client that they complete.
+    fn push(&mut self, part: &[u8]) -> usize {
+        self.ahead.extend_from_slice(part);
+        let count = self.events.push(part).count;
+        if count == 0 && self.ahead.len() > MAX_EVENT_BYTES {
+            // The client has the events before the partial one.
+            self.ahead = self.events.partial().to_vec();
+        }
+        self.hold.set(self.ahead.len() + self.events.partial_len());
+        count
+    }
 }
 
 /// Removes and returns the first attempt whose endpoint goes on. Drops those that fail; none is left if it returns `None`.
@@ -207,7 +240,10 @@
                 attempt.in_flight.outcome(outcome);
                 attempt.in_flight.ended();
             }
-            Sign::Broke => attempt.in_flight.outcome(Outcome::Broken),
+            Sign::Broke(bound) => {
+                bounds::record(needs.shared, &attempt.in_flight.picked.endpoint.id, bound);
+                attempt.in_flight.outcome(Outcome::Broken);
+            }
         }
     }
     None
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::control::Event;
 use crate::dialect::Dialect;
 use crate::follow::relay::Relay;
+use crate::held::HeldBudget;
 use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::part_holds::PartHolds;
@@ -99,6 +100,8 @@
     pub endpoints_read: AtomicBool,
     /// Requests of which at least one byte was read and whose response is not finished.
     pub in_flight: AtomicUsize,
+    /// Bytes of responses held in memory.
+    pub held: Arc<HeldBudget>,
     /// Bytes of request bodies held in memory.
     pub body_bytes: AtomicUsize,
 }
@@ -109,10 +112,12 @@
         let fleet = Fleet::new(fleet_settings(&settings));
         let quotas = Quotas::new(settings.bounds.quotas());
         let metrics = Metrics::new();
+        let clock = Clock::start();
+        let held = HeldBudget::new(clock, metrics.held_bytes.clone(), metrics.held_closed.clone());
         Self {
             settings: ArcSwap::from_pointee(settings),
             dialect,
-            clock: Clock::start(),
+            clock,
             site: ArcSwapOption::empty(),
             fleet: Mutex::new(fleet),
             freshness: Mutex::default(),
@@ -141,6 +146,7 @@
             news_signal: async_channel::bounded(1),
             endpoints_read: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
+            held: Arc::new(held),
             body_bytes: AtomicUsize::new(0),
         }
     }
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -1,6 +1,6 @@
 //! One request and its response on a connection.
 
-use super::{Bound, BodyReader, FramingError, HeadError, RawBodyError, ResponseHead, Source, response_framing};
+use super::{BodyReader, Bound, FramingError, HeadError, RawBodyError, ResponseHead, Source, response_framing};
 use crate::Conn;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
