--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -2,10 +2,12 @@
 
 mod attempt_loop;
 mod attempts;
+mod bounds;
 mod fate;
 mod in_flight;
 mod observe;
 mod origin;
+mod outbox;
 mod outgoing;
 mod place_queue;
 mod quota;
@@ -114,18 +116,10 @@
     shared.fleet().record_first_attempt(request.service, shared.clock.now());
     let outcome = Attempts::new(shared, &request, charge, &mut record).run().await;
     match outcome {
-        RequestOutcome::Complete(response) => {
+        RequestOutcome::Complete(mut response) => {
             let close = closes_connection(shared, incoming);
             record.end(shared, response.status, "answered");
-            if reply::response(
-                &incoming.conn,
-                response.status,
-                &response.headers,
-                &response.body,
-                close,
-            )
-            .await
-            {
+            if response.write(&incoming.conn, close).await {
                 connection_action(close)
             } else {
                 abort(incoming)
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -20,13 +20,18 @@
 
 /// Writes a response with its body. Returns false if the client closed the connection.
 pub async fn response(conn: &Conn, status: u16, headers: &Headers, body: &[u8], close: bool) -> bool {
-    let mut bytes = head(status, headers, close);
-    let length = format!("Content-Length: {}\r\n\r\n", body.len());
-    bytes.extend_from_slice(length.as_bytes());
+    let mut bytes = response_head(status, headers, body.len(), close);
     bytes.extend_from_slice(body);
     conn.clone().write_all(&bytes).await.is_ok()
 }
 
+/// The head of a response with a body of this many bytes, including the empty line.
+pub fn response_head(status: u16, headers: &Headers, length: usize, close: bool) -> Vec<u8> {
+    let mut bytes = head(status, headers, close);
+    bytes.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+    bytes
+}
+
 /// The head of a streamed response, including the empty line. HTTP/1.0 has no chunked encoding, so there the end of the
 /// connection ends the response.
 pub fn stream_head(status: u16, headers: &Headers, close: bool, chunked: bool) -> Vec<u8> {
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -1,38 +1,124 @@
 //! Responses without events, as far as they were read.
 
-use http::raw::{RawBodyError, Response, Source};
+use super::reply;
+use crate::blocks::Blocks;
+use crate::held::{HeldKind, Hold, NoRoom};
+use crate::shared::Shared;
+use async_std::io::WriteExt;
+use http::Conn;
+use http::raw::{Bound, Framing, Headers, RawBodyError, Response, Source};
+use quick_error::quick_error;
 
-/// Longest response without streaming, bytes.
+/// Longest response without streaming, bytes: twice the longest request, and half of the budget of held bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
 
+quick_error! {
+    /// Why a response could not be read to its end.
+    #[derive(Debug)]
+    pub enum ReadError {
+        /// The body is incomplete or too long.
+        Body(err: RawBodyError) {
+            from()
+            display("{err}")
+        }
+        /// Its bytes are needed for others.
+        NoRoom(err: NoRoom) {
+            from()
+            display("there is no room for the response")
+        }
+    }
+}
+
+impl ReadError {
+    /// The bound that the response exceeds, if it does.
+    pub(super) fn bound(&self) -> Option<Bound> {
+        match self {
+            Self::Body(err) => err.bound(),
+            Self::NoRoom(_) => None,
+        }
+    }
+}
+
+/// A response with its body.
+pub struct CompleteResponse {
+    /// Status code.
+    pub status: u16,
+    /// Headers for the client.
+    pub headers: Headers,
+    /// Body.
+    pub body: Blocks,
+    /// Counts the body.
+    pub hold: Hold,
+}
+
+impl CompleteResponse {
+    /// Writes the response. Returns false if the client closed the connection, or if the bytes are needed for others.
+    pub async fn write(&mut self, conn: &Conn, close: bool) -> bool {
+        let mut conn = conn.clone();
+        let mut bytes = reply::response_head(self.status, &self.headers, self.body.len(), close);
+        loop {
+            // The head is sent together with the first bytes of the body, and so is the whole of a short response.
+            let taken = self.body.front().len();
+            bytes.extend_from_slice(self.body.front());
+            self.body.consume(taken);
+            if self
+                .hold
+                .unless_closed(conn.write_all(&bytes))
+                .await
+                .is_ok_and(|written| written.is_ok())
+            {
+                self.hold.set(self.body.len());
+            } else {
+                return false;
+            }
+            if self.body.is_empty() {
+                return true;
+            }
+            bytes.clear();
+        }
+    }
+}
+
 /// A response and what was read of its body.
 pub(super) struct ReadResponse {
     pub(super) answer: Response,
     pub(super) source: Source,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Blocks,
+    /// Counts the body.
+    pub(super) hold: Hold,
 }
 
 impl ReadResponse {
     /// A response of which only the head was read.
-    pub(super) fn new(answer: Response, source: Source) -> Self {
+    pub(super) fn new(shared: &Shared, answer: Response, source: Source) -> Self {
         Self {
             answer,
             source,
-            body: Vec::new(),
+            body: Blocks::default(),
+            hold: Hold::new(&shared.held, HeldKind::Response),
         }
     }
 
     /// Reads the rest of the body. What was read is kept if the future is dropped.
     ///
     /// # Errors
-    /// The body is incomplete or too long.
-    pub(super) async fn finish(&mut self) -> Result<(), RawBodyError> {
-        while let Some(part) = self.answer.body.next_part(&mut self.source).await? {
-            self.body.extend_from_slice(&part);
+    /// The body is incomplete or too long, or there is no room for it.
+    pub(super) async fn finish(&mut self) -> Result<(), ReadError> {
+        let framing = self.answer.body.framing();
+        if matches!(framing, Framing::Length(length) if length > MAX_RESPONSE_BYTES) {
+            return Err(RawBodyError::TooLarge.into());
+        }
+        loop {
+            self.hold.room().await?;
+            let part = self.answer.body.next_part(&mut self.source);
+            let Some(part) = self.hold.unless_closed(part).await?? else {
+                return Ok(());
+            };
+            self.body.push(&part);
+            self.hold.set(self.body.len());
             if self.body.len() as u64 > MAX_RESPONSE_BYTES {
-                return Err(RawBodyError::TooLarge);
+                return Err(RawBodyError::TooLarge.into());
             }
         }
-        Ok(())
     }
 }
