--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod engines;
 pub(crate) mod lanes;
 mod leaving;
+mod loads;
 mod occupied;
 mod places;
 mod plain;
@@ -37,7 +38,7 @@
 use brittle::Statements;
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
-use endpoint_state::{EndpointState, ReceivedReport};
+use endpoint_state::EndpointState;
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::DecayingTokens;
 use placement::Placer;
@@ -415,18 +416,6 @@
         self.peer_backlogs.remove(source);
     }
 
-    /// Records the load that an endpoint reported to this router.
-    pub fn record_load(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
-        if let Some(state) = self.endpoints.get_mut(id) {
-            state.record_report(ReceivedReport {
-                report,
-                reported_at: now,
-                received_at: now,
-                direct: true,
-            });
-        }
-    }
-
     /// Records the rate limit in an endpoint's answer: requests per second that it accepts from all routers together,
     /// or none. Returns whether the limit changed.
     pub fn record_rate(&mut self, id: &EndpointId, rate: Option<f64>, now: Duration) -> bool {
@@ -460,37 +449,6 @@
         self.rate_limits.count()
     }
 
-    /// Returns the reports received after `since`; with `own`, only those that endpoints sent to this router.
-    pub fn loads_since(&self, since: Duration, own: bool) -> Vec<LoadUpdate> {
-        let updates = self
-            .endpoints
-            .values()
-            .filter_map(|state| Some((state.key, state.report()?)));
-        let updates = updates.filter(|(_, received)| received.received_at > since && (received.direct || !own));
-        let updates = updates.map(|(key, received)| LoadUpdate {
-            endpoint: ShortKey::from(key),
-            report: received.report,
-            reported_at: received.reported_at,
-        });
-        updates.collect()
-    }
-
-    /// Merges load reports that a peer received. In a large pool a router reaches an endpoint only once in
-    /// ten seconds, but its neighbours together reach it several times a second.
-    pub fn merge_loads(&mut self, updates: &[LoadUpdate], now: Duration) {
-        let updates: HashMap<ShortKey, &LoadUpdate> = updates.iter().map(|update| (update.endpoint, update)).collect();
-        for state in self.endpoints.values_mut() {
-            if let Some(update) = updates.get(&ShortKey::from(state.key)) {
-                state.record_report(ReceivedReport {
-                    report: update.report,
-                    reported_at: update.reported_at,
-                    received_at: now,
-                    direct: false,
-                });
-            }
-        }
-    }
-
     /// Records the outcome of an attempt.
     pub fn record_outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
