--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -58,9 +58,18 @@
 }
 
 impl BacklogSource {
-    fn is_follower(&self) -> bool {
+    pub(super) fn is_follower(&self) -> bool {
         matches!(self, Self::Follower(_))
     }
+
+    /// Whether a follower may be told what was received from this source.
+    pub(super) fn is_for(&self, follower: &VmId) -> bool {
+        match self {
+            Self::Upstream => false,
+            Self::Follower(vm) => vm != follower,
+            Self::Watcher(_) => true,
+        }
+    }
 }
 
 /// The latest reports of other routers.
@@ -128,12 +137,7 @@
 
     /// Sum over all routers except a follower.
     pub(super) fn total_without(&self, follower: &VmId, own: Backlog, now: Duration) -> Backlog {
-        let is_included = |source: &BacklogSource| match source {
-            BacklogSource::Upstream => false,
-            BacklogSource::Follower(vm) => vm != follower,
-            BacklogSource::Watcher(_) => true,
-        };
-        self.sum(own, is_included, now)
+        self.sum(own, |source| source.is_for(follower), now)
     }
 
     /// Prompt tokens read recently for the requests of peers to a service.
--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -1,6 +1,7 @@
 //! One router's state of a single endpoint.
 
 use super::rests::Rest;
+use super::work_time::{WorkTime, WorkTimes};
 use crate::decay;
 use crate::site::EndpointEntry;
 use ids::ModelId;
@@ -50,6 +51,19 @@
     pub running: u32,
     /// Requests that are queued inside the endpoint.
     pub waiting: u32,
+    /// How long work takes on its machine at that moment, if it says so.
+    pub work_time: Option<WorkTime>,
+}
+
+impl LoadReport {
+    /// Creates a report of running and waiting requests that doesn't say how long work takes.
+    pub fn new(running: u32, waiting: u32) -> Self {
+        Self {
+            running,
+            waiting,
+            work_time: None,
+        }
+    }
 }
 
 /// A load report as routers exchange it.
@@ -122,6 +136,7 @@
     /// This router's requests whose prompts have not been read, oldest first.
     pending_prefills: Vec<PendingPrefill>,
     report: Option<ReceivedReport>,
+    pub(super) work_times: WorkTimes,
     /// Moving average of the share of failed attempts, and when it last changed.
     failure_share: (f64, Duration),
     /// Moving average of the time until an answer, in seconds.
@@ -156,6 +171,7 @@
             in_flight: 0,
             pending_prefills: Vec::new(),
             report: None,
+            work_times: WorkTimes::default(),
             failure_share: (0.0, Duration::ZERO),
             latency: None,
             recent_delay: (Duration::ZERO, Duration::ZERO),
@@ -304,6 +320,9 @@
             .is_none_or(|latest| latest.reported_at <= received.reported_at)
         {
             self.max_running = self.max_running.max(Some(received.report.running));
+            if let Some(work_time) = received.report.work_time {
+                self.work_times.record(work_time, received.reported_at);
+            }
             self.report = Some(received);
         }
     }
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -169,13 +169,11 @@
 
     fn candidate(&self, state: &EndpointState, demand: &Demand<'_>, off_lane: bool, now: Duration) -> Candidate {
         let prompt = demand.prompt;
+        let speed = self.speed(state, now);
+        let rate = demand.rate * speed;
         let weights = state.weights(&prompt.model).unwrap_or_default();
         let cold = state.is_new(now) && demand.unread.contains(&weights);
-        let interrupt_chance = if cold {
-            demand.cold_interrupt_chance
-        } else {
-            demand.interrupt_chance
-        };
+        let interrupt_chance = demand.interrupt_chance(if cold { prompt.tokens } else { demand.own }, rate);
         let interrupted = state.running(now).min(MAX_INTERRUPTED);
         let lane_cost = if off_lane { OFF_LANE_SECS } else { 0.0 };
         Candidate {
@@ -184,11 +182,11 @@
             same_domain: state.entry.domain == self.settings.domain,
             in_flight: state.in_flight(),
             limit: state.entry.slots.max(1) * REQUESTS_PER_SLOT,
-            queued: self.queued_tokens(state, demand.rate, now),
-            speed: (1.0 - state.failure_share(now)).max(MIN_SPEED),
-            weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 },
+            queued: self.queued_tokens(state, rate, now),
+            speed: (1.0 - state.failure_share(now)).max(MIN_SPEED) * speed,
+            weight: if off_lane { OFF_LANE_WEIGHT } else { 1.0 } * self.home_share(state),
             cold,
-            late_tokens: demand.late_tokens,
+            late_tokens: demand.late_tokens(rate),
             penalty: lane_cost + self.stale_cost(state, prompt, now) + INTERRUPT_SECS * interrupted * interrupt_chance,
         }
     }
@@ -198,38 +196,45 @@
 struct Demand<'a> {
     prompt: &'a Prompt,
     unread: &'a [u64],
-    /// Prompt tokens that an engine reads per second.
+    /// Prompt tokens that an engine of speed 1 reads per second.
     rate: f64,
-    /// Tokens, besides the unshared part of the prompt, that an engine can read until the answer is late. Engines admit
-    /// prompts of decode-heavy requests first, so those don't wait for the queue.
-    late_tokens: f64,
-    /// Chance that a running answer pauses for too long while an engine reads the unshared part of the prompt. An engine
-    /// reads a piece of a prompt between two steps of its answers.
-    interrupt_chance: f64,
-    /// The same for the whole prompt.
-    cold_interrupt_chance: f64,
+    /// Tokens of the unshared part of the prompt.
+    own: u64,
+    /// Objective and longest pause, unless the request is decode-heavy. Engines admit prompts of decode-heavy requests
+    /// first, so those don't wait for the queue.
+    objective: Option<Duration>,
+    pause: Option<Duration>,
 }
 
 impl<'a> Demand<'a> {
     fn new(context: &PickContext<'a>, prompt: &'a Prompt, rate: f64) -> Self {
         let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        let own = prompt.tokens.saturating_sub(shared);
         let (objective, pause) = if prompt.is_decode_heavy() {
             (None, None)
         } else {
             (context.objective, context.pause)
         };
-        let late_tokens = |objective: Duration| (objective.as_secs_f64() * READ_SHARE * rate - own as f64).max(0.0);
-        let chance = |tokens: u64| pause.map_or(0.0, |pause| interrupt_chance(tokens, rate, pause));
         Self {
             prompt,
             unread: context.unread,
             rate,
-            late_tokens: objective.map_or(f64::INFINITY, late_tokens),
-            interrupt_chance: chance(own),
-            cold_interrupt_chance: chance(prompt.tokens),
+            own: prompt.tokens.saturating_sub(shared),
+            objective,
+            pause,
         }
     }
+
+    /// Tokens, besides the unshared part of the prompt, that an engine can read at `rate` until the answer is late.
+    fn late_tokens(&self, rate: f64) -> f64 {
+        let tokens = |objective: Duration| (objective.as_secs_f64() * READ_SHARE * rate - self.own as f64).max(0.0);
+        self.objective.map_or(f64::INFINITY, tokens)
+    }
+
+    /// Chance that a running answer pauses for too long while an engine reads `tokens` at `rate`. An engine reads a piece
+    /// of a prompt between two steps of its answers.
+    fn interrupt_chance(&self, tokens: u64, rate: f64) -> f64 {
+        self.pause.map_or(0.0, |pause| interrupt_chance(tokens, rate, pause))
+    }
 }
 
 /// Chance that reading `tokens` at `rate` interrupts a running answer for longer than `pause`.
--- a/crates/dispatch/src/fleet/loads.rs
+++ b/crates/dispatch/src/fleet/loads.rs
@@ -10,6 +10,9 @@
     /// Records the load that an endpoint reported to this router.
     pub fn record_load(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
+            if report.work_time.is_some() {
+                self.speeds.enable(&state.entry.service);
+            }
             state.record_report(ReceivedReport {
                 report,
                 reported_at: now,
@@ -40,6 +43,9 @@
         let updates: HashMap<ShortKey, &LoadUpdate> = updates.iter().map(|update| (update.endpoint, update)).collect();
         for state in self.endpoints.values_mut() {
             if let Some(update) = updates.get(&ShortKey::from(state.key)) {
+                if update.report.work_time.is_some() {
+                    self.speeds.enable(&state.entry.service);
+                }
                 state.record_report(ReceivedReport {
                     report: update.report,
                     reported_at: update.reported_at,
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -19,9 +19,11 @@
 mod rate_limits;
 mod read_rate;
 mod rests;
+mod speeds;
 mod staleness;
 mod targets;
 mod versions;
+mod work_time;
 
 pub use backlogs::{Backlog, BacklogSource};
 pub use brittle::{BrittleUpdate, Rejection};
@@ -29,7 +31,9 @@
 pub use engines::{Prompt, PromptPart};
 pub use lanes::LaneTokens;
 pub use rate_limits::RateUpdate;
+pub use speeds::{ShareChange, SpeedSum, Work};
 pub use targets::{Staleness, TargetAge};
+pub use work_time::WorkTime;
 
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
@@ -45,6 +49,7 @@
 use places::Places;
 use rate_limits::RateLimits;
 use read_rate::ReadRate;
+use speeds::Speeds;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -138,6 +143,7 @@
     places: Places,
     departed_versions: Vec<DepartedVersion>,
     read_rates: HashMap<ServiceId, ReadRate>,
+    speeds: Speeds,
 }
 
 impl Fleet {
@@ -160,6 +166,7 @@
             places: Places::default(),
             departed_versions: Vec::new(),
             read_rates: HashMap::new(),
+            speeds: Speeds::default(),
         }
     }
 
@@ -302,6 +309,7 @@
     /// Chooses an endpoint; `draw` is uniform over all `u64` values.
     pub fn choose(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         self.peer_backlogs.refresh_sums(now);
+        self.refresh_speeds(now);
         if self.places.is_outdated(now) {
             self.divide_places(now);
         }
@@ -414,6 +422,7 @@
     /// Drops the backlog received from a source, which would otherwise be counted twice until it expires.
     pub fn remove_backlog(&mut self, source: &BacklogSource) {
         self.peer_backlogs.remove(source);
+        self.speeds.remove(source);
     }
 
     /// Records the rate limit in an endpoint's answer: requests per second that it accepts from all routers together,
--- a/crates/dispatch/src/fleet/staleness.rs
+++ b/crates/dispatch/src/fleet/staleness.rs
@@ -25,10 +25,11 @@
         required.is_none_or(|required| weights.is_some_and(|weights| weights >= required.weights))
     }
 
-    /// Expected time from sending a request to an endpoint that reads `rate` tokens a second until it begins: the time to read the queued prompts, but
-    /// at least the recent delay of first events. The request's own prompt is left out, because reading it fits into
-    /// the margin of the limit.
+    /// Expected time from sending a request to an endpoint until it begins, if endpoints of speed 1 read `rate` tokens a
+    /// second: the time to read the queued prompts, but at least the recent delay of first events. The request's own
+    /// prompt is left out, because reading it fits into the margin of the limit.
     pub(super) fn expected_wait(&self, state: &EndpointState, rate: f64, now: Duration) -> Duration {
+        let rate = rate * self.speed(state, now);
         let read_time = self.queued_tokens(state, rate, now) as f64 / rate;
         state.recent_delay(now).max(Duration::from_secs_f64(read_time))
     }
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -27,7 +27,7 @@
 #[test]
 fn load_report_diverts_requests_until_it_decays() {
     let mut fleet = pool(&[1, 1]);
-    let full = LoadReport { running: 6, waiting: 4 };
+    let full = LoadReport::new(6, 4);
     fleet.record_load(&EndpointId::from("e0"), full, at(0));
     for draw in 0..4 {
         assert_eq!(send(&mut fleet, None, &[], draw, at(1)).as_deref(), Some("e1"));
@@ -176,7 +176,7 @@
 #[test]
 fn newer_of_own_and_peer_load_report_wins() {
     let id = EndpointId::from("e0");
-    let full = LoadReport { running: 6, waiting: 4 };
+    let full = LoadReport::new(6, 4);
     let mut peer = pool(&[1, 1]);
     peer.record_load(&id, full, at(1_000));
     let mut updates = peer.loads_since(at(900), true);
@@ -201,11 +201,7 @@
     ];
     for case in cases {
         let mut fleet = pool(&[1, 1]);
-        fleet.record_load(
-            &EndpointId::from("e1"),
-            LoadReport { running: 2, waiting: 0 },
-            at(5_000),
-        );
+        fleet.record_load(&EndpointId::from("e1"), LoadReport::new(2, 0), at(5_000));
         if let Some(own) = case.own {
             fleet.record_load(&id, LoadReport::default(), at(own));
         }
@@ -436,10 +432,7 @@
             ..context(&service, Some(&long))
         };
         let home = choose(&mut fleet, &context, at(100)).endpoint.id.clone();
-        let report = LoadReport {
-            running: case.running,
-            waiting: 0,
-        };
+        let report = LoadReport::new(case.running, 0);
         fleet.record_load(&home, report, at(100));
         let picked = choose(&mut fleet, &context, at(100));
         assert_eq!(picked.endpoint.id == home, case.stays, "{}", case.name);
--- a/crates/dispatch/tests/fleet_weights.rs
+++ b/crates/dispatch/tests/fleet_weights.rs
@@ -334,7 +334,7 @@
             name: "its report shows many waiting requests",
             prepare: |fleet, id| {
                 let running = 12;
-                fleet.record_load(id, LoadReport { running, waiting: 60 }, at(8_600));
+                fleet.record_load(id, LoadReport::new(running, 60), at(8_600));
             },
             now: 8_700,
             used: &["e1"],
--- a/crates/dispatch/tests/support/brittle_fleet.rs
+++ b/crates/dispatch/tests/support/brittle_fleet.rs
@@ -473,10 +473,7 @@
     fn load(&self, endpoint: usize) -> LoadReport {
         let held = self.endpoints[endpoint].held.len();
         let running = held.min(self.case.room);
-        LoadReport {
-            running: running as u32,
-            waiting: (held - running) as u32,
-        }
+        LoadReport::new(running as u32, (held - running) as u32)
     }
 
     fn fall(&mut self, endpoint: usize) {
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -221,7 +221,7 @@
                 let fleet = &mut self.fleets[request.router];
                 fleet.prefill_finished(id, Incarnation(1), at(request.sent));
                 fleet.record_outcome(id, Outcome::Answered(at(waited)), at(now));
-                fleet.record_load(id, LoadReport { running, waiting }, at(now));
+                fleet.record_load(id, LoadReport::new(running, waiting), at(now));
                 self.announcements.push((now + DELIVERY_MS, request.router));
             }
             for ended in engine
