--- a/crates/dispatch/src/fleet/speeds.rs
+++ b/crates/dispatch/src/fleet/speeds.rs
@@ -69,6 +69,15 @@
 }
 
 impl Work {
+    /// Name of the kind of work, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Prefill { .. } => "prefill",
+            Self::Events(_) => "events",
+            Self::Call => "call",
+        }
+    }
+
     /// Kind and amount, unless the duration says little about the endpoint.
     fn amount(self) -> Option<(Kind, f64)> {
         match self {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -460,7 +460,21 @@
             paths.lost()
         };
         self.shared.metrics.paths_lost.set(paths_lost as i64);
-        let unreachable = self.shared.metrics.set_endpoint_states(&self.shared.fleet(), now);
+        let (unreachable, share_changes) = {
+            let mut fleet = self.shared.fleet();
+            (
+                self.shared.metrics.set_endpoint_states(&fleet, now),
+                fleet.take_share_changes(),
+            )
+        };
+        for change in share_changes {
+            log::info!(
+                endpoint = change.endpoint.as_str(),
+                speed = change.speed,
+                share = change.share;
+                "speeds: share of prefixes changed"
+            );
+        }
         let total = self.roster.all().count();
         let lost = total > 0 && unreachable >= total;
         if std::mem::replace(&mut self.endpoints_lost, lost) == lost {
--- a/crates/gateway/src/follow/loads.rs
+++ b/crates/gateway/src/follow/loads.rs
@@ -5,8 +5,9 @@
 //! second.
 
 use crate::shared::Shared;
-use dispatch::fleet::{LoadReport, LoadUpdate};
+use dispatch::fleet::{LoadReport, LoadUpdate, ShortKey, WorkTime};
 use peers::{LoadExchange, LoadMessage, PeerError, Upstream, age_ms, time_of};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Longest wait for a response.
@@ -18,10 +19,11 @@
     let own = shared.fleet().loads_since(last, true);
     let request = LoadExchange {
         last_ms: age_ms(last, now),
-        own: own.iter().map(|report| load_message(report, now)).collect(),
+        own: own.iter().map(|load| load_message(load, false, now)).collect(),
+        work_times: Some(own.iter().filter_map(work_time).collect()),
     };
     let response = upstream.loads(request, CALL_TIMEOUT).await?;
-    apply(shared, &response);
+    apply(shared, &response, &[]);
     Ok(())
 }
 
@@ -30,25 +32,37 @@
     let now = shared.clock.now();
     let since = time_of(request.last_ms, now);
     let reports = shared.fleet().loads_since(since, false);
-    apply(shared, &request.own);
-    reports.iter().map(|report| load_message(report, now)).collect()
+    let work_times = request.work_times.as_deref();
+    apply(shared, &request.own, work_times.unwrap_or_default());
+    let message = |load: &LoadUpdate| load_message(load, work_times.is_some(), now);
+    reports.iter().map(message).collect()
 }
 
-fn apply(shared: &Shared, loads: &[LoadMessage]) {
+fn apply(shared: &Shared, loads: &[LoadMessage], work_times: &[(ShortKey, u64)]) {
     let now = shared.clock.now();
-    let report = |LoadMessage(endpoint, running, waiting, age): &LoadMessage| LoadUpdate {
-        endpoint: *endpoint,
-        report: LoadReport {
-            running: *running,
-            waiting: *waiting,
-        },
-        reported_at: time_of(*age, now),
+    let work_times: HashMap<ShortKey, u64> = work_times.iter().copied().collect();
+    let report = |LoadMessage(endpoint, running, waiting, age, percent): &LoadMessage| {
+        let percent = percent.or_else(|| work_times.get(endpoint).copied());
+        LoadUpdate {
+            endpoint: *endpoint,
+            report: LoadReport {
+                work_time: percent.and_then(WorkTime::from_percent),
+                ..LoadReport::new(*running, *waiting)
+            },
+            reported_at: time_of(*age, now),
+        }
     };
     let reports: Vec<LoadUpdate> = loads.iter().map(report).collect();
     shared.fleet().merge_loads(&reports, now);
 }
 
-fn load_message(load: &LoadUpdate, now: Duration) -> LoadMessage {
+fn work_time(load: &LoadUpdate) -> Option<(ShortKey, u64)> {
+    Some((load.endpoint, load.report.work_time?.percent()))
+}
+
+fn load_message(load: &LoadUpdate, with_work_time: bool, now: Duration) -> LoadMessage {
     let age = age_ms(load.reported_at, now);
-    LoadMessage(load.endpoint, load.report.running, load.report.waiting, age)
+    let work_time = load.report.work_time.filter(|_| with_work_time);
+    let LoadReport { running, waiting, .. } = load.report;
+    LoadMessage(load.endpoint, running, waiting, age, work_time.map(WorkTime::percent))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,10 @@
     pub resting: IntGauge,
     /// Endpoints that fall over if they have to reject too many requests.
     pub brittle: IntGauge,
+    /// Endpoints that are so much slower than their service's median that fewer prefixes are assigned to them.
+    pub slow: IntGauge,
+    /// Samples of the speeds of endpoints by kind of work.
+    pub speed_samples: IntCounterVec,
     /// Requests that are kept from endpoints, because others have ended under them.
     pub quarantined: IntGauge,
     /// Parts of prompts that are kept from endpoints, because others have ended under them.
@@ -159,6 +163,15 @@
                 "endpoints_brittle",
                 "Endpoints that fall over if they have to reject too many requests",
             ),
+            slow: gauge(
+                "endpoints_slow",
+                "Endpoints slower than others of their service, with a lower share of prefixes",
+            ),
+            speed_samples: counters(
+                "speed_samples_total",
+                "Samples of the speeds of endpoints by kind of work",
+                &["work"],
+            ),
             parts_held: gauge(
                 "prompt_parts_held",
                 "Parts of prompts that are kept from endpoints, because others have ended under them",
@@ -178,6 +191,7 @@
         let unreachable = fleet.unreachable_count();
         self.unreachable.set(unreachable as i64);
         self.resting.set(fleet.resting_count(now) as i64);
+        self.slow.set(fleet.slow_count() as i64);
         unreachable
     }
 
--- a/crates/gateway/src/news/collect.rs
+++ b/crates/gateway/src/news/collect.rs
@@ -4,7 +4,7 @@
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use dispatch::quotas::Subtotal;
-use peers::{ReportMessage, SubtotalMessage, TotalsMessage};
+use peers::{BacklogMessage, ReportMessage, SubtotalMessage, TotalsMessage};
 
 /// Handles a follower's report. Returns none if this router collects no reports; the follower then keeps its report for
 /// another router.
@@ -19,14 +19,19 @@
         quotas.receive_report(&report.router, &usage, now)
     };
     let source = BacklogSource::Follower(report.router.clone());
+    let has_speeds = report.backlog.speeds.is_some();
     message::apply_backlog(shared, source, report.backlog, now);
     // The other watchers learn of it with the next subtotal.
     shared.news_changed();
     let incidents = message::Incidents::repeated(shared);
     let fleet = shared.fleet();
     let backlog = fleet.backlog_without(&report.router, now);
+    let speeds = has_speeds.then(|| message::speeds(fleet.speeds_without(&report.router, now)));
     Some(TotalsMessage {
-        backlog: message::backlog(backlog, &fleet, incidents, now),
+        backlog: BacklogMessage {
+            speeds,
+            ..message::backlog(backlog, &fleet, incidents, now)
+        },
         levels: message::levels(levels),
     })
 }
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -5,12 +5,12 @@
 use crate::leaving;
 use crate::quarantine;
 use crate::shared::Shared;
-use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
+use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection, SpeedSum};
 use dispatch::leaving::LeavingEndpoint;
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
 use peers::{
-    BacklogMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage, RejectionMessage,
+    BacklogMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage, RejectionMessage, SpeedMessage,
     ToleranceMessage, UsageMessage, age_ms, time_of,
 };
 use std::time::Duration;
@@ -35,6 +35,10 @@
     }
 }
 
+/// Units of the values of a [`SpeedMessage`].
+const LOG_UNIT: f64 = 0.001;
+const WEIGHT_UNIT: f64 = 0.01;
+
 /// The message with a backlog, the statements that endpoints made recently, and what is to be repeated.
 pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, incidents: Incidents, now: Duration) -> BacklogMessage {
     let rates = fleet.recent_rates(now);
@@ -54,6 +58,7 @@
         ends: incidents.ends,
         held_parts: incidents.held_parts,
         leaving: incidents.leaving,
+        speeds: None,
     }
 }
 
@@ -89,6 +94,9 @@
     };
     let mut fleet = shared.fleet();
     merge_leaving(shared, &mut fleet, message.leaving);
+    if let Some(speeds) = message.speeds {
+        fleet.update_speeds(source.clone(), speeds.iter().map(parse_speed).collect(), now);
+    }
     fleet.update_backlog(source, backlog, now);
     let rates_changed = fleet.merge_rates(&rates, now);
     let tolerances_changed = fleet.merge_tolerances(&tolerances);
@@ -119,6 +127,25 @@
     }
 }
 
+pub(super) fn speeds(sums: Vec<SpeedSum>) -> Vec<SpeedMessage> {
+    // Conversions of floating-point numbers saturate. A sum that has decayed to less than a unit is left out.
+    let message = |sum: SpeedSum| {
+        let weight = (sum.weight / WEIGHT_UNIT) as u32;
+        SpeedMessage(sum.endpoint, sum.incarnation, (sum.log_sum / LOG_UNIT) as i32, weight)
+    };
+    let messages = sums.into_iter().map(message);
+    messages.filter(|SpeedMessage(_, _, _, weight)| *weight > 0).collect()
+}
+
+fn parse_speed(SpeedMessage(endpoint, incarnation, log_sum, weight): &SpeedMessage) -> SpeedSum {
+    SpeedSum {
+        endpoint: *endpoint,
+        incarnation: *incarnation,
+        log_sum: f64::from(*log_sum) * LOG_UNIT,
+        weight: f64::from(*weight) * WEIGHT_UNIT,
+    }
+}
+
 pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
     let message = |(workspace, usage): (WorkspaceId, Usage)| UsageMessage(workspace, usage.spent, usage.asked);
     usage.into_iter().map(message).collect()
--- a/crates/gateway/src/news/report.rs
+++ b/crates/gateway/src/news/report.rs
@@ -4,7 +4,7 @@
 use crate::shared::Shared;
 use dispatch::fleet::BacklogSource;
 use ids::VmId;
-use peers::{PeerError, ReportMessage, TotalsMessage, Upstream};
+use peers::{BacklogMessage, PeerError, ReportMessage, TotalsMessage, Upstream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,12 +12,17 @@
 /// How long a router that did not answer is not tried again.
 const BACKOFF: Duration = Duration::from_secs(2);
 
+/// Interval between exchanges of the speeds of endpoints, which change only over tens of seconds.
+const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The connection to the router that collects this router's reports.
 #[derive(Default)]
 pub(super) struct Reporter {
     connected: Option<(VmId, Upstream)>,
     /// Routers that did not answer, and when each may be tried again.
     backoff: HashMap<VmId, Duration>,
+    /// When the speeds of endpoints were last exchanged.
+    speeds_at: Option<Duration>,
 }
 
 impl Reporter {
@@ -28,13 +33,19 @@
         let Some((vm, address)) = collectors.iter().find(|(vm, _)| !self.backoff.contains_key(vm)) else {
             return;
         };
+        let speeds_due = self
+            .speeds_at
+            .is_none_or(|at| now.saturating_sub(at) >= SPEEDS_INTERVAL);
         let usage = shared.quotas().unreported();
         let incidents = message::Incidents::repeated(shared);
         let report = {
             let fleet = shared.fleet();
             ReportMessage {
                 router: shared.settings.load().vm.clone(),
-                backlog: message::backlog(fleet.own_backlog(now), &fleet, incidents, now),
+                backlog: BacklogMessage {
+                    speeds: speeds_due.then(|| message::speeds(fleet.own_speeds(now))),
+                    ..message::backlog(fleet.own_backlog(now), &fleet, incidents, now)
+                },
                 usage: message::usage(usage.clone()),
             }
         };
@@ -44,6 +55,9 @@
             Err(err) => return self.drop_collector(shared, vm, &err.to_string()),
         };
         let now = shared.clock.now();
+        if speeds_due {
+            self.speeds_at = Some(now);
+        }
         shared.metrics.news.with_label_values(&["report", "ok"]).inc();
         shared
             .quotas()
--- a/crates/gateway/src/news/subtotal.rs
+++ b/crates/gateway/src/news/subtotal.rs
@@ -5,12 +5,13 @@
 use async_channel::{Receiver, Sender};
 use async_std::task;
 use ids::VmId;
-use peers::{PeerError, SubtotalMessage, Upstream};
+use peers::{BacklogMessage, PeerError, SubtotalMessage, Upstream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Interval at which the use of all quotas is sent, not only of those whose use changed recently.
+/// Interval at which the use of all quotas is sent, not only of those whose use changed recently, and the speeds of
+/// endpoints.
 const FULL_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -44,7 +45,10 @@
         let incidents = message::Incidents::repeated(shared);
         let backlog = {
             let fleet = shared.fleet();
-            message::backlog(fleet.backlog_subtotal(now), &fleet, incidents, now)
+            BacklogMessage {
+                speeds: is_full.then(|| message::speeds(fleet.speeds_subtotal(now))),
+                ..message::backlog(fleet.backlog_subtotal(now), &fleet, incidents, now)
+            }
         };
         let settings = shared.settings.load();
         let subtotal = SubtotalMessage {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -520,6 +520,9 @@
             in_flight.outcome(Outcome::Failed);
         } else {
             in_flight.answered();
+            if status < 300 {
+                in_flight.record_call();
+            }
         }
         self.lifecycle.on(RequestEvent::AnswerComplete);
         AttemptResult::Complete(response)
--- a/crates/gateway/src/serve/in_flight.rs
+++ b/crates/gateway/src/serve/in_flight.rs
@@ -1,7 +1,7 @@
 //! One attempt in flight at one endpoint.
 
 use crate::shared::Shared;
-use dispatch::fleet::{Outcome, PickedEndpoint};
+use dispatch::fleet::{Outcome, PickedEndpoint, Work};
 use ids::ServiceId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +80,29 @@
         let waited = self.shared.clock.now().saturating_sub(self.began);
         let tokens = self.picked.prefill + self.picked.queued;
         self.shared.fleet().record_read(service, tokens, waited);
+        // The cache of a cold engine may hold more of the prompt than expected.
+        if self.picked.prefill == self.picked.warm_prefill {
+            let (tokens, queued) = (self.picked.prefill, self.picked.queued);
+            self.record_work(Work::Prefill { tokens, queued }, waited);
+        }
+    }
+
+    /// Records how long the endpoint took for a non-streaming call, unless it is for a model: that depends on the
+    /// length of the prompt and the answer.
+    pub(super) fn record_call(&self) {
+        if self.picked.weights.is_none() {
+            self.record_work(Work::Call, self.shared.clock.now().saturating_sub(self.began));
+        }
+    }
+
+    /// Records that the endpoint has done a piece of work, which took this long.
+    pub(super) fn record_work(&self, work: Work, took: Duration) {
+        let now = self.shared.clock.now();
+        let counts = self.shared.fleet().record_work(&self.picked.endpoint, work, took, now);
+        if counts {
+            let samples = &self.shared.metrics.speed_samples;
+            samples.with_label_values(&[work.name()]).inc();
+        }
     }
 
     pub(super) fn answered(&self) {
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -9,6 +9,7 @@
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
+use dispatch::fleet::Work;
 use http::raw::{Framing, RawBodyError, Response, Source};
 use lifecycle::request::RequestEvent;
 use std::time::Duration;
@@ -22,6 +23,40 @@
     head_at: Duration,
     /// Whether this endpoint has sent an event. Earlier events may have come from another endpoint.
     pub(super) started: bool,
+    pace: Pace,
+}
+
+/// How fast the events of an endpoint arrive.
+#[derive(Debug, Clone, Copy)]
+enum Pace {
+    NoEvent,
+    /// Times of the first and the last event, and the number of events after the first part.
+    Steady {
+        first: Duration,
+        last: Duration,
+        count: u32,
+    },
+    /// Events were read while the stream was suspended, at unknown times.
+    Unknown,
+}
+
+impl Pace {
+    fn events(&mut self, arrived: u32, now: Duration) {
+        match self {
+            Self::NoEvent => {
+                *self = Self::Steady {
+                    first: now,
+                    last: now,
+                    count: 0,
+                };
+            }
+            Self::Steady { last, count, .. } => {
+                *last = now;
+                *count = count.saturating_add(arrived);
+            }
+            Self::Unknown => {}
+        }
+    }
 }
 
 impl OpenStream {
@@ -33,6 +68,7 @@
             info,
             head_at: now,
             started: false,
+            pace: Pace::NoEvent,
         }
     }
 
@@ -82,6 +118,7 @@
 
     /// Relays a stream that was read ahead while it was suspended, as far as its end if `ended`.
     pub(super) async fn resume(mut self, ahead: &[u8], ended: bool) -> AttemptResult<'a> {
+        self.stream.pace = Pace::Unknown;
         if self.forward(ahead).await == WriteResult::ClientDisconnected {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
@@ -159,6 +196,10 @@
             self.attempts.stream_began(&self.in_flight.picked);
         }
         self.stream.started = true;
+        let now = self.now();
+        self.stream
+            .pace
+            .events(u32::try_from(whole.count).unwrap_or(u32::MAX), now);
         // This endpoint continues the stream, so those that were silent must not run it any longer.
         self.attempts.silent.clear();
         self.first_event();
@@ -212,6 +253,10 @@
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
         self.in_flight.ended();
+        if let Pace::Steady { first, last, count } = self.stream.pace {
+            self.in_flight
+                .record_work(Work::Events(count), last.saturating_sub(first));
+        }
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         let OpenStream {
             answer, source, info, ..
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -27,8 +27,8 @@
     AnswerMessage, BacklogMessage, EndMessage, EndedProcessMessage, EndsMessage, Follow, FollowResponse, HoldMessage,
     LeavingMessage, LevelMessage, LoadExchange, LoadMessage, OriginMessage, OriginQuery, OriginResponse, PartsMessage,
     PrefixPage, PrefixQuery, RateMessage, RejectionMessage, RelayHandlers, RelayItem, ReleaseMessage, ReportMessage,
-    SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream, UptimeMessage,
-    UsageMessage, age_ms, serve_followers, time_of,
+    SpeedMessage, SubtotalMessage, SuspectMessage, TargetAgeMessage, ToleranceMessage, TotalsMessage, Upstream,
+    UptimeMessage, UsageMessage, age_ms, serve_followers, time_of,
 };
 pub use service::PeerError;
 pub use socket::MAX_FRAME;
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -114,9 +114,17 @@
     pub gone: Vec<PartKey>,
 }
 
-/// An endpoint's load report as sent between routers: key, running requests, waiting requests, age in milliseconds.
+/// An endpoint's load report as sent between routers: key, running requests, waiting requests, age in milliseconds, time
+/// that work takes in percent of the usual. Older routers accept only four values, so the last one is sent only in
+/// response to a request that has [`LoadExchange::work_times`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadMessage(pub ShortKey, pub u32, pub u32, pub u64);
+pub struct LoadMessage(
+    pub ShortKey,
+    pub u32,
+    pub u32,
+    pub u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")] pub Option<u64>,
+);
 
 /// A follower's load reports. The upstream responds with those of other routers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -125,6 +133,9 @@
     pub last_ms: u64,
     /// Reports from responses that the follower received itself.
     pub own: Vec<LoadMessage>,
+    /// Time that work takes at some endpoints of `own`, in percent of the usual; absent from older routers.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub work_times: Option<Vec<(ShortKey, u64)>>,
 }
 
 /// Load that one or more routers put on endpoints. Each message is complete.
@@ -157,8 +168,17 @@
     /// Endpoints that have stated on their answers that they leave, although the store does not show it.
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingMessage>,
+    /// Samples of the speeds of endpoints. Sent once a second, and absent from older routers. A response has it if the
+    /// request does.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<Vec<SpeedMessage>>,
 }
 
+/// Sum of samples of an endpoint's speed, as of the time of the message: key, incarnation, sum of the logarithms of the
+/// ratios of measured to usual durations in thousandths, weight in hundredths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedMessage(pub ShortKey, pub Incarnation, pub i32, pub u32);
+
 /// An endpoint that leaves: ID, incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingMessage(pub EndpointId, pub Incarnation);
