--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -321,7 +321,8 @@
         {
             self.max_running = self.max_running.max(Some(received.report.running));
             if let Some(work_time) = received.report.work_time {
-                self.work_times.record(work_time, received.reported_at);
+                let requests = received.report.running.saturating_add(received.report.waiting);
+                self.work_times.record(work_time, requests, received.reported_at);
             }
             self.report = Some(received);
         }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -31,7 +31,7 @@
 pub use engines::{Prompt, PromptPart};
 pub use lanes::LaneTokens;
 pub use rate_limits::RateUpdate;
-pub use speeds::{ShareChange, SpeedSum, Work};
+pub use speeds::{ShareChange, SpeedKey, SpeedSum, Work, WorkKind};
 pub use targets::{Staleness, TargetAge};
 pub use work_time::WorkTime;
 
--- a/crates/dispatch/src/fleet/speeds.rs
+++ b/crates/dispatch/src/fleet/speeds.rs
@@ -1,19 +1,21 @@
 //! How fast each endpoint is in comparison with the others of its service.
 //!
 //! Load pattern: pools in which some machines take more than twice as long as others, in front of which each router
-//! sees one answer of an endpoint in ten seconds. Routers compare the durations of their own requests with the usual
-//! duration at similar load, and exchange the sums of these comparisons. Only services of which an endpoint has reported
-//! a [`WorkTime`] are compared; in all others each endpoint has speed 1.
+//! sees one answer of an endpoint in ten seconds. Slow endpoints are also the fullest, so a long duration may come from
+//! either. Routers exchange sums of their samples, from which each computes how durations grow with the load at the same
+//! endpoint (a regression with a constant for each endpoint), and how long each endpoint takes without that growth. Only
+//! services of which an endpoint has reported a [`WorkTime`] are compared; in all others each endpoint has speed 1.
 //!
 //! [`WorkTime`]: super::WorkTime
 
 use super::endpoint_state::EndpointState;
 use super::work_time::MAX_FACTOR;
-use super::{BacklogSource, Fleet, ShortKey};
+use super::{BacklogSource, Fleet, LoadReport, ShortKey};
 use crate::decay;
 use crate::site::EndpointEntry;
 use ids::{EndpointId, Incarnation, ServiceId, VmId};
-use std::collections::{BTreeMap, HashMap};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Half-life of a sample. Tens of seconds give each endpoint of a pool of a hundred some dozen samples.
@@ -26,8 +28,13 @@
 const PRIOR_WEIGHT: f64 = 2.0;
 /// Weight of samples from which an endpoint counts for the median of its service.
 const MIN_WEIGHT: f64 = 1.0;
-/// Samples at a load before further ones are compared with them.
-const MIN_USUAL_WEIGHT: f64 = 3.0;
+/// Weight below which a sum is not sent: its samples are minutes old.
+const MIN_SENT_WEIGHT: f64 = 0.05;
+/// Assumed growth of the logarithm of a duration with the load, and its weight. Samples soon replace it.
+const PRIOR_SLOPE: f64 = 0.5;
+const SLOPE_WEIGHT: f64 = 1.0;
+/// Largest growth: durations in proportion to the load.
+const MAX_SLOPE: f64 = 1.5;
 /// Shorter prompts tell more about the round trip than about the engine.
 const MIN_PREFILL_TOKENS: u64 = 1_000;
 /// Queued tokens are known only roughly, so a prompt with more of them ahead, as a multiple of its own, is no sample.
@@ -36,9 +43,8 @@
 const MIN_EVENTS: u32 = 6;
 /// Weight of a prefill that took longer than expected: it probably waited for prompts that this router doesn't know of.
 const SLOW_PREFILL_WEIGHT: f64 = 0.25;
-/// Classes of load per multiple of an endpoint's slots, and the highest class.
-const LOAD_CLASSES: u32 = 8;
-const MAX_LOAD_CLASS: u32 = 12;
+/// Requests, in relation to the slots, from which they rather than the machine determine a duration; its inverse.
+const LOAD_SCALE: f64 = 3.0;
 /// Factor between two steps of an endpoint's share of prefix homes. Each step moves prefixes to caches without them.
 const SHARE_STEP: f64 = std::f64::consts::SQRT_2;
 /// Deviation from the current share, in steps, at which it changes. Above a half, so that a speed between two steps
@@ -61,10 +67,17 @@
     Call,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Kind {
+/// Kind of [`Work`]. Durations of different kinds are not comparable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum WorkKind {
+    /// Reading prompts; the unit is a token.
+    #[serde(rename = "p")]
     Prefill,
+    /// Sending events; the unit is an event.
+    #[serde(rename = "e")]
     Events,
+    /// Serving non-streaming calls.
+    #[serde(rename = "c")]
     Call,
 }
 
@@ -79,29 +92,72 @@
     }
 
     /// Kind and amount, unless the duration says little about the endpoint.
-    fn amount(self) -> Option<(Kind, f64)> {
+    fn amount(self) -> Option<(WorkKind, f64)> {
         match self {
             Self::Prefill { tokens, queued } => {
                 let counts = tokens >= MIN_PREFILL_TOKENS && queued <= tokens * MAX_QUEUED;
-                counts.then(|| (Kind::Prefill, (tokens + queued) as f64))
+                counts.then(|| (WorkKind::Prefill, (tokens + queued) as f64))
             }
-            Self::Events(count) => (count >= MIN_EVENTS).then(|| (Kind::Events, f64::from(count))),
-            Self::Call => Some((Kind::Call, 1.0)),
+            Self::Events(count) => (count >= MIN_EVENTS).then(|| (WorkKind::Events, f64::from(count))),
+            Self::Call => Some((WorkKind::Call, 1.0)),
         }
     }
 }
 
-/// Samples of an endpoint's speed. The sums of several routers can be added.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// What a sum of samples belongs to.
+pub type SpeedKey = (ShortKey, Incarnation, WorkKind);
+
+/// Sums over samples: of their weights, and of the weighted loads, logarithms of durations and products of these. The sums
+/// of several routers can be added.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct SpeedSum {
-    /// The endpoint.
-    pub endpoint: ShortKey,
-    /// The incarnation that the samples belong to.
-    pub incarnation: Incarnation,
-    /// Weighted sum of the logarithms of the ratios of measured to usual durations.
-    pub log_sum: f64,
     /// Sum of the weights.
     pub weight: f64,
+    /// Sum of the loads; a load is about the logarithm of the growth of durations with the running requests.
+    pub load: f64,
+    /// Sum of the logarithms of the durations of a unit of work, in seconds, divided by the reported work time.
+    pub log: f64,
+    /// Sum of the squares of the loads.
+    pub load_load: f64,
+    /// Sum of the products of load and logarithm.
+    pub load_log: f64,
+}
+
+impl SpeedSum {
+    fn sample(load: f64, log: f64, weight: f64) -> Self {
+        Self {
+            weight,
+            load: weight * load,
+            log: weight * log,
+            load_load: weight * load * load,
+            load_log: weight * load * log,
+        }
+    }
+
+    fn scaled(self, factor: f64) -> Self {
+        Self {
+            weight: self.weight * factor,
+            load: self.load * factor,
+            log: self.log * factor,
+            load_load: self.load_load * factor,
+            load_log: self.load_log * factor,
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            weight: self.weight + other.weight,
+            load: self.load + other.load,
+            log: self.log + other.log,
+            load_load: self.load_load + other.load_load,
+            load_log: self.load_log + other.load_log,
+        }
+    }
+
+    fn is_valid(&self) -> bool {
+        let values = [self.load, self.log, self.load_load, self.load_log, self.weight];
+        values.iter().all(|value| value.is_finite()) && self.weight > 0.0
+    }
 }
 
 /// An endpoint whose share of prefix homes has changed.
@@ -115,32 +171,42 @@
     pub share: f64,
 }
 
-/// A weighted sum of logarithms that decays.
-#[derive(Debug, Clone, Copy, Default)]
-struct Sum {
-    log_sum: f64,
-    weight: f64,
+/// Sums as of a point in time.
+#[derive(Debug, Default)]
+struct Sums {
+    by_key: BTreeMap<SpeedKey, SpeedSum>,
     updated_at: Duration,
 }
 
-impl Sum {
-    fn current(&self, now: Duration) -> Self {
-        let factor = decay::remaining(now.saturating_sub(self.updated_at), HALF_LIFE_SECS);
-        Self {
-            log_sum: self.log_sum * factor,
-            weight: self.weight * factor,
-            updated_at: now,
+impl Sums {
+    /// Adds the sums `other`, decayed to `now`, to sums as of `now`.
+    fn add(&mut self, other: &Self, now: Duration) {
+        let factor = decay::remaining(now.saturating_sub(other.updated_at), HALF_LIFE_SECS);
+        for (key, sum) in &other.by_key {
+            let total = self.by_key.entry(*key).or_default();
+            *total = total.plus(sum.scaled(factor));
         }
     }
 
-    fn record(&mut self, log: f64, weight: f64, now: Duration) {
-        *self = self.current(now);
-        self.log_sum += log * weight;
-        self.weight += weight;
+    fn decay(&mut self, now: Duration) {
+        let factor = decay::remaining(now.saturating_sub(self.updated_at), HALF_LIFE_SECS);
+        for sum in self.by_key.values_mut() {
+            *sum = sum.scaled(factor);
+        }
+        self.updated_at = now;
     }
+}
 
-    fn mean(&self) -> Option<f64> {
-        (self.weight >= MIN_USUAL_WEIGHT).then(|| self.log_sum / self.weight)
+/// How the duration of a unit of work at the median endpoint of a service depends on the load.
+#[derive(Debug, Clone, Copy)]
+struct Fit {
+    base: f64,
+    slope: f64,
+}
+
+impl Fit {
+    fn log(self, load: f64) -> f64 {
+        self.base + self.slope * load
     }
 }
 
@@ -152,20 +218,14 @@
     step: i32,
 }
 
-#[derive(Debug)]
-struct ReceivedSums {
-    received_at: Duration,
-    sums: Vec<SpeedSum>,
-}
-
 /// Samples of this router, sums of others and the speeds learned from both.
 #[derive(Debug, Default)]
 pub(super) struct Speeds {
-    /// Logarithm of the usual duration of a unit of work at an endpoint of speed 1, by service, kind and load. Present
-    /// for the services that are compared.
-    usual: HashMap<ServiceId, HashMap<(Kind, u32), Sum>>,
-    own: BTreeMap<(ShortKey, Incarnation), Sum>,
-    received: HashMap<BacklogSource, ReceivedSums>,
+    /// Services whose endpoints are compared.
+    enabled: BTreeSet<ServiceId>,
+    own: Sums,
+    received: HashMap<BacklogSource, Sums>,
+    fits: HashMap<(ServiceId, WorkKind), Fit>,
     learned: HashMap<ShortKey, Learned>,
     refreshed_at: Option<Duration>,
     changes: BTreeMap<EndpointId, ShareChange>,
@@ -174,13 +234,13 @@
 impl Speeds {
     /// Compares the endpoints of a service from now on.
     pub(super) fn enable(&mut self, service: &ServiceId) {
-        if !self.usual.contains_key(service) {
-            self.usual.insert(service.clone(), HashMap::new());
+        if !self.enabled.contains(service) {
+            self.enabled.insert(service.clone());
         }
     }
 
     fn is_enabled(&self, service: &ServiceId) -> bool {
-        self.usual.contains_key(service)
+        self.enabled.contains(service)
     }
 
     /// Drops the sums received from a source.
@@ -196,79 +256,100 @@
     /// Records that a piece of work ended at `now` after `took`. Returns whether it tells something about the speed.
     fn record(&mut self, state: &EndpointState, work: Work, took: Duration, now: Duration) -> bool {
         let known = self.learned(state).map_or(0.0, |learned| -learned.speed.ln());
-        let Some(usual) = self.usual.get_mut(&state.entry.service) else {
+        if !self.is_enabled(&state.entry.service) {
             return false;
-        };
+        }
         let Some((kind, amount)) = work.amount().filter(|_| !took.is_zero()) else {
             return false;
         };
-        let current = state.work_times.mean(now.saturating_sub(took), now).unwrap_or(1.0);
+        let reported = state.work_times.mean(now.saturating_sub(took), now);
+        let (current, requests) = reported.unwrap_or_else(|| (1.0, last_requests(state)));
         let log = (took.as_secs_f64() / amount / current).ln();
-        let usual = usual.entry((kind, load_class(state))).or_default();
-        let mean = usual.current(now).mean();
-        // The known speed is taken out. Otherwise the slow endpoints, which are always full, would make up what is usual
-        // at a high load, and would seem to be as fast as the others.
-        usual.record(log - known, 1.0, now);
-        let Some(mean) = mean else { return false };
-        let bound = MAX_FACTOR.ln();
-        let ratio = (log - mean).clamp(-bound, bound);
-        let is_slow_prefill = kind == Kind::Prefill && ratio > known;
-        let weight = if is_slow_prefill { SLOW_PREFILL_WEIGHT } else { 1.0 };
-        let key = (ShortKey::from(state.key), state.entry.incarnation);
-        self.own.entry(key).or_default().record(ratio, weight, now);
+        let load = (LOAD_SCALE * requests / f64::from(state.entry.slots.max(1))).ln_1p();
+        let mut sample = SpeedSum::sample(load, log, 1.0);
+        if let Some(fit) = self.fits.get(&(state.entry.service.clone(), kind)) {
+            let bound = MAX_FACTOR.ln();
+            let ratio = log - fit.log(load);
+            let is_slow = kind == WorkKind::Prefill && ratio > known;
+            let weight = if is_slow { SLOW_PREFILL_WEIGHT } else { 1.0 };
+            sample = SpeedSum::sample(load, fit.log(load) + ratio.clamp(-bound, bound), weight);
+        }
+        self.own.decay(now);
+        let key = (ShortKey::from(state.key), state.entry.incarnation, kind);
+        let sum = self.own.by_key.entry(key).or_default();
+        *sum = sum.plus(sample);
         true
     }
 
     /// Sum of this router's samples and those from the sources for which `is_included` holds, as of `now`.
-    fn sum(&self, is_included: impl Fn(&BacklogSource) -> bool, now: Duration) -> Vec<SpeedSum> {
-        let mut total: BTreeMap<(ShortKey, Incarnation), Sum> = BTreeMap::new();
-        for (key, own) in &self.own {
-            total.insert(*key, own.current(now));
-        }
-        for (_, received) in self.received.iter().filter(|(source, _)| is_included(source)) {
-            let age = now.saturating_sub(received.received_at);
-            if age >= PEER_TTL {
-                continue;
-            }
-            let factor = decay::remaining(age, HALF_LIFE_SECS);
-            for sum in &received.sums {
-                let total = total.entry((sum.endpoint, sum.incarnation)).or_default();
-                total.log_sum += sum.log_sum * factor;
-                total.weight += sum.weight * factor;
+    fn sum(&self, is_included: impl Fn(&BacklogSource) -> bool, now: Duration) -> Sums {
+        let mut total = Sums {
+            updated_at: now,
+            ..Sums::default()
+        };
+        total.add(&self.own, now);
+        for (_, sums) in self.received.iter().filter(|(source, _)| is_included(source)) {
+            if now.saturating_sub(sums.updated_at) < PEER_TTL {
+                total.add(sums, now);
             }
         }
-        let sum = |((endpoint, incarnation), sum): ((ShortKey, Incarnation), Sum)| SpeedSum {
-            endpoint,
-            incarnation,
-            log_sum: sum.log_sum,
-            weight: sum.weight,
+        total
+    }
+
+    fn update(&mut self, source: BacklogSource, sums: Vec<(SpeedKey, SpeedSum)>, now: Duration) {
+        self.received
+            .retain(|_, sums| now.saturating_sub(sums.updated_at) < PEER_TTL);
+        let sums = Sums {
+            by_key: sums.into_iter().filter(|(_, sum)| sum.is_valid()).collect(),
+            updated_at: now,
         };
-        total.into_iter().map(sum).collect()
+        self.received.insert(source, sums);
     }
 
-    fn update(&mut self, source: BacklogSource, mut sums: Vec<SpeedSum>, now: Duration) {
-        sums.retain_mut(|sum| {
-            let bound = sum.weight * MAX_FACTOR.ln();
-            let is_valid = sum.log_sum.is_finite() && sum.weight.is_finite() && sum.weight > 0.0;
-            if is_valid {
-                sum.log_sum = sum.log_sum.clamp(-bound, bound);
+    /// Fits the durations of one kind of work of a service. Adds each endpoint's deviation from the median, times its
+    /// weight, to `deviations`.
+    fn fit(
+        &mut self,
+        service: &ServiceId,
+        kind: WorkKind,
+        states: &[&EndpointState],
+        sums: &Sums,
+        deviations: &mut [(f64, f64)],
+    ) {
+        let sum = |state: &&EndpointState| {
+            let key = (ShortKey::from(state.key), state.entry.incarnation, kind);
+            sums.by_key.get(&key).filter(|sum| sum.weight >= MIN_WEIGHT)
+        };
+        let sums: Vec<Option<&SpeedSum>> = states.iter().map(sum).collect();
+        let known = || sums.iter().copied().flatten();
+        let square = |sum: &SpeedSum| (sum.load_load - sum.load * sum.load / sum.weight).max(0.0);
+        let product = |sum: &SpeedSum| sum.load_log - sum.load * sum.log / sum.weight;
+        let squares = known().map(square).sum::<f64>() + SLOPE_WEIGHT;
+        let products = known().map(product).sum::<f64>() + SLOPE_WEIGHT * PRIOR_SLOPE;
+        let slope = (products / squares).clamp(0.0, MAX_SLOPE);
+        let log = |sum: &SpeedSum| (sum.log - slope * sum.load) / sum.weight;
+        let Some(base) = median(known().map(log).collect()) else {
+            return;
+        };
+        self.fits.insert((service.clone(), kind), Fit { base, slope });
+        let bound = MAX_FACTOR.ln();
+        for (sum, (deviation, weight)) in sums.iter().zip(deviations) {
+            if let Some(sum) = sum {
+                *deviation += (log(sum) - base).clamp(-bound, bound) * sum.weight;
+                *weight += sum.weight;
             }
-            is_valid
-        });
-        self.received
-            .retain(|_, received| now.saturating_sub(received.received_at) < PEER_TTL);
-        let received = ReceivedSums { received_at: now, sums };
-        self.received.insert(source, received);
+        }
     }
 
     /// Computes the speeds of the endpoints of one service.
-    fn refresh(&mut self, states: &[&EndpointState], sums: &HashMap<(ShortKey, Incarnation), SpeedSum>) {
-        let log = |state: &&EndpointState| {
-            let sum = sums.get(&(ShortKey::from(state.key), state.entry.incarnation))?;
-            (sum.weight >= MIN_WEIGHT).then(|| sum.log_sum / (sum.weight + PRIOR_WEIGHT))
-        };
-        let logs: Vec<Option<f64>> = states.iter().map(log).collect();
-        let middle = median(logs.iter().flatten().copied().collect());
+    fn refresh(&mut self, service: &ServiceId, states: &[&EndpointState], sums: &Sums) {
+        let mut deviations = vec![(0.0, 0.0); states.len()];
+        for kind in [WorkKind::Prefill, WorkKind::Events, WorkKind::Call] {
+            self.fit(service, kind, states, sums, &mut deviations);
+        }
+        let log = |(deviation, weight): &(f64, f64)| (*weight > 0.0).then(|| deviation / (weight + PRIOR_WEIGHT));
+        let logs: Vec<Option<f64>> = deviations.iter().map(log).collect();
+        let middle = median(logs.iter().flatten().copied().collect()).unwrap_or_default();
         for (state, log) in states.iter().zip(logs) {
             let key = ShortKey::from(state.key);
             let Some(log) = log else {
@@ -299,23 +380,18 @@
     }
 }
 
-/// Class of an endpoint's load: the requests that it reported last, in relation to its slots.
-fn load_class(state: &EndpointState) -> u32 {
-    let requests = state.report().map_or(0, |received| {
-        received.report.running.saturating_add(received.report.waiting)
-    });
-    let class = requests.saturating_mul(LOAD_CLASSES) / state.entry.slots.max(1);
-    class.min(MAX_LOAD_CLASS)
+/// Running and waiting requests of the last report, if an endpoint doesn't say how long work takes.
+fn last_requests(state: &EndpointState) -> f64 {
+    let requests = |report: LoadReport| report.running.saturating_add(report.waiting);
+    f64::from(state.report().map_or(0, |received| requests(received.report)))
 }
 
-/// Median; 0 without values.
-fn median(mut values: Vec<f64>) -> f64 {
-    if values.is_empty() {
-        return 0.0;
-    }
+/// Median; `None` without values.
+fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
-    let (low, high) = (values[(values.len() - 1) / 2], values[values.len() / 2]);
-    (low + high) / 2.0
+    let low = values.get(values.len().checked_sub(1)? / 2)?;
+    let high = values.get(values.len() / 2)?;
+    Some((low + high) / 2.0)
 }
 
 impl Fleet {
@@ -329,22 +405,27 @@
     }
 
     /// Returns the sums of this router's samples, for the router that it follows.
-    pub fn own_speeds(&self, now: Duration) -> Vec<SpeedSum> {
-        self.speeds.sum(|_| false, now)
+    pub fn own_speeds(&self, now: Duration) -> Vec<(SpeedKey, SpeedSum)> {
+        self.speed_sums(|_| false, now)
     }
 
     /// Returns the sums over this router and its followers, for other routers that have followers.
-    pub fn speeds_subtotal(&self, now: Duration) -> Vec<SpeedSum> {
-        self.speeds.sum(BacklogSource::is_follower, now)
+    pub fn speeds_subtotal(&self, now: Duration) -> Vec<(SpeedKey, SpeedSum)> {
+        self.speed_sums(BacklogSource::is_follower, now)
     }
 
     /// Returns the sums over all routers except one follower, for that follower.
-    pub fn speeds_without(&self, follower: &VmId, now: Duration) -> Vec<SpeedSum> {
-        self.speeds.sum(|source| source.is_for(follower), now)
+    pub fn speeds_without(&self, follower: &VmId, now: Duration) -> Vec<(SpeedKey, SpeedSum)> {
+        self.speed_sums(|source| source.is_for(follower), now)
+    }
+
+    fn speed_sums(&self, is_included: impl Fn(&BacklogSource) -> bool, now: Duration) -> Vec<(SpeedKey, SpeedSum)> {
+        let sums = self.speeds.sum(is_included, now).by_key.into_iter();
+        sums.filter(|(_, sum)| sum.weight >= MIN_SENT_WEIGHT).collect()
     }
 
     /// Replaces the sums received from a source.
-    pub fn update_speeds(&mut self, source: BacklogSource, sums: Vec<SpeedSum>, now: Duration) {
+    pub fn update_speeds(&mut self, source: BacklogSource, sums: Vec<(SpeedKey, SpeedSum)>, now: Duration) {
         self.speeds.update(source, sums, now);
     }
 
@@ -386,7 +467,7 @@
     /// Recomputes the speeds, if that is due.
     pub(super) fn refresh_speeds(&mut self, now: Duration) {
         let is_recent = |at: Duration| now.saturating_sub(at) < REFRESH_INTERVAL;
-        if self.speeds.usual.is_empty() || self.speeds.refreshed_at.is_some_and(is_recent) {
+        if self.speeds.enabled.is_empty() || self.speeds.refreshed_at.is_some_and(is_recent) {
             return;
         }
         self.speeds.refreshed_at = Some(now);
@@ -401,14 +482,12 @@
             .map(|state| (ShortKey::from(state.key), state.entry.incarnation))
             .collect();
         let speeds = &mut self.speeds;
-        speeds
-            .own
-            .retain(|(key, incarnation), _| present.get(key) == Some(incarnation));
+        let is_present = |key: &SpeedKey| present.get(&key.0) == Some(&key.1);
+        speeds.own.by_key.retain(|key, _| is_present(key));
         speeds.learned.retain(|key, _| present.contains_key(key));
-        let sums = speeds.sum(|_| true, now).into_iter();
-        let sums = sums.map(|sum| ((sum.endpoint, sum.incarnation), sum)).collect();
-        for states in services.values() {
-            speeds.refresh(states, &sums);
+        let sums = speeds.sum(|_| true, now);
+        for (service, states) in &services {
+            speeds.refresh(service, states, &sums);
         }
     }
 }
--- a/crates/dispatch/src/fleet/work_time.rs
+++ b/crates/dispatch/src/fleet/work_time.rs
@@ -43,36 +43,54 @@
     }
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    at: Duration,
+    work_time: WorkTime,
+    /// Running and waiting requests.
+    requests: u32,
+}
+
 /// The values that an endpoint reported recently, oldest first.
 #[derive(Debug, Default)]
-pub(super) struct WorkTimes(VecDeque<(Duration, WorkTime)>);
+pub(super) struct WorkTimes(VecDeque<Reported>);
 
 impl WorkTimes {
-    /// Records a value that is newer than those recorded before.
-    pub(super) fn record(&mut self, value: WorkTime, reported_at: Duration) {
+    /// Records a value that is newer than those recorded before, and the running and waiting requests at that time.
+    pub(super) fn record(&mut self, work_time: WorkTime, requests: u32, at: Duration) {
         if self.0.len() == MAX_VALUES {
             self.0.pop_front();
         }
-        self.0.push_back((reported_at, value));
+        self.0.push_back(Reported {
+            at,
+            work_time,
+            requests,
+        });
     }
 
     /// Speed of the machine at `now` relative to its usual speed; 1 without a fresh value.
     pub(super) fn current_speed(&self, now: Duration) -> f64 {
-        let Some((latest, _)) = self.0.back() else { return 1.0 };
+        let Some(Reported { at: latest, .. }) = self.0.back() else {
+            return 1.0;
+        };
         let age = now.saturating_sub(*latest);
         if age >= FRESH {
             return 1.0;
         }
-        let mean = self.mean(latest.saturating_sub(AVERAGED), *latest).unwrap_or(1.0);
+        let mean = self.mean(latest.saturating_sub(AVERAGED), *latest);
+        let mean = mean.map_or(1.0, |(ratio, _)| ratio);
         mean.powf(-decay::remaining(age, HALF_LIFE_SECS))
     }
 
-    /// Mean ratio to the usual time of the values reported from `began` to `ended`.
-    pub(super) fn mean(&self, began: Duration, ended: Duration) -> Option<f64> {
-        let values = self.0.iter().filter(|(at, _)| (began..=ended).contains(at));
-        let (sum, count) = values.fold((0.0, 0.0), |(sum, count), (_, value)| {
-            (sum + value.ratio(), count + 1.0)
-        });
-        (count > 0.0).then(|| sum / count)
+    /// Mean ratio to the usual time, and mean number of requests, as reported from `began` to `ended`.
+    pub(super) fn mean(&self, began: Duration, ended: Duration) -> Option<(f64, f64)> {
+        let reports = self.0.iter().filter(|reported| (began..=ended).contains(&reported.at));
+        let (mut ratio, mut requests, mut count) = (0.0, 0.0, 0.0);
+        for reported in reports {
+            ratio += reported.work_time.ratio();
+            requests += f64::from(reported.requests);
+            count += 1.0;
+        }
+        (count > 0.0).then(|| (ratio / count, requests / count))
     }
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,3 +5,4 @@
 pub mod engine_load;
 pub mod fleet;
 pub mod pool;
+pub mod speed_pool;
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -5,7 +5,7 @@
 use crate::leaving;
 use crate::quarantine;
 use crate::shared::Shared;
-use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection, SpeedSum};
+use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection, SpeedKey, SpeedSum};
 use dispatch::leaving::LeavingEndpoint;
 use dispatch::quotas::{Level, Usage};
 use ids::WorkspaceId;
@@ -35,10 +35,6 @@
     }
 }
 
-/// Units of the values of a [`SpeedMessage`].
-const LOG_UNIT: f64 = 0.001;
-const WEIGHT_UNIT: f64 = 0.01;
-
 /// The message with a backlog, the statements that endpoints made recently, and what is to be repeated.
 pub(super) fn backlog(backlog: Backlog, fleet: &Fleet, incidents: Incidents, now: Duration) -> BacklogMessage {
     let rates = fleet.recent_rates(now);
@@ -95,7 +91,7 @@
     let mut fleet = shared.fleet();
     merge_leaving(shared, &mut fleet, message.leaving);
     if let Some(speeds) = message.speeds {
-        fleet.update_speeds(source.clone(), speeds.iter().map(parse_speed).collect(), now);
+        fleet.update_speeds(source.clone(), parse_speeds(speeds), now);
     }
     fleet.update_backlog(source, backlog, now);
     let rates_changed = fleet.merge_rates(&rates, now);
@@ -127,23 +123,27 @@
     }
 }
 
-pub(super) fn speeds(sums: Vec<SpeedSum>) -> Vec<SpeedMessage> {
-    // Conversions of floating-point numbers saturate. A sum that has decayed to less than a unit is left out.
-    let message = |sum: SpeedSum| {
-        let weight = (sum.weight / WEIGHT_UNIT) as u32;
-        SpeedMessage(sum.endpoint, sum.incarnation, (sum.log_sum / LOG_UNIT) as i32, weight)
+pub(super) fn speeds(sums: Vec<(SpeedKey, SpeedSum)>) -> Vec<SpeedMessage> {
+    let message = |((endpoint, incarnation, kind), sum): (SpeedKey, SpeedSum)| {
+        let values = [sum.weight, sum.load, sum.log, sum.load_load, sum.load_log];
+        SpeedMessage(endpoint, incarnation, kind, values.map(|value| value as f32))
     };
-    let messages = sums.into_iter().map(message);
-    messages.filter(|SpeedMessage(_, _, _, weight)| *weight > 0).collect()
+    sums.into_iter().map(message).collect()
 }
 
-fn parse_speed(SpeedMessage(endpoint, incarnation, log_sum, weight): &SpeedMessage) -> SpeedSum {
-    SpeedSum {
-        endpoint: *endpoint,
-        incarnation: *incarnation,
-        log_sum: f64::from(*log_sum) * LOG_UNIT,
-        weight: f64::from(*weight) * WEIGHT_UNIT,
-    }
+fn parse_speeds(messages: Vec<SpeedMessage>) -> Vec<(SpeedKey, SpeedSum)> {
+    let sum = |SpeedMessage(endpoint, incarnation, kind, values)| {
+        let [weight, load, log, load_load, load_log] = values.map(f64::from);
+        let sum = SpeedSum {
+            weight,
+            load,
+            log,
+            load_load,
+            load_log,
+        };
+        ((endpoint, incarnation, kind), sum)
+    };
+    messages.into_iter().map(sum).collect()
 }
 
 pub(super) fn usage(usage: Vec<(WorkspaceId, Usage)>) -> Vec<UsageMessage> {
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between a router and those that follow it, report to it or ask it.
 
 use dispatch::fatal_parts::PartId;
-use dispatch::fleet::{LaneTokens, ShortKey};
+use dispatch::fleet::{LaneTokens, ShortKey, WorkKind};
 use dispatch::origins::{Origin, StreamKey};
 use dispatch::prefixes::PartKey;
 use dispatch::quarantine::{ContentKey, ProcessKey};
@@ -174,10 +174,10 @@
     pub speeds: Option<Vec<SpeedMessage>>,
 }
 
-/// Sum of samples of an endpoint's speed, as of the time of the message: key, incarnation, sum of the logarithms of the
-/// ratios of measured to usual durations in thousandths, weight in hundredths.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SpeedMessage(pub ShortKey, pub Incarnation, pub i32, pub u32);
+/// Sums of samples of an endpoint's speed, as of the time of the message: key, incarnation, kind of work, and the five
+/// values of [`dispatch::fleet::SpeedSum`] in their order.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SpeedMessage(pub ShortKey, pub Incarnation, pub WorkKind, pub [f32; 5]);
 
 /// An endpoint that leaves: ID, incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
