--- a/crates/dispatch/tests/speeds.rs
+++ b/crates/dispatch/tests/speeds.rs
@@ -128,6 +128,35 @@
     }
 }
 
+/// Slow endpoints that get as many streams as the others make the slowest streams longer.
+#[test]
+fn slow_endpoints_get_fewer_streams() {
+    // With few routers, each sees the running requests of slow endpoints in time and avoids them for those.
+    for (routers, mean, slowest) in [(13, 1.02, 1.02), (136, 0.95, 0.7)] {
+        let known = Pool {
+            routers,
+            slowness: |endpoint, _| if endpoint % 3 == 0 { 2.4 } else { 1.0 },
+            ..POOL
+        };
+        let unknown = Pool {
+            reported: |_, _| None,
+            ..known
+        };
+        let [before, after] = [unknown, known].map(|pool| {
+            let durations = simulate(&pool).durations;
+            (
+                durations.iter().sum::<u64>() / durations.len() as u64,
+                durations[durations.len() * 9 / 10],
+            )
+        });
+        println!("{routers} routers: mean and 90th percentile {before:?} ms before, {after:?} ms after");
+        assert!(
+            after.0 < before.0 * mean && after.1 < before.1 * slowest,
+            "{routers}: {before:?}, {after:?}"
+        );
+    }
+}
+
 fn report(fleet: &mut Fleet, endpoint: &str, percent: u64, now: u64) {
     let report = LoadReport {
         work_time: WorkTime::from_percent(percent),
--- a/crates/dispatch/tests/support/speed_pool.rs
+++ b/crates/dispatch/tests/support/speed_pool.rs
@@ -46,6 +46,8 @@
     pub fleets: Vec<Fleet>,
     /// Streams that each endpoint got in the second half.
     pub streams: Vec<usize>,
+    /// Time that those that ended took, in milliseconds, ascending.
+    pub durations: Vec<u64>,
 }
 
 pub fn id(endpoint: usize) -> EndpointId {
@@ -60,7 +62,11 @@
     let entries: Vec<EndpointEntry> = (0..pool.endpoints).map(entry).collect();
     let mut fleets: Vec<Fleet> = (0..pool.routers).map(|_| fleet(&entries)).collect();
     let mut running = vec![0_u32; pool.endpoints];
-    let mut outcome = vec![0; pool.endpoints];
+    let mut outcome = Outcome {
+        fleets: Vec::new(),
+        streams: vec![0; pool.endpoints],
+        durations: Vec::new(),
+    };
     let mut streams: Vec<Stream> = Vec::new();
     let mut draw = 0x9e37_79b9_7f4a_7c15_u64;
     let (mut due, service) = (0.0, service());
@@ -85,7 +91,7 @@
             fleets[router].request_started(&picked_entry.id, picked_entry.incarnation, 0, at(now));
             let endpoint: usize = picked_entry.id.as_str()[1..].parse().expect("a number");
             running[endpoint] += 1;
-            outcome[endpoint] += usize::from(now >= pool.seconds * 500);
+            outcome.streams[endpoint] += usize::from(now >= pool.seconds * 500);
             streams.push(Stream {
                 router,
                 picked,
@@ -109,6 +115,9 @@
             router.prefill_finished(&entry.id, entry.incarnation, at(ended.sent));
             router.request_finished(&entry.id, entry.incarnation);
             running[ended.endpoint] -= 1;
+            if ended.sent >= pool.seconds * 500 {
+                outcome.durations.push(now - ended.sent);
+            }
         }
         if now % LOADS_MS == 0 {
             exchange_loads(&mut fleets, now);
@@ -117,10 +126,9 @@
             exchange_speeds(&mut fleets, now);
         }
     }
-    Outcome {
-        fleets,
-        streams: outcome,
-    }
+    outcome.durations.sort_unstable();
+    outcome.fleets = fleets;
+    outcome
 }
 
 fn exchange_loads(fleets: &mut [Fleet], now: u64) {
--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -1,6 +1,8 @@
 //! Compression of values between routers, and compatibility with older routers.
 
-use peers::{BacklogMessage, Follow, RelayItem, pack, unpack};
+use dispatch::fleet::{ShortKey, WorkKind};
+use ids::Incarnation;
+use peers::{BacklogMessage, Follow, LoadExchange, LoadMessage, RelayItem, SpeedMessage, pack, unpack};
 use quickcheck::quickcheck;
 use std::fmt::Write;
 
@@ -52,4 +54,42 @@
     assert!(!item.packed);
     let backlog: BacklogMessage = serde_json::from_str(r#"{"r":[[7,2.5,100]]}"#).expect("a backlog");
     assert!(backlog.leaving.is_empty() && backlog.rates.len() == 1);
+    assert_eq!(backlog.speeds, None);
+    let exchange: LoadExchange = serde_json::from_str(r#"{"last_ms":9,"own":[[7,3,2,100]]}"#).expect("an exchange");
+    assert_eq!((exchange.own[0].4, exchange.work_times), (None, None));
+}
+
+/// Routers without support for work times accept exactly four values in a load report, and no unknown ones in its place.
+#[test]
+fn load_reports_have_a_fifth_value_only_with_a_work_time() {
+    let load = |work_time| LoadMessage(ShortKey(7), 3, 2, 100, work_time);
+    for (work_time, text) in [(None, "[7,3,2,100]"), (Some(250), "[7,3,2,100,250]")] {
+        assert_eq!(serde_json::to_string(&load(work_time)).expect("text"), text);
+        assert_eq!(
+            serde_json::from_str::<LoadMessage>(text).expect("a report"),
+            load(work_time)
+        );
+    }
+}
+
+/// The sums are sent once a second for each endpoint and kind of work, so a message has to fit into a link of 10 Mbit/s
+/// many times.
+#[test]
+fn speeds_of_a_large_pool_are_small() {
+    let kinds = [WorkKind::Prefill, WorkKind::Events];
+    let speed = |at: u32| {
+        let kind = kinds[at as usize % kinds.len()];
+        let values = [1.1, 2.2, -3.3, 4.4, -5.5].map(|value| value * (1.0 + at as f32 / 7.0));
+        SpeedMessage(ShortKey(u32::MAX - at), Incarnation(1_700_000_000_000), kind, values)
+    };
+    let backlog = BacklogMessage {
+        speeds: Some((0..180).map(speed).collect()),
+        ..BacklogMessage::default()
+    };
+    let text = serde_json::to_string(&backlog).expect("text");
+    assert!(text.len() < 16_000, "{}", text.len());
+    assert_eq!(
+        serde_json::from_str::<BacklogMessage>(&text).expect("a backlog"),
+        backlog
+    );
 }
