--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod lane_size;
 pub(crate) mod lanes;
 mod leaving;
+mod loads;
 mod occupied;
 mod places;
 mod plain;
@@ -21,9 +22,11 @@
 mod rate_limits;
 mod read_rate;
 mod rests;
+mod speeds;
 mod staleness;
 mod targets;
 mod versions;
+mod work_time;
 
 pub use backlogs::{Backlog, BacklogSource};
 pub use brittle::{BrittleUpdate, Rejection};
@@ -32,7 +35,9 @@
 pub use lane_size::LaneStatus;
 pub use lanes::LaneTokens;
 pub use rate_limits::RateUpdate;
+pub use speeds::{ShareChange, SpeedKey, SpeedSum, Work, WorkKind};
 pub use targets::{Staleness, TargetAge};
+pub use work_time::WorkTime;
 
 use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
@@ -41,13 +46,14 @@
 use brittle::Statements;
 use candidates::Candidates;
 use control::health::{self, EndpointHealth};
-use endpoint_state::{EndpointState, ReceivedReport};
+use endpoint_state::EndpointState;
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::LaneLoad;
 use placement::Placer;
 use places::Places;
 use rate_limits::RateLimits;
 use read_rate::ReadRate;
+use speeds::Speeds;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -147,6 +153,7 @@
     places: Places,
     departed_versions: Vec<DepartedVersion>,
     read_rates: HashMap<ServiceId, ReadRate>,
+    speeds: Speeds,
 }
 
 impl Fleet {
@@ -169,6 +176,7 @@
             places: Places::default(),
             departed_versions: Vec::new(),
             read_rates: HashMap::new(),
+            speeds: Speeds::default(),
         }
     }
 
@@ -311,6 +319,7 @@
     /// Chooses an endpoint; `draw` is uniform over all `u64` values.
     pub fn choose(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Choice {
         self.peer_backlogs.refresh_sums(now);
+        self.refresh_speeds(now);
         if self.places.is_outdated(now) {
             self.divide_places(now);
         }
@@ -386,18 +395,6 @@
         self.health.unreachable().count()
     }
 
-    /// Records the load that an endpoint reported to this router.
-    pub fn record_load(&mut self, id: &EndpointId, report: LoadReport, now: Duration) {
-        if let Some(state) = self.endpoints.get_mut(id) {
-            state.record_report(ReceivedReport {
-                report,
-                reported_at: now,
-                received_at: now,
-                direct: true,
-            });
-        }
-    }
-
     /// Records the rate limit in an endpoint's answer: requests per second that it accepts from all routers together,
     /// or none. Returns whether the limit changed.
     pub fn record_rate(&mut self, id: &EndpointId, rate: Option<f64>, now: Duration) -> bool {
@@ -431,37 +428,6 @@
         self.rate_limits.count()
     }
 
-    /// Returns the reports received after `since`; with `own`, only those that endpoints sent to this router.
-    pub fn loads_since(&self, since: Duration, own: bool) -> Vec<LoadUpdate> {
-        let updates = self
-            .endpoints
-            .values()
-            .filter_map(|state| Some((state.key, state.report()?)));
-        let updates = updates.filter(|(_, received)| received.received_at > since && (received.direct || !own));
-        let updates = updates.map(|(key, received)| LoadUpdate {
-            endpoint: ShortKey::from(key),
-            report: received.report,
-            reported_at: received.reported_at,
-        });
-        updates.collect()
-    }
-
-    /// Merges load reports that a peer received. In a large pool a router reaches an endpoint only once in
-    /// ten seconds, but its neighbours together reach it several times a second.
-    pub fn merge_loads(&mut self, updates: &[LoadUpdate], now: Duration) {
-        let updates: HashMap<ShortKey, &LoadUpdate> = updates.iter().map(|update| (update.endpoint, update)).collect();
-        for state in self.endpoints.values_mut() {
-            if let Some(update) = updates.get(&ShortKey::from(state.key)) {
-                state.record_report(ReceivedReport {
-                    report: update.report,
-                    reported_at: update.reported_at,
-                    received_at: now,
-                    direct: false,
-                });
-            }
-        }
-    }
-
     /// Records the outcome of an attempt.
     pub fn record_outcome(&mut self, id: &EndpointId, outcome: Outcome, now: Duration) {
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -37,7 +37,7 @@
 }
 
 fn report(fleet: &mut Fleet, id: &EndpointId, running: u32, waiting: u32, now: Duration) {
-    fleet.record_load(id, LoadReport { running, waiting }, now);
+    fleet.record_load(id, LoadReport::new(running, waiting), now);
 }
 
 /// Gives one prefix a small share of the load. Alone, it would have homes at all engines.
--- a/crates/dispatch/tests/support/engine_load.rs
+++ b/crates/dispatch/tests/support/engine_load.rs
@@ -395,7 +395,7 @@
                 let fleet = &mut self.fleets[request.router];
                 fleet.prefill_finished(id, Incarnation(1), at(request.sent));
                 fleet.record_outcome(id, Outcome::Answered(at(waited)), at(now));
-                let report = LoadReport { running, waiting };
+                let report = LoadReport::new(running, waiting);
                 fleet.record_load(id, report, at(now));
                 self.announcements.push((now + DELIVERY_MS, request.router));
                 if self.workload.steps.is_some() {
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -5,13 +5,13 @@
 use crate::leaving;
 use crate::quarantine;
 use crate::shared::Shared;
-use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection};
+use dispatch::fleet::{Backlog, BacklogSource, BrittleUpdate, Fleet, RateUpdate, Rejection, SpeedKey, SpeedSum};
 use dispatch::leaving::LeavingEndpoint;
 use dispatch::quotas::{Demand, Level, Usage};
 use ids::WorkspaceId;
 use peers::{
     BacklogMessage, DemandMessage, EndMessage, HoldMessage, LeavingMessage, LevelMessage, RateMessage,
-    RejectionMessage, ToleranceMessage, UsageMessage, age_ms, time_of,
+    RejectionMessage, SpeedMessage, ToleranceMessage, UsageMessage, age_ms, time_of,
 };
 use std::collections::HashMap;
 use std::time::Duration;
@@ -55,6 +55,7 @@
         ends: incidents.ends,
         held_parts: incidents.held_parts,
         leaving: incidents.leaving,
+        speeds: None,
     }
 }
 
@@ -90,6 +91,9 @@
     };
     let mut fleet = shared.fleet();
     merge_leaving(shared, &mut fleet, message.leaving);
+    if let Some(speeds) = message.speeds {
+        fleet.update_speeds(source.clone(), parse_speeds(speeds), now);
+    }
     fleet.update_backlog(source, backlog, now);
     let rates_changed = fleet.merge_rates(&rates, now);
     let tolerances_changed = fleet.merge_tolerances(&tolerances);
@@ -120,6 +124,29 @@
     }
 }
 
+pub(super) fn speeds(sums: Vec<(SpeedKey, SpeedSum)>) -> Vec<SpeedMessage> {
+    let message = |((endpoint, incarnation, kind), sum): (SpeedKey, SpeedSum)| {
+        let values = [sum.weight, sum.load, sum.log, sum.load_load, sum.load_log];
+        SpeedMessage(endpoint, incarnation, kind, values.map(|value| value as f32))
+    };
+    sums.into_iter().map(message).collect()
+}
+
+fn parse_speeds(messages: Vec<SpeedMessage>) -> Vec<(SpeedKey, SpeedSum)> {
+    let sum = |SpeedMessage(endpoint, incarnation, kind, values)| {
+        let [weight, load, log, load_load, load_log] = values.map(f64::from);
+        let sum = SpeedSum {
+            weight,
+            load,
+            log,
+            load_load,
+            load_log,
+        };
+        ((endpoint, incarnation, kind), sum)
+    };
+    messages.into_iter().map(sum).collect()
+}
+
 /// Use of quotas, and the patient part of it.
 pub(super) fn usage(usage: &[(WorkspaceId, Usage)]) -> (Vec<UsageMessage>, Vec<UsageMessage>) {
     let total = |(id, usage): &(WorkspaceId, Usage)| UsageMessage(id.clone(), usage.spent, usage.asked);
