--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`follow`] keeps a copy of the store's contents, [`news`] exchanges load and use of quotas between routers, [`tunnel`] carries connections to endpoints for routers that cannot reach them, and [`orders`] sends the lease holder's orders to endpoints. The
 //! [`Dialect`] defines the names and formats of the site. The `dispatch` crate makes all decisions.
 
+mod blocks;
 mod connections;
 mod control;
 mod dialect;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -31,7 +31,6 @@
 use lifecycle::request::RequestState;
 use quota::QuotaCharge;
 use record::Record;
-use response::CompleteResponse;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -117,7 +116,7 @@
         RequestOutcome::Complete(mut response) => {
             let close = closes_connection(shared, incoming);
             record.end(shared, response.status, "answered");
-            if write_response(&incoming.conn, &mut response, close).await {
+            if response.write(&incoming.conn, close).await {
                 connection_action(close)
             } else {
                 abort(incoming)
@@ -139,13 +138,6 @@
     }
 }
 
-/// Writes a response of an endpoint. Returns false if the client closed the connection, or if its bytes are needed for others.
-async fn write_response(conn: &Conn, response: &mut CompleteResponse, close: bool) -> bool {
-    let (status, headers, body) = (response.status, &response.headers, &response.body);
-    let written = reply::response(conn, status, headers, body, close);
-    response.hold.unless_closed(written).await == Ok(true)
-}
-
 /// Determines the workspace and the route of a request.
 fn resolve<'a>(
     shared: &Shared,
--- a/crates/gateway/src/serve/outbox.rs
+++ b/crates/gateway/src/serve/outbox.rs
@@ -3,6 +3,7 @@
 //! While a write waits for the client, the endpoint's stream is read on, since endpoints cut off a stream that stays unread.
 
 use super::relay::OpenStream;
+use crate::blocks::Blocks;
 use crate::held::{HeldBudget, HeldKind, Hold, NoRoom};
 use async_std::io::WriteExt;
 use futures::future::{Either, pending, select};
@@ -18,8 +19,7 @@
 /// Events that the client has not taken yet.
 pub(super) struct Outbox {
     conn: Conn,
-    bytes: Vec<u8>,
-    written: usize,
+    bytes: Blocks,
     /// Bytes of an event that is not complete.
     partial: usize,
     hold: Hold,
@@ -43,8 +43,7 @@
     pub(super) fn new(conn: &Conn, budget: &Arc<HeldBudget>) -> Self {
         Self {
             conn: conn.clone(),
-            bytes: Vec::new(),
-            written: 0,
+            bytes: Blocks::default(),
             partial: 0,
             hold: Hold::new(budget, HeldKind::Stream),
             reads: true,
@@ -62,7 +61,7 @@
 
     /// Appends bytes for the client. `partial` is the number of bytes of an event that is not complete.
     pub(super) fn push(&mut self, bytes: &[u8], partial: usize) {
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.push(bytes);
         self.partial = partial;
         self.count();
     }
@@ -104,17 +103,13 @@
     }
 
     async fn write(&mut self) -> Step {
-        let write = self.conn.write(&self.bytes[self.written..]);
+        let write = self.conn.write(self.bytes.front());
         let written = match self.hold.unless_closed(write).await {
             Ok(Ok(count @ 1..)) => count,
             Ok(_) => return Step::ClientDisconnected,
             Err(NoRoom) => return Step::NoRoom,
         };
-        self.written += written;
-        if self.written == self.bytes.len() {
-            self.bytes = Vec::new();
-            self.written = 0;
-        }
+        self.bytes.consume(written);
         self.count();
         Step::Written
     }
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -6,10 +6,6 @@
 use http::StatusCode;
 use http::raw::Headers;
 
-/// Longest body that is copied behind the head, so that both are sent at once. The copy of a longer one would double its
-/// memory.
-const MAX_COPIED_BYTES: usize = 16 << 10;
-
 /// Writes a refusal of this router. Returns false if the client closed the connection.
 pub async fn refusal(conn: &Conn, refusal: &Refusal, close: bool) -> bool {
     let code = refusal.cause.name();
@@ -24,15 +20,16 @@
 
 /// Writes a response with its body. Returns false if the client closed the connection.
 pub async fn response(conn: &Conn, status: u16, headers: &Headers, body: &[u8], close: bool) -> bool {
-    let mut bytes = head(status, headers, close);
-    let length = format!("Content-Length: {}\r\n\r\n", body.len());
-    bytes.extend_from_slice(length.as_bytes());
-    let mut conn = conn.clone();
-    if body.len() > MAX_COPIED_BYTES {
-        return conn.write_all(&bytes).await.is_ok() && conn.write_all(body).await.is_ok();
-    }
+    let mut bytes = response_head(status, headers, body.len(), close);
     bytes.extend_from_slice(body);
-    conn.write_all(&bytes).await.is_ok()
+    conn.clone().write_all(&bytes).await.is_ok()
+}
+
+/// The head of a response with a body of this many bytes, including the empty line.
+pub fn response_head(status: u16, headers: &Headers, length: usize, close: bool) -> Vec<u8> {
+    let mut bytes = head(status, headers, close);
+    bytes.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+    bytes
 }
 
 /// The head of a streamed response, including the empty line. HTTP/1.0 has no chunked encoding, so there the end of the
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -1,7 +1,11 @@
 //! Responses without events, as far as they were read.
 
+use super::reply;
+use crate::blocks::Blocks;
 use crate::held::{HeldKind, Hold, NoRoom};
 use crate::shared::Shared;
+use async_std::io::WriteExt;
+use http::Conn;
 use http::raw::{Bound, Framing, Headers, RawBodyError, Response, Source};
 use quick_error::quick_error;
 
@@ -42,16 +46,44 @@
     /// Headers for the client.
     pub headers: Headers,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: Blocks,
     /// Counts the body.
     pub hold: Hold,
 }
 
+impl CompleteResponse {
+    /// Writes the response. Returns false if the client closed the connection, or if the bytes are needed for others.
+    pub async fn write(&mut self, conn: &Conn, close: bool) -> bool {
+        let mut conn = conn.clone();
+        let mut bytes = reply::response_head(self.status, &self.headers, self.body.len(), close);
+        loop {
+            // The head is sent together with the first bytes of the body, and so is the whole of a short response.
+            let taken = self.body.front().len();
+            bytes.extend_from_slice(self.body.front());
+            self.body.consume(taken);
+            if self
+                .hold
+                .unless_closed(conn.write_all(&bytes))
+                .await
+                .is_ok_and(|written| written.is_ok())
+            {
+                self.hold.set(self.body.len());
+            } else {
+                return false;
+            }
+            if self.body.is_empty() {
+                return true;
+            }
+            bytes.clear();
+        }
+    }
+}
+
 /// A response and what was read of its body.
 pub(super) struct ReadResponse {
     pub(super) answer: Response,
     pub(super) source: Source,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Blocks,
     /// Counts the body.
     pub(super) hold: Hold,
 }
@@ -62,7 +94,7 @@
         Self {
             answer,
             source,
-            body: Vec::new(),
+            body: Blocks::default(),
             hold: Hold::new(&shared.held, HeldKind::Response),
         }
     }
@@ -82,7 +114,7 @@
             let Some(part) = self.hold.unless_closed(part).await?? else {
                 return Ok(());
             };
-            self.body.extend_from_slice(&part);
+            self.body.push(&part);
             self.hold.set(self.body.len());
             if self.body.len() as u64 > MAX_RESPONSE_BYTES {
                 return Err(RawBodyError::TooLarge.into());
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -5,8 +5,8 @@
 use async_std::task;
 use http::Conn;
 use http::raw::{
-    BodyReader, Framing, FramingError, RawBodyError, RequestHead, ResponseHead, Source, exchange, request_framing,
-    response_framing,
+    BodyReader, Bound, ExchangeError, Framing, FramingError, RawBodyError, RequestHead, ResponseHead, Source, exchange,
+    request_framing, response_framing,
 };
 use std::time::Duration;
 
@@ -267,6 +267,79 @@
     });
 }
 
+/// A faulty peer sends heads, chunk lines or trailers without end. Without a bound the caller would read until its deadline,
+/// and the memory of some would grow.
+#[test]
+fn responses_without_end_are_cut_off_at_their_bounds() {
+    struct Case {
+        begin: &'static str,
+        repeated: &'static str,
+        bound: Bound,
+    }
+    let chunked = "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let cases = [
+        Case {
+            begin: "HTTP/1.1 200 OK\r\nX: ",
+            repeated: "x",
+            bound: Bound::Head,
+        },
+        Case {
+            begin: "",
+            repeated: "HTTP/1.1 103 Early\r\n\r\n",
+            bound: Bound::Interim,
+        },
+        Case {
+            begin: "",
+            repeated: "HTTP/1.1 204 No\r\nId: 1\r\n\r\n",
+            bound: Bound::Skipped,
+        },
+        Case {
+            begin: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+            repeated: "x",
+            bound: Bound::Skipped,
+        },
+        Case {
+            begin: chunked,
+            repeated: "1;name=value-of-an-extension\r\nx\r\n",
+            bound: Bound::Extensions,
+        },
+        Case {
+            begin: chunked,
+            repeated: "1",
+            bound: Bound::Extensions,
+        },
+        Case {
+            begin: "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            repeated: "X: y\r\n",
+            bound: Bound::Trailers,
+        },
+    ];
+    for case in cases {
+        let bytes = case.begin.to_owned() + &case.repeated.repeat((2 << 20) / case.repeated.len());
+        let read = task::block_on(async {
+            let mut source = endless(bytes.into_bytes()).await;
+            let is_ours = |head: &ResponseHead| head.headers.one("id") != Some("1");
+            let mut answer = exchange(&mut source, b"GET / HTTP/1.1\r\n\r\n", "GET", is_ours).await?;
+            Ok(answer.body.read_to_end(&mut source, 4 << 20).await?)
+        });
+        let bound = read.map_err(|err: ExchangeError| err.bound());
+        assert_eq!(bound, Err(Some(case.bound)), "{:?}", case.repeated);
+    }
+}
+
+/// A source whose peer writes `bytes` in the background, since they may not fit into the sockets' buffers.
+async fn endless(bytes: Vec<u8>) -> Source {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut peer = TcpStream::connect(address).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    task::spawn(async move {
+        // Fails once the source is dropped.
+        let _ = peer.write_all(&bytes).await;
+    });
+    Source::new(Conn::new(stream))
+}
+
 /// An endpoint rejects a long request before it has read it, and keeps reading. Anything sent later on that connection
 /// would be read as the rest of that body.
 #[test]
--- a/crates/lifecycle/tests/events.rs
+++ b/crates/lifecycle/tests/events.rs
@@ -1,6 +1,6 @@
 //! Splitting of streams into complete events across broken connections.
 
-use lifecycle::events::EventSplitter;
+use lifecycle::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 use quickcheck::quickcheck;
 
 fn event(number: u64) -> Vec<u8> {
@@ -110,3 +110,19 @@
         splitter.partial_len() == 0 && forwarded == stream
     }
 }
+
+/// An endpoint sends bytes without the end of an event. They must not fill the memory, and searching all of them again with
+/// each read would take minutes. A long event that ends is valid.
+#[test]
+fn an_event_without_end_is_too_long() {
+    let mut splitter = EventSplitter::default();
+    for _ in 0..MAX_EVENT_BYTES / 8 {
+        assert_eq!(splitter.push(b"data: x\n").count, 0);
+    }
+    assert_eq!(splitter.check(), Ok(()));
+    let mut long = splitter.clone();
+    assert_eq!(long.push(b"\n").bytes.len(), MAX_EVENT_BYTES + 1);
+    assert_eq!(long.check(), Ok(()));
+    splitter.push(b"x");
+    assert_eq!(splitter.check(), Err(EventTooLong));
+}
