--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -1,10 +1,14 @@
 //! The parts of the configuration that request handling needs: routes, services, workspaces and limits.
 
 use ids::{EndpointId, ModelId, Revision, ServiceId, SoftwareVersion, WorkspaceId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// A patient route's objective, relative to that of the most urgent streaming route: long enough that its requests
+/// can wait for several urgent ones and still be in time.
+const PATIENT_FACTOR: u32 = 3;
+
 /// Whether a request may be executed more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -185,6 +189,28 @@
     workspaces: Vec<WorkspaceSpec>,
     keys: Option<HashMap<String, usize>>,
     limits: ClientLimits,
+    urgent_streams: HashMap<ServiceId, UrgentStream>,
+    patient_services: HashSet<ServiceId>,
+}
+
+/// The most urgent streaming routes of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct UrgentStream {
+    /// Their rank.
+    rank: u8,
+    /// Longest latency objective of the routes of this rank.
+    objective: Duration,
+}
+
+impl UrgentStream {
+    /// The more urgent of two; of equal ranks, the one with the longer objective.
+    fn merge(self, other: Self) -> Self {
+        std::cmp::min_by_key(self, other, |stream| (stream.rank, std::cmp::Reverse(stream.objective)))
+    }
+
+    fn outranks(&self, route: &Route) -> bool {
+        route.rank > self.rank && route.objective >= self.objective * PATIENT_FACTOR
+    }
 }
 
 /// The owner of a request.
@@ -201,6 +227,12 @@
 impl Site {
     /// Indexes a configuration.
     pub fn new(parts: SiteParts) -> Self {
+        let urgent_streams = urgent_streams(&parts.routes);
+        let patient = parts.routes.iter().filter(|route| is_patient(route, &urgent_streams));
+        let patient_services = patient
+            .flat_map(active_targets)
+            .map(|target| target.service.clone())
+            .collect();
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for route in parts.routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -217,6 +249,8 @@
             workspaces,
             keys,
             limits: parts.limits,
+            urgent_streams,
+            patient_services,
         }
     }
 
@@ -247,6 +281,17 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether a route's streams can wait for more urgent streams of the same service: each service that it sends
+    /// requests to has a streaming route of a lower rank whose objective is at most a third of its own.
+    pub fn is_patient(&self, route: &Route) -> bool {
+        is_patient(route, &self.urgent_streams)
+    }
+
+    /// Whether a service has a patient route.
+    pub fn has_patient(&self, service: &ServiceId) -> bool {
+        self.patient_services.contains(service)
+    }
+
     /// The owner of a request with this API key.
     pub fn owner(&self, route: &Route, key: Option<&str>) -> Owner<'_> {
         let Some(keys) = &self.keys else {
@@ -260,6 +305,34 @@
     }
 }
 
+fn active_targets(route: &Route) -> impl Iterator<Item = &Target> {
+    route.targets.iter().filter(|target| target.weight > 0)
+}
+
+fn urgent_streams(routes: &[Route]) -> HashMap<ServiceId, UrgentStream> {
+    let mut streams: HashMap<ServiceId, UrgentStream> = HashMap::new();
+    for route in routes.iter().filter(|route| route.kind.streams()) {
+        let stream = UrgentStream {
+            rank: route.rank,
+            objective: route.objective,
+        };
+        for target in active_targets(route) {
+            let entry = streams.entry(target.service.clone()).or_insert(stream);
+            *entry = entry.merge(stream);
+        }
+    }
+    streams
+}
+
+fn is_patient(route: &Route, streams: &HashMap<ServiceId, UrgentStream>) -> bool {
+    let is_outranked = |target: &Target| {
+        streams
+            .get(&target.service)
+            .is_some_and(|stream| stream.outranks(route))
+    };
+    route.kind.streams() && active_targets(route).next().is_some() && active_targets(route).all(is_outranked)
+}
+
 type IndexedWorkspaces = (Vec<WorkspaceSpec>, Option<HashMap<String, usize>>);
 
 fn index_workspaces(workspaces: Option<Vec<(WorkspaceSpec, Vec<String>)>>) -> IndexedWorkspaces {
--- a/crates/dispatch/tests/site.rs
+++ b/crates/dispatch/tests/site.rs
@@ -178,3 +178,56 @@
     split.targets.clear();
     assert_eq!(split.target(3), None);
 }
+
+/// Guards against new overload behaviour on a service whose configuration doesn't call for it.
+#[test]
+fn a_route_is_patient_if_it_is_less_urgent_and_has_three_times_the_objective() {
+    struct Case {
+        name: &'static str,
+        kind: RouteKind,
+        rank: u8,
+        objective_ms: u64,
+        patient: bool,
+    }
+    let stream = RouteKind::Stream { resumable: true };
+    let case = |name, kind, rank, objective_ms, patient| Case {
+        name,
+        kind,
+        rank,
+        objective_ms,
+        patient,
+    };
+    let cases = [
+        case("urgent", stream, 0, 400, false),
+        case("as urgent", stream, 0, 1_500, false),
+        case("patient", stream, 2, 1_500, true),
+        case("just long enough", stream, 1, 1_200, true),
+        case("too short", stream, 2, 1_199, false),
+        case("not a stream", RouteKind::Idempotent, 2, 1_500, false),
+    ];
+    let routes = cases.iter().map(|case| Route {
+        kind: case.kind,
+        rank: case.rank,
+        objective: Duration::from_millis(case.objective_ms),
+        ..route(case.name, "a.example", case.name)
+    });
+    let mut routes: Vec<Route> = routes.collect();
+    let mut split = route("split", "b.example", "/");
+    split.kind = stream;
+    split.rank = 2;
+    split.objective = Duration::from_secs(2);
+    split.targets.push(Target {
+        service: ServiceId::from("alone"),
+        weight: 1,
+    });
+    routes.push(split.clone());
+    let site = site(routes.clone(), None);
+    for (case, route) in cases.iter().zip(&routes) {
+        assert_eq!(site.is_patient(route), case.patient, "{}", case.name);
+    }
+    assert!(
+        !site.is_patient(&split),
+        "it is the most urgent stream of one of its services"
+    );
+    assert!(site.has_patient(&ServiceId::from("fans")) && !site.has_patient(&ServiceId::from("alone")));
+}
