--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -198,14 +198,14 @@
 struct UrgentStream {
     /// Their rank.
     rank: u8,
-    /// Longest latency objective of the routes of this rank.
+    /// Shortest latency objective of the routes of this rank.
     objective: Duration,
 }
 
 impl UrgentStream {
-    /// The more urgent of two; of equal ranks, the one with the longer objective.
+    /// The more urgent of two; of equal ranks, the one with the shorter objective.
     fn merge(self, other: Self) -> Self {
-        std::cmp::min_by_key(self, other, |stream| (stream.rank, std::cmp::Reverse(stream.objective)))
+        std::cmp::min_by_key(self, other, |stream| (stream.rank, stream.objective))
     }
 
     fn outranks(&self, route: &Route) -> bool {
