Routers exchange first-event delays and offered tokens by kind of request

One router of a hundred sees too few first events to notice that they are late. The sums are reported only for services with a patient route; nothing uses them yet.

--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -13,6 +13,8 @@
 //! one router don't suffice, since its own link may be at fault, nor do those of other domains.
 
 use super::{LaneTokens, ShortKey};
+use crate::decay;
+use crate::overload::{self, HALF_LIFE_SECS, KindLoad};
 use ids::{ServiceId, VmId};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -38,6 +40,8 @@
     pub lane_tokens: Vec<(ServiceId, LaneTokens)>,
     /// Endpoints to which connections failed, and the number of routers that report it.
     pub unreachable: Vec<(ShortKey, u32)>,
+    /// First-event delays and offered load by kind, of services with a patient route.
+    pub kinds: Vec<(ServiceId, Vec<KindLoad>)>,
 }
 
 #[derive(Debug)]
@@ -98,6 +102,7 @@
         let mut tokens: BTreeMap<ShortKey, u64> = own.tokens.into_iter().collect();
         let mut lanes: BTreeMap<ServiceId, LaneTokens> = own.lane_tokens.into_iter().collect();
         let mut unreachable: BTreeMap<ShortKey, u32> = own.unreachable.into_iter().collect();
+        let mut kinds: BTreeMap<ServiceId, Vec<KindLoad>> = own.kinds.into_iter().collect();
         for (_, received) in self.received.iter().filter(|(source, _)| is_included(source)) {
             let age = now.saturating_sub(received.received_at);
             if age < BACKLOG_TTL {
@@ -107,6 +112,9 @@
                 for (endpoint, reporters) in &received.backlog.unreachable {
                     *unreachable.entry(*endpoint).or_default() += reporters;
                 }
+                for (service, loads) in &received.backlog.kinds {
+                    add_decayed(kinds.entry(service.clone()).or_default(), loads, age);
+                }
             }
             if age < ROUTER_TTL {
                 for (service, lane_tokens) in &received.backlog.lane_tokens {
@@ -118,6 +126,7 @@
             tokens: tokens.into_iter().collect(),
             lane_tokens: lanes.into_iter().collect(),
             unreachable: unreachable.into_iter().collect(),
+            kinds: kinds.into_iter().collect(),
         }
     }
 
@@ -149,6 +158,23 @@
         sum
     }
 
+    /// Adds the first-event delays and offered load that peers reported for a service.
+    pub(super) fn add_kinds(&self, service: &ServiceId, kinds: &mut Vec<KindLoad>, now: Duration) {
+        for received in self.received.values() {
+            let age = now.saturating_sub(received.received_at);
+            if age >= BACKLOG_TTL {
+                continue;
+            }
+            let reported = received.backlog.kinds.iter().filter(|(name, _)| name == service);
+            reported.for_each(|(_, loads)| add_decayed(kinds, loads, age));
+        }
+    }
+
+    /// When the newest report was received.
+    pub(super) fn newest(&self) -> Option<Duration> {
+        self.received.values().map(|received| received.received_at).max()
+    }
+
     /// Recomputes the sums of the valid reports. The sums are cached because choices are more frequent than reports,
     /// and each choice needs two lookups per endpoint.
     pub(super) fn refresh_sums(&mut self, now: Duration) {
@@ -186,3 +212,9 @@
         self.sums.get(&endpoint).copied().unwrap_or_default()
     }
 }
+
+/// Adds the kinds of a report that is `age` old.
+fn add_decayed(kinds: &mut Vec<KindLoad>, reported: &[KindLoad], age: Duration) {
+    let factor = decay::remaining(age, HALF_LIFE_SECS);
+    reported.iter().for_each(|load| overload::add_kind(kinds, load, factor));
+}
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod lanes;
 mod leaving;
 mod occupied;
+mod overload;
 mod places;
 mod plain;
 mod rate_limits;
@@ -30,7 +31,6 @@
 pub use rate_limits::RateUpdate;
 pub use targets::{Staleness, TargetAge};
 
-use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use backlogs::PeerBacklogs;
@@ -40,6 +40,7 @@
 use endpoint_state::{EndpointState, ReceivedReport};
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::DecayingTokens;
+use overload::Overloads;
 use placement::Placer;
 use places::Places;
 use rate_limits::RateLimits;
@@ -129,7 +130,7 @@
     loading: BTreeSet<EndpointId>,
     upcoming: BTreeSet<EndpointId>,
     targets: HashMap<ModelId, Targets>,
-    pressures: HashMap<(ServiceId, Duration), Pressure>,
+    overloads: Overloads,
     peer_backlogs: PeerBacklogs,
     lane_tokens: HashMap<ServiceId, DecayingTokens>,
     rate_limits: RateLimits,
@@ -151,7 +152,7 @@
             loading: BTreeSet::new(),
             upcoming: BTreeSet::new(),
             targets: HashMap::new(),
-            pressures: HashMap::new(),
+            overloads: Overloads::default(),
             peer_backlogs: PeerBacklogs::default(),
             lane_tokens: HashMap::new(),
             rate_limits: RateLimits::default(),
@@ -377,6 +378,7 @@
                 .map(|(service, lanes)| (service.clone(), lanes.current(now)))
                 .collect(),
             unreachable: self.own_unreachable(),
+            kinds: self.overloads.own(now),
         }
     }
 
@@ -510,19 +512,6 @@
         self.health.on(event, now);
     }
 
-    /// Records how long the first event of a streamed answer took, or that it has not arrived after `waited`.
-    pub fn record_first_event(&mut self, service: &ServiceId, objective: Duration, waited: Duration, now: Duration) {
-        let pressure = self.pressures.entry((service.clone(), objective)).or_default();
-        pressure.record(waited, objective, now);
-    }
-
-    /// Returns whether to shed a request for a streamed answer because answers with this objective are late; `draw`
-    /// is uniform over all `u64` values.
-    pub fn should_shed(&self, service: &ServiceId, objective: Duration, draw: u64, now: Duration) -> bool {
-        let pressure = self.pressures.get(&(service.clone(), objective));
-        pressure.is_some_and(|pressure| pressure.should_shed(draw, now))
-    }
-
     /// Records a request's first attempt at a service.
     pub fn record_first_attempt(&mut self, service: &ServiceId, now: Duration) {
         let window = self.settings.retries.window;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`fatal_parts`] | which parts of prompts are kept from endpoints, because others have ended under them |
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
+//! | [`overload`] | which kinds of requests are shed first, and how long patient ones wait in the router |
 //! | [`prefixes`] | what engines fetch from and save to the prefix stores |
 //! | [`holder`] | which router holds the lease to order endpoints to load weights |
 //! | [`rollout`] | which endpoints load new weights next |
@@ -34,6 +35,7 @@
 pub mod leaving;
 pub mod loading;
 pub mod origins;
+pub mod overload;
 pub mod paths;
 pub mod prefixes;
 pub mod pressure;
--- a/crates/gateway/src/news/message.rs
+++ b/crates/gateway/src/news/message.rs
@@ -48,6 +48,7 @@
         tokens: backlog.tokens,
         lane_tokens: backlog.lane_tokens,
         unreachable: backlog.unreachable,
+        kinds: backlog.kinds,
         rates: rates.iter().map(rate).collect(),
         tolerances: tolerances.iter().map(tolerance).collect(),
         rejections: rejections.iter().map(rejection).collect(),
@@ -86,6 +87,7 @@
         tokens: message.tokens,
         lane_tokens: message.lane_tokens,
         unreachable: message.unreachable,
+        kinds: message.kinds,
     };
     let mut fleet = shared.fleet();
     merge_leaving(shared, &mut fleet, message.leaving);
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -3,6 +3,7 @@
 use dispatch::fatal_parts::PartId;
 use dispatch::fleet::{LaneTokens, ShortKey};
 use dispatch::origins::{Origin, StreamKey};
+use dispatch::overload::KindLoad;
 use dispatch::prefixes::PartKey;
 use dispatch::quarantine::{ContentKey, ProcessKey};
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId, WorkspaceId};
@@ -139,6 +140,9 @@
     /// Endpoints to which connections failed, and the number of routers that report it.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub unreachable: Vec<(ShortKey, u32)>,
+    /// Recent first-event delays and offered load by kind of request, of services with a patient route.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub kinds: Vec<(ServiceId, Vec<KindLoad>)>,
     /// Rate limits that endpoints recently stated.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub rates: Vec<RateMessage>,
--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -51,5 +51,5 @@
     let item: RelayItem = serde_json::from_str(item).expect("an item");
     assert!(!item.packed);
     let backlog: BacklogMessage = serde_json::from_str(r#"{"r":[[7,2.5,100]]}"#).expect("a backlog");
-    assert!(backlog.leaving.is_empty() && backlog.rates.len() == 1);
+    assert!(backlog.leaving.is_empty() && backlog.kinds.is_empty() && backlog.rates.len() == 1);
 }
