While any kind of a service is late, its least urgent kind is shed first

On services with a patient route, dispatch::overload decides by the sums of all routers. Other services are shed by dispatch::pressure as before. Cause::Backlog has the wire text of Cause::Overloaded and a Retry-After of its own.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -325,6 +325,8 @@
     OverQuota(Duration),
     /// First events are late, and this request was shed.
     Overloaded,
+    /// The same, or a patient request would wait too long for an engine. Holds the time after which to retry.
+    Backlog(Duration),
     /// The deadline has passed.
     Deadline,
     /// An attempt failed after bytes were sent.
@@ -377,7 +379,8 @@
         | Cause::Limited(_)
         | Cause::NoPlace(_)
         | Cause::Quarantined(_)
-        | Cause::Overloaded => {
+        | Cause::Overloaded
+        | Cause::Backlog(_) => {
             if not_run {
                 503
             } else {
@@ -394,6 +397,7 @@
         (503, Cause::Quarantined(after)) => Some(after),
         (503, Cause::NoPlace(after)) => Some(after.clamp(RETRY_NO_ENDPOINT, MAX_RETRY_NO_PLACE)),
         (503, Cause::Overloaded) => Some(RETRY_OVERLOADED),
+        (503, Cause::Backlog(after)) => Some(after),
         (503, Cause::NoEndpoint) => Some(RETRY_NO_ENDPOINT),
         (503, _) => Some(RETRY_NOT_READY),
         _ => None,
@@ -424,7 +428,7 @@
             Self::Quarantined(_) => "quarantined",
             Self::UnknownOrigin => "unknown_origin",
             Self::OverQuota(_) => "over_quota",
-            Self::Overloaded => "overloaded",
+            Self::Overloaded | Self::Backlog(_) => "overloaded",
             Self::Deadline => "deadline",
             Self::EndpointFailed => "endpoint_failed",
         }
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -158,6 +158,7 @@
         Cause::NoEndpoint,
         Cause::Full,
         Cause::Overloaded,
+        Cause::Backlog(Duration::from_secs(1)),
         Cause::Quarantined(Duration::from_secs(20)),
         Cause::Deadline,
         Cause::EndpointFailed,
@@ -183,6 +184,7 @@
         Cause::NoEndpoint,
         Cause::Full,
         Cause::Overloaded,
+        Cause::Backlog(Duration::from_secs(1)),
         Cause::Quarantined(Duration::from_secs(20)),
     ] {
         let response = refusal(cause, RequestState::Queued);
@@ -222,6 +224,7 @@
         case(Cause::NoPlace(after), 503, 502),
         case(Cause::Quarantined(after), 503, 502),
         case(Cause::Overloaded, 503, 502),
+        case(Cause::Backlog(after), 503, 502),
         case(Cause::EndpointFailed, 502, 502),
         case(Cause::Deadline, 504, 504),
     ];
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -96,3 +96,92 @@
     let alone = admit(&mut router(), PATIENT, "w1", 100);
     assert_eq!(alone.share, 1.0, "a router that has just started");
 }
+
+/// The kinds of a service that has many first events with these multiples of the objectives.
+fn observed(urgent: f64, patient: f64) -> Fleet {
+    let mut fleet = router();
+    offer(&mut fleet, 100, urgent, patient, 0);
+    fleet
+}
+
+/// The late kind itself must not be refused while a less urgent one is admitted above its floor, and an overload that
+/// the least urgent kind can't relieve alone must reach the next one.
+#[test]
+fn the_least_urgent_kind_is_reduced_first_down_to_its_floor() {
+    struct Case {
+        urgent: f64,
+        patient: f64,
+        shares: [std::ops::RangeInclusive<f64>; 2],
+    }
+    let case = |urgent, patient, shares| Case {
+        urgent,
+        patient,
+        shares,
+    };
+    let cases = [
+        case(0.5, 0.5, [1.0..=1.0, 1.0..=1.0]),
+        case(0.9, 0.9, [1.0..=1.0, 1.0..=1.0]),
+        case(1.4, 0.4, [1.0..=1.0, 0.5..=0.9]),
+        case(0.4, 1.4, [1.0..=1.0, 0.5..=0.9]),
+        case(4.0, 4.0, [1.0..=1.0, 0.25..=0.5]),
+    ];
+    for case in cases {
+        let mut fleet = observed(case.urgent, case.patient);
+        for (kind, range) in [URGENT, PATIENT].into_iter().zip(case.shares) {
+            let share = admit(&mut fleet, kind, "w1", 0).share;
+            assert!(
+                range.contains(&share),
+                "{share} of {kind:?} at {} and {}",
+                case.urgent,
+                case.patient
+            );
+        }
+    }
+    let mut mostly_urgent = router();
+    for _ in 0..100 {
+        admit(&mut mostly_urgent, URGENT, "w1", 0);
+        mostly_urgent.record_kind_delay(&service(), URGENT, ms(1_600), ms(0));
+    }
+    let patient = admit(&mut mostly_urgent, PATIENT, "w1", 0).share;
+    let urgent = admit(&mut mostly_urgent, URGENT, "w1", 0).share;
+    assert_eq!(patient, 0.25);
+    assert!((0.4..0.7).contains(&urgent), "{urgent}");
+}
+
+/// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
+#[test]
+fn shedding_needs_several_late_events_and_ends_soon_after_them() {
+    let mut fleet = router();
+    offer(&mut fleet, 2, 10.0, 10.0, 0);
+    assert_eq!(
+        admit(&mut fleet, PATIENT, "w1", 0).share,
+        1.0,
+        "after two late events of each kind"
+    );
+    let mut fleet = observed(4.0, 1.0);
+    assert!(admit(&mut fleet, PATIENT, "w1", 0).share < 0.6);
+    for step in 1..=20 {
+        offer(&mut fleet, 10, 0.5, 0.5, step * 100);
+    }
+    assert_eq!(
+        admit(&mut fleet, PATIENT, "w1", 2_000).share,
+        1.0,
+        "two seconds after lateness ended"
+    );
+}
+
+/// One workspace sends most of the load. The others must not be refused for it, and it keeps its floor.
+#[test]
+fn workspaces_above_their_fair_share_are_refused_first() {
+    let mut fleet = observed(2.0, 0.5);
+    for count in 0..500 {
+        admit(&mut fleet, PATIENT, "heavy", 0);
+        if count % 25 == 0 {
+            admit(&mut fleet, PATIENT, "light", 0);
+        }
+    }
+    let heavy = admit(&mut fleet, PATIENT, "heavy", 0).share;
+    let light = admit(&mut fleet, PATIENT, "light", 0).share;
+    assert!((0.25..0.7).contains(&heavy), "{heavy}");
+    assert_eq!(light, 1.0);
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     /// Requests refused because the quota of their workspace is used up, by workspace. Workspaces come from the
     /// document, so their number is bounded.
     pub over_quota: IntCounterVec,
+    /// Requests refused because of overload, on services with a patient route, by service, route and reason.
+    pub overload_refused: IntCounterVec,
     /// Orders to endpoints by outcome.
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
@@ -134,6 +136,11 @@
                 "Requests refused over the quota of their workspace",
                 &["workspace"],
             ),
+            overload_refused: counters(
+                "overload_refused_total",
+                "Requests refused because of overload, by service, route and reason",
+                &["service", "route", "reason"],
+            ),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
             tunnels: counters(
--- a/crates/gateway/src/serve/attempt_loop.rs
+++ b/crates/gateway/src/serve/attempt_loop.rs
@@ -25,8 +25,8 @@
         if let Some(remaining) = self.held_for() {
             return self.give_up(Cause::Quarantined(remaining));
         }
-        if self.is_shed() {
-            return self.give_up(Cause::Overloaded);
+        if let Some(cause) = self.shed_cause() {
+            return self.give_up(cause);
         }
         let mut next = Next::Choose;
         loop {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -136,27 +136,6 @@
         }
     }
 
-    /// Whether this request is shed at once, because first events currently miss their objective.
-    pub(super) fn is_shed(&self) -> bool {
-        let now = self.shared.clock.now();
-        let (kind, objective) = (self.request.route.kind, self.request.route.objective);
-        let fleet = self.shared.fleet();
-        kind.streams() && fleet.should_shed(self.request.service, objective, rand::random(), now)
-    }
-
-    /// Records how long the request waited for its first event, or until it stopped waiting.
-    pub(super) fn record_wait(&self, began: Duration) {
-        if self.head_sent || !self.request.route.kind.streams() {
-            return;
-        }
-        let now = self.shared.clock.now();
-        let waited = now.saturating_sub(began);
-        let objective = self.request.route.objective;
-        self.shared
-            .fleet()
-            .record_first_event(self.request.service, objective, waited, now);
-    }
-
     pub(super) fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: &str) {
         let now = self.shared.clock.now();
         self.record.attempt(&picked.endpoint.id, picked.reason, outcome, now);
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -14,6 +14,7 @@
 pub mod reply;
 mod response;
 pub(crate) mod rests;
+mod shed;
 mod silent;
 mod wait;
 
@@ -78,6 +79,15 @@
     pub deadline: Duration,
     /// Version of the software that began the stream which the request continues, if only that may continue it.
     pub software: Option<SoftwareVersion>,
+    /// Whether overload is decided across kinds of requests.
+    pub patience: Patience,
+}
+
+/// What [`Site::is_patient`] says about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Whether its service has a patient route.
+    pub service: bool,
 }
 
 /// Responds to a request.
@@ -179,6 +189,9 @@
         rank: owner.and_then(|spec| spec.rank).unwrap_or(route.rank),
         deadline: incoming.arrived + timeout,
         software: None,
+        patience: Patience {
+            service: site.has_patient(service),
+        },
     })
 }
 
