Patient requests wait in the router while the engine chosen for them has a queue

Engines that load weights answer 503 to the requests in their queues, which loses prompts with one attempt. A patient request is sent once the queue is short, or refused with a Retry-After when it can't be in time any more.

--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -4,8 +4,10 @@
 //! placer ranks engines by hashes of the nested prefixes and weighs the tokens to be read again against the queue of
 //! each engine.
 
+use super::candidates::Candidates;
 use super::endpoint_state::EndpointState;
 use super::{Choice, Fleet, PickContext, PickedEndpoint, ShortKey};
+use crate::overload::QueueWait;
 use ids::{Incarnation, ModelId};
 use placement::{Candidate, Placer, PrefixChain};
 use std::time::Duration;
@@ -47,6 +49,9 @@
 /// known here, and parts that turn out not to be cached.
 const READ_SHARE: f64 = 0.7;
 
+/// Age up to which a load report proves a queue.
+const FRESH_REPORT: Duration = Duration::from_millis(300);
+
 /// Hash seed of [`Prompt::prefix_draw`].
 const DRAW_SEED: u64 = 0xd4a3;
 
@@ -115,13 +120,42 @@
         &self,
         placer: &mut Placer,
         context: &PickContext<'_>,
-        mut eligible: Vec<&EndpointState>,
+        eligible: Vec<&EndpointState>,
         draw: u64,
         now: Duration,
     ) -> Choice {
         let Some(prompt) = context.prompt else {
             return Choice::Unavailable;
         };
+        let Some(pick) = self.pick_engine(placer, context, eligible, draw, now) else {
+            return Choice::Full;
+        };
+        let (endpoint, incarnation) = (pick.candidate.endpoint, pick.candidate.incarnation);
+        let warm_prefill = pick.warm_prefill(prompt);
+        let picked = PickedEndpoint {
+            endpoint: pick.state.entry.clone(),
+            weights: pick.state.weights(&prompt.model),
+            prefill: pick.prefill(prompt),
+            warm_prefill,
+            queued: pick.candidate.queued,
+            reason: reason(pick.reason),
+            holds_place: false,
+        };
+        let cached = pick.cached.min(pick.chain.blocks().len());
+        placer.learn(endpoint, incarnation, &pick.chain, cached, now);
+        Choice::Endpoint(picked)
+    }
+
+    /// The engine that a prompt would be sent to. Does not affect later choices.
+    fn pick_engine<'a>(
+        &self,
+        placer: &mut Placer,
+        context: &PickContext<'_>,
+        mut eligible: Vec<&'a EndpointState>,
+        draw: u64,
+        now: Duration,
+    ) -> Option<EnginePick<'a>> {
+        let prompt = context.prompt?;
         let chain = prompt.chain(seed(context));
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
@@ -129,33 +163,62 @@
         let candidate = |state: &&EndpointState| self.candidate(state, &demand, off_lane(state), now);
         let candidates: Vec<Candidate> = eligible.iter().map(candidate).collect();
         let placement::Choice::At(pick) = placer.choose(&chain, &candidates, now, draw) else {
-            return Choice::Full;
+            return None;
         };
-        let Candidate {
-            endpoint,
-            incarnation,
-            queued,
-            ..
-        } = candidates[pick.index];
-        let state = eligible[pick.index];
-        let warm_prefill = prompt.tokens.saturating_sub(pick.cached as u64 * BLOCK_TOKENS);
-        let picked = PickedEndpoint {
-            endpoint: state.entry.clone(),
-            weights: state.weights(&prompt.model),
-            prefill: if pick.cold { prompt.tokens } else { warm_prefill },
-            warm_prefill,
-            queued,
-            reason: reason(pick.reason),
-            holds_place: false,
+        Some(EnginePick {
+            chain,
+            state: eligible[pick.index],
+            candidate: candidates[pick.index],
+            cached: pick.cached,
+            cold: pick.cold,
+            reason: pick.reason,
+        })
+    }
+
+    /// Returns the queue at the engine that a patient request would be sent to now. None if it is not for an engine, or
+    /// if something else decides when it is sent.
+    pub fn patient_queue(&mut self, context: &PickContext<'_>, draw: u64, now: Duration) -> Option<QueueWait> {
+        self.peer_backlogs.refresh_sums(now);
+        let mut placer = self.placers.remove(context.service).unwrap_or_else(placer);
+        placer.set_prefill_rate(self.read_rate(context.service));
+        let queue = self.queue_of_pick(&mut placer, context, draw, now);
+        self.placers.insert(context.service.clone(), placer);
+        queue
+    }
+
+    fn queue_of_pick(
+        &self,
+        placer: &mut Placer,
+        context: &PickContext<'_>,
+        draw: u64,
+        now: Duration,
+    ) -> Option<QueueWait> {
+        let prompt = context.prompt?;
+        let Candidates::Available(eligible) = self.candidates(context, now) else {
+            return None;
         };
-        placer.learn(
-            endpoint,
-            incarnation,
-            &chain,
-            pick.cached.min(chain.blocks().len()),
-            now,
-        );
-        Choice::Endpoint(picked)
+        let pick = self.pick_engine(placer, context, eligible, draw, now)?;
+        let rate = self.read_rate(context.service);
+        Some(self.queue_wait(pick.state, rate, pick.prefill(prompt), now))
+    }
+
+    /// Queue at an endpoint that reads `rate` tokens a second, for a request with `prefill` tokens to read. Running
+    /// requests are left out, because they don't keep the prompt from being read.
+    fn queue_wait(&self, state: &EndpointState, rate: f64, prefill: u64, now: Duration) -> QueueWait {
+        let seconds = |tokens: f64| Duration::from_secs_f64(tokens / rate);
+        let announced = seconds(self.peer_backlogs.tokens(ShortKey::from(state.key)) as f64);
+        let report = state.report();
+        let age = report.map_or(Duration::MAX, |received| now.saturating_sub(received.reported_at));
+        // The engine has read a part of the reported prompts since.
+        let reported = report.map_or(Duration::ZERO, |received| {
+            seconds(f64::from(received.report.waiting) * WAITING_REQUEST_TOKENS).saturating_sub(age)
+        });
+        let others = announced.max(reported).max(state.excess_wait(rate, now));
+        QueueWait {
+            expected: others + seconds(state.pending_tokens() as f64),
+            certain: if age <= FRESH_REPORT { reported } else { Duration::ZERO },
+            read: seconds(prefill as f64),
+        }
     }
 
     /// Estimated work queued ahead of a new request at an endpoint that reads `rate` tokens a second, in prompt tokens.
@@ -194,6 +257,32 @@
     }
 }
 
+/// An engine that a prompt would be sent to.
+struct EnginePick<'a> {
+    chain: PrefixChain,
+    state: &'a EndpointState,
+    candidate: Candidate,
+    /// Blocks of the prompt that the engine is assumed to have cached.
+    cached: usize,
+    cold: bool,
+    reason: placement::Reason,
+}
+
+impl EnginePick<'_> {
+    fn warm_prefill(&self, prompt: &Prompt) -> u64 {
+        prompt.tokens.saturating_sub(self.cached as u64 * BLOCK_TOKENS)
+    }
+
+    /// Prompt tokens that the engine is expected to read.
+    fn prefill(&self, prompt: &Prompt) -> u64 {
+        if self.cold {
+            prompt.tokens
+        } else {
+            self.warm_prefill(prompt)
+        }
+    }
+}
+
 /// What a request demands of each engine, the same for all candidates.
 struct Demand<'a> {
     prompt: &'a Prompt,
--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -10,7 +10,7 @@
 
 mod waiting;
 
-pub use waiting::{Entry, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
+pub use waiting::{Entry, PatientStep, QueueWait, WaitQueue, may_seek, patient_step, retry_after, seek_pause};
 
 use ids::WorkspaceId;
 use serde::{Deserialize, Serialize};
@@ -187,6 +187,12 @@
 }
 
 impl Admission {
+    /// All requests are admitted, without any observation.
+    pub const ALL: Self = Self {
+        pressure: PRIOR_RATIO,
+        share: 1.0,
+    };
+
     /// Whether to admit a request; `draw` is uniform over all `u64` values.
     pub fn admits(&self, draw: u64) -> bool {
         fraction(draw) < self.share
--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -18,7 +18,7 @@
 const RETRY_JITTER: f64 = 0.5;
 /// Longest `Retry-After`, with jitter: peaks of long prompts last for some seconds.
 const MAX_RETRY: Duration = Duration::from_millis(3_000);
-/// Requests and bytes of bodies that wait at one router, over all services. A router with 96 MB serves a few patient
+/// Requests and bytes of bodies that wait at one router for one service. A router with 96 MB serves a few patient
 /// requests a second, each of which waits for about a second at most.
 const MAX_WAITING: usize = 64;
 const MAX_BYTES: usize = 8 << 20;
@@ -35,6 +35,13 @@
 }
 
 impl QueueWait {
+    /// The queue of a request before whose turn others have to be sent.
+    pub const NOT_ITS_TURN: Self = Self {
+        expected: Duration::MAX,
+        certain: Duration::ZERO,
+        read: Duration::ZERO,
+    };
+
     /// Whether a request may be sent to the engine.
     pub fn is_short(&self) -> bool {
         self.expected <= SHORT_QUEUE
@@ -72,6 +79,25 @@
     wait.max(MIN_RETRY).mul_f64(jitter).min(MAX_RETRY.mul_f64(jitter))
 }
 
+/// Waiting requests of a service that look for an engine at the same time, each for its own prefix. The others wait for
+/// one of these to be sent, so that the cost of the choices is bounded.
+const SEEKERS: usize = 4;
+
+/// Whether a request may look for an engine while `ahead` others go first.
+pub fn may_seek(ahead: usize) -> bool {
+    ahead < SEEKERS
+}
+
+/// Shortest pause between two looks for an engine, and the range of its jitter, so that routers don't send to the same
+/// engine at once. Routers learn of a sent prompt within about this time.
+const MIN_PAUSE: Duration = Duration::from_millis(25);
+const PAUSE_JITTER: f64 = 2.0;
+
+/// Pause until a waiting request looks for an engine again; `draw` is uniform over all `u64` values.
+pub fn seek_pause(draw: u64) -> Duration {
+    MIN_PAUSE.mul_f64(1.0 + PAUSE_JITTER * super::fraction(draw))
+}
+
 /// A waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -83,8 +109,8 @@
     pub bytes: usize,
 }
 
-/// The requests that wait at one router for one service after the other: ordered by due time, but the second request of
-/// a workspace comes after the first of each other one.
+/// The requests that wait at one router for one service, ordered by due time. The second request of a workspace comes
+/// after the first of each other one.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
     entries: BTreeMap<u64, Entry>,
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -445,3 +445,29 @@
         assert_eq!(picked.endpoint.id == home, case.stays, "{}", case.name);
     }
 }
+
+/// A patient request is refused by what recent reports show. A report that is a second old must not do that, since the
+/// engine has read a part of its queue meanwhile.
+#[test]
+fn an_old_report_does_not_prove_a_queue() {
+    let mut fleet = fleet(&[entry("e0", 1)]);
+    let (service, long) = (service(), prompt(7, 9));
+    let context = context(&service, Some(&long));
+    let queue = |fleet: &mut Fleet, now| fleet.patient_queue(&context, 7, at(now)).expect("an engine");
+    assert!(queue(&mut fleet, 0).is_short());
+    let report = LoadReport {
+        running: 6,
+        waiting: 80,
+    };
+    fleet.record_load(&EndpointId::from("e0"), report, at(0));
+    // 80 requests of 1,500 tokens at 80,000 tokens a second.
+    assert_eq!(
+        (queue(&mut fleet, 100).expected, queue(&mut fleet, 100).certain),
+        (at(1_400), at(1_400))
+    );
+    assert_eq!(
+        (queue(&mut fleet, 1_000).expected, queue(&mut fleet, 1_000).certain),
+        (at(500), at(0))
+    );
+    assert!(queue(&mut fleet, 1_400).is_short());
+}
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -1,7 +1,7 @@
 //! Load shedding across kinds of requests, and the exchange that it is based on.
 
 use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
-use dispatch::overload::{Admission, Kind};
+use dispatch::overload::{Admission, Entry, Kind, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId, VmId, WorkspaceId};
 use std::time::Duration;
@@ -185,3 +185,78 @@
     assert!((0.25..0.7).contains(&heavy), "{heavy}");
     assert_eq!(light, 1.0);
 }
+
+/// A request that can still be in time must not be refused, one that can't must be refused at once, and none may be sent
+/// into a long queue.
+#[test]
+fn a_patient_request_waits_while_it_can_be_in_time() {
+    struct Case {
+        name: &'static str,
+        /// Expected and certain wait, read time and time since arrival, milliseconds.
+        times: [u64; 4],
+        step: PatientStep,
+    }
+    let case = |name, times, step| Case { name, times, step };
+    let cases = [
+        case("no queue", [0, 0, 250, 0], PatientStep::Send),
+        case("short queue, late", [100, 100, 250, 1_400], PatientStep::Send),
+        case("queue", [600, 600, 250, 0], PatientStep::Wait),
+        case("looks hopeless by old reports", [9_000, 0, 250, 0], PatientStep::Wait),
+        case(
+            "hopeless by recent reports",
+            [9_000, 9_000, 250, 0],
+            PatientStep::Refuse,
+        ),
+        case("too late to be read in time", [600, 0, 250, 1_100], PatientStep::Refuse),
+    ];
+    for case in cases {
+        let [expected, certain, read, since_arrival] = case.times.map(ms);
+        let queue = QueueWait {
+            expected,
+            certain,
+            read,
+        };
+        let step = patient_step(&queue, since_arrival, PATIENT.objective);
+        assert_eq!(step, case.step, "{}", case.name);
+    }
+}
+
+/// A workspace that sends many requests must not keep those of others behind all of its own, and a stalled pool must not
+/// fill the memory of a router.
+#[test]
+fn waiting_requests_are_ordered_by_workspace_and_due_time_and_bounded() {
+    let entry = |workspace: &str, due: u64| Entry {
+        workspace: Some(WorkspaceId::from(workspace)),
+        due: ms(due),
+        bytes: 1_000,
+    };
+    let mut queue = WaitQueue::default();
+    let numbers = [("heavy", 10), ("heavy", 5), ("heavy", 20), ("light", 30), ("other", 7)]
+        .map(|(workspace, due)| queue.join(entry(workspace, due)).expect("room"));
+    let ahead = |queue: &WaitQueue| numbers.map(|number| queue.ahead(number));
+    assert_eq!(ahead(&queue), [3, 0, 4, 2, 1]);
+    queue.leave(numbers[1]);
+    assert_eq!(queue.ahead(numbers[0]), 1);
+    let joined = (0..1_000).filter(|_| queue.join(entry("heavy", 40)).is_some()).count();
+    assert_eq!(joined, 60);
+    numbers.iter().for_each(|number| queue.leave(*number));
+    assert!(
+        queue
+            .join(Entry {
+                bytes: 100 << 20,
+                ..entry("light", 1)
+            })
+            .is_none(),
+        "too many bytes"
+    );
+    assert!(queue.join(entry("light", 1)).is_some());
+}
+
+/// Requests that are refused together must not return together.
+#[test]
+fn retry_after_follows_the_wait_and_is_spread() {
+    let draws = [0, u64::MAX / 2, u64::MAX];
+    assert_eq!(draws.map(|draw| retry_after(ms(0), draw)), [ms(500), ms(625), ms(750)]);
+    assert!(retry_after(ms(1_500), 0) >= ms(1_500));
+    assert!(retry_after(ms(60_000), u64::MAX) <= ms(4_500));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod origins;
 mod part_holds;
+mod patient_queues;
 mod place_queues;
 mod quarantine;
 mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,10 @@
     pub over_quota: IntCounterVec,
     /// Requests refused because of overload, on services with a patient route, by service, route and reason.
     pub overload_refused: IntCounterVec,
+    /// Patient requests that waited in the router for an engine, by service and how the wait ended.
+    pub patient_waits: IntCounterVec,
+    /// Patient requests that wait in the router for an engine.
+    pub patient_waiting: IntGauge,
     /// Orders to endpoints by outcome.
     pub orders: IntCounterVec,
     /// Connections opened to endpoints.
@@ -141,6 +145,12 @@
                 "Requests refused because of overload, by service, route and reason",
                 &["service", "route", "reason"],
             ),
+            patient_waits: counters(
+                "patient_waits_total",
+                "Patient requests that waited in the router, by service and end of the wait",
+                &["service", "end"],
+            ),
+            patient_waiting: gauge("patient_waiting", "Patient requests that wait in the router"),
             orders: counters("orders_total", "Orders to endpoints by outcome", &["outcome"]),
             connections: counters("connections_total", "Connections to endpoints by outcome", &["outcome"]),
             tunnels: counters(
--- a/crates/gateway/src/serve/attempt_loop.rs
+++ b/crates/gateway/src/serve/attempt_loop.rs
@@ -44,7 +44,7 @@
     }
 
     async fn try_another(&mut self) -> Next<'a> {
-        let (picked, began) = match self.choose_or_wait().await {
+        let (picked, began) = match self.choose_in_turn().await {
             Ok(chosen) => chosen,
             Err(next) => return next,
         };
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -16,6 +16,7 @@
 use crate::shared::Shared;
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
+use dispatch::overload::Admission;
 use dispatch::quarantine::ContentKey;
 use http::raw::{ExchangeError, Headers, exchange};
 use ids::{EndpointId, SoftwareVersion};
@@ -102,6 +103,10 @@
     pub(super) corrected: u32,
     /// The last server error that an endpoint returned.
     pub(super) last_error: Option<CompleteResponse>,
+    /// Whether the request is among those that overload never refuses.
+    pub(super) below_floor: bool,
+    /// How many requests of its kind were admitted when it arrived.
+    pub(super) admission: Admission,
 }
 
 impl<'a> Attempts<'a> {
@@ -133,6 +138,8 @@
             unreached: 0,
             corrected: 0,
             last_error: None,
+            below_floor: false,
+            admission: Admission::ALL,
         }
     }
 
@@ -160,18 +167,23 @@
         self.request.route.kind.repeatable()
     }
 
-    pub(super) fn choose(&self) -> Result<Chosen, Cause> {
-        let unread = self.unread();
-        let context = PickContext {
+    /// What the choice of an endpoint depends on; `unread` is from [`Self::unread`].
+    pub(super) fn pick_context<'c>(&'c self, unread: &'c [u64]) -> PickContext<'c> {
+        PickContext {
             service: self.request.service,
             avoid: &self.excluded,
             prompt: self.request.info.prompt.as_ref(),
             isolated: self.request.isolated,
             objective: Some(self.request.route.objective),
             pause: self.request.route.pause,
-            unread: &unread,
+            unread,
             software: self.software.as_ref(),
-        };
+        }
+    }
+
+    pub(super) fn choose(&self) -> Result<Chosen, Cause> {
+        let unread = self.unread();
+        let context = self.pick_context(&unread);
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         match fleet.choose(&context, rand::random(), now) {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod observe;
 mod origin;
 mod outgoing;
+mod patient;
 mod place_queue;
 mod quota;
 mod record;
@@ -88,6 +89,8 @@
 pub struct Patience {
     /// Whether its service has a patient route.
     pub service: bool,
+    /// Whether its own route is patient.
+    pub route: bool,
 }
 
 /// Responds to a request.
@@ -191,6 +194,7 @@
         software: None,
         patience: Patience {
             service: site.has_patient(service),
+            route: site.is_patient(route),
         },
     })
 }
--- /dev/null
+++ b/crates/gateway/src/serve/patient.rs
@@ -0,0 +1,141 @@
+//! Patient requests that wait in the router while the engine chosen for them has a queue.
+
+use super::attempt_loop::Next;
+use super::attempts::Attempts;
+use super::shed::{self, RefusalReason};
+use super::wait::WaitOutcome;
+use crate::patient_queues::PatientTicket;
+use dispatch::attempt::Cause;
+use dispatch::fleet::PickedEndpoint;
+use dispatch::overload::{Entry, PatientStep, QueueWait, may_seek, patient_step, retry_after, seek_pause};
+use futures::future::pending;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// What a patient request does after a look at the engines.
+enum Step {
+    /// It is sent.
+    Send,
+    /// It waits.
+    Wait,
+    /// It is refused. Holds the expected wait.
+    Refuse(RefusalReason, Duration),
+}
+
+impl<'a> Attempts<'a> {
+    /// Chooses an endpoint. A patient request that was not sent yet waits before that while the engine chosen for it has
+    /// a queue.
+    pub(super) async fn choose_in_turn(&mut self) -> Result<(Arc<PickedEndpoint>, Duration), Next<'a>> {
+        let mut ticket = None;
+        loop {
+            let step = self.patient_step(ticket.as_ref());
+            let step = match step {
+                Step::Wait if ticket.is_none() => {
+                    ticket = self.join();
+                    if ticket.is_some() {
+                        Step::Wait
+                    } else {
+                        self.refuse_or_send(RefusalReason::QueueFull, Duration::ZERO)
+                    }
+                }
+                step => step,
+            };
+            match step {
+                Step::Send => {
+                    if ticket.is_some() {
+                        self.count_wait("sent");
+                    }
+                    drop(ticket);
+                    return self.choose_or_wait().await;
+                }
+                Step::Refuse(why, wait) => {
+                    if ticket.is_some() {
+                        self.count_wait("refused");
+                    }
+                    return Err(Next::GiveUp(self.refuse(why, wait)));
+                }
+                Step::Wait => {}
+            }
+            match self.wait(seek_pause(rand::random()), pending::<()>()).await {
+                WaitOutcome::Done(()) | WaitOutcome::TimedOut => {}
+                WaitOutcome::ClientDisconnected => {
+                    self.count_wait("disconnected");
+                    return Err(Next::End(self.client_disconnected()));
+                }
+                WaitOutcome::Resumed(attempt) => return Err(Next::Resume(attempt)),
+            }
+        }
+    }
+
+    fn patient_step(&self, ticket: Option<&PatientTicket>) -> Step {
+        if !self.may_wait() {
+            return Step::Send;
+        }
+        let queues = &self.shared.patient_queues;
+        let ahead = ticket.map_or_else(|| queues.waiting(self.request.service), PatientTicket::ahead);
+        let queue = if may_seek(ahead) {
+            self.patient_queue()
+        } else {
+            Some(QueueWait::NOT_ITS_TURN)
+        };
+        let Some(queue) = queue else { return Step::Send };
+        let now = self.shared.clock.now();
+        let since_arrival = now.saturating_sub(self.request.incoming.arrived);
+        match patient_step(&queue, since_arrival, self.request.route.objective) {
+            PatientStep::Send => Step::Send,
+            PatientStep::Refuse => self.refuse_or_send(RefusalReason::Hopeless, queue.certain),
+            // The load balancer gives the client another router.
+            PatientStep::Wait if self.shared.stopping.load(Ordering::SeqCst) => {
+                Step::Refuse(RefusalReason::Stopping, Duration::ZERO)
+            }
+            PatientStep::Wait => Step::Wait,
+        }
+    }
+
+    /// Whether the request is patient, also in the document in force, and has not been sent.
+    fn may_wait(&self) -> bool {
+        let site = self.shared.site.load();
+        let service = self.request.service;
+        self.request.patience.route
+            && self.sent == 0
+            && !self.head_sent
+            && self.request.info.resumes.is_none()
+            && site.as_ref().is_some_and(|site| site.has_patient(service))
+    }
+
+    fn patient_queue(&self) -> Option<QueueWait> {
+        let unread = self.unread();
+        let now = self.shared.clock.now();
+        let context = self.pick_context(&unread);
+        self.shared.fleet().patient_queue(&context, rand::random(), now)
+    }
+
+    fn join(&self) -> Option<PatientTicket> {
+        let entry = Entry {
+            workspace: self.request.workspace.cloned(),
+            due: self.request.incoming.arrived + self.request.route.objective,
+            bytes: self.request.incoming.body.len(),
+        };
+        self.shared.patient_queues.join(self.request.service, entry)
+    }
+
+    /// A part of the requests is never refused, so that a false estimate can't keep all of them from the engines.
+    fn refuse_or_send(&self, why: RefusalReason, wait: Duration) -> Step {
+        if self.below_floor {
+            Step::Send
+        } else {
+            Step::Refuse(why, wait)
+        }
+    }
+
+    fn refuse(&self, why: RefusalReason, wait: Duration) -> Cause {
+        shed::log_refusal(self.shared, self.request, why, &self.admission);
+        Cause::Backlog(retry_after(wait, rand::random()))
+    }
+
+    fn count_wait(&self, end: &str) {
+        let labels = [self.request.service.as_str(), end];
+        self.shared.metrics.patient_waits.with_label_values(&labels).inc();
+    }
+}
--- a/crates/gateway/src/serve/shed.rs
+++ b/crates/gateway/src/serve/shed.rs
@@ -4,7 +4,7 @@
 use super::attempts::Attempts;
 use crate::shared::Shared;
 use dispatch::attempt::Cause;
-use dispatch::overload::{Admission, Kind, WORST_WAIT_FACTOR, retry_after};
+use dispatch::overload::{Admission, Kind, WORST_WAIT_FACTOR, is_below_floor, retry_after};
 use std::time::Duration;
 
 /// Why a request is refused, for metrics.
@@ -12,12 +12,21 @@
 pub(super) enum RefusalReason {
     /// Its kind is reduced.
     Late,
+    /// It waited for an engine, and can't be in time any more.
+    Hopeless,
+    /// Too many requests wait for engines.
+    QueueFull,
+    /// It waited for an engine when the router shut down.
+    Stopping,
 }
 
 impl RefusalReason {
     fn name(self) -> &'static str {
         match self {
             Self::Late => "late",
+            Self::Hopeless => "hopeless",
+            Self::QueueFull => "queue_full",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -49,6 +58,7 @@
         let now = self.shared.clock.now();
         let request = self.request;
         let draw = rand::random();
+        self.below_floor = is_below_floor(draw);
         let tokens = request.info.tokens.unwrap_or_default();
         let kind = kind(request);
         let mut fleet = self.shared.fleet();
@@ -56,6 +66,7 @@
         drop(fleet);
         // The offered load changes the decisions of other routers.
         self.shared.news_changed();
+        self.admission = admission;
         if admission.admits(draw) {
             return None;
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::part_holds::PartHolds;
+use crate::patient_queues::PatientQueues;
 use crate::place_queues::PlaceQueues;
 use crate::settings::Settings;
 use crate::tunnel::PeerCache;
@@ -73,6 +74,8 @@
     pub peers: PeerCache,
     /// Requests that wait for a place at a brittle endpoint.
     pub place_queues: PlaceQueues,
+    /// Patient requests that wait for an engine with a short queue.
+    pub patient_queues: Arc<PatientQueues>,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
     /// Metrics.
@@ -128,6 +131,7 @@
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
+            patient_queues: Arc::new(PatientQueues::new(metrics.patient_waiting.clone())),
             connections: ConnectionPool::default(),
             metrics,
             events,
