--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -20,18 +20,19 @@
 /// Half-life of an observation in seconds. The sums over all routers hold hundreds of first events in that time, and
 /// shedding has to end within a second or two after its cause.
 pub(crate) const HALF_LIFE_SECS: f64 = 0.75;
-/// Weight of the prior, in observations, and its ratio of delay to objective, the same as in [`crate::pressure`].
-const PRIOR_WEIGHT: f64 = 5.0;
+/// Weight of the prior, in observations, and its ratio of delay to objective, typical of normal load.
+const PRIOR_WEIGHT: f64 = 6.0;
 const PRIOR_RATIO: f64 = 0.5;
 /// Bounds of the ratio of a single observation. With the upper one, the prior outweighs two late first events.
 const MIN_RATIO: f64 = 0.1;
 const MAX_RATIO: f64 = 4.0;
-/// Mean ratio above which requests are shed: every second first event is late.
-const SHED_RATIO: f64 = 1.0;
-/// Excess over [`SHED_RATIO`] at which all tokens would be shed, were it not for [`MAX_SHED_SHARE`].
-const SHED_RATIO_RANGE: f64 = 1.0;
-/// Largest share of the offered tokens that is shed.
-const MAX_SHED_SHARE: f64 = 0.5;
+/// Mean ratio above which requests are shed. Below 1, because a first event shows the queue only after its delay.
+const SHED_RATIO: f64 = 0.85;
+/// Excess over [`SHED_RATIO`] at which all tokens would be shed, were it not for [`MAX_SHED_SHARE`]. With 1.0, requests
+/// stay late for the whole of a peak (`tests/overload_model.rs`).
+const SHED_RATIO_RANGE: f64 = 0.4;
+/// Largest share of the offered tokens that is shed: a peak of 2.5 times the usual load, with some capacity lost.
+const MAX_SHED_SHARE: f64 = 0.7;
 /// Share of the requests of each kind and workspace that is always admitted. They show when the queues are short again.
 pub const FLOOR: f64 = 0.25;
 /// Workspaces that a kind holds, the heaviest first. Bounds the size of messages between routers.
