Only the least urgent kind is shed while the pressure is below 1.5

A cut that the least urgent kind can't bear alone reached urgent requests at moderate pressure: 32 of 72 were refused in platform/tests/overload.rs.

--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -33,6 +33,10 @@
 const SHED_RATIO_RANGE: f64 = 0.4;
 /// Largest share of the offered tokens that is shed: a peak of 2.5 times the usual load, with some capacity lost.
 const MAX_SHED_SHARE: f64 = 0.7;
+/// Mean ratio above which kinds are shed that are not the least urgent, and the excess at which they are down to the
+/// floor. Nearly all first events are late then; below it, the rest of the cut is dropped.
+const NEXT_RATIO: f64 = 1.5;
+const NEXT_RATIO_RANGE: f64 = 1.5;
 /// Share of the requests of each kind and workspace that is always admitted. They show when the queues are short again.
 pub const FLOOR: f64 = 0.25;
 /// Workspaces that a kind holds, the heaviest first. Bounds the size of messages between routers.
@@ -220,9 +224,11 @@
     let mut excess = shed * kinds.iter().map(KindLoad::total).sum::<f64>();
     let mut order: Vec<&KindLoad> = kinds.iter().collect();
     order.sort_by_key(|load| Reverse(load.kind()));
-    for load in order {
+    let next = ((pressure - NEXT_RATIO) / NEXT_RATIO_RANGE).clamp(0.0, 1.0);
+    for (index, load) in order.into_iter().enumerate() {
         let total = load.total();
-        let cut = excess.min(total * (1.0 - FLOOR));
+        let part = if index == 0 { 1.0 } else { next };
+        let cut = excess.min(total * (1.0 - FLOOR) * part);
         if load.kind() == kind {
             let share = if total > 0.0 { 1.0 - cut / total } else { 1.0 };
             let share = if share < 1.0 {
