--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod loads;
 mod occupied;
+mod overload;
 mod places;
 mod plain;
 mod pool_costs;
@@ -39,7 +40,6 @@
 pub use targets::{Staleness, TargetAge};
 pub use work_time::WorkTime;
 
-use crate::pressure::Pressure;
 use crate::retries::{RetryLimits, RetryMeter};
 use crate::site::EndpointEntry;
 use backlogs::PeerBacklogs;
@@ -49,6 +49,7 @@
 use endpoint_state::EndpointState;
 use ids::{EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion, VmId};
 use lanes::LaneLoad;
+use overload::Overloads;
 use placement::Placer;
 use places::Places;
 use rate_limits::RateLimits;
@@ -145,7 +146,7 @@
     loading: BTreeSet<EndpointId>,
     upcoming: BTreeSet<EndpointId>,
     targets: HashMap<ModelId, Targets>,
-    pressures: HashMap<(ServiceId, Duration), Pressure>,
+    overloads: Overloads,
     peer_backlogs: PeerBacklogs,
     lane_loads: HashMap<ServiceId, LaneLoad>,
     rate_limits: RateLimits,
@@ -168,7 +169,7 @@
             loading: BTreeSet::new(),
             upcoming: BTreeSet::new(),
             targets: HashMap::new(),
-            pressures: HashMap::new(),
+            overloads: Overloads::default(),
             peer_backlogs: PeerBacklogs::default(),
             lane_loads: HashMap::new(),
             rate_limits: RateLimits::default(),
@@ -447,19 +448,6 @@
         self.health.on(event, now);
     }
 
-    /// Records how long the first event of a streamed answer took, or that it has not arrived after `waited`.
-    pub fn record_first_event(&mut self, service: &ServiceId, objective: Duration, waited: Duration, now: Duration) {
-        let pressure = self.pressures.entry((service.clone(), objective)).or_default();
-        pressure.record(waited, objective, now);
-    }
-
-    /// Returns whether to shed a request for a streamed answer because answers with this objective are late; `draw`
-    /// is uniform over all `u64` values.
-    pub fn should_shed(&self, service: &ServiceId, objective: Duration, draw: u64, now: Duration) -> bool {
-        let pressure = self.pressures.get(&(service.clone(), objective));
-        pressure.is_some_and(|pressure| pressure.should_shed(draw, now))
-    }
-
     /// Records a request's first attempt at a service.
     pub fn record_first_attempt(&mut self, service: &ServiceId, now: Duration) {
         let window = self.settings.retries.window;
--- /dev/null
+++ b/crates/dispatch/tests/overload.rs
@@ -0,0 +1,262 @@
+//! Load shedding across kinds of requests, and the exchange that it is based on.
+
+use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
+use dispatch::overload::{Admission, Entry, Kind, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
+use dispatch::retries::RetryLimits;
+use ids::{DomainId, ServiceId, VmId, WorkspaceId};
+use std::time::Duration;
+
+const URGENT: Kind = Kind {
+    rank: 0,
+    objective: Duration::from_millis(400),
+};
+const PATIENT: Kind = Kind {
+    rank: 2,
+    objective: Duration::from_millis(1_500),
+};
+/// Tokens of an urgent and of a patient request.
+const TOKENS: [u64; 2] = [1_000, 9_000];
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn service() -> ServiceId {
+    ServiceId::from("chat")
+}
+
+fn router() -> Fleet {
+    Fleet::new(FleetSettings {
+        domain: DomainId::from("d1"),
+        retries: RetryLimits {
+            ratio: 0.2,
+            extra: 1,
+            window: ms(10_000),
+            routers: 1,
+        },
+        soft_staleness: ms(5_000),
+        hard_staleness: ms(6_000),
+    })
+}
+
+fn admit(fleet: &mut Fleet, kind: Kind, workspace: &str, now: u64) -> Admission {
+    let tokens = TOKENS[usize::from(kind == PATIENT)];
+    fleet.admit_kind(&service(), kind, Some(&WorkspaceId::from(workspace)), tokens, ms(now))
+}
+
+/// Offers `count` requests of both kinds, whose first events take these multiples of their objectives.
+fn offer(fleet: &mut Fleet, count: usize, urgent: f64, patient: f64, now: u64) {
+    for _ in 0..count {
+        for (kind, ratio) in [(URGENT, urgent), (PATIENT, patient)] {
+            admit(fleet, kind, "w1", now);
+            fleet.record_kind_delay(&service(), kind, kind.objective.mul_f64(ratio), ms(now));
+        }
+    }
+}
+
+/// A router of 136 sees too few first events to notice that they are late. All routers must learn it from the sums,
+/// and none may count its own part, or a part that comes by two ways, twice.
+#[test]
+fn all_routers_decide_by_the_same_sums() {
+    let (mut all, mut first, mut second) = (router(), router(), router());
+    let names: Vec<VmId> = (0..8)
+        .map(|number| VmId::from(format!("vm-{number}").as_str()))
+        .collect();
+    let mut followers: Vec<Fleet> = names.iter().map(|_| router()).collect();
+    for follower in &mut followers {
+        offer(follower, 1, 4.0, 1.0, 0);
+        offer(&mut all, 1, 4.0, 1.0, 0);
+    }
+    for (index, (name, follower)) in names.iter().zip(&followers).enumerate() {
+        let watcher = if index % 2 == 0 { &mut first } else { &mut second };
+        let source = BacklogSource::Follower(name.clone());
+        watcher.update_backlog(source, follower.own_backlog(ms(0)), ms(0));
+    }
+    let subtotals = [first.backlog_subtotal(ms(0)), second.backlog_subtotal(ms(0))];
+    let [from_first, from_second] = subtotals;
+    first.update_backlog(BacklogSource::Watcher(VmId::from("second")), from_second, ms(0));
+    second.update_backlog(BacklogSource::Watcher(VmId::from("first")), from_first, ms(0));
+    for (index, (name, follower)) in names.iter().zip(&mut followers).enumerate() {
+        let watcher = if index % 2 == 0 { &first } else { &second };
+        follower.update_backlog(BacklogSource::Upstream, watcher.backlog_without(name, ms(0)), ms(0));
+    }
+    let expected = admit(&mut all, PATIENT, "w1", 100);
+    assert!(expected.share < 0.7, "{expected:?}");
+    for fleet in followers.iter_mut().chain([&mut first, &mut second]) {
+        let admission = admit(fleet, PATIENT, "w1", 100);
+        assert!(
+            (admission.pressure - expected.pressure).abs() < 1e-9,
+            "{admission:?}, not {expected:?}"
+        );
+        assert!(
+            (admission.share - expected.share).abs() < 1e-9,
+            "{admission:?}, not {expected:?}"
+        );
+    }
+    let alone = admit(&mut router(), PATIENT, "w1", 100);
+    assert_eq!(alone.share, 1.0, "a router that has just started");
+}
+
+/// The kinds of a service that has many first events with these multiples of the objectives.
+fn observed(urgent: f64, patient: f64) -> Fleet {
+    let mut fleet = router();
+    offer(&mut fleet, 100, urgent, patient, 0);
+    fleet
+}
+
+/// The late kind itself must not be refused while a less urgent one is admitted above its floor, and an overload that
+/// the least urgent kind can't relieve alone must reach the next one.
+#[test]
+fn the_least_urgent_kind_is_reduced_first_down_to_its_floor() {
+    struct Case {
+        urgent: f64,
+        patient: f64,
+        shares: [std::ops::RangeInclusive<f64>; 2],
+    }
+    let case = |urgent, patient, shares| Case {
+        urgent,
+        patient,
+        shares,
+    };
+    let cases = [
+        case(0.5, 0.5, [1.0..=1.0, 1.0..=1.0]),
+        case(0.8, 0.8, [1.0..=1.0, 1.0..=1.0]),
+        case(1.0, 0.4, [1.0..=1.0, 0.5..=0.9]),
+        case(0.4, 1.0, [1.0..=1.0, 0.5..=0.9]),
+        case(4.0, 4.0, [0.7..=0.8, 0.25..=0.25]),
+    ];
+    for case in cases {
+        let mut fleet = observed(case.urgent, case.patient);
+        for (kind, range) in [URGENT, PATIENT].into_iter().zip(case.shares) {
+            let share = admit(&mut fleet, kind, "w1", 0).share;
+            assert!(
+                range.contains(&share),
+                "{share} of {kind:?} at {} and {}",
+                case.urgent,
+                case.patient
+            );
+        }
+    }
+    let mut mostly_urgent = router();
+    for _ in 0..100 {
+        admit(&mut mostly_urgent, URGENT, "w1", 0);
+        mostly_urgent.record_kind_delay(&service(), URGENT, ms(1_600), ms(0));
+    }
+    let patient = admit(&mut mostly_urgent, PATIENT, "w1", 0).share;
+    let urgent = admit(&mut mostly_urgent, URGENT, "w1", 0).share;
+    assert_eq!(patient, 0.25);
+    assert!((0.25..0.5).contains(&urgent), "{urgent}");
+}
+
+/// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
+#[test]
+fn shedding_needs_several_late_events_and_ends_soon_after_them() {
+    let mut fleet = router();
+    offer(&mut fleet, 2, 10.0, 10.0, 0);
+    assert_eq!(
+        admit(&mut fleet, PATIENT, "w1", 0).share,
+        1.0,
+        "after two late events of each kind"
+    );
+    let mut fleet = observed(4.0, 1.0);
+    assert!(admit(&mut fleet, PATIENT, "w1", 0).share < 0.6);
+    for step in 1..=20 {
+        offer(&mut fleet, 10, 0.5, 0.5, step * 100);
+    }
+    assert_eq!(
+        admit(&mut fleet, PATIENT, "w1", 2_000).share,
+        1.0,
+        "two seconds after lateness ended"
+    );
+}
+
+/// One workspace sends most of the load. The others must not be refused for it, and it keeps its floor.
+#[test]
+fn workspaces_above_their_fair_share_are_refused_first() {
+    let mut fleet = observed(2.0, 0.5);
+    for count in 0..500 {
+        admit(&mut fleet, PATIENT, "heavy", 0);
+        if count % 25 == 0 {
+            admit(&mut fleet, PATIENT, "light", 0);
+        }
+    }
+    let heavy = admit(&mut fleet, PATIENT, "heavy", 0).share;
+    let light = admit(&mut fleet, PATIENT, "light", 0).share;
+    assert!((0.25..0.7).contains(&heavy), "{heavy}");
+    assert_eq!(light, 1.0);
+}
+
+/// A request that can still be in time must not be refused, one that can't must be refused at once, and none may be sent
+/// into a long queue.
+#[test]
+fn a_patient_request_waits_while_it_can_be_in_time() {
+    struct Case {
+        name: &'static str,
+        /// Expected and certain wait, read time and time since arrival, milliseconds.
+        times: [u64; 4],
+        step: PatientStep,
+    }
+    let case = |name, times, step| Case { name, times, step };
+    let cases = [
+        case("no queue", [0, 0, 250, 0], PatientStep::Send),
+        case("short queue, late", [100, 100, 250, 1_400], PatientStep::Send),
+        case("queue", [600, 600, 250, 0], PatientStep::Wait),
+        case("looks hopeless by old reports", [9_000, 0, 250, 0], PatientStep::Wait),
+        case(
+            "hopeless by recent reports",
+            [9_000, 9_000, 250, 0],
+            PatientStep::Refuse,
+        ),
+        case("too late to be read in time", [600, 0, 250, 1_100], PatientStep::Refuse),
+    ];
+    for case in cases {
+        let [expected, certain, read, since_arrival] = case.times.map(ms);
+        let queue = QueueWait {
+            expected,
+            certain,
+            read,
+        };
+        let step = patient_step(&queue, since_arrival, PATIENT.objective);
+        assert_eq!(step, case.step, "{}", case.name);
+    }
+}
+
+/// A workspace that sends many requests must not keep those of others behind all of its own, and a stalled pool must not
+/// fill the memory of a router.
+#[test]
+fn waiting_requests_are_ordered_by_workspace_and_due_time_and_bounded() {
+    let entry = |workspace: &str, due: u64| Entry {
+        workspace: Some(WorkspaceId::from(workspace)),
+        due: ms(due),
+        bytes: 1_000,
+    };
+    let mut queue = WaitQueue::default();
+    let numbers = [("heavy", 10), ("heavy", 5), ("heavy", 20), ("light", 30), ("other", 7)]
+        .map(|(workspace, due)| queue.join(entry(workspace, due)).expect("room"));
+    let ahead = |queue: &WaitQueue| numbers.map(|number| queue.ahead(number));
+    assert_eq!(ahead(&queue), [3, 0, 4, 2, 1]);
+    queue.leave(numbers[1]);
+    assert_eq!(queue.ahead(numbers[0]), 1);
+    let joined = (0..1_000).filter(|_| queue.join(entry("heavy", 40)).is_some()).count();
+    assert_eq!(joined, 60);
+    numbers.iter().for_each(|number| queue.leave(*number));
+    assert!(
+        queue
+            .join(Entry {
+                bytes: 100 << 20,
+                ..entry("light", 1)
+            })
+            .is_none(),
+        "too many bytes"
+    );
+    assert!(queue.join(entry("light", 1)).is_some());
+}
+
+/// Requests that are refused together must not return together.
+#[test]
+fn retry_after_follows_the_wait_and_is_spread() {
+    let draws = [0, u64::MAX / 2, u64::MAX];
+    assert_eq!(draws.map(|draw| retry_after(ms(0), draw)), [ms(500), ms(625), ms(750)]);
+    assert!(retry_after(ms(1_500), 0) >= ms(1_500));
+    assert!(retry_after(ms(60_000), u64::MAX) <= ms(4_500));
+}
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -18,6 +18,7 @@
 use crate::shared::Shared;
 use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
+use dispatch::overload::Admission;
 use dispatch::quarantine::ContentKey;
 use http::raw::{ExchangeError, exchange};
 use ids::{EndpointId, SoftwareVersion};
@@ -96,6 +97,10 @@
     pub(super) corrected: u32,
     /// The last server error that an endpoint returned.
     pub(super) last_error: Option<CompleteResponse>,
+    /// Whether the request is among those that overload never refuses.
+    pub(super) below_floor: bool,
+    /// How many requests of its kind were admitted when it arrived.
+    pub(super) admission: Admission,
 }
 
 impl<'a> Attempts<'a> {
@@ -128,30 +133,11 @@
             unreached: 0,
             corrected: 0,
             last_error: None,
+            below_floor: false,
+            admission: Admission::ALL,
         }
     }
 
-    /// Whether this request is shed at once, because first events currently miss their objective.
-    pub(super) fn is_shed(&self) -> bool {
-        let now = self.shared.clock.now();
-        let (kind, objective) = (self.request.route.kind, self.request.route.objective);
-        let fleet = self.shared.fleet();
-        kind.streams() && fleet.should_shed(self.request.service, objective, rand::random(), now)
-    }
-
-    /// Records how long the request waited for its first event, or until it stopped waiting.
-    pub(super) fn record_wait(&self, began: Duration) {
-        if self.head_sent || !self.request.route.kind.streams() {
-            return;
-        }
-        let now = self.shared.clock.now();
-        let waited = now.saturating_sub(began);
-        let objective = self.request.route.objective;
-        self.shared
-            .fleet()
-            .record_first_event(self.request.service, objective, waited, now);
-    }
-
     pub(super) fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: &str) {
         let now = self.shared.clock.now();
         self.record.attempt(&picked.endpoint.id, picked.reason, outcome, now);
@@ -176,20 +162,25 @@
         self.request.route.kind.repeatable()
     }
 
-    pub(super) fn choose(&self) -> Result<Chosen, Cause> {
-        let unread = self.unread();
-        let context = PickContext {
+    /// What the choice of an endpoint depends on; `unread` is from [`Self::unread`].
+    pub(super) fn pick_context<'c>(&'c self, unread: &'c [u64]) -> PickContext<'c> {
+        PickContext {
             service: self.request.service,
             avoid: &self.excluded,
             prompt: self.request.info.prompt.as_ref(),
             isolated: self.request.isolated,
             objective: Some(self.request.route.objective),
             pause: self.request.route.pause,
-            unread: &unread,
+            unread,
             rank: self.request.rank,
             attempts: self.request.route.attempts,
             software: self.software.as_ref(),
-        };
+        }
+    }
+
+    pub(super) fn choose(&self) -> Result<Chosen, Cause> {
+        let unread = self.unread();
+        let context = self.pick_context(&unread);
         let now = self.shared.clock.now();
         let mut fleet = self.shared.fleet();
         match fleet.choose(&context, rand::random(), now) {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod origin;
 mod outbox;
 mod outgoing;
+mod patient;
 mod place_queue;
 mod quota;
 mod record;
@@ -16,6 +17,7 @@
 pub mod reply;
 mod response;
 pub(crate) mod rests;
+mod shed;
 mod silent;
 mod wait;
 
@@ -83,6 +85,17 @@
     pub deadline: Duration,
     /// Version of the software that began the stream which the request continues, if only that may continue it.
     pub software: Option<SoftwareVersion>,
+    /// Whether overload is decided across kinds of requests.
+    pub patience: Patience,
+}
+
+/// What [`Site::is_patient`] says about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Whether its service has a patient route.
+    pub service: bool,
+    /// Whether its own route is patient.
+    pub route: bool,
 }
 
 /// Responds to a request.
@@ -177,6 +190,10 @@
         class: quota::class(site, route),
         deadline: incoming.arrived + timeout,
         software: None,
+        patience: Patience {
+            service: site.has_patient(service),
+            route: site.is_patient(route),
+        },
     })
 }
 
--- a/crates/peers/tests/pack.rs
+++ b/crates/peers/tests/pack.rs
@@ -56,7 +56,7 @@
     let item: RelayItem = serde_json::from_str(item).expect("an item");
     assert!(!item.packed);
     let backlog: BacklogMessage = serde_json::from_str(r#"{"r":[[7,2.5,100]]}"#).expect("a backlog");
-    assert!(backlog.leaving.is_empty() && backlog.rates.len() == 1);
+    assert!(backlog.leaving.is_empty() && backlog.kinds.is_empty() && backlog.rates.len() == 1);
     let report = r#"{"router":"vm-1","backlog":{},"u":[["grain",10.0,40.0]]}"#;
     let report: ReportMessage = serde_json::from_str(report).expect("a report");
     assert!(report.usage.len() == 1 && report.patient_usage.is_empty());
