Lanes: only replaced weights cost long answers something; noise of the load does not change a lane

Cause, found in review: the cost of replaced weights also counted for engines with three quarters of their slots in use while all engines had the newest weights, and it exceeds the cost of leaving the lane. The decode lane's size followed each small change of the load. Change: the cost applies only while the engines differ in weights. Within a tenth of its need, a lane shrinks with a half-life of a minute.

--- a/crates/dispatch/src/fleet/lane_size.rs
+++ b/crates/dispatch/src/fleet/lane_size.rs
@@ -20,6 +20,10 @@
 const TARGET_UTILIZATION: f64 = 0.7;
 /// Half-life of the decode lane's size beyond its need. Each change moves prefixes from one lane to the other.
 const SHRINK_HALF_LIFE_SECS: f64 = 10.0;
+/// A need that is lower by less than this share may be random variation, which would move prefixes between the lanes
+/// several times a second. The lane shrinks more slowly then.
+const NOISE_SHARE: f64 = 0.1;
+const NOISE_HALF_LIFE_SECS: f64 = 60.0;
 /// Number of steps in which the decode lane grows. A step is smaller than the burst that a lane absorbs.
 const LANE_STEPS: usize = 32;
 /// How long needs are valid. Peer updates arrive about this often.
@@ -70,7 +74,13 @@
             .max(load.decode_rate / (pool.rate * TARGET_UTILIZATION));
         let held = before.map_or(0.0, |before| {
             let age = now.saturating_sub(before.updated_at);
-            before.decode * decay::remaining(age, SHRINK_HALF_LIFE_SECS)
+            let is_noise = need >= before.decode * (1.0 - NOISE_SHARE);
+            let half_life = if is_noise {
+                NOISE_HALF_LIFE_SECS
+            } else {
+                SHRINK_HALF_LIFE_SECS
+            };
+            before.decode * decay::remaining(age, half_life)
         });
         let share = load.decode_share();
         Self {
--- a/crates/dispatch/src/fleet/pool_costs.rs
+++ b/crates/dispatch/src/fleet/pool_costs.rs
@@ -71,14 +71,17 @@
         }
     }
 
-    /// Newest weights of the engines of a large pool, if a prompt prefers engines that have them.
+    /// Newest weights of the engines of a large pool, if the engines differ in weights and a prompt prefers those that have
+    /// the newest.
     fn preferred_weights(&self, context: &PickContext<'_>, prompt: &Prompt, now: Duration) -> Option<u64> {
         self.lane_needs(context.service)?;
         let target = self.newest_matching(&prompt.model, |_| true)?;
         if !prompt.is_decode_heavy() || target.age(now).lower < PREFER_NEWEST_AFTER {
             return None;
         }
-        self.newest_served(context.service, &prompt.model, now)
+        let newest = self.newest_served(context.service, &prompt.model, now)?;
+        let is_replaced = |state: &EndpointState| state.weights(&prompt.model).is_some_and(|weights| weights < newest);
+        self.available(context.service, now).any(is_replaced).then_some(newest)
     }
 
     /// Newest weights that available engines of a service have.
--- a/crates/dispatch/tests/lane_size.rs
+++ b/crates/dispatch/tests/lane_size.rs
@@ -181,3 +181,18 @@
     assert!((19.0..21.0).contains(&answers(&fleet, at(14_000))), "half after 2 s");
     assert!(answers(&fleet, at(40_000)) < 0.1);
 }
+
+/// The load varies by a few percent all the time. A lane that follows it moves prefixes between the lanes several times a
+/// second.
+#[test]
+fn small_changes_of_the_load_do_not_change_the_lane() {
+    let mut fleet = pool(90, 64);
+    let mut sizes = Vec::new();
+    for step in 0..100 {
+        let answers = if step % 2 == 0 { 512.0 } else { 497.0 };
+        report(&mut fleet, LaneTokens { answers, ..LOAD }, at(step * 100));
+        sizes.push(lane_size(&mut fleet, at(step * 100 + 50)));
+    }
+    sizes.dedup();
+    assert_eq!(sizes, [Some(20)]);
+}
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -93,6 +93,37 @@
     }
 }
 
+/// In a burst most slots of the decode lane are in use. If that cost more than leaving the lane, long answers would run
+/// beside long prompts, although the lane has free slots.
+#[test]
+fn long_answers_stay_in_a_busy_lane() {
+    let mut fleet = pool(32);
+    set_target(&mut fleet, 1, Some(at(0)));
+    let service = service();
+    serve_other_prefixes(&mut fleet);
+    let now = at(60_000);
+    let lane: BTreeSet<EndpointId> = (0..200)
+        .map(|session| choose(&mut fleet, &context(&service, Some(&long_answer(session))), now))
+        .collect();
+    for id in &lane {
+        report(&mut fleet, id, 50, 0, now);
+    }
+    let left = (200..400)
+        .filter(|session| {
+            !lane.contains(&choose(
+                &mut fleet,
+                &context(&service, Some(&long_answer(*session))),
+                now,
+            ))
+        })
+        .count();
+    assert!(
+        lane.len() < 16 && left <= 10,
+        "{} engines, {left} of 200 left them",
+        lane.len()
+    );
+}
+
 /// The decode lane loads last, so long answers on replaced weights lose value while other engines already have the
 /// newest ones.
 #[test]
