Large pools: slots count as occupied for seconds; a tie between plain endpoints is broken at random

Cause, found in review: a load report's running requests faded with a half-life of one second, so an engine whose slots were all in use half a second ago cost no wait for a slot. Of two plain endpoints, all routers preferred the one that is cheaper by any amount. Measured: the case of a report that is half a second old in requests_leave_an_engine_whose_slots_are_in_use.

--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -15,6 +15,8 @@
 const OUTCOME_WEIGHT: f64 = 0.1;
 /// Half-life of a load report: about the duration of two answers of the slower production service.
 const REPORT_HALF_LIFE_SECS: f64 = 1.0;
+/// Half-life of the slots in use in a load report, for the wait for a slot: long answers run for two to five seconds.
+const ANSWER_HALF_LIFE_SECS: f64 = 3.0;
 
 /// Half-life of the failure share. A degraded endpoint is tried again after about this time, and its next failures
 /// count at once.
@@ -396,18 +398,23 @@
 
     /// Estimated number of requests running or waiting at the endpoint, from all routers.
     pub(super) fn running(&self, now: Duration) -> f64 {
-        let reported = self.decayed(now, |report| report.running + report.waiting);
+        let reported = self.decayed(now, REPORT_HALF_LIFE_SECS, |report| report.running + report.waiting);
+        reported.max(f64::from(self.in_flight))
+    }
+
+    /// The same for long answers, which hold their slots for seconds.
+    pub(super) fn occupied(&self, now: Duration) -> f64 {
+        let reported = self.decayed(now, ANSWER_HALF_LIFE_SECS, |report| report.running + report.waiting);
         reported.max(f64::from(self.in_flight))
     }
 
     /// Estimated number of requests waiting at the endpoint, from all routers.
     pub(super) fn waiting(&self, now: Duration) -> f64 {
-        self.decayed(now, |report| report.waiting)
+        self.decayed(now, REPORT_HALF_LIFE_SECS, |report| report.waiting)
     }
 
-    fn decayed(&self, now: Duration, count: impl Fn(LoadReport) -> u32) -> f64 {
+    fn decayed(&self, now: Duration, half_life: f64, count: impl Fn(LoadReport) -> u32) -> f64 {
         let Some(latest) = self.report else { return 0.0 };
-        f64::from(count(latest.report))
-            * decay::remaining(now.saturating_sub(latest.reported_at), REPORT_HALF_LIFE_SECS)
+        f64::from(count(latest.report)) * decay::remaining(now.saturating_sub(latest.reported_at), half_life)
     }
 }
--- a/crates/dispatch/src/fleet/plain.rs
+++ b/crates/dispatch/src/fleet/plain.rs
@@ -51,7 +51,11 @@
         let first = (draw & u64::from(u32::MAX)) % count;
         let second = (first + 1 + (draw >> u32::BITS) % (count - 1)) % count;
         let (first, second) = (eligible[first as usize], eligible[second as usize]);
-        if cost(second) < cost(first) { second } else { first }
+        if cost(second) + TIE_SECS < cost(first) {
+            second
+        } else {
+            first
+        }
     }
 
     fn plain_cost(&self, state: &EndpointState, now: Duration) -> f64 {
--- a/crates/dispatch/src/fleet/pool_costs.rs
+++ b/crates/dispatch/src/fleet/pool_costs.rs
@@ -39,7 +39,7 @@
         if !self.is_large {
             return 0.0;
         }
-        let (running, slots) = (state.running(now), f64::from(state.entry.slots));
+        let (running, slots) = (state.occupied(now), f64::from(state.entry.slots));
         // An engine with the preferred weights but without free slots is no better than the others.
         let is_other = self
             .preferred
--- a/crates/dispatch/tests/large_pool.rs
+++ b/crates/dispatch/tests/large_pool.rs
@@ -55,6 +55,8 @@
         name: &'static str,
         running: u32,
         waiting: u32,
+        /// Age of the report in milliseconds.
+        age: u64,
         stays: bool,
     }
     let cases = [
@@ -62,12 +64,21 @@
             name: "free slots",
             running: 40,
             waiting: 0,
+            age: 0,
             stays: true,
         },
         Case {
             name: "requests wait for slots",
             running: 64,
             waiting: 2,
+            age: 0,
+            stays: false,
+        },
+        Case {
+            name: "requests waited for slots half a second ago",
+            running: 64,
+            waiting: 20,
+            age: 500,
             stays: false,
         },
     ];
@@ -88,7 +99,7 @@
             );
         }
         report(&mut fleet, &home, case.running, case.waiting, at(101));
-        let used = choose(&mut fleet, &context, at(101));
+        let used = choose(&mut fleet, &context, at(101 + case.age));
         assert_eq!(used == home, case.stays, "{}", case.name);
     }
 }
