Test: the peer of endless responses reads the request

The peer closed its socket with the request unread, so the kernel reset the connection (ECONNRESET) and dropped what the reader had not read: the reader failed without reaching a bound. The cases and the bounds are unchanged.

--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -1,6 +1,6 @@
 //! Heads and bodies are read unchanged, over real sockets.
 
-use async_std::io::WriteExt;
+use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use http::Conn;
@@ -319,7 +319,7 @@
         let read = task::block_on(async {
             let mut source = endless(bytes.into_bytes()).await;
             let is_ours = |head: &ResponseHead| head.headers.one("id") != Some("1");
-            let mut answer = exchange(&mut source, b"GET / HTTP/1.1\r\n\r\n", "GET", is_ours).await?;
+            let mut answer = exchange(&mut source, REQUEST, "GET", is_ours).await?;
             Ok(answer.body.read_to_end(&mut source, 4 << 20).await?)
         });
         let bound = read.map_err(|err: ExchangeError| err.bound());
@@ -327,13 +327,19 @@
     }
 }
 
-/// A source whose peer writes `bytes` in the background, since they may not fit into the sockets' buffers.
+/// The request that the peer of [`endless`] reads.
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
+
+/// A source whose peer writes `bytes` in the background, since they may not fit into the sockets' buffers. It reads the
+/// request first: closing a socket with unread bytes resets the connection, and the reader loses what it has not read.
 async fn endless(bytes: Vec<u8>) -> Source {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let mut peer = TcpStream::connect(address).await.expect("a connection");
     let (stream, _) = listener.accept().await.expect("a connection");
     task::spawn(async move {
+        let mut request = [0; REQUEST.len()];
+        peer.read_exact(&mut request).await.expect("the request");
         // Fails once the source is dropped.
         let _ = peer.write_all(&bytes).await;
     });
