--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -21,6 +21,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoRoom;
 
+/// How room for a read was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// At once.
+    Free,
+    /// After a pause, during which nothing was read.
+    AfterPause,
+}
+
 /// What a holder holds bytes of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeldKind {
@@ -127,18 +136,22 @@
     ///
     /// # Errors
     /// The connection is to be closed.
-    pub async fn room(&mut self) -> Result<(), NoRoom> {
+    pub async fn room(&mut self) -> Result<Room, NoRoom> {
         if self.holder.is_none() && self.has_room() {
-            return Ok(());
+            return Ok(Room::Free);
         }
         let id = self.id();
+        let mut room = Room::Free;
         loop {
             if self.is_closed() {
                 return Err(NoRoom);
             }
             match self.budget.next_read(id) {
-                NextRead::Read => return Ok(()),
-                NextRead::Pause | NextRead::Close(_) => task::sleep(PAUSE_POLL).await,
+                NextRead::Read => return Ok(room),
+                NextRead::Pause | NextRead::Close(_) => {
+                    room = Room::AfterPause;
+                    task::sleep(PAUSE_POLL).await;
+                }
             }
         }
     }
--- a/crates/gateway/src/serve/outbox.rs
+++ b/crates/gateway/src/serve/outbox.rs
@@ -4,7 +4,7 @@
 
 use super::relay::OpenStream;
 use crate::blocks::Blocks;
-use crate::held::{HeldBudget, HeldKind, Hold, NoRoom};
+use crate::held::{HeldBudget, HeldKind, Hold, NoRoom, Room};
 use async_std::io::WriteExt;
 use futures::future::{Either, pending, select};
 use http::Conn;
@@ -25,6 +25,8 @@
     hold: Hold,
     /// Whether the endpoint's stream is being read.
     reads: bool,
+    /// Whether a pause has ended with room for one read, which the next step makes.
+    granted: bool,
 }
 
 /// What happened next.
@@ -33,6 +35,8 @@
     Part(Result<Option<Vec<u8>>, RawBodyError>),
     /// The client took some bytes.
     Written,
+    /// The endpoint was not read, because there was no room.
+    Paused,
     /// The client closed the connection.
     ClientDisconnected,
     /// The bytes are needed for others.
@@ -47,6 +51,7 @@
             partial: 0,
             hold: Hold::new(budget, HeldKind::Stream),
             reads: true,
+            granted: false,
         }
     }
 
@@ -71,8 +76,16 @@
     pub(super) async fn step(&mut self, stream: &mut OpenStream) -> Step {
         self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room());
         if self.is_empty() {
-            if self.hold.room().await.is_err() {
-                return Step::NoRoom;
+            if !std::mem::take(&mut self.granted) {
+                self.reads = false;
+                match self.hold.room().await {
+                    Ok(Room::Free) => self.reads = true,
+                    Ok(Room::AfterPause) => {
+                        self.granted = true;
+                        return Step::Paused;
+                    }
+                    Err(NoRoom) => return Step::NoRoom,
+                }
             }
             let part = self.hold.unless_closed(stream.next_part()).await;
             return part.map_or(Step::NoRoom, Step::Part);
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -170,7 +170,7 @@
                 }
                 WaitOutcome::Done(Step::Part(Ok(None))) => return RelayEnd::Ended,
                 WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.bound()),
-                WaitOutcome::Done(Step::Written) => {}
+                WaitOutcome::Done(Step::Written | Step::Paused) => {}
                 WaitOutcome::Done(Step::NoRoom) => return RelayEnd::NoRoom,
                 WaitOutcome::Done(Step::ClientDisconnected) => return RelayEnd::ClientDisconnected,
                 WaitOutcome::ClientDisconnected => {
