--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -171,11 +171,12 @@
             return Ok(false);
         };
         let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+        // Spaces after the size count as extensions, since a peer could pass the bound with them.
+        let size = size.trim_ascii_end();
         self.extra += line.len() - size.len();
         if self.extra > MAX_EXTENSION_BYTES {
             return Err(RawBodyError::Extensions);
         }
-        let size = size.trim_ascii_end();
         let digits = !size.is_empty() && size.len() <= MAX_SIZE_DIGITS && size.iter().all(u8::is_ascii_hexdigit);
         if !digits {
             return Err(RawBodyError::Chunk);
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -303,6 +303,12 @@
             repeated: "1;name=value-of-an-extension\r\nx\r\n",
             bound: Bound::Extensions,
         },
+        // Spaces count as extensions, too.
+        Case {
+            begin: chunked,
+            repeated: "1                            \r\nx\r\n",
+            bound: Bound::Extensions,
+        },
         Case {
             begin: chunked,
             repeated: "1",
