--- a/crates/dispatch/src/held_bytes.rs
+++ b/crates/dispatch/src/held_bytes.rs
@@ -5,7 +5,8 @@
 //! sender notices as backpressure. A pause must not last: if all holders waited for each other, none would end.
 //!
 //! Order of closing: the holder of the most bytes first, of equal ones the one that holds bytes for the longest time. Only
-//! one is closed at a time, and only for another holder that
+//! one is closed at a time: while it frees its bytes, for at most [`MAX_PAUSE`], no other one is. It is closed only for
+//! another holder that
 //!
 //! - holds at most half as many bytes, at once, so that small responses are served beside endless ones, or
 //! - has waited for [`MAX_PAUSE`].
@@ -44,7 +45,8 @@
     since: Duration,
     /// Since when it waits for room.
     paused: Option<Duration>,
-    closing: bool,
+    /// Since when it is told to close.
+    closing: Option<Duration>,
 }
 
 /// The bytes that a process holds.
@@ -85,7 +87,7 @@
             bytes: 0,
             since: now,
             paused: None,
-            closing: false,
+            closing: None,
         };
         self.holders.insert(id, holder);
         id
@@ -122,18 +124,21 @@
         }
         let paused = now.saturating_sub(*holder.paused.get_or_insert(now));
         let bytes = holder.bytes;
-        if self.holders.values().any(|holder| holder.closing) {
-            // Its bytes become free within milliseconds.
+        let is_awaited =
+            |holder: &Holder| matches!(holder.closing, Some(since) if now.saturating_sub(since) < MAX_PAUSE);
+        if holder.closing.is_some() || self.holders.values().any(is_awaited) {
+            // Its bytes usually become free within milliseconds.
             return NextRead::Pause;
         }
         let order = |(id, holder): &(&HolderId, &mut Holder)| (holder.bytes, Reverse((holder.since, **id)));
-        let Some((first, holder)) = self.holders.iter_mut().max_by_key(order) else {
+        let open = self.holders.iter_mut().filter(|(_, holder)| holder.closing.is_none());
+        let Some((first, holder)) = open.max_by_key(order) else {
             return NextRead::Pause;
         };
         if holder.bytes / 2 < bytes && paused < MAX_PAUSE {
             return NextRead::Pause;
         }
-        holder.closing = true;
+        holder.closing = Some(now);
         NextRead::Close(*first)
     }
 }
--- a/crates/dispatch/tests/held_bytes.rs
+++ b/crates/dispatch/tests/held_bytes.rs
@@ -82,6 +82,18 @@
     }
 }
 
+/// A holder that is told to close may not do so, for example while its task is busy. The others must not wait for it for ever.
+#[test]
+fn another_holder_is_closed_if_the_first_keeps_its_bytes() {
+    let (mut held, ids) = full(&[40, 20, 4]);
+    let now = seconds(100);
+    assert_eq!(held.next_read(ids[2], now), NextRead::Close(ids[0]));
+    let early = now + MAX_PAUSE - Duration::from_millis(1);
+    assert_eq!(held.next_read(ids[2], early), NextRead::Pause);
+    assert_eq!(held.next_read(ids[0], now + MAX_PAUSE), NextRead::Pause);
+    assert_eq!(held.next_read(ids[2], now + MAX_PAUSE), NextRead::Close(ids[1]));
+}
+
 /// Endless and sound bodies are read side by side. The sound ones, of some hundred kilobytes, must be read to their end, and the
 /// sum must stay within the budget and one read of each.
 #[test]
--- a/crates/gateway/src/serve/bounds.rs
+++ b/crates/gateway/src/serve/bounds.rs
@@ -2,9 +2,10 @@
 
 use super::attempts::{AttemptResult, Attempts};
 use super::in_flight::InFlightAttempt;
+use super::outbox::Outbox;
 use super::response::ReadError;
 use crate::shared::Shared;
-use dispatch::attempt::Failure;
+use dispatch::attempt::{Cause, Failure};
 use http::raw::Bound;
 use ids::EndpointId;
 use lifecycle::request::RequestEvent;
@@ -26,10 +27,16 @@
         }
     }
 
-    /// Ends an attempt whose bytes are needed for others. The endpoint may be sound, so its health does not change.
+    /// Ends an attempt whose bytes are needed for others. The endpoint may be sound, so its health does not change. Without
+    /// the events that the client has not taken, no other endpoint can go on, so the request ends with them.
     pub(super) fn closed_for_room(&mut self) -> AttemptResult<'a> {
         self.events.discard_partial();
         self.lifecycle.on(RequestEvent::AnswerFailed);
+        let unused = Outbox::new(&self.request.incoming.conn, &self.shared.held);
+        let closed = std::mem::replace(&mut self.outbox, unused);
+        if !closed.is_empty() {
+            return AttemptResult::Ended(self.give_up(Cause::EndpointFailed));
+        }
         AttemptResult::Failed(Failure::Broken)
     }
 }
