--- a/crates/dispatch/src/held_bytes.rs
+++ b/crates/dispatch/src/held_bytes.rs
@@ -20,6 +20,9 @@
 pub const MAX_HELD_BYTES: usize = 16 << 20;
 /// Bytes that one read adds. A read begins only if there is room for them.
 pub const READ_BYTES: usize = 16 << 10;
+/// Bytes of the budget that only reads which can't be avoided may use: one read each for 128 connections. If reading ahead
+/// used all of it, streams to fast clients would pause and have slow ones closed.
+pub const AHEAD_RESERVE: usize = 2 << 20;
 /// Longest pause without room. Endpoints cut off a response that is unread for some seconds, and clients of calls wait for
 /// some hundred milliseconds.
 pub const MAX_PAUSE: Duration = Duration::from_millis(250);
@@ -107,11 +110,16 @@
         self.holders.remove(&id);
     }
 
-    /// Whether there is room for one read of a holder that can do without it.
+    /// Whether there is room for one read of a holder that can't go on without it.
     pub fn has_room(&self) -> bool {
         self.used + READ_BYTES <= self.limit
     }
 
+    /// Whether there is room for one read of a holder that can do without it.
+    pub fn has_room_ahead(&self) -> bool {
+        self.used + READ_BYTES + AHEAD_RESERVE <= self.limit
+    }
+
     /// Decides on the next read of a holder that can't go on without it.
     pub fn next_read(&mut self, id: HolderId, now: Duration) -> NextRead {
         let has_room = self.has_room();
--- a/crates/dispatch/tests/held_bytes.rs
+++ b/crates/dispatch/tests/held_bytes.rs
@@ -1,6 +1,6 @@
 //! The budget of bytes held for slow readers.
 
-use dispatch::held_bytes::{HeldBytes, HolderId, MAX_PAUSE, NextRead, READ_BYTES};
+use dispatch::held_bytes::{AHEAD_RESERVE, HeldBytes, HolderId, MAX_HELD_BYTES, MAX_PAUSE, NextRead, READ_BYTES};
 use std::time::Duration;
 
 const LIMIT: usize = 64 * READ_BYTES;
@@ -94,6 +94,22 @@
     assert_eq!(held.next_read(ids[2], now + MAX_PAUSE), NextRead::Close(ids[1]));
 }
 
+/// Reading ahead of slow clients must leave room for streams to fast ones, which would pause and have slow ones closed.
+#[test]
+fn reading_ahead_leaves_a_reserve() {
+    let mut held = HeldBytes::new(MAX_HELD_BYTES);
+    let (slow, fast) = (held.open(seconds(0)), held.open(seconds(1)));
+    while held.has_room_ahead() {
+        held.set(slow, held.bytes(slow) + READ_BYTES);
+    }
+    assert_eq!(held.used(), MAX_HELD_BYTES - AHEAD_RESERVE);
+    for read in 1..=AHEAD_RESERVE / READ_BYTES {
+        assert_eq!(held.next_read(fast, seconds(2)), NextRead::Read, "read {read}");
+        held.set(fast, read * READ_BYTES);
+    }
+    assert_eq!(held.next_read(fast, seconds(2)), NextRead::Close(slow));
+}
+
 /// Endless and sound bodies are read side by side. The sound ones, of some hundred kilobytes, must be read to their end, and the
 /// sum must stay within the budget and one read of each.
 #[test]
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -128,7 +128,11 @@
     }
 
     /// Whether there is room to read on ahead of the reader.
-    pub fn has_room(&self) -> bool {
+    pub fn has_room_ahead(&self) -> bool {
+        self.budget.lock().held.has_room_ahead()
+    }
+
+    fn has_room(&self) -> bool {
         self.budget.lock().held.has_room()
     }
 
--- a/crates/gateway/src/serve/outbox.rs
+++ b/crates/gateway/src/serve/outbox.rs
@@ -74,7 +74,7 @@
     /// Writes to the client and reads the endpoint's stream, whichever goes on first. Nothing is lost if the future is
     /// dropped.
     pub(super) async fn step(&mut self, stream: &mut OpenStream) -> Step {
-        self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room());
+        self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room_ahead());
         if self.is_empty() {
             if !std::mem::take(&mut self.granted) {
                 self.reads = false;
