--- a/crates/dispatch/src/held_bytes.rs
+++ b/crates/dispatch/src/held_bytes.rs
@@ -133,7 +133,7 @@
         let paused = now.saturating_sub(*holder.paused.get_or_insert(now));
         let bytes = holder.bytes;
         let is_awaited =
-            |holder: &Holder| matches!(holder.closing, Some(since) if now.saturating_sub(since) < MAX_PAUSE);
+            |holder: &Holder| matches!(holder.closing, Some(since) if now.saturating_sub(since) <= MAX_PAUSE);
         if holder.closing.is_some() || self.holders.values().any(is_awaited) {
             // Its bytes usually become free within milliseconds.
             return NextRead::Pause;
