--- a/crates/gateway/src/serve/attempt_loop.rs
+++ b/crates/gateway/src/serve/attempt_loop.rs
@@ -1,7 +1,9 @@
 //! Makes the attempts of a request until it has ended.
 
 use super::attempts::{AttemptResult, Attempts, RequestOutcome};
+use super::outbox::Step;
 use super::silent::{LastResort, SilentAttempt};
+use super::wait::{self, WaitOutcome};
 use dispatch::attempt::{Cause, Failure};
 use dispatch::fleet::PickedEndpoint;
 use std::sync::Arc;
@@ -36,13 +38,29 @@
                 Next::GiveUp(cause) => match self.last_resort(cause).await {
                     LastResort::Resume(attempt) => Next::Resume(attempt),
                     LastResort::ClientDisconnected => Next::End(self.client_disconnected()),
-                    LastResort::GiveUp(cause) => Next::End(self.give_up(cause)),
+                    LastResort::GiveUp(cause) => Next::End(self.give_up_after_writing(cause).await),
                 },
                 Next::End(outcome) => return outcome,
             };
         }
     }
 
+    /// Gives up once the client has taken the complete events that it has not read, or the request's time is over. The stream
+    /// stays without its end.
+    async fn give_up_after_writing(&mut self, cause: Cause) -> RequestOutcome {
+        if self.head_sent && !self.outbox.is_empty() {
+            let within = self.remaining();
+            let conn = &self.request.incoming.conn;
+            match wait::wait(conn, within, self.outbox.flush()).await {
+                WaitOutcome::ClientDisconnected | WaitOutcome::Done(Step::ClientDisconnected) => {
+                    return self.client_disconnected();
+                }
+                WaitOutcome::Done(_) | WaitOutcome::Resumed(_) | WaitOutcome::TimedOut => {}
+            }
+        }
+        self.give_up(cause)
+    }
+
     async fn try_another(&mut self) -> Next<'a> {
         let (picked, began) = match self.choose_in_turn().await {
             Ok(chosen) => chosen,
