--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -8,7 +8,7 @@
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::relay::{OpenStream, StreamRelay};
-use super::response::ReadResponse;
+use super::response::{ReadError, ReadResponse};
 use super::wait::{self, WaitOutcome};
 use crate::dialect::ResponseInfo;
 use crate::held::{HeldKind, Hold, NoRoom};
@@ -61,8 +61,10 @@
     GoesOn,
     /// It sent a response that can't continue the request.
     Useless(Box<Response>),
-    /// Its connection broke, or was closed because of this bound or for room.
+    /// Its connection broke, or was closed because of this bound.
     Broke(Option<Bound>),
+    /// Its connection is closed for room. The endpoint may be sound.
+    NoRoom,
 }
 
 /// Properties of a request that decide whether a response continues it.
@@ -142,6 +144,7 @@
                 Progress::Reading(response) => {
                     return match response.finish().await {
                         Ok(()) => Sign::GoesOn,
+                        Err(ReadError::NoRoom(_)) => Sign::NoRoom,
                         Err(err) => Sign::Broke(err.bound()),
                     };
                 }
@@ -182,7 +185,7 @@
     async fn sign(&mut self) -> Sign {
         while !self.ended {
             if self.hold.room().await.is_err() {
-                return Sign::Broke(None);
+                return Sign::NoRoom;
             }
             match self.hold.unless_closed(self.stream.next_part()).await {
                 Ok(Ok(Some(part))) => {
@@ -195,7 +198,7 @@
                 }
                 Ok(Ok(None)) => self.ended = true,
                 Ok(Err(err)) => return Sign::Broke(err.bound()),
-                Err(NoRoom) => return Sign::Broke(None),
+                Err(NoRoom) => return Sign::NoRoom,
             }
         }
         Sign::GoesOn
@@ -244,6 +247,7 @@
                 bounds::record(needs.shared, &attempt.in_flight.picked.endpoint.id, bound);
                 attempt.in_flight.outcome(Outcome::Broken);
             }
+            Sign::NoRoom => {}
         }
     }
     None
