--- a/crates/gateway/src/serve/outbox.rs
+++ b/crates/gateway/src/serve/outbox.rs
@@ -6,16 +6,22 @@
 use crate::blocks::Blocks;
 use crate::held::{HeldBudget, HeldKind, Hold, NoRoom, Room};
 use async_std::io::WriteExt;
-use futures::future::{Either, pending, select};
+use async_std::task;
+use futures::future::{Either, select};
 use http::Conn;
 use http::raw::RawBodyError;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Most bytes that are read ahead of one client: several times the longest answers of engines, and a sixteenth of the
 /// budget, so that a few slow clients don't use it up.
 const MAX_AHEAD_BYTES: usize = 1 << 20;
 
+/// Interval at which a stream to a slow client looks for room again. Endpoints cut off a stream that stays unread for some
+/// seconds, and the client may read nothing for longer.
+const ROOM_POLL: Duration = Duration::from_millis(100);
+
 /// Events that the client has not taken yet.
 pub(super) struct Outbox {
     conn: Conn,
@@ -92,15 +98,16 @@
         }
         let reads = self.reads;
         let part = async {
-            match reads {
-                true => stream.next_part().await,
-                false => pending().await,
+            if reads {
+                return Step::Part(stream.next_part().await);
             }
+            task::sleep(ROOM_POLL).await;
+            Step::Paused
         };
         let (write, part) = (pin!(self.write()), pin!(part));
         match select(write, part).await {
             Either::Left((step, _)) => step,
-            Either::Right((part, _)) => Step::Part(part),
+            Either::Right((step, _)) => step,
         }
     }
 
