--- a/crates/dispatch/src/held_bytes.rs
+++ b/crates/dispatch/src/held_bytes.rs
@@ -5,7 +5,8 @@
 //! sender notices as backpressure. A pause must not last: if all holders waited for each other, none would end.
 //!
 //! Order of closing: the holder of the most bytes first, of equal ones the one that holds bytes for the longest time. Only
-//! one is closed at a time, and only for another holder that
+//! one is closed at a time: while it frees its bytes, for at most [`MAX_PAUSE`], no other one is. It is closed only for
+//! another holder that
 //!
 //! - holds at most half as many bytes, at once, so that small responses are served beside endless ones, or
 //! - has waited for [`MAX_PAUSE`].
@@ -19,6 +20,9 @@
 pub const MAX_HELD_BYTES: usize = 16 << 20;
 /// Bytes that one read adds. A read begins only if there is room for them.
 pub const READ_BYTES: usize = 16 << 10;
+/// Bytes of the budget that only reads which can't be avoided may use: one read each for 128 connections. If reading ahead
+/// used all of it, streams to fast clients would pause and have slow ones closed.
+pub const AHEAD_RESERVE: usize = 2 << 20;
 /// Longest pause without room. Endpoints cut off a response that is unread for some seconds, and clients of calls wait for
 /// some hundred milliseconds.
 pub const MAX_PAUSE: Duration = Duration::from_millis(250);
@@ -44,7 +48,8 @@
     since: Duration,
     /// Since when it waits for room.
     paused: Option<Duration>,
-    closing: bool,
+    /// Since when it is told to close.
+    closing: Option<Duration>,
 }
 
 /// The bytes that a process holds.
@@ -85,7 +90,7 @@
             bytes: 0,
             since: now,
             paused: None,
-            closing: false,
+            closing: None,
         };
         self.holders.insert(id, holder);
         id
@@ -105,11 +110,16 @@
         self.holders.remove(&id);
     }
 
-    /// Whether there is room for one read of a holder that can do without it.
+    /// Whether there is room for one read of a holder that can't go on without it.
     pub fn has_room(&self) -> bool {
         self.used + READ_BYTES <= self.limit
     }
 
+    /// Whether there is room for one read of a holder that can do without it.
+    pub fn has_room_ahead(&self) -> bool {
+        self.used + READ_BYTES + AHEAD_RESERVE <= self.limit
+    }
+
     /// Decides on the next read of a holder that can't go on without it.
     pub fn next_read(&mut self, id: HolderId, now: Duration) -> NextRead {
         let has_room = self.has_room();
@@ -122,18 +132,21 @@
         }
         let paused = now.saturating_sub(*holder.paused.get_or_insert(now));
         let bytes = holder.bytes;
-        if self.holders.values().any(|holder| holder.closing) {
-            // Its bytes become free within milliseconds.
+        let is_awaited =
+            |holder: &Holder| matches!(holder.closing, Some(since) if now.saturating_sub(since) <= MAX_PAUSE);
+        if holder.closing.is_some() || self.holders.values().any(is_awaited) {
+            // Its bytes usually become free within milliseconds.
             return NextRead::Pause;
         }
         let order = |(id, holder): &(&HolderId, &mut Holder)| (holder.bytes, Reverse((holder.since, **id)));
-        let Some((first, holder)) = self.holders.iter_mut().max_by_key(order) else {
+        let open = self.holders.iter_mut().filter(|(_, holder)| holder.closing.is_none());
+        let Some((first, holder)) = open.max_by_key(order) else {
             return NextRead::Pause;
         };
         if holder.bytes / 2 < bytes && paused < MAX_PAUSE {
             return NextRead::Pause;
         }
-        holder.closing = true;
+        holder.closing = Some(now);
         NextRead::Close(*first)
     }
 }
--- a/crates/gateway/src/serve/outbox.rs
+++ b/crates/gateway/src/serve/outbox.rs
@@ -4,18 +4,24 @@
 
 use super::relay::OpenStream;
 use crate::blocks::Blocks;
-use crate::held::{HeldBudget, HeldKind, Hold, NoRoom};
+use crate::held::{HeldBudget, HeldKind, Hold, NoRoom, Room};
 use async_std::io::WriteExt;
-use futures::future::{Either, pending, select};
+use async_std::task;
+use futures::future::{Either, select};
 use http::Conn;
 use http::raw::RawBodyError;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Most bytes that are read ahead of one client: several times the longest answers of engines, and a sixteenth of the
 /// budget, so that a few slow clients don't use it up.
 const MAX_AHEAD_BYTES: usize = 1 << 20;
 
+/// Interval at which a stream to a slow client looks for room again. Endpoints cut off a stream that stays unread for some
+/// seconds, and the client may read nothing for longer.
+const ROOM_POLL: Duration = Duration::from_millis(100);
+
 /// Events that the client has not taken yet.
 pub(super) struct Outbox {
     conn: Conn,
@@ -25,6 +31,8 @@
     hold: Hold,
     /// Whether the endpoint's stream is being read.
     reads: bool,
+    /// Whether a pause has ended with room for one read, which the next step makes.
+    granted: bool,
 }
 
 /// What happened next.
@@ -33,6 +41,8 @@
     Part(Result<Option<Vec<u8>>, RawBodyError>),
     /// The client took some bytes.
     Written,
+    /// The endpoint was not read, because there was no room.
+    Paused,
     /// The client closed the connection.
     ClientDisconnected,
     /// The bytes are needed for others.
@@ -47,6 +57,7 @@
             partial: 0,
             hold: Hold::new(budget, HeldKind::Stream),
             reads: true,
+            granted: false,
         }
     }
 
@@ -69,25 +80,34 @@
     /// Writes to the client and reads the endpoint's stream, whichever goes on first. Nothing is lost if the future is
     /// dropped.
     pub(super) async fn step(&mut self, stream: &mut OpenStream) -> Step {
-        self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room());
+        self.reads = self.is_empty() || (self.bytes.len() < MAX_AHEAD_BYTES && self.hold.has_room_ahead());
         if self.is_empty() {
-            if self.hold.room().await.is_err() {
-                return Step::NoRoom;
+            if !std::mem::take(&mut self.granted) {
+                self.reads = false;
+                match self.hold.room().await {
+                    Ok(Room::Free) => self.reads = true,
+                    Ok(Room::AfterPause) => {
+                        self.granted = true;
+                        return Step::Paused;
+                    }
+                    Err(NoRoom) => return Step::NoRoom,
+                }
             }
             let part = self.hold.unless_closed(stream.next_part()).await;
             return part.map_or(Step::NoRoom, Step::Part);
         }
         let reads = self.reads;
         let part = async {
-            match reads {
-                true => stream.next_part().await,
-                false => pending().await,
+            if reads {
+                return Step::Part(stream.next_part().await);
             }
+            task::sleep(ROOM_POLL).await;
+            Step::Paused
         };
         let (write, part) = (pin!(self.write()), pin!(part));
         match select(write, part).await {
             Either::Left((step, _)) => step,
-            Either::Right((part, _)) => Step::Part(part),
+            Either::Right((step, _)) => step,
         }
     }
 
