--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -224,9 +224,12 @@
     let mut excess = shed * kinds.iter().map(KindLoad::total).sum::<f64>();
     let mut order: Vec<&KindLoad> = kinds.iter().collect();
     order.sort_by_key(|load| Reverse(load.kind()));
-    let next = ((pressure - NEXT_RATIO) / NEXT_RATIO_RANGE).clamp(0.0, 1.0);
     for (index, load) in order.into_iter().enumerate() {
         let total = load.total();
+        // Cutting a kind relieves only kinds at least as urgent, which are admitted first at the engines.
+        let as_urgent = kinds.iter().filter(|other| other.kind() <= load.kind());
+        let lateness = as_urgent.map(KindLoad::mean_ratio).fold(PRIOR_RATIO, f64::max);
+        let next = ((lateness - NEXT_RATIO) / NEXT_RATIO_RANGE).clamp(0.0, 1.0);
         let part = if index == 0 { 1.0 } else { next };
         let cut = excess.min(total * (1.0 - FLOOR) * part);
         if load.kind() == kind {
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -148,6 +148,14 @@
     assert!((0.25..0.5).contains(&urgent), "{urgent}");
 }
 
+/// A late patient kind must not make routers refuse urgent requests that are in time.
+#[test]
+fn a_late_patient_kind_does_not_cut_a_punctual_urgent_one() {
+    let mut fleet = observed(0.5, 4.0);
+    assert_eq!(admit(&mut fleet, PATIENT, "w1", 0).share, 0.25);
+    assert_eq!(admit(&mut fleet, URGENT, "w1", 0).share, 1.0);
+}
+
 /// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
 #[test]
 fn shedding_needs_several_late_events_and_ends_soon_after_them() {
