--- a/crates/dispatch/src/fleet/overload.rs
+++ b/crates/dispatch/src/fleet/overload.rs
@@ -3,9 +3,9 @@
 
 use super::Fleet;
 use crate::decay;
-use crate::overload::{self, Admission, HALF_LIFE_SECS, Kind, KindLoad};
+use crate::overload::{self, Admission, HALF_LIFE_SECS, Kind, KindLoad, Offer};
 use crate::pressure::Pressure;
-use ids::{ServiceId, WorkspaceId};
+use ids::ServiceId;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -85,21 +85,14 @@
         kinds.kind(kind, now).record_delay(waited);
     }
 
-    /// Records a streaming request of `tokens` to a service with a patient route, and returns how many such requests are
-    /// admitted.
-    pub fn admit_kind(
-        &mut self,
-        service: &ServiceId,
-        kind: Kind,
-        workspace: Option<&WorkspaceId>,
-        tokens: u64,
-        now: Duration,
-    ) -> Admission {
+    /// Records a streaming request to a service with a patient route, and returns how many such requests are admitted.
+    pub fn admit_kind(&mut self, service: &ServiceId, offer: &Offer<'_>, now: Duration) -> Admission {
         let own = self.overloads.kinds.entry(service.clone()).or_default();
-        own.kind(kind, now).record_tokens(workspace, tokens.max(1) as f64);
+        let tokens = offer.tokens.max(1) as f64;
+        own.kind(offer.kind, now).record_tokens(offer.workspace, tokens);
         let mut kinds = own.loads.clone();
         self.peer_backlogs.add_kinds(service, &mut kinds, now);
-        overload::admission(&kinds, kind, workspace)
+        overload::admission(&kinds, offer)
     }
 
     /// Counts a refused request. Returns the number of refusals since the last log line if it is time for another one.
--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -33,7 +33,7 @@
 const SHED_RATIO_RANGE: f64 = 0.4;
 /// Largest share of the offered tokens that is shed: a peak of 2.5 times the usual load, with some capacity lost.
 const MAX_SHED_SHARE: f64 = 0.7;
-/// Mean ratio above which kinds are shed that are not the least urgent, and the excess at which they are down to the
+/// Mean ratio above which kinds are shed that are not patient or not the least urgent, and the excess at which they are down to the
 /// floor. Nearly all first events are late then; below it, the rest of the cut is dropped.
 const NEXT_RATIO: f64 = 1.5;
 const NEXT_RATIO_RANGE: f64 = 1.5;
@@ -213,8 +213,22 @@
     draw as f64 / u64::MAX as f64
 }
 
-/// Decides how many requests of a kind and workspace are admitted, given all kinds of the service.
-pub fn admission(kinds: &[KindLoad], kind: Kind, workspace: Option<&WorkspaceId>) -> Admission {
+/// A streaming request for which admission is decided.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer<'a> {
+    /// Its kind.
+    pub kind: Kind,
+    /// Whether its route is patient ([`crate::site::Site::is_patient`]). The observed kinds don't show it, since no
+    /// patient request may have arrived lately.
+    pub is_patient: bool,
+    /// Its workspace.
+    pub workspace: Option<&'a WorkspaceId>,
+    /// Its size in tokens.
+    pub tokens: u64,
+}
+
+/// Decides how many requests like `offer` are admitted, given all kinds of the service.
+pub fn admission(kinds: &[KindLoad], offer: &Offer<'_>) -> Admission {
     let pressure = kinds.iter().map(KindLoad::mean_ratio).fold(PRIOR_RATIO, f64::max);
     let all = Admission { pressure, share: 1.0 };
     let shed = ((pressure - SHED_RATIO) / SHED_RATIO_RANGE).clamp(0.0, MAX_SHED_SHARE);
@@ -230,12 +244,13 @@
         let as_urgent = kinds.iter().filter(|other| other.kind() <= load.kind());
         let lateness = as_urgent.map(KindLoad::mean_ratio).fold(PRIOR_RATIO, f64::max);
         let next = ((lateness - NEXT_RATIO) / NEXT_RATIO_RANGE).clamp(0.0, 1.0);
-        let part = if index == 0 { 1.0 } else { next };
+        let is_first = index == 0 && (offer.is_patient || load.kind() != offer.kind);
+        let part = if is_first { 1.0 } else { next };
         let cut = excess.min(total * (1.0 - FLOOR) * part);
-        if load.kind() == kind {
+        if load.kind() == offer.kind {
             let share = if total > 0.0 { 1.0 - cut / total } else { 1.0 };
             let share = if share < 1.0 {
-                load.workspace_share(workspace, share)
+                load.workspace_share(offer.workspace, share)
             } else {
                 1.0
             };
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -1,7 +1,7 @@
 //! Load shedding across kinds of requests, and the exchange that it is based on.
 
 use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
-use dispatch::overload::{Admission, Entry, Kind, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
+use dispatch::overload::{Admission, Entry, Kind, Offer, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId, VmId, WorkspaceId};
 use std::time::Duration;
@@ -40,8 +40,13 @@
 }
 
 fn admit(fleet: &mut Fleet, kind: Kind, workspace: &str, now: u64) -> Admission {
-    let tokens = TOKENS[usize::from(kind == PATIENT)];
-    fleet.admit_kind(&service(), kind, Some(&WorkspaceId::from(workspace)), tokens, ms(now))
+    let offer = Offer {
+        kind,
+        is_patient: kind == PATIENT,
+        workspace: Some(&WorkspaceId::from(workspace)),
+        tokens: TOKENS[usize::from(kind == PATIENT)],
+    };
+    fleet.admit_kind(&service(), &offer, ms(now))
 }
 
 /// Offers `count` requests of both kinds, whose first events take these multiples of their objectives.
@@ -156,6 +161,20 @@
     assert_eq!(admit(&mut fleet, URGENT, "w1", 0).share, 1.0);
 }
 
+/// The urgent kind must not be cut at moderate pressure when no patient request has been seen.
+#[test]
+fn the_only_known_kind_is_cut_early_only_if_it_is_patient() {
+    for (kind, shares) in [(URGENT, 1.0..=1.0), (PATIENT, 0.25..=0.9)] {
+        let mut fleet = router();
+        for _ in 0..100 {
+            admit(&mut fleet, kind, "w1", 0);
+            fleet.record_kind_delay(&service(), kind, kind.objective.mul_f64(1.2), ms(0));
+        }
+        let share = admit(&mut fleet, kind, "w1", 0).share;
+        assert!(shares.contains(&share), "{share} of {kind:?}");
+    }
+}
+
 /// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
 #[test]
 fn shedding_needs_several_late_events_and_ends_soon_after_them() {
--- a/crates/dispatch/tests/overload_model.rs
+++ b/crates/dispatch/tests/overload_model.rs
@@ -1,7 +1,7 @@
 //! Shedding by all routers of a deployment under a peak of long prompts: each router alone, and by sums of all routers.
 
 use dispatch::fleet::{Backlog, BacklogSource, Fleet, FleetSettings};
-use dispatch::overload::{Kind, KindLoad, add_kind};
+use dispatch::overload::{Kind, KindLoad, Offer, add_kind};
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId};
 use std::time::Duration;
@@ -145,7 +145,13 @@
                 let router = random.below(count as u64) as usize;
                 let counts = &mut outcome.kinds[index];
                 counts.offered += 1.0;
-                let admission = routers[router].admit_kind(&service, kind, None, tokens, now);
+                let offer = Offer {
+                    kind,
+                    is_patient: index == 1,
+                    workspace: None,
+                    tokens,
+                };
+                let admission = routers[router].admit_kind(&service, &offer, now);
                 if !admission.admits(random.next()) {
                     counts.refused += 1.0;
                     outcome.last_refusal = at;
--- a/crates/gateway/src/serve/shed.rs
+++ b/crates/gateway/src/serve/shed.rs
@@ -4,7 +4,7 @@
 use super::attempts::Attempts;
 use crate::shared::Shared;
 use dispatch::attempt::Cause;
-use dispatch::overload::{Admission, Kind, WORST_WAIT_FACTOR, is_below_floor, retry_after};
+use dispatch::overload::{Admission, Kind, Offer, WORST_WAIT_FACTOR, is_below_floor, retry_after};
 use std::time::Duration;
 
 /// Why a request is refused, for metrics.
@@ -59,10 +59,14 @@
         let request = self.request;
         let draw = rand::random();
         self.below_floor = is_below_floor(draw);
-        let tokens = request.info.tokens.unwrap_or_default();
-        let kind = kind(request);
+        let offer = Offer {
+            kind: kind(request),
+            is_patient: request.patience.route,
+            workspace: request.workspace,
+            tokens: request.info.tokens.unwrap_or_default(),
+        };
         let mut fleet = self.shared.fleet();
-        let admission = fleet.admit_kind(request.service, kind, request.workspace, tokens, now);
+        let admission = fleet.admit_kind(request.service, &offer, now);
         drop(fleet);
         // The offered load changes the decisions of other routers.
         self.shared.news_changed();
@@ -71,7 +75,7 @@
             return None;
         }
         log_refusal(self.shared, request, RefusalReason::Late, &admission);
-        let wait = kind.objective.mul_f64(admission.pressure.min(WORST_WAIT_FACTOR));
+        let wait = offer.kind.objective.mul_f64(admission.pressure.min(WORST_WAIT_FACTOR));
         Some(Cause::Backlog(retry_after(wait, rand::random())))
     }
 
