--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -246,7 +246,8 @@
         let next = ((lateness - NEXT_RATIO) / NEXT_RATIO_RANGE).clamp(0.0, 1.0);
         let is_first = index == 0 && (offer.is_patient || load.kind() != offer.kind);
         let part = if is_first { 1.0 } else { next };
-        let cut = excess.min(total * (1.0 - FLOOR) * part);
+        let most = total * (1.0 - FLOOR);
+        let cut = excess.min(most * part);
         if load.kind() == offer.kind {
             let share = if total > 0.0 { 1.0 - cut / total } else { 1.0 };
             let share = if share < 1.0 {
@@ -256,7 +257,8 @@
             };
             return Admission { pressure, share };
         }
-        excess -= cut;
+        // A more urgent kind is cut only if this one is at its floor.
+        excess = if cut < most { 0.0 } else { excess - cut };
     }
     all
 }
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -175,6 +175,30 @@
     }
 }
 
+/// The most urgent kind must not be cut while the one before it in the order of the cuts is above its floor.
+#[test]
+fn a_kind_is_cut_only_if_all_less_urgent_ones_are_at_their_floors() {
+    let middle = Kind {
+        rank: 1,
+        objective: ms(800),
+    };
+    let mut fleet = router();
+    for _ in 0..100 {
+        for kind in [URGENT, middle, PATIENT] {
+            admit(&mut fleet, kind, "w1", 0);
+            fleet.record_kind_delay(&service(), kind, kind.objective.mul_f64(2.5), ms(0));
+        }
+        // The cuts of the less urgent kinds must not be enough, so most of the load is urgent.
+        for _ in 0..20 {
+            admit(&mut fleet, URGENT, "w1", 0);
+        }
+    }
+    let share = |fleet: &mut Fleet, kind| admit(fleet, kind, "w1", 0).share;
+    let shares = [PATIENT, middle, URGENT].map(|kind| share(&mut fleet, kind));
+    assert!(shares[1] > 0.25 && shares[1] < 1.0, "{shares:?}");
+    assert_eq!((shares[0], shares[2]), (0.25, 1.0));
+}
+
 /// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
 #[test]
 fn shedding_needs_several_late_events_and_ends_soon_after_them() {
