Overload: end the wait of a patient request when no time is left

A request with nothing to read waited beyond its objective, and no check of its deadline ended the wait. The product of an unknown wait and the jitter of Retry-After overflowed and panicked.

--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -66,7 +66,7 @@
         return PatientStep::Send;
     }
     let left = objective.mul_f64(READ_SHARE).saturating_sub(since_arrival);
-    if queue.certain + queue.read > left {
+    if left.is_zero() || queue.certain + queue.read > left {
         return PatientStep::Refuse;
     }
     PatientStep::Wait
@@ -76,7 +76,8 @@
 /// values.
 pub fn retry_after(wait: Duration, draw: u64) -> Duration {
     let jitter = 1.0 + RETRY_JITTER * super::fraction(draw);
-    wait.max(MIN_RETRY).mul_f64(jitter).min(MAX_RETRY.mul_f64(jitter))
+    // Clamped first, because the product of a very long wait would overflow.
+    wait.clamp(MIN_RETRY, MAX_RETRY).mul_f64(jitter)
 }
 
 /// Waiting requests of a service that look for an engine at the same time, each for its own prefix. The others wait for
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -259,6 +259,7 @@
             PatientStep::Refuse,
         ),
         case("too late to be read in time", [600, 0, 250, 1_100], PatientStep::Refuse),
+        case("no time left, nothing to read", [600, 0, 0, 2_000], PatientStep::Refuse),
     ];
     for case in cases {
         let [expected, certain, read, since_arrival] = case.times.map(ms);
@@ -310,4 +311,9 @@
     assert_eq!(draws.map(|draw| retry_after(ms(0), draw)), [ms(500), ms(625), ms(750)]);
     assert!(retry_after(ms(1_500), 0) >= ms(1_500));
     assert!(retry_after(ms(60_000), u64::MAX) <= ms(4_500));
+    assert_eq!(
+        retry_after(Duration::MAX, u64::MAX),
+        ms(4_500),
+        "an unknown wait overflowed"
+    );
 }
--- a/crates/gateway/src/serve/patient.rs
+++ b/crates/gateway/src/serve/patient.rs
@@ -29,6 +29,10 @@
     pub(super) async fn choose_in_turn(&mut self) -> Result<(Arc<PickedEndpoint>, Duration), Next<'a>> {
         let mut ticket = None;
         loop {
+            if ticket.is_some() && self.remaining().is_zero() {
+                self.count_wait("refused");
+                return Err(Next::GiveUp(Cause::Deadline));
+            }
             let step = self.patient_step(ticket.as_ref());
             let step = match step {
                 Step::Wait if ticket.is_none() => {
@@ -57,7 +61,8 @@
                 }
                 Step::Wait => {}
             }
-            match self.wait(seek_pause(rand::random()), pending::<()>()).await {
+            let pause = seek_pause(rand::random()).min(self.remaining());
+            match self.wait(pause, pending::<()>()).await {
                 WaitOutcome::Done(()) | WaitOutcome::TimedOut => {}
                 WaitOutcome::ClientDisconnected => {
                     self.count_wait("disconnected");
