--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -53,10 +53,10 @@
 pub enum PatientStep {
     /// It is sent.
     Send,
-    /// It waits until the queue is short.
-    Wait,
-    /// It can't be in time any more.
-    Refuse,
+    /// It waits until the queue is short. Holds the expected wait, for requests that find no room to wait.
+    Wait(Duration),
+    /// It can't be in time any more. Holds the expected wait, from which `Retry-After` follows.
+    Refuse(Duration),
 }
 
 /// Decides what a patient request does that arrived `since_arrival` ago. An expected wait alone is no reason to refuse
@@ -67,9 +67,9 @@
     }
     let left = objective.mul_f64(READ_SHARE).saturating_sub(since_arrival);
     if left.is_zero() || queue.certain + queue.read > left {
-        return PatientStep::Refuse;
+        return PatientStep::Refuse(queue.expected);
     }
-    PatientStep::Wait
+    PatientStep::Wait(queue.expected)
 }
 
 /// `Retry-After` of a request that is refused while engines have a queue of `wait`; `draw` is uniform over all `u64`
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -238,7 +238,7 @@
 }
 
 /// A request that can still be in time must not be refused, one that can't must be refused at once, and none may be sent
-/// into a long queue.
+/// into a long queue. The wait told to a refused client must be the expected one, also if old reports don't prove it.
 #[test]
 fn a_patient_request_waits_while_it_can_be_in_time() {
     struct Case {
@@ -251,15 +251,27 @@
     let cases = [
         case("no queue", [0, 0, 250, 0], PatientStep::Send),
         case("short queue, late", [100, 100, 250, 1_400], PatientStep::Send),
-        case("queue", [600, 600, 250, 0], PatientStep::Wait),
-        case("looks hopeless by old reports", [9_000, 0, 250, 0], PatientStep::Wait),
+        case("queue", [600, 600, 250, 0], PatientStep::Wait(ms(600))),
+        case(
+            "looks hopeless by old reports",
+            [9_000, 0, 250, 0],
+            PatientStep::Wait(ms(9_000)),
+        ),
         case(
             "hopeless by recent reports",
             [9_000, 9_000, 250, 0],
-            PatientStep::Refuse,
+            PatientStep::Refuse(ms(9_000)),
+        ),
+        case(
+            "too late to be read in time",
+            [600, 0, 250, 1_100],
+            PatientStep::Refuse(ms(600)),
+        ),
+        case(
+            "no time left, nothing to read",
+            [600, 0, 0, 2_000],
+            PatientStep::Refuse(ms(600)),
         ),
-        case("too late to be read in time", [600, 0, 250, 1_100], PatientStep::Refuse),
-        case("no time left, nothing to read", [600, 0, 0, 2_000], PatientStep::Refuse),
     ];
     for case in cases {
         let [expected, certain, read, since_arrival] = case.times.map(ms);
--- a/crates/gateway/src/serve/patient.rs
+++ b/crates/gateway/src/serve/patient.rs
@@ -17,8 +17,8 @@
 enum Step {
     /// It is sent.
     Send,
-    /// It waits.
-    Wait,
+    /// It waits. Holds the expected wait.
+    Wait(Duration),
     /// It is refused. Holds the expected wait.
     Refuse(RefusalReason, Duration),
 }
@@ -35,12 +35,12 @@
             }
             let step = self.patient_step(ticket.as_ref());
             let step = match step {
-                Step::Wait if ticket.is_none() => {
+                Step::Wait(wait) if ticket.is_none() => {
                     ticket = self.join();
                     if ticket.is_some() {
-                        Step::Wait
+                        Step::Wait(wait)
                     } else {
-                        self.refuse_or_send(RefusalReason::QueueFull, Duration::ZERO)
+                        self.refuse_or_send(RefusalReason::QueueFull, wait)
                     }
                 }
                 step => step,
@@ -59,7 +59,7 @@
                     }
                     return Err(Next::GiveUp(self.refuse(why, wait)));
                 }
-                Step::Wait => {}
+                Step::Wait(_) => {}
             }
             let pause = seek_pause(rand::random()).min(self.remaining());
             match self.wait(pause, pending::<()>()).await {
@@ -89,12 +89,12 @@
         let since_arrival = now.saturating_sub(self.request.incoming.arrived);
         match patient_step(&queue, since_arrival, self.request.route.objective) {
             PatientStep::Send => Step::Send,
-            PatientStep::Refuse => self.refuse_or_send(RefusalReason::Hopeless, queue.certain),
+            PatientStep::Refuse(wait) => self.refuse_or_send(RefusalReason::Hopeless, wait),
             // The load balancer gives the client another router.
-            PatientStep::Wait if self.shared.stopping.load(Ordering::SeqCst) => {
+            PatientStep::Wait(_) if self.shared.stopping.load(Ordering::SeqCst) => {
                 Step::Refuse(RefusalReason::Stopping, Duration::ZERO)
             }
-            PatientStep::Wait => Step::Wait,
+            PatientStep::Wait(wait) => Step::Wait(wait),
         }
     }
 
