--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -10,7 +10,9 @@
 
 mod waiting;
 
-pub use waiting::{Entry, PatientStep, QueueWait, WaitQueue, may_seek, patient_step, retry_after, seek_pause};
+pub use waiting::{
+    Entry, PatientStep, QueueWait, WaitQueue, is_unsent, may_seek, patient_step, retry_after, seek_pause,
+};
 
 use ids::WorkspaceId;
 use serde::{Deserialize, Serialize};
--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -59,6 +59,12 @@
     Refuse(Duration),
 }
 
+/// Whether a request has not reached an endpoint. An attempt that an endpoint with other weights than expected rejected
+/// counts as `corrected`, not as sent, but its request had its turn and must not wait again.
+pub fn is_unsent(sent: u32, corrected: u32) -> bool {
+    sent == 0 && corrected == 0
+}
+
 /// Decides what a patient request does that arrived `since_arrival` ago. An expected wait alone is no reason to refuse
 /// it, since the reports may be old and the queue shorter.
 pub fn patient_step(queue: &QueueWait, since_arrival: Duration, objective: Duration) -> PatientStep {
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -1,7 +1,9 @@
 //! Load shedding across kinds of requests, and the exchange that it is based on.
 
 use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
-use dispatch::overload::{Admission, Entry, Kind, Offer, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
+use dispatch::overload::{
+    Admission, Entry, Kind, Offer, PatientStep, QueueWait, WaitQueue, is_unsent, patient_step, retry_after,
+};
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId, VmId, WorkspaceId};
 use std::time::Duration;
@@ -316,6 +318,14 @@
     assert!(queue.join(entry("light", 1)).is_some());
 }
 
+/// A request that an endpoint rejected for other weights must not wait a second time.
+#[test]
+fn a_rejected_request_counts_as_having_had_its_turn() {
+    assert!(is_unsent(0, 0));
+    assert!(!is_unsent(0, 1));
+    assert!(!is_unsent(1, 0));
+}
+
 /// Requests that are refused together must not return together.
 #[test]
 fn retry_after_follows_the_wait_and_is_spread() {
--- a/crates/gateway/src/serve/patient.rs
+++ b/crates/gateway/src/serve/patient.rs
@@ -7,7 +7,7 @@
 use crate::patient_queues::PatientTicket;
 use dispatch::attempt::Cause;
 use dispatch::fleet::PickedEndpoint;
-use dispatch::overload::{Entry, PatientStep, QueueWait, may_seek, patient_step, retry_after, seek_pause};
+use dispatch::overload::{Entry, PatientStep, QueueWait, is_unsent, may_seek, patient_step, retry_after, seek_pause};
 use futures::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -103,7 +103,7 @@
         let site = self.shared.site.load();
         let service = self.request.service;
         self.request.patience.route
-            && self.sent == 0
+            && is_unsent(self.sent, self.corrected)
             && !self.head_sent
             && self.request.info.resumes.is_none()
             && site.as_ref().is_some_and(|site| site.has_patient(service))
