--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -53,10 +53,16 @@
 pub enum PatientStep {
     /// It is sent.
     Send,
-    /// It waits until the queue is short.
-    Wait,
-    /// It can't be in time any more.
-    Refuse,
+    /// It waits until the queue is short. Holds the expected wait, for requests that find no room to wait.
+    Wait(Duration),
+    /// It can't be in time any more. Holds the expected wait, from which `Retry-After` follows.
+    Refuse(Duration),
+}
+
+/// Whether a request has not reached an endpoint. An attempt that an endpoint with other weights than expected rejected
+/// counts as `corrected`, not as sent, but its request had its turn and must not wait again.
+pub fn is_unsent(sent: u32, corrected: u32) -> bool {
+    sent == 0 && corrected == 0
 }
 
 /// Decides what a patient request does that arrived `since_arrival` ago. An expected wait alone is no reason to refuse
@@ -66,22 +72,24 @@
         return PatientStep::Send;
     }
     let left = objective.mul_f64(READ_SHARE).saturating_sub(since_arrival);
-    if queue.certain + queue.read > left {
-        return PatientStep::Refuse;
+    if left.is_zero() || queue.certain + queue.read > left {
+        return PatientStep::Refuse(queue.expected);
     }
-    PatientStep::Wait
+    PatientStep::Wait(queue.expected)
 }
 
 /// `Retry-After` of a request that is refused while engines have a queue of `wait`; `draw` is uniform over all `u64`
 /// values.
 pub fn retry_after(wait: Duration, draw: u64) -> Duration {
     let jitter = 1.0 + RETRY_JITTER * super::fraction(draw);
-    wait.max(MIN_RETRY).mul_f64(jitter).min(MAX_RETRY.mul_f64(jitter))
+    // Clamped first, because the product of a very long wait would overflow.
+    wait.clamp(MIN_RETRY, MAX_RETRY).mul_f64(jitter)
 }
 
 /// Waiting requests of a service that look for an engine at the same time, each for its own prefix. The others wait for
-/// one of these to be sent, so that the cost of the choices is bounded.
-const SEEKERS: usize = 4;
+/// one of these to be sent. With [`MIN_PAUSE`], a router makes about 20 choices a second for them at most, which a VM with
+/// 0.084 of a core can afford.
+const SEEKERS: usize = 2;
 
 /// Whether a request may look for an engine while `ahead` others go first.
 pub fn may_seek(ahead: usize) -> bool {
@@ -90,7 +98,7 @@
 
 /// Shortest pause between two looks for an engine, and the range of its jitter, so that routers don't send to the same
 /// engine at once. Routers learn of a sent prompt within about this time.
-const MIN_PAUSE: Duration = Duration::from_millis(25);
+const MIN_PAUSE: Duration = Duration::from_millis(50);
 const PAUSE_JITTER: f64 = 2.0;
 
 /// Pause until a waiting request looks for an engine again; `draw` is uniform over all `u64` values.
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -1,7 +1,10 @@
 //! Load shedding across kinds of requests, and the exchange that it is based on.
 
 use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
-use dispatch::overload::{Admission, Entry, Kind, PatientStep, QueueWait, WaitQueue, patient_step, retry_after};
+use dispatch::overload::{
+    Admission, Entry, Kind, Offer, PatientStep, QueueWait, WaitQueue, is_unsent, may_seek, patient_step, retry_after,
+    seek_pause,
+};
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId, VmId, WorkspaceId};
 use std::time::Duration;
@@ -40,8 +43,13 @@
 }
 
 fn admit(fleet: &mut Fleet, kind: Kind, workspace: &str, now: u64) -> Admission {
-    let tokens = TOKENS[usize::from(kind == PATIENT)];
-    fleet.admit_kind(&service(), kind, Some(&WorkspaceId::from(workspace)), tokens, ms(now))
+    let offer = Offer {
+        kind,
+        is_patient: kind == PATIENT,
+        workspace: Some(&WorkspaceId::from(workspace)),
+        tokens: TOKENS[usize::from(kind == PATIENT)],
+    };
+    fleet.admit_kind(&service(), &offer, ms(now))
 }
 
 /// Offers `count` requests of both kinds, whose first events take these multiples of their objectives.
@@ -148,6 +156,52 @@
     assert!((0.25..0.5).contains(&urgent), "{urgent}");
 }
 
+/// A late patient kind must not make routers refuse urgent requests that are in time.
+#[test]
+fn a_late_patient_kind_does_not_cut_a_punctual_urgent_one() {
+    let mut fleet = observed(0.5, 4.0);
+    assert_eq!(admit(&mut fleet, PATIENT, "w1", 0).share, 0.25);
+    assert_eq!(admit(&mut fleet, URGENT, "w1", 0).share, 1.0);
+}
+
+/// The urgent kind must not be cut at moderate pressure when no patient request has been seen.
+#[test]
+fn the_only_known_kind_is_cut_early_only_if_it_is_patient() {
+    for (kind, shares) in [(URGENT, 1.0..=1.0), (PATIENT, 0.25..=0.9)] {
+        let mut fleet = router();
+        for _ in 0..100 {
+            admit(&mut fleet, kind, "w1", 0);
+            fleet.record_kind_delay(&service(), kind, kind.objective.mul_f64(1.2), ms(0));
+        }
+        let share = admit(&mut fleet, kind, "w1", 0).share;
+        assert!(shares.contains(&share), "{share} of {kind:?}");
+    }
+}
+
+/// The most urgent kind must not be cut while the one before it in the order of the cuts is above its floor.
+#[test]
+fn a_kind_is_cut_only_if_all_less_urgent_ones_are_at_their_floors() {
+    let middle = Kind {
+        rank: 1,
+        objective: ms(800),
+    };
+    let mut fleet = router();
+    for _ in 0..100 {
+        for kind in [URGENT, middle, PATIENT] {
+            admit(&mut fleet, kind, "w1", 0);
+            fleet.record_kind_delay(&service(), kind, kind.objective.mul_f64(2.5), ms(0));
+        }
+        // The cuts of the less urgent kinds must not be enough, so most of the load is urgent.
+        for _ in 0..20 {
+            admit(&mut fleet, URGENT, "w1", 0);
+        }
+    }
+    let share = |fleet: &mut Fleet, kind| admit(fleet, kind, "w1", 0).share;
+    let shares = [PATIENT, middle, URGENT].map(|kind| share(&mut fleet, kind));
+    assert!(shares[1] > 0.25 && shares[1] < 1.0, "{shares:?}");
+    assert_eq!((shares[0], shares[2]), (0.25, 1.0));
+}
+
 /// One late first event, or two, must not refuse anything, and refusals must not outlast their cause.
 #[test]
 fn shedding_needs_several_late_events_and_ends_soon_after_them() {
@@ -187,7 +241,7 @@
 }
 
 /// A request that can still be in time must not be refused, one that can't must be refused at once, and none may be sent
-/// into a long queue.
+/// into a long queue. The wait told to a refused client must be the expected one, also if old reports don't prove it.
 #[test]
 fn a_patient_request_waits_while_it_can_be_in_time() {
     struct Case {
@@ -200,14 +254,27 @@
     let cases = [
         case("no queue", [0, 0, 250, 0], PatientStep::Send),
         case("short queue, late", [100, 100, 250, 1_400], PatientStep::Send),
-        case("queue", [600, 600, 250, 0], PatientStep::Wait),
-        case("looks hopeless by old reports", [9_000, 0, 250, 0], PatientStep::Wait),
+        case("queue", [600, 600, 250, 0], PatientStep::Wait(ms(600))),
+        case(
+            "looks hopeless by old reports",
+            [9_000, 0, 250, 0],
+            PatientStep::Wait(ms(9_000)),
+        ),
         case(
             "hopeless by recent reports",
             [9_000, 9_000, 250, 0],
-            PatientStep::Refuse,
+            PatientStep::Refuse(ms(9_000)),
+        ),
+        case(
+            "too late to be read in time",
+            [600, 0, 250, 1_100],
+            PatientStep::Refuse(ms(600)),
+        ),
+        case(
+            "no time left, nothing to read",
+            [600, 0, 0, 2_000],
+            PatientStep::Refuse(ms(600)),
         ),
-        case("too late to be read in time", [600, 0, 250, 1_100], PatientStep::Refuse),
     ];
     for case in cases {
         let [expected, certain, read, since_arrival] = case.times.map(ms);
@@ -252,6 +319,23 @@
     assert!(queue.join(entry("light", 1)).is_some());
 }
 
+/// A request that an endpoint rejected for other weights must not wait a second time.
+#[test]
+fn a_rejected_request_counts_as_having_had_its_turn() {
+    assert!(is_unsent(0, 0));
+    assert!(!is_unsent(0, 1));
+    assert!(!is_unsent(1, 0));
+}
+
+/// Waiting requests must not use up the processor of the smallest VMs with choices.
+#[test]
+fn waiting_requests_choose_some_twenty_times_a_second_together() {
+    let seekers = (0..100).filter(|ahead| may_seek(*ahead)).count();
+    let mean_pause = (seek_pause(0) + seek_pause(u64::MAX)) / 2;
+    let choices = seekers as f64 / mean_pause.as_secs_f64();
+    assert!((15.0..=21.0).contains(&choices), "{choices}");
+}
+
 /// Requests that are refused together must not return together.
 #[test]
 fn retry_after_follows_the_wait_and_is_spread() {
@@ -259,4 +343,9 @@
     assert_eq!(draws.map(|draw| retry_after(ms(0), draw)), [ms(500), ms(625), ms(750)]);
     assert!(retry_after(ms(1_500), 0) >= ms(1_500));
     assert!(retry_after(ms(60_000), u64::MAX) <= ms(4_500));
+    assert_eq!(
+        retry_after(Duration::MAX, u64::MAX),
+        ms(4_500),
+        "an unknown wait overflowed"
+    );
 }
--- a/crates/gateway/src/serve/patient.rs
+++ b/crates/gateway/src/serve/patient.rs
@@ -7,7 +7,7 @@
 use crate::patient_queues::PatientTicket;
 use dispatch::attempt::Cause;
 use dispatch::fleet::PickedEndpoint;
-use dispatch::overload::{Entry, PatientStep, QueueWait, may_seek, patient_step, retry_after, seek_pause};
+use dispatch::overload::{Entry, PatientStep, QueueWait, is_unsent, may_seek, patient_step, retry_after, seek_pause};
 use futures::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,8 +17,8 @@
 enum Step {
     /// It is sent.
     Send,
-    /// It waits.
-    Wait,
+    /// It waits. Holds the expected wait.
+    Wait(Duration),
     /// It is refused. Holds the expected wait.
     Refuse(RefusalReason, Duration),
 }
@@ -29,14 +29,18 @@
     pub(super) async fn choose_in_turn(&mut self) -> Result<(Arc<PickedEndpoint>, Duration), Next<'a>> {
         let mut ticket = None;
         loop {
+            if ticket.is_some() && self.remaining().is_zero() {
+                self.count_wait("refused");
+                return Err(Next::GiveUp(Cause::Deadline));
+            }
             let step = self.patient_step(ticket.as_ref());
             let step = match step {
-                Step::Wait if ticket.is_none() => {
+                Step::Wait(wait) if ticket.is_none() => {
                     ticket = self.join();
                     if ticket.is_some() {
-                        Step::Wait
+                        Step::Wait(wait)
                     } else {
-                        self.refuse_or_send(RefusalReason::QueueFull, Duration::ZERO)
+                        self.refuse_or_send(RefusalReason::QueueFull, wait)
                     }
                 }
                 step => step,
@@ -55,9 +59,10 @@
                     }
                     return Err(Next::GiveUp(self.refuse(why, wait)));
                 }
-                Step::Wait => {}
+                Step::Wait(_) => {}
             }
-            match self.wait(seek_pause(rand::random()), pending::<()>()).await {
+            let pause = seek_pause(rand::random()).min(self.remaining());
+            match self.wait(pause, pending::<()>()).await {
                 WaitOutcome::Done(()) | WaitOutcome::TimedOut => {}
                 WaitOutcome::ClientDisconnected => {
                     self.count_wait("disconnected");
@@ -84,12 +89,12 @@
         let since_arrival = now.saturating_sub(self.request.incoming.arrived);
         match patient_step(&queue, since_arrival, self.request.route.objective) {
             PatientStep::Send => Step::Send,
-            PatientStep::Refuse => self.refuse_or_send(RefusalReason::Hopeless, queue.certain),
+            PatientStep::Refuse(wait) => self.refuse_or_send(RefusalReason::Hopeless, wait),
             // The load balancer gives the client another router.
-            PatientStep::Wait if self.shared.stopping.load(Ordering::SeqCst) => {
+            PatientStep::Wait(_) if self.shared.stopping.load(Ordering::SeqCst) => {
                 Step::Refuse(RefusalReason::Stopping, Duration::ZERO)
             }
-            PatientStep::Wait => Step::Wait,
+            PatientStep::Wait(wait) => Step::Wait(wait),
         }
     }
 
@@ -98,7 +103,7 @@
         let site = self.shared.site.load();
         let service = self.request.service;
         self.request.patience.route
-            && self.sent == 0
+            && is_unsent(self.sent, self.corrected)
             && !self.head_sent
             && self.request.info.resumes.is_none()
             && site.as_ref().is_some_and(|site| site.has_patient(service))
