--- a/crates/dispatch/src/overload/waiting.rs
+++ b/crates/dispatch/src/overload/waiting.rs
@@ -22,6 +22,8 @@
 /// requests a second, each of which waits for about a second at most.
 const MAX_WAITING: usize = 64;
 const MAX_BYTES: usize = 8 << 20;
+/// Requests of one workspace among them: half, so that the others find room.
+const MAX_WORKSPACE_WAITING: usize = MAX_WAITING / 2;
 
 /// The queue at the engine that a request would be sent to.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -127,11 +129,14 @@
 }
 
 impl WaitQueue {
-    /// Adds a request and returns its number. Returns none if the queue is full.
+    /// Adds a request and returns its number. Returns none if the queue is full, for its workspace or for all.
     pub fn join(&mut self, entry: Entry) -> Option<u64> {
         if self.entries.len() >= MAX_WAITING || self.bytes + entry.bytes > MAX_BYTES {
             return None;
         }
+        if entry.workspace.is_some() && self.count(entry.workspace.as_ref()) >= MAX_WORKSPACE_WAITING {
+            return None;
+        }
         let number = self.next;
         self.next += 1;
         self.bytes += entry.bytes;
@@ -139,6 +144,11 @@
         Some(number)
     }
 
+    fn count(&self, workspace: Option<&WorkspaceId>) -> usize {
+        let own = |entry: &&Entry| entry.workspace.as_ref() == workspace;
+        self.entries.values().filter(own).count()
+    }
+
     /// Removes a request.
     pub fn leave(&mut self, number: u64) {
         if let Some(entry) = self.entries.remove(&number) {
