--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -45,6 +45,10 @@
 const MAX_WORKSPACES: usize = 32;
 /// Longest wait that `Retry-After` assumes for shed requests, as a multiple of their objective.
 pub const WORST_WAIT_FACTOR: f64 = 2.0;
+/// Largest weight of a report, in observations: several times what all routers of a large deployment see in a half-life.
+const MAX_REPORT_WEIGHT: f64 = 2_000.0;
+/// Least tokens that a request counts with: as much as quotas assume for a request without stated tokens.
+pub(crate) const MIN_TOKENS: u64 = 200;
 /// Decayed sums below this weight are dropped.
 const MIN_WEIGHT: f64 = 0.001;
 
@@ -126,10 +130,12 @@
 
     /// Adds the sums of another router, decayed by `factor`. Values that no router can have observed are bounded.
     pub fn add(&mut self, other: &Self, factor: f64) {
-        let weight = other.weight.max(0.0);
-        let bounds = (weight * MIN_RATIO.ln(), weight * MAX_RATIO.ln());
-        self.weight += weight * factor;
-        self.log_sum += other.log_sum.clamp(bounds.0, bounds.1) * factor;
+        let weight = other.weight.clamp(0.0, MAX_REPORT_WEIGHT);
+        if weight > 0.0 {
+            let mean = (other.log_sum / other.weight).clamp(MIN_RATIO.ln(), MAX_RATIO.ln());
+            self.weight += weight * factor;
+            self.log_sum += mean * weight * factor;
+        }
         for (workspace, tokens) in &other.tokens {
             self.record_tokens(workspace.as_ref(), tokens.max(0.0) * factor);
         }
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -2,8 +2,8 @@
 
 use dispatch::fleet::{BacklogSource, Fleet, FleetSettings};
 use dispatch::overload::{
-    Admission, Entry, Kind, Offer, PatientStep, QueueWait, WaitQueue, is_unsent, may_seek, patient_step, retry_after,
-    seek_pause,
+    Admission, Entry, Kind, KindLoad, Offer, PatientStep, QueueWait, WaitQueue, is_unsent, may_seek, patient_step,
+    retry_after, seek_pause,
 };
 use dispatch::retries::RetryLimits;
 use ids::{DomainId, ServiceId, VmId, WorkspaceId};
@@ -341,6 +341,28 @@
     assert!((15.0..=21.0).contains(&choices), "{choices}");
 }
 
+/// A false report must not outweigh all true ones, and requests without stated tokens must count.
+#[test]
+fn the_weight_of_a_report_is_bounded_and_tokens_have_a_floor() {
+    let mut sum = KindLoad::new(URGENT);
+    let report = KindLoad {
+        log_sum: 1e12,
+        weight: 1e12,
+        ..sum.clone()
+    };
+    sum.add(&report, 1.0);
+    assert!(sum.weight <= 2_000.0, "{}", sum.weight);
+    let mut fleet = router();
+    let offer = Offer {
+        kind: URGENT,
+        is_patient: false,
+        workspace: None,
+        tokens: 0,
+    };
+    fleet.admit_kind(&service(), &offer, ms(0));
+    assert_eq!(fleet.own_backlog(ms(0)).kinds[0].1[0].tokens, [(None, 200.0)]);
+}
+
 /// Requests that are refused together must not return together.
 #[test]
 fn retry_after_follows_the_wait_and_is_spread() {
