--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -213,7 +213,7 @@
 }
 
 /// Whether a request is among those that are always admitted; `draw` is the one of [`Admission::admits`].
-pub fn is_below_floor(draw: u64) -> bool {
+pub fn is_always_admitted(draw: u64) -> bool {
     fraction(draw) < FLOOR
 }
 
--- a/crates/dispatch/src/quotas/account.rs
+++ b/crates/dispatch/src/quotas/account.rs
@@ -178,9 +178,9 @@
         share + (1.0 - share) * saved
     }
 
-    /// Keeps an even share of the level when the news ends. Each router was told the level of all of them, and if each
-    /// spent it, a fleet without any links exceeded the bound of a window.
-    pub(super) fn keep_part(&mut self, part: f64) {
+    /// Reduces the known level to an even share when reports stop. Otherwise each router could spend the whole level,
+    /// which exceeded the bound of a window without links.
+    pub(super) fn retain_even_share(&mut self, part: f64) {
         if self.received_demand.take().is_some() && self.level > 0.0 {
             self.level *= part;
         }
--- a/crates/dispatch/src/quotas/mod.rs
+++ b/crates/dispatch/src/quotas/mod.rs
@@ -223,7 +223,7 @@
             return Admission::Unlimited;
         };
         if is_stale {
-            account.keep_part(part);
+            account.retain_even_share(part);
         }
         account.refill(&bounds, part, cap, now);
         let cost = account.spec.unit.cost(tokens);
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -98,7 +98,7 @@
     /// The last server error that an endpoint returned.
     pub(super) last_error: Option<CompleteResponse>,
     /// Whether the request is among those that overload never refuses.
-    pub(super) below_floor: bool,
+    pub(super) always_admitted: bool,
     /// How many requests of its kind were admitted when it arrived.
     pub(super) admission: Admission,
 }
@@ -133,7 +133,7 @@
             unreached: 0,
             corrected: 0,
             last_error: None,
-            below_floor: false,
+            always_admitted: false,
             admission: Admission::ALL,
         }
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -86,16 +86,16 @@
     /// Version of the software that began the stream which the request continues, if only that may continue it.
     pub software: Option<SoftwareVersion>,
     /// Whether overload is decided across kinds of requests.
-    pub patience: Patience,
+    pub patient_routes: PatientRoutes,
 }
 
 /// What [`Site::is_patient`] says about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Patience {
+pub struct PatientRoutes {
     /// Whether its service has a patient route.
-    pub service: bool,
+    pub on_service: bool,
     /// Whether its own route is patient.
-    pub route: bool,
+    pub is_patient: bool,
 }
 
 /// Responds to a request.
@@ -190,9 +190,9 @@
         class: quota::class(site, route),
         deadline: incoming.arrived + timeout,
         software: None,
-        patience: Patience {
-            service: site.has_patient(service),
-            route: site.is_patient(route),
+        patient_routes: PatientRoutes {
+            on_service: site.has_patient(service),
+            is_patient: site.is_patient(route),
         },
     })
 }
--- a/crates/gateway/src/serve/patient.rs
+++ b/crates/gateway/src/serve/patient.rs
@@ -102,7 +102,7 @@
     fn may_wait(&self) -> bool {
         let site = self.shared.site.load();
         let service = self.request.service;
-        self.request.patience.route
+        self.request.patient_routes.is_patient
             && is_unsent(self.sent, self.corrected)
             && !self.head_sent
             && self.request.info.resumes.is_none()
@@ -127,7 +127,7 @@
 
     /// A part of the requests is never refused, so that a false estimate can't keep all of them from the engines.
     fn refuse_or_send(&self, why: RefusalReason, wait: Duration) -> Step {
-        if self.below_floor {
+        if self.always_admitted {
             Step::Send
         } else {
             Step::Refuse(why, wait)
--- a/crates/gateway/src/serve/shed.rs
+++ b/crates/gateway/src/serve/shed.rs
@@ -4,7 +4,7 @@
 use super::attempts::Attempts;
 use crate::shared::Shared;
 use dispatch::attempt::Cause;
-use dispatch::overload::{Admission, Kind, Offer, WORST_WAIT_FACTOR, is_below_floor, retry_after};
+use dispatch::overload::{Admission, Kind, Offer, WORST_WAIT_FACTOR, is_always_admitted, retry_after};
 use std::time::Duration;
 
 /// Why a request is refused, for metrics.
@@ -44,7 +44,7 @@
         if !self.request.route.kind.streams() {
             return None;
         }
-        if self.request.patience.service {
+        if self.request.patient_routes.on_service {
             return self.shed_kind();
         }
         let now = self.shared.clock.now();
@@ -58,10 +58,10 @@
         let now = self.shared.clock.now();
         let request = self.request;
         let draw = rand::random();
-        self.below_floor = is_below_floor(draw);
+        self.always_admitted = is_always_admitted(draw);
         let offer = Offer {
             kind: kind(request),
-            is_patient: request.patience.route,
+            is_patient: request.patient_routes.is_patient,
             workspace: request.workspace,
             tokens: request.info.tokens.unwrap_or_default(),
         };
@@ -88,7 +88,7 @@
         let waited = now.saturating_sub(began);
         let (service, objective) = (self.request.service, self.request.route.objective);
         let mut fleet = self.shared.fleet();
-        if self.request.patience.service {
+        if self.request.patient_routes.on_service {
             fleet.record_kind_delay(service, kind(self.request), waited, now);
         } else {
             fleet.record_first_event(service, objective, waited, now);
