--- a/crates/dispatch/src/fleet/overload.rs
+++ b/crates/dispatch/src/fleet/overload.rs
@@ -3,7 +3,7 @@
 
 use super::Fleet;
 use crate::decay;
-use crate::overload::{self, Admission, HALF_LIFE_SECS, Kind, KindLoad, MIN_TOKENS, Offer};
+use crate::overload::{self, Admission, HALF_LIFE_SECS, Kind, KindLoad, Offer, UNSTATED_TOKENS};
 use crate::pressure::Pressure;
 use ids::ServiceId;
 use std::collections::HashMap;
@@ -88,8 +88,11 @@
     /// Records a streaming request to a service with a patient route, and returns how many such requests are admitted.
     pub fn admit_kind(&mut self, service: &ServiceId, offer: &Offer<'_>, now: Duration) -> Admission {
         let own = self.overloads.kinds.entry(service.clone()).or_default();
-        let tokens = offer.tokens.max(MIN_TOKENS) as f64;
-        own.kind(offer.kind, now).record_tokens(offer.workspace, tokens);
+        let tokens = match offer.tokens {
+            0 => UNSTATED_TOKENS,
+            stated => stated,
+        };
+        own.kind(offer.kind, now).record_tokens(offer.workspace, tokens as f64);
         let mut kinds = own.loads.clone();
         self.peer_backlogs.add_kinds(service, &mut kinds, now);
         overload::admission(&kinds, offer)
--- a/crates/dispatch/src/overload/mod.rs
+++ b/crates/dispatch/src/overload/mod.rs
@@ -47,8 +47,8 @@
 pub const WORST_WAIT_FACTOR: f64 = 2.0;
 /// Largest weight of a report, in observations: several times what all routers of a large deployment see in a half-life.
 const MAX_REPORT_WEIGHT: f64 = 2_000.0;
-/// Least tokens that a request counts with: as much as quotas assume for a request without stated tokens.
-pub(crate) const MIN_TOKENS: u64 = 200;
+/// Tokens of a request that states none: as many as quotas assume.
+pub(crate) const UNSTATED_TOKENS: u64 = 200;
 /// Decayed sums below this weight are dropped.
 const MIN_WEIGHT: f64 = 0.001;
 
@@ -231,7 +231,7 @@
     pub is_patient: bool,
     /// Its workspace.
     pub workspace: Option<&'a WorkspaceId>,
-    /// Its size in tokens.
+    /// Its size in tokens; 0 if it states none.
     pub tokens: u64,
 }
 
