--- a/crates/dispatch/src/quotas/account.rs
+++ b/crates/dispatch/src/quotas/account.rs
@@ -1,6 +1,6 @@
 //! One workspace's level, as known to one router.
 
-use super::classes::{self, Class, Demand};
+use super::classes::{self, Class, Demand, MAX_RETRY, MIN_RETRY};
 use super::{QuotaBounds, Usage};
 use crate::site::QuotaSpec;
 use std::time::Duration;
@@ -19,9 +19,6 @@
 const NEAR_LEVEL: f64 = 0.5;
 /// Shortest interval between two log lines on denied requests of a workspace.
 const DENIAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Shortest and longest time after which a denied client should retry.
-const MIN_RETRY: Duration = Duration::from_millis(250);
-const MAX_RETRY: Duration = Duration::from_secs(10);
 
 /// Remaining level of a workspace, as followers receive it.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/dispatch/src/quotas/classes.rs
+++ b/crates/dispatch/src/quotas/classes.rs
@@ -12,8 +12,8 @@
 /// Demand, in units per second, below which a class counts as absent. The cheapest request costs one unit.
 const MIN_DEMAND: f64 = 0.01;
 /// Shortest and longest time after which a refused client should retry.
-const MIN_RETRY: Duration = Duration::from_millis(250);
-const MAX_RETRY: Duration = Duration::from_secs(10);
+pub(super) const MIN_RETRY: Duration = Duration::from_millis(250);
+pub(super) const MAX_RETRY: Duration = Duration::from_secs(10);
 /// Longest wait, as a part of [`MAX_RETRY`], from which returning clients are spread.
 const MAX_EARLIEST: f64 = 0.5;
 /// Smallest probability of admission in the spread: at most ten times the wait.
