--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -9,7 +9,7 @@
 use super::pool_costs::PoolCosts;
 use super::{Choice, Fleet, PickContext, PickedEndpoint, ShortKey};
 use crate::overload::QueueWait;
-use ids::{Incarnation, ModelId};
+use ids::{Incarnation, ModelId, ServiceId};
 use placement::{Candidate, Placer, PrefixChain};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -184,13 +184,19 @@
         self.peer_backlogs.refresh_sums(now);
         self.refresh_speeds(now);
         self.update_lane_needs(context.service, now);
-        let mut placer = self.placers.remove(context.service).unwrap_or_else(placer);
-        placer.set_prefill_rate(self.read_rate(context.service));
+        let mut placer = self.take_placer(context.service);
         let queue = self.queue_of_pick(&mut placer, context, draw, now);
         self.placers.insert(context.service.clone(), placer);
         queue
     }
 
+    /// Removes the placer of a service, to be inserted again after the choice, and sets its prefill rate.
+    pub(super) fn take_placer(&mut self, service: &ServiceId) -> Placer {
+        let mut placer = self.placers.remove(service).unwrap_or_else(placer);
+        placer.set_prefill_rate(self.read_rate(service));
+        placer
+    }
+
     fn queue_of_pick(
         &self,
         placer: &mut Placer,
@@ -355,7 +361,7 @@
         .map_or(0, |workspace| xxh3_64_with_seed(workspace.as_str().as_bytes(), 1))
 }
 
-pub(super) fn placer() -> Placer {
+fn placer() -> Placer {
     Placer::builder().block_tokens(BLOCK_TOKENS as u32).build()
 }
 
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -337,8 +337,7 @@
         }
         self.update_lane_needs(context.service, now);
         // The placer is removed for the call because the choice borrows `self`.
-        let mut placer = self.placers.remove(context.service).unwrap_or_else(engines::placer);
-        placer.set_prefill_rate(self.read_rate(context.service));
+        let mut placer = self.take_placer(context.service);
         let choice = self.choose_from(context, now, |eligible| {
             self.choose_engine(&mut placer, context, eligible, draw, now)
         });
