--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")" || exit 2
 ROUTER="$(cd ../.. && pwd)/target/release/apricotfork"
 export ROUTER
-bed=../../target/review/release/isolation
+bed=../../target/review/release/revoked_keys
 [ -x "$ROUTER" ] && [ -x "$bed" ] || exit 2
 scratch=$(mktemp -d) || exit 2
 timeout 110 "$bed" . "$scratch"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")" || exit 2
 ROUTER="$(cd ../.. && pwd)/target/release/apricotfork"
 export ROUTER
-bed=../../target/review/release/slow_readers
+bed=../../target/review/release/isolation
 [ -x "$ROUTER" ] && [ -x "$bed" ] || exit 2
 scratch=$(mktemp -d) || exit 2
 timeout 110 "$bed" . "$scratch"
--- a/review/bed/src/http.rs
+++ b/review/bed/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages over blocking sockets.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::FromRawFd;
 
@@ -133,13 +133,6 @@
     }
 }
 
-pub fn read_some(from: &mut impl Read, most: usize) -> io::Result<Vec<u8>> {
-    let mut buffer = vec![0; most];
-    let count = from.read(&mut buffer)?;
-    buffer.truncate(count);
-    Ok(buffer)
-}
-
 /// Keeps the calling process on the core that it is on.
 pub fn use_one_core() -> io::Result<()> {
     let mut mask = [0u64; 16];
--- a/review/bed/src/lib.rs
+++ b/review/bed/src/lib.rs
@@ -50,3 +50,25 @@
 "tenants":[{{"name":"t1","api_keys":["key1"],"isolated":{isolated}}},{{"name":"t2","api_keys":["key2"],"isolated":false}}]}}"#
     )
 }
+
+/// A large configuration: a route that needs a key, and many others, `bytes` bytes in all. The second tenant's key may
+/// be taken away.
+pub fn large_document(version: u64, second_key: bool, bytes: usize) -> String {
+    let mut routes = String::from(
+        r#"{"name":"probe","host":"a.example","path_prefix":"/probe/","backend":"depot","kind":"safe","timeout_ms":800,"goal_ms":300,"attempts":2,"prio":2}"#,
+    );
+    for number in 0.. {
+        if routes.len() >= bytes {
+            break;
+        }
+        routes.push_str(&format!(
+            ",{{\"name\":\"r{number}\",\"host\":\"h{number}.example\",\"path_prefix\":\"/r{number}/\",\"backend\":\"depot\",\"kind\":\"safe\",\"timeout_ms\":800,\"goal_ms\":300,\"attempts\":2,\"prio\":2}}"
+        ));
+    }
+    let keys = if second_key { "\"key2\"" } else { "" };
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"depot","health_path":"/healthz"}}],
+"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
+"tenants":[{{"name":"t1","api_keys":["key1"],"isolated":false}},{{"name":"t2","api_keys":[{keys}],"isolated":false}}]}}"#
+    )
+}
--- a/review/bed/src/router.rs
+++ b/review/bed/src/router.rs
@@ -72,18 +72,6 @@
         self.record.line(&format!("router {} gets signal {signal}", self.vm));
         http::signal(self.child.id(), signal);
     }
-
-    /// Anonymous memory of the process, KB.
-    pub fn memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
-        line.and_then(|line| line.split_whitespace().nth(1)).and_then(|text| text.parse().ok()).unwrap_or(0)
-    }
-
-    /// How the process ended, if it has.
-    pub fn ended(&mut self) -> Option<String> {
-        self.child.try_wait().ok().flatten().map(|status| status.to_string())
-    }
 }
 
 impl Drop for Router {
--- a/review/bed/src/runner.rs
+++ b/review/bed/src/runner.rs
@@ -3,7 +3,7 @@
 use crate::Record;
 use crate::http::{self, Message};
 use std::collections::HashMap;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -15,37 +15,13 @@
 pub enum Answer {
     /// A stream of events.
     Events { count: usize, bytes: usize, pause: Duration },
-    /// The same at once, after reading the request at so many bytes a second.
-    SlowReader { rate: usize, count: usize, bytes: usize },
     /// One body after some work.
     Body { bytes: usize, work: Duration },
-    /// The same for some requests. It fails the others after it has run them, with this status.
-    Failing { status: u16, share: usize },
 }
 
 /// A cached part: its salt, and its ID with those of the parts before it.
 type PartKey = (String, String);
 
-/// Most bytes that a runner reads at a time.
-const BITE: usize = 32 << 10;
-
-/// Reads a connection at a limited rate.
-struct Paced {
-    stream: TcpStream,
-    /// Bytes a second.
-    rate: usize,
-}
-
-impl Read for Paced {
-    fn read(&mut self, into: &mut [u8]) -> std::io::Result<usize> {
-        let count = self.stream.read(into)?;
-        if self.rate < usize::MAX {
-            thread::sleep(Duration::from_secs_f64(count as f64 / self.rate as f64));
-        }
-        Ok(count)
-    }
-}
-
 #[derive(Clone)]
 pub struct Runner {
     pub id: String,
@@ -54,7 +30,6 @@
     record: Record,
     answer: Answer,
     active: Arc<AtomicUsize>,
-    runs: Arc<AtomicUsize>,
     /// Cached parts, and which tenant's request made each.
     cache: Arc<Mutex<HashMap<PartKey, String>>>,
     /// Requests that used a part, the tenants that made them and the parts.
@@ -80,7 +55,6 @@
             record: record.clone(),
             answer,
             active: Arc::default(),
-            runs: Arc::default(),
             cache: Arc::default(),
             uses: Arc::default(),
         };
@@ -108,11 +82,7 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
-        let rate = match self.answer {
-            Answer::SlowReader { rate, .. } => rate,
-            _ => usize::MAX,
-        };
-        let mut reader = BufReader::with_capacity(BITE, Paced { stream, rate });
+        let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_message(&mut reader) {
             if self.respond(&mut writer, &request).is_err() {
                 return;
@@ -186,19 +156,7 @@
                 thread::sleep(work);
                 http::respond(to, 200, headers, &vec![b'a'; bytes])
             }
-            Answer::Failing { status, share } => {
-                thread::sleep(Duration::from_millis(60));
-                if self.runs.fetch_add(1, Ordering::SeqCst) % share == 0 {
-                    self.record.line(&format!("runner {}: that run fails with {status}, without X-Not-Executed", self.id));
-                    return http::respond(to, status, headers, b"{}");
-                }
-                http::respond(to, 200, headers, &[b'a'; 800])
-            }
-            Answer::Events { count, bytes, .. } | Answer::SlowReader { count, bytes, .. } => {
-                let pause = match self.answer {
-                    Answer::Events { pause, .. } => pause,
-                    _ => Duration::from_millis(5),
-                };
+            Answer::Events { count, bytes, pause } => {
                 to.write_all(format!("HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
                 for number in 1..=count {
                     let event = format!("id: {number}\ndata: {}\n\n", "a".repeat(bytes));
--- a/review/bed/src/store.rs
+++ b/review/bed/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, Message};
 use crate::json::{Json, decode, encode, quote};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
@@ -17,12 +17,23 @@
     lease: u64,
 }
 
+/// Bytes of events after which an answer to a watch ends. The caller continues from its position, as PROTOCOL.md says.
+/// The bench's store does the same.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// How long the history of changes is kept: `history_s`.
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Default)]
 struct State {
     rev: u64,
+    /// Own addresses at which machines are turned away.
+    barred: BTreeSet<SocketAddr>,
+    /// Changes up to this revision are no longer in the history.
+    floor: u64,
     items: BTreeMap<String, Item>,
     /// Changes: revision, key, and the event as JSON.
-    log: Vec<(u64, String, String)>,
+    log: Vec<(u64, String, String, Instant)>,
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
 }
@@ -31,14 +42,14 @@
     fn set(&mut self, key: &str, value: Vec<u8>, lease: u64, rev: u64) {
         let created = self.items.get(key).map_or(rev, |item| item.created);
         let item = Item { value, rev, created, lease };
-        self.log.push((rev, key.to_owned(), show(key, &item)));
+        self.log.push((rev, key.to_owned(), show(key, &item), Instant::now()));
         self.items.insert(key.to_owned(), item);
     }
 
     fn remove(&mut self, key: &str, rev: u64) {
         if self.items.remove(key).is_some() {
             let event = format!("{{\"key\":{},\"rev\":{rev},\"removed\":true}}", quote(key));
-            self.log.push((rev, key.to_owned(), event));
+            self.log.push((rev, key.to_owned(), event, Instant::now()));
         }
     }
 
@@ -77,12 +88,7 @@
         let state = State { rev: 10, next_lease: 100, ..State::default() };
         let store = Store { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
         let serving = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        thread::spawn(move || serving.accept(listener));
         let ending = store.clone();
         thread::spawn(move || {
             loop {
@@ -104,9 +110,30 @@
         Instant::now()
     }
 
-    pub fn read(&self, key: &str) -> Option<String> {
-        let state = self.state.0.lock().unwrap();
-        state.items.get(key).map(|item| String::from_utf8_lossy(&item.value).into_owned())
+    /// A further address of the store, for one machine.
+    pub fn door(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let serving = self.clone();
+        thread::spawn(move || serving.accept(listener));
+        address
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        for stream in listener.incoming().flatten() {
+            let store = self.clone();
+            thread::spawn(move || store.serve(stream));
+        }
+    }
+
+    /// Turns the machine away that uses this address, or serves it again.
+    pub fn bar(&self, machine: SocketAddr, barred: bool) {
+        let mut state = self.state.0.lock().unwrap();
+        if barred {
+            state.barred.insert(machine);
+        } else {
+            state.barred.remove(&machine);
+        }
     }
 
     fn expire(&self) {
@@ -114,6 +141,9 @@
         let mut state = state.lock().unwrap();
         let now = Instant::now();
         let ended: Vec<u64> = state.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        let (old, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut state.log).into_iter().partition(|change| change.3 + HISTORY < now);
+        state.log = kept;
+        state.floor = old.iter().map(|change| change.0).fold(state.floor, u64::max);
         for lease in ended {
             state.end_lease(lease);
             changed.notify_all();
@@ -123,9 +153,15 @@
     fn serve(&self, stream: std::net::TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(door) = stream.local_addr() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(call)) = http::read_message(&mut reader) {
-            let (status, body) = self.answer(&call);
+            let is_barred = || self.state.0.lock().unwrap().barred.contains(&door);
+            let (mut status, mut body) = if is_barred() { (503, "{}".to_owned()) } else { self.answer(&call) };
+            if is_barred() {
+                // Nothing was done for a watch that waited meanwhile.
+                (status, body) = (503, "{}".to_owned());
+            }
             thread::sleep(Duration::from_millis(4));
             if http::respond(&mut writer, status, "Content-Type: application/json\r\n", body.as_bytes()).is_err() {
                 return;
@@ -184,11 +220,24 @@
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         loop {
-            let events = state.log.iter().filter(|(rev, key, _)| *rev > after && key.starts_with(prefix));
-            let events: Vec<&str> = events.map(|(_, _, event)| event.as_str()).collect();
+            if after < state.floor {
+                return (410, "{}".to_owned());
+            }
             let left = until.saturating_duration_since(Instant::now());
+            let (mut events, mut bytes, mut position) = (Vec::new(), 0, state.rev);
+            for (rev, _, event, _) in state.log.iter().filter(|(rev, key, _, _)| *rev > after && key.starts_with(prefix)) {
+                if bytes > MAX_ANSWER && *rev > position {
+                    break;
+                }
+                events.push(event.as_str());
+                bytes += event.len();
+                position = *rev;
+            }
+            if bytes <= MAX_ANSWER {
+                position = state.rev;
+            }
             if !events.is_empty() || left.is_zero() {
-                return (200, format!("{{\"events\":[{}],\"store_revision\":{}}}", events.join(","), state.rev));
+                return (200, format!("{{\"events\":[{}],\"store_revision\":{position}}}", events.join(",")));
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
