--- a/review/bed/src/http.rs
+++ b/review/bed/src/http.rs
@@ -101,6 +101,7 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
     fn sched_getcpu() -> i32;
     fn sched_setaffinity(pid: i32, size: usize, mask: *const u64) -> i32;
 }
@@ -133,10 +134,12 @@
     }
 }
 
-/// Keeps the calling process on the core that it is on.
-pub fn use_one_core() -> io::Result<()> {
+/// Keeps the calling process on the core that it is on, and ends it with the process that started it.
+pub fn prepare_child() -> io::Result<()> {
     let mut mask = [0u64; 16];
     unsafe {
+        // PR_SET_PDEATHSIG 1, SIGKILL 9: no router outlives a case that is ended from outside.
+        prctl(1, 9);
         let core = usize::try_from(sched_getcpu()).unwrap_or(0);
         mask[core / 64 % 16] = 1 << (core % 64);
         sched_setaffinity(0, size_of_val(&mask), mask.as_ptr());
--- a/review/bed/src/router.rs
+++ b/review/bed/src/router.rs
@@ -42,7 +42,7 @@
         command.args(["gateway", "--settings"]).arg(&file).stdin(Stdio::null());
         command.stdout(log.try_clone().expect("a log file")).stderr(log);
         // The site's machines have one core.
-        unsafe { command.pre_exec(http::use_one_core) };
+        unsafe { command.pre_exec(http::prepare_child) };
         let child = command.spawn().expect("the router starts");
         record.line(&format!("router {vm} started"));
         Router { vm: vm.to_owned(), front, ready, child, record: record.clone() }
