Connections: a peer that reads slowly is not taken for a lost one

Long requests to endpoints that read late failed with an unknown outcome (502).

Cause: TCP_USER_TIMEOUT of 2 s was set on all connections. Linux also counts it while the peer's window is closed, whether or not the peer acknowledges the window probes.

Connections are now ended by their acknowledgements, read from TCP_INFO twice a second: three lost retransmissions in a row and no acknowledgement for 2 s, or a window probe without an answer for 2 s. A slow reader answers each probe, so it is never ended; a lost peer is still noticed within the same 4 s. Writes that the option bounded by accident have bounds of their own: a plain answer the deadline of its request.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -16,9 +16,7 @@
 use dispatch::attempt::Cause;
 use dispatch::site::ClientLimits;
 use futures::future::{Either, select};
-use http::raw::{
-    BodyReader, Framing, HeadError, RawBodyError, RequestHead, Source, request_framing, set_socket_options,
-};
+use http::raw::{BodyReader, Framing, HeadError, RawBodyError, RequestHead, Source, request_framing};
 use http::{Conn, OpenConnection};
 use std::pin::pin;
 use std::sync::Arc;
@@ -153,8 +151,7 @@
 }
 
 async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
-    set_socket_options(&stream);
-    let conn = Conn::new(stream);
+    let conn = Conn::watched(stream);
     let mut source = Source::new(conn.clone());
     loop {
         if source.buffered().is_empty() {
@@ -222,7 +219,7 @@
     let Some(mut memory) = BodyMemory::reserve(shared, size) else {
         return refuse(shared, conn, Cause::NotReady).await;
     };
-    if expects_continue(&head) && !send_continue(conn).await {
+    if expects_continue(&head) && !send_continue(conn, limits.head_time).await {
         return ConnectionAction::Abort;
     }
     let mut reader = BodyReader::new(framing);
@@ -246,8 +243,10 @@
     !head.http10 && head.headers.has_token("expect", "100-continue")
 }
 
-async fn send_continue(conn: &Conn) -> bool {
-    conn.clone().write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_ok()
+async fn send_continue(conn: &Conn, within: Duration) -> bool {
+    let mut conn = conn.clone();
+    let write = conn.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+    timeout(within, write).await.is_ok_and(|written| written.is_ok())
 }
 
 async fn refuse(shared: &Shared, conn: &Conn, cause: Cause) -> ConnectionAction {
--- a/crates/gateway/src/front/page.rs
+++ b/crates/gateway/src/front/page.rs
@@ -11,7 +11,7 @@
 
 /// Longest request head, bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
-/// Longest idle time between two requests on a connection.
+/// Longest idle time between two requests on a connection, and longest time for writing a page.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -54,7 +54,7 @@
         );
         let mut bytes = lines.into_bytes();
         bytes.extend_from_slice(&text);
-        conn.write_all(&bytes).await?;
+        async_std::io::timeout(IDLE_TIMEOUT, conn.write_all(&bytes)).await?;
         if !head.keeps_alive() {
             return Ok(());
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -24,6 +24,7 @@
 use crate::dialect::RequestInfo;
 use crate::origins;
 use crate::shared::Shared;
+use async_std::future::timeout;
 use attempts::{Attempts, RequestOutcome};
 use dispatch::attempt::{self, Cause};
 use dispatch::quotas::Class;
@@ -132,7 +133,10 @@
         RequestOutcome::Complete(mut response) => {
             let close = closes_connection(shared, incoming);
             record.end(shared, response.status, "answered");
-            if response.write(&incoming.conn, close).await {
+            let remaining = request.deadline.saturating_sub(shared.clock.now());
+            // A client that has not read the response by its deadline no longer waits for it.
+            let written = timeout(remaining, response.write(&incoming.conn, close)).await;
+            if written.unwrap_or(false) {
                 connection_action(close)
             } else {
                 abort(incoming)
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -1,12 +1,17 @@
 //! Writes responses to clients.
 
+use async_std::future::timeout;
 use async_std::io::WriteExt;
 use dispatch::attempt::Refusal;
 use http::Conn;
 use http::StatusCode;
 use http::raw::Headers;
+use std::time::Duration;
 
-/// Writes a refusal of this router. Returns false if the client closed the connection.
+/// Longest time for writing a refusal. It waits only for a client that hasn't read earlier responses on its connection.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Writes a refusal of this router. Returns false if the client closed the connection or doesn't read.
 pub async fn refusal(conn: &Conn, refusal: &Refusal, close: bool) -> bool {
     let code = refusal.cause.name();
     let body = format!("{{\"error\":{{\"code\":\"{code}\"}}}}");
@@ -15,7 +20,8 @@
     if let Some(after) = refusal.retry_after {
         headers.push("Retry-After", format!("{:.3}", after.as_secs_f64()));
     }
-    response(conn, refusal.status, &headers, body.as_bytes(), close).await
+    let response = response(conn, refusal.status, &headers, body.as_bytes(), close);
+    timeout(REFUSAL_TIMEOUT, response).await.unwrap_or(false)
 }
 
 /// Writes a response with its body. Returns false if the client closed the connection.
--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -9,7 +9,7 @@
 use dispatch::site::EndpointEntry;
 use futures::future::{Either, select};
 use http::Conn;
-use http::raw::{RequestHead, Source, connect, set_socket_options};
+use http::raw::{RequestHead, Source, connect};
 use ids::{EndpointId, Incarnation, VmId};
 use std::net::IpAddr;
 use std::pin::pin;
@@ -38,9 +38,8 @@
 
 /// Serves a connection on which another router requests a tunnel.
 pub async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    set_socket_options(&stream);
     let Ok(peer) = stream.peer_addr() else { return };
-    let conn = Conn::new(stream);
+    let conn = Conn::watched(stream);
     let mut source = Source::new(conn.clone());
     let Ok(Ok(head)) = timeout(REQUEST_TIMEOUT, source.request_head(MAX_HEAD_BYTES)).await else {
         return;
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -1,10 +1,12 @@
-//! A TCP connection that counts the bytes it transfers and detects that its peer has closed it.
+//! A TCP connection that counts the bytes it transfers and detects that its peer has closed it or vanished.
 
+use crate::unreachable;
 use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
 use socket2::SockRef;
 use std::io;
 use std::net::Shutdown;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,35 +15,91 @@
 
 /// A connection; clones share the socket and the counters.
 #[derive(Debug, Clone)]
-pub struct Conn {
-    stream: TcpStream,
-    shared: Arc<Shared>,
-}
+pub struct Conn(Arc<Socket>);
 
-#[derive(Debug, Default)]
-struct Shared {
+/// The socket and the counters of a connection.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    stream: TcpStream,
     written: AtomicU64,
+    /// Bytes written that the peer is known to have acknowledged.
+    acknowledged: AtomicU64,
     read: AtomicU64,
     reads_disabled: AtomicBool,
+    is_unreachable: AtomicBool,
+}
+
+impl Socket {
+    pub(crate) fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Whether the peer is known to have acknowledged all bytes written.
+    pub(crate) fn is_acknowledged(&self) -> bool {
+        self.acknowledged.load(Ordering::Relaxed) == self.written()
+    }
+
+    /// Records that the peer has acknowledged this many bytes.
+    pub(crate) fn set_acknowledged(&self, bytes: u64) {
+        self.acknowledged.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Ends the connection because its peer is unreachable. Reads then fail, because an end of the stream could be
+    /// taken for the end of a response, and the kernel discards what was not sent.
+    pub(crate) fn abort(&self) {
+        self.is_unreachable.store(true, Ordering::SeqCst);
+        self.set_linger(Some(Duration::ZERO));
+        self.close();
+    }
+
+    fn close(&self) {
+        // Fails if the peer has closed first; then nothing is left to do.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    fn set_linger(&self, time: Option<Duration>) {
+        // Fails only if the connection has already failed, and then nothing more is sent either.
+        let _ = SockRef::from(&self.stream).set_linger(time);
+    }
+}
+
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
 }
 
 impl Conn {
     /// Wraps `stream`.
     pub fn new(stream: TcpStream) -> Self {
-        Self {
+        Self(Arc::new(Socket {
             stream,
-            shared: Arc::default(),
-        }
+            written: AtomicU64::new(0),
+            acknowledged: AtomicU64::new(0),
+            read: AtomicU64::new(0),
+            reads_disabled: AtomicBool::new(false),
+            is_unreachable: AtomicBool::new(false),
+        }))
+    }
+
+    /// Wraps `stream`, disables Nagle's algorithm, and ends the connection if its peer becomes unreachable, which leaves
+    /// written bytes unacknowledged. A peer that only reads slowly is not unreachable.
+    pub fn watched(stream: TcpStream) -> Self {
+        // Without the option small writes are delayed, but arrive.
+        let _ = stream.set_nodelay(true);
+        let conn = Self::new(stream);
+        unreachable::watch(&conn.0);
+        conn
     }
 
     /// Bytes written to the socket so far.
     pub fn written(&self) -> u64 {
-        self.shared.written.load(Ordering::Relaxed)
+        self.0.written()
     }
 
     /// Bytes read from the socket so far.
     pub fn received(&self) -> u64 {
-        self.shared.read.load(Ordering::Relaxed)
+        self.0.read.load(Ordering::Relaxed)
     }
 
     /// Makes every further read fail.
@@ -49,13 +107,12 @@
     /// async-h1 drains the rest of a body after the response. A client that never stops sending would keep the
     /// connection's task busy for ever, so nothing more is read after a body was rejected as too large.
     pub fn disable_reads(&self) {
-        self.shared.reads_disabled.store(true, Ordering::Relaxed);
+        self.0.reads_disabled.store(true, Ordering::Relaxed);
     }
 
     /// Closes both directions.
     pub fn close(&self) {
-        // Fails if the peer has closed first; then nothing is left to do.
-        let _ = self.stream.shutdown(Shutdown::Both);
+        self.0.close();
     }
 
     /// Sets whether dropping the last clone resets the connection instead of closing it normally.
@@ -63,21 +120,20 @@
     /// After a normal close the kernel keeps sending data that the peer has not acknowledged, so a request may arrive
     /// long after its sender has cancelled it. After a reset nothing more is sent.
     pub fn reset_on_drop(&self, reset: bool) {
-        // Fails only if the connection has already failed, and then nothing more is sent either.
-        let _ = SockRef::from(&self.stream).set_linger(reset.then_some(Duration::ZERO));
+        self.0.set_linger(reset.then_some(Duration::ZERO));
     }
 
     /// Resolves once a read would not block: bytes, the end of the connection or an error.
     pub async fn readable(&self) {
         let mut byte = [0];
         // An error also means that the connection is unusable; its next use returns it.
-        let _ = self.stream.peek(&mut byte).await;
+        let _ = self.0.stream.peek(&mut byte).await;
     }
 
     /// Closes the writing side; the peer reads the end of the stream after all bytes written.
     pub fn shutdown_write(&self) {
         // Fails if the peer has closed first; then nothing is left to do.
-        let _ = self.stream.shutdown(Shutdown::Write);
+        let _ = self.0.stream.shutdown(Shutdown::Write);
     }
 
     /// Resolves once the peer has closed the connection.
@@ -87,7 +143,7 @@
     /// body was read completely. Never resolves if the peer sends more bytes first: then it is still connected.
     pub async fn peer_closed(&self) {
         let mut byte = [0];
-        match self.stream.peek(&mut byte).await {
+        match self.0.stream.peek(&mut byte).await {
             Ok(0) | Err(_) => {}
             Ok(_) => futures::future::pending().await,
         }
@@ -95,32 +151,36 @@
 }
 
 impl Read for Conn {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        if self.shared.reads_disabled.load(Ordering::Relaxed) {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let socket = &*self.0;
+        if socket.reads_disabled.load(Ordering::Relaxed) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = Pin::new(&mut &socket.stream).poll_read(cx, buf);
+        if matches!(polled, Poll::Ready(Ok(0))) && socket.is_unreachable.load(Ordering::SeqCst) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         if let Poll::Ready(Ok(count)) = &polled {
-            self.shared.read.fetch_add(*count as u64, Ordering::Relaxed);
+            socket.read.fetch_add(*count as u64, Ordering::Relaxed);
         }
         polled
     }
 }
 
 impl Write for Conn {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut &self.0.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = &polled {
-            self.shared.written.fetch_add(*count as u64, Ordering::Relaxed);
+            self.0.written.fetch_add(*count as u64, Ordering::Relaxed);
         }
         polled
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.0.stream).poll_flush(cx)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.0.stream).poll_close(cx)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,7 +11,9 @@
 mod reply;
 mod server;
 mod sse;
+mod tcp_info;
 mod timeout;
+mod unreachable;
 
 pub use client::{Client, SendError};
 pub use conn::Conn;
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -7,7 +7,6 @@
 use async_std::net::TcpStream;
 use futures::future::{Either, select};
 use quick_error::quick_error;
-use socket2::SockRef;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -19,10 +18,6 @@
 const MAX_SKIPPED_BYTES: u64 = 1 << 20;
 /// Most interim responses to one request. A server sends one or two, such as 100 and 103.
 const MAX_INTERIM: u32 = 16;
-/// Time without an acknowledgement of sent bytes after which the kernel closes the connection. It is well above a few
-/// retransmissions between failure domains a millisecond apart, and below every timeout that a client would notice.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
-
 quick_error! {
     /// Why no response head arrived.
     #[derive(Debug)]
@@ -87,7 +82,7 @@
     pub reusable: bool,
 }
 
-/// Connects. If the peer becomes unreachable later, missing acknowledgements end the connection.
+/// Connects. If the peer becomes unreachable later, the connection ends ([`Conn::watched`]).
 ///
 /// # Errors
 /// No connection was established within the timeout.
@@ -96,15 +91,7 @@
     let Ok(Ok(stream)) = connected else {
         return Err(ExchangeError::NotSent);
     };
-    set_socket_options(&stream);
-    Ok(Source::new(Conn::new(stream)))
-}
-
-/// Disables Nagle's algorithm and sets the TCP user timeout, which detects an unreachable peer. If setting an option fails,
-/// an unreachable peer is detected later, by the timeouts of calls.
-pub fn set_socket_options(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    Ok(Source::new(Conn::watched(stream)))
 }
 
 /// Sends a complete request and reads the first response head that `is_ours` accepts; responses to other requests are
