Store: part of the missed changes does not confirm the configuration

Cause: every response to a watch counted as proof that all writes acknowledged before the call were read. The store may end a response before the last change, and nothing in the response says so.

dispatch::catch_up decides what is proof: a response without changes, a read of all items, or a position that has reached a revision which the store named in the response to another call. If there was no proof for 1.5 s and changes arrive, the store is asked for its revision, so a busy store, whose watches are never without changes, confirms keys too. A router that is behind doesn't pause between two watches. An endpoint whose entry is missing after an outage stays until the list is shown to be complete since the store's return, or 10 s have passed: its new entry may lie in a later part.

--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -1,9 +1,9 @@
 //! Whether the configuration is recent enough to check API keys against.
 //!
 //! Without this check a router that is disconnected from the store would still accept a key that was revoked minutes
-//! ago. The store is linearizable, so a response contains every write that was acknowledged before the call was *sent*.
-//! The send time, on a clock that advances while the VM is suspended, is therefore the time up to which the
-//! configuration is current.
+//! ago. The store is linearizable, so what it says about its contents includes every write that was acknowledged before
+//! the call was *sent*. Once all of that has been read ([`crate::catch_up`]), the send time, on a clock that advances
+//! while the VM is suspended, is the time up to which the configuration is current.
 
 use std::time::Duration;
 
@@ -18,15 +18,24 @@
 /// Evidence that the known configuration is current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Confirmation {
-    /// The store answered a call that was sent at this time.
+    /// All was read that the store contained when a call was sent at this time.
     Store(Duration),
     /// Another router had this confirmed at this time, in the era of the data that it sent.
     Router(Duration),
 }
 
+impl Confirmation {
+    /// Time up to which the configuration is current.
+    pub fn at(self) -> Duration {
+        match self {
+            Self::Store(at) | Self::Router(at) => at,
+        }
+    }
+}
+
 impl Freshness {
-    /// Records that a call sent at `sent` returned every write acknowledged before then. An older call whose response
-    /// arrives late changes nothing.
+    /// Records that every write was read that was acknowledged before `sent`, when a call was sent. An older call whose
+    /// response arrives late changes nothing.
     pub fn confirm(&mut self, sent: Duration, era: u64) {
         self.confirmed = self.confirmed.max(Some(sent));
         self.era = self.era.max(era);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 //! | [`loading`] | when an endpoint is ordered to load, again or not at all |
 
 pub mod attempt;
+pub mod catch_up;
 mod decay;
 pub mod era_check;
 pub mod fatal_parts;
--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -21,6 +21,9 @@
 /// to it, may have recovered right after that call.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Longest time after the store's recovery in which the changes that were missed are still being read.
+const MAX_CATCH_UP: Duration = Duration::from_secs(10);
+
 /// Time after the store was restored from a backup during which it may list removed endpoints. Their entries expire
 /// after three heartbeats.
 const STALE_LIST_PERIOD: Duration = Duration::from_secs(10);
@@ -76,6 +79,8 @@
     /// Endpoints in service whose entries are missing and may have expired.
     missing: BTreeSet<EndpointId>,
     uptime: Uptime,
+    /// Time as of which the list is known to be complete; none if that was never shown.
+    complete: Option<Duration>,
     /// When the first of the calls that failed since the last response was due.
     failing: Option<Duration>,
     /// When the store was last restored from a backup.
@@ -151,6 +156,11 @@
         }
     }
 
+    /// Records that the list contains all changes that were acknowledged before `at`.
+    pub fn list_complete(&mut self, at: Duration) {
+        self.complete = self.complete.max(Some(at));
+    }
+
     /// Records that the store was restored from a backup and has responded. Entries of healthy endpoints may be lost,
     /// as after an outage.
     pub fn store_restored(&mut self, answers: Span) {
@@ -276,9 +286,14 @@
     /// Until when an endpoint with a missing entry stays in service, if the entry may have expired. `None` once the
     /// store has been available long enough to conclude that the endpoint was deregistered or failed to register again.
     fn retained_until(&self, now: Duration) -> Option<Duration> {
-        let registered = self.uptime.last_break()?.until + REREGISTER_TIMEOUT;
+        let recovered = self.uptime.last_break()?.until;
+        let registered = recovered + REREGISTER_TIMEOUT;
         let overdue = self.uptime.overdue_at();
-        let until = overdue.map_or(registered, |overdue| registered.min(overdue + RECOVERY_TIMEOUT));
+        let mut until = overdue.map_or(registered, |overdue| registered.min(overdue + RECOVERY_TIMEOUT));
+        if self.complete.is_some_and(|complete| complete < recovered) {
+            // The entry may be among the changes that are still to be read.
+            until = until.max(recovered + MAX_CATCH_UP);
+        }
         (now < until).then_some(until)
     }
 }
--- a/crates/dispatch/tests/freshness_model.rs
+++ b/crates/dispatch/tests/freshness_model.rs
@@ -1,5 +1,6 @@
 //! Model test of freshness: random delays, freezes and restarts of routers, compared with a simple model of the store.
 
+use dispatch::catch_up::CatchUp;
 use dispatch::era_check::{EraCheck, EraView, FIRST_START_TIME, REWRITE_TIME};
 use dispatch::freshness::Freshness;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -24,7 +25,10 @@
 enum Action {
     /// A write to the store, acknowledged after this delay.
     Write(u64),
-    CallStore(usize, Delays),
+    ReadStore(usize, Delays),
+    /// The response has the oldest change only.
+    WatchStore(usize, Delays),
+    AskRevision(usize, Delays),
     Follow(usize, usize, Delays),
     Freeze(usize, u64),
     Restart(usize),
@@ -47,7 +51,9 @@
             0..=3 => Self::Write(delay(random)),
             4 => Self::Freeze(router(random), below(random, 8_000)),
             5 => Self::Restart(router(random)),
-            6..=9 => Self::CallStore(router(random), (delay(random), delay(random))),
+            6 => Self::ReadStore(router(random), (delay(random), delay(random))),
+            7 => Self::AskRevision(router(random), (delay(random), delay(random))),
+            8..=12 => Self::WatchStore(router(random), (delay(random), delay(random))),
             _ => Self::Follow(router(random), router(random), (delay(random), delay(random))),
         }
     }
@@ -66,6 +72,16 @@
     recorded: Option<u64>,
 }
 
+/// Whom a router calls, and for what.
+#[derive(Clone, Copy, PartialEq)]
+enum Callee {
+    Read,
+    /// A watch after this revision of an era.
+    Watch(u64, u64),
+    Revision,
+    Router(usize),
+}
+
 /// A response of the store or of another router.
 #[derive(Clone, Copy)]
 struct Response {
@@ -80,6 +96,7 @@
 struct Router {
     freshness: Freshness,
     era_check: EraCheck,
+    catch_up: CatchUp,
     /// The last contents of the store that it has read, and their era.
     read: Option<(Contents, u64)>,
     /// Number of writes that it has received.
@@ -94,7 +111,7 @@
 struct Call {
     from: usize,
     incarnation: u64,
-    upstream: Option<usize>,
+    callee: Callee,
     sent: u64,
     delays: Delays,
     arrives: u64,
@@ -107,6 +124,8 @@
     era: u64,
     /// Earlier contents with their times, for backups.
     history: Vec<(u64, Contents)>,
+    /// Number of earlier contents that are not of this era.
+    era_start: usize,
     /// When the operator writes the newest document again.
     rewrite: Option<u64>,
     /// When each write was acknowledged.
@@ -118,7 +137,7 @@
 impl Model {
     fn on(&mut self, next: Action) {
         let now = self.now;
-        let (from, upstream, delays) = match next {
+        let (from, callee, delays) = match next {
             Action::Write(delay) => {
                 self.acknowledged.push(now + delay);
                 return self.write_document();
@@ -143,15 +162,20 @@
                 };
                 return;
             }
-            Action::CallStore(from, delays) => (from, None, delays),
-            Action::Follow(from, upstream, delays) => (from, Some(upstream), delays),
+            Action::ReadStore(from, delays) => (from, Callee::Read, delays),
+            Action::WatchStore(from, delays) => match self.routers[from].read {
+                Some((contents, era)) => (from, Callee::Watch(era, contents.revision), delays),
+                None => (from, Callee::Read, delays),
+            },
+            Action::AskRevision(from, delays) => (from, Callee::Revision, delays),
+            Action::Follow(from, upstream, delays) => (from, Callee::Router(upstream), delays),
         };
         if self.routers[from].frozen_until <= now {
             let incarnation = self.routers[from].incarnation;
             self.calls.push(Call {
                 from,
                 incarnation,
-                upstream,
+                callee,
                 sent: now,
                 delays,
                 arrives: now + delays.0,
@@ -178,20 +202,29 @@
         let backup = self.history.iter().rfind(|(at, _)| *at + age <= self.now);
         self.contents = backup.unwrap_or(&self.history[0]).1;
         self.era += 1;
+        self.era_start = self.history.len();
         self.history.push((self.now, self.contents));
         self.rewrite = Some(self.now + delay);
     }
 
     /// The response of the store or of a running router; `None` if that router has lost the store.
-    fn respond(&self, upstream: Option<usize>, delay: u64) -> Option<Response> {
+    fn respond(&self, callee: Callee, delay: u64) -> Option<Response> {
         let due = self.now + delay;
-        let Some(upstream) = upstream else {
-            return Some(Response {
-                due,
-                contents: self.contents,
-                era: self.era,
-                relayed: None,
-            });
+        let stored = |contents| Response {
+            due,
+            contents,
+            era: self.era,
+            relayed: None,
+        };
+        let upstream = match callee {
+            Callee::Read | Callee::Revision => return Some(stored(self.contents)),
+            Callee::Watch(era, _) if era != self.era => return None,
+            Callee::Watch(_, after) => {
+                let mut changes = self.history[self.era_start..].iter().map(|(_, contents)| contents);
+                let next = changes.find(|contents| contents.revision > after);
+                return Some(stored(*next.unwrap_or(&self.contents)));
+            }
+            Callee::Router(upstream) => upstream,
         };
         let upstream = &self.routers[upstream];
         let (contents, era) = upstream.read?;
@@ -209,8 +242,9 @@
         let mut pending = Vec::new();
         for mut call in std::mem::take(&mut self.calls) {
             let frozen = |at: usize| self.routers[at].frozen_until > now;
-            if call.response.is_none() && call.arrives <= now && !call.upstream.is_some_and(frozen) {
-                let Some(response) = self.respond(call.upstream, call.delays.1) else {
+            let is_frozen = matches!(call.callee, Callee::Router(upstream) if frozen(upstream));
+            if call.response.is_none() && call.arrives <= now && !is_frozen {
+                let Some(response) = self.respond(call.callee, call.delays.1) else {
                     continue;
                 };
                 call.response = Some(response);
@@ -232,29 +266,54 @@
         if router.incarnation != call.incarnation || Some(position(contents, era)) < before {
             return;
         }
-        router.read = Some((contents, era));
+        let sent = ms(call.sent);
+        let complete = match call.callee {
+            Callee::Revision => match router.read {
+                Some((read, known)) if known == era => {
+                    router.catch_up.revision_named(contents.revision, sent, read.revision)
+                }
+                _ => None,
+            },
+            Callee::Watch(_, after) => {
+                let has_changes = contents.revision > after;
+                router.catch_up.watched(sent, has_changes, contents.revision)
+            }
+            Callee::Read => {
+                router.catch_up = CatchUp::after_read(sent);
+                Some(sent)
+            }
+            Callee::Router(_) => {
+                router.catch_up = CatchUp::default();
+                response.relayed.and_then(|age| sent.checked_sub(ms(age)))
+            }
+        };
+        if call.callee != Callee::Revision {
+            router.read = Some((contents, era));
+        }
+        let Some((contents, _)) = router.read else {
+            return;
+        };
         let is_current = contents.writes >= router.received;
         router.received = router.received.max(contents.writes);
         let confirmed = match response.relayed {
-            Some(age) => {
+            Some(_) => {
                 router.era_check.verify(era);
-                call.sent.checked_sub(age)
+                complete
             }
-            None => {
+            None => complete.filter(|complete| {
                 let view = EraView {
                     era,
                     document: Some(contents.document),
                     recorded: contents.recorded,
                 };
-                let verified = router.era_check.is_verified(view, ms(call.sent), now);
-                verified.then_some(call.sent)
-            }
+                router.era_check.is_verified(view, *complete, now)
+            }),
         };
         let Some(confirmed) = confirmed.filter(|_| is_current) else {
             return;
         };
-        router.complete_until = router.complete_until.max(Some(confirmed));
-        router.freshness.confirm(ms(confirmed), era);
+        router.complete_until = router.complete_until.max(Some(confirmed.as_millis() as u64));
+        router.freshness.confirm(confirmed, era);
     }
 
     /// Checks frozen routers too, since a router may admit a request right after it resumes.
@@ -304,6 +363,7 @@
         contents,
         era: 1,
         history: vec![(0, contents)],
+        era_start: 0,
         rewrite: None,
         acknowledged: Vec::new(),
         routers: (0..ROUTERS).map(|_| first_router()).collect(),
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -75,6 +75,32 @@
     assert_eq!(serving(&roster), ["a"]);
 }
 
+/// A router reads what it missed in parts, and the new entry of an endpoint lies in a later part than the end of its former
+/// one. Without the first response that shows that all was read, the endpoint must stay in service.
+#[test]
+fn endpoints_stay_in_service_until_all_missed_changes_are_read() {
+    let mut roster = after_outage();
+    roster.list_complete(at(900));
+    roster.apply(removed("a"), at(6_000));
+    roster.apply(removed("b"), at(6_000));
+    roster.tick(at(9_000));
+    assert_eq!(serving(&roster), ["a", "b"]);
+    roster.apply(ListChange::Listed(entry("a", false)), at(9_100));
+    roster.list_complete(at(9_050));
+    roster.tick(at(9_200));
+    assert_eq!(serving(&roster), ["a"]);
+}
+
+/// A document that confirms nothing must not keep endpoints in service that have ended.
+#[test]
+fn missing_endpoints_are_dropped_if_the_list_is_never_shown_to_be_complete() {
+    let mut roster = after_outage();
+    roster.list_complete(at(900));
+    roster.replace(Vec::new(), at(6_000));
+    roster.tick(at(16_000));
+    assert_eq!(serving(&roster), Vec::<&str>::new());
+}
+
 /// An endpoint is deregistered while the store is available, or is draining when its entry disappears. It must not get
 /// new requests.
 #[test]
--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -22,6 +22,9 @@
 
     /// Records that the contents were current at this time, for followers and for requests.
     pub(super) fn confirm_freshness(&mut self, confirmed: Option<Confirmation>, era: u64, now: Duration) {
+        if let Some(confirmed) = confirmed {
+            self.roster.list_complete(confirmed.at());
+        }
         *self.shared.uptime() = *self.roster.uptime();
         let confirmed = confirmed.and_then(|confirmed| self.verify_era(confirmed, era, now));
         if let Some(confirmed) = confirmed.filter(|_| self.document_is_current()) {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,7 +1,7 @@
 //! Follows the store, either directly or through another router, and sends what it reads to the control thread.
 //!
 //! Each failure domain has a few routers that watch the store. The others follow one of them, because every call to the
-//! store is billed. Each response also confirms that the document is current. Waits are short for two reasons: a router
+//! store is billed. Responses also confirm that the document is current. Waits are short for two reasons: a router
 //! without a confirmation for longer than the bound on revoked keys must refuse requests, and a short wait detects a
 //! silently broken connection.
 
@@ -19,9 +19,10 @@
 pub use uptime::query_uptime;
 pub use weight_ages::learn_weight_ages;
 
-use crate::control::{Event, send};
+use crate::control::{ERA_KEY, Event, send};
 use crate::shared::Shared;
 use async_std::task;
+use dispatch::catch_up::CatchUp;
 use dispatch::freshness::Confirmation;
 use dispatch::uptime::Span;
 use ids::VmId;
@@ -96,6 +97,8 @@
     upstream: Option<(VmId, Upstream)>,
     /// Abandoned routers, and when each may be tried again.
     backoff: HashMap<VmId, Duration>,
+    /// How far the watch of the store has come.
+    catch_up: CatchUp,
     /// Pause before the next watch, whose wait is shortened by it.
     pause: Duration,
     /// When the response to the last call to the store was due.
@@ -115,6 +118,7 @@
             client,
             upstream: None,
             backoff: HashMap::new(),
+            catch_up: CatchUp::default(),
             pause: Duration::ZERO,
             due: Duration::ZERO,
             needs_read: false,
@@ -245,7 +249,11 @@
             .and_then(|age| answered_at.checked_sub(age))
             .map(Confirmation::Router);
         match self.send_followed(response, position, confirmed, uptime).await {
-            Ok(()) => self.upstream = Some((vm, upstream)),
+            Ok(()) => {
+                self.upstream = Some((vm, upstream));
+                // The position is the other router's now, perhaps of another era.
+                self.catch_up = CatchUp::default();
+            }
             Err(err) => self.drop_upstream(vm, &err.to_string()),
         }
     }
@@ -290,6 +298,7 @@
         self.count("range", read.is_ok());
         let (items, position) = read?;
         self.needs_read = false;
+        self.catch_up = CatchUp::after_read(sent);
         let known = self.shared.relay.position();
         let unverified = known.is_none_or(|known| known.era != position.era);
         let event = Event::Snapshot {
@@ -324,15 +333,14 @@
                     revision: changes.revision.max(known.revision),
                     ..known
                 };
-                let event = Event::Changes {
-                    changes: changes.changes,
-                    position,
-                    confirmed: Some(Confirmation::Store(sent)),
-                    uptime: self.uptime_now(),
-                };
-                self.send_and_wait(event, position).await;
-                task::sleep(BATCH_DELAY).await;
-                self.pause = BATCH_DELAY;
+                let has_changes = !changes.changes.is_empty();
+                let complete = self.catch_up.watched(sent, has_changes, position.revision);
+                self.send_changes(changes.changes, position, complete).await;
+                self.check_complete(position).await?;
+                if !self.catch_up.is_behind(self.shared.clock.now()) {
+                    task::sleep(BATCH_DELAY).await;
+                    self.pause = BATCH_DELAY;
+                }
             }
             WatchOutcome::Compacted => {
                 log::warn!(revision = known.revision; "store: history compacted, reading everything again");
@@ -351,6 +359,40 @@
         Ok(())
     }
 
+    /// Sends changes up to a position. `complete` is the time as of which the contents are then complete, if it is known.
+    async fn send_changes(&self, changes: Vec<Change>, position: Position, complete: Option<Duration>) {
+        let event = Event::Changes {
+            changes,
+            position,
+            confirmed: complete.map(Confirmation::Store),
+            uptime: self.uptime_now(),
+        };
+        self.send_and_wait(event, position).await;
+    }
+
+    /// Asks the store for its revision, if it has not shown for a while that the contents are complete.
+    async fn check_complete(&mut self, known: Position) -> Result<(), ItemsError> {
+        let sent = self.shared.clock.now();
+        if !self.catch_up.needs_revision(sent) {
+            return Ok(());
+        }
+        self.due = sent;
+        let named = self.client.position(ERA_KEY, WATCH_GRACE).await;
+        self.count("revision", named.is_ok());
+        let named = named?;
+        if named.era != known.era {
+            self.needs_read = true;
+            return Ok(());
+        }
+        let complete = self.catch_up.revision_named(named.revision, sent, known.revision);
+        if complete.is_some() {
+            self.send_changes(Vec::new(), known, complete).await;
+        } else {
+            log::info!(revision = known.revision, store = named.revision; "store: reading missed changes");
+        }
+        Ok(())
+    }
+
     /// Sends an event and waits until the control thread has applied it, because the next call starts at its position.
     async fn send_and_wait(&self, event: Event, position: Position) {
         send(&self.shared, event).await;
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Maximum response length. Pages and documents have about a megabyte at most, in base64.
+/// Maximum response length. A page has about a megabyte and one more item at most, in base64.
 const MAX_RESPONSE_BYTES: u64 = 4 << 20;
 /// Maximum time to connect. Within a region a connection takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -69,6 +69,18 @@
         Ok((items, position))
     }
 
+    /// The store's current position. It is read with the items under a prefix, of which there should be few.
+    ///
+    /// # Errors
+    /// The store rejected the call, or its response was lost.
+    pub async fn position(&self, prefix: &str, within: Duration) -> Result<Position, ItemsError> {
+        let (page, era) = self.page(prefix, None, within).await?;
+        Ok(Position {
+            era,
+            revision: page.revision,
+        })
+    }
+
     /// Reads a page of items and the era in which it was read.
     async fn page(&self, prefix: &str, after: Option<&str>, within: Duration) -> Result<(Page, u64), ItemsError> {
         let response = self.call(&(self.codec.range)(prefix, after), within).await?;
