Store: too many missed changes for one response are read in pages

Cause: the response exceeded the bound on responses, counted as lost, and the router asked for the same again.

A response that exceeds a bound is told from a lost one. After such a watch everything is read again, in pages. For a commit the outcome stays unknown, as after a lost response.

--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -296,7 +296,8 @@
     count(shared, "claim", committed.is_ok());
     // The watch reports a successful claim together with its fencing token. This includes a write whose response was
     // lost.
-    if matches!(committed, Ok(CommitOutcome::Done(_)) | Err(ItemsError::Lost(_))) {
+    let is_unknown = matches!(committed, Err(ItemsError::Lost(_) | ItemsError::TooLong(_)));
+    if is_unknown || matches!(committed, Ok(CommitOutcome::Done(_))) {
         return;
     }
     send(shared, Event::Holder(holder::Event::Failed)).await;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -346,6 +346,10 @@
                 log::warn!(revision = known.revision; "store: history compacted, reading everything again");
                 self.needs_read = true;
             }
+            WatchOutcome::TooLong => {
+                log::warn!(revision = known.revision; "store: too many changes for one response, reading everything again");
+                self.needs_read = true;
+            }
             WatchOutcome::Restored(era) => {
                 log::warn!(
                     era = known.era,
--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -100,7 +100,10 @@
         grace: Duration,
     ) -> Result<WatchOutcome, ItemsError> {
         let call = (self.codec.watch)(prefix, after.revision, wait);
-        let response = self.call(&call, wait + grace).await?;
+        let response = match self.call(&call, wait + grace).await {
+            Err(ItemsError::TooLong(_)) => return Ok(WatchOutcome::TooLong),
+            response => response?,
+        };
         if response.status != 410 {
             expect_ok(response.status)?;
         }
@@ -180,7 +183,11 @@
                     body: response.body,
                 })
             }
-            Ok(Err(_)) | Err(_) => Err(ItemsError::Lost(conn.received() - before)),
+            Ok(Err(err)) => Err(match err.bound() {
+                Some(bound) => ItemsError::TooLong(bound),
+                None => ItemsError::Lost(conn.received() - before),
+            }),
+            Err(_) => Err(ItemsError::Lost(conn.received() - before)),
         }
     }
 
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -1,6 +1,6 @@
 //! Values of the service, and the codec that encodes and decodes its calls.
 
-use http::raw::{Call, Headers};
+use http::raw::{Bound, Call, Headers};
 use quick_error::quick_error;
 use std::time::Duration;
 
@@ -75,6 +75,8 @@
     Compacted,
     /// The service was restored from a backup and is in this era. All items must be read again.
     Restored(u64),
+    /// The changes are longer than the longest response that is read. All items must be read again, in pages.
+    TooLong,
 }
 
 /// A write within a transaction.
@@ -141,6 +143,10 @@
         Lost(received: u64) {
             display("the store's response was lost, {received} bytes received")
         }
+        /// The response exceeds a bound, and would do so again.
+        TooLong(bound: Bound) {
+            display("the store's response is too long: {}", bound.name())
+        }
         /// The store was restored from a backup between two pages.
         Restored {
             display("the store was restored from a backup while it was read")
