Isolation: the common cache scope changes with the set of isolated workspaces

Cause: the common scope was named after the weights alone, so it outlived the change of who shares it. Beside it, a request kept the scope of the document under which it was admitted, also for attempts that were sent later.

The common scope has a digest of the set of isolated workspaces in its name, nothing while the set is empty. All routers derive it from the document. Each attempt has the scope of the current document, and what counts as unread, transfers and the homes of prefixes go by the same scope. A change of the set makes the common cache cold once.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -99,7 +99,7 @@
         service: &service,
         avoid: &[],
         prompt: Some(&prompt),
-        isolated: None,
+        scope: 0,
         objective: None,
         pause: None,
         unread: &[],
--- a/crates/dispatch/src/fleet/engines.rs
+++ b/crates/dispatch/src/fleet/engines.rs
@@ -158,7 +158,7 @@
         now: Duration,
     ) -> Option<EnginePick<'a>> {
         let prompt = context.prompt?;
-        let chain = prompt.chain(seed(context));
+        let chain = prompt.chain(context.scope);
         eligible.sort_by_key(|state| state.key);
         let off_lane = self.off_lane(context, prompt, now);
         let costs = self.pool_costs(context, prompt, now);
@@ -354,13 +354,6 @@
     ((share - INTERRUPT_BEGIN) / INTERRUPT_RANGE).clamp(0.0, 1.0)
 }
 
-/// Hash seed for prefixes: isolated workspaces get homes of their own.
-fn seed(context: &PickContext<'_>) -> u64 {
-    context
-        .isolated
-        .map_or(0, |workspace| xxh3_64_with_seed(workspace.as_str().as_bytes(), 1))
-}
-
 fn placer() -> Placer {
     Placer::builder().block_tokens(BLOCK_TOKENS as u32).build()
 }
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -84,8 +84,8 @@
     pub avoid: &'a [EndpointId],
     /// The prompt, if the request is for a model.
     pub prompt: Option<&'a Prompt>,
-    /// Workspace of the request, if the workspace shares no cached prefixes.
-    pub isolated: Option<&'a ids::WorkspaceId>,
+    /// Hash of the scope of its cached prefixes, from [`crate::scope::Isolation::hash`].
+    pub scope: u64,
     /// Time after which the first event of the answer is late.
     pub objective: Option<Duration>,
     /// Longest pause between two events of a stream with which its answer is in time.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -47,5 +47,6 @@
 pub mod retries;
 pub mod rollout;
 pub mod roster;
+pub mod scope;
 pub mod site;
 pub mod uptime;
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -1,5 +1,6 @@
 //! The parts of the configuration that request handling needs: routes, services, workspaces and limits.
 
+use crate::scope::Isolation;
 use ids::{EndpointId, ModelId, Revision, ServiceId, SoftwareVersion, WorkspaceId};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -187,6 +188,7 @@
     hosts: HashMap<String, Vec<Route>>,
     services: HashMap<ServiceId, ServiceSpec>,
     workspaces: Vec<WorkspaceSpec>,
+    isolation: Isolation,
     keys: Option<HashMap<String, usize>>,
     limits: ClientLimits,
     urgent_streams: HashMap<ServiceId, UrgentStream>,
@@ -242,11 +244,14 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let (workspaces, keys) = index_workspaces(parts.workspaces);
+        let isolated = workspaces.iter().filter(|spec| spec.isolated);
+        let isolation = Isolation::new(isolated.map(|spec| spec.id.clone()));
         Self {
             revision: parts.revision,
             hosts,
             services: parts.services,
             workspaces,
+            isolation,
             keys,
             limits: parts.limits,
             urgent_streams,
@@ -269,6 +274,11 @@
         self.workspaces.iter().filter_map(|spec| Some((&spec.id, spec.quota?)))
     }
 
+    /// The workspaces that share no cached prefixes with others.
+    pub fn isolation(&self) -> &Isolation {
+        &self.isolation
+    }
+
     /// Addresses of the prefix stores.
     pub fn prefix_stores(&self) -> Vec<SocketAddr> {
         self.services.values().filter_map(|service| service.prefixes).collect()
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -92,7 +92,7 @@
         service,
         avoid: &[],
         prompt,
-        isolated: None,
+        scope: 0,
         objective: None,
         pause: None,
         unread: &[],
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -62,7 +62,7 @@
         service: &ServiceId::from("s"),
         avoid: &[],
         prompt: Some(&prompt),
-        isolated: None,
+        scope: 0,
         objective: None,
         pause: None,
         unread: &[],
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -168,7 +168,7 @@
             service: self.request.service,
             avoid: &self.excluded,
             prompt: self.request.info.prompt.as_ref(),
-            isolated: self.request.isolated,
+            scope: self.scope_hash(),
             objective: Some(self.request.route.objective),
             pause: self.request.route.pause,
             unread,
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -4,18 +4,17 @@
 use crate::dialect::ForwardContext;
 use dispatch::fleet::PickedEndpoint;
 use dispatch::prefixes::Transfers;
+use dispatch::scope::Isolation;
+use dispatch::site::Site;
 use ids::WorkspaceId;
 
 impl Attempts<'_> {
     /// The request as sent to the endpoint.
     pub(super) fn encode(&self, picked: &PickedEndpoint) -> Vec<u8> {
         let incoming = self.request.incoming;
-        let salt = self
-            .request
-            .info
-            .prompt
-            .as_ref()
-            .map(|_| salt(picked.weights, self.request.isolated));
+        let site = self.shared.site.load();
+        let has_prompt = self.request.info.prompt.is_some();
+        let salt = has_prompt.then(|| self.scope(site.as_deref(), picked.weights));
         let transfers = self.transfers(salt.as_deref(), picked);
         let context = ForwardContext {
             endpoint: &picked.endpoint.id,
@@ -46,16 +45,37 @@
             return Vec::new();
         };
         let now = self.shared.clock.now();
-        let isolated = self.request.isolated;
+        let site = self.shared.site.load();
+        let isolated = self.isolated(site.as_deref());
         let fleet = self.shared.fleet();
         let weights = fleet.new_weights(self.request.service, &prompt.model, now);
         drop(fleet);
         let prefixes = self.shared.prefixes();
-        let is_unread =
-            |weights: &u64| !prefixes.may_hold(&salt(Some(*weights), isolated), isolated, prompt.shared(), now);
+        let is_unread = |weights: &u64| {
+            let scope = self.scope(site.as_deref(), Some(*weights));
+            !prefixes.may_hold(&scope, isolated, prompt.shared(), now)
+        };
         weights.into_iter().filter(is_unread).collect()
     }
 
+    /// Hash of the scope of the request's cached prefixes.
+    pub(super) fn scope_hash(&self) -> u64 {
+        let site = self.shared.site.load();
+        isolation(site.as_deref()).hash(self.isolated(site.as_deref()))
+    }
+
+    /// Scope of the request's cached prefixes, by the configuration at the time of sending.
+    fn scope(&self, site: Option<&Site>, weights: Option<u64>) -> String {
+        isolation(site).scope(weights, self.isolated(site))
+    }
+
+    /// The request's workspace, if it shares no cached prefixes with others. It may have become isolated while the
+    /// request waited. If it stopped being isolated or was removed meanwhile, the request stays isolated.
+    fn isolated(&self, site: Option<&Site>) -> Option<&WorkspaceId> {
+        let is_isolated = |workspace: &&WorkspaceId| isolation(site).contains(workspace);
+        self.request.isolated.or(self.request.workspace.filter(is_isolated))
+    }
+
     /// Prefix transfers between the engine and the prefix cache stores. None if the weights are unknown, because
     /// prefixes computed with different weights must not share a scope.
     fn transfers(&self, salt: Option<&str>, picked: &PickedEndpoint) -> Transfers {
@@ -63,7 +83,8 @@
             return Transfers::default();
         };
         let now = self.shared.clock.now();
-        let isolated = self.request.isolated;
+        let site = self.shared.site.load();
+        let isolated = self.isolated(site.as_deref());
         let own = prompt.parts.last().map_or(0, |part| part.tokens);
         self.shared
             .prefixes()
@@ -71,12 +92,8 @@
     }
 }
 
-/// Scope of cached prefixes. Prefixes of different weights must not mix, and an isolated workspace does not share its
-/// prefixes.
-fn salt(weights: Option<u64>, isolated: Option<&WorkspaceId>) -> String {
-    let weights = weights.map_or_else(|| "any".to_owned(), |weights| weights.to_string());
-    match isolated {
-        Some(workspace) => format!("{weights}/{workspace}"),
-        None => weights,
-    }
+/// The isolated workspaces of a configuration; none without one.
+fn isolation(site: Option<&Site>) -> &Isolation {
+    static NONE: Isolation = Isolation::none();
+    site.map_or(&NONE, Site::isolation)
 }
