Store: the revision is asked for after each response with changes

Requests on weights that had just been replaced were cancelled too early while the store changed often: since part of the changes confirms nothing, new weights counted as named up to 1.5 s earlier than they can have been.

Cause: the upper limit of their age is the age of the last proof, and the store was asked for its revision only once that was 1.5 s old. Now it is asked after each response with changes, unless the last proof is less than 0.25 s old. The pause between two watches still ends only for a router whose last proof is 1.5 s old.

--- a/crates/dispatch/src/catch_up.rs
+++ b/crates/dispatch/src/catch_up.rs
@@ -7,13 +7,15 @@
 //! - that returned no changes, or
 //! - in whose response the store named a revision that the watch has reached since.
 //!
-//! Load pattern: on a busy store, every response may have changes. So the store is asked for its revision if it has not
-//! shown for a while that the contents are complete.
+//! Load pattern: on a busy store, every response may have changes. So after a response with changes the store is asked for
+//! its revision, unless it has just shown that the contents are complete.
 
 use std::time::Duration;
 
-/// Age of the last proof from which the store is asked for its revision. It is well below the bounds on revoked keys,
-/// which are 5 s at the sites.
+/// Age of the last proof from which the store is asked for its revision after a response with changes. What is unknown
+/// for longer counts as older: new weights, whose replaced versions are used for a short time only, and keys.
+const PROOF_INTERVAL: Duration = Duration::from_millis(250);
+/// Age of the last proof from which the changes are read without a pause.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(1_500);
 
 /// A revision that the store named.
@@ -61,12 +63,16 @@
 
     /// Whether the store is to be asked for its revision.
     pub fn needs_revision(&self, now: Duration) -> bool {
-        self.named.is_none() && self.is_behind(now)
+        self.named.is_none() && self.is_older(PROOF_INTERVAL, now)
     }
 
     /// Whether the contents have not been known to be complete for a while.
     pub fn is_behind(&self, now: Duration) -> bool {
-        self.complete.is_none_or(|complete| now >= complete + MAX_PROOF_AGE)
+        self.is_older(MAX_PROOF_AGE, now)
+    }
+
+    fn is_older(&self, age: Duration, now: Duration) -> bool {
+        self.complete.is_none_or(|complete| now >= complete + age)
     }
 
     fn reached(&mut self, revision: u64) -> Option<Duration> {
--- a/crates/dispatch/tests/catch_up.rs
+++ b/crates/dispatch/tests/catch_up.rs
@@ -99,14 +99,13 @@
 #[test]
 fn the_revision_is_asked_for_only_without_a_recent_proof() {
     let mut catch_up = CatchUp::after_read(at(0));
-    catch_up.watched(at(1_000), true, 5);
-    assert!(!catch_up.needs_revision(at(1_400)));
-    assert!(catch_up.needs_revision(at(1_600)));
-    catch_up.revision_named(9, at(1_600), 5);
-    assert!(!catch_up.needs_revision(at(1_700)), "it is known already");
-    assert!(catch_up.is_behind(at(1_700)));
-    catch_up.watched(at(1_700), true, 9);
-    assert!(!catch_up.is_behind(at(1_800)));
-    assert!(!catch_up.needs_revision(at(3_000)));
-    assert!(catch_up.needs_revision(at(3_200)));
+    catch_up.watched(at(100), true, 5);
+    assert!(!catch_up.needs_revision(at(200)));
+    assert!(catch_up.needs_revision(at(300)));
+    catch_up.revision_named(9, at(300), 5);
+    assert!(!catch_up.needs_revision(at(1_600)), "it is known already");
+    assert!(catch_up.is_behind(at(1_600)));
+    catch_up.watched(at(1_600), true, 9);
+    assert!(!catch_up.is_behind(at(1_700)));
+    assert!(catch_up.needs_revision(at(1_700)));
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -336,7 +336,9 @@
                 let has_changes = !changes.changes.is_empty();
                 let complete = self.catch_up.watched(sent, has_changes, position.revision);
                 self.send_changes(changes.changes, position, complete).await;
-                self.check_complete(position).await?;
+                if has_changes {
+                    self.check_complete(position).await?;
+                }
                 if !self.catch_up.is_behind(self.shared.clock.now()) {
                     task::sleep(BATCH_DELAY).await;
                     self.pause = BATCH_DELAY;
@@ -374,7 +376,7 @@
         self.send_and_wait(event, position).await;
     }
 
-    /// Asks the store for its revision, if it has not shown for a while that the contents are complete.
+    /// Asks the store for its revision, unless it has just shown that the contents are complete.
     async fn check_complete(&mut self, known: Position) -> Result<(), ItemsError> {
         let sent = self.shared.clock.now();
         if !self.catch_up.needs_revision(sent) {
@@ -391,7 +393,7 @@
         let complete = self.catch_up.revision_named(named.revision, sent, known.revision);
         if complete.is_some() {
             self.send_changes(Vec::new(), known, complete).await;
-        } else {
+        } else if self.catch_up.is_behind(sent) {
             log::info!(revision = known.revision, store = named.revision; "store: reading missed changes");
         }
         Ok(())
