--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`site`] | which service a request goes to, and which workspace owns it |
 //! | [`freshness`] | whether the configuration is recent enough to check API keys |
+//! | [`catch_up`] | whether a watch has delivered all changes of the store |
 //! | [`era_check`] | whether a restored store holds the newest document |
 //! | [`uptime`] | how long the store has been available |
 //! | [`roster`] | which endpoints are in service |
@@ -20,6 +21,7 @@
 //! | [`retries`] | whether the retry budget, shared by all routers, allows one more attempt |
 //! | [`pressure`] | how many requests are shed while first events are late |
 //! | [`overload`] | which kinds of requests are shed first, and how long patient ones wait in the router |
+//! | [`scope`] | which requests share cached prefixes |
 //! | [`prefixes`] | what engines fetch from and save to the prefix stores |
 //! | [`holder`] | which router holds the lease to order endpoints to load weights |
 //! | [`rollout`] | which endpoints load new weights next |
--- a/crates/gateway/src/serve/outgoing.rs
+++ b/crates/gateway/src/serve/outgoing.rs
@@ -31,7 +31,7 @@
         let site = self.shared.site.load();
         let has_prompt = self.request.info.prompt.is_some();
         let salt = has_prompt.then(|| self.scope(site.as_deref(), picked.weights));
-        let transfers = self.transfers(salt.as_deref(), picked);
+        let transfers = self.transfers(site.as_deref(), salt.as_deref(), picked);
         let context = ForwardContext {
             endpoint: &picked.endpoint.id,
             remaining: self.remaining(),
@@ -97,17 +97,15 @@
 
     /// Prefix transfers between the engine and the prefix cache stores. None if the weights are unknown, because
     /// prefixes computed with different weights must not share a scope.
-    fn transfers(&self, salt: Option<&str>, picked: &PickedEndpoint) -> Transfers {
+    fn transfers(&self, site: Option<&Site>, salt: Option<&str>, picked: &PickedEndpoint) -> Transfers {
         let (Some(salt), Some(prompt), Some(_)) = (salt, &self.request.info.prompt, picked.weights) else {
             return Transfers::default();
         };
         let now = self.shared.clock.now();
-        let site = self.shared.site.load();
-        let isolated = self.isolated(site.as_deref());
         let own = prompt.parts.last().map_or(0, |part| part.tokens);
         self.shared
             .prefixes()
-            .transfers(salt, isolated, prompt.shared(), own, now)
+            .transfers(salt, self.isolated(site), prompt.shared(), own, now)
     }
 }
 
