--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -10,7 +10,7 @@
 use dispatch::origins::{Continuation, Knowledge, Origin, StreamKey, continuation};
 use dispatch::site::EndpointEntry;
 use futures::future::join_all;
-use ids::{RequestId, ServiceId, VmId};
+use ids::{RequestId, ServiceId, SoftwareVersion, VmId};
 use peers::{OriginMessage, OriginQuery, OriginResponse, PeerError, Upstream};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,11 +65,16 @@
     let routers = Members::read(shared).addresses();
     let others = ask(shared, stream, service, &routers).await;
     let found = continuation(&own, &others, routers.len() <= 1);
+    let now = shared.clock.now();
+    let told = others.iter().flatten().map(names).collect::<Vec<_>>().join(" ");
     log::info!(
         stream = begun.unwrap_or_default(),
         asked = others.len(),
         answered = others.iter().flatten().count(),
-        versions = own.versions.len(),
+        versions = names(&own).as_str(),
+        told = told.as_str(),
+        list_age_ms = shared.uptime().age(now).map_or(-1, |age| age.as_millis() as i64),
+        started_ms = now.as_millis() as u64,
         found:? = found;
         "stream: origin asked for"
     );
@@ -102,6 +107,12 @@
     }
 }
 
+/// The versions that a router knows, for logs.
+fn names(knowledge: &Knowledge) -> String {
+    let versions = knowledge.versions.iter().map(SoftwareVersion::as_str);
+    versions.collect::<Vec<_>>().join(",")
+}
+
 /// Whether this router can tell by itself that the service has had one version for long enough.
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
     let now = shared.clock.now();
