Streams: versions and origins are kept in the store, and no stream begins at a version that it doesn't name

What callers saw: all routers were killed while endpoints of two versions of their software served, or replaced each other. Clients took their streams up at routers that had just started; many answers were joined from two versions (12 of 24 in platform/tests/power_loss.rs, the rest refused), and where both versions went on serving, all 24 were refused.

Cause: the absence of a memory was taken for proof that there was nothing to remember. Origins and the versions that have left lay in routers' memory only; a router that had just started saw one listed version and continued everything there.

Now the store holds, per service with resumable streams, the versions at which streams may have begun. A version is written there as pending, and no stream begins at it before every router with a recent copy has read of it (or nothing else is listed); it stays until 45 s after its last endpoint, longer while a router may be cut off. One active version proves where every stream began, also to a router that has just started. While several are active or pending, three of the routers write the origins of all to the store in batches, under leases. Without proof and without an origin, a stream is refused, as before; answers of routers with old lists prove nothing any more, unless all that were asked give the same one.

What it costs while one version serves: one write per service in the deployment's life. With several: up to five writes a second from each of three routers.

The cases of dispatch/tests/origins.rs are the old ones with current and old lists told apart; 'all have seen a single version' with one silent router is refused now unless the one that answers is current. proves_single moved to the record; its bounds are tested in dispatch/tests/software.rs.

--- a/crates/dispatch/examples/choice_cost.rs
+++ b/crates/dispatch/examples/choice_cost.rs
@@ -105,7 +105,7 @@
         unread: &[],
         rank: 0,
         attempts: 2,
-        software: None,
+        software: dispatch::fleet::SoftwareRule::Any,
     };
     let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let started = Instant::now();
--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -4,7 +4,7 @@
 use super::lanes::decode_lane;
 use super::rate_limits::RateLimits;
 use super::targets::Target;
-use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, Staleness};
+use super::{Fleet, PickContext, PickedEndpoint, Prompt, ShortKey, SoftwareRule, Staleness};
 use control::health::HealthState;
 use ids::{ModelId, ServiceId};
 use std::time::Duration;
@@ -45,6 +45,9 @@
         if let Some(after) = self.drop_held_back(&mut eligible, now) {
             return Candidates::RateLimited(after);
         }
+        if context.software == SoftwareRule::PreferActive {
+            prefer(&mut eligible, |state| self.is_active(state));
+        }
         if let Some(prompt) = context.prompt {
             self.drop_expired_weights(&mut eligible, context, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
@@ -110,11 +113,7 @@
             .values()
             .filter(|state| state.entry.service == *context.service && !state.entry.draining)
             .filter(|state| !context.avoid.contains(&state.entry.id))
-            .filter(|state| {
-                context
-                    .software
-                    .is_none_or(|software| state.entry.software == *software)
-            })
+            .filter(|state| self.may_have(state, context.software))
     }
 
     /// Records a choice for all that limits the requests to an endpoint.
--- a/crates/dispatch/src/fleet/mod.rs
+++ b/crates/dispatch/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 pub use rate_limits::RateUpdate;
 pub use speeds::{ShareChange, SpeedKey, SpeedSum, Work, WorkKind};
 pub use targets::{Staleness, TargetAge};
+pub use versions::SoftwareRule;
 pub use work_time::WorkTime;
 
 use crate::retries::{RetryLimits, RetryMeter};
@@ -96,8 +97,8 @@
     pub rank: u8,
     /// Maximum number of endpoints that the request may be sent to.
     pub attempts: u32,
-    /// Version of the software that the endpoint must have, if the request continues a stream.
-    pub software: Option<&'a SoftwareVersion>,
+    /// Which versions of the software the endpoint may have.
+    pub software: SoftwareRule<'a>,
 }
 
 /// Result of a choice.
@@ -153,6 +154,7 @@
     brittle: Statements,
     places: Places,
     departed_versions: Vec<DepartedVersion>,
+    active_versions: HashMap<ServiceId, BTreeSet<SoftwareVersion>>,
     read_rates: HashMap<ServiceId, ReadRate>,
     speeds: Speeds,
 }
@@ -176,6 +178,7 @@
             brittle: Statements::default(),
             places: Places::default(),
             departed_versions: Vec::new(),
+            active_versions: HashMap::new(),
             read_rates: HashMap::new(),
             speeds: Speeds::default(),
         }
--- a/crates/dispatch/src/fleet/versions.rs
+++ b/crates/dispatch/src/fleet/versions.rs
@@ -15,7 +15,38 @@
     at: Duration,
 }
 
+/// Versions of the software that the endpoint of a request may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoftwareRule<'a> {
+    /// All.
+    Any,
+    /// This one: the request continues a stream.
+    Only(&'a SoftwareVersion),
+    /// Those at which streams may begin.
+    Active,
+    /// The same if any of their endpoints can serve the request: it is unknown whether the others may begin streams by now.
+    PreferActive,
+}
+
 impl Fleet {
+    /// Sets the versions of a service's software at which streams may begin. Without them, all may.
+    pub fn set_active_versions(&mut self, service: &ServiceId, versions: &BTreeSet<SoftwareVersion>) {
+        self.active_versions.insert(service.clone(), versions.clone());
+    }
+
+    pub(super) fn may_have(&self, state: &EndpointState, rule: SoftwareRule<'_>) -> bool {
+        match rule {
+            SoftwareRule::Any | SoftwareRule::PreferActive => true,
+            SoftwareRule::Only(software) => state.entry.software == *software,
+            SoftwareRule::Active => self.is_active(state),
+        }
+    }
+
+    pub(super) fn is_active(&self, state: &EndpointState) -> bool {
+        let active = self.active_versions.get(&state.entry.service);
+        active.is_none_or(|active| active.contains(&state.entry.software))
+    }
+
     /// Versions of a service's software seen within [`RETENTION`].
     pub fn versions(&self, service: &ServiceId, now: Duration) -> BTreeSet<&SoftwareVersion> {
         let states = self.endpoints.values().filter(|state| state.entry.service == *service);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`fleet`] | which endpoint a request goes to |
 //! | [`attempt`] | whether a failed attempt is retried, and the error response to the client |
 //! | [`origins`] | at which version of the software a stream may go on |
+//! | [`software`] | at which versions of the software streams may begin |
 //! | [`paths`] | whether an endpoint is reached directly or through another router |
 //! | [`quotas`] | whether a request is within the quota of its workspace |
 //! | [`quarantine`] | which requests are kept from endpoints, because others have ended under them |
@@ -51,4 +52,5 @@
 pub mod roster;
 pub mod scope;
 pub mod site;
+pub mod software;
 pub mod uptime;
--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -2,9 +2,10 @@
 //!
 //! Load pattern: while a service moves to another version of its software, endpoints of both serve it side by side. A
 //! stream may only go on at the version that began it. Its client may take it up at any router, under a new id, after the
-//! router that began it has ended. So while several versions were seen, each router tells a few others, chosen by hashing
-//! the id, where its streams began, and asks them about streams that it doesn't know. Where one version was seen for as
-//! long as a client can return, every stream began at it, and nothing needs to be told or asked.
+//! router that began it has ended. So while several versions may begin streams, each router tells a few others, chosen by
+//! hashing the id, where its streams began, and asks them about streams that it doesn't know. One of the others writes the
+//! origins to the store, because all routers may lose power at the same moment. Where the record in the store
+//! ([`crate::software`]) names one version, every stream began at it, and nothing needs to be told or asked.
 
 use derive_more::{Display, From};
 use ids::{RequestId, ServiceId, SoftwareVersion};
@@ -17,9 +18,6 @@
 pub const RETENTION: Duration = Duration::from_secs(30);
 /// Number of origins that are remembered.
 const MAX_ORIGINS: usize = 65_536;
-/// Time since the last word from the store up to which a router's list of endpoints counts as current.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
-
 /// Identifies a stream by the id of the client's attempt that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, From, Display, Serialize, Deserialize)]
 #[display("{_0:016x}")]
@@ -47,47 +45,53 @@
 pub struct Knowledge {
     /// Where the stream began.
     pub origin: Option<Origin>,
-    /// Versions of the service's software seen within [`RETENTION`].
+    /// Versions of the service's software at which the stream may have begun.
     pub versions: BTreeSet<SoftwareVersion>,
+    /// Whether no other version can have begun it.
+    pub is_current: bool,
 }
 
 /// How a stream may go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Continuation {
-    /// At any endpoint: there is only one version.
-    Anywhere,
     /// At endpoints of its origin.
     At(Origin),
     /// Not at all: it may have begun at any of several versions.
     Unknown,
 }
 
-/// Decides how a stream goes on, from what this router knows and what the routers that were asked know, as far as they
-/// answered. `alone` says that there are no other routers.
-pub fn continuation(own: &Knowledge, others: &[Option<Knowledge>], alone: bool) -> Continuation {
-    let answers = || others.iter().flatten();
-    let mut known = std::iter::once(own).chain(answers());
+/// Decides how a stream of `service` goes on, from what this router knows and what the routers that were asked know, as
+/// far as they answered.
+pub fn continuation(service: &ServiceId, own: &Knowledge, others: &[Option<Knowledge>]) -> Continuation {
+    let mut known = std::iter::once(own).chain(others.iter().flatten());
     if let Some(origin) = known.find_map(|known| known.origin.clone()) {
         return Continuation::At(origin);
     }
+    // The current ones name all versions. Without them, whoever did not answer may know of another one.
+    let mut current = std::iter::once(own)
+        .chain(others.iter().flatten())
+        .filter(|known| known.is_current);
+    let is_proved = current.next().is_some() || others.iter().all(Option::is_some);
     let versions: BTreeSet<&SoftwareVersion> = std::iter::once(own)
-        .chain(answers())
+        .chain(others.iter().flatten())
         .flat_map(|known| &known.versions)
         .collect();
-    // A router that reaches no other may have missed that there are several.
-    let is_cut_off = !alone && answers().next().is_none();
-    if versions.len() > 1 || is_cut_off {
-        Continuation::Unknown
-    } else {
-        Continuation::Anywhere
+    let mut versions = versions.into_iter();
+    match (versions.next(), versions.next()) {
+        (Some(software), None) if is_proved => Continuation::At(Origin {
+            service: service.clone(),
+            software: software.clone(),
+        }),
+        _ => Continuation::Unknown,
     }
 }
 
 /// The origins that a router knows.
 #[derive(Debug, Default)]
 pub struct Origins {
-    known: HashMap<StreamKey, Origin>,
-    /// The same, the oldest first.
+    /// Where streams began, and when that was last recorded.
+    known: HashMap<StreamKey, (Origin, Duration)>,
+    /// Each record of a stream, the oldest first.
     order: VecDeque<(StreamKey, Duration)>,
     /// When this router first read the list of endpoints.
     watching_since: Option<Duration>,
@@ -99,36 +103,34 @@
         self.watching_since.get_or_insert(now);
     }
 
-    /// Records where a stream began.
+    /// Records where a stream began, or that it went on there.
     pub fn record(&mut self, stream: StreamKey, origin: Origin, now: Duration) {
-        if self.known.insert(stream, origin).is_none() {
-            self.order.push_back((stream, now));
-        }
+        self.known.insert(stream, (origin, now));
+        self.order.push_back((stream, now));
         let is_old = |at: Duration| now.saturating_sub(at) >= RETENTION;
         while let Some((oldest, at)) = self.order.front().copied()
             && (is_old(at) || self.order.len() > MAX_ORIGINS)
         {
             self.order.pop_front();
-            self.known.remove(&oldest);
+            if self.known.get(&oldest).is_some_and(|(_, last)| *last == at) {
+                self.known.remove(&oldest);
+            }
         }
     }
 
     /// Where a stream began, if this router knows.
     pub fn get(&self, stream: StreamKey) -> Option<&Origin> {
-        self.known.get(&stream)
+        self.known.get(&stream).map(|(origin, _)| origin)
     }
 
     /// The streams that began a short time ago.
     pub fn all(&self) -> impl Iterator<Item = (StreamKey, &Origin)> {
-        self.known.iter().map(|(stream, origin)| (*stream, origin))
+        self.known.iter().map(|(stream, (origin, _))| (*stream, origin))
     }
 
-    /// Whether this router can tell by itself that a service has had one version for as long as a client may take to return.
-    /// `versions` is the number that it saw, `list_age` the time since the last word from the store.
-    pub fn proves_single(&self, versions: usize, list_age: Option<Duration>, now: Duration) -> bool {
+    /// Whether this router has watched the list of endpoints for as long as a client may take to return.
+    pub fn has_watched(&self, now: Duration) -> bool {
         let watched = self.watching_since.map(|since| now.saturating_sub(since));
-        versions <= 1
-            && watched.is_some_and(|watched| watched >= RETENTION)
-            && list_age.is_some_and(|age| age <= MAX_LIST_AGE)
+        watched.is_some_and(|watched| watched >= RETENTION)
     }
 }
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::scope::Isolation;
 use ids::{EndpointId, ModelId, Revision, ServiceId, SoftwareVersion, WorkspaceId};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +30,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether responses are streams that another endpoint may resume.
+    pub fn resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether responses are streams.
     pub fn streams(self) -> bool {
         matches!(self, Self::Stream { .. })
@@ -193,6 +198,7 @@
     limits: ClientLimits,
     urgent_streams: HashMap<ServiceId, UrgentStream>,
     patient_services: HashSet<ServiceId>,
+    resumable_services: BTreeSet<ServiceId>,
 }
 
 /// The most urgent streaming routes of a service.
@@ -235,6 +241,11 @@
             .flat_map(active_targets)
             .map(|target| target.service.clone())
             .collect();
+        let resumable = parts.routes.iter().filter(|route| route.kind.resumable());
+        let resumable_services = resumable
+            .flat_map(|route| &route.targets)
+            .map(|target| target.service.clone())
+            .collect();
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for route in parts.routes {
             hosts.entry(route.host.clone()).or_default().push(route);
@@ -256,6 +267,7 @@
             limits: parts.limits,
             urgent_streams,
             patient_services,
+            resumable_services,
         }
     }
 
@@ -302,6 +314,11 @@
         self.patient_services.contains(service)
     }
 
+    /// The services that have routes with resumable streams.
+    pub fn resumable_services(&self) -> &BTreeSet<ServiceId> {
+        &self.resumable_services
+    }
+
     /// The owner of a request with this API key.
     pub fn owner(&self, route: &Route, key: Option<&str>) -> Owner<'_> {
         let Some(keys) = &self.keys else {
--- a/crates/dispatch/tests/origins.rs
+++ b/crates/dispatch/tests/origins.rs
@@ -11,123 +11,100 @@
     }
 }
 
-fn knowledge(known: Option<&str>, versions: &[&str]) -> Knowledge {
+fn knowledge(known: Option<&str>, versions: &[&str], is_current: bool) -> Knowledge {
     Knowledge {
         origin: known.map(origin),
         versions: versions.iter().map(|version| SoftwareVersion::from(*version)).collect(),
+        is_current,
     }
 }
 
-/// A router that doesn't know where a stream began must not guess, unless all that it can ask have seen a single version.
+/// A router that doesn't know where a stream began must not guess, unless the record or all that it asks name a single version.
 #[test]
 fn a_stream_goes_on_only_where_it_began() {
     struct Case {
         name: &'static str,
         own: Knowledge,
         others: Vec<Option<Knowledge>>,
-        alone: bool,
         expected: Continuation,
     }
-    let case = |name, own, others: &[Option<Knowledge>], expected| Case {
+    let case = |name, own: &Knowledge, others: &[Option<&Knowledge>], expected: &Continuation| Case {
         name,
-        own,
-        others: others.to_vec(),
-        alone: false,
-        expected,
+        own: own.clone(),
+        others: others.iter().map(|other| other.cloned()).collect(),
+        expected: expected.clone(),
     };
     let at = |version| Continuation::At(origin(version));
-    let (one, both) = (knowledge(None, &["v1"]), knowledge(None, &["v1", "v2"]));
-    let told = knowledge(Some("v2"), &["v1", "v2"]);
+    let (one, old) = (knowledge(None, &["v1"], true), knowledge(None, &["v1"], false));
+    let (both, both_old) = (
+        knowledge(None, &["v1", "v2"], true),
+        knowledge(None, &["v1", "v2"], false),
+    );
+    let told = knowledge(Some("v2"), &["v1", "v2"], false);
+    let other = knowledge(None, &["v2"], false);
+    let none = knowledge(None, &[], true);
+    let unknown = &Continuation::Unknown;
     let cases = [
-        case("it knows", told.clone(), &[], at("v2")),
-        case(
-            "another knows",
-            both.clone(),
-            &[None, Some(both.clone()), Some(told.clone())],
-            at("v2"),
-        ),
+        case("it knows", &told, &[], &at("v2")),
+        case("another knows", &both, &[None, Some(&both), Some(&told)], &at("v2")),
         case(
             "another knows of a version that it hasn't seen",
-            one.clone(),
-            &[Some(told)],
-            at("v2"),
+            &old,
+            &[Some(&told)],
+            &at("v2"),
         ),
+        case("several versions", &both, &[Some(&both), None], unknown),
+        case("another has seen several", &old, &[Some(&both_old), None], unknown),
+        case("another has seen a different one", &old, &[Some(&other)], unknown),
+        case("it has a current record of one", &one, &[], &at("v1")),
         case(
-            "nobody knows, several versions",
-            both.clone(),
-            &[Some(both.clone()), None],
-            Continuation::Unknown,
+            "another has a current record of one",
+            &old,
+            &[Some(&one), None],
+            &at("v1"),
         ),
         case(
-            "another has seen several",
-            one.clone(),
-            &[Some(both), None],
-            Continuation::Unknown,
+            "all have seen one, with old lists",
+            &old,
+            &[Some(&old), Some(&old)],
+            &at("v1"),
         ),
-        case(
-            "another has seen a different one",
-            one.clone(),
-            &[Some(knowledge(None, &["v2"]))],
-            Continuation::Unknown,
-        ),
-        case(
-            "all have seen a single version",
-            one.clone(),
-            &[Some(one.clone()), None],
-            Continuation::Anywhere,
-        ),
-        case(
-            "nobody answers",
-            one.clone(),
-            &[None, None, None],
-            Continuation::Unknown,
-        ),
-        Case {
-            alone: true,
-            ..case("there is no other router", one, &[], Continuation::Anywhere)
-        },
+        case("some have seen one, with old lists", &old, &[Some(&old), None], unknown),
+        case("nobody answers", &old, &[None, None, None], unknown),
+        case("there is no other router", &old, &[], &at("v1")),
+        case("no version", &none, &[], unknown),
     ];
     for case in cases {
-        let found = continuation(&case.own, &case.others, case.alone);
+        let found = continuation(&ServiceId::from("pool"), &case.own, &case.others);
         assert_eq!(found, case.expected, "{}", case.name);
     }
 }
 
-/// A router that has just started, or whose list of endpoints is old, may have missed another version.
+/// Without a record, a router that has just started may have missed another version.
 #[test]
-fn a_single_version_is_proved_by_watching_long_enough() {
-    struct Case {
-        versions: usize,
-        list_age: Option<u64>,
-        now: u64,
-        proved: bool,
-    }
-    let case = |versions, list_age, now, proved| Case {
-        versions,
-        list_age,
-        now,
-        proved,
-    };
-    let cases = [
-        case(1, Some(100), 31_000, true),
-        case(1, Some(100), 29_000, false),
-        case(1, Some(2_500), 31_000, false),
-        case(1, None, 31_000, false),
-        case(2, Some(100), 31_000, false),
-        case(0, Some(100), 31_000, true),
-    ];
+fn a_router_has_watched_only_after_the_time_in_which_clients_return() {
     let mut origins = Origins::default();
+    assert!(!origins.has_watched(Duration::from_secs(40)));
     origins.list_read(Duration::from_secs(1));
     origins.list_read(Duration::from_secs(20));
-    for case in cases {
-        let age = case.list_age.map(Duration::from_millis);
-        let proved = origins.proves_single(case.versions, age, Duration::from_millis(case.now));
-        assert_eq!(
-            proved, case.proved,
-            "{:?} {:?} {}",
-            case.versions, case.list_age, case.now
-        );
+    assert!(!origins.has_watched(Duration::from_millis(30_900)));
+    assert!(origins.has_watched(Duration::from_secs(31)));
+}
+
+/// A client may return to a stream for as long after each continuation as after the stream's first event.
+#[test]
+fn a_stream_that_went_on_is_remembered_longer() {
+    let key = StreamKey::from(&RequestId::from("r0"));
+    let mut origins = Origins::default();
+    for seconds in [0, 20, 40] {
+        origins.record(key, origin("v1"), Duration::from_secs(seconds));
+        assert_eq!(origins.get(key), Some(&origin("v1")));
     }
+    let other = StreamKey::from(&RequestId::from("r1"));
+    origins.record(other, origin("v2"), Duration::from_secs(69));
+    assert_eq!(origins.get(key), Some(&origin("v1")));
+    origins.record(other, origin("v2"), Duration::from_secs(70));
+    assert_eq!(origins.get(key), None);
 }
 
 /// Origins are forgotten once no client can return, and their number is bounded.
--- /dev/null
+++ b/crates/dispatch/tests/software.rs
@@ -0,0 +1,184 @@
+//! At which versions of the software streams may begin.
+
+use dispatch::software::{ListedVersions, SoftwareRecord, SoftwareRecords};
+use ids::{ServiceId, SoftwareVersion, VmId};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn versions(names: &[&str]) -> BTreeSet<SoftwareVersion> {
+    names.iter().map(|name| SoftwareVersion::from(*name)).collect()
+}
+
+fn record(active: &[&str], pending: &[&str]) -> SoftwareRecord {
+    SoftwareRecord {
+        active: versions(active),
+        pending: versions(pending),
+    }
+}
+
+fn listed(counts: &[(&str, usize)]) -> ListedVersions {
+    let count = |(name, count): &(&str, usize)| (SoftwareVersion::from(*name), *count);
+    counts.iter().map(count).collect()
+}
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// One router and the store that holds its service's record.
+#[derive(Default)]
+struct Service {
+    records: SoftwareRecords,
+    revision: u64,
+}
+
+impl Service {
+    fn recorded(active: &[&str], pending: &[&str], now: u64) -> Self {
+        let mut service = Self::default();
+        service.write(record(active, pending), now);
+        service
+    }
+
+    fn id() -> ServiceId {
+        ServiceId::from("pool")
+    }
+
+    fn write(&mut self, record: SoftwareRecord, now: u64) {
+        self.revision += 1;
+        self.records.read(&Self::id(), record, self.revision, ms(now));
+    }
+
+    /// Compares the record with what is listed, with a copy of the store that is this old.
+    fn next_with(&mut self, counts: &[(&str, usize)], now: u64, age: u64) -> Option<SoftwareRecord> {
+        self.records.copy_complete(ms(now.saturating_sub(age)));
+        let update = self.records.next(&Self::id(), &listed(counts), ms(now))?;
+        assert_eq!(update.replaces, self.revision);
+        Some(update.record)
+    }
+
+    fn next(&mut self, counts: &[(&str, usize)], now: u64) -> Option<SoftwareRecord> {
+        self.next_with(counts, now, 0)
+    }
+}
+
+/// Before the first record, whatever is listed may have begun streams.
+#[test]
+fn the_first_record_names_all_listed_versions() {
+    let mut service = Service::default();
+    assert_eq!(service.next(&[], 0), None);
+    assert_eq!(
+        service.next(&[("v1", 2), ("v2", 0)], 10),
+        Some(record(&["v1", "v2"], &[]))
+    );
+    service.write(record(&["v1"], &[]), 20);
+    assert_eq!(service.next(&[("v1", 2)], 30), None);
+}
+
+/// No stream may begin at a version before all routers with a recent copy of the record have read of it.
+#[test]
+fn a_version_is_pending_before_streams_begin_at_it() {
+    struct Case {
+        name: &'static str,
+        listed: &'static [(&'static str, usize)],
+        pending_ms: u64,
+        begins: bool,
+    }
+    let case = |name, listed, pending_ms, begins| Case {
+        name,
+        listed,
+        pending_ms,
+        begins,
+    };
+    let cases = [
+        case("the old one serves", &[("v1", 3), ("v2", 1)], 4_900, false),
+        case("the old one serves, later", &[("v1", 3), ("v2", 1)], 5_000, true),
+        case(
+            "the new one has more endpoints, early",
+            &[("v1", 1), ("v2", 1)],
+            3_200,
+            false,
+        ),
+        case("the new one has more endpoints", &[("v1", 1), ("v2", 1)], 3_250, true),
+        case("the old one leaves", &[("v1", 0), ("v2", 1)], 3_200, false),
+        case("the old one is gone", &[("v2", 1)], 0, true),
+    ];
+    for case in cases {
+        let mut service = Service::recorded(&["v1"], &[], 0);
+        let first = service.next(&[("v1", 3), ("v2", 1)], 100);
+        assert_eq!(first, Some(record(&["v1"], &["v2"])));
+        service.write(record(&["v1"], &["v2"]), 1_000);
+        let next = service.next(case.listed, 1_000 + case.pending_ms);
+        let expected = case.begins.then(|| record(&["v1", "v2"], &[]));
+        assert_eq!(next, expected, "{}", case.name);
+    }
+}
+
+/// All routers have restarted, and what they find listed is not what streams began at.
+#[test]
+fn a_version_that_left_unseen_still_counts() {
+    let mut service = Service::recorded(&["v1"], &[], 0);
+    assert_eq!(service.next(&[("v2", 2)], 10), Some(record(&["v1", "v2"], &[])));
+    service.write(record(&["v1", "v2"], &[]), 20);
+    assert!(!service.records.proves_single(&Service::id(), ms(30)));
+    assert_eq!(service.next(&[("v2", 2)], 44_900), None);
+    assert_eq!(service.next(&[("v2", 2)], 45_020), Some(record(&["v2"], &[])));
+}
+
+/// A pending version whose endpoints are gone has begun no stream.
+#[test]
+fn a_pending_version_is_dropped_with_its_endpoints() {
+    let mut service = Service::recorded(&["v1"], &["v2"], 0);
+    assert_eq!(service.next(&[("v1", 2)], 100), Some(record(&["v1"], &[])));
+}
+
+/// Guards against dropping a version that was listed while this router had no recent copy of the store.
+#[test]
+fn a_version_counts_anew_after_a_time_without_the_store() {
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    assert_eq!(service.next(&[("v1", 1), ("v2", 1)], 1_000), None);
+    assert_eq!(service.next_with(&[("v2", 1)], 60_000, 59_000), None);
+    assert_eq!(service.next(&[("v2", 1)], 60_200), None);
+    assert_eq!(service.next(&[("v2", 1)], 105_100), Some(record(&["v2"], &[])));
+}
+
+/// A router that is cut off goes on beginning streams at the versions that it knows.
+#[test]
+fn no_version_is_dropped_while_a_router_may_be_cut_off() {
+    let all: BTreeSet<VmId> = ["a", "b"].into_iter().map(VmId::from).collect();
+    let without: BTreeSet<VmId> = ["a"].into_iter().map(VmId::from).collect();
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    service.records.set_routers(all.clone(), ms(0));
+    service.records.set_routers(without.clone(), ms(10_000));
+    assert_eq!(service.next(&[("v2", 1)], 50_000), None);
+    service.records.set_routers(all, ms(50_000));
+    assert_eq!(service.next(&[("v2", 1)], 50_100), Some(record(&["v2"], &[])));
+    service.records.set_routers(without.clone(), ms(51_000));
+    service.records.set_routers(without, ms(651_000));
+    assert_eq!(service.next(&[("v2", 1)], 651_100), Some(record(&["v2"], &[])));
+}
+
+/// A restored store may lack a version that was recorded after the backup.
+#[test]
+fn a_restored_record_is_completed() {
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    service.records.store_restored();
+    service.revision = 0;
+    assert_eq!(
+        service.next(&[("v1", 1), ("v2", 1)], 10),
+        Some(record(&["v1", "v2"], &[]))
+    );
+    service.write(record(&["v1"], &[]), 20);
+    assert_eq!(service.next(&[("v1", 1)], 30), Some(record(&["v1", "v2"], &[])));
+}
+
+/// An old copy of the record may lack a version at which streams begin by now.
+#[test]
+fn an_old_copy_proves_nothing() {
+    let mut service = Service::recorded(&["v1"], &[], 0);
+    service.records.copy_complete(ms(100));
+    assert!(service.records.proves_single(&Service::id(), ms(3_100)));
+    assert!(!service.records.proves_single(&Service::id(), ms(3_101)));
+    let mut pending = Service::recorded(&["v1"], &["v2"], 0);
+    pending.records.copy_complete(ms(100));
+    assert!(!pending.records.proves_single(&Service::id(), ms(200)));
+}
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! Builds a fleet of endpoints and sends requests to it.
 
-use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, TargetAge};
+use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, SoftwareRule, TargetAge};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion};
@@ -98,7 +98,7 @@
         unread: &[],
         rank: 0,
         attempts: 2,
-        software: None,
+        software: SoftwareRule::Any,
     }
 }
 
--- a/crates/dispatch/tests/target_ages.rs
+++ b/crates/dispatch/tests/target_ages.rs
@@ -1,6 +1,6 @@
 //! Target ages as seen by routers that start, freeze and ask each other.
 
-use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, TargetAge};
+use dispatch::fleet::{Choice, Fleet, FleetSettings, PickContext, Prompt, PromptPart, SoftwareRule, TargetAge};
 use dispatch::retries::RetryLimits;
 use dispatch::site::EndpointEntry;
 use ids::{DomainId, EndpointId, Incarnation, ModelId, ServiceId, SoftwareVersion};
@@ -68,7 +68,7 @@
         unread: &[],
         rank: 0,
         attempts: 2,
-        software: None,
+        software: SoftwareRule::Any,
     };
     matches!(fleet.choose(&context, 1, now), Choice::Endpoint(_))
 }
--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -24,6 +24,7 @@
     pub(super) fn confirm_freshness(&mut self, confirmed: Option<Confirmation>, era: u64, now: Duration) {
         if let Some(confirmed) = confirmed {
             self.roster.list_complete(confirmed.at());
+            self.shared.software().copy_complete(confirmed.at());
         }
         *self.shared.uptime() = *self.roster.uptime();
         let confirmed = confirmed.and_then(|confirmed| self.verify_era(confirmed, era, now));
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,7 +11,7 @@
 use crate::dialect::{LoadList, LoadedWeights};
 use crate::lanes::LaneLog;
 use crate::orders::ListSentAt;
-use crate::origins;
+use crate::origins::{self, ORIGINS_PREFIX, RECORDS_PREFIX, RecordWriter};
 use crate::shared::Shared;
 use async_channel::Receiver;
 use dispatch::era_check::EraCheck;
@@ -87,6 +87,7 @@
     /// Whether the last connections to all endpoints failed.
     endpoints_lost: bool,
     lane_log: LaneLog,
+    record_writer: RecordWriter,
 }
 
 impl Control {
@@ -125,6 +126,7 @@
             store_reachable: false,
             endpoints_lost: false,
             lane_log: LaneLog::default(),
+            record_writer: RecordWriter::default(),
         }
     }
 
@@ -206,6 +208,7 @@
     /// The store was restored from a backup: its contents may be older than this router's copy.
     fn store_restored(&mut self, before: Position, now: Position, uptime: Span) {
         self.roster.store_restored(uptime);
+        self.shared.software().store_restored();
         self.store_reachable = true;
         self.shared.metrics.restored.inc();
         // A pending signal is sufficient.
@@ -225,6 +228,8 @@
         let (entries, mut rest): (Vec<Item>, Vec<Item>) =
             items.into_iter().partition(|item| item.key.starts_with(prefix));
         rest.sort_by_key(|item| item.revision);
+        // Before any endpoint is listed: no stream may begin or go on at a version of which the records don't tell.
+        rest.iter().for_each(|item| self.software_written(item));
         let list = entries.iter().filter_map(|item| self.entry_change(item)).collect();
         let changes = self.roster.replace(list, now);
         self.apply_roster(changes, now);
@@ -255,7 +260,10 @@
             return;
         }
         match change {
-            Change::Written(item) => self.item_written(item, now),
+            Change::Written(item) => {
+                self.software_written(item);
+                self.item_written(item, now);
+            }
             Change::Removed { key, .. } => self.item_removed(key),
         }
     }
@@ -325,6 +333,15 @@
         }
     }
 
+    /// Reads what the store holds of the software of streams' endpoints.
+    fn software_written(&self, item: &Item) {
+        if item.key.starts_with(RECORDS_PREFIX) {
+            origins::read_record(&self.shared, item);
+        } else if item.key.starts_with(ORIGINS_PREFIX) {
+            origins::read_origins(&self.shared, item);
+        }
+    }
+
     fn item_removed(&mut self, key: &str) {
         if key == HOLDER_KEY {
             self.holder_fence = None;
@@ -447,6 +464,7 @@
         self.on_holder_event(dispatch::holder::Event::Tick);
         self.queue_loads(now);
         self.record_era(now);
+        self.record_writer.tick(&self.shared, &self.roster, now);
     }
 
     /// Whether this router has lost its paths to the engines of a service.
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -1,7 +1,12 @@
-//! Tells other routers which version of the software began a stream, and asks them.
+//! Tells other routers which version of the software began a stream, and asks them. Keeps in the store what must outlive all
+//! routers.
 
+mod archive;
+mod records;
 mod sender;
 
+pub use archive::{ORIGINS_PREFIX, archive_origins, read as read_origins};
+pub use records::{RECORDS_PREFIX, RecordWriter, read as read_record};
 pub use sender::send_origins;
 
 use crate::follow::members::Members;
@@ -55,16 +60,16 @@
 }
 
 /// Finds out how the stream goes on that the attempt `begun` began. Without its name, `request`, which continues it, only chooses
-/// the routers that are asked which versions they have seen.
+/// the routers that are asked at which versions it may have begun.
 pub async fn find(shared: &Shared, begun: Option<&str>, request: &str, service: &ServiceId) -> Continuation {
     let stream = StreamKey::from(&RequestId::from(begun.unwrap_or(request)));
     let own = knowledge(shared, stream, service);
-    if own.origin.is_some() || proves_single(shared, service) {
-        return continuation(&own, &[], true);
+    if own.origin.is_some() || (own.is_current && own.versions.len() == 1) {
+        return continuation(service, &own, &[]);
     }
     let routers = Members::read(shared).addresses();
     let others = ask(shared, stream, service, &routers).await;
-    let found = continuation(&own, &others, routers.len() <= 1);
+    let found = continuation(service, &own, &others);
     let now = shared.clock.now();
     let told = others.iter().flatten().map(names).collect::<Vec<_>>().join(" ");
     log::info!(
@@ -73,7 +78,7 @@
         answered = others.iter().flatten().count(),
         versions = names(&own).as_str(),
         told = told.as_str(),
-        list_age_ms = shared.uptime().age(now).map_or(-1, |age| age.as_millis() as i64),
+        copy_age_ms = shared.software().copy_age(now).map_or(-1, |age| age.as_millis() as i64),
         started_ms = now.as_millis() as u64,
         found:? = found;
         "stream: origin asked for"
@@ -84,9 +89,13 @@
 /// Handles origins that another router tells.
 pub fn handle(shared: &Shared, messages: Vec<OriginMessage>) {
     let now = shared.clock.now();
-    let mut origins = shared.origins();
+    let own = shared.settings.load().vm.clone();
+    let archivists = archive::archivists(&Members::read(shared).ids());
     for OriginMessage(stream, origin) in messages {
-        origins.record(stream, origin, now);
+        if archive::archivist(stream, &archivists) == Some(&own) {
+            archive::queue(shared, stream, &origin);
+        }
+        shared.origins().record(stream, origin, now);
     }
 }
 
@@ -96,14 +105,26 @@
     OriginResponse {
         origin: known.origin,
         versions: known.versions,
+        is_current: known.is_current,
     }
 }
 
 fn knowledge(shared: &Shared, stream: StreamKey, service: &ServiceId) -> Knowledge {
     let now = shared.clock.now();
+    let (origin, has_watched) = {
+        let origins = shared.origins();
+        (origins.get(stream).cloned(), origins.has_watched(now))
+    };
+    let (recorded, is_current) = {
+        let software = shared.software();
+        (software.active(service).cloned(), software.is_current(now))
+    };
+    let has_record = recorded.is_some();
+    let listed = || shared.fleet().versions(service, now).into_iter().cloned().collect();
     Knowledge {
-        origin: shared.origins().get(stream).cloned(),
-        versions: shared.fleet().versions(service, now).into_iter().cloned().collect(),
+        origin,
+        versions: recorded.unwrap_or_else(listed),
+        is_current: is_current && (has_record || has_watched),
     }
 }
 
@@ -113,12 +134,16 @@
     versions.collect::<Vec<_>>().join(",")
 }
 
-/// Whether this router can tell by itself that the service has had one version for long enough.
+/// Whether this router can tell by itself that all streams of the service begin at one version.
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
     let now = shared.clock.now();
-    let versions = shared.fleet().versions(service, now).len();
-    let age = shared.uptime().age(now);
-    shared.origins().proves_single(versions, age, now)
+    let software = shared.software();
+    if software.active(service).is_some() {
+        return software.proves_single(service, now);
+    }
+    let is_current = software.is_current(now);
+    drop(software);
+    is_current && shared.origins().has_watched(now) && shared.fleet().versions(service, now).len() <= 1
 }
 
 /// The routers that remember where a stream began.
@@ -146,6 +171,7 @@
     let knowledge = |response: OriginResponse| Knowledge {
         origin: response.origin,
         versions: response.versions,
+        is_current: response.is_current,
     };
     answers.into_iter().map(|answer| answer.ok().map(knowledge)).collect()
 }
--- a/crates/gateway/src/origins/sender.rs
+++ b/crates/gateway/src/origins/sender.rs
@@ -1,6 +1,6 @@
-//! Sends the origins of this router's streams to the routers that remember them.
+//! Sends the origins of this router's streams to the routers that remember them or write them to the store.
 
-use super::{CALL_TIMEOUT, keepers};
+use super::{CALL_TIMEOUT, archive, keepers};
 use crate::follow::members::Members;
 use crate::shared::Shared;
 use async_channel::{Receiver, Sender};
@@ -38,7 +38,7 @@
             batch.push(next);
         }
         let own = shared.settings.load().vm.clone();
-        for (address, messages) in by_keeper(&batch, &routers, &own) {
+        for (address, messages) in by_receiver(&shared, &batch, &routers, &own) {
             let queue = queues.entry(address).or_insert_with(|| {
                 let (sender, receiver) = async_channel::bounded(MAX_QUEUED);
                 task::spawn(send_all(address, receiver));
@@ -50,14 +50,27 @@
     }
 }
 
-fn by_keeper(
+/// The messages for the routers that remember origins or write them to the store.
+fn by_receiver(
+    shared: &Shared,
     batch: &[(StreamKey, Origin)],
     routers: &[(VmId, SocketAddr)],
     own: &VmId,
 ) -> HashMap<SocketAddr, Vec<OriginMessage>> {
+    let ids: Vec<VmId> = routers.iter().map(|(vm, _)| vm.clone()).collect();
+    let archivists = archive::archivists(&ids);
     let mut messages: HashMap<SocketAddr, Vec<OriginMessage>> = HashMap::new();
     for (stream, origin) in batch {
-        for (vm, address) in keepers(*stream, routers) {
+        let archivist = archive::archivist(*stream, &archivists);
+        if archivist.is_none_or(|vm| vm == own) {
+            archive::queue(shared, *stream, origin);
+        }
+        let mut receivers = keepers(*stream, routers);
+        let writes = routers.iter().filter(|(vm, _)| Some(vm) == archivist);
+        receivers.extend(writes);
+        receivers.sort_unstable();
+        receivers.dedup();
+        for (vm, address) in receivers {
             if vm != own {
                 messages
                     .entry(*address)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,7 @@
 use crate::follow::{follow, follow_prefixes, learn_weight_ages, query_uptime, register};
 use crate::front::{serve_clients, serve_page};
 use crate::news::exchange_news;
-use crate::origins::send_origins;
+use crate::origins::{archive_origins, send_origins};
 use crate::part_holds::{Neighbor, Neighbors};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -149,6 +149,7 @@
     task::spawn(query_uptime(shared.clone()));
     task::spawn(exchange_news(shared.clone()));
     task::spawn(send_origins(shared.clone()));
+    task::spawn(archive_origins(shared.clone()));
     let intake = shared.intake.clone();
     let clock = shared.clock;
     task::spawn(async move { intake.measure(clock).await });
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -174,7 +174,7 @@
             unread,
             rank: self.request.rank,
             attempts: self.request.route.attempts,
-            software: self.software.as_ref(),
+            software: self.software_rule(),
         }
     }
 
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -4,8 +4,9 @@
 use super::{RoutedRequest, origins};
 use crate::shared::Shared;
 use dispatch::attempt::Cause;
-use dispatch::fleet::PickedEndpoint;
+use dispatch::fleet::{PickedEndpoint, SoftwareRule};
 use dispatch::origins::{Continuation, Origin};
+use dispatch::site::EndpointEntry;
 use ids::{EndpointId, Incarnation};
 use std::time::Duration;
 
@@ -29,17 +30,38 @@
             incarnation: entry.incarnation,
             began: self.shared.clock.now(),
         });
-        if self.software.is_some() {
-            return;
-        }
         self.record.software = entry.software.to_string();
-        self.software = Some(entry.software.clone());
+        if self.software.is_none() {
+            self.software = Some(entry.software.clone());
+            self.record_origin(&self.request.info.id, &entry);
+        } else if let Some(begun) = &self.request.info.resumes {
+            self.record_origin(begun, &entry);
+        }
+    }
+
+    fn record_origin(&self, id: &str, entry: &EndpointEntry) {
         if self.request.route.kind.repeatable() {
             let origin = Origin {
                 service: entry.service.clone(),
                 software: entry.software.clone(),
             };
-            origins::record(self.shared, &self.request.info.id, origin);
+            origins::record(self.shared, id, origin);
+        }
+    }
+
+    /// Which versions of the software the endpoint of the next attempt may have.
+    pub(super) fn software_rule(&self) -> SoftwareRule<'_> {
+        if let Some(software) = &self.software {
+            return SoftwareRule::Only(software);
+        }
+        if !self.request.route.kind.resumable() {
+            return SoftwareRule::Any;
+        }
+        let now = self.shared.clock.now();
+        if self.shared.software().is_current(now) {
+            SoftwareRule::Active
+        } else {
+            SoftwareRule::PreferActive
         }
     }
 
@@ -69,7 +91,6 @@
         return Ok(request);
     }
     match origins::find(shared, info.resumes.as_deref(), &info.id, request.service).await {
-        Continuation::Anywhere => {}
         Continuation::Unknown => return Err(Cause::UnknownOrigin),
         Continuation::At(origin) => {
             let mut targets = request.route.targets.iter();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use dispatch::quotas::Quotas;
 use dispatch::retries::RetryLimits;
 use dispatch::site::Site;
+use dispatch::software::SoftwareRecords;
 use dispatch::uptime::Uptime;
 use ids::Revision;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -68,8 +69,11 @@
     /// How many new connections are accepted.
     pub intake: Arc<Intake>,
     origins: Mutex<Origins>,
+    software: Mutex<SoftwareRecords>,
     /// Origins of streams that other routers are to be told.
     pub origin_outbox: OriginOutbox,
+    /// Origins of streams that this router is to write to the store.
+    pub origin_archive: OriginOutbox,
     paths: Mutex<Paths>,
     /// The other routers, as read when a tunnel was last needed.
     pub peers: PeerCache,
@@ -132,7 +136,9 @@
             part_holds: Arc::new(PartHolds::new(metrics.parts_held.clone())),
             intake: Arc::new(Intake::new(metrics.clients_refused.clone())),
             origins: Mutex::default(),
+            software: Mutex::default(),
             origin_outbox: async_channel::bounded(MAX_UNSENT_ORIGINS),
+            origin_archive: async_channel::bounded(MAX_UNSENT_ORIGINS),
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
@@ -217,6 +223,11 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Versions of the software at which streams may begin.
+    pub fn software(&self) -> MutexGuard<'_, SoftwareRecords> {
+        self.software.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Paths to the endpoints.
     pub fn paths(&self) -> MutexGuard<'_, Paths> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -337,8 +337,11 @@
 pub struct OriginResponse {
     /// Where the stream began; absent if the router doesn't know.
     pub origin: Option<Origin>,
-    /// Versions of the service's software that the router saw recently.
+    /// Versions of the service's software at which the stream may have begun, as far as the router knows.
     pub versions: BTreeSet<SoftwareVersion>,
+    /// Whether no other version can have begun it.
+    #[serde(default)]
+    pub is_current: bool,
 }
 
 /// Bounds on a target age: how long ago a model's target weights were set.
