Streams: a pending version begins streams once all routers have read of it; the store is read where a copy proves nothing

Cause: only time proved that every router had read of a pending version. And read again, the proof had a hole: a copy that shows a version as pending may be older than its activation, and so may the copy of a router that isn't registered yet.

Now the router that writes the record asks all others whether they have read it, and activates the version if they have and it has more endpoints than the active ones; time remains the proof where a router doesn't answer. A copy proves where streams began only without pending versions and for a registered router; any other reads the record from the store once its peers don't know the stream. Such a read names every version at which a stream has begun by then, whatever the routers have read.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -4,8 +4,9 @@
 //! another. The list of endpoints doesn't show what was listed before. So the versions at which streams begin are recorded
 //! in the store before the first stream begins at them, and until no client can return after their last endpoint has left.
 //!
-//! A version is pending at first. No stream begins there until every router whose copy of the record is recent has read
-//! of it. As long as one version is active, every stream of unknown origin began at it.
+//! A version is pending at first. No stream begins there until every router has read of it, or no longer takes its copy of
+//! the record for recent. A recent copy with one active and no pending version shows where every stream began; so does a
+//! read of the store at any time.
 
 use crate::origins::RETENTION;
 use ids::{ServiceId, SoftwareVersion, VmId};
@@ -16,8 +17,8 @@
 /// Age up to which a router's copy of the store's contents proves what the record holds. A copy that another router passes
 /// on after a watch without changes is up to 2.7 s old.
 pub const MAX_COPY_AGE: Duration = Duration::from_millis(3_000);
-/// Shortest time for which a version is pending: longer than [`MAX_COPY_AGE`], so that no copy that counts as recent lacks
-/// an active version.
+/// Time for which a version is pending if not all routers say that they have read of it: longer than [`MAX_COPY_AGE`], so
+/// that no copy that counts as recent lacks it.
 const MIN_PENDING: Duration = Duration::from_millis(3_250);
 /// Longest time for which a version is pending while another one serves. After a power loss of all routers, clients
 /// take up their streams in this time.
@@ -42,6 +43,17 @@
 /// endpoints leave.
 pub type ListedVersions = BTreeMap<SoftwareVersion, usize>;
 
+/// What is to be done about the record of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordStep {
+    /// Nothing.
+    Keep,
+    /// All routers are asked whether they have read the record with this store revision.
+    Ask(u64),
+    /// The record is written.
+    Write(RecordUpdate),
+}
+
 /// A new record for the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordUpdate {
@@ -59,6 +71,8 @@
     revision: u64,
     /// When this router first read that a version is pending.
     pending_since: BTreeMap<SoftwareVersion, Duration>,
+    /// Revision of a record that all routers have read.
+    acknowledged: u64,
     /// When an endpoint of an active version was last listed, or the version first read of.
     listed_at: BTreeMap<SoftwareVersion, Duration>,
     /// Versions that were active before the store was restored from a backup.
@@ -97,10 +111,24 @@
         self.services.get(service).map(|known| &known.record.active)
     }
 
-    /// Whether the record shows by itself where every stream of the service has begun.
-    pub fn proves_single(&self, service: &ServiceId, now: Duration) -> bool {
+    /// Whether this router's copy shows all versions at which streams of the service may have begun. `own` is this router: what
+    /// others know of the time before it was registered, they don't tell it.
+    pub fn proves_all(&self, service: &ServiceId, own: &VmId, now: Duration) -> bool {
         let record = self.services.get(service).map(|known| &known.record);
-        self.is_current(now) && record.is_some_and(|record| record.active.len() == 1 && record.pending.is_empty())
+        let is_settled = record.is_some_and(|record| record.pending.is_empty());
+        is_settled && self.is_current(now) && self.routers.contains(own)
+    }
+
+    /// Store revision of a service's record as far as this router has read it.
+    pub fn revision(&self, service: &ServiceId) -> Option<u64> {
+        self.services.get(service).map(|known| known.revision)
+    }
+
+    /// Records that all routers have read the record with this revision.
+    pub fn acknowledge(&mut self, service: &ServiceId, revision: u64) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.acknowledged = revision;
+        }
     }
 
     /// Applies a record that was read from the store.
@@ -139,33 +167,38 @@
         self.routers = routers;
     }
 
-    /// Compares the record of a service with the versions that are listed now, and returns the record to write if they
-    /// require another one.
-    pub fn next(&mut self, service: &ServiceId, listed: &ListedVersions, now: Duration) -> Option<RecordUpdate> {
+    /// Compares the record of a service with the versions that are listed now.
+    pub fn next(&mut self, service: &ServiceId, listed: &ListedVersions, now: Duration) -> RecordStep {
         if !self.is_current(now) {
             // What was listed meanwhile is unknown.
             if let Some(known) = self.services.get_mut(service) {
                 known.listed_at.values_mut().for_each(|at| *at = now);
             }
-            return None;
+            return RecordStep::Keep;
         }
         if listed.is_empty() {
-            return None;
+            return RecordStep::Keep;
         }
         let may_drop = self.lost.is_empty();
         let Some(known) = self.services.get_mut(service) else {
             let active = listed.keys().cloned().collect();
             let pending = BTreeSet::new();
-            return Some(RecordUpdate {
+            return RecordStep::Write(RecordUpdate {
                 record: SoftwareRecord { active, pending },
                 replaces: 0,
             });
         };
         let record = known.next(listed, may_drop, now);
-        (record != known.record || known.revision == 0).then_some(RecordUpdate {
-            record,
-            replaces: known.revision,
-        })
+        if record != known.record || known.revision == 0 {
+            return RecordStep::Write(RecordUpdate {
+                record,
+                replaces: known.revision,
+            });
+        }
+        if known.acknowledged != known.revision && known.is_needed(listed) {
+            return RecordStep::Ask(known.revision);
+        }
+        RecordStep::Keep
     }
 }
 
@@ -189,7 +222,7 @@
         let waiting = listed.keys().filter(|version| !record.active.contains(*version));
         let waiting: Vec<&SoftwareVersion> = waiting.collect();
         for version in waiting {
-            if self.may_begin(version, listed, &self.record.active, now) {
+            if self.may_begin(version, listed, now) {
                 record.active.insert(version.clone());
             } else {
                 record.pending.insert(version.clone());
@@ -199,25 +232,20 @@
     }
 
     /// Whether streams may begin at a listed version that is not active.
-    fn may_begin(
-        &self,
-        version: &SoftwareVersion,
-        listed: &ListedVersions,
-        active: &BTreeSet<SoftwareVersion>,
-        now: Duration,
-    ) -> bool {
-        if !active.iter().any(|version| listed.contains_key(version)) {
-            // Nothing else could serve, and nobody can continue a stream at a version that isn't listed.
-            return true;
-        }
+    fn may_begin(&self, version: &SoftwareVersion, listed: &ListedVersions, now: Duration) -> bool {
         let Some(since) = self.pending_since.get(version) else {
             return false;
         };
         let pending = now.saturating_sub(*since);
+        let is_read = self.acknowledged == self.revision || pending >= MIN_PENDING;
+        is_read && (pending >= MAX_PENDING || self.is_needed(listed))
+    }
+
+    /// Whether the pending versions have more endpoints that can begin streams than the active ones.
+    fn is_needed(&self, listed: &ListedVersions) -> bool {
         let serving = |versions: &BTreeSet<SoftwareVersion>| -> usize {
             versions.iter().filter_map(|version| listed.get(version)).sum()
         };
-        let is_needed = serving(&self.record.pending) >= serving(active);
-        pending >= MAX_PENDING || (pending >= MIN_PENDING && is_needed)
+        serving(&self.record.pending) > serving(&self.record.active)
     }
 }
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -1,6 +1,6 @@
 //! At which versions of the software streams may begin.
 
-use dispatch::software::{ListedVersions, SoftwareRecord, SoftwareRecords};
+use dispatch::software::{ListedVersions, RecordStep, SoftwareRecord, SoftwareRecords};
 use ids::{ServiceId, SoftwareVersion, VmId};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -48,17 +48,29 @@
         self.records.read(&Self::id(), record, self.revision, ms(now));
     }
 
-    /// Compares the record with what is listed, with a copy of the store that is this old.
+    /// Compares the record with what is listed, with a copy of the store that is this old. Returns the record to write.
     fn next_with(&mut self, counts: &[(&str, usize)], now: u64, age: u64) -> Option<SoftwareRecord> {
         self.records.copy_complete(ms(now.saturating_sub(age)));
-        let update = self.records.next(&Self::id(), &listed(counts), ms(now))?;
-        assert_eq!(update.replaces, self.revision);
-        Some(update.record)
+        match self.records.next(&Self::id(), &listed(counts), ms(now)) {
+            RecordStep::Keep => None,
+            RecordStep::Ask(revision) => {
+                assert_eq!(revision, self.revision);
+                None
+            }
+            RecordStep::Write(update) => {
+                assert_eq!(update.replaces, self.revision);
+                Some(update.record)
+            }
+        }
     }
 
     fn next(&mut self, counts: &[(&str, usize)], now: u64) -> Option<SoftwareRecord> {
         self.next_with(counts, now, 0)
     }
+
+    fn proves_all(&self, now: u64) -> bool {
+        self.records.proves_all(&Self::id(), &VmId::from("a"), ms(now))
+    }
 }
 
 /// Before the first record, whatever is listed may have begun streams.
@@ -80,46 +92,77 @@
     struct Case {
         name: &'static str,
         listed: &'static [(&'static str, usize)],
+        acknowledged: bool,
         pending_ms: u64,
         begins: bool,
     }
-    let case = |name, listed, pending_ms, begins| Case {
+    let case = |name, listed, acknowledged, pending_ms, begins| Case {
         name,
         listed,
+        acknowledged,
         pending_ms,
         begins,
     };
+    let few: &[(&str, usize)] = &[("v1", 3), ("v2", 1)];
+    let half: &[(&str, usize)] = &[("v1", 2), ("v2", 2)];
+    let most: &[(&str, usize)] = &[("v1", 1), ("v2", 2)];
     let cases = [
-        case("the old one serves", &[("v1", 3), ("v2", 1)], 4_900, false),
-        case("the old one serves, later", &[("v1", 3), ("v2", 1)], 5_000, true),
-        case(
-            "the new one has more endpoints, early",
-            &[("v1", 1), ("v2", 1)],
-            3_200,
-            false,
-        ),
-        case("the new one has more endpoints", &[("v1", 1), ("v2", 1)], 3_250, true),
-        case("the old one leaves", &[("v1", 0), ("v2", 1)], 3_200, false),
-        case("the old one is gone", &[("v2", 1)], 0, true),
+        case("the old one serves", few, true, 4_900, false),
+        case("the old one serves, later", few, false, 5_000, true),
+        case("half are new, all know", half, true, 4_900, false),
+        case("most are new, all know", most, true, 100, true),
+        case("most are new, not all know", most, false, 3_200, false),
+        case("most are new, not all know, later", most, false, 3_250, true),
+        case("the old one leaves, all know", &[("v1", 0), ("v2", 1)], true, 100, true),
+        case("the old one leaves", &[("v1", 0), ("v2", 1)], false, 3_200, false),
+        case("the old one is gone", &[("v2", 1)], false, 3_200, false),
+        case("the old one is gone, all know", &[("v2", 1)], true, 0, true),
     ];
     for case in cases {
         let mut service = Service::recorded(&["v1"], &[], 0);
         let first = service.next(&[("v1", 3), ("v2", 1)], 100);
         assert_eq!(first, Some(record(&["v1"], &["v2"])));
         service.write(record(&["v1"], &["v2"]), 1_000);
+        if case.acknowledged {
+            service.records.acknowledge(&Service::id(), service.revision);
+        }
         let next = service.next(case.listed, 1_000 + case.pending_ms);
         let expected = case.begins.then(|| record(&["v1", "v2"], &[]));
         assert_eq!(next, expected, "{}", case.name);
     }
 }
 
+/// What the routers have read of one record proves nothing of the next one.
+#[test]
+fn each_record_is_acknowledged_by_itself() {
+    let mut service = Service::recorded(&["v1"], &["v2"], 0);
+    service.records.copy_complete(ms(10));
+    let id = Service::id();
+    assert_eq!(
+        service.records.next(&id, &listed(&[("v2", 1)]), ms(10)),
+        RecordStep::Ask(1)
+    );
+    assert_eq!(
+        service.records.next(&id, &listed(&[("v1", 3), ("v2", 1)]), ms(10)),
+        RecordStep::Keep
+    );
+    service.records.acknowledge(&id, 1);
+    service.write(record(&["v1"], &["v2", "v3"]), 20);
+    assert_eq!(
+        service.records.next(&id, &listed(&[("v2", 1), ("v3", 1)]), ms(30)),
+        RecordStep::Ask(2)
+    );
+}
+
 /// All routers have restarted, and what they find listed is not what streams began at.
 #[test]
 fn a_version_that_left_unseen_still_counts() {
     let mut service = Service::recorded(&["v1"], &[], 0);
-    assert_eq!(service.next(&[("v2", 2)], 10), Some(record(&["v1", "v2"], &[])));
-    service.write(record(&["v1", "v2"], &[]), 20);
-    assert!(!service.records.proves_single(&Service::id(), ms(30)));
+    assert_eq!(service.next(&[("v2", 2)], 10), Some(record(&["v1"], &["v2"])));
+    service.write(record(&["v1"], &["v2"]), 20);
+    service.records.acknowledge(&Service::id(), service.revision);
+    assert_eq!(service.next(&[("v2", 2)], 30), Some(record(&["v1", "v2"], &[])));
+    service.write(record(&["v1", "v2"], &[]), 40);
     assert_eq!(service.next(&[("v2", 2)], 44_900), None);
     assert_eq!(service.next(&[("v2", 2)], 45_020), Some(record(&["v2"], &[])));
 }
@@ -171,14 +214,18 @@
     assert_eq!(service.next(&[("v1", 1)], 30), Some(record(&["v1", "v2"], &[])));
 }
 
-/// An old copy of the record may lack a version at which streams begin by now.
+/// An old copy of the record, or one from before this router was registered, may lack a version at which streams begin by now.
 #[test]
 fn an_old_copy_proves_nothing() {
+    let own: BTreeSet<VmId> = ["a"].into_iter().map(VmId::from).collect();
     let mut service = Service::recorded(&["v1"], &[], 0);
     service.records.copy_complete(ms(100));
-    assert!(service.records.proves_single(&Service::id(), ms(3_100)));
-    assert!(!service.records.proves_single(&Service::id(), ms(3_101)));
+    assert!(!service.proves_all(200));
+    service.records.set_routers(own.clone(), ms(200));
+    assert!(service.proves_all(3_100));
+    assert!(!service.proves_all(3_101));
     let mut pending = Service::recorded(&["v1"], &["v2"], 0);
     pending.records.copy_complete(ms(100));
-    assert!(!pending.records.proves_single(&Service::id(), ms(200)));
+    pending.records.set_routers(own, ms(100));
+    assert!(!pending.proves_all(200));
 }
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -15,8 +15,9 @@
 use dispatch::origins::{Continuation, Knowledge, Origin, StreamKey, continuation};
 use dispatch::site::EndpointEntry;
 use futures::future::join_all;
-use ids::{RequestId, ServiceId, SoftwareVersion, VmId};
+use ids::{RequestId, ServiceId, VmId};
 use peers::{OriginMessage, OriginQuery, OriginResponse, PeerError, Upstream};
+use records::names;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,20 +64,33 @@
 /// the routers that are asked at which versions it may have begun.
 pub async fn find(shared: &Shared, begun: Option<&str>, request: &str, service: &ServiceId) -> Continuation {
     let stream = StreamKey::from(&RequestId::from(begun.unwrap_or(request)));
-    let own = knowledge(shared, stream, service);
+    let own = knowledge(shared, Some(stream), service);
     if own.origin.is_some() || (own.is_current && own.versions.len() == 1) {
         return continuation(service, &own, &[]);
     }
     let routers = Members::read(shared).addresses();
-    let others = ask(shared, stream, service, &routers).await;
-    let found = continuation(service, &own, &others);
+    let mut others = ask(shared, stream, service, &routers).await;
+    let asked = others.len();
+    let mut found = continuation(service, &own, &others);
+    let is_proved = std::iter::once(&own)
+        .chain(others.iter().flatten())
+        .any(|known| known.is_current);
+    if let (false, Some(read)) = (is_proved, records::read_now(shared, service).await) {
+        others.push(Some(read));
+        found = continuation(service, &own, &others);
+    }
     let now = shared.clock.now();
-    let told = others.iter().flatten().map(names).collect::<Vec<_>>().join(" ");
+    let told = others
+        .iter()
+        .flatten()
+        .map(|known| names(&known.versions))
+        .collect::<Vec<_>>()
+        .join(" ");
     log::info!(
         stream = begun.unwrap_or_default(),
-        asked = others.len(),
+        asked = asked,
         answered = others.iter().flatten().count(),
-        versions = names(&own).as_str(),
+        versions = names(&own.versions).as_str(),
         told = told.as_str(),
         copy_age_ms = shared.software().copy_age(now).map_or(-1, |age| age.as_millis() as i64),
         started_ms = now.as_millis() as u64,
@@ -101,49 +115,49 @@
 
 /// Answers another router's question.
 pub fn respond(shared: &Shared, query: &OriginQuery) -> OriginResponse {
-    let known = knowledge(shared, query.stream, &query.service);
+    let known = knowledge(shared, Some(query.stream), &query.service);
     OriginResponse {
         origin: known.origin,
         versions: known.versions,
         is_current: known.is_current,
+        record: shared.software().revision(&query.service),
     }
 }
 
-fn knowledge(shared: &Shared, stream: StreamKey, service: &ServiceId) -> Knowledge {
+fn knowledge(shared: &Shared, stream: Option<StreamKey>, service: &ServiceId) -> Knowledge {
     let now = shared.clock.now();
     let (origin, has_watched) = {
         let origins = shared.origins();
-        (origins.get(stream).cloned(), origins.has_watched(now))
+        let origin = stream.and_then(|stream| origins.get(stream).cloned());
+        (origin, origins.has_watched(now))
     };
-    let (recorded, is_current) = {
+    let own = shared.settings.load().vm.clone();
+    let (recorded, is_recent, proves_all) = {
         let software = shared.software();
-        (software.active(service).cloned(), software.is_current(now))
+        let recorded = software.active(service).cloned();
+        (
+            recorded,
+            software.is_current(now),
+            software.proves_all(service, &own, now),
+        )
     };
     let has_record = recorded.is_some();
     let listed = || shared.fleet().versions(service, now).into_iter().cloned().collect();
     Knowledge {
         origin,
         versions: recorded.unwrap_or_else(listed),
-        is_current: is_current && (has_record || has_watched),
+        is_current: if has_record {
+            proves_all
+        } else {
+            is_recent && has_watched
+        },
     }
 }
 
-/// The versions that a router knows, for logs.
-fn names(knowledge: &Knowledge) -> String {
-    let versions = knowledge.versions.iter().map(SoftwareVersion::as_str);
-    versions.collect::<Vec<_>>().join(",")
-}
-
 /// Whether this router can tell by itself that all streams of the service begin at one version.
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
-    let now = shared.clock.now();
-    let software = shared.software();
-    if software.active(service).is_some() {
-        return software.proves_single(service, now);
-    }
-    let is_current = software.is_current(now);
-    drop(software);
-    is_current && shared.origins().has_watched(now) && shared.fleet().versions(service, now).len() <= 1
+    let known = knowledge(shared, None, service);
+    known.is_current && known.versions.len() <= 1
 }
 
 /// The routers that remember where a stream began.
--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -1,13 +1,18 @@
 //! Records in the store at which versions of the software streams may begin.
 
+use super::ask_one;
 use crate::follow::members::Members;
 use crate::shared::Shared;
 use async_std::task;
 use control::rendezvous;
+use dispatch::origins::{Knowledge, StreamKey};
 use dispatch::roster::Roster;
-use dispatch::software::{ListedVersions, RecordUpdate, SoftwareRecord};
-use ids::{ServiceId, VmId};
-use std::collections::HashMap;
+use dispatch::software::{ListedVersions, RecordStep, RecordUpdate, SoftwareRecord};
+use futures::future::join_all;
+use ids::{ServiceId, SoftwareVersion, VmId};
+use peers::{OriginQuery, OriginResponse, PeerError};
+use std::collections::{BTreeSet, HashMap};
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,8 +22,12 @@
 pub const RECORDS_PREFIX: &str = "apricotfork/software/";
 /// How much longer a router waits for a record to be written for each router that writes before it.
 const TURN: Duration = Duration::from_millis(500);
+/// Interval between reads of the list of routers.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for a response of the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for a read while a client waits.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
 const NO_LEASE: u64 = 0;
 
 /// Applies a record that was read from the store.
@@ -31,44 +40,87 @@
             return;
         }
     };
-    log::info!(service = service.as_str(), active:? = record.active, pending:? = record.pending; "software: recorded");
+    let (active, pending) = (names(&record.active), names(&record.pending));
+    log::info!(
+        service = service.as_str(), active = active.as_str(), pending = pending.as_str(), revision = item.revision;
+        "software: recorded"
+    );
     shared.fleet().set_active_versions(&service, &record.active);
     let now = shared.clock.now();
     shared.software().read(&service, record, item.revision, now);
 }
 
+/// Names of versions, for logs.
+pub(super) fn names(versions: &BTreeSet<SoftwareVersion>) -> String {
+    let names: Vec<&str> = versions.iter().map(SoftwareVersion::as_str).collect();
+    names.join(",")
+}
+
+/// Reads the record of a service from the store. It names all versions at which streams have begun by now.
+pub(super) async fn read_now(shared: &Shared, service: &ServiceId) -> Option<Knowledge> {
+    let arrived = shared.clock.now();
+    let mut reads = shared.record_reads.lock().await;
+    if let Some((sent, known)) = reads.get(service).filter(|(sent, _)| *sent >= arrived) {
+        log::debug!(age_ms = arrived.saturating_sub(*sent).as_millis() as u64; "software: record read by another request");
+        return known.clone();
+    }
+    let sent = shared.clock.now();
+    let key = format!("{RECORDS_PREFIX}{service}");
+    let client = Client::new(shared.settings.load().store, shared.dialect.store);
+    let read = client.all(&key, READ_TIMEOUT).await;
+    count(shared, "software_read", read.is_ok());
+    let items = read.map(|(items, _)| items).unwrap_or_default();
+    let record = items.iter().find(|item| item.key == key);
+    let record = record.and_then(|item| serde_json::from_slice::<SoftwareRecord>(&item.value).ok());
+    let known = record.map(|record| Knowledge {
+        origin: None,
+        versions: record.active,
+        is_current: true,
+    });
+    reads.insert(service.clone(), (sent, known.clone()));
+    known
+}
+
 /// Writes the records of services whose listed versions require it.
 #[derive(Default)]
 pub struct RecordWriter {
-    /// When an update of a service's record became due.
-    due: HashMap<ServiceId, (RecordUpdate, Duration)>,
+    /// When a step about a service's record became due.
+    due: HashMap<ServiceId, (RecordStep, Duration)>,
+    routers: Members,
+    routers_read: Option<Duration>,
 }
 
 impl RecordWriter {
-    /// Compares the records with the listed endpoints. Of the routers that watch the store, one after the other writes what is due.
+    /// Compares the records with the listed endpoints. Of the routers that watch the store, one after the other does what is due.
     pub fn tick(&mut self, shared: &Arc<Shared>, roster: &Roster, now: Duration) {
         let Some(site) = shared.site.load_full() else {
             return;
         };
-        let routers = Members::read(shared);
-        shared.software().set_routers(routers.ids().into_iter().collect(), now);
+        if self
+            .routers_read
+            .is_none_or(|at| now.saturating_sub(at) >= MEMBERS_INTERVAL)
+        {
+            self.routers = Members::read(shared);
+            self.routers_read = Some(now);
+            shared
+                .software()
+                .set_routers(self.routers.ids().into_iter().collect(), now);
+        }
         for service in site.resumable_services() {
-            let update = shared.software().next(service, &listed(roster, service), now);
-            let Some(update) = update else {
+            let step = shared.software().next(service, &listed(roster, service), now);
+            if step == RecordStep::Keep {
                 self.due.remove(service);
                 continue;
-            };
-            let due = self.due.entry(service.clone()).or_insert((update.clone(), now));
-            if due.0 != update {
-                *due = (update.clone(), now);
             }
-            let Some(wait) = turn(shared, &routers).filter(|_| shared.watches_store.load(Ordering::SeqCst)) else {
-                continue;
-            };
-            if now.saturating_sub(due.1) >= wait {
-                // Whoever is next has its turn after this one.
-                due.1 = now + TURN;
-                task::spawn(write(shared.clone(), service.clone(), update));
+            let (known, at) = self.due.entry(service.clone()).or_insert((step.clone(), now));
+            if *known != step {
+                (*known, *at) = (step.clone(), now);
+            }
+            let wait = turn(shared, &self.routers).filter(|_| shared.watches_store.load(Ordering::SeqCst));
+            if wait.is_some_and(|wait| now >= *at + wait) {
+                // Whoever is next has its turn before this one tries again.
+                *at = now + TURN;
+                take(shared, service, step);
             }
         }
     }
@@ -92,6 +144,43 @@
     listed
 }
 
+fn take(shared: &Arc<Shared>, service: &ServiceId, step: RecordStep) {
+    let (shared, service) = (shared.clone(), service.clone());
+    match step {
+        RecordStep::Keep => {}
+        RecordStep::Ask(revision) => drop(task::spawn(ask(shared, service, revision))),
+        RecordStep::Write(update) => drop(task::spawn(write(shared, service, update))),
+    }
+}
+
+/// Asks all routers whether they have read the record with this revision.
+async fn ask(shared: Arc<Shared>, service: ServiceId, revision: u64) {
+    let own = shared.settings.load().vm.clone();
+    let query = OriginQuery {
+        stream: StreamKey(0),
+        service: service.clone(),
+    };
+    let others = Members::read(&shared).others(&own);
+    let calls = others.iter().map(|(_, member)| ask_one(member.address, query.clone()));
+    let answers = join_all(calls).await;
+    let has_read = |answer: &Result<OriginResponse, PeerError>| match answer {
+        Ok(response) => response.record >= Some(revision),
+        // No process listens there. One that starts reads the record.
+        Err(PeerError::Connect(err)) => err.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    };
+    let read = answers.iter().filter(|answer| has_read(answer)).count();
+    log::info!(service = service.as_str(), revision = revision, asked = answers.len(), read = read; "software: record asked for");
+    if read == answers.len() {
+        shared.software().acknowledge(&service, revision);
+    }
+}
+
+fn count(shared: &Shared, call: &str, done: bool) {
+    let outcome = if done { "ok" } else { "failed" };
+    shared.metrics.store.with_label_values(&[call, outcome]).inc();
+}
+
 async fn write(shared: Arc<Shared>, service: ServiceId, update: RecordUpdate) {
     let client = Client::new(shared.settings.load().store, shared.dialect.store);
     let key = format!("{RECORDS_PREFIX}{service}");
@@ -104,8 +193,7 @@
         }],
     };
     let committed = client.commit(&transaction, CALL_TIMEOUT).await;
-    let outcome = if committed.is_ok() { "ok" } else { "failed" };
-    shared.metrics.store.with_label_values(&["software", outcome]).inc();
+    count(&shared, "software", committed.is_ok());
     match committed {
         Ok(CommitOutcome::Done(_)) => {}
         Ok(outcome) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -18,7 +18,7 @@
 use dispatch::fleet::{Fleet, FleetSettings};
 use dispatch::freshness::Freshness;
 use dispatch::leaving::LeavingEndpoint;
-use dispatch::origins::{Origin, Origins, StreamKey};
+use dispatch::origins::{Knowledge, Origin, Origins, StreamKey};
 use dispatch::paths::Paths;
 use dispatch::prefixes::PrefixStores;
 use dispatch::quarantine::Quarantine;
@@ -27,9 +27,11 @@
 use dispatch::site::Site;
 use dispatch::software::SoftwareRecords;
 use dispatch::uptime::Uptime;
-use ids::Revision;
+use ids::{Revision, ServiceId};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Part of the bound on old weights after which requests avoid them. The margin covers the delay until routers learn of
 /// new weights, and the time that a request may wait in an endpoint before it starts.
@@ -42,6 +44,9 @@
 /// A queue of streams with their origins.
 type OriginOutbox = (Sender<(StreamKey, Origin)>, Receiver<(StreamKey, Origin)>);
 
+/// Versions of each service, as last read from the store; `None` if that failed.
+type RecordReads = async_std::sync::Mutex<HashMap<ServiceId, (Duration, Option<Knowledge>)>>;
+
 /// Longest such queue.
 const MAX_UNSENT_ORIGINS: usize = 4_096;
 
@@ -74,6 +79,9 @@
     pub origin_outbox: OriginOutbox,
     /// Origins of streams that this router is to write to the store.
     pub origin_archive: OriginOutbox,
+    /// Records of versions that requests have read from the store, and when that was. Locked during a read, so that requests
+    /// that arrive meanwhile share the next one.
+    pub record_reads: RecordReads,
     paths: Mutex<Paths>,
     /// The other routers, as read when a tunnel was last needed.
     pub peers: PeerCache,
@@ -139,6 +147,7 @@
             software: Mutex::default(),
             origin_outbox: async_channel::bounded(MAX_UNSENT_ORIGINS),
             origin_archive: async_channel::bounded(MAX_UNSENT_ORIGINS),
+            record_reads: RecordReads::default(),
             paths: Mutex::default(),
             peers: PeerCache::default(),
             place_queues: PlaceQueues::default(),
--- a/crates/peers/src/relay/messages.rs
+++ b/crates/peers/src/relay/messages.rs
@@ -342,6 +342,9 @@
     /// Whether no other version can have begun it.
     #[serde(default)]
     pub is_current: bool,
+    /// Store revision of the service's record of versions that the router has read.
+    #[serde(default)]
+    pub record: Option<u64>,
 }
 
 /// Bounds on a target age: how long ago a model's target weights were set.
