Streams: a restored record alone doesn't prove where streams began

A store that is restored from a backup may hold a record that lacks a version at which streams have begun. Routers that remember it wrote the record anew, but until they had read it back (some 0.5 s, longer if the store refuses writes), they took the restored record for a proof, and streams that had begun at the missing version could be taken up at the other one.

a_restored_record_alone_proves_nothing failed before and passes now.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -93,14 +93,19 @@
     }
 
     /// The versions of a service at which streams may have begun; `None` if there is no record of it.
-    pub fn active(&self, service: &ServiceId) -> Option<&BTreeSet<SoftwareVersion>> {
-        self.services.get(service).map(|known| &known.record.active)
+    pub fn active(&self, service: &ServiceId) -> Option<BTreeSet<SoftwareVersion>> {
+        let known = self.services.get(service)?;
+        Some(known.record.active.union(&known.restored).cloned().collect())
+    }
+
+    /// Whether there is a record of a service.
+    pub fn has_record(&self, service: &ServiceId) -> bool {
+        self.services.contains_key(service)
     }
 
     /// Whether the record shows by itself where every stream of the service has begun.
     pub fn proves_single(&self, service: &ServiceId, now: Duration) -> bool {
-        let record = self.services.get(service).map(|known| &known.record);
-        self.is_current(now) && record.is_some_and(|record| record.active.len() == 1 && record.pending.is_empty())
+        self.is_current(now) && self.services.get(service).is_some_and(Known::proves_single)
     }
 
     /// Applies a record that was read from the store.
@@ -170,6 +175,11 @@
 }
 
 impl Known {
+    fn proves_single(&self) -> bool {
+        let is_single = self.record.active.len() == 1 && self.record.pending.is_empty();
+        is_single && self.restored.is_subset(&self.record.active)
+    }
+
     fn next(&mut self, listed: &ListedVersions, may_drop: bool, now: Duration) -> SoftwareRecord {
         for version in listed.keys() {
             if let Some(at) = self.listed_at.get_mut(version) {
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -182,3 +182,18 @@
     pending.records.copy_complete(ms(100));
     assert!(!pending.records.proves_single(&Service::id(), ms(200)));
 }
+
+/// Guards against taking up streams at the version of a restored record while this router knows of another one.
+#[test]
+fn a_restored_record_alone_proves_nothing() {
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    service.records.store_restored();
+    service.write(record(&["v1"], &[]), 20);
+    service.records.copy_complete(ms(30));
+    assert!(!service.records.proves_single(&Service::id(), ms(40)));
+    let active = service.records.active(&Service::id());
+    assert_eq!(active.as_ref(), Some(&versions(&["v1", "v2"])));
+    service.write(record(&["v1", "v2"], &[]), 50);
+    service.write(record(&["v1"], &[]), 60);
+    assert!(service.records.proves_single(&Service::id(), ms(70)));
+}
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -117,7 +117,7 @@
     };
     let (recorded, is_current) = {
         let software = shared.software();
-        (software.active(service).cloned(), software.is_current(now))
+        (software.active(service), software.is_current(now))
     };
     let has_record = recorded.is_some();
     let listed = || shared.fleet().versions(service, now).into_iter().cloned().collect();
@@ -138,7 +138,7 @@
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
     let now = shared.clock.now();
     let software = shared.software();
-    if software.active(service).is_some() {
+    if software.has_record(service) {
         return software.proves_single(service, now);
     }
     let is_current = software.is_current(now);
