Streams: a version's pending time begins anew after a time without the store

A router measured how long a version was pending from when it first read so, also across a time in which its copy of the store was old. If the version was dropped meanwhile and listed again, the router read in one step that it was still pending, and let streams begin there at once, while the copies of other routers could still be from the time in between and prove the old version.

a_version_is_pending_anew_after_a_time_without_the_store failed before and passes now.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -148,9 +148,10 @@
     /// require another one.
     pub fn next(&mut self, service: &ServiceId, listed: &ListedVersions, now: Duration) -> Option<RecordUpdate> {
         if !self.is_current(now) {
-            // What was listed meanwhile is unknown.
+            // What was listed or pending meanwhile is unknown.
             if let Some(known) = self.services.get_mut(service) {
-                known.listed_at.values_mut().for_each(|at| *at = now);
+                let times = known.listed_at.values_mut().chain(known.pending_since.values_mut());
+                times.for_each(|at| *at = now);
             }
             return None;
         }
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -197,3 +197,16 @@
     service.write(record(&["v1"], &[]), 60);
     assert!(service.records.proves_single(&Service::id(), ms(70)));
 }
+
+/// Guards against beginning streams too early at a version that was dropped and listed again while this router had no recent
+/// copy of the store.
+#[test]
+fn a_version_is_pending_anew_after_a_time_without_the_store() {
+    let both = [("v1", 3), ("v2", 1)];
+    let mut service = Service::recorded(&["v1"], &["v2"], 0);
+    assert_eq!(service.next(&both, 100), None);
+    assert_eq!(service.next_with(&both, 20_000, 19_900), None);
+    service.write(record(&["v1"], &["v2"]), 20_100);
+    assert_eq!(service.next(&both, 20_200), None);
+    assert_eq!(service.next(&both, 25_000), Some(record(&["v1", "v2"], &[])));
+}
