Streams: while a version is pending, routers ask where a stream began

A router whose copy of the record was up to 3 s old took the only active version for the origin of every stream, also while the copy named another version as pending. Streams may have begun there since. In platform/tests/old_records.rs, a router lost the store 0.3 s before the second version became active: 3 of 12 and 5 of 14 streams that began there were taken up at the other one. The routers that remember their origins were not asked.

Now a copy with a pending version proves nothing.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -103,6 +103,12 @@
         self.services.contains_key(service)
     }
 
+    /// Whether the record names versions that are pending. Streams may have begun there since the copy was made.
+    pub fn has_pending(&self, service: &ServiceId) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| !known.record.pending.is_empty())
+    }
+
     /// Whether the record shows by itself where every stream of the service has begun.
     pub fn proves_single(&self, service: &ServiceId, now: Duration) -> bool {
         self.is_current(now) && self.services.get(service).is_some_and(Known::proves_single)
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -117,7 +117,8 @@
     };
     let (recorded, is_current) = {
         let software = shared.software();
-        (software.active(service), software.is_current(now))
+        let is_current = software.is_current(now) && !software.has_pending(service);
+        (software.active(service), is_current)
     };
     let has_record = recorded.is_some();
     let listed = || shared.fleet().versions(service, now).into_iter().cloned().collect();
