Streams: no stream begins at a pending version while endpoints of an active one are listed

A router whose copy of the store is old let streams begin at any version if no endpoint of an active one could serve the request: if all were full, rested or had been tried. The other routers take the record for a proof that no stream began there.

Now such a router lets streams begin at another version only if no endpoint of an active one is listed that stays; the others can't continue a stream there either. The price: if a router is cut off in the few seconds in which a version is pending and doesn't reach the old one's endpoints, it begins no streams until it is back or they leave the list.

--- a/crates/dispatch/src/fleet/candidates.rs
+++ b/crates/dispatch/src/fleet/candidates.rs
@@ -45,9 +45,6 @@
         if let Some(after) = self.drop_held_back(&mut eligible, now) {
             return Candidates::RateLimited(after);
         }
-        if context.software == SoftwareRule::PreferActive {
-            prefer(&mut eligible, |state| self.is_active(state));
-        }
         if let Some(prompt) = context.prompt {
             self.drop_expired_weights(&mut eligible, context, prompt, now);
             self.avoid_upcoming_loads(&mut eligible, prompt);
@@ -109,11 +106,13 @@
     }
 
     fn serving(&self, context: &PickContext<'_>) -> impl Iterator<Item = &EndpointState> {
-        self.endpoints
-            .values()
-            .filter(|state| state.entry.service == *context.service && !state.entry.draining)
+        let only_active = self.requires_active(context.service, context.software);
+        self.serving_all(context.service)
             .filter(|state| !context.avoid.contains(&state.entry.id))
-            .filter(|state| self.may_have(state, context.software))
+            .filter(move |state| match context.software {
+                SoftwareRule::Only(software) => state.entry.software == *software,
+                _ => !only_active || self.is_active(state),
+            })
     }
 
     /// Records a choice for all that limits the requests to an endpoint.
--- a/crates/dispatch/src/fleet/versions.rs
+++ b/crates/dispatch/src/fleet/versions.rs
@@ -24,8 +24,9 @@
     Only(&'a SoftwareVersion),
     /// Those at which streams may begin.
     Active,
-    /// The same if any of their endpoints can serve the request: it is unknown whether the others may begin streams by now.
-    PreferActive,
+    /// The same if an endpoint of one is listed, even if it can't serve the request. It is unknown whether the others may begin
+    /// streams by now, and other routers may take the record for a proof that none began there.
+    ActiveIfListed,
 }
 
 impl Fleet {
@@ -34,14 +35,21 @@
         self.active_versions.insert(service.clone(), versions.clone());
     }
 
-    pub(super) fn may_have(&self, state: &EndpointState, rule: SoftwareRule<'_>) -> bool {
+    /// Whether streams may only begin at active versions under this rule.
+    pub(super) fn requires_active(&self, service: &ServiceId, rule: SoftwareRule<'_>) -> bool {
         match rule {
-            SoftwareRule::Any | SoftwareRule::PreferActive => true,
-            SoftwareRule::Only(software) => state.entry.software == *software,
-            SoftwareRule::Active => self.is_active(state),
+            SoftwareRule::Any | SoftwareRule::Only(_) => false,
+            SoftwareRule::Active => true,
+            SoftwareRule::ActiveIfListed => self.serving_all(service).any(|state| self.is_active(state)),
         }
     }
 
+    /// The endpoints of a service that don't leave.
+    pub(super) fn serving_all(&self, service: &ServiceId) -> impl Iterator<Item = &EndpointState> {
+        let states = self.endpoints.values();
+        states.filter(move |state| state.entry.service == *service && !state.entry.draining)
+    }
+
     pub(super) fn is_active(&self, state: &EndpointState) -> bool {
         let active = self.active_versions.get(&state.entry.service);
         active.is_none_or(|active| active.contains(&state.entry.software))
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -61,7 +61,7 @@
         if self.shared.software().is_current(now) {
             SoftwareRule::Active
         } else {
-            SoftwareRule::PreferActive
+            SoftwareRule::ActiveIfListed
         }
     }
 
