--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -134,7 +134,7 @@
     let own = shared.settings.load().vm.clone();
     let (recorded, is_recent, proves_all) = {
         let software = shared.software();
-        let recorded = software.active(service).cloned();
+        let recorded = software.active(service);
         (
             recorded,
             software.is_current(now),
