Streams: the splitter reports numbers, and an event whose number does not follow

A stream that goes on at a wrong place, for its client or between two attempts, could not be told from a whole one: numbers were compared only to drop events that had been forwarded. Nothing changes in what is forwarded.

--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -4,6 +4,8 @@
 //! another endpoint would be appended to it, and the client would read a corrupt event. Therefore bytes are forwarded
 //! only up to the end of an event, which is an empty line, and an event that was already forwarded is dropped.
 
+use std::cmp::Ordering;
+
 /// Longest event, bytes. Events of engines have some hundred bytes; one that carries a whole response of other services
 /// has some hundred kilobytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -22,6 +24,10 @@
     /// Number of bytes of the buffer that were searched.
     searched: usize,
     last_number: Option<u64>,
+    /// Number of the last event that the client had before this stream.
+    taken: Option<u64>,
+    /// Whether a numbered event of the current attempt was received.
+    numbered: bool,
 }
 
 /// Events that may be forwarded.
@@ -31,9 +37,65 @@
     pub bytes: Vec<u8>,
     /// Number of events.
     pub count: usize,
+    /// Numbers of the first and the last numbered event among all that were received.
+    pub numbers: Option<(u64, u64)>,
+    /// The first event whose number does not follow the one before it.
+    pub disorder: Option<Disorder>,
+}
+
+/// An event whose number does not follow the last one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Disorder {
+    /// Number of the last event before it.
+    pub last: u64,
+    /// Its number.
+    pub number: u64,
+    /// Where it stands.
+    pub place: Place,
+}
+
+/// Place of an event in a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// It is the first one for a client that continues a stream.
+    Taken,
+    /// It is the first one of a further attempt.
+    Joint,
+    /// It follows an event of the same attempt.
+    Within,
+}
+
+impl Place {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Joint => "joint",
+            Self::Within => "within",
+        }
+    }
+}
+
+impl Disorder {
+    /// Name of its kind in logs and metrics.
+    pub fn kind(self) -> &'static str {
+        match self.number.cmp(&self.last) {
+            Ordering::Less => "back",
+            Ordering::Equal => "repeat",
+            Ordering::Greater => "jump",
+        }
+    }
 }
 
 impl EventSplitter {
+    /// A splitter for a client that has the events up to this one.
+    pub fn after(taken: Option<u64>) -> Self {
+        Self {
+            taken,
+            ..Self::default()
+        }
+    }
+
     /// Adds received bytes and returns the events completed by them. An event whose number is not greater than the last
     /// one's is dropped: it was forwarded before the stream was resumed.
     pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
@@ -44,6 +106,12 @@
             let event = &self.buffer[begin..end];
             begin = end;
             let number = number(event);
+            if let Some(number) = number {
+                let first = complete.numbers.map_or(number, |(first, _)| first);
+                complete.numbers = Some((first, number));
+                complete.disorder = complete.disorder.or(self.disorder(number));
+                self.numbered = true;
+            }
             if let (Some(number), Some(last)) = (number, self.last_number)
                 && number <= last
             {
@@ -59,6 +127,22 @@
         complete
     }
 
+    /// Compares the number of an event with the one before it. Within an attempt numbers need only increase, since the endpoint
+    /// chooses them; where an attempt begins, the next one is expected.
+    fn disorder(&self, number: u64) -> Option<Disorder> {
+        let last = self.last_number.or(self.taken)?;
+        let place = match self.last_number {
+            _ if self.numbered => Place::Within,
+            Some(_) => Place::Joint,
+            None => Place::Taken,
+        };
+        let follows = match place {
+            Place::Within => number > last,
+            Place::Taken | Place::Joint => number == last.saturating_add(1),
+        };
+        (!follows).then_some(Disorder { last, number, place })
+    }
+
     /// Checks the partial event. A caller checks it after each read, so that a stream without ends of events doesn't fill the
     /// memory.
     ///
@@ -101,6 +185,7 @@
     pub fn without_partial(&self) -> Self {
         Self {
             last_number: self.last_number,
+            taken: self.taken,
             ..Self::default()
         }
     }
--- a/crates/lifecycle/tests/events.rs
+++ b/crates/lifecycle/tests/events.rs
@@ -1,6 +1,6 @@
 //! Splitting of streams into complete events across broken connections.
 
-use lifecycle::events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
+use lifecycle::events::{Disorder, EventSplitter, EventTooLong, MAX_EVENT_BYTES, Place};
 use quickcheck::quickcheck;
 
 fn event(number: u64) -> Vec<u8> {
@@ -111,6 +111,53 @@
     }
 }
 
+/// A resumed stream that lacks events, or repeats them, can't be told from a whole one unless each joint is checked.
+#[test]
+fn an_event_that_does_not_follow_is_reported() {
+    struct Case {
+        /// Last event of the client.
+        taken: Option<u64>,
+        /// Numbers by attempt.
+        attempts: &'static [&'static [u64]],
+        /// Number of the event that doesn't follow, the one before it, and its place.
+        disorder: Option<(u64, u64, Place)>,
+    }
+    let case = |taken, attempts, disorder| Case {
+        taken,
+        attempts,
+        disorder,
+    };
+    let cases = [
+        case(None, &[&[1, 2, 3]], None),
+        case(None, &[&[7, 9]], None),
+        case(None, &[&[1, 2], &[3, 4]], None),
+        case(None, &[&[1, 2], &[4]], Some((4, 2, Place::Joint))),
+        case(None, &[&[1, 2], &[2, 3]], Some((2, 2, Place::Joint))),
+        case(None, &[&[1, 2], &[], &[1]], Some((1, 2, Place::Joint))),
+        case(None, &[&[1, 3, 2]], Some((2, 3, Place::Within))),
+        case(Some(5), &[&[6, 7], &[8]], None),
+        case(Some(5), &[&[7]], Some((7, 5, Place::Taken))),
+        case(Some(5), &[&[], &[5]], Some((5, 5, Place::Taken))),
+        case(Some(5), &[&[6], &[8]], Some((8, 6, Place::Joint))),
+    ];
+    for case in cases {
+        let mut splitter = EventSplitter::after(case.taken);
+        let mut found = Vec::new();
+        for attempt in case.attempts {
+            let stream: Vec<u8> = attempt.iter().copied().flat_map(event).collect();
+            let whole = splitter.push(&stream);
+            let ends = attempt.first().copied().zip(attempt.last().copied());
+            assert_eq!(whole.numbers, ends, "{attempt:?}");
+            found.extend(whole.disorder);
+            splitter.discard_partial();
+        }
+        let expected = case
+            .disorder
+            .map(|(number, last, place)| Disorder { last, number, place });
+        assert_eq!(found, expected.into_iter().collect::<Vec<_>>(), "{:?}", case.attempts);
+    }
+}
+
 /// An endpoint sends bytes without the end of an event. They must not fill the memory, and searching all of them again with
 /// each read would take minutes. A long event that ends is valid.
 #[test]
