Logs: the numbers of each attempt's events, how its body ended, and events out of order

The request line has events (at most eight attempts) and last_event; an event that does not follow gives one line for an attempt, and a counter.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     pub broken: IntCounterVec,
     /// Ends of endpoints' streams by framing, and whether they lie inside an event.
     pub stream_ends: IntCounterVec,
+    /// Attempts that brought an event whose number does not follow, by kind and place in the stream.
+    pub disorders: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
@@ -142,6 +144,11 @@
                 "Ends of endpoints' streams by framing, and whether they lie inside an event",
                 &["framing", "at"],
             ),
+            disorders: counters(
+                "stream_disorders_total",
+                "Attempts that brought an event whose number does not follow, by kind and place in the stream",
+                &["kind", "place"],
+            ),
             store: counters(
                 "store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -122,7 +122,7 @@
             charge,
             record,
             lifecycle: Request::new(repeat),
-            events: EventSplitter::default(),
+            events: EventSplitter::after(request.info.last_event),
             outbox: Outbox::new(&request.incoming.conn, &shared.held),
             head_sent: false,
             software: request.software.clone(),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -111,6 +111,7 @@
     };
     record.id.clone_from(&info.id);
     record.resumes = info.resumes.clone().unwrap_or_default();
+    record.last_event = info.last_event;
     let site = shared.site.load_full();
     let request = match resolve(shared, site.as_deref(), incoming, info, &mut record) {
         Ok(request) => request,
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -6,6 +6,9 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+/// Most attempts whose events stand in a log line.
+const MAX_LISTED: usize = 8;
+
 /// Data collected about a request.
 pub struct Record {
     /// The client's id of the request.
@@ -22,6 +25,8 @@
     pub weights: Option<(u64, Staleness)>,
     /// Id of the attempt that began the stream which the request continues; empty if it begins one.
     pub resumes: String,
+    /// Number of the last event that the client names as received.
+    pub last_event: Option<u64>,
     /// Version of the software that began the stream; empty without an event.
     pub software: String,
     /// Whether the last attempt reached its endpoint through another router.
@@ -36,6 +41,10 @@
     longest_pause: Duration,
     /// The attempts so far, as text for the log line.
     attempts: String,
+    /// The events of the attempts so far, as text for the log line.
+    events: String,
+    /// Number of attempts in `events`.
+    listed: usize,
 }
 
 /// Data that explains how long an endpoint takes to read a prompt, in tokens.
@@ -60,6 +69,7 @@
             age: None,
             weights: None,
             resumes: String::new(),
+            last_event: None,
             software: String::new(),
             tunnel: false,
             prompt: PromptRecord::default(),
@@ -68,6 +78,8 @@
             last_part: None,
             longest_pause: Duration::ZERO,
             attempts: String::new(),
+            events: String::new(),
+            listed: 0,
         }
     }
 
@@ -80,6 +92,21 @@
         let _ = write!(self.attempts, "{comma}{endpoint}:{reason}:{outcome}@{after}");
     }
 
+    /// Adds the part of a stream that an attempt brought: the endpoint, the numbers of its first and last event, and how its
+    /// body ended.
+    pub fn events(&mut self, endpoint: &EndpointId, numbers: Option<(u64, u64)>, end: &str) {
+        self.listed += 1;
+        if self.listed > MAX_LISTED {
+            return;
+        }
+        let comma = if self.events.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = match numbers {
+            Some((first, last)) => write!(self.events, "{comma}{endpoint}:{first}-{last}:{end}"),
+            None => write!(self.events, "{comma}{endpoint}:none:{end}"),
+        };
+    }
+
     /// Records that the first byte of the response is sent to the client.
     pub fn first_byte(&mut self, shared: &Shared) {
         let after = shared.clock.now().saturating_sub(self.arrived);
@@ -117,7 +144,9 @@
             total_ms = total.as_millis() as u64,
             tries = self.attempts.as_str(),
             tunnel = self.tunnel,
+            events = self.events.as_str(),
             resumes = self.resumes.as_str(),
+            last_event = self.last_event.map_or(-1, u64::cast_signed),
             software = self.software.as_str(),
             prompt = self.prompt.tokens,
             read = self.prompt.read,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -11,7 +11,7 @@
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
 use dispatch::fleet::Work;
 use http::raw::{Bound, Framing, RawBodyError, Response, Source};
-use lifecycle::events::EventTooLong;
+use lifecycle::events::{CompleteEvents, EventTooLong};
 use lifecycle::request::RequestEvent;
 use std::time::Duration;
 
@@ -94,6 +94,10 @@
     stream: OpenStream,
     close: bool,
     chunked: bool,
+    /// Numbers of the first and the last event that arrived.
+    numbers: Option<(u64, u64)>,
+    /// Whether an event whose number does not follow was recorded.
+    disordered: bool,
 }
 
 /// How relaying ended.
@@ -102,8 +106,8 @@
     Ended,
     /// The client closed the connection or did not read until the deadline.
     ClientDisconnected,
-    /// The endpoint's connection broke, or its stream exceeds a bound.
-    Broken(Option<Bound>),
+    /// The body broke off, or its events exceed a bound.
+    Broken(BodyBreak),
     /// The bytes are needed for others.
     NoRoom,
     /// The weights are too old to begin on.
@@ -115,6 +119,32 @@
     Deadline,
 }
 
+/// Why a body broke off.
+struct BodyBreak {
+    /// The bound that it exceeds, if it does.
+    bound: Option<Bound>,
+    /// Name in logs.
+    name: &'static str,
+}
+
+impl From<RawBodyError> for BodyBreak {
+    fn from(err: RawBodyError) -> Self {
+        Self {
+            bound: err.bound(),
+            name: err.name(),
+        }
+    }
+}
+
+impl From<EventTooLong> for BodyBreak {
+    fn from(EventTooLong: EventTooLong) -> Self {
+        Self {
+            bound: Some(Bound::Event),
+            name: "too_long",
+        }
+    }
+}
+
 impl<'r, 'a> StreamRelay<'r, 'a> {
     pub(super) fn new(attempts: &'r mut Attempts<'a>, in_flight: InFlightAttempt<'a>, stream: OpenStream) -> Self {
         let incoming = attempts.request.incoming;
@@ -126,23 +156,35 @@
             stream,
             close,
             chunked,
+            numbers: None,
+            disordered: false,
         }
     }
 
     /// Relays a stream that was read ahead while it was suspended, as far as its end if `ended`.
     pub(super) async fn resume(mut self, ahead: &[u8], ended: bool) -> AttemptResult<'a> {
         self.stream.pace = Pace::Unknown;
-        if self.forward(ahead).is_err() {
-            return self.broken(Some(Bound::Event));
-        }
-        if ended { self.finish().await } else { self.run().await }
+        let end = match self.forward(ahead) {
+            Err(err) => RelayEnd::Broken(err.into()),
+            Ok(()) if ended => RelayEnd::Ended,
+            Ok(()) => self.relay().await,
+        };
+        self.end(end).await
     }
 
     pub(super) async fn run(mut self) -> AttemptResult<'a> {
-        match self.relay().await {
+        let end = self.relay().await;
+        self.end(end).await
+    }
+
+    async fn end(mut self, end: RelayEnd<'a>) -> AttemptResult<'a> {
+        let endpoint = &self.in_flight.picked.endpoint.id;
+        let name = self.end_name(&end);
+        self.attempts.record.events(endpoint, self.numbers, name);
+        match end {
             RelayEnd::Ended => self.finish().await,
             RelayEnd::ClientDisconnected => AttemptResult::Ended(self.attempts.client_disconnected()),
-            RelayEnd::Broken(bound) => self.broken(bound),
+            RelayEnd::Broken(broken) => self.broken(broken.bound),
             RelayEnd::NoRoom => self.attempts.closed_for_room(),
             RelayEnd::Outdated => self.cancelled(),
             RelayEnd::Silent => self.timed_out(),
@@ -163,13 +205,13 @@
             };
             match waited {
                 WaitOutcome::Done(Step::Part(Ok(Some(part)))) => {
-                    if self.forward(&part).is_err() {
-                        return RelayEnd::Broken(Some(Bound::Event));
+                    if let Err(err) = self.forward(&part) {
+                        return RelayEnd::Broken(err.into());
                     }
                     until = self.idle_end();
                 }
                 WaitOutcome::Done(Step::Part(Ok(None))) => return RelayEnd::Ended,
-                WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.bound()),
+                WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.into()),
                 WaitOutcome::Done(Step::Written | Step::Paused) => {}
                 WaitOutcome::Done(Step::NoRoom) => return RelayEnd::NoRoom,
                 WaitOutcome::Done(Step::ClientDisconnected) => return RelayEnd::ClientDisconnected,
@@ -239,6 +281,7 @@
     /// An event is too long.
     fn forward(&mut self, part: &[u8]) -> Result<(), EventTooLong> {
         let whole = self.attempts.events.push(part);
+        self.record_numbers(&whole);
         self.attempts.events.check()?;
         if whole.count == 0 {
             self.push(&[]);
@@ -261,6 +304,27 @@
         Ok(())
     }
 
+    fn record_numbers(&mut self, whole: &CompleteEvents) {
+        let Some((first, last)) = whole.numbers else { return };
+        self.numbers = Some((self.numbers.map_or(first, |(first, _)| first), last));
+        let Some(disorder) = whole.disorder.filter(|_| !self.disordered) else {
+            return;
+        };
+        self.disordered = true;
+        let (kind, place) = (disorder.kind(), disorder.place.name());
+        let disorders = &self.attempts.shared.metrics.disorders;
+        disorders.with_label_values(&[kind, place]).inc();
+        log::warn!(
+            id = self.attempts.request.info.id.as_str(),
+            endpoint = self.in_flight.picked.endpoint.id.as_str(),
+            kind = kind,
+            place = place,
+            last = disorder.last,
+            number = disorder.number;
+            "stream: event out of order"
+        );
+    }
+
     fn push(&mut self, bytes: &[u8]) {
         let partial = self.attempts.events.partial_len();
         self.attempts.outbox.push(bytes, partial);
@@ -342,6 +406,21 @@
         })
     }
 
+    /// How the endpoint's body ended, for logs.
+    fn end_name(&self, end: &RelayEnd<'_>) -> &'static str {
+        match end {
+            RelayEnd::Ended if self.attempts.events.partial_len() > 0 => "inside_event",
+            RelayEnd::Ended => self.stream.answer.body.framing().name(),
+            RelayEnd::Broken(broken) => broken.name,
+            RelayEnd::ClientDisconnected => "client_gone",
+            RelayEnd::NoRoom => "no_room",
+            RelayEnd::Outdated => "outdated",
+            RelayEnd::Silent => "silent",
+            RelayEnd::Overtaken(_) => "overtaken",
+            RelayEnd::Deadline => "deadline",
+        }
+    }
+
     /// Records how the endpoint's stream ended, unless it is plain that the stream is complete.
     fn record_end(&self, framing: Framing) {
         let partial = self.attempts.events.partial_len();
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -2,6 +2,7 @@
 
 use super::{Framing, Source};
 use quick_error::quick_error;
+use std::io::ErrorKind;
 
 /// Longest line between chunks, bytes: a hexadecimal size and extensions, which no known peer sends.
 const MAX_CHUNK_LINE: usize = 1024;
@@ -45,6 +46,19 @@
     }
 }
 
+impl RawBodyError {
+    /// Name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Truncated => "fin",
+            Self::TooLarge | Self::Extensions | Self::Trailers => "too_long",
+            Self::Chunk => "malformed",
+            Self::Io(err) if err.kind() == ErrorKind::ConnectionReset => "reset",
+            Self::Io(_) => "lost",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Length(u64),
