Streams that clients take up: events that the client has are not sent again

An endpoint that begins with the client's Last-Event-Id or before it sent these events twice to the client: the splitter dropped repeated events only where two attempts of one request meet. It begins with the number that the client names now, on routes whose streams may be resumed.

a_stream_that_is_taken_up_repeats_no_event failed before (events 1 to 5 for a client that has 3). No endpoint of the users is known to do this.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -110,10 +110,10 @@
         charge: QuotaCharge<'a>,
         record: &'a mut Record,
     ) -> Self {
-        let repeat = if request.route.kind.repeatable() {
-            RetryPolicy::Idempotent
+        let (repeat, taken) = if request.route.kind.repeatable() {
+            (RetryPolicy::Idempotent, request.info.last_event)
         } else {
-            RetryPolicy::Once
+            (RetryPolicy::Once, None)
         };
         Self {
             shared,
@@ -122,7 +122,7 @@
             charge,
             record,
             lifecycle: Request::new(repeat),
-            events: EventSplitter::after(request.info.last_event),
+            events: EventSplitter::after(taken),
             outbox: Outbox::new(&request.incoming.conn, &shared.held),
             head_sent: false,
             software: request.software.clone(),
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -24,10 +24,8 @@
     /// Number of bytes of the buffer that were searched.
     searched: usize,
     last_number: Option<u64>,
-    /// Number of the last event that the client had before this stream.
-    taken: Option<u64>,
-    /// Whether a numbered event of the current attempt was received.
-    numbered: bool,
+    /// Place of the next numbered event.
+    place: Place,
 }
 
 /// Events that may be forwarded.
@@ -55,11 +53,12 @@
 }
 
 /// Place of an event in a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Place {
     /// It is the first one for a client that continues a stream.
     Taken,
-    /// It is the first one of a further attempt.
+    /// It is the first one of an attempt.
+    #[default]
     Joint,
     /// It follows an event of the same attempt.
     Within,
@@ -88,16 +87,17 @@
 }
 
 impl EventSplitter {
-    /// A splitter for a client that has the events up to this one.
+    /// A splitter for a client that has the events up to this one. They are dropped.
     pub fn after(taken: Option<u64>) -> Self {
         Self {
-            taken,
+            last_number: taken,
+            place: taken.map_or(Place::Joint, |_| Place::Taken),
             ..Self::default()
         }
     }
 
     /// Adds received bytes and returns the events completed by them. An event whose number is not greater than the last
-    /// one's is dropped: it was forwarded before the stream was resumed.
+    /// one's is dropped: the client received it before the stream was resumed.
     pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
         self.buffer.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
@@ -110,7 +110,7 @@
                 let first = complete.numbers.map_or(number, |(first, _)| first);
                 complete.numbers = Some((first, number));
                 complete.disorder = complete.disorder.or(self.disorder(number));
-                self.numbered = true;
+                self.place = Place::Within;
             }
             if let (Some(number), Some(last)) = (number, self.last_number)
                 && number <= last
@@ -130,12 +130,7 @@
     /// Compares the number of an event with the one before it. Within an attempt numbers need only increase, since the endpoint
     /// chooses them; where an attempt begins, the next one is expected.
     fn disorder(&self, number: u64) -> Option<Disorder> {
-        let last = self.last_number.or(self.taken)?;
-        let place = match self.last_number {
-            _ if self.numbered => Place::Within,
-            Some(_) => Place::Joint,
-            None => Place::Taken,
-        };
+        let (last, place) = (self.last_number?, self.place);
         let follows = match place {
             Place::Within => number > last,
             Place::Taken | Place::Joint => number == last.saturating_add(1),
@@ -185,7 +180,10 @@
     pub fn without_partial(&self) -> Self {
         Self {
             last_number: self.last_number,
-            taken: self.taken,
+            place: match self.place {
+                Place::Taken => Place::Taken,
+                Place::Joint | Place::Within => Place::Joint,
+            },
             ..Self::default()
         }
     }
@@ -195,7 +193,7 @@
         &self.buffer
     }
 
-    /// Number of the last forwarded event.
+    /// Number of the last event that the client has.
     pub fn last_number(&self) -> Option<u64> {
         self.last_number
     }
