Metrics: continued streams by what showed their origin

Neither logs nor counters told how many streams went on by a router's memory, by another router's answer or by the store's record, nor how many were refused.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub stream_ends: IntCounterVec,
     /// Attempts that brought an event whose number does not follow, by kind and place in the stream.
     pub disorders: IntCounterVec,
+    /// Streams that clients continue, by what shows their origin.
+    pub continued: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
@@ -149,6 +151,11 @@
                 "Attempts that brought an event whose number does not follow, by kind and place in the stream",
                 &["kind", "place"],
             ),
+            continued: counters(
+                "streams_continued_total",
+                "Streams that clients continue, by what shows the version of their origin",
+                &["shown_by"],
+            ),
             store: counters(
                 "store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -65,11 +65,14 @@
     let stream = StreamKey::from(&RequestId::from(begun.unwrap_or(request)));
     let own = knowledge(shared, stream, service);
     if own.origin.is_some() || (own.is_current && own.versions.len() == 1) {
-        return continuation(service, &own, &[]);
+        let found = continuation(service, &own, &[]);
+        count(shared, &own, &[], &found);
+        return found;
     }
     let routers = Members::read(shared).addresses();
     let others = ask(shared, stream, service, &routers).await;
     let found = continuation(service, &own, &others);
+    count(shared, &own, &others, &found);
     let now = shared.clock.now();
     let told = others.iter().flatten().map(names).collect::<Vec<_>>().join(" ");
     log::info!(
@@ -86,6 +89,17 @@
     found
 }
 
+/// Counts a stream that a client continues, by what shows its origin.
+fn count(shared: &Shared, own: &Knowledge, others: &[Option<Knowledge>], found: &Continuation) {
+    let shown = match found {
+        Continuation::Unknown => "nothing",
+        Continuation::At(_) if own.origin.is_some() => "memory",
+        Continuation::At(_) if others.iter().flatten().any(|known| known.origin.is_some()) => "another_router",
+        Continuation::At(_) => "record",
+    };
+    shared.metrics.continued.with_label_values(&[shown]).inc();
+}
+
 /// Handles origins that another router tells.
 pub fn handle(shared: &Shared, messages: Vec<OriginMessage>) {
     let now = shared.clock.now();
