Responses that end with their connection: the endpoint is asked whether its process still runs

The kernel closes the connections of a killed process as regularly as the process does at the end of a response. A stream without a length or chunks whose endpoint was killed between two events reached its client as complete, and so did plain answers cut in the same way. An end of this kind counts only once the same process has answered a report (same id, same start). Otherwise the attempt is broken: resumable streams go on elsewhere after their last event, safe requests are repeated, others end incomplete or with 502. An unconfirmed end is never passed on as whole; one that another endpoint may repeat is waited for 250 ms, any other 1.9 s. An endpoint that leaves right after its last response costs a client of a resumable stream one more attempt, which sends nothing more. Framed responses ask nothing. The question runs boxed: inline, its state overflowed the stack of the runtime's threads in a debug build.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -198,6 +198,21 @@
     }
 }
 
+/// Longest wait until an endpoint confirms the end of a response that another endpoint may repeat or continue.
+const REPEATABLE_END_TIMEOUT: Duration = Duration::from_millis(250);
+/// The same for any other response. Clients wait two seconds for what comes next in a stream, and the response is lost to
+/// them without the confirmation.
+const END_TIMEOUT: Duration = Duration::from_millis(1_900);
+
+/// How long to wait until an endpoint confirms the end of a response that has ended with its connection.
+pub fn end_timeout(kind: RouteKind, remaining: Duration) -> Duration {
+    remaining.min(if kind.repeatable() {
+        REPEATABLE_END_TIMEOUT
+    } else {
+        END_TIMEOUT
+    })
+}
+
 /// Share of the remaining time for which a request waits for silent endpoints that no other endpoint serves. The rest is
 /// for the client's next attempt at another router.
 const LAST_RESORT_SHARE: f64 = 0.5;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     pub broken: IntCounterVec,
     /// Ends of endpoints' streams by framing, and whether they lie inside an event.
     pub stream_ends: IntCounterVec,
+    /// Responses that ended with their connection, by whether the endpoint confirmed the end.
+    pub unframed_ends: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
@@ -142,6 +144,11 @@
                 "Ends of endpoints' streams by framing, and whether they lie inside an event",
                 &["framing", "at"],
             ),
+            unframed_ends: counters(
+                "unframed_ends_total",
+                "Responses that ended with their connection, by whether the endpoint confirmed the end",
+                &["outcome"],
+            ),
             store: counters(
                 "store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -480,7 +480,9 @@
         mut response: ReadResponse,
         info: &ResponseInfo,
     ) -> AttemptResult<'a> {
-        match self.wait(self.remaining(), response.finish()).await {
+        let (shared, end_timeout) = (self.shared, self.end_timeout());
+        let finish = response.finish_confirmed(shared, &in_flight.picked.endpoint, end_timeout);
+        match self.wait(self.remaining(), finish).await {
             WaitOutcome::Done(Ok(())) => {}
             WaitOutcome::Done(Err(err)) => return self.read_failed(&in_flight, &err),
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
--- a/crates/gateway/src/serve/bounds.rs
+++ b/crates/gateway/src/serve/bounds.rs
@@ -22,7 +22,7 @@
     pub(super) fn read_failed(&mut self, in_flight: &InFlightAttempt<'_>, err: &ReadError) -> AttemptResult<'a> {
         record(self.shared, &in_flight.picked.endpoint.id, err.bound());
         match err {
-            ReadError::Body(_) => self.response_broken(in_flight),
+            ReadError::Body(_) | ReadError::Unconfirmed => self.response_broken(in_flight),
             ReadError::NoRoom(_) => self.closed_for_room(),
         }
     }
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -1,19 +1,21 @@
-//! Finds out whether an endpoint has ended whose connection broke during a request.
+//! Finds out whether an endpoint has ended whose connection ended or broke during a request.
 
 use super::RoutedRequest;
 use super::attempts::Attempts;
-use crate::connections::call_over;
+use crate::connections::{self, call_over};
 use crate::follow::members::Members;
 use crate::shared::Shared;
 use async_std::future::timeout;
 use async_std::task::{self, JoinHandle};
 use control::rendezvous;
-use dispatch::attempt::Failure;
+use dispatch::attempt::{self, Failure};
 use dispatch::fatal_parts::{self, EndedProcess, PartId};
 use dispatch::fleet::{PickedEndpoint, Prompt};
 use dispatch::quarantine::{self, ContentKey, EndedRun, Fate, Probe, ProcessKey};
 use dispatch::site::EndpointEntry;
-use http::raw::connect;
+use futures::FutureExt;
+use http::raw::{ExchangeError, Framing, Source, connect};
+use std::future::Future;
 use std::time::Duration;
 
 /// How long a broken attempt waits to learn whether its endpoint has ended. Endpoints in reach tell within a few
@@ -56,19 +58,23 @@
 
 /// Probes an endpoint to find out whether it is still the same process.
 async fn check(shared: &Shared, endpoint: &EndpointEntry) -> Probe {
-    let probe = timeout(PROBE_TIMEOUT, probe(shared, endpoint)).await;
+    // The timeout ends the wait for a silent endpoint, so an error is a refusal.
+    let open = || connect(endpoint.address, 2 * PROBE_TIMEOUT);
+    let probe = timeout(PROBE_TIMEOUT, probe(shared, endpoint, PROBE_TIMEOUT, open)).await;
     probe.unwrap_or(Probe::Silent)
 }
 
 /// Asks an endpoint until it answers or accepts no connections. A process that is ending may accept a connection and close it.
-async fn probe(shared: &Shared, endpoint: &EndpointEntry) -> Probe {
+async fn probe<F>(shared: &Shared, endpoint: &EndpointEntry, limit: Duration, open: impl Fn() -> F) -> Probe
+where
+    F: Future<Output = Result<Source, ExchangeError>>,
+{
     let (call, headers) = (shared.dialect.identity_call)(&endpoint.id);
     loop {
-        // The caller's timeout ends the wait for a silent endpoint, so an error is a refusal.
-        let Ok(source) = connect(endpoint.address, 2 * PROBE_TIMEOUT).await else {
+        let Ok(source) = open().await else {
             return Probe::Refused;
         };
-        match call_over(source, endpoint.address, &call, &headers, PROBE_TIMEOUT).await {
+        match call_over(source, endpoint.address, &call, &headers, limit).await {
             Ok((OTHER_ENDPOINT, _)) => return Probe::OtherEndpoint,
             Ok((_, body)) => return Probe::Answered((shared.dialect.parse_incarnation)(&body)),
             // It answers, although not as the endpoint that was addressed would.
@@ -78,6 +84,36 @@
     }
 }
 
+/// Whether the endpoint of a response that has just ended is known not to have ended with it, so that the end can be
+/// believed. The kernel closes the connections of a process that is killed as regularly as the process itself would.
+///
+/// Only an answer shows this: an incomplete response can be repeated, one that looks complete can't be called back.
+pub(super) async fn confirms_end(
+    shared: &Shared,
+    endpoint: &EndpointEntry,
+    framing: Framing,
+    within: Duration,
+) -> bool {
+    // Few responses are asked for, so that others don't carry the state of the question.
+    framing != Framing::UntilClose || ask(shared, endpoint, within).boxed().await
+}
+
+/// Whether the process of an endpoint answers.
+async fn ask(shared: &Shared, endpoint: &EndpointEntry, within: Duration) -> bool {
+    // The response may have come through another router.
+    let open = || async {
+        let opened = connections::open(shared, endpoint, within).await;
+        opened.map(|connection| connection.source)
+    };
+    let probe = timeout(within, probe(shared, endpoint, within, open)).await;
+    let probe = probe.unwrap_or(Probe::Silent);
+    let confirmed = quarantine::fate(probe, endpoint.incarnation, 0) == Fate::Alive;
+    let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
+    shared.metrics.unframed_ends.with_label_values(&[outcome]).inc();
+    log::info!(endpoint = endpoint.id.as_str(), probe:? = probe, outcome = outcome; "response: ended with its connection");
+    confirmed
+}
+
 /// This router's place among those that may try a request with a held part.
 fn trial_rank(shared: &Shared, part: PartId) -> Option<usize> {
     let own = shared.settings.load().vm.clone();
@@ -159,6 +195,11 @@
         })
     }
 
+    /// How long to wait until an endpoint confirms the end of its response.
+    pub(super) fn end_timeout(&self) -> Duration {
+        attempt::end_timeout(self.request.route.kind, self.remaining())
+    }
+
     /// The parts of the prompt that other requests may share.
     fn parts(&self) -> Vec<PartId> {
         self.request
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream from an endpoint to the client, event by event.
 
 use super::attempts::{AttemptResult, Attempts, RequestOutcome};
+use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::outbox::{Outbox, Step};
 use super::silent::SilentAttempt;
@@ -10,9 +11,11 @@
 use async_std::future::timeout;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
 use dispatch::fleet::Work;
+use futures::future::{Either, pending, select};
 use http::raw::{Bound, Framing, RawBodyError, Response, Source};
 use lifecycle::events::EventTooLong;
 use lifecycle::request::RequestEvent;
+use std::pin::pin;
 use std::time::Duration;
 
 /// A stream of an endpoint.
@@ -310,7 +313,7 @@
             // A silent endpoint may have more events than one that ends its stream without any.
             has_events: self.stream.started || (self.attempts.head_sent && self.attempts.silent.is_empty()),
         };
-        if !end.is_complete() {
+        if !end.is_complete() || !self.is_end_confirmed(framing).await {
             return self.attempts.response_broken(&self.in_flight);
         }
         let bytes = self.encode(&[], true);
@@ -342,6 +345,25 @@
         })
     }
 
+    /// Whether the end of the endpoint's response is that of the stream. Meanwhile the client gets its last events.
+    async fn is_end_confirmed(&mut self, framing: Framing) -> bool {
+        if framing != Framing::UntilClose {
+            return true;
+        }
+        let (shared, within) = (self.attempts.shared, self.attempts.end_timeout());
+        let endpoint = &self.in_flight.picked.endpoint;
+        let confirmed = pin!(fate::confirms_end(shared, endpoint, framing, within));
+        let flushed = async {
+            // If it fails, the next write fails too.
+            let _ = self.attempts.outbox.flush().await;
+            pending::<()>().await;
+        };
+        match select(confirmed, pin!(flushed)).await {
+            Either::Left((confirmed, _)) => confirmed,
+            Either::Right(((), _)) => false,
+        }
+    }
+
     /// Records how the endpoint's stream ended, unless it is plain that the stream is complete.
     fn record_end(&self, framing: Framing) {
         let partial = self.attempts.events.partial_len();
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -1,13 +1,15 @@
 //! Responses without events, as far as they were read.
 
-use super::reply;
+use super::{fate, reply};
 use crate::blocks::Blocks;
 use crate::held::{HeldKind, Hold, NoRoom};
 use crate::shared::Shared;
 use async_std::io::WriteExt;
+use dispatch::site::EndpointEntry;
 use http::Conn;
 use http::raw::{Bound, Framing, Headers, RawBodyError, Response, Source};
 use quick_error::quick_error;
+use std::time::Duration;
 
 /// Longest response without streaming, bytes: twice the longest request, and half of the budget of held bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
@@ -26,6 +28,10 @@
             from()
             display("there is no room for the response")
         }
+        /// The endpoint may have ended with its response.
+        Unconfirmed {
+            display("the response ended with its connection, and its endpoint may have ended too")
+        }
     }
 }
 
@@ -34,7 +40,7 @@
     pub(super) fn bound(&self) -> Option<Bound> {
         match self {
             Self::Body(err) => err.bound(),
-            Self::NoRoom(_) => None,
+            Self::NoRoom(_) | Self::Unconfirmed => None,
         }
     }
 }
@@ -99,6 +105,25 @@
         }
     }
 
+    /// Reads the rest of the body like [`Self::finish`]. An end that only its connection tells must be confirmed within this
+    /// time.
+    ///
+    /// # Errors
+    /// Those of [`Self::finish`], and the end was not confirmed.
+    pub(super) async fn finish_confirmed(
+        &mut self,
+        shared: &Shared,
+        endpoint: &EndpointEntry,
+        within: Duration,
+    ) -> Result<(), ReadError> {
+        self.finish().await?;
+        if fate::confirms_end(shared, endpoint, self.answer.body.framing(), within).await {
+            Ok(())
+        } else {
+            Err(ReadError::Unconfirmed)
+        }
+    }
+
     /// Reads the rest of the body. What was read is kept if the future is dropped.
     ///
     /// # Errors
