Streams: a router that has just started drops no version from the record

Which routers had left the list is in a router's memory only. One that started while another was cut off knew of none, and took this for proof that no router goes on beginning streams at a version whose endpoints it doesn't see: it dropped the version after 45 s, where the others keep it for up to 600 s, and one router that drops it suffices.

Now a router drops versions only once it has watched the list of routers for 600 s. If all routers have just started, both versions of a rollout stay recorded until then, and origins are asked for and written that long.

a_router_that_has_just_started_does_not_drop_versions failed before. Three tests of drops move by 600 s: their routers had watched for less; each keeps its bounds and a_version_that_left_unseen_still_counts now checks that nothing is dropped before.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -72,6 +72,8 @@
     /// Time as of which this router's copy of the store's contents is complete.
     complete: Option<Duration>,
     routers: BTreeSet<VmId>,
+    /// When this router first read the list of routers. Which ones had left it before is unknown.
+    watching_since: Option<Duration>,
     /// Routers that have left the list, and when.
     lost: BTreeMap<VmId, Duration>,
 }
@@ -142,6 +144,7 @@
 
     /// Records which routers are registered.
     pub fn set_routers(&mut self, routers: BTreeSet<VmId>, now: Duration) {
+        self.watching_since.get_or_insert(now);
         for left in self.routers.difference(&routers) {
             self.lost.entry(left.clone()).or_insert(now);
         }
@@ -164,7 +167,8 @@
         if listed.is_empty() {
             return None;
         }
-        let may_drop = self.lost.is_empty();
+        let watched = self.watching_since.map(|since| now.saturating_sub(since));
+        let may_drop = self.lost.is_empty() && watched.is_some_and(|time| time >= LOST_RETENTION);
         let Some(known) = self.services.get_mut(service) else {
             let active = listed.keys().cloned().collect();
             let pending = BTreeSet::new();
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -35,6 +35,7 @@
 impl Service {
     fn recorded(active: &[&str], pending: &[&str], now: u64) -> Self {
         let mut service = Self::default();
+        service.records.set_routers(BTreeSet::new(), ms(now));
         service.write(record(active, pending), now);
         service
     }
@@ -121,7 +122,12 @@
     service.write(record(&["v1", "v2"], &[]), 20);
     assert!(!service.records.proves_single(&Service::id(), ms(30)));
     assert_eq!(service.next(&[("v2", 2)], 44_900), None);
-    assert_eq!(service.next(&[("v2", 2)], 45_020), Some(record(&["v2"], &[])));
+    assert_eq!(
+        service.next(&[("v2", 2)], 599_900),
+        None,
+        "another router may be cut off"
+    );
+    assert_eq!(service.next(&[("v2", 2)], 600_010), Some(record(&["v2"], &[])));
 }
 
 /// A pending version whose endpoints are gone has begun no stream.
@@ -135,10 +141,11 @@
 #[test]
 fn a_version_counts_anew_after_a_time_without_the_store() {
     let mut service = Service::recorded(&["v1", "v2"], &[], 0);
-    assert_eq!(service.next(&[("v1", 1), ("v2", 1)], 1_000), None);
-    assert_eq!(service.next_with(&[("v2", 1)], 60_000, 59_000), None);
-    assert_eq!(service.next(&[("v2", 1)], 60_200), None);
-    assert_eq!(service.next(&[("v2", 1)], 105_100), Some(record(&["v2"], &[])));
+    assert_eq!(service.next(&[("v1", 1), ("v2", 1)], 601_000), None);
+    assert_eq!(service.next_with(&[("v2", 1)], 660_000, 59_000), None);
+    assert_eq!(service.next(&[("v2", 1)], 660_200), None);
+    assert_eq!(service.next(&[("v2", 1)], 704_900), None);
+    assert_eq!(service.next(&[("v2", 1)], 705_100), Some(record(&["v2"], &[])));
 }
 
 /// A router that is cut off goes on beginning streams at the versions that it knows.
@@ -148,13 +155,14 @@
     let without: BTreeSet<VmId> = ["a"].into_iter().map(VmId::from).collect();
     let mut service = Service::recorded(&["v1", "v2"], &[], 0);
     service.records.set_routers(all.clone(), ms(0));
-    service.records.set_routers(without.clone(), ms(10_000));
-    assert_eq!(service.next(&[("v2", 1)], 50_000), None);
-    service.records.set_routers(all, ms(50_000));
-    assert_eq!(service.next(&[("v2", 1)], 50_100), Some(record(&["v2"], &[])));
-    service.records.set_routers(without.clone(), ms(51_000));
-    service.records.set_routers(without, ms(651_000));
-    assert_eq!(service.next(&[("v2", 1)], 651_100), Some(record(&["v2"], &[])));
+    service.records.set_routers(without.clone(), ms(610_000));
+    assert_eq!(service.next(&[("v2", 1)], 650_000), None);
+    service.records.set_routers(all, ms(650_000));
+    assert_eq!(service.next(&[("v2", 1)], 650_100), Some(record(&["v2"], &[])));
+    service.records.set_routers(without.clone(), ms(651_000));
+    assert_eq!(service.next(&[("v2", 1)], 1_250_900), None);
+    service.records.set_routers(without, ms(1_251_000));
+    assert_eq!(service.next(&[("v2", 1)], 1_251_100), Some(record(&["v2"], &[])));
 }
 
 /// A restored store may lack a version that was recorded after the backup.
@@ -210,3 +218,14 @@
     assert_eq!(service.next(&both, 20_200), None);
     assert_eq!(service.next(&both, 25_000), Some(record(&["v1", "v2"], &[])));
 }
+
+/// Guards against dropping a version because this router has not seen that another one was cut off.
+#[test]
+fn a_router_that_has_just_started_does_not_drop_versions() {
+    let others: BTreeSet<VmId> = ["a"].into_iter().map(VmId::from).collect();
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    service.records.set_routers(others, ms(0));
+    assert_eq!(service.next(&[("v2", 1)], 45_100), None);
+    assert_eq!(service.next(&[("v2", 1)], 599_900), None);
+    assert_eq!(service.next(&[("v2", 1)], 600_000), Some(record(&["v2"], &[])));
+}
