Streams: a refused record is written again twice a second, not at each check

The router whose turn is first wrote a record that the store refused again at every check, five times a second per service: the time until the next write was taken for zero before it began. One router, 4 s of refusals: 20 calls; now within 4 to 9, as a_refused_record_is_written_again_twice_a_second checks.

--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -65,7 +65,7 @@
             let Some(wait) = turn(shared, &routers).filter(|_| shared.watches_store.load(Ordering::SeqCst)) else {
                 continue;
             };
-            if now.saturating_sub(due.1) >= wait {
+            if now.checked_sub(due.1).is_some_and(|time| time >= wait) {
                 // Whoever is next has its turn after this one.
                 due.1 = now + TURN;
                 task::spawn(write(shared.clone(), service.clone(), update));
