Silent attempts: the end of a stream that may be broken off doesn't displace another attempt

A suspended attempt whose stream ended took the request over from the attempt beside it, also if its endpoint had been killed or the stream ended inside an event. It then counted as broken, and with all attempts used the client's stream was cut, though the endpoint beside it would have gone on. Such an end is now checked, and confirmed if it has no framing, before it takes over.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -81,6 +81,11 @@
         self.answer.head.status
     }
 
+    /// How the end of its body is told.
+    pub(super) fn framing(&self) -> Framing {
+        self.answer.body.framing()
+    }
+
     /// The next bytes of the body; `None` once it is complete.
     ///
     /// # Errors
@@ -305,7 +310,7 @@
 
     /// Handles the end of the endpoint's response.
     async fn finish(mut self) -> AttemptResult<'a> {
-        let framing = self.stream.answer.body.framing();
+        let framing = self.stream.framing();
         self.record_end(framing);
         let end = StreamEnd {
             framed: framing != Framing::UntilClose,
--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -5,6 +5,7 @@
 
 use super::attempts::{AttemptResult, Attempts};
 use super::bounds;
+use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::observe;
 use super::relay::{OpenStream, StreamRelay};
@@ -13,11 +14,12 @@
 use crate::dialect::ResponseInfo;
 use crate::held::{HeldKind, Hold, NoRoom};
 use crate::shared::Shared;
-use dispatch::attempt::{self, Cause, SilentWait};
+use dispatch::attempt::{self, Cause, SilentWait, StreamEnd};
 use dispatch::fleet::{Outcome, Prompt};
+use dispatch::site::EndpointEntry;
 use futures::FutureExt;
 use futures::future::{BoxFuture, select_all};
-use http::raw::{Bound, ExchangeError, Response, Source};
+use http::raw::{Bound, ExchangeError, Framing, Response, Source};
 use lifecycle::events::{EventSplitter, MAX_EVENT_BYTES};
 use lifecycle::request::RequestEvent;
 use std::future::Future;
@@ -80,6 +82,8 @@
     events: &'a EventSplitter,
     /// Whether there is another attempt, so that only a success may take its place.
     contested: bool,
+    /// How long to wait until an endpoint confirms the end of its response.
+    end_timeout: Duration,
 }
 
 /// What a request does that can't be sent to another endpoint.
@@ -142,13 +146,20 @@
                     self.progress = Progress::of(answer, source, info, needs);
                 }
                 Progress::Reading(response) => {
-                    return match response.finish().await {
+                    let endpoint = &self.in_flight.picked.endpoint;
+                    let finish = response.finish_confirmed(needs.shared, endpoint, needs.end_timeout);
+                    return match finish.await {
                         Ok(()) => Sign::GoesOn,
                         Err(ReadError::NoRoom(_)) => Sign::NoRoom,
                         Err(err) => Sign::Broke(err.bound()),
                     };
                 }
-                Progress::Streaming(silent) => return silent.sign().await,
+                Progress::Streaming(silent) => {
+                    return match silent.sign().await {
+                        Sign::GoesOn if silent.ended => silent.end(&self.in_flight.picked.endpoint, needs).await,
+                        sign => sign,
+                    };
+                }
             }
         }
     }
@@ -204,6 +215,21 @@
         Sign::GoesOn
     }
 
+    /// What the end of the stream means. One that may have been broken off must not displace another attempt.
+    async fn end(&self, endpoint: &EndpointEntry, needs: Needs<'_>) -> Sign {
+        let framing = self.stream.framing();
+        let end = StreamEnd {
+            framed: framing != Framing::UntilClose,
+            partial: self.events.partial_len(),
+            has_events: self.stream.started || needs.began,
+        };
+        if end.is_complete() && fate::confirms_end(needs.shared, endpoint, framing, needs.end_timeout).await {
+            Sign::GoesOn
+        } else {
+            Sign::Broke(None)
+        }
+    }
+
     /// Adds bytes of the stream. Returns the number of events for the client that they complete.
     fn push(&mut self, part: &[u8]) -> usize {
         self.ahead.extend_from_slice(part);
@@ -335,6 +361,7 @@
 
     fn silent_and_needs(&mut self, contested: bool) -> (&mut Vec<SilentAttempt<'a>>, Needs<'_>) {
         let needs = Needs {
+            end_timeout: self.end_timeout(),
             shared: self.shared,
             prompt: self.request.info.prompt.as_ref(),
             streams: self.request.route.kind.streams(),
