HTTP/1.0 clients: a router that ends in the middle of a stream resets the connection

The kernel ends the connections of a killed process regularly, and to an HTTP/1.0 client that is the end of the stream. Until such a stream is complete its connection is now set to be reset. HTTP/1.1 streams end with the last chunk and are as before.

--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -344,6 +344,9 @@
         ) {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
+        if !self.chunked {
+            self.attempts.request.incoming.conn.reset_on_drop(false);
+        }
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         AttemptResult::Ended(RequestOutcome::Streamed {
             keep_alive: !self.close && self.chunked,
@@ -393,6 +396,10 @@
             let answer = &self.stream.answer;
             let headers = (self.attempts.shared.dialect.response_headers)(&answer.head.headers);
             bytes = reply::stream_head(answer.head.status, &headers, self.close, self.chunked);
+            if !self.chunked {
+                // If this process is killed, the kernel would end the connection, and so the stream, regularly.
+                self.attempts.request.incoming.conn.reset_on_drop(true);
+            }
             self.attempts.head_sent = true;
         }
         reply::push_chunk(&mut bytes, part, self.chunked);
