Streams: a stream that a client takes up begins after the event that it names

The splitter that drops events which were forwarded before began with no number at a client's take-up, so an endpoint that sent the named event again, or began earlier, doubled it for the client. On the code before, from event 1: events 1 to 5 in place of 3 to 5.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -115,6 +115,7 @@
         } else {
             RetryPolicy::Once
         };
+        let last_event = request.info.last_event.filter(|_| request.route.kind.resumable());
         Self {
             shared,
             request,
@@ -122,7 +123,7 @@
             charge,
             record,
             lifecycle: Request::new(repeat),
-            events: EventSplitter::default(),
+            events: EventSplitter::after(last_event),
             outbox: Outbox::new(&request.incoming.conn, &shared.held),
             head_sent: false,
             software: request.software.clone(),
--- a/crates/lifecycle/src/events.rs
+++ b/crates/lifecycle/src/events.rs
@@ -34,6 +34,14 @@
 }
 
 impl EventSplitter {
+    /// A splitter of a stream whose events up to this number have been forwarded.
+    pub fn after(last_number: Option<u64>) -> Self {
+        Self {
+            last_number,
+            ..Self::default()
+        }
+    }
+
     /// Adds received bytes and returns the events completed by them. An event whose number is not greater than the last
     /// one's is dropped: it was forwarded before the stream was resumed.
     pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
@@ -99,10 +107,7 @@
 
     /// A splitter that has forwarded the same events and received nothing more.
     pub fn without_partial(&self) -> Self {
-        Self {
-            last_number: self.last_number,
-            ..Self::default()
-        }
+        Self::after(self.last_number)
     }
 
     /// Bytes of a partial event.
