--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -110,11 +110,12 @@
         charge: QuotaCharge<'a>,
         record: &'a mut Record,
     ) -> Self {
-        let (repeat, taken) = if request.route.kind.repeatable() {
-            (RetryPolicy::Idempotent, request.info.last_event)
+        let repeat = if request.route.kind.repeatable() {
+            RetryPolicy::Idempotent
         } else {
-            (RetryPolicy::Once, None)
+            RetryPolicy::Once
         };
+        let taken = request.info.last_event.filter(|_| request.route.kind.resumable());
         Self {
             shared,
             request,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -81,6 +81,11 @@
         self.answer.head.status
     }
 
+    /// How the end of its body is told.
+    pub(super) fn framing(&self) -> Framing {
+        self.answer.body.framing()
+    }
+
     /// The next bytes of the body; `None` once it is complete.
     ///
     /// # Errors
@@ -369,7 +374,7 @@
 
     /// Handles the end of the endpoint's response.
     async fn finish(mut self) -> AttemptResult<'a> {
-        let framing = self.stream.answer.body.framing();
+        let framing = self.stream.framing();
         self.record_end(framing);
         let end = StreamEnd {
             framed: framing != Framing::UntilClose,
@@ -403,6 +408,9 @@
         ) {
             return AttemptResult::Ended(self.attempts.client_disconnected());
         }
+        if !self.chunked {
+            self.attempts.request.incoming.conn.reset_on_drop(false);
+        }
         self.attempts.lifecycle.on(RequestEvent::AnswerComplete);
         AttemptResult::Ended(RequestOutcome::Streamed {
             keep_alive: !self.close && self.chunked,
@@ -467,6 +475,10 @@
             let answer = &self.stream.answer;
             let headers = (self.attempts.shared.dialect.response_headers)(&answer.head.headers);
             bytes = reply::stream_head(answer.head.status, &headers, self.close, self.chunked);
+            if !self.chunked {
+                // If this process is killed, the kernel would end the connection, and so the stream, regularly.
+                self.attempts.request.incoming.conn.reset_on_drop(true);
+            }
             self.attempts.head_sent = true;
         }
         reply::push_chunk(&mut bytes, part, self.chunked);
