--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -110,10 +110,10 @@
         charge: QuotaCharge<'a>,
         record: &'a mut Record,
     ) -> Self {
-        let repeat = if request.route.kind.repeatable() {
-            RetryPolicy::Idempotent
+        let (repeat, taken) = if request.route.kind.repeatable() {
+            (RetryPolicy::Idempotent, request.info.last_event)
         } else {
-            RetryPolicy::Once
+            (RetryPolicy::Once, None)
         };
         Self {
             shared,
@@ -122,7 +122,7 @@
             charge,
             record,
             lifecycle: Request::new(repeat),
-            events: EventSplitter::default(),
+            events: EventSplitter::after(taken),
             outbox: Outbox::new(&request.incoming.conn, &shared.held),
             head_sent: false,
             software: request.software.clone(),
@@ -480,7 +480,9 @@
         mut response: ReadResponse,
         info: &ResponseInfo,
     ) -> AttemptResult<'a> {
-        match self.wait(self.remaining(), response.finish()).await {
+        let (shared, end_timeout) = (self.shared, self.end_timeout());
+        let finish = response.finish_confirmed(shared, &in_flight.picked.endpoint, end_timeout);
+        match self.wait(self.remaining(), finish).await {
             WaitOutcome::Done(Ok(())) => {}
             WaitOutcome::Done(Err(err)) => return self.read_failed(&in_flight, &err),
             WaitOutcome::ClientDisconnected => return AttemptResult::Ended(self.client_disconnected()),
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream from an endpoint to the client, event by event.
 
 use super::attempts::{AttemptResult, Attempts, RequestOutcome};
+use super::fate;
 use super::in_flight::InFlightAttempt;
 use super::outbox::{Outbox, Step};
 use super::silent::SilentAttempt;
@@ -10,9 +11,11 @@
 use async_std::future::timeout;
 use dispatch::attempt::{self, Cause, Failure, StreamEnd};
 use dispatch::fleet::Work;
+use futures::future::{Either, pending, select};
 use http::raw::{Bound, Framing, RawBodyError, Response, Source};
-use lifecycle::events::EventTooLong;
+use lifecycle::events::{CompleteEvents, EventTooLong};
 use lifecycle::request::RequestEvent;
+use std::pin::pin;
 use std::time::Duration;
 
 /// A stream of an endpoint.
@@ -94,6 +97,10 @@
     stream: OpenStream,
     close: bool,
     chunked: bool,
+    /// Numbers of the first and the last event that arrived.
+    numbers: Option<(u64, u64)>,
+    /// Whether an event whose number does not follow was recorded.
+    disordered: bool,
 }
 
 /// How relaying ended.
@@ -102,8 +109,8 @@
     Ended,
     /// The client closed the connection or did not read until the deadline.
     ClientDisconnected,
-    /// The endpoint's connection broke, or its stream exceeds a bound.
-    Broken(Option<Bound>),
+    /// The body broke off, or its events exceed a bound.
+    Broken(BodyBreak),
     /// The bytes are needed for others.
     NoRoom,
     /// The weights are too old to begin on.
@@ -115,6 +122,32 @@
     Deadline,
 }
 
+/// Why a body broke off.
+struct BodyBreak {
+    /// The bound that it exceeds, if it does.
+    bound: Option<Bound>,
+    /// Name in logs.
+    name: &'static str,
+}
+
+impl From<RawBodyError> for BodyBreak {
+    fn from(err: RawBodyError) -> Self {
+        Self {
+            bound: err.bound(),
+            name: err.name(),
+        }
+    }
+}
+
+impl From<EventTooLong> for BodyBreak {
+    fn from(EventTooLong: EventTooLong) -> Self {
+        Self {
+            bound: Some(Bound::Event),
+            name: "too_long",
+        }
+    }
+}
+
 impl<'r, 'a> StreamRelay<'r, 'a> {
     pub(super) fn new(attempts: &'r mut Attempts<'a>, in_flight: InFlightAttempt<'a>, stream: OpenStream) -> Self {
         let incoming = attempts.request.incoming;
@@ -126,23 +159,35 @@
             stream,
             close,
             chunked,
+            numbers: None,
+            disordered: false,
         }
     }
 
     /// Relays a stream that was read ahead while it was suspended, as far as its end if `ended`.
     pub(super) async fn resume(mut self, ahead: &[u8], ended: bool) -> AttemptResult<'a> {
         self.stream.pace = Pace::Unknown;
-        if self.forward(ahead).is_err() {
-            return self.broken(Some(Bound::Event));
-        }
-        if ended { self.finish().await } else { self.run().await }
+        let end = match self.forward(ahead) {
+            Err(err) => RelayEnd::Broken(err.into()),
+            Ok(()) if ended => RelayEnd::Ended,
+            Ok(()) => self.relay().await,
+        };
+        self.end(end).await
     }
 
     pub(super) async fn run(mut self) -> AttemptResult<'a> {
-        match self.relay().await {
+        let end = self.relay().await;
+        self.end(end).await
+    }
+
+    async fn end(mut self, end: RelayEnd<'a>) -> AttemptResult<'a> {
+        let endpoint = &self.in_flight.picked.endpoint.id;
+        let name = self.end_name(&end);
+        self.attempts.record.events(endpoint, self.numbers, name);
+        match end {
             RelayEnd::Ended => self.finish().await,
             RelayEnd::ClientDisconnected => AttemptResult::Ended(self.attempts.client_disconnected()),
-            RelayEnd::Broken(bound) => self.broken(bound),
+            RelayEnd::Broken(broken) => self.broken(broken.bound),
             RelayEnd::NoRoom => self.attempts.closed_for_room(),
             RelayEnd::Outdated => self.cancelled(),
             RelayEnd::Silent => self.timed_out(),
@@ -163,13 +208,13 @@
             };
             match waited {
                 WaitOutcome::Done(Step::Part(Ok(Some(part)))) => {
-                    if self.forward(&part).is_err() {
-                        return RelayEnd::Broken(Some(Bound::Event));
+                    if let Err(err) = self.forward(&part) {
+                        return RelayEnd::Broken(err.into());
                     }
                     until = self.idle_end();
                 }
                 WaitOutcome::Done(Step::Part(Ok(None))) => return RelayEnd::Ended,
-                WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.bound()),
+                WaitOutcome::Done(Step::Part(Err(err))) => return RelayEnd::Broken(err.into()),
                 WaitOutcome::Done(Step::Written | Step::Paused) => {}
                 WaitOutcome::Done(Step::NoRoom) => return RelayEnd::NoRoom,
                 WaitOutcome::Done(Step::ClientDisconnected) => return RelayEnd::ClientDisconnected,
@@ -239,6 +284,7 @@
     /// An event is too long.
     fn forward(&mut self, part: &[u8]) -> Result<(), EventTooLong> {
         let whole = self.attempts.events.push(part);
+        self.record_numbers(&whole);
         self.attempts.events.check()?;
         if whole.count == 0 {
             self.push(&[]);
@@ -261,6 +307,27 @@
         Ok(())
     }
 
+    fn record_numbers(&mut self, whole: &CompleteEvents) {
+        let Some((first, last)) = whole.numbers else { return };
+        self.numbers = Some((self.numbers.map_or(first, |(first, _)| first), last));
+        let Some(disorder) = whole.disorder.filter(|_| !self.disordered) else {
+            return;
+        };
+        self.disordered = true;
+        let (kind, place) = (disorder.kind(), disorder.place.name());
+        let disorders = &self.attempts.shared.metrics.disorders;
+        disorders.with_label_values(&[kind, place]).inc();
+        log::warn!(
+            id = self.attempts.request.info.id.as_str(),
+            endpoint = self.in_flight.picked.endpoint.id.as_str(),
+            kind = kind,
+            place = place,
+            last = disorder.last,
+            number = disorder.number;
+            "stream: event out of order"
+        );
+    }
+
     fn push(&mut self, bytes: &[u8]) {
         let partial = self.attempts.events.partial_len();
         self.attempts.outbox.push(bytes, partial);
@@ -310,7 +377,7 @@
             // A silent endpoint may have more events than one that ends its stream without any.
             has_events: self.stream.started || (self.attempts.head_sent && self.attempts.silent.is_empty()),
         };
-        if !end.is_complete() {
+        if !end.is_complete() || !self.is_end_confirmed(framing).await {
             return self.attempts.response_broken(&self.in_flight);
         }
         let bytes = self.encode(&[], true);
@@ -342,6 +409,40 @@
         })
     }
 
+    /// How the endpoint's body ended, for logs.
+    fn end_name(&self, end: &RelayEnd<'_>) -> &'static str {
+        match end {
+            RelayEnd::Ended if self.attempts.events.partial_len() > 0 => "inside_event",
+            RelayEnd::Ended => self.stream.answer.body.framing().name(),
+            RelayEnd::Broken(broken) => broken.name,
+            RelayEnd::ClientDisconnected => "client_gone",
+            RelayEnd::NoRoom => "no_room",
+            RelayEnd::Outdated => "outdated",
+            RelayEnd::Silent => "silent",
+            RelayEnd::Overtaken(_) => "overtaken",
+            RelayEnd::Deadline => "deadline",
+        }
+    }
+
+    /// Whether the end of the endpoint's response is that of the stream. Meanwhile the client gets its last events.
+    async fn is_end_confirmed(&mut self, framing: Framing) -> bool {
+        if framing != Framing::UntilClose {
+            return true;
+        }
+        let (shared, within) = (self.attempts.shared, self.attempts.end_timeout());
+        let endpoint = &self.in_flight.picked.endpoint;
+        let confirmed = pin!(fate::confirms_end(shared, endpoint, framing, within));
+        let flushed = async {
+            // If it fails, the next write fails too.
+            let _ = self.attempts.outbox.flush().await;
+            pending::<()>().await;
+        };
+        match select(confirmed, pin!(flushed)).await {
+            Either::Left((confirmed, _)) => confirmed,
+            Either::Right(((), _)) => false,
+        }
+    }
+
     /// Records how the endpoint's stream ended, unless it is plain that the stream is complete.
     fn record_end(&self, framing: Framing) {
         let partial = self.attempts.events.partial_len();
