--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -21,7 +21,9 @@
 /// Key prefix of the records, followed by the service.
 pub const RECORDS_PREFIX: &str = "apricotfork/software/";
 /// How much longer a router waits for a record to be written for each router that writes before it.
-const TURN: Duration = Duration::from_millis(500);
+const TURN: Duration = Duration::from_millis(300);
+/// Time after a step in which the router that took it goes on without waiting for its turn.
+const ACTING_TIME: Duration = Duration::from_secs(3);
 /// Interval between reads of the list of routers.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for a response of the store.
@@ -86,6 +88,8 @@
 pub struct RecordWriter {
     /// When a step about a service's record became due.
     due: HashMap<ServiceId, (RecordStep, Duration)>,
+    /// When this router last took a step.
+    acted_at: Option<Duration>,
     routers: Members,
     routers_read: Option<Duration>,
 }
@@ -116,10 +120,16 @@
             if *known != step {
                 (*known, *at) = (step.clone(), now);
             }
-            let wait = turn(shared, &self.routers).filter(|_| shared.watches_store.load(Ordering::SeqCst));
+            let is_acting = self.acted_at.is_some_and(|at| now.saturating_sub(at) < ACTING_TIME);
+            let wait = if is_acting {
+                Some(Duration::ZERO)
+            } else {
+                turn(shared, &self.routers).filter(|_| shared.watches_store.load(Ordering::SeqCst))
+            };
             if wait.is_some_and(|wait| now >= *at + wait) {
                 // Whoever is next has its turn before this one tries again.
                 *at = now + TURN;
+                self.acted_at = Some(now);
                 take(shared, service, step);
             }
         }
