--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -107,15 +107,15 @@
     }
 
     /// The versions of a service at which streams may have begun; `None` if there is no record of it.
-    pub fn active(&self, service: &ServiceId) -> Option<&BTreeSet<SoftwareVersion>> {
-        self.services.get(service).map(|known| &known.record.active)
+    pub fn active(&self, service: &ServiceId) -> Option<BTreeSet<SoftwareVersion>> {
+        let known = self.services.get(service)?;
+        Some(known.record.active.union(&known.restored).cloned().collect())
     }
 
     /// Whether this router's copy shows all versions at which streams of the service may have begun. `own` is this router: what
     /// others know of the time before it was registered, they don't tell it.
     pub fn proves_all(&self, service: &ServiceId, own: &VmId, now: Duration) -> bool {
-        let record = self.services.get(service).map(|known| &known.record);
-        let is_settled = record.is_some_and(|record| record.pending.is_empty());
+        let is_settled = self.services.get(service).is_some_and(Known::is_settled);
         is_settled && self.is_current(now) && self.routers.contains(own)
     }
 
@@ -170,9 +170,10 @@
     /// Compares the record of a service with the versions that are listed now.
     pub fn next(&mut self, service: &ServiceId, listed: &ListedVersions, now: Duration) -> RecordStep {
         if !self.is_current(now) {
-            // What was listed meanwhile is unknown.
+            // What was listed or pending meanwhile is unknown.
             if let Some(known) = self.services.get_mut(service) {
-                known.listed_at.values_mut().for_each(|at| *at = now);
+                let times = known.listed_at.values_mut().chain(known.pending_since.values_mut());
+                times.for_each(|at| *at = now);
             }
             return RecordStep::Keep;
         }
@@ -203,6 +204,11 @@
 }
 
 impl Known {
+    /// Whether no stream can begin at a version that the record doesn't name as active.
+    fn is_settled(&self) -> bool {
+        self.record.pending.is_empty() && self.restored.is_subset(&self.record.active)
+    }
+
     fn next(&mut self, listed: &ListedVersions, may_drop: bool, now: Duration) -> SoftwareRecord {
         for version in listed.keys() {
             if let Some(at) = self.listed_at.get_mut(version) {
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -229,3 +229,33 @@
     pending.records.set_routers(own, ms(100));
     assert!(!pending.proves_all(200));
 }
+
+/// Guards against taking up streams at the version of a restored record while this router knows of another one.
+#[test]
+fn a_restored_record_alone_proves_nothing() {
+    let mut service = Service::recorded(&["v1", "v2"], &[], 0);
+    let own: BTreeSet<VmId> = ["a"].into_iter().map(VmId::from).collect();
+    service.records.set_routers(own, ms(0));
+    service.records.store_restored();
+    service.write(record(&["v1"], &[]), 20);
+    service.records.copy_complete(ms(30));
+    assert!(!service.proves_all(40));
+    let active = service.records.active(&Service::id());
+    assert_eq!(active.as_ref(), Some(&versions(&["v1", "v2"])));
+    service.write(record(&["v1", "v2"], &[]), 50);
+    service.write(record(&["v1"], &[]), 60);
+    assert!(service.proves_all(70));
+}
+
+/// Guards against beginning streams too early at a version that was dropped and listed again while this router had no recent
+/// copy of the store.
+#[test]
+fn a_version_is_pending_anew_after_a_time_without_the_store() {
+    let both = [("v1", 3), ("v2", 1)];
+    let mut service = Service::recorded(&["v1"], &["v2"], 0);
+    assert_eq!(service.next(&both, 100), None);
+    assert_eq!(service.next_with(&both, 20_000, 19_900), None);
+    service.write(record(&["v1"], &["v2"]), 20_100);
+    assert_eq!(service.next(&both, 20_200), None);
+    assert_eq!(service.next(&both, 25_000), Some(record(&["v1", "v2"], &[])));
+}
