Streams: origins are told from the moment in which a second version is listed

They began in the 0.2 s in which the second version was listed and its record not written: the streams begun before are told once a second version is listed, and those after it only once the record shows that.

--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -170,6 +170,10 @@
 
 /// Whether this router can tell by itself that all streams of the service begin at one version.
 fn proves_single(shared: &Shared, service: &ServiceId) -> bool {
+    // A version is listed before it is recorded.
+    if shared.fleet().versions(service, shared.clock.now()).len() > 1 {
+        return false;
+    }
     let known = knowledge(shared, None, service);
     known.is_current && known.versions.len() <= 1
 }
