--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -24,10 +24,13 @@
     pub(super) fn confirm_freshness(&mut self, confirmed: Option<Confirmation>, era: u64, now: Duration) {
         if let Some(confirmed) = confirmed {
             self.roster.list_complete(confirmed.at());
-            self.shared.software().copy_complete(confirmed.at());
         }
         *self.shared.uptime() = *self.roster.uptime();
         let confirmed = confirmed.and_then(|confirmed| self.verify_era(confirmed, era, now));
+        if let Some(at) = confirmed {
+            // A store that was restored from a backup may lack versions until its era is verified.
+            self.shared.software().copy_complete(at);
+        }
         if let Some(confirmed) = confirmed.filter(|_| self.document_is_current()) {
             self.shared.freshness().confirm(confirmed, era);
         }
