--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -86,6 +86,8 @@
     /// Time as of which this router's copy of the store's contents is complete.
     complete: Option<Duration>,
     routers: BTreeSet<VmId>,
+    /// When this router first read the list of routers. Which ones had left it before is unknown.
+    watching_since: Option<Duration>,
     /// Routers that have left the list, and when.
     lost: BTreeMap<VmId, Duration>,
 }
@@ -107,15 +109,15 @@
     }
 
     /// The versions of a service at which streams may have begun; `None` if there is no record of it.
-    pub fn active(&self, service: &ServiceId) -> Option<&BTreeSet<SoftwareVersion>> {
-        self.services.get(service).map(|known| &known.record.active)
+    pub fn active(&self, service: &ServiceId) -> Option<BTreeSet<SoftwareVersion>> {
+        let known = self.services.get(service)?;
+        Some(known.record.active.union(&known.restored).cloned().collect())
     }
 
     /// Whether this router's copy shows all versions at which streams of the service may have begun. `own` is this router: what
     /// others know of the time before it was registered, they don't tell it.
     pub fn proves_all(&self, service: &ServiceId, own: &VmId, now: Duration) -> bool {
-        let record = self.services.get(service).map(|known| &known.record);
-        let is_settled = record.is_some_and(|record| record.pending.is_empty());
+        let is_settled = self.services.get(service).is_some_and(Known::is_settled);
         is_settled && self.is_current(now) && self.routers.contains(own)
     }
 
@@ -159,6 +161,7 @@
 
     /// Records which routers are registered.
     pub fn set_routers(&mut self, routers: BTreeSet<VmId>, now: Duration) {
+        self.watching_since.get_or_insert(now);
         for left in self.routers.difference(&routers) {
             self.lost.entry(left.clone()).or_insert(now);
         }
@@ -170,16 +173,18 @@
     /// Compares the record of a service with the versions that are listed now.
     pub fn next(&mut self, service: &ServiceId, listed: &ListedVersions, now: Duration) -> RecordStep {
         if !self.is_current(now) {
-            // What was listed meanwhile is unknown.
+            // What was listed or pending meanwhile is unknown.
             if let Some(known) = self.services.get_mut(service) {
-                known.listed_at.values_mut().for_each(|at| *at = now);
+                let times = known.listed_at.values_mut().chain(known.pending_since.values_mut());
+                times.for_each(|at| *at = now);
             }
             return RecordStep::Keep;
         }
         if listed.is_empty() {
             return RecordStep::Keep;
         }
-        let may_drop = self.lost.is_empty();
+        let watched = self.watching_since.map(|since| now.saturating_sub(since));
+        let may_drop = self.lost.is_empty() && watched.is_some_and(|time| time >= LOST_RETENTION);
         let Some(known) = self.services.get_mut(service) else {
             let active = listed.keys().cloned().collect();
             let pending = BTreeSet::new();
@@ -203,6 +208,11 @@
 }
 
 impl Known {
+    /// Whether no stream can begin at a version that the record doesn't name as active.
+    fn is_settled(&self) -> bool {
+        self.record.pending.is_empty() && self.restored.is_subset(&self.record.active)
+    }
+
     fn next(&mut self, listed: &ListedVersions, may_drop: bool, now: Duration) -> SoftwareRecord {
         for version in listed.keys() {
             if let Some(at) = self.listed_at.get_mut(version) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub disorders: IntCounterVec,
     /// Streams that clients continue, by what shows their origin.
     pub continued: IntCounterVec,
+    /// Responses that ended with their connection, by whether the endpoint confirmed the end.
+    pub unframed_ends: IntCounterVec,
     /// Seconds until the first byte of the response was sent to the client, by route.
     pub first: HistogramVec,
     /// Calls to the store by kind and outcome.
@@ -156,6 +158,11 @@
                 "Streams that clients continue, by what shows the version of their origin",
                 &["shown_by"],
             ),
+            unframed_ends: counters(
+                "unframed_ends_total",
+                "Responses that ended with their connection, by whether the endpoint confirmed the end",
+                &["outcome"],
+            ),
             store: counters(
                 "store_calls_total",
                 "Calls to the store by kind and outcome",
