--- a/crates/gateway/src/origins/sender.rs
+++ b/crates/gateway/src/origins/sender.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use dispatch::origins::{Origin, StreamKey};
 use ids::VmId;
-use peers::{OriginMessage, Upstream};
+use peers::{OriginMessage, PeerError, Upstream};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +17,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 /// Interval between reads of the list of routers.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// How often a message is sent to a router that doesn't respond. One that is busy for a moment would lose all origins in it.
+const MAX_TRIES: u32 = 3;
 /// Messages that wait for a router.
 const MAX_QUEUED: usize = 64;
 
@@ -86,17 +88,30 @@
 async fn send_all(address: SocketAddr, messages: Receiver<Vec<OriginMessage>>) {
     let mut connected: Option<Upstream> = None;
     while let Ok(message) = messages.recv().await {
-        let peer = match connected.take() {
-            Some(peer) => Ok(peer),
-            None => Upstream::connect(address, CALL_TIMEOUT).await,
-        };
-        let sent = match peer {
-            Ok(peer) => peer.origins(message, CALL_TIMEOUT).await.map(|()| peer),
-            Err(err) => Err(err),
-        };
-        match sent {
-            Ok(peer) => connected = Some(peer),
-            Err(err) => log::debug!(router:% = address, why:% = err; "stream: cannot send origins"),
+        for tries in 1..=MAX_TRIES {
+            match send(address, connected.take(), message.clone()).await {
+                Ok(peer) => {
+                    connected = Some(peer);
+                    break;
+                }
+                Err(err) => {
+                    log::debug!(router:% = address, tries = tries, why:% = err; "stream: cannot send origins");
+                }
+            }
         }
     }
 }
+
+/// Sends a message over this connection or a new one, and returns the connection.
+async fn send(
+    address: SocketAddr,
+    connected: Option<Upstream>,
+    message: Vec<OriginMessage>,
+) -> Result<Upstream, PeerError> {
+    let peer = match connected {
+        Some(peer) => peer,
+        None => Upstream::connect(address, CALL_TIMEOUT).await?,
+    };
+    peer.origins(message, CALL_TIMEOUT).await?;
+    Ok(peer)
+}
