Records: what routers have read of a record doesn't hold for one with a reused revision

A store that is restored from a backup assigns revisions again, so an answer about an earlier record could stand for a new one, and a pending version could begin streams unasked. Found on reading the diff; a_restored_record_is_acknowledged_anew failed before. Beside it: one function counts calls to the store.

--- a/crates/dispatch/src/software.rs
+++ b/crates/dispatch/src/software.rs
@@ -72,7 +72,7 @@
     /// When this router first read that a version is pending.
     pending_since: BTreeMap<SoftwareVersion, Duration>,
     /// Revision of a record that all routers have read.
-    acknowledged: u64,
+    acknowledged: Option<u64>,
     /// When an endpoint of an active version was last listed, or the version first read of.
     listed_at: BTreeMap<SoftwareVersion, Duration>,
     /// Versions that were active before the store was restored from a backup.
@@ -114,8 +114,8 @@
         Some(known.record.active.union(&known.restored).cloned().collect())
     }
 
-    /// Whether this router's copy shows all versions at which streams of the service may have begun. `own` is this router: what
-    /// others know of the time before it was registered, they don't tell it.
+    /// Whether this router's copy shows all versions at which streams of the service may have begun. That of a router that isn't
+    /// registered doesn't, since the others don't ask it before streams begin at a version. `own` is this router.
     pub fn proves_all(&self, service: &ServiceId, own: &VmId, now: Duration) -> bool {
         let is_settled = self.services.get(service).is_some_and(Known::is_settled);
         is_settled && self.is_current(now) && self.routers.contains(own)
@@ -129,7 +129,7 @@
     /// Records that all routers have read the record with this revision.
     pub fn acknowledge(&mut self, service: &ServiceId, revision: u64) {
         if let Some(known) = self.services.get_mut(service) {
-            known.acknowledged = revision;
+            known.acknowledged = Some(revision);
         }
     }
 
@@ -155,6 +155,8 @@
     pub fn store_restored(&mut self) {
         for known in self.services.values_mut() {
             known.restored.extend(known.record.active.iter().cloned());
+            // Revisions are assigned again.
+            known.acknowledged = None;
             known.revision = 0;
         }
     }
@@ -200,7 +202,7 @@
                 replaces: known.revision,
             });
         }
-        if known.acknowledged != known.revision && known.is_needed(listed) {
+        if known.acknowledged != Some(known.revision) && known.is_needed(listed) {
             return RecordStep::Ask(known.revision);
         }
         RecordStep::Keep
@@ -247,7 +249,7 @@
             return false;
         };
         let pending = now.saturating_sub(*since);
-        let is_read = self.acknowledged == self.revision || pending >= MIN_PENDING;
+        let is_read = self.acknowledged == Some(self.revision) || pending >= MIN_PENDING;
         is_read && (pending >= MAX_PENDING || self.is_needed(listed))
     }
 
--- a/crates/dispatch/tests/software.rs
+++ b/crates/dispatch/tests/software.rs
@@ -255,6 +255,19 @@
     assert!(service.proves_all(70));
 }
 
+/// A restored store assigns revisions again. Guards against taking what the routers had read of another record for this one.
+#[test]
+fn a_restored_record_is_acknowledged_anew() {
+    let mut service = Service::recorded(&["v1"], &["v2"], 0);
+    service.records.acknowledge(&Service::id(), service.revision);
+    service.records.store_restored();
+    service.revision = 0;
+    assert_eq!(service.next(&[("v2", 1)], 10), Some(record(&["v1"], &["v2"])));
+    service.write(record(&["v1"], &["v2"]), 20);
+    assert_eq!(service.revision, 1);
+    assert_eq!(service.next(&[("v2", 1)], 30), None);
+}
+
 /// Guards against beginning streams too early at a version that was dropped and listed again while this router had no recent
 /// copy of the store.
 #[test]
--- a/crates/gateway/src/origins/archive.rs
+++ b/crates/gateway/src/origins/archive.rs
@@ -4,6 +4,7 @@
 //! origins of all and write them in batches, so that the number of writes depends neither on the number of streams nor on
 //! that of routers. Leases remove them once no client can return.
 
+use super::records::count;
 use crate::shared::Shared;
 use async_std::task;
 use control::rendezvous;
@@ -154,8 +155,3 @@
     }
     batch
 }
-
-fn count(shared: &Shared, call: &str, done: bool) {
-    let outcome = if done { "ok" } else { "failed" };
-    shared.metrics.store.with_label_values(&[call, outcome]).inc();
-}
--- a/crates/gateway/src/origins/mod.rs
+++ b/crates/gateway/src/origins/mod.rs
@@ -67,7 +67,7 @@
     let own = knowledge(shared, Some(stream), service);
     if own.origin.is_some() || (own.is_current && own.versions.len() == 1) {
         let found = continuation(service, &own, &[]);
-        count(shared, &own, &[], &found);
+        count_continued(shared, &own, &[], &found);
         return found;
     }
     let routers = Members::read(shared).addresses();
@@ -81,7 +81,7 @@
         others.push(Some(read));
         found = continuation(service, &own, &others);
     }
-    count(shared, &own, &others, &found);
+    count_continued(shared, &own, &others, &found);
     let now = shared.clock.now();
     let told = others
         .iter()
@@ -104,7 +104,7 @@
 }
 
 /// Counts a stream that a client continues, by what shows its origin.
-fn count(shared: &Shared, own: &Knowledge, others: &[Option<Knowledge>], found: &Continuation) {
+fn count_continued(shared: &Shared, own: &Knowledge, others: &[Option<Knowledge>], found: &Continuation) {
     let shown = match found {
         Continuation::Unknown => "nothing",
         Continuation::At(_) if own.origin.is_some() => "memory",
--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -186,7 +186,8 @@
     }
 }
 
-fn count(shared: &Shared, call: &str, done: bool) {
+/// Counts a call to the store.
+pub(super) fn count(shared: &Shared, call: &str, done: bool) {
     let outcome = if done { "ok" } else { "failed" };
     shared.metrics.store.with_label_values(&[call, outcome]).inc();
 }
