Origins: an archivist writes at once and pauses afterwards

An archivist collected origins for 200 ms before each write, also after a time without any. Now it writes 10 ms after the first one and pauses after the write; the number of writes stays bounded by the same pause.

--- a/crates/gateway/src/origins/archive.rs
+++ b/crates/gateway/src/origins/archive.rs
@@ -19,8 +19,10 @@
 pub const ORIGINS_PREFIX: &str = "apricotfork/origins/";
 /// Routers that write origins.
 const ARCHIVISTS: usize = 3;
-/// Interval between writes of one router. A power loss takes the origins of the last interval with it.
-const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which origins are collected before a write.
+const BATCH_DELAY: Duration = Duration::from_millis(10);
+/// Pause between writes of one router. A power loss takes the origins since the last write with it.
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time for which new keys are written under one lease.
 const LEASE_TIME: Duration = Duration::from_secs(10);
 /// Time to live of a lease: its last keys live as long as a client may take to return.
@@ -79,7 +81,7 @@
         {
             streams.insert(stream, origin);
         }
-        task::sleep(WRITE_INTERVAL).await;
+        task::sleep(BATCH_DELAY).await;
         while streams.len() < MAX_ORIGINS
             && let Ok((stream, origin)) = shared.origin_archive.1.try_recv()
         {
@@ -89,6 +91,7 @@
             Ok(()) => streams.clear(),
             Err(err) => log::warn!(streams = streams.len(), why:% = err; "stream: cannot write origins"),
         }
+        task::sleep(WRITE_PAUSE).await;
     }
 }
 
