--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -22,6 +22,8 @@
 pub const RECORDS_PREFIX: &str = "apricotfork/software/";
 /// How much longer a router waits for a record to be written for each router that writes before it.
 const TURN: Duration = Duration::from_millis(300);
+/// Pause before this router takes a step again that hasn't led to another record.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after a step in which the router that took it goes on without waiting for its turn.
 const ACTING_TIME: Duration = Duration::from_secs(3);
 /// Interval between reads of the list of routers.
@@ -128,7 +130,7 @@
             };
             if wait.is_some_and(|wait| now >= *at + wait) {
                 // Whoever is next has its turn before this one tries again.
-                *at = now + TURN;
+                *at = now + RETRY_PAUSE;
                 self.acted_at = Some(now);
                 take(shared, service, step);
             }
