Calls to the store are counted in one place

Behaviour is the same. Beside it: the proof in continuation() is one condition, and two comments stand at what they describe.

--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -18,6 +18,7 @@
 pub const RETENTION: Duration = Duration::from_secs(30);
 /// Number of origins that are remembered.
 const MAX_ORIGINS: usize = 65_536;
+
 /// Identifies a stream by the id of the client's attempt that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, From, Display, Serialize, Deserialize)]
 #[display("{_0:016x}")]
@@ -68,10 +69,8 @@
         return Continuation::At(origin);
     }
     // The current ones name all versions. Without them, whoever did not answer may know of another one.
-    let mut current = std::iter::once(own)
-        .chain(others.iter().flatten())
-        .filter(|known| known.is_current);
-    let is_proved = current.next().is_some() || others.iter().all(Option::is_some);
+    let mut known = std::iter::once(own).chain(others.iter().flatten());
+    let is_proved = known.any(|known| known.is_current) || others.iter().all(Option::is_some);
     let versions: BTreeSet<&SoftwareVersion> = std::iter::once(own)
         .chain(others.iter().flatten())
         .flat_map(|known| &known.versions)
--- a/crates/gateway/src/control/documents.rs
+++ b/crates/gateway/src/control/documents.rs
@@ -1,6 +1,6 @@
 //! Reads the document, and checks whether the store is known to hold the newest one.
 
-use super::orders::{count, write_as_holder};
+use super::orders::write_as_holder;
 use super::{Control, ERA_KEY};
 use async_std::task;
 use dispatch::era_check::EraView;
@@ -142,7 +142,7 @@
         let shared = self.shared.clone();
         task::spawn(async move {
             let committed = write_as_holder(&shared, fence, ERA_KEY, era.to_string().into_bytes()).await;
-            count(&shared, "era", committed.is_ok());
+            shared.metrics.count_store_call("era", committed.is_ok());
             match committed {
                 Ok(CommitOutcome::Done(_)) => log::info!(era = era; "store: verified era recorded"),
                 Ok(outcome) => log::warn!(era = era, outcome:? = outcome; "store: verified era not recorded"),
--- a/crates/gateway/src/control/orders.rs
+++ b/crates/gateway/src/control/orders.rs
@@ -216,7 +216,7 @@
         let shared = self.shared.clone();
         task::spawn(async move {
             let committed = write_as_holder(&shared, fence, LOAD_LIST_KEY, value).await;
-            count(&shared, "tell", committed.is_ok());
+            shared.metrics.count_store_call("tell", committed.is_ok());
             if let Err(err) = &committed {
                 log::warn!(why:% = err; "orders: cannot write the load list");
             }
@@ -276,7 +276,7 @@
 async fn acquire(shared: &Shared, client: &Client, name: String, ttl: Duration) {
     let requested = shared.clock.now();
     let granted = client.grant(ttl, CALL_TIMEOUT).await;
-    count(shared, "grant", granted.is_ok());
+    shared.metrics.count_store_call("grant", granted.is_ok());
     let Ok(granted) = granted else {
         send(shared, Event::Holder(holder::Event::Failed)).await;
         return;
@@ -293,7 +293,7 @@
         }],
     };
     let committed = client.commit(&transaction, CALL_TIMEOUT).await;
-    count(shared, "claim", committed.is_ok());
+    shared.metrics.count_store_call("claim", committed.is_ok());
     // The watch reports a successful claim together with its fencing token. This includes a write whose response was
     // lost.
     let is_unknown = matches!(committed, Err(ItemsError::Lost(_) | ItemsError::TooLong(_)));
@@ -307,7 +307,7 @@
 async fn renew(shared: &Shared, client: &Client, lease: u64) {
     let requested = shared.clock.now();
     let renewed = client.renew(lease, CALL_TIMEOUT).await;
-    count(shared, "renew", renewed.is_ok());
+    shared.metrics.count_store_call("renew", renewed.is_ok());
     let event = match renewed {
         Ok(Some(ttl)) => holder::Event::Renewed { ttl, requested },
         Ok(None) => holder::Event::LeaseExpired(lease),
@@ -317,11 +317,6 @@
     send(shared, Event::Holder(event)).await;
 }
 
-pub(super) fn count(shared: &Shared, call: &str, done: bool) {
-    let outcome = if done { "ok" } else { "failed" };
-    shared.metrics.store.with_label_values(&[call, outcome]).inc();
-}
-
 /// The fencing token, if an order may be sent now.
 pub(crate) fn may_order(holder: &std::sync::Mutex<holder::Holder>, now: Duration) -> Option<Fence> {
     lock(holder).may_order(now)
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -408,9 +408,7 @@
     }
 
     fn count(&self, call: &str, done: bool) {
-        let outcome = if done { "ok" } else { "failed" };
-        let calls = &self.shared.metrics.store;
-        calls.with_label_values(&[call, outcome]).inc();
+        self.shared.metrics.count_store_call(call, done);
     }
 
     fn count_abandoned(&self, sender: &str, received: u64) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -263,6 +263,12 @@
         }
     }
 
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, call: &str, done: bool) {
+        let outcome = if done { "ok" } else { "failed" };
+        self.store.with_label_values(&[call, outcome]).inc();
+    }
+
     /// Sets the gauges of endpoints whose state changes with time. Returns the number of unreachable ones.
     pub fn set_endpoint_states(&self, fleet: &Fleet, now: Duration) -> usize {
         let unreachable = fleet.unreachable_count();
--- a/crates/gateway/src/origins/archive.rs
+++ b/crates/gateway/src/origins/archive.rs
@@ -4,7 +4,6 @@
 //! origins of all and write them in batches, so that the number of writes depends neither on the number of streams nor on
 //! that of routers. Leases remove them once no client can return.
 
-use super::records::count;
 use crate::shared::Shared;
 use async_std::task;
 use control::rendezvous;
@@ -126,7 +125,7 @@
             }],
         };
         let committed = client.commit(&transaction, CALL_TIMEOUT).await;
-        count(shared, "origins", committed.is_ok());
+        shared.metrics.count_store_call("origins", committed.is_ok());
         if committed? == CommitOutcome::NoLease {
             self.lease = None;
             return Err(ItemsError::Refused(404));
@@ -141,7 +140,7 @@
             return Ok(lease);
         }
         let granted = client.grant(LEASE_TTL, CALL_TIMEOUT).await;
-        count(shared, "grant", granted.is_ok());
+        shared.metrics.count_store_call("grant", granted.is_ok());
         let lease = granted?.lease;
         self.lease = Some((lease, now));
         Ok(lease)
--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -72,7 +72,7 @@
     let key = format!("{RECORDS_PREFIX}{service}");
     let client = Client::new(shared.settings.load().store, shared.dialect.store);
     let read = client.all(&key, READ_TIMEOUT).await;
-    count(shared, "software_read", read.is_ok());
+    shared.metrics.count_store_call("software_read", read.is_ok());
     let items = read.map(|(items, _)| items).unwrap_or_default();
     let record = items.iter().find(|item| item.key == key);
     let record = record.and_then(|item| serde_json::from_slice::<SoftwareRecord>(&item.value).ok());
@@ -188,12 +188,6 @@
     }
 }
 
-/// Counts a call to the store.
-pub(super) fn count(shared: &Shared, call: &str, done: bool) {
-    let outcome = if done { "ok" } else { "failed" };
-    shared.metrics.store.with_label_values(&[call, outcome]).inc();
-}
-
 async fn write(shared: Arc<Shared>, service: ServiceId, update: RecordUpdate) {
     let client = Client::new(shared.settings.load().store, shared.dialect.store);
     let key = format!("{RECORDS_PREFIX}{service}");
@@ -206,7 +200,7 @@
         }],
     };
     let committed = client.commit(&transaction, CALL_TIMEOUT).await;
-    count(&shared, "software", committed.is_ok());
+    shared.metrics.count_store_call("software", committed.is_ok());
     match committed {
         Ok(CommitOutcome::Done(_)) => {}
         Ok(outcome) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -44,12 +44,12 @@
 /// A queue of streams with their origins.
 type OriginOutbox = (Sender<(StreamKey, Origin)>, Receiver<(StreamKey, Origin)>);
 
-/// Versions of each service, as last read from the store; `None` if that failed.
-type RecordReads = async_std::sync::Mutex<HashMap<ServiceId, (Duration, Option<Knowledge>)>>;
-
 /// Longest such queue.
 const MAX_UNSENT_ORIGINS: usize = 4_096;
 
+/// Versions of each service, as last read from the store; `None` if that failed.
+type RecordReads = async_std::sync::Mutex<HashMap<ServiceId, (Duration, Option<Knowledge>)>>;
+
 /// Shared by all tasks.
 pub struct Shared {
     /// Current settings; they may be reloaded.
