Fix: answers without a valid status reach clients

Callers got answers whose status line read 'HTTP/1.1 0 Unknown', 'HTTP/1.1 1 Unknown' and 'HTTP/1.1 600 Unknown' when an endpoint in trouble sent such a status.

Cause: the parser takes any three digits for a status, and only a status of 2xx needs a seal to be forwarded. So such an answer was passed on as an error that the endpoint chose to send, and counted as the answer of a sound endpoint.

A head whose status is not 100 to 599 is malformed now, where heads are parsed, so all readers of answers agree: requests, tunnels, reports, orders, probes and calls to the store. 101 is an error too, since no request asks for another protocol.

--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -18,6 +18,9 @@
 const MAX_SKIPPED_BYTES: u64 = 1 << 20;
 /// Most interim responses to one request. A server sends one or two, such as 100 and 103.
 const MAX_INTERIM: u32 = 16;
+/// The connection goes on in another protocol.
+const SWITCHING: u16 = 101;
+
 quick_error! {
     /// Why no response head arrived.
     #[derive(Debug)]
@@ -142,6 +145,10 @@
     reusable &= sent;
     let mut head = head?;
     loop {
+        if head.status == SWITCHING {
+            // No request asks for another protocol, so nothing that follows can be read.
+            return Err(HeadError::Malformed(httparse::Error::Status).into());
+        }
         let interim = matches!(head.status, 100..=199);
         if !interim && is_ours(&head) {
             let body = BodyReader::new(response_framing(&head, method)?);
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -1,9 +1,12 @@
 //! Heads of requests and responses.
 
 use quick_error::quick_error;
+use std::ops::RangeInclusive;
 
 /// Most header lines of one head. Clients send about a dozen.
 const MAX_HEADERS: usize = 100;
+/// Statuses that HTTP defines a class for. Recipients treat others in different ways, or not as responses at all.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 quick_error! {
     /// Why no head could be read.
@@ -138,7 +141,7 @@
 /// The head of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// The status.
+    /// The status, 100 to 599.
     pub status: u16,
     /// Header lines.
     pub headers: Headers,
@@ -148,14 +151,18 @@
 
 impl ResponseHead {
     /// Parses a head at the start of `bytes` and returns it with its length, or `None` while it is incomplete.
+    ///
+    /// # Errors
+    /// The bytes are not a valid head, or the status is not one of HTTP.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, httparse::Error> {
         let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut lines);
         let httparse::Status::Complete(length) = response.parse(bytes)? else {
             return Ok(None);
         };
+        let status = response.code.filter(|code| STATUSES.contains(code));
         let head = Self {
-            status: response.code.unwrap_or_default(),
+            status: status.ok_or(httparse::Error::Status)?,
             headers: Headers::from_parsed(response.headers),
             http10: response.version == Some(0),
         };
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -142,6 +142,33 @@
     }
 }
 
+/// Endpoints in trouble send numbers as status that HTTP does not define, or change to another protocol unasked.
+#[test]
+fn responses_without_a_valid_status_are_errors() {
+    struct Case {
+        begin: &'static str,
+        expected: Option<u16>,
+    }
+    let cases = [
+        ("HTTP/1.1 100 Continue\r\n\r\n", Some(200)),
+        ("HTTP/1.1 199 X\r\n\r\n", Some(200)),
+        ("HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", Some(599)),
+        ("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", None),
+        ("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", None),
+        ("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", None),
+        ("HTTP/1.1 101 Switching Protocols\r\n\r\n", None),
+    ];
+    for case in cases.map(|(begin, expected)| Case { begin, expected }) {
+        let answer = task::block_on(async {
+            let bytes = case.begin.to_owned() + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            let mut source = source(bytes.as_bytes()).await;
+            exchange(&mut source, REQUEST, "GET", |_| true).await
+        });
+        let status = answer.ok().map(|answer| answer.head.status);
+        assert_eq!(status, case.expected, "{:?}", case.begin);
+    }
+}
+
 /// An endpoint crashes in the middle of its response. If the truncated body were reported as complete, the client would
 /// act on part of the response.
 #[test]
