Fix: a part of an answer reaches clients as the whole of it when an upload is reset

Callers of long uploads got status 200 with a part of the answer's body, framed as whole, when the endpoint answered at once, without a length, and reset the connection while the upload was still being written.

Cause: Linux reports a reset once, to whichever call comes first. That was the write of the upload, whose failure only kept the connection from being reused. The next read then returned the end of the stream, which is the regular end of such a body. The same holds for a peek.

Evidence: an_answer_that_breaks_off_during_an_upload_is_not_whole failed with 8 of 8 uploads on each of four routes, for a reset as for a close that leaves the upload unread; a_body_that_is_reset_is_never_complete failed too. Both pass now.

A connection remembers that a read, a peek or a write has failed, and an end of the stream after that is an error. All readers of a connection are covered, also tunnels, calls and clients' requests.

--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -29,6 +29,8 @@
     read_limit: AtomicU64,
     reads_disabled: AtomicBool,
     is_unreachable: AtomicBool,
+    /// Whether a read, a peek or a write has failed.
+    has_failed: AtomicBool,
 }
 
 impl Socket {
@@ -46,6 +48,24 @@
         self.acknowledged.store(bytes, Ordering::Relaxed);
     }
 
+    /// Records a failure. The kernel reports the reset of a connection once, to whichever call comes first; later reads
+    /// return the end of the stream.
+    fn record_failure<T>(&self, result: &io::Result<T>) {
+        if result.is_err() {
+            self.has_failed.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Why the end of the stream isn't one that the peer has sent, if it isn't.
+    fn broken_end(&self) -> Option<io::ErrorKind> {
+        if self.is_unreachable.load(Ordering::SeqCst) {
+            return Some(io::ErrorKind::TimedOut);
+        }
+        self.has_failed
+            .load(Ordering::SeqCst)
+            .then_some(io::ErrorKind::ConnectionReset)
+    }
+
     /// Ends the connection because its peer is unreachable. Reads then fail, because an end of the stream could be
     /// taken for the end of a response, and the kernel discards what was not sent.
     pub(crate) fn abort(&self) {
@@ -82,6 +102,7 @@
             read_limit: AtomicU64::new(u64::MAX),
             reads_disabled: AtomicBool::new(false),
             is_unreachable: AtomicBool::new(false),
+            has_failed: AtomicBool::new(false),
         }))
     }
 
@@ -147,8 +168,8 @@
     /// Resolves once a read would not block: bytes, the end of the connection or an error.
     pub async fn readable(&self) {
         let mut byte = [0];
-        // An error also means that the connection is unusable; its next use returns it.
-        let _ = self.0.stream.peek(&mut byte).await;
+        // An error also means that the connection is unusable; its next use fails.
+        self.0.record_failure(&self.0.stream.peek(&mut byte).await);
     }
 
     /// Closes the writing side; the peer reads the end of the stream after all bytes written.
@@ -164,7 +185,9 @@
     /// body was read completely. Never resolves if the peer sends more bytes first: then it is still connected.
     pub async fn peer_closed(&self) {
         let mut byte = [0];
-        match self.0.stream.peek(&mut byte).await {
+        let peeked = self.0.stream.peek(&mut byte).await;
+        self.0.record_failure(&peeked);
+        match peeked {
             Ok(0) | Err(_) => {}
             Ok(_) => futures::future::pending().await,
         }
@@ -181,11 +204,15 @@
             return Poll::Ready(Ok(0));
         }
         let polled = Pin::new(&mut &socket.stream).poll_read(cx, buf);
-        if matches!(polled, Poll::Ready(Ok(0))) && socket.is_unreachable.load(Ordering::SeqCst) {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        if let Poll::Ready(Ok(0)) = &polled
+            && let Some(kind) = socket.broken_end()
+        {
+            return Poll::Ready(Err(kind.into()));
         }
-        if let Poll::Ready(Ok(count)) = &polled {
-            socket.read.fetch_add(*count as u64, Ordering::Relaxed);
+        if let Poll::Ready(result) = &polled {
+            socket.record_failure(result);
+            let count = result.as_ref().copied().unwrap_or_default();
+            socket.read.fetch_add(count as u64, Ordering::Relaxed);
         }
         polled
     }
@@ -194,8 +221,10 @@
 impl Write for Conn {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut &self.0.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(count)) = &polled {
-            self.0.written.fetch_add(*count as u64, Ordering::Relaxed);
+        if let Poll::Ready(result) = &polled {
+            self.0.record_failure(result);
+            let count = result.as_ref().copied().unwrap_or_default();
+            self.0.written.fetch_add(count as u64, Ordering::Relaxed);
         }
         polled
     }
