Fix: answers that end before their request has arrived reach clients as whole

Callers of long uploads got a part of an answer as the whole of it, also when the endpoint did not reset the connection but closed it when it had read what had arrived so far. The kernel then sends a regular end, and the reset only after it.

Cause: the end of the connection was taken for the end of the response, although the endpoint had not received the request.

At such an end the kernel is asked whether everything that was written has been acknowledged, and whether the connection was reset after the end. A response without a length that begins before the request is sent is an error at once, since the rest of the request is never sent. A response with a length is passed on as before.

--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -1,5 +1,6 @@
 //! A TCP connection that counts the bytes it transfers and detects that its peer has closed it or vanished.
 
+use crate::tcp_info::TcpInfo;
 use crate::unreachable;
 use async_std::io::{Read, Write};
 use async_std::net::TcpStream;
@@ -165,6 +166,13 @@
         self.0.set_linger(reset.then_some(Duration::ZERO));
     }
 
+    /// Whether the peer has received everything that was written, which is asked once the stream has ended. Otherwise the end
+    /// may not be that of a message: a peer that closes without having read a request may have given up its response, too.
+    pub fn is_delivered(&self) -> bool {
+        // Without an answer of the kernel, only the end itself is known.
+        TcpInfo::read(&*self.0).map_or(true, |info| info.is_acknowledged() && !info.is_reset())
+    }
+
     /// Resolves once a read would not block: bytes, the end of the connection or an error.
     pub async fn readable(&self) {
         let mut byte = [0];
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -172,6 +172,9 @@
 
     async fn read_until_close(&mut self, source: &mut Source) -> Result<Option<Vec<u8>>, RawBodyError> {
         if source.buffered().is_empty() && source.fill().await? == 0 {
+            if !source.conn().is_delivered() {
+                return Err(RawBodyError::Truncated);
+            }
             self.state = State::Complete;
             return Ok(None);
         }
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -1,6 +1,8 @@
 //! One request and its response on a connection.
 
-use super::{BodyReader, Bound, FramingError, HeadError, RawBodyError, ResponseHead, Source, response_framing};
+use super::{
+    BodyReader, Bound, Framing, FramingError, HeadError, RawBodyError, ResponseHead, Source, response_framing,
+};
 use crate::Conn;
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -98,8 +100,8 @@
 }
 
 /// Sends a complete request and reads the first response head that `is_ours` accepts; responses to other requests are
-/// skipped. If the response begins before the request is fully sent, the rest is not sent and the connection cannot be
-/// reused.
+/// skipped. If the response begins before the request is fully sent, the rest is not sent, the connection cannot be
+/// reused, and the response must tell its length.
 ///
 /// # Errors
 /// No such head arrived.
@@ -151,7 +153,12 @@
         }
         let interim = matches!(head.status, 100..=199);
         if !interim && is_ours(&head) {
-            let body = BodyReader::new(response_framing(&head, method)?);
+            let framing = response_framing(&head, method)?;
+            if framing == Framing::UntilClose && !sent {
+                // The end of the connection can't show that the response is whole (`Conn::is_delivered`).
+                return Err(FramingError::Early.into());
+            }
+            let body = BodyReader::new(framing);
             return Ok(Response { head, body, reusable });
         }
         if interim {
--- a/crates/http/src/raw/framing.rs
+++ b/crates/http/src/raw/framing.rs
@@ -23,6 +23,10 @@
         Coding {
             display("the transfer coding is not supported")
         }
+        /// Neither a length nor chunks, in a response that began before its request was sent.
+        Early {
+            display("the response began before its request was sent, and ends with the connection")
+        }
     }
 }
 
--- a/crates/http/src/tcp_info.rs
+++ b/crates/http/src/tcp_info.rs
@@ -16,6 +16,8 @@
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// The interval between window probes doubles at most this often.
 const MAX_DOUBLINGS: u8 = 9;
+/// State of a connection that was reset, whether or not its peer has closed it before (`TCP_CLOSE` of Linux).
+const CLOSED: u8 = 7;
 
 /// The beginning of Linux's `struct tcp_info`, as of Linux 4.6.
 #[repr(C)]
@@ -74,6 +76,11 @@
         self.unacked == 0 && self.notsent_bytes == 0
     }
 
+    /// Whether the connection was reset.
+    pub(crate) fn is_reset(&self) -> bool {
+        self.state == CLOSED
+    }
+
     /// Whether the peer leaves segments or window probes unanswered. It must not have acknowledged everything.
     pub(crate) fn is_unreachable(&self) -> bool {
         let millis = |ms: u32| Duration::from_millis(ms.into());
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -398,3 +398,28 @@
         assert_eq!((answer.head.status, answer.reusable), (503, false));
     });
 }
+
+/// An endpoint answers a long request before it has read it. If the answer ends with the connection, a part of it can't be told
+/// from the whole.
+#[test]
+fn a_response_before_the_request_is_sent_must_tell_its_length() {
+    for (head, expected) in [
+        (&b"HTTP/1.1 413 X\r\nContent-Length: 4\r\n\r\npart"[..], Some(413)),
+        (b"HTTP/1.1 413 X\r\n\r\npart", None),
+    ] {
+        let answer = task::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let mut source = http::raw::connect(address, Duration::from_secs(5))
+                .await
+                .expect("a connection");
+            let (mut peer, _) = listener.accept().await.expect("a connection");
+            peer.write_all(head).await.expect("written");
+            // More than the sockets' buffers hold.
+            let long = vec![b'x'; 64 << 20];
+            let answer = exchange(&mut source, &long, "POST", |_| true).await;
+            answer.map(|answer| answer.head.status)
+        });
+        assert_eq!(answer.ok(), expected, "{:?}", String::from_utf8_lossy(head));
+    }
+}
