Fix: one entry with a number of slots that no endpoint has stalls routers

Beside an endpoint that states a tolerance for rejections, an entry with millions of slots left callers without an answer, and routers followed no document any more. With the largest number, calls with prompts were closed without an answer.

Cause: the places of a brittle service are dealt one by one, under the lock of the fleet, as many as the entries state, and both their sum and the limit of an engine were computed from the number as it stood.

The roster, through which all entries pass, takes an endpoint for one of at most 4,096 slots.

--- a/crates/dispatch/src/roster.rs
+++ b/crates/dispatch/src/roster.rs
@@ -260,6 +260,7 @@
     }
 
     fn list(&mut self, mut entry: EndpointEntry) -> Option<RosterChange> {
+        entry.limit();
         entry.draining |= self.leaving.entry_listed(&entry);
         let current = self.entries.get(&entry.id);
         if current.is_some_and(|current| **current == entry) {
--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -377,6 +377,9 @@
     (specs, Some(keys))
 }
 
+/// Most slots that an endpoint is taken to have. Its places may be divided one by one, and an entry may state any number.
+const MAX_SLOTS: u32 = 4_096;
+
 /// An endpoint's entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointEntry {
@@ -399,3 +402,10 @@
     /// Models that it serves, with the version of their weights.
     pub weights: Vec<(ModelId, u64)>,
 }
+
+impl EndpointEntry {
+    /// Limits the numbers that it states to what an endpoint can have.
+    pub(crate) fn limit(&mut self) {
+        self.slots = self.slots.min(MAX_SLOTS);
+    }
+}
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -61,6 +61,20 @@
     roster.all().map(|entry| entry.id.as_str()).collect()
 }
 
+/// An entry states more slots than any endpoint has. Its places would be divided one by one, and sums of slots overflow.
+#[test]
+fn no_endpoint_has_more_slots_than_can_be_divided() {
+    for (stated, expected) in [(0, 0), (64, 64), (4_096, 4_096), (4_097, 4_096), (u32::MAX, 4_096)] {
+        let mut roster = Roster::default();
+        let mut odd = entry("a", false);
+        odd.slots = stated;
+        roster.apply(ListChange::Listed(odd.clone()), at(0));
+        roster.replace(vec![ListChange::Listed(odd)], at(10));
+        let slots: Vec<u32> = roster.all().map(|entry| entry.slots).collect();
+        assert_eq!(slots, [expected], "{stated}");
+    }
+}
+
 /// The store is unavailable for seconds and the leases of healthy endpoints expire. If missing entries were dropped
 /// when it recovers, every client would be refused until the endpoints have registered again.
 #[test]
