Fix: the largest numbers in a report of load close calls without an answer

After an endpoint had reported 4,294,967,295 running and waiting requests, callers of every router that knew of it got no answer in builds that check for overflow, and a wrapped sum counted as its load in others.

Cause: two of four places that add the two numbers added them without a bound.

The sum is formed in one place, and saturates.

--- a/crates/dispatch/src/fleet/endpoint_state.rs
+++ b/crates/dispatch/src/fleet/endpoint_state.rs
@@ -66,6 +66,11 @@
             work_time: None,
         }
     }
+
+    /// Requests that are running or queued. An endpoint may state any numbers.
+    pub(super) fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
 }
 
 /// A load report as routers exchange it.
@@ -330,7 +335,7 @@
         {
             self.max_running = self.max_running.max(Some(received.report.running));
             if let Some(work_time) = received.report.work_time {
-                let requests = received.report.running.saturating_add(received.report.waiting);
+                let requests = received.report.requests();
                 self.work_times.record(work_time, requests, received.reported_at);
             }
             self.report = Some(received);
@@ -398,13 +403,13 @@
 
     /// Estimated number of requests running or waiting at the endpoint, from all routers.
     pub(super) fn running(&self, now: Duration) -> f64 {
-        let reported = self.decayed(now, REPORT_HALF_LIFE_SECS, |report| report.running + report.waiting);
+        let reported = self.decayed(now, REPORT_HALF_LIFE_SECS, |report| report.requests());
         reported.max(f64::from(self.in_flight))
     }
 
     /// The same for long answers, which hold their slots for seconds.
     pub(super) fn occupied(&self, now: Duration) -> f64 {
-        let reported = self.decayed(now, ANSWER_HALF_LIFE_SECS, |report| report.running + report.waiting);
+        let reported = self.decayed(now, ANSWER_HALF_LIFE_SECS, |report| report.requests());
         reported.max(f64::from(self.in_flight))
     }
 
--- a/crates/dispatch/src/fleet/speeds.rs
+++ b/crates/dispatch/src/fleet/speeds.rs
@@ -382,7 +382,7 @@
 
 /// Running and waiting requests of the last report, if an endpoint doesn't say how long work takes.
 fn last_requests(state: &EndpointState) -> f64 {
-    let requests = |report: LoadReport| report.running.saturating_add(report.waiting);
+    let requests = |report: LoadReport| report.requests();
     f64::from(state.report().map_or(0, |received| requests(received.report)))
 }
 
