Fix: a key with control bytes among those of endpoints becomes part of requests' heads

Callers got 502, or no answer of theirs was served, after another writer had left an entry under a key with a line feed, a NUL or a DEL; with a CR LF, the rest of the key arrived at the endpoint as header lines of its own.

Cause: the text after the prefix was taken for an endpoint's ID, which is sent in X-Expect-Instance, whatever its bytes.

IDs are checked where entries enter: 1 to 256 bytes of visible ASCII. Any other key is logged and left aside.

--- a/crates/dispatch/src/site.rs
+++ b/crates/dispatch/src/site.rs
@@ -377,9 +377,17 @@
     (specs, Some(keys))
 }
 
+/// Longest ID of an endpoint, bytes.
+const MAX_ID_BYTES: usize = 256;
 /// Most slots that an endpoint is taken to have. Its places may be divided one by one, and an entry may state any number.
 const MAX_SLOTS: u32 = 4_096;
 
+/// The endpoint ID that is this text, if it can be one. IDs become a part of heads, so they are visible ASCII.
+pub fn parse_endpoint_id(text: &str) -> Option<EndpointId> {
+    let is_valid = (1..=MAX_ID_BYTES).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic());
+    is_valid.then(|| EndpointId::from(text))
+}
+
 /// An endpoint's entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointEntry {
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -1,7 +1,7 @@
 //! The endpoints in service during and after outages of the store.
 
 use dispatch::roster::{ListChange, Roster, RosterChange};
-use dispatch::site::EndpointEntry;
+use dispatch::site::{EndpointEntry, parse_endpoint_id};
 use dispatch::uptime::Span;
 use ids::{DomainId, EndpointId, Incarnation, ServiceId, SoftwareVersion};
 use std::time::Duration;
@@ -75,6 +75,27 @@
     }
 }
 
+/// Another writer leaves keys whose text would end a line of a head.
+#[test]
+fn endpoint_ids_are_visible_text() {
+    let long = "x".repeat(257);
+    let cases = [
+        ("e1", true),
+        ("vm-1:8000/gpu_0.a", true),
+        (&long[1..], true),
+        ("", false),
+        ("a b", false),
+        ("a\r\nX-Odd: b", false),
+        ("a\u{0}", false),
+        ("a\u{7f}", false),
+        ("\u{e9}", false),
+        (&long, false),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(parse_endpoint_id(text).is_some(), expected, "{text:?}");
+    }
+}
+
 /// The store is unavailable for seconds and the leases of healthy endpoints expire. If missing entries were dropped
 /// when it recovers, every client would be refused until the endpoints have registered again.
 #[test]
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,6 +19,7 @@
 use dispatch::holder::{ForeignOrders, Holder, HolderRecord, TIMES, fence};
 use dispatch::rollout::LoadBackoff;
 use dispatch::roster::{ListChange, Roster, RosterChange};
+use dispatch::site::parse_endpoint_id;
 use dispatch::uptime::Span;
 use ids::{EndpointId, Fence, Revision, ServiceId};
 use orders::ListWrite;
@@ -270,7 +271,11 @@
 
     /// The roster change that an item means, if the item is the entry of an endpoint.
     fn entry_change(&self, item: &Item) -> Option<ListChange> {
-        let id = endpoint_id(&item.key, self.shared.dialect.keys.endpoints)?;
+        let name = item.key.strip_prefix(self.shared.dialect.keys.endpoints)?;
+        let Some(id) = parse_endpoint_id(name) else {
+            log::warn!(key = item.key.as_str(); "endpoint: its key names none");
+            return None;
+        };
         match (self.shared.dialect.parse_entry)(id.clone(), &item.value) {
             Ok(entry) => Some(ListChange::Listed(entry)),
             Err(err) => {
@@ -520,7 +525,7 @@
 
 /// The id of the endpoint whose entry has this key.
 fn endpoint_id(key: &str, prefix: &str) -> Option<EndpointId> {
-    key.strip_prefix(prefix).map(EndpointId::from)
+    key.strip_prefix(prefix).and_then(parse_endpoint_id)
 }
 
 pub(crate) fn lock(holder: &Mutex<Holder>) -> MutexGuard<'_, Holder> {
