Fix: a store that repeats a page keeps a router reading for ever

A router that read a range from such a store would have collected the same items without end, and followed nothing any more.

Cause: the next page was read as long as the store said that there were more, whether or not the last one had gone on.

A page that ends with the key of an earlier one is an error.

--- a/crates/store/src/items/client.rs
+++ b/crates/store/src/items/client.rs
@@ -6,6 +6,7 @@
 use async_std::sync::Mutex;
 use http::progress_timeout;
 use http::raw::{Headers, Source, connect};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -46,7 +47,7 @@
     /// nothing, although the pages are no snapshot.
     ///
     /// # Errors
-    /// A page could not be read, or the store was restored from a backup between two pages.
+    /// A page could not be read or comes again, or the store was restored from a backup between two pages.
     pub async fn all(&self, prefix: &str, within: Duration) -> Result<(Vec<Item>, Position), ItemsError> {
         let (first, era) = self.page(prefix, None, within).await?;
         let position = Position {
@@ -55,10 +56,14 @@
         };
         let mut items = first.items;
         let mut more = first.more;
+        let mut ends = HashSet::new();
         while more {
             let Some(last) = items.last().map(|item| item.key.clone()) else {
                 break;
             };
+            if !ends.insert(last.clone()) {
+                return Err(ItemsError::Repeated);
+            }
             let (page, era) = self.page(prefix, Some(&last), within).await?;
             if era != position.era {
                 return Err(ItemsError::Restored);
--- a/crates/store/src/items/types.rs
+++ b/crates/store/src/items/types.rs
@@ -151,6 +151,10 @@
         Restored {
             display("the store was restored from a backup while it was read")
         }
+        /// A page ends like an earlier one, so there would be no last one.
+        Repeated {
+            display("the store's pages repeat")
+        }
         /// The store rejected the call without any effect.
         Refused(status: u16) {
             display("the store responded with status {status}")
