Fix: answers without a body are followed by bytes of one, or state a wrong length

Clients of a stream route that got an answer with status 204, or one to a HEAD request, found Transfer-Encoding: chunked and a last chunk after it, and read these bytes as the head of the next answer on the connection. The same happened after the router's own refusal of a HEAD request, whose body was sent. Elsewhere such answers stated a length of 0, which a 204 must not state and which is wrong for the others. The status line of a 304 said Modified.

Cause: the framing of a response without a body was that of an empty body, so what writes responses could not tell the two apart.

NoBody is a framing of its own, decided in one place from status and method. Such an answer is never a stream, also not the rest of one, and passes on the length that the endpoint states where that is allowed.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -225,7 +225,7 @@
             return RequestRead::Refuse(Cause::BodyTooLarge);
         }
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-        Framing::Chunked | Framing::UntilClose => 0,
+        Framing::Chunked | Framing::UntilClose | Framing::NoBody => 0,
     };
     let Some(mut memory) = BodyMemory::reserve(shared, size) else {
         return RequestRead::Refuse(Cause::NotReady);
@@ -268,7 +268,7 @@
         .with_label_values(&["unread", cause.name()])
         .inc();
     log::info!(status = refusal.status, why = cause.name(); "request refused before it was read");
-    reply::refusal(conn, &refusal, true).await;
+    reply::refusal(conn, &refusal, true, true).await;
     ConnectionAction::Close
 }
 
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -433,7 +433,7 @@
         if success && !info.is_authentic() {
             return self.response_broken(&in_flight);
         }
-        if success && self.request.route.kind.streams() {
+        if success && response.has_body() && self.request.route.kind.streams() {
             let stream = OpenStream::new(response.answer, response.source, info, self.shared.clock.now());
             return StreamRelay::new(self, in_flight, stream).run().await;
         }
@@ -494,13 +494,13 @@
             }
             WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         }
+        let (status, length) = (response.answer.head.status, response.length());
         let ReadResponse {
             answer,
             source,
             body,
             hold,
         } = response;
-        let status = answer.head.status;
         let headers = (self.shared.dialect.response_headers)(&answer.head.headers);
         if answer.reusable && answer.head.keeps_alive() {
             self.shared
@@ -511,6 +511,7 @@
         let response = CompleteResponse {
             status,
             headers,
+            length,
             body,
             hold,
         };
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -214,7 +214,8 @@
     let refusal = attempt::refusal(cause, state);
     record.end(shared, refusal.status, cause.name());
     let close = closes_connection(shared, incoming);
-    if reply::refusal(&incoming.conn, &refusal, close).await {
+    let has_body = !incoming.head.method.eq_ignore_ascii_case("HEAD");
+    if reply::refusal(&incoming.conn, &refusal, has_body, close).await {
         return connection_action(close);
     }
     ConnectionAction::Abort
--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -11,8 +11,9 @@
 /// Longest time for writing a refusal. It waits only for a client that hasn't read earlier responses on its connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Writes a refusal of this router. Returns false if the client closed the connection or doesn't read.
-pub async fn refusal(conn: &Conn, refusal: &Refusal, close: bool) -> bool {
+/// Writes a refusal of this router, without its body in response to a HEAD request. Returns false if the client closed the
+/// connection or doesn't read.
+pub async fn refusal(conn: &Conn, refusal: &Refusal, has_body: bool, close: bool) -> bool {
     let code = refusal.cause.name();
     let body = format!("{{\"error\":{{\"code\":\"{code}\"}}}}");
     let mut headers = Headers::default();
@@ -20,21 +21,21 @@
     if let Some(after) = refusal.retry_after {
         headers.push("Retry-After", format!("{:.3}", after.as_secs_f64()));
     }
-    let response = response(conn, refusal.status, &headers, body.as_bytes(), close);
-    timeout(REFUSAL_TIMEOUT, response).await.unwrap_or(false)
-}
-
-/// Writes a response with its body. Returns false if the client closed the connection.
-pub async fn response(conn: &Conn, status: u16, headers: &Headers, body: &[u8], close: bool) -> bool {
-    let mut bytes = response_head(status, headers, body.len(), close);
-    bytes.extend_from_slice(body);
-    conn.clone().write_all(&bytes).await.is_ok()
+    let mut bytes = response_head(refusal.status, &headers, Some(body.len() as u64), close);
+    if has_body {
+        bytes.extend_from_slice(body.as_bytes());
+    }
+    let written = async { conn.clone().write_all(&bytes).await.is_ok() };
+    timeout(REFUSAL_TIMEOUT, written).await.unwrap_or(false)
 }
 
-/// The head of a response with a body of this many bytes, including the empty line.
-pub fn response_head(status: u16, headers: &Headers, length: usize, close: bool) -> Vec<u8> {
+/// The head of a response that states this length, if any, including the empty line.
+pub fn response_head(status: u16, headers: &Headers, length: Option<u64>, close: bool) -> Vec<u8> {
     let mut bytes = head(status, headers, close);
-    bytes.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+    if let Some(length) = length {
+        bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
     bytes
 }
 
@@ -71,7 +72,12 @@
 }
 
 fn head(status: u16, headers: &Headers, close: bool) -> Vec<u8> {
-    let reason = StatusCode::try_from(status).map_or("Unknown", |status| status.canonical_reason());
+    let reason = match StatusCode::try_from(status) {
+        // The library's name of this one is another one's.
+        Ok(StatusCode::NotModified) => "Not Modified",
+        Ok(status) => status.canonical_reason(),
+        Err(_) => "Unknown",
+    };
     let mut bytes = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
     headers.write(&mut bytes);
     if close {
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -7,7 +7,7 @@
 use async_std::io::WriteExt;
 use dispatch::site::EndpointEntry;
 use http::Conn;
-use http::raw::{Bound, Framing, Headers, RawBodyError, Response, Source};
+use http::raw::{Bound, Framing, Headers, RawBodyError, Response, Source, stated_length};
 use quick_error::quick_error;
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
     pub status: u16,
     /// Headers for the client.
     pub headers: Headers,
+    /// The length that its head states.
+    pub length: Option<u64>,
     /// Body.
     pub body: Blocks,
     /// Counts the body.
@@ -61,7 +63,7 @@
     /// Writes the response. Returns false if the client closed the connection, or if the bytes are needed for others.
     pub async fn write(&mut self, conn: &Conn, close: bool) -> bool {
         let mut conn = conn.clone();
-        let mut bytes = reply::response_head(self.status, &self.headers, self.body.len(), close);
+        let mut bytes = reply::response_head(self.status, &self.headers, self.length, close);
         loop {
             // The head is sent together with the first bytes of the body, and so is the whole of a short response.
             let taken = self.body.front().len();
@@ -105,6 +107,19 @@
         }
     }
 
+    /// Whether it is a response with a body, which may be empty.
+    pub(super) fn has_body(&self) -> bool {
+        self.answer.body.framing() != Framing::NoBody
+    }
+
+    /// The length that the client is told once the body was read.
+    pub(super) fn length(&self) -> Option<u64> {
+        if self.has_body() {
+            return Some(self.body.len() as u64);
+        }
+        stated_length(&self.answer.head)
+    }
+
     /// Reads the rest of the body like [`Self::finish`]. An end that only its connection tells must be confirmed within this
     /// time.
     ///
--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -169,7 +169,8 @@
     fn is_met_by(self, answer: &Response, info: &ResponseInfo) -> bool {
         let success = (200..300).contains(&answer.head.status);
         if success {
-            return info.is_authentic();
+            let goes_on = !self.began || answer.body.framing() != Framing::NoBody;
+            return info.is_authentic() && goes_on;
         }
         // A client that has a part of a stream needs its rest. Another endpoint may do better than an error.
         !self.began && !info.not_run && answer.head.status < 500 && answer.head.status != 421
@@ -179,7 +180,8 @@
 impl Progress<'_> {
     fn of(answer: Response, source: Source, info: ResponseInfo, needs: Needs<'_>) -> Self {
         let success = (200..300).contains(&answer.head.status);
-        if success && needs.streams && info.is_authentic() {
+        let has_body = answer.body.framing() != Framing::NoBody;
+        if success && has_body && needs.streams && info.is_authentic() {
             return Self::Streaming(Box::new(SilentStream {
                 stream: OpenStream::new(answer, source, info, needs.shared.clock.now()),
                 events: needs.events.without_partial(),
--- a/crates/http/src/raw/body.rs
+++ b/crates/http/src/raw/body.rs
@@ -83,7 +83,7 @@
     /// Creates a reader for a body with this framing.
     pub fn new(framing: Framing) -> Self {
         let state = match framing {
-            Framing::Length(0) => State::Complete,
+            Framing::Length(0) | Framing::NoBody => State::Complete,
             Framing::Length(length) => State::Length(length),
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
--- a/crates/http/src/raw/framing.rs
+++ b/crates/http/src/raw/framing.rs
@@ -39,6 +39,8 @@
     Chunked,
     /// It ends with the connection; allowed only for responses.
     UntilClose,
+    /// There is none, whatever the head of the response says.
+    NoBody,
 }
 
 impl Framing {
@@ -48,6 +50,7 @@
             Self::Length(_) => "length",
             Self::Chunked => "chunked",
             Self::UntilClose => "close",
+            Self::NoBody => "none",
         }
     }
 }
@@ -67,11 +70,18 @@
 pub fn response_framing(head: &ResponseHead, method: &str) -> Result<Framing, FramingError> {
     let bodiless = method.eq_ignore_ascii_case("HEAD") || matches!(head.status, 100..=199 | 204 | 304);
     if bodiless {
-        return Ok(Framing::Length(0));
+        return Ok(Framing::NoBody);
     }
     Ok(declared(&head.headers)?.unwrap_or(Framing::UntilClose))
 }
 
+/// The length that a response without a body states for the one that another request would get.
+pub fn stated_length(head: &ResponseHead) -> Option<u64> {
+    // A response with status 204 must not state any.
+    let states = head.status != 204 && head.headers.all("transfer-encoding").next().is_none();
+    length(&head.headers).ok().flatten().filter(|_| states)
+}
+
 fn declared(headers: &Headers) -> Result<Option<Framing>, FramingError> {
     let length = length(headers)?;
     let mut codings = headers.all("transfer-encoding");
