Fix: calls over async-h1 take invalid responses for whole, or panic

Callers of `serve`, and calls to the store through it, got the body of a response with two lengths, with a signed one, with a further transfer coding, or of an interim response or a 101, as the whole answer. A value that is not ASCII in the head of an endpoint ended the task that read it, without an answer.

Cause: async-h1 parses heads by rules of its own, and turns values into a type that admits only ASCII by unwrapping.

The head is checked before async-h1 reads it, by the parser and the framing that all other readers use. Such a response is none, so the outcome of the call is unknown, as after a connection that closed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! Client with a pool of idle connections for each address.
 
+use crate::checked::CheckedConn;
 use crate::conn::Conn;
 use crate::reply::Reply;
 use crate::timeout::timeout;
@@ -27,9 +28,9 @@
         NotSent(err: std::io::Error) {
             display("cannot connect: {err}")
         }
-        /// Bytes were sent and no complete response head was received: the outcome is unknown.
+        /// Bytes were sent and no complete and valid response head was received: the outcome is unknown.
         NoAnswer {
-            display("the connection closed before a response")
+            display("no valid response arrived")
         }
         /// The response head is too long: the outcome is unknown.
         TooLong {
@@ -127,7 +128,8 @@
         let written_before = conn.written();
         conn.limit_reads(MAX_HEAD_BYTES);
         // Boxed: the future is large, and moving any future that contains it would copy all of it.
-        let exchange = Box::pin(async_h1::connect(conn.clone(), request));
+        let checked = CheckedConn::new(conn.clone(), request.method());
+        let exchange = Box::pin(async_h1::connect(checked, request));
         let result = timeout(remaining(deadline), exchange).await;
         let sent = conn.written() > written_before;
         let response: Response = match result {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 //! async-h1 reads and writes heads and bodies. This crate adds limits on connections, heads and bodies, detection of
 //! clients that disconnect, a connection pool, and the check that a body is as long as its head declares.
 
+mod checked;
 mod client;
 mod conn;
 mod open;
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -151,7 +151,7 @@
             // No request asks for another protocol, so nothing that follows can be read.
             return Err(HeadError::Malformed(httparse::Error::Status).into());
         }
-        let interim = matches!(head.status, 100..=199);
+        let interim = head.is_interim();
         if !interim && is_ours(&head) {
             let framing = response_framing(&head, method)?;
             if framing == Framing::UntilClose && !sent {
--- a/crates/http/src/raw/head.rs
+++ b/crates/http/src/raw/head.rs
@@ -169,6 +169,11 @@
         Ok(Some((head, length)))
     }
 
+    /// Whether another response to the same request follows.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
     /// Whether the connection may carry another request after this response.
     pub fn keeps_alive(&self) -> bool {
         !self.http10 && !self.headers.has_token("connection", "close")
--- a/crates/http/tests/traps.rs
+++ b/crates/http/tests/traps.rs
@@ -142,6 +142,96 @@
     }
 }
 
+/// A faulty peer sends heads that are not valid. Other readers might find another body in them, or none.
+#[test]
+fn an_invalid_response_is_never_complete() {
+    let cases = [
+        (
+            "two lengths",
+            "HTTP/1.1 200 OK\r\ncontent-length: 9\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "same lengths",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "signed length",
+            "HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "listed lengths",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5, 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "length and chunks",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "two codings",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            Outcome::NoAnswer,
+        ),
+        (
+            "other protocol",
+            "HTTP/1.1 101 X\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "interim",
+            "HTTP/1.1 103 X\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "status 000",
+            "HTTP/1.1 000 X\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "status 600",
+            "HTTP/1.1 600 X\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "blank in a name",
+            "HTTP/1.1 200 OK\r\nx odd: 1\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "not ascii",
+            "HTTP/1.1 200 OK\r\nx-odd: \u{e9}\r\ncontent-length: 5\r\n\r\nhello",
+            Outcome::NoAnswer,
+        ),
+        (
+            "chunk size",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nhello\r\n0\r\n\r\n",
+            Outcome::Failed,
+        ),
+        (
+            "signed chunk",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+            Outcome::Failed,
+        ),
+        (
+            "longer chunk",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhelloo\r\n0\r\n\r\n",
+            Outcome::Failed,
+        ),
+    ];
+    let mut found = Vec::new();
+    for (name, answer, expected) in cases {
+        let case = Case { name, answer, expected };
+        if std::panic::catch_unwind(|| check(&case)).is_err() {
+            found.push(name);
+        }
+    }
+    assert!(found.is_empty(), "{found:?}");
+}
+
 /// A peer closes an idle pooled connection just as a request is sent on it. A request that may be sent twice is retried on
 /// a new connection; a request that may not always uses a new connection.
 #[test]
