Fix: the largest numbers in reports of other routers overflow sums

Callers got no answer from a router, in builds that check for overflow, after other routers had reported the largest numbers of tokens or of covered routers; in other builds the sums wrapped.

Cause: what routers report was summed as it stood, under the lock of the fleet.

Reports are bounded where they enter, to numbers that routers can observe; the sum of covered routers saturates, as their share is at most all.

--- a/crates/dispatch/src/fleet/backlogs.rs
+++ b/crates/dispatch/src/fleet/backlogs.rs
@@ -31,6 +31,11 @@
 /// Routers that must report an endpoint as unreachable until others avoid it.
 const MIN_REPORTERS: u32 = 2;
 
+/// Most prompt tokens that a report may name for an endpoint.
+const MAX_TOKENS: u64 = 1 << 40;
+/// Most routers that a report may stand for.
+const MAX_REPORTERS: u32 = 1 << 16;
+
 /// What a router reports about endpoints, or the sum of what several routers reported.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Backlog {
@@ -44,6 +49,18 @@
     pub kinds: Vec<(ServiceId, Vec<KindLoad>)>,
 }
 
+impl Backlog {
+    /// Limits the numbers to what routers can have observed, so that no sum of them overflows.
+    fn limit(&mut self) {
+        for (_, tokens) in &mut self.tokens {
+            *tokens = (*tokens).min(MAX_TOKENS);
+        }
+        for (_, reporters) in &mut self.unreachable {
+            *reporters = (*reporters).min(MAX_REPORTERS);
+        }
+    }
+}
+
 #[derive(Debug)]
 struct ReceivedBacklog {
     received_at: Duration,
@@ -89,10 +106,11 @@
 
 impl PeerBacklogs {
     /// Replaces the report from a source.
-    pub(super) fn update(&mut self, source: BacklogSource, backlog: Backlog, now: Duration) {
+    pub(super) fn update(&mut self, source: BacklogSource, mut backlog: Backlog, now: Duration) {
         self.summed_at = None;
         self.received
             .retain(|_, received| now.saturating_sub(received.received_at) < ROUTER_TTL);
+        backlog.limit();
         let received = ReceivedBacklog {
             received_at: now,
             backlog,
--- a/crates/dispatch/src/quotas/coverage.rs
+++ b/crates/dispatch/src/quotas/coverage.rs
@@ -61,8 +61,8 @@
     /// Part of all routers that are covered.
     pub(super) fn part(&self, now: Duration) -> f64 {
         let fresh = self.watchers.values().filter(|(_, at)| is_fresh(*at, WATCHER_TTL, now));
-        let others: u32 = fresh.map(|(covered, _)| covered).sum();
-        let covered = 1 + self.followers(now) + others;
+        let own = 1 + self.followers(now);
+        let covered = fresh.fold(own, |sum, (covered, _)| sum.saturating_add(*covered));
         (f64::from(covered) * self.even_share()).min(1.0)
     }
 
