Fix: the router that carries a tunnel passes on an early end as a regular one

Callers of long uploads got a part of an answer as the whole of it when the endpoint was reached through another router, and closed the connection before it had received the upload.

Cause: the carrying router took the end of the endpoint's connection for regular although it still held, or had not delivered, a part of the request, and closed the tunnel regularly.

Resets through tunnels had been handled.

The carrier compares what it read with what it wrote, and asks the kernel whether that arrived. If not, the tunnel is reset after the time in which a response with a length can be read.

--- a/crates/gateway/src/tunnel/carry.rs
+++ b/crates/gateway/src/tunnel/carry.rs
@@ -6,7 +6,9 @@
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use async_std::task::sleep;
 use dispatch::site::EndpointEntry;
+use futures::FutureExt;
 use futures::future::{Either, select};
 use http::Conn;
 use http::raw::{RequestHead, Source, connect};
@@ -112,10 +114,15 @@
     // other end of the tunnel failed and the connection was closed.
     near_conn.reset_on_drop(true);
     far_conn.reset_on_drop(true);
+    let begin = near_conn.received() - near.buffered().len() as u64;
     let up = pin!(copy(near, far_conn.clone(), |_| ()));
     let down = pin!(copy(far, near_conn.clone(), on_answer));
     match select(up, down).await {
         Either::Left((End::Closed, _)) => far_conn.reset_on_drop(false),
+        Either::Right((End::Closed, _)) if !is_delivered(&near_conn, &far_conn, begin) => {
+            // A response that tells its length can still be read before the reset.
+            sleep(LINGER_TIME).await;
+        }
         Either::Right((End::Closed, up)) => {
             near_conn.reset_on_drop(false);
             near_conn.shutdown_write();
@@ -126,6 +133,13 @@
     }
 }
 
+/// Whether the endpoint has received everything that the other router has sent after the first `begin` bytes.
+fn is_delivered(near: &Conn, far: &Conn, begin: u64) -> bool {
+    let is_forwarded = near.received() - begin == far.written();
+    let is_read = near.readable().now_or_never().is_none();
+    is_forwarded && is_read && far.is_delivered()
+}
+
 async fn copy(mut from: Source, mut to: Conn, on_first: impl FnOnce(&[u8])) -> End {
     let mut on_first = Some(on_first);
     loop {
