Fix: an unreadable report confirms that an endpoint still runs

A client got an answer that ended with its connection as whole after the endpoint, asked whether it still ran, had sent a report that is no JSON, or whose start is out of range.

Cause: a report without a start of the process confirms, since endpoints need not state it, and one that can't be read was taken for such a one.

Evidence: a_broken_report_does_not_confirm_the_end_of_an_answer failed for three of eight broken reports. Those that can't be parsed as responses, and broken answers after a sound one on a kept connection, are handled; their tests stay.

A report with status 200 has to be readable. An answer with another status shows that something answers, as before.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -184,7 +184,7 @@
     /// The call that requests a report from one endpoint. Another endpoint at its address responds with status 421.
     pub identity_call: fn(&EndpointId) -> (Call, Headers),
     /// Parses the incarnation from a report; none if the report names none.
-    pub parse_incarnation: fn(&[u8]) -> Option<Incarnation>,
+    pub parse_incarnation: fn(&[u8]) -> Result<Option<Incarnation>, Unreadable>,
     /// Parses an engine's report for one model.
     pub parse_report: fn(&[u8], &ModelId) -> Result<Report, Unreadable>,
     /// The call that sends an order.
--- a/crates/gateway/src/serve/fate.rs
+++ b/crates/gateway/src/serve/fate.rs
@@ -27,6 +27,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause before another probe after the endpoint closed the connection of one.
 const PROBE_PAUSE: Duration = Duration::from_millis(10);
+/// The response is a report.
+const REPORTED: u16 = 200;
 /// The endpoint is not the one that was addressed.
 const OTHER_ENDPOINT: u16 = 421;
 
@@ -76,7 +78,11 @@
         };
         match call_over(source, endpoint.address, &call, &headers, limit).await {
             Ok((OTHER_ENDPOINT, _)) => return Probe::OtherEndpoint,
-            Ok((_, body)) => return Probe::Answered((shared.dialect.parse_incarnation)(&body)),
+            Ok((REPORTED, body)) => match (shared.dialect.parse_incarnation)(&body) {
+                Ok(incarnation) => return Probe::Answered(incarnation),
+                Err(_) => task::sleep(PROBE_PAUSE).await,
+            },
+            Ok(_) => return Probe::Answered(None),
             // It answers, although not as the endpoint that was addressed would.
             Err(err) if err.bound().is_some() => return Probe::Silent,
             Err(_) => task::sleep(PROBE_PAUSE).await,
