--- a/crates/gateway/src/serve/reply.rs
+++ b/crates/gateway/src/serve/reply.rs
@@ -73,7 +73,7 @@
 
 fn head(status: u16, headers: &Headers, close: bool) -> Vec<u8> {
     let reason = match StatusCode::try_from(status) {
-        // The library's name of this one is another one's.
+        // The library calls it "Modified".
         Ok(StatusCode::NotModified) => "Not Modified",
         Ok(status) => status.canonical_reason(),
         Err(_) => "Unknown",
