Simplify: one rule and one method say whether a response has a body

The rule for HEAD requests stood in the framing of responses and again where the router refuses one, and three places compared the framing with NoBody by themselves. `has_body` by status and method, and `Response::has_body`, serve them all. The sum of a report of load needs no closure around it. No behaviour changes.

--- a/crates/dispatch/src/fleet/speeds.rs
+++ b/crates/dispatch/src/fleet/speeds.rs
@@ -10,7 +10,7 @@
 
 use super::endpoint_state::EndpointState;
 use super::work_time::MAX_FACTOR;
-use super::{BacklogSource, Fleet, LoadReport, ShortKey};
+use super::{BacklogSource, Fleet, ShortKey};
 use crate::decay;
 use crate::site::EndpointEntry;
 use ids::{EndpointId, Incarnation, ServiceId, VmId};
@@ -382,8 +382,7 @@
 
 /// Running and waiting requests of the last report, if an endpoint doesn't say how long work takes.
 fn last_requests(state: &EndpointState) -> f64 {
-    let requests = |report: LoadReport| report.requests();
-    f64::from(state.report().map_or(0, |received| requests(received.report)))
+    f64::from(state.report().map_or(0, |received| received.report.requests()))
 }
 
 /// Median; `None` without values.
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -433,7 +433,7 @@
         if success && !info.is_authentic() {
             return self.response_broken(&in_flight);
         }
-        if success && response.has_body() && self.request.route.kind.streams() {
+        if success && response.answer.has_body() && self.request.route.kind.streams() {
             let stream = OpenStream::new(response.answer, response.source, info, self.shared.clock.now());
             return StreamRelay::new(self, in_flight, stream).run().await;
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -30,7 +30,7 @@
 use dispatch::quotas::Class;
 use dispatch::site::{Owner, Route, Site};
 use http::Conn;
-use http::raw::RequestHead;
+use http::raw::{RequestHead, has_body};
 use ids::{ServiceId, SoftwareVersion, WorkspaceId};
 use lifecycle::request::RequestState;
 use quota::QuotaCharge;
@@ -214,7 +214,7 @@
     let refusal = attempt::refusal(cause, state);
     record.end(shared, refusal.status, cause.name());
     let close = closes_connection(shared, incoming);
-    let has_body = !incoming.head.method.eq_ignore_ascii_case("HEAD");
+    let has_body = has_body(refusal.status, &incoming.head.method);
     if reply::refusal(&incoming.conn, &refusal, has_body, close).await {
         return connection_action(close);
     }
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -107,14 +107,9 @@
         }
     }
 
-    /// Whether it is a response with a body, which may be empty.
-    pub(super) fn has_body(&self) -> bool {
-        self.answer.body.framing() != Framing::NoBody
-    }
-
     /// The length that the client is told once the body was read.
     pub(super) fn length(&self) -> Option<u64> {
-        if self.has_body() {
+        if self.answer.has_body() {
             return Some(self.body.len() as u64);
         }
         stated_length(&self.answer.head)
--- a/crates/gateway/src/serve/silent.rs
+++ b/crates/gateway/src/serve/silent.rs
@@ -169,8 +169,7 @@
     fn is_met_by(self, answer: &Response, info: &ResponseInfo) -> bool {
         let success = (200..300).contains(&answer.head.status);
         if success {
-            let goes_on = !self.began || answer.body.framing() != Framing::NoBody;
-            return info.is_authentic() && goes_on;
+            return info.is_authentic() && (answer.has_body() || !self.began);
         }
         // A client that has a part of a stream needs its rest. Another endpoint may do better than an error.
         !self.began && !info.not_run && answer.head.status < 500 && answer.head.status != 421
@@ -180,8 +179,7 @@
 impl Progress<'_> {
     fn of(answer: Response, source: Source, info: ResponseInfo, needs: Needs<'_>) -> Self {
         let success = (200..300).contains(&answer.head.status);
-        let has_body = answer.body.framing() != Framing::NoBody;
-        if success && has_body && needs.streams && info.is_authentic() {
+        if success && answer.has_body() && needs.streams && info.is_authentic() {
             return Self::Streaming(Box::new(SilentStream {
                 stream: OpenStream::new(answer, source, info, needs.shared.clock.now()),
                 events: needs.events.without_partial(),
--- a/crates/http/src/raw/exchange.rs
+++ b/crates/http/src/raw/exchange.rs
@@ -87,6 +87,13 @@
     pub reusable: bool,
 }
 
+impl Response {
+    /// Whether it has a body, which may be empty.
+    pub fn has_body(&self) -> bool {
+        self.body.framing() != Framing::NoBody
+    }
+}
+
 /// Connects. If the peer becomes unreachable later, the connection ends ([`Conn::watched`]).
 ///
 /// # Errors
--- a/crates/http/src/raw/framing.rs
+++ b/crates/http/src/raw/framing.rs
@@ -63,13 +63,17 @@
     Ok(declared(&head.headers)?.unwrap_or(Framing::Length(0)))
 }
 
+/// Whether a response with this status to a request with this method has a body, which may be empty.
+pub fn has_body(status: u16, method: &str) -> bool {
+    !method.eq_ignore_ascii_case("HEAD") && !matches!(status, 100..=199 | 204 | 304)
+}
+
 /// Framing of the body of a response to a request with this method.
 ///
 /// # Errors
 /// It is ambiguous; the response must not be forwarded.
 pub fn response_framing(head: &ResponseHead, method: &str) -> Result<Framing, FramingError> {
-    let bodiless = method.eq_ignore_ascii_case("HEAD") || matches!(head.status, 100..=199 | 204 | 304);
-    if bodiless {
+    if !has_body(head.status, method) {
         return Ok(Framing::NoBody);
     }
     Ok(declared(&head.headers)?.unwrap_or(Framing::UntilClose))
--- a/crates/http/src/raw/mod.rs
+++ b/crates/http/src/raw/mod.rs
@@ -16,6 +16,6 @@
 pub use bound::Bound;
 pub use call::{Call, CallResponse};
 pub use exchange::{ExchangeError, Response, connect, exchange, exchange_parts};
-pub use framing::{Framing, FramingError, request_framing, response_framing, stated_length};
+pub use framing::{Framing, FramingError, has_body, request_framing, response_framing, stated_length};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 pub use source::Source;
