--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -379,17 +379,22 @@
     Source::new(Conn::new(stream))
 }
 
+/// A connection and its peer, which reads nothing.
+async fn connected() -> (Source, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connecting = http::raw::connect(address, Duration::from_secs(5));
+    let source = connecting.await.expect("a connection");
+    let (peer, _) = listener.accept().await.expect("a connection");
+    (source, peer)
+}
+
 /// An endpoint rejects a long request before it has read it, and keeps reading. Anything sent later on that connection
 /// would be read as the rest of that body.
 #[test]
 fn a_response_before_the_request_is_sent_prevents_reuse() {
     task::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let mut source = http::raw::connect(address, Duration::from_secs(5))
-            .await
-            .expect("a connection");
-        let (mut peer, _) = listener.accept().await.expect("a connection");
+        let (mut source, mut peer) = connected().await;
         let rejection = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
         peer.write_all(rejection).await.expect("written");
         // More than the sockets' buffers hold, and the peer reads nothing.
@@ -408,12 +413,7 @@
         (b"HTTP/1.1 413 X\r\n\r\npart", None),
     ] {
         let answer = task::block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            let mut source = http::raw::connect(address, Duration::from_secs(5))
-                .await
-                .expect("a connection");
-            let (mut peer, _) = listener.accept().await.expect("a connection");
+            let (mut source, mut peer) = connected().await;
             peer.write_all(head).await.expect("written");
             // More than the sockets' buffers hold.
             let long = vec![b'x'; 64 << 20];
