--- a/review/bed-2/src/router.rs
+++ b/review/bed-2/src/router.rs
@@ -6,6 +6,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,10 +18,16 @@
     pub ready: SocketAddr,
 }
 
-/// A free loopback address.
+/// A free loopback address, below the ports that the kernel gives to outgoing channels.
 pub fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 12_000 + (std::process::id() % 100) as u16 * 160;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::SeqCst) % 4_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 /// The repository's root, two folders above this package.
@@ -31,17 +38,22 @@
 impl Router {
     /// Starts a router with settings like those that the template makes for a small deployment.
     pub fn start(folder: &Path, name: &str, store: &Store) -> Self {
+        Self::start_in(folder, name, "zone-a", store, true)
+    }
+
+    /// The same in this zone. `bootstrap` is as in the platform's settings.
+    pub fn start_in(folder: &Path, name: &str, zone: &str, store: &Store, bootstrap: bool) -> Self {
         let (front, ready) = (free(), free());
         let settings: Value = json!({
-            "vm": name, "domain": "zone-a", "callers": front.to_string(), "readiness": ready.to_string(),
+            "vm": name, "domain": zone, "callers": front.to_string(), "readiness": ready.to_string(),
             "peers": free().to_string(), "metrics": free().to_string(), "store": store.address.to_string(),
-            "first_start": true, "link_mbps": 700.0,
+            "first_start": bootstrap, "link_mbps": 700.0,
             "bounds": {"revoke_ms": 5000, "weights_ms": 10000, "turn_ms": 3000, "retry_ratio": 0.2, "retry_extra": 113,
                 "retry_window_s": 10, "grace_s": 8},
         });
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("settings");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("a log");
+        let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log"))).expect("a log");
         let child = Command::new(root().join("target/release/apricotfork"))
             .args(["gateway", "--settings"])
             .arg(&file)
--- a/review/bed-2/src/store.rs
+++ b/review/bed-2/src/store.rs
@@ -3,7 +3,7 @@
 use crate::http::{self, Message};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
-use std::io::BufReader;
+use std::io::{BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -24,6 +24,12 @@
     history: Vec<(u64, Value)>,
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
+    /// The next transaction for which this holds gets no answer, and is kept.
+    loses: Option<fn(&Value) -> bool>,
+    /// That transaction.
+    lost: Option<Value>,
+    /// Calls that write: transactions, new leases and ended ones.
+    writes: u64,
 }
 
 #[derive(Clone)]
@@ -58,6 +64,36 @@
         state.write(key, base64(value.to_string().as_bytes()), 0);
     }
 
+    /// Loses the next transaction for which `test` holds: it gets no answer, and is not carried out yet.
+    pub fn lose_next(&self, test: fn(&Value) -> bool) {
+        self.state.lock().expect("store").loses = Some(test);
+    }
+
+    /// Whether a transaction was lost.
+    pub fn has_lost(&self) -> bool {
+        self.state.lock().expect("store").lost.is_some()
+    }
+
+    /// Carries out the lost transaction if its condition still holds. Returns the status that it would have had.
+    pub fn carry_out_lost(&self) -> Option<u16> {
+        let mut state = self.state.lock().expect("store");
+        state.expire();
+        let lost = state.lost.take()?;
+        Some(transaction(&mut state, &lost).0)
+    }
+
+    /// Number of writing calls so far.
+    pub fn writes(&self) -> u64 {
+        self.state.lock().expect("store").writes
+    }
+
+    /// The value of an item, as it is encoded.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let mut state = self.state.lock().expect("store");
+        state.expire();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
     /// Removes an item as the operator or a runner does.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.lock().expect("store");
@@ -111,7 +147,11 @@
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
     while let Ok(Some(call)) = http::read(&mut reader) {
-        let (status, body) = answer(state, &call);
+        let Some((status, body)) = answer(state, &call) else {
+            // A channel on which an answer is lost returns nothing further.
+            let _ = reader.read_to_end(&mut Vec::new());
+            return;
+        };
         if http::respond(&mut writer, status, &[], body.to_string().as_bytes()).is_err() {
             return;
         }
@@ -124,14 +164,27 @@
     found.map(|(_, value)| value.replace("%2F", "/"))
 }
 
-fn answer(state: &Mutex<State>, call: &Message) -> (u16, Value) {
+/// The answer to a call; none if it is lost.
+fn answer(state: &Mutex<State>, call: &Message) -> Option<(u16, Value)> {
     let path = call.word(1).split('?').next().unwrap_or_default();
     if path == "/-/kv-watch" {
-        return watch(state, call);
+        return Some(watch(state, call));
     }
+    let request: Value = serde_json::from_slice(&call.body).unwrap_or_default();
     let mut state = state.lock().expect("store");
     state.expire();
-    let request: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    if path == "/-/kv-txn" || path.starts_with("/-/kv-lease") {
+        state.writes += 1;
+    }
+    if path == "/-/kv-txn" && state.loses.is_some_and(|test| test(&request)) {
+        state.loses = None;
+        state.lost = Some(request);
+        return None;
+    }
+    Some(call_of(&mut state, path, call, &request))
+}
+
+fn call_of(state: &mut State, path: &str, call: &Message, request: &Value) -> (u16, Value) {
     if path == "/-/kv-range" {
         let prefix = query(call, "path_prefix").unwrap_or_default();
         let after = query(call, "after").unwrap_or_default();
@@ -159,7 +212,7 @@
         return (200, json!({}));
     }
     if path == "/-/kv-txn" {
-        return transaction(&mut state, &request);
+        return transaction(state, request);
     }
     (404, json!({}))
 }
@@ -216,6 +269,27 @@
     }
 }
 
+/// The text of a value in base64.
+pub fn decode(text: &str) -> String {
+    let digit = |byte: u8| match byte {
+        b'A'..=b'Z' => byte - b'A',
+        b'a'..=b'z' => byte - b'a' + 26,
+        b'0'..=b'9' => byte - b'0' + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let (mut bits, mut count, mut bytes) = (0_u32, 0, Vec::new());
+    for byte in text.bytes().filter(|byte| *byte != b'=') {
+        bits = bits << 6 | u32::from(digit(byte));
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count & 255) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
