--- a/review/bed-2/src/bin/extra_bytes.rs
+++ b/review/bed-2/src/bin/extra_bytes.rs
@@ -38,7 +38,7 @@
 
 impl Faults {
     fn is_on(&self) -> bool {
-        self.trouble && (self.began.elapsed().as_secs() / WINDOW.as_secs()) % 2 == 0
+        self.trouble && (self.began.elapsed().as_secs() / WINDOW.as_secs()).is_multiple_of(2)
     }
 }
 
@@ -85,10 +85,16 @@
     }
     let statuses = statuses.lock().expect("statuses");
     let all: u64 = statuses.values().sum();
-    let denied: u64 = statuses.iter().filter(|(status, _)| (300..500).contains(*status)).map(|(_, count)| count).sum();
+    let denied: u64 = statuses
+        .iter()
+        .filter(|(status, _)| (300..500).contains(*status))
+        .map(|(_, count)| count)
+        .sum();
     let allowed = 5.0 + all as f64 / 500.0;
     let extras = faults.extras.load(Ordering::SeqCst);
-    let line = format!("{all} requests, {extras} times additional bytes: {denied} ended with a 3xx or 4xx without a runner's seal, {allowed:.1} allowed; {statuses:?}");
+    let line = format!(
+        "{all} requests, {extras} times additional bytes: {denied} ended with a 3xx or 4xx without a runner's seal, {allowed:.1} allowed; {statuses:?}"
+    );
     record.line(&line);
     println!("{line}");
     if all == 0 {
@@ -102,11 +108,19 @@
     while Instant::now() < end {
         let id = format!("{number:02x}{sent:06x}");
         sent += 1;
-        let headers = [("X-Request-Id", id.as_str()), ("X-Api-Key", "key-one"), ("X-Deadline-Ms", "1500")];
-        let answer = client::call(front, "GET", "/read/x", &headers, "", Duration::from_secs(3)).ok().flatten();
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Api-Key", "key-one"),
+            ("X-Deadline-Ms", "1500"),
+        ];
+        let answer = client::call(front, "GET", "/read/x", &headers, "", Duration::from_secs(3))
+            .ok()
+            .flatten();
         let status = answer.as_ref().map_or(0, http::Message::status);
         let is_sealed = answer.is_some_and(|answer| answer.header("X-Server-Seal").is_some());
-        record.line(&format!("client gets {status} for request {id}, GET /read/x, seal {is_sealed}"));
+        record.line(&format!(
+            "client gets {status} for request {id}, GET /read/x, seal {is_sealed}"
+        ));
         // A failure with a seal is the runner's; these runners send none.
         if !(is_sealed && (300..500).contains(&status)) {
             *statuses.lock().expect("statuses").entry(status).or_default() += 1;
@@ -118,7 +132,10 @@
 fn start_runner(id: &str, is_faulty: bool, store: &Store, record: &Record, faults: &Arc<Faults>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64;
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a time")
+        .as_millis() as u64;
     let entry = json!({"backend": "desk", "addr": address, "zone": "zone-a", "version": "v1", "slots": 6, "state": "ready",
         "cold_left_ms": 0, "seq": 1, "born": born});
     store.put(&format!("servers/{id}"), &entry);
@@ -141,18 +158,26 @@
         let request_id = request.header("X-Request-Id").unwrap_or_default().to_owned();
         if std::mem::take(&mut owes_extra) {
             faults.extras.fetch_add(1, Ordering::SeqCst);
-            record.line(&format!("runner {id} sends additional bytes where its answer to {request_id} is due"));
+            record.line(&format!(
+                "runner {id} sends additional bytes where its answer to {request_id} is due"
+            ));
             if writer.write_all(EXTRA).is_err() {
                 return;
             }
         }
         let (status, body) = match request.word(1) {
             "/-/report" | "/healthz" => (200, "{}"),
-            _ if request.header("X-Expect-Instance").is_some_and(|expected| expected != id) => (421, ""),
+            _ if request
+                .header("X-Expect-Instance")
+                .is_some_and(|expected| expected != id) =>
+            {
+                (421, "")
+            }
             _ => {
                 record.line(&format!("runner {id} runs request {request_id}"));
                 sleep(Duration::from_millis(15));
-                owes_extra = is_faulty && faults.is_on() && answers.fetch_add(1, Ordering::SeqCst) % ONE_IN == ONE_IN - 1;
+                owes_extra =
+                    is_faulty && faults.is_on() && answers.fetch_add(1, Ordering::SeqCst) % ONE_IN == ONE_IN - 1;
                 (200, "{\"moisture\": 12}")
             }
         };
--- a/review/bed-2/src/bin/late_list.rs
+++ b/review/bed-2/src/bin/late_list.rs
@@ -56,7 +56,10 @@
 }
 
 fn name_version(store: &Store, record: &Record, version: u64) {
-    store.put(&format!("op/version/{MODEL}"), &json!({"model": MODEL, "version": version}));
+    store.put(
+        &format!("op/version/{MODEL}"),
+        &json!({"model": MODEL, "version": version}),
+    );
     record.line(&format!("operator names version {version}, acknowledged"));
 }
 
@@ -86,7 +89,9 @@
         engine::start(id, &store, &record, &orders);
     }
     let routers = start(folder, &store, true);
-    let is_up = routers.iter().all(|router| router.is_ready_within(Duration::from_secs(15)));
+    let is_up = routers
+        .iter()
+        .all(|router| router.is_ready_within(Duration::from_secs(15)));
     if !is_up || !until(|| store.value(HOLDER).is_some()) {
         record.line("script: the routers did not get ready");
         return None;
@@ -104,9 +109,14 @@
     }
     if trouble {
         let written = store.writes() - writes;
-        record.line(&format!("store: 1 of {written} writes since the version was named got no answer"));
+        record.line(&format!(
+            "store: 1 of {written} writes since the version was named got no answer"
+        ));
         let status = store.carry_out_lost()?;
-        record.line(&format!("store: carries out the lost write {:.1} s late: {status}", began.elapsed().as_secs_f64()));
+        record.line(&format!(
+            "store: carries out the lost write {:.1} s late: {status}",
+            began.elapsed().as_secs_f64()
+        ));
     }
     let list = store.value(LOAD_LIST).map(|value| decode(&value)).unwrap_or_default();
     record.line(&format!("store: the load list is {list}"));
@@ -127,7 +137,10 @@
     let orders = orders.lock().expect("orders").clone();
     let mut broken = 0;
     for (index, order) in orders.iter().enumerate() {
-        let before = orders[..index].iter().rev().find(|before| before.runner == order.runner);
+        let before = orders[..index]
+            .iter()
+            .rev()
+            .find(|before| before.runner == order.runner);
         let Some(before) = before.filter(|before| machine(&before.holder) != machine(&order.holder)) else {
             continue;
         };
--- a/review/bed-2/src/bin/own_503.rs
+++ b/review/bed-2/src/bin/own_503.rs
@@ -75,7 +75,10 @@
         twice += client_twice;
     }
     let total: u32 = runs.lock().expect("runs").values().sum();
-    let end = format!("{} orders, {total} runs: {broken} answered with a promise after they had run, {twice} orders ran twice", CLIENTS * ORDERS);
+    let end = format!(
+        "{} orders, {total} runs: {broken} answered with a promise after they had run, {twice} orders ran twice",
+        CLIENTS * ORDERS
+    );
     record.line(&end);
     println!("{end}");
     if total == 0 {
@@ -93,14 +96,20 @@
         let mut order_runs = 0;
         for attempt in 0..2 {
             let id = format!("{client:02x}{order:04x}{attempt:02x}");
-            let headers = [("X-Request-Id", id.as_str()), ("X-Api-Key", "key-one"), ("X-Deadline-Ms", "1500")];
+            let headers = [
+                ("X-Request-Id", id.as_str()),
+                ("X-Api-Key", "key-one"),
+                ("X-Deadline-Ms", "1500"),
+            ];
             let body = format!("reserve {client}-{order}");
             record.line(&format!("client sends request {id}: POST /order/x with body {body:?}"));
             let answer = client::call(front, "POST", "/order/x", &headers, &body, Duration::from_secs(3));
             let status = answer.ok().flatten().map_or(0, |answer| answer.status());
             let ran = runs.lock().expect("runs").get(&id).copied().unwrap_or_default();
             order_runs += ran;
-            record.line(&format!("client gets {status} for request {id}, which has run {ran} times"));
+            record.line(&format!(
+                "client gets {status} for request {id}, which has run {ran} times"
+            ));
             let is_promise = matches!(status, 408 | 421 | 429 | 503);
             broken += u32::from(is_promise && ran > 0);
             if !is_promise {
--- a/review/bed-2/src/client.rs
+++ b/review/bed-2/src/client.rs
@@ -17,7 +17,10 @@
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(within))?;
     stream.set_nodelay(true)?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: site.example\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: site.example\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/bed-2/src/engine.rs
+++ b/review/bed-2/src/engine.rs
@@ -48,7 +48,10 @@
     let engine = Arc::new(Engine {
         id: id.to_owned(),
         address: listener.local_addr().expect("an address"),
-        born: SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64,
+        born: SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time")
+            .as_millis() as u64,
         store: store.clone(),
         record: record.clone(),
         state: Mutex::new(State {
@@ -89,12 +92,18 @@
     }
 
     fn answer(self: &Arc<Self>, call: &Message) -> (u16, Value) {
-        if call.header("X-Expect-Instance").is_some_and(|expected| expected != self.id) {
+        if call
+            .header("X-Expect-Instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return (421, json!({}));
         }
         match call.word(1) {
             "/-/report" => (200, self.report()),
-            "/-/order" => (self.order(&serde_json::from_slice(&call.body).unwrap_or_default()), json!({})),
+            "/-/order" => (
+                self.order(&serde_json::from_slice(&call.body).unwrap_or_default()),
+                json!({}),
+            ),
             _ => (404, json!({})),
         }
     }
@@ -140,7 +149,9 @@
                 state.busy_until = None;
                 state.version = version;
                 drop(state);
-                engine.record.line(&format!("runner {} has version {version}", engine.id));
+                engine
+                    .record
+                    .line(&format!("runner {} has version {version}", engine.id));
                 engine.register(version);
             });
         }
--- a/review/bed-2/src/record.rs
+++ b/review/bed-2/src/record.rs
@@ -11,7 +11,10 @@
 
 impl Record {
     pub fn create(file: &Path) -> Self {
-        Self(Arc::new(Mutex::new(File::create(file).expect("record.txt"))), Instant::now())
+        Self(
+            Arc::new(Mutex::new(File::create(file).expect("record.txt"))),
+            Instant::now(),
+        )
     }
 
     /// Writes a line with the time since the start.
--- a/review/bed-2/src/router.rs
+++ b/review/bed-2/src/router.rs
@@ -6,8 +6,8 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -53,7 +53,11 @@
         });
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("settings");
-        let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log"))).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{name}.log")))
+            .expect("a log");
         let child = Command::new(root().join("target/release/apricotfork"))
             .args(["gateway", "--settings"])
             .arg(&file)
@@ -82,7 +86,9 @@
     pub fn readiness(&self) -> Option<u16> {
         let mut stream = TcpStream::connect(self.ready).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        stream.write_all(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
+        stream
+            .write_all(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .ok()?;
         Some(crate::http::read(&mut BufReader::new(stream)).ok()??.status())
     }
 }
--- a/review/bed-2/src/runner.rs
+++ b/review/bed-2/src/runner.rs
@@ -24,7 +24,10 @@
     pub fn start(id: &str, store: &Store, record: &Record, work: Work) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time")
+            .as_millis() as u64;
         let runner = Self {
             id: id.to_owned(),
             address,
@@ -54,14 +57,21 @@
     while let Ok(Some(request)) = http::read(&mut reader) {
         let own = vec![("X-Instance-Id", id.to_owned())];
         let written = if request.word(1) == "/-/report" || request.word(1) == "/healthz" {
-            let body = json!({"stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "active": 0, "born": born});
+            let body =
+                json!({"stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "active": 0, "born": born});
             http::respond(&mut writer, 200, &own, body.to_string().as_bytes())
-        } else if request.header("X-Expect-Instance").is_some_and(|expected| expected != id) {
+        } else if request
+            .header("X-Expect-Instance")
+            .is_some_and(|expected| expected != id)
+        {
             http::respond(&mut writer, 421, &own, b"")
         } else {
             let request_id = request.header("X-Request-Id").unwrap_or_default().to_owned();
             let body = String::from_utf8_lossy(&request.body).into_owned();
-            record.line(&format!("runner {id} runs request {request_id}: {} with body {body:?}", request.first));
+            record.line(&format!(
+                "runner {id} runs request {request_id}: {} with body {body:?}",
+                request.first
+            ));
             let (status, more) = work(&request);
             record.line(&format!("runner {id} answers request {request_id} with {status}"));
             let mut headers = own;
--- a/review/bed-2/src/store.rs
+++ b/review/bed-2/src/store.rs
@@ -160,7 +160,10 @@
 
 fn query(call: &Message, name: &str) -> Option<String> {
     let (_, query) = call.word(1).split_once('?')?;
-    let found = query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
+    let found = query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name);
     found.map(|(_, value)| value.replace("%2F", "/"))
 }
 
@@ -188,9 +191,15 @@
     if path == "/-/kv-range" {
         let prefix = query(call, "path_prefix").unwrap_or_default();
         let after = query(call, "after").unwrap_or_default();
-        let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+        let items = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
         let items: Vec<Value> = items.map(|(key, item)| row(key, item)).collect();
-        return (200, json!({"items": items, "has_more": false, "store_revision": state.rev}));
+        return (
+            200,
+            json!({"items": items, "has_more": false, "store_revision": state.rev}),
+        );
     }
     if path == "/-/kv-lease" {
         let ttl = Duration::from_millis(request["ttl_ms"].as_u64().unwrap_or(1_000).max(1_000));
@@ -206,7 +215,10 @@
         *end = Instant::now() + *ttl;
         return (200, json!({"lease": id, "ttl_ms": ttl.as_millis() as u64}));
     }
-    if let Some(id) = path.strip_prefix("/-/kv-lease-end/").and_then(|id| id.parse::<u64>().ok()) {
+    if let Some(id) = path
+        .strip_prefix("/-/kv-lease-end/")
+        .and_then(|id| id.parse::<u64>().ok())
+    {
         state.leases.remove(&id);
         state.expire();
         return (200, json!({}));
@@ -249,7 +261,11 @@
 }
 
 fn watch(state: &Mutex<State>, call: &Message) -> (u16, Value) {
-    let number = |name: &str| query(call, name).and_then(|text| text.parse::<u64>().ok()).unwrap_or_default();
+    let number = |name: &str| {
+        query(call, name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or_default()
+    };
     let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
     let prefix = query(call, "path_prefix").unwrap_or_default();
     let end = Instant::now() + wait;
