--- a/review/bed-2/src/bin/extra_bytes.rs
+++ b/review/bed-2/src/bin/extra_bytes.rs
@@ -1,4 +1,4 @@
-//! Two of four runners send additional bytes after 0.03 of their complete answers, late: at the point where the next answer on that
+//! Two of four runners send additional bytes after one in 34 of their complete answers, late: at the point where the next answer on that
 //! channel is expected. The bytes look like a bare 404 and bear no `X-Request-Id`. No more than 5 + one in 500 of all requests may end
 //! with a 3xx or 4xx of the router's own.
 //!
@@ -19,8 +19,8 @@
 const RUNNERS: usize = 4;
 /// Share 0.5 of the runners; the site's largest dose is 0.6.
 const FAULTY: usize = 2;
-/// One in this many answers, 0.03, is followed by additional bytes.
-const ONE_IN: u64 = 33;
+/// One in this many answers is followed by additional bytes: 0.0294; the site's largest dose is 0.03.
+const ONE_IN: u64 = 34;
 /// The bytes, sent when the next request arrives.
 const EXTRA: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
 /// The disruption lasts this long, and comes back after the same time.
