Fix: an endpoint's own 408, 429 or 503 reaches clients as a statement that their order has not run

Cause: three causes were possible: a refusal of the router after the order had run, a second attempt of the router, or the endpoint's answer. The line of the order in the router's log has one attempt and no refusal: "status":503,"outcome":"answered","tries":"i-0:soonest:whole@15". So the endpoint's answer was forwarded. `read_response` forwarded every complete answer of a request that may run once, but these statuses say something about the request, and only an endpoint that sends the header knows it. The class is wider than the case: 408 and 429 take the same way.

Why this works: `response_step` decides on the status and on whether the request may be repeated. Such an answer now ends the attempt as one that may have run, so the client gets the router's own 502 without a seal, and no other endpoint is tried. Answers of requests that may be repeated are forwarded as before.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use crate::site::RouteKind;
 use lifecycle::request::RequestState;
+use std::fmt;
 use std::time::Duration;
 
 /// How an attempt failed.
@@ -28,6 +29,8 @@
     Outdated,
     /// The endpoint ran the request and returned an error.
     Error,
+    /// The endpoint may have run the request and returned this status, which would tell the client that it has not.
+    Withheld(u16),
 }
 
 impl Failure {
@@ -42,11 +45,11 @@
             Self::NotSent | Self::Declined | Self::OtherWeights => Cause::NoEndpoint,
             Self::Full => Cause::Full,
             Self::Timeout => Cause::Deadline,
-            Self::Broken | Self::Outdated | Self::Error => Cause::EndpointFailed,
+            Self::Broken | Self::Outdated | Self::Error | Self::Withheld(_) => Cause::EndpointFailed,
         }
     }
 
-    /// Name in logs and metrics.
+    /// Name in metrics. Logs add the status of a response that was withheld.
     pub fn name(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
@@ -57,10 +60,46 @@
             Self::Timeout => "silent",
             Self::Outdated => "outdated",
             Self::Error => "error",
+            Self::Withheld(_) => "withheld",
         }
     }
 }
 
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())?;
+        match self {
+            Self::Withheld(status) => write!(f, "_{status}"),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Statuses from which clients conclude that a request has not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// What happens to the complete response of an endpoint that may have run the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseStep {
+    /// Forward it to the client.
+    Forward,
+    /// Try another endpoint, and forward the response if there is none.
+    Retry,
+    /// Fail in its place: the client would send a request again that may run only once.
+    Withhold,
+}
+
+/// Decides what happens to a complete response that does not state by itself that the request has not run.
+pub fn response_step(status: u16, repeatable: bool) -> ResponseStep {
+    if repeatable && status >= 500 {
+        return ResponseStep::Retry;
+    }
+    if !repeatable && NOT_RUN_STATUSES.contains(&status) {
+        return ResponseStep::Withhold;
+    }
+    ResponseStep::Forward
+}
+
 /// A request's attempts so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptHistory {
--- a/crates/dispatch/tests/attempt.rs
+++ b/crates/dispatch/tests/attempt.rs
@@ -1,8 +1,9 @@
 //! Retry decisions after failed attempts, timeouts, and error responses.
 
 use dispatch::attempt::{
-    AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, RetryDecision, StreamEnd, Wait, attempt_timeout,
-    first_event_wait, last_resort_wait, place_wait, refusal, retry_decision, stream_idle_timeout,
+    AttemptHistory, Cause, Failure, PendingAttempt, PlaceWait, ResponseStep, RetryDecision, StreamEnd, Wait,
+    attempt_timeout, first_event_wait, last_resort_wait, place_wait, refusal, response_step, retry_decision,
+    stream_idle_timeout,
 };
 use dispatch::site::RouteKind;
 use lifecycle::request::RequestState;
@@ -51,6 +52,11 @@
             failure: Failure::Error,
             expected: RetryDecision::GiveUp,
         },
+        Case {
+            history: FIRST_ATTEMPT,
+            failure: Failure::Withheld(503),
+            expected: RetryDecision::GiveUp,
+        },
         Case {
             history: FIRST_ATTEMPT,
             failure: Failure::Full,
@@ -149,6 +155,52 @@
     }
 }
 
+/// An endpoint runs an order and answers 503. Guards against a client that sends the order again.
+#[test]
+fn a_status_that_says_not_run_is_withheld_from_requests_that_run_once() {
+    struct Case {
+        statuses: &'static [u16],
+        once: ResponseStep,
+        repeatable: ResponseStep,
+    }
+    let cases = [
+        Case {
+            statuses: &[200, 204, 302, 400, 404, 409, 425, 499],
+            once: ResponseStep::Forward,
+            repeatable: ResponseStep::Forward,
+        },
+        Case {
+            statuses: &[408, 421, 429],
+            once: ResponseStep::Withhold,
+            repeatable: ResponseStep::Forward,
+        },
+        Case {
+            statuses: &[503],
+            once: ResponseStep::Withhold,
+            repeatable: ResponseStep::Retry,
+        },
+        Case {
+            statuses: &[500, 501, 502, 504, 599],
+            once: ResponseStep::Forward,
+            repeatable: ResponseStep::Retry,
+        },
+    ];
+    for case in cases {
+        for &status in case.statuses {
+            assert_eq!(response_step(status, false), case.once, "{status}");
+            assert_eq!(response_step(status, true), case.repeatable, "{status}");
+        }
+    }
+    let withheld = Failure::Withheld(503);
+    assert!(!withheld.not_run());
+    let refused = refusal(withheld.final_cause(), RequestState::Unknown);
+    assert_eq!((refused.status, refused.retry_after), (502, None));
+    assert_eq!(
+        (withheld.name(), withheld.to_string().as_str()),
+        ("withheld", "withheld_503")
+    );
+}
+
 /// A client retries a request that was refused as "not run". If the request had run, it would be executed twice.
 #[test]
 fn only_an_unsent_request_is_refused_as_not_run() {
--- a/crates/gateway/src/serve/attempt_loop.rs
+++ b/crates/gateway/src/serve/attempt_loop.rs
@@ -139,7 +139,7 @@
             }
             AttemptResult::Failed(failure) => failure,
         };
-        self.record_attempt(picked, failure.name());
+        self.record_attempt(picked, failure);
         let failed = &self.shared.metrics.attempts;
         failed.with_label_values(&[failure.name()]).inc();
         if failure == Failure::OtherWeights {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -16,7 +16,7 @@
 use crate::connections::{self, PooledConnection};
 use crate::dialect::ResponseInfo;
 use crate::shared::Shared;
-use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, RetryDecision, Wait};
+use dispatch::attempt::{self, AttemptHistory, Cause, Failure, PendingAttempt, ResponseStep, RetryDecision, Wait};
 use dispatch::fleet::{Choice, Outcome, PickContext, PickedEndpoint, Staleness};
 use dispatch::overload::Admission;
 use dispatch::quarantine::ContentKey;
@@ -24,6 +24,7 @@
 use ids::{EndpointId, SoftwareVersion};
 use lifecycle::events::EventSplitter;
 use lifecycle::request::{Request, RequestEvent, RequestState, RequestStep, RetryPolicy};
+use std::fmt::Display;
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
@@ -139,7 +140,7 @@
         }
     }
 
-    pub(super) fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: &str) {
+    pub(super) fn record_attempt(&mut self, picked: &PickedEndpoint, outcome: impl Display) {
         let now = self.shared.clock.now();
         self.record.attempt(&picked.endpoint.id, picked.reason, outcome, now);
     }
@@ -494,42 +495,41 @@
             }
             WaitOutcome::TimedOut => return AttemptResult::GaveUp(Cause::Deadline),
         }
-        let (status, length) = (response.answer.head.status, response.length());
-        let ReadResponse {
-            answer,
-            source,
-            body,
-            hold,
-        } = response;
-        let headers = (self.shared.dialect.response_headers)(&answer.head.headers);
-        if answer.reusable && answer.head.keeps_alive() {
-            self.shared
-                .connections
-                .put_back(&in_flight.picked.endpoint, source, info.keep_alive);
+        let reusable = response.answer.reusable && response.answer.head.keeps_alive();
+        let headers = (shared.dialect.response_headers)(&response.answer.head.headers);
+        let (response, source) = response.complete(headers);
+        if reusable {
+            let endpoint = &in_flight.picked.endpoint;
+            shared.connections.put_back(endpoint, source, info.keep_alive);
         }
         in_flight.ended();
-        let response = CompleteResponse {
-            status,
-            headers,
-            length,
-            body,
-            hold,
-        };
-        if status >= 500 && self.repeatable() {
-            in_flight.outcome(Outcome::Failed);
-            self.lifecycle.on(RequestEvent::AnswerFailed);
-            return AttemptResult::ServerError(response);
-        }
-        if status >= 500 {
+        if response.status >= 500 {
             in_flight.outcome(Outcome::Failed);
         } else {
             in_flight.answered();
-            if status < 300 {
+            if response.status < 300 {
                 in_flight.record_call();
             }
         }
-        self.lifecycle.on(RequestEvent::AnswerComplete);
-        AttemptResult::Complete(response)
+        self.response_complete(response)
+    }
+
+    fn response_complete(&mut self, response: CompleteResponse) -> AttemptResult<'a> {
+        match attempt::response_step(response.status, self.repeatable()) {
+            ResponseStep::Forward => {
+                self.lifecycle.on(RequestEvent::AnswerComplete);
+                AttemptResult::Complete(response)
+            }
+            ResponseStep::Retry => {
+                self.lifecycle.on(RequestEvent::AnswerFailed);
+                AttemptResult::ServerError(response)
+            }
+            ResponseStep::Withhold => {
+                self.lifecycle.on(RequestEvent::AnswerFailed);
+                self.record_answer();
+                AttemptResult::Failed(Failure::Withheld(response.status))
+            }
+        }
     }
 
     /// The client closed the connection. There is nobody to respond to, but the request's state must be ended.
--- a/crates/gateway/src/serve/record.rs
+++ b/crates/gateway/src/serve/record.rs
@@ -3,7 +3,7 @@
 use crate::shared::Shared;
 use dispatch::fleet::Staleness;
 use ids::{EndpointId, Revision, WorkspaceId};
-use std::fmt::Write;
+use std::fmt::{Display, Write};
 use std::time::Duration;
 
 /// Most attempts whose events stand in a log line.
@@ -85,7 +85,7 @@
 
     /// Adds an attempt: the endpoint, why it was chosen, how the attempt ended, and the milliseconds since the request
     /// arrived.
-    pub fn attempt(&mut self, endpoint: &EndpointId, reason: &str, outcome: &str, now: Duration) {
+    pub fn attempt(&mut self, endpoint: &EndpointId, reason: &str, outcome: impl Display, now: Duration) {
         let after = now.saturating_sub(self.arrived).as_millis();
         let comma = if self.attempts.is_empty() { "" } else { "," };
         // Writing to a string does not fail.
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -107,8 +107,21 @@
         }
     }
 
+    /// The response for the client once the body was read, with these headers, and the connection that it came over.
+    pub(super) fn complete(self, headers: Headers) -> (CompleteResponse, Source) {
+        let (status, length) = (self.answer.head.status, self.length());
+        let response = CompleteResponse {
+            status,
+            headers,
+            length,
+            body: self.body,
+            hold: self.hold,
+        };
+        (response, self.source)
+    }
+
     /// The length that the client is told once the body was read.
-    pub(super) fn length(&self) -> Option<u64> {
+    fn length(&self) -> Option<u64> {
         if self.answer.has_body() {
             return Some(self.body.len() as u64);
         }
