Tests: what the library's client and serve do with broken uploads and errors

`serve` never states not_run for an error of a runner: 503 becomes its own 502 with "unknown", 408 and 429 are forwarded without a statement, and a key runs once. The stand-in of a service can answer executed calls with any status for this.

--- a/crates/apricotfork/tests/single_run.rs
+++ b/crates/apricotfork/tests/single_run.rs
@@ -58,6 +58,55 @@
     }
 }
 
+/// A runner executes a command and answers with an error. Guards against `not_run` for it, and against a second run under its
+/// key.
+#[test]
+fn an_error_of_a_runner_does_not_state_that_its_call_has_not_run() {
+    struct Case {
+        status: u16,
+        /// What the client gets: the status, and whether the call ran.
+        expected: (u16, Option<&'static str>),
+    }
+    let cases = [
+        Case {
+            status: 408,
+            expected: (408, None),
+        },
+        Case {
+            status: 429,
+            expected: (429, None),
+        },
+        Case {
+            status: 503,
+            expected: (502, Some("unknown")),
+        },
+    ];
+    let site = site(2);
+    for Case { status, expected } in cases {
+        let key = format!("status-{status}");
+        let [keyed, unkeyed] = [Some(key.as_str()), None].map(|key| {
+            wait_until_in_service(&site);
+            let failing = |status| Fault {
+                status: Some(status),
+                ..Fault::default()
+            };
+            inject_into_runners(&site, &failing(status));
+            let answer = match key {
+                Some(key) => fan(&site, 0, key, "first"),
+                None => site.silo(0, FANS, &[], BODY).ok(),
+            };
+            inject_into_runners(&site, &failing(200));
+            let answer = answer.expect("a response");
+            assert_eq!((u16::from(answer.status), answer.ran.as_deref()), expected, "{key:?}");
+            answer
+        });
+        let again = retry(&site, 1, &key).expect("a response");
+        assert_eq!((again.status, &again.ran), (keyed.status, &keyed.ran), "{key}");
+        let by_request = site.executions().by_request.get(&unkeyed.request).copied();
+        assert_eq!((executions(&site, &key), by_request), (1, Some(1)), "{key}");
+    }
+}
+
 // A draining runner refuses a call and reports that it has not run it. The router must send the call to the other runner,
 // where it runs once. With an `unknown` instead, the client could not retry safely.
 #[test]
--- a/crates/apricotfork/tests/support/mod.rs
+++ b/crates/apricotfork/tests/support/mod.rs
@@ -69,6 +69,8 @@
     pub request: String,
     /// Complete body.
     pub body: Vec<u8>,
+    /// Whether the request ran, if the response states it.
+    pub ran: Option<String>,
 }
 
 impl Response {
@@ -341,11 +343,17 @@
         let reply: Reply = Client::new().send_once(to, request, body, TIMEOUT, || true).await?;
         let status = reply.status();
         let request = reply.header(wire::headers::REQUEST_ID).unwrap_or_default().to_owned();
+        let ran = reply.header(wire::headers::RAN).map(str::to_owned);
         let body = reply
             .read_body(MAX_BODY_BYTES, TIMEOUT)
             .await
             .map_err(|_| SendError::NoAnswer)?;
-        Ok(Response { status, request, body })
+        Ok(Response {
+            status,
+            request,
+            body,
+            ran,
+        })
     })
 }
 
--- a/crates/http/tests/traps.rs
+++ b/crates/http/tests/traps.rs
@@ -4,7 +4,8 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use http::{BodyError, Client, Method, Request, SendError, Url};
-use std::net::SocketAddr;
+use socket2::SockRef;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 const WAIT: Duration = Duration::from_secs(20);
@@ -232,6 +233,66 @@
     assert!(found.is_empty(), "{found:?}");
 }
 
+/// Body of an upload, bytes: more than the buffers of both sides hold.
+const UPLOAD_BYTES: usize = 3_800_000;
+/// Uploads for each end of a connection.
+const UPLOADS: usize = 8;
+
+/// How a peer ends the connection of an upload that it has not read.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Reset,
+    /// The kernel turns a close with unread bytes into a reset.
+    Close,
+    /// The peer ends its side regularly.
+    Finish,
+}
+
+/// A peer that answers uploads with a part of a response without a length and then ends the connection.
+async fn hasty_peer(end: End) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let narrow = SockRef::from(&listener).set_recv_buffer_size(64 << 10);
+    narrow.expect("a buffer size");
+    let address = listener.local_addr().expect("an address");
+    task::spawn(async move {
+        for _ in 0..UPLOADS {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut part = [0; 1024];
+            let _ = stream.read(&mut part).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhello").await;
+            match end {
+                End::Reset => SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("an option"),
+                End::Close => {}
+                End::Finish => {
+                    // Fails if the client has closed the connection.
+                    let _ = stream.shutdown(Shutdown::Write);
+                    task::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    });
+    address
+}
+
+/// A peer answers a long upload at once and breaks off. Guards against a part of its response that is taken for the whole.
+#[test]
+fn a_response_that_breaks_off_during_an_upload_is_never_complete() {
+    let upload = vec![b'x'; UPLOAD_BYTES];
+    for end in [End::Reset, End::Close, End::Finish] {
+        task::block_on(async {
+            let to = hasty_peer(end).await;
+            for number in 0..UPLOADS {
+                let sent = Client::new().send_once(to, request(to), &upload, WAIT, || true).await;
+                let Ok(reply) = sent else { continue };
+                let body = reply.read_body(LIMIT, WAIT).await;
+                assert!(body.is_err(), "{end:?}, upload {number}: {body:?}");
+            }
+        });
+    }
+}
+
 /// A peer closes an idle pooled connection just as a request is sent on it. A request that may be sent twice is retried on
 /// a new connection; a request that may not always uses a new connection.
 #[test]
--- a/crates/standins/src/service/mod.rs
+++ b/crates/standins/src/service/mod.rs
@@ -187,7 +187,8 @@
     }
 
     fn respond(&self, call: &Call, done: &Done) -> Response {
-        let mut response = http::json(StatusCode::Ok, done);
+        let status = self.lock().fault.status.map(StatusCode::try_from);
+        let mut response = http::json(status.and_then(Result::ok).unwrap_or(StatusCode::Ok), done);
         response.insert_header(headers::INCARNATION, self.incarnation.to_string());
         let Some(request) = call.header(headers::REQUEST_ID) else {
             return response;
@@ -216,6 +217,7 @@
             cut: new.cut.or(old.cut),
             cut_at: new.cut_at.or(old.cut_at),
             cross_answers: new.cross_answers.or(old.cross_answers),
+            status: new.status.or(old.status),
         };
         status(StatusCode::NoContent)
     }
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -64,6 +64,8 @@
     pub cut_at: Option<CutAt>,
     /// This many of the next responses carry another request's id.
     pub cross_answers: Option<u32>,
+    /// Executed calls are answered with this status.
+    pub status: Option<u16>,
 }
 
 /// Where a connection is cut.
